--- /dev/null
+++ b/crates/core/src/config/document.rs
@@ -0,0 +1,182 @@
+//! The typed document of one configuration version.
+//!
+//! Collections are maps keyed by id, so that a merge patch (RFC 7386) can name one entry.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::window::Window;
+use crate::ids::{
+    CallerKind, ConfigVersion, DataCentreId, ModelId, ModelVersion, RouteId, ServerId,
+};
+use crate::units::{Bytes, BytesPerSecond, KvPieces, Millis, Streams};
+
+/// One version of the configuration.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+    /// The number of this version.
+    pub version: ConfigVersion,
+    /// Targets for each caller kind.
+    #[serde(default)]
+    pub caller_kinds: BTreeMap<CallerKind, CallerTargets>,
+    /// Calls to plain services.
+    #[serde(default)]
+    pub routes: BTreeMap<RouteId, Route>,
+    /// Models and where their versions are served.
+    #[serde(default)]
+    pub models: BTreeMap<ModelId, Model>,
+    /// Every backend server.
+    #[serde(default)]
+    pub servers: BTreeMap<ServerId, Server>,
+    /// Links for KV transfer, keyed by `<from>.<to>` data centres.
+    #[serde(default)]
+    pub links: BTreeMap<String, Link>,
+    /// Limits that hold for every instance.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// Latency targets and weights of one caller kind.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerTargets {
+    /// IANA name of the time zone that the windows are read in.
+    pub time_zone: String,
+    /// Weight of a request completed within its targets.
+    pub goodput_weight: f64,
+    /// Weight of prefill work that is discarded.
+    pub wasted_prefill_weight: f64,
+    /// Windows that cover the day without overlap.
+    pub windows: BTreeMap<String, Window>,
+}
+
+/// A call to plain services.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// HTTP method.
+    pub method: String,
+    /// Path, where a segment in braces matches any one segment.
+    pub path: String,
+    /// Whether the call may be executed more than once.
+    pub idempotent: bool,
+    /// Longest wait for the answer.
+    pub timeout_ms: Millis,
+    /// Servers that take the call.
+    pub servers: Vec<ServerId>,
+}
+
+/// A model and its versions.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Version used where the caller names none.
+    pub default_version: ModelVersion,
+    /// The versions served.
+    pub versions: BTreeMap<ModelVersion, ServedVersion>,
+}
+
+/// One version of a model.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServedVersion {
+    /// Engines that may serve it.
+    pub servers: Vec<ServerId>,
+    /// Size of the weights.
+    #[serde(default)]
+    pub weights_bytes: Bytes,
+}
+
+/// What a backend server does.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServerRole {
+    /// Computes the KV cache of prompts.
+    Prefill,
+    /// Generates tokens from KV caches.
+    Decode,
+    /// Answers plain calls.
+    Plain,
+}
+
+/// A backend server.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// Where it stands.
+    pub data_centre: DataCentreId,
+    /// IP number and port.
+    pub address: std::net::SocketAddr,
+    /// What it does unless an order changed it.
+    pub role: ServerRole,
+    /// Whether it refuses orders with an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
+    /// Most streams at a time.
+    #[serde(default = "default_stream_limit")]
+    pub stream_limit_streams: Streams,
+    /// KV cache pieces.
+    #[serde(default = "default_kv_pieces")]
+    pub kv_pieces: KvPieces,
+}
+
+fn default_stream_limit() -> Streams {
+    Streams(20)
+}
+
+fn default_kv_pieces() -> KvPieces {
+    KvPieces(2000)
+}
+
+/// A link that KV caches travel over.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Link {
+    /// Its limit.
+    pub rate_bytes_per_second: BytesPerSecond,
+}
+
+/// Limits that hold for every instance.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Size of the KV cache of one token.
+    pub kv_bytes_per_token: Bytes,
+    /// Tokens in one KV piece.
+    pub tokens_per_piece: u64,
+    /// Retries for each hundred first tries.
+    pub retry_percent: u64,
+    /// Most requests waiting for a seat on one instance.
+    pub queue_limit_requests: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            kv_bytes_per_token: Bytes(160_000),
+            tokens_per_piece: 16,
+            retry_percent: 20,
+            queue_limit_requests: 500,
+        }
+    }
+}
+
+impl Configuration {
+    /// KV pieces that `tokens` take.
+    pub fn pieces_for(&self, tokens: u64) -> KvPieces {
+        KvPieces(tokens.div_ceil(self.limits.tokens_per_piece.max(1)).max(1))
+    }
+
+    /// The version served for a model where the caller may have named one.
+    pub fn served_version(
+        &self,
+        model: &ModelId,
+        version: Option<&ModelVersion>,
+    ) -> Option<(ModelVersion, &ServedVersion)> {
+        let model = self.models.get(model)?;
+        let version = version.unwrap_or(&model.default_version);
+        model.versions.get(version).map(|served| (version.clone(), served))
+    }
+}
--- /dev/null
+++ b/crates/core/src/config/window.rs
@@ -0,0 +1,74 @@
+//! Time windows of the day and the targets that hold in them.
+
+use jiff::civil::Time;
+use jiff::tz::TimeZone;
+use serde::{Deserialize, Serialize};
+
+use crate::config::document::CallerTargets;
+use crate::units::{Millis, WallMillis};
+
+/// Minutes in a day.
+pub const MINUTES_PER_DAY: u32 = 24 * 60;
+
+/// A window of the day; `until` before `from` means that it spans midnight.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Window {
+    /// First minute, as `HH:MM`.
+    pub from: String,
+    /// First minute after the window, as `HH:MM`; `24:00` ends the day.
+    pub until: String,
+    /// Longest time to the first token.
+    pub first_token_ms: Millis,
+    /// Longest mean time between tokens.
+    pub per_token_ms: Millis,
+}
+
+/// Targets in force for one request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Targets {
+    /// Longest time to the first token.
+    pub first_token_ms: Millis,
+    /// Longest mean time between tokens.
+    pub per_token_ms: Millis,
+}
+
+impl Window {
+    /// The minutes of the day as half-open ranges: two where the window spans midnight.
+    pub fn ranges(&self) -> Result<Vec<(u32, u32)>, String> {
+        let from = parse_minute(&self.from)?;
+        let until = parse_minute(&self.until)?;
+        if from < until {
+            return Ok(vec![(from, until)]);
+        }
+        let parts = [(from, MINUTES_PER_DAY), (0, until)];
+        Ok(parts.into_iter().filter(|(start, end)| start < end).collect())
+    }
+
+    fn contains(&self, minute: u32) -> bool {
+        let ranges = self.ranges().unwrap_or_default();
+        ranges.iter().any(|(from, until)| (*from..*until).contains(&minute))
+    }
+}
+
+/// Minute of the day of `HH:MM`, up to and including `24:00`.
+pub fn parse_minute(text: &str) -> Result<u32, String> {
+    if text == "24:00" {
+        return Ok(MINUTES_PER_DAY);
+    }
+    let error = || format!("bad time of day {text:?}: expected HH:MM from 00:00 to 24:00");
+    let time = Time::strptime("%H:%M", text).map_err(|_| error())?;
+    Ok(time.hour() as u32 * 60 + time.minute() as u32)
+}
+
+impl CallerTargets {
+    /// The targets in force at a wall-clock time.
+    pub fn at(&self, wall_ms: WallMillis) -> Option<Targets> {
+        let zone = TimeZone::get(&self.time_zone).ok()?;
+        let timestamp = jiff::Timestamp::from_millisecond(wall_ms.0 as i64).ok()?;
+        let local = timestamp.to_zoned(zone);
+        let minute = local.hour() as u32 * 60 + local.minute() as u32;
+        let window = self.windows.values().find(|window| window.contains(minute))?;
+        Some(Targets { first_token_ms: window.first_token_ms, per_token_ms: window.per_token_ms })
+    }
+}
--- /dev/null
+++ b/crates/core/src/error_kind.rs
@@ -0,0 +1,109 @@
+//! The closed list of error kinds and the table from kind to answer.
+//!
+//! Every final answer that is not a success names one of these kinds. The table gives the HTTP
+//! status, the outcome told to the caller and whether a `retry-after` goes with it. `NotRun` is a
+//! promise: nothing of the request was executed, so that it is safe to send again.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// What the caller may conclude about the execution of the call.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The call ran once and its whole answer was returned.
+    Completed,
+    /// The call was not executed; it is safe to send it again.
+    NotRun,
+    /// The call may or may not have been executed.
+    Unknown,
+}
+
+impl Outcome {
+    /// The outcome as it stands in answers and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Completed => "completed",
+            Outcome::NotRun => "not_run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+macro_rules! error_kinds {
+    ($($name:ident, $text:literal, $status:literal, $outcome:ident, $retry:literal, $doc:literal;)*) => {
+        /// Why a request did not complete.
+        #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum ErrorKind {
+            $(#[doc = $doc] $name,)*
+        }
+
+        impl ErrorKind {
+            /// Every kind, in the order of the table.
+            pub const ALL: &'static [ErrorKind] = &[$(ErrorKind::$name,)*];
+
+            /// The answer given for this kind.
+            pub fn answer(self) -> ErrorAnswer {
+                match self {
+                    $(ErrorKind::$name => ErrorAnswer {
+                        text: $text,
+                        status: $status,
+                        outcome: Outcome::$outcome,
+                        has_retry_after: $retry,
+                        meaning: $doc,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+/// One row of the table from kind to answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ErrorAnswer {
+    /// The kind as it stands in answers, metrics and logs.
+    pub text: &'static str,
+    /// HTTP status code.
+    pub status: u16,
+    /// What the caller may conclude.
+    pub outcome: Outcome,
+    /// Whether the answer carries `retry-after`.
+    pub has_retry_after: bool,
+    /// One sentence for people.
+    pub meaning: &'static str,
+}
+
+error_kinds! {
+    BadRequest, "bad_request", 400, NotRun, false, "The request can't be parsed or lacks a field.";
+    TooLarge, "too_large", 413, NotRun, false, "The request is larger than the settings allow.";
+    UnknownRoute, "unknown_route", 404, NotRun, false, "No route of the configuration matches the method and path.";
+    UnknownModel, "unknown_model", 404, NotRun, false, "The configuration names no such model or version.";
+    UnknownCallerKind, "unknown_caller_kind", 400, NotRun, false, "The configuration names no such caller kind.";
+    TicketRequired, "ticket_required", 428, NotRun, false, "The route is not idempotent and the call carries no ticket.";
+    BadTicket, "bad_ticket", 400, NotRun, false, "The ticket was not issued by this deployment or was altered.";
+    BadCursor, "bad_cursor", 400, NotRun, false, "The cursor was not issued by this deployment or was altered.";
+    CursorExpired, "cursor_expired", 410, Unknown, false, "The stream that the cursor names is no longer held by its engine.";
+    DeadlineUnreachable, "deadline_unreachable", 503, NotRun, true, "The target for this caller kind and hour can't be met at the present load.";
+    Overloaded, "overloaded", 503, NotRun, true, "The workspace or the instance is at its limit.";
+    NoServer, "no_server", 503, NotRun, true, "No reachable backend server serves the call.";
+    NotReady, "not_ready", 503, NotRun, true, "This instance has no configuration yet.";
+    ShuttingDown, "shutting_down", 503, NotRun, true, "This instance is shutting down and takes no new work.";
+    HomeUnreachable, "home_unreachable", 504, Unknown, false, "The instance that issued the ticket can't be reached, so whether the call ran is not known.";
+    ServerLost, "server_lost", 502, Unknown, false, "The backend server was lost after the call may have started.";
+    StreamBroken, "stream_broken", 502, Unknown, false, "The answer could not be completed within the retry budget.";
+    CallerGone, "caller_gone", 499, Unknown, false, "The caller closed its connection.";
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.answer().text)
+    }
+}
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,116 @@
+//! Identifiers as newtypes, each with `Display` and `FromStr`.
+//!
+//! Textual ids are non-empty and hold only ASCII letters, digits, `-`, `_` and `.`, so that they
+//! stand in log lines, cursors and paths without quoting. Numbered ids are plain integers.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use thiserror::Error;
+
+/// Longest textual id, in bytes.
+const MAX_ID_BYTES: usize = 128;
+
+/// An id that could not be parsed.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("bad {kind} {value:?}: use 1 to 128 letters, digits, '-', '_' or '.'")]
+pub struct IdError {
+    /// What the id names.
+    pub kind: &'static str,
+    /// The offending text.
+    pub value: String,
+}
+
+fn check_text(kind: &'static str, value: &str) -> Result<(), IdError> {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    let is_valid = (1..=MAX_ID_BYTES).contains(&value.len()) && value.bytes().all(is_allowed);
+    if !is_valid {
+        return Err(IdError { kind, value: value.chars().take(MAX_ID_BYTES).collect() });
+    }
+    Ok(())
+}
+
+macro_rules! text_id {
+    ($name:ident, $kind:literal) => {
+        #[doc = concat!("Id of a ", $kind, ".")]
+        #[derive(
+            Clone, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay,
+        )]
+        pub struct $name(String);
+
+        impl $name {
+            /// The id as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(value: &str) -> Result<Self, IdError> {
+                check_text($kind, value)?;
+                Ok(Self(value.to_owned()))
+            }
+        }
+    };
+}
+
+macro_rules! number_id {
+    ($name:ident, $kind:literal) => {
+        #[doc = concat!("Number of a ", $kind, ".")]
+        #[derive(
+            Clone,
+            Copy,
+            Debug,
+            Default,
+            Deserialize,
+            Eq,
+            Hash,
+            Ord,
+            PartialEq,
+            PartialOrd,
+            Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(value: &str) -> Result<Self, IdError> {
+                let error = |_| IdError { kind: $kind, value: value.to_owned() };
+                value.parse().map(Self).map_err(error)
+            }
+        }
+    };
+}
+
+text_id!(InstanceId, "instance");
+text_id!(DataCentreId, "data centre");
+text_id!(ServerId, "backend server");
+text_id!(CallerKind, "caller kind");
+text_id!(WorkspaceId, "workspace");
+text_id!(ModelId, "model");
+text_id!(ModelVersion, "model version");
+text_id!(StreamId, "stream");
+text_id!(RouteId, "route");
+
+number_id!(Incarnation, "incarnation");
+number_id!(ConfigVersion, "configuration version");
+number_id!(FencingNumber, "fencing number");
+number_id!(RequestId, "request");
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,22 @@
+//! Decisions and coordination of turmericrail.
+//!
+//! Every type here is a plain state machine: time, reports and seeds come in as arguments, actions
+//! go out as values. The package does no I/O, reads no clock, draws no randomness and is not
+//! async, so that a test or another program can drive it event by event. [`node::Node`] joins the
+//! parts into the coordinator that runs on each instance.
+
+pub mod action;
+pub mod config;
+pub mod error_kind;
+pub mod event;
+pub mod ids;
+pub mod membership;
+pub mod message;
+pub mod node;
+pub mod once;
+pub mod report;
+pub mod request;
+pub mod route;
+pub mod seats;
+pub mod token_order;
+pub mod units;
--- /dev/null
+++ b/crates/core/src/membership/rendezvous.rs
@@ -0,0 +1,23 @@
+//! Rendezvous hashing: every key has one owner among the members, and a member that leaves moves
+//! only its own keys.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::InstanceId;
+
+/// The member that owns `key`, or nothing where there is no member.
+pub fn owner<'a>(
+    key: &str,
+    members: impl IntoIterator<Item = &'a InstanceId>,
+) -> Option<&'a InstanceId> {
+    members.into_iter().max_by_key(|member| (weight(key, member), *member))
+}
+
+/// Hash of a text, the same in every process.
+pub fn stable_hash(text: &str) -> u64 {
+    xxh3_64_with_seed(text.as_bytes(), 0)
+}
+
+fn weight(key: &str, member: &InstanceId) -> u64 {
+    xxh3_64_with_seed(member.as_str().as_bytes(), stable_hash(key))
+}
--- /dev/null
+++ b/crates/core/src/message.rs
@@ -0,0 +1,75 @@
+//! Messages between instances.
+//!
+//! Delivery is neither certain nor in order nor single: every message can be lost, repeated or
+//! late, and each receiver's handling is idempotent.
+
+use serde_json::Value;
+
+use crate::config::Change;
+use crate::ids::{ConfigVersion, RequestId, ServerId, StreamId};
+use crate::membership::Heartbeat;
+use crate::report::Holder;
+use crate::units::KvPieces;
+
+/// A message with its sender.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Envelope {
+    /// The sender.
+    pub from: Holder,
+    /// Number of the configuration version in force at the sender.
+    pub config_version: ConfigVersion,
+    /// What is said.
+    pub message: PeerMessage,
+}
+
+/// What one instance says to another.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PeerMessage {
+    /// Sign of life with digests.
+    Heartbeat(Heartbeat),
+    /// Asks the owner of an engine for a seat.
+    SeatRequest(SeatRequest),
+    /// The owner's answer.
+    SeatReply(SeatReply),
+    /// Gives a seat back.
+    Release(StreamOnServer),
+    /// Tells the owner that the sender now holds the stream.
+    Claim(StreamOnServer),
+    /// Asks for the configuration patches after a version.
+    ChangesRequest(ConfigVersion),
+    /// Configuration patches.
+    Changes(Vec<Change>),
+    /// A whole configuration document.
+    Document(ConfigVersion, Value),
+}
+
+/// One stream on one engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StreamOnServer {
+    /// The engine.
+    pub server: ServerId,
+    /// The stream.
+    pub stream: StreamId,
+}
+
+/// A request for a seat.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SeatRequest {
+    /// The request at the asking instance.
+    pub request: RequestId,
+    /// Where and for which stream.
+    pub seat: StreamOnServer,
+    /// Memory to set aside.
+    pub kv_pieces: KvPieces,
+}
+
+/// The answer to a request for a seat.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SeatReply {
+    /// The request at the asking instance.
+    pub request: RequestId,
+    /// Where and for which stream.
+    pub seat: StreamOnServer,
+    /// Whether the seat was granted.
+    pub is_granted: bool,
+}
--- /dev/null
+++ b/crates/core/src/node/seat_path.rs
@@ -0,0 +1,149 @@
+//! The owner's side of seats: reports, grants, renewals and the end of leases.
+
+use crate::action::Action;
+use crate::config::document::ServerRole;
+use crate::ids::{InstanceId, ServerId};
+use crate::membership::ServerLoad;
+use crate::message::{PeerMessage, SeatReply, SeatRequest, StreamOnServer};
+use crate::node::{KnownLoad, Node};
+use crate::report::{Holder, LoadReport};
+use crate::seats::{SeatLedger, SeatLimits};
+use crate::units::Millis;
+
+/// Time between polls of a server's report.
+const POLL_MS: Millis = Millis(500);
+
+impl Node {
+    /// Owner of a backend server: a live member of the server's data centre.
+    pub(super) fn owner_of(&self, server: &ServerId) -> Option<InstanceId> {
+        let known = self.config.in_force()?.servers.get(server)?;
+        self.members.owner_of(server.as_str(), &known.data_centre, self.now.mono_ms)
+    }
+
+    pub(super) fn owns(&self, server: &ServerId) -> bool {
+        self.owner_of(server).as_ref() == Some(&self.members.own_holder().instance)
+    }
+
+    pub(super) fn poll_servers(&mut self) {
+        if self.now.mono_ms < self.next_poll_ms {
+            return;
+        }
+        self.next_poll_ms = self.now.mono_ms + POLL_MS;
+        let Some(configuration) = self.config.in_force() else {
+            return;
+        };
+        let engines =
+            configuration.servers.iter().filter(|(_, known)| known.role != ServerRole::Plain);
+        let engines: Vec<_> = engines.map(|(server, _)| server.clone()).collect();
+        for server in engines {
+            if !self.owns(&server) {
+                self.ledgers.remove(&server);
+                continue;
+            }
+            let target = self.target(&server);
+            self.actions.extend(target.map(Action::Poll));
+        }
+    }
+
+    pub(super) fn take_report(&mut self, server: &ServerId, report: &LoadReport) {
+        if !self.owns(server) {
+            return;
+        }
+        let now_ms = self.now.mono_ms;
+        let limits =
+            SeatLimits { streams: report.stream_limit_streams, pieces: report.kv_total_pieces };
+        let ledger = self.ledgers.entry(server.clone()).or_insert_with(|| SeatLedger::new(limits));
+        ledger.reconcile(now_ms, report);
+        let free = ledger.free();
+        let load = ServerLoad {
+            free_streams: free.streams,
+            free_pieces: free.pieces,
+            queued_tokens: report.queued_tokens,
+        };
+        self.loads.insert(server.clone(), KnownLoad { load, learned_ms: now_ms });
+    }
+
+    pub(super) fn take_report_failed(&mut self, server: &ServerId) {
+        if self.loads.remove(server).is_some() {
+            self.log("server_silent", None, vec![("server", server.to_string())]);
+        }
+    }
+
+    pub(super) fn take_seat_request(&mut self, from: &Holder, asked: SeatRequest) {
+        let is_granted = self.grant(from, &asked);
+        let fields = vec![
+            ("server", asked.seat.server.to_string()),
+            ("stream", asked.seat.stream.to_string()),
+            ("holder", from.instance.to_string()),
+            ("granted", is_granted.to_string()),
+        ];
+        self.log("seat", None, fields);
+        let reply = SeatReply { request: asked.request, seat: asked.seat, is_granted };
+        if *from == self.members.own_holder() {
+            self.take_seat_reply(reply);
+            return;
+        }
+        self.send(&from.instance, PeerMessage::SeatReply(reply));
+    }
+
+    pub(super) fn take_release(&mut self, from: &Holder, seat: &StreamOnServer) {
+        let Some(ledger) = self.ledgers.get_mut(&seat.server) else {
+            return;
+        };
+        let is_holder =
+            ledger.leases().get(&seat.stream).is_some_and(|lease| lease.holder == *from);
+        if is_holder {
+            ledger.release(&seat.stream);
+            self.note_free_seats(&seat.server);
+        }
+    }
+
+    pub(super) fn take_claim(&mut self, from: &Holder, seat: &StreamOnServer) {
+        let now_ms = self.now.mono_ms;
+        if let Some(ledger) = self.ledgers.get_mut(&seat.server) {
+            ledger.take_over(now_ms, &seat.stream, from);
+        }
+    }
+
+    pub(super) fn expire_leases(&mut self) {
+        let now_ms = self.now.mono_ms;
+        let members = &self.members;
+        let mut ended = Vec::new();
+        for (server, ledger) in &mut self.ledgers {
+            for stream in ledger.expire(now_ms, |holder| members.is_live(holder, now_ms)) {
+                ended.push((server.clone(), stream));
+            }
+        }
+        for (server, stream) in ended {
+            let fields = vec![("server", server.to_string()), ("stream", stream.to_string())];
+            self.log("lease_ended", None, fields);
+            self.note_free_seats(&server);
+            let target = self.target(&server);
+            self.actions.extend(target.map(|target| Action::Cancel { target, stream }));
+        }
+    }
+
+    fn grant(&mut self, from: &Holder, asked: &SeatRequest) -> bool {
+        let server = &asked.seat.server;
+        if !self.owns(server) || self.leaving_servers.contains(server) {
+            return false;
+        }
+        let now_ms = self.now.mono_ms;
+        let Some(ledger) = self.ledgers.get_mut(server) else {
+            return false;
+        };
+        let is_granted = ledger.grant(now_ms, &asked.seat.stream, from, asked.kv_pieces);
+        self.note_free_seats(server);
+        is_granted
+    }
+
+    fn note_free_seats(&mut self, server: &ServerId) {
+        let Some(free) = self.ledgers.get(server).map(SeatLedger::free) else {
+            return;
+        };
+        if let Some(known) = self.loads.get_mut(server) {
+            known.load.free_streams = free.streams;
+            known.load.free_pieces = free.pieces;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/once/seal.rs
@@ -0,0 +1,50 @@
+//! Keyed seals on tickets and cursors, so that altered ones are refused.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+
+/// Bytes of the seal that are kept.
+const SEAL_BYTES: usize = 16;
+
+/// The deployment's key for seals.
+#[derive(Clone)]
+pub struct Seal {
+    key: Vec<u8>,
+}
+
+impl Seal {
+    /// A seal with the deployment's key.
+    pub fn new(key: &str) -> Self {
+        Self { key: key.as_bytes().to_vec() }
+    }
+
+    /// `body` followed by a dot and its seal.
+    pub fn close(&self, purpose: &str, body: &str) -> String {
+        format!("{body}~{}", URL_SAFE_NO_PAD.encode(self.code(purpose, body)))
+    }
+
+    /// The body of a sealed text, or nothing where it was altered.
+    pub fn open<'a>(&self, purpose: &str, sealed: &'a str) -> Option<&'a str> {
+        let (body, code) = sealed.rsplit_once('~')?;
+        let code = URL_SAFE_NO_PAD.decode(code).ok()?;
+        if code.len() != SEAL_BYTES {
+            return None;
+        }
+        self.mac(purpose, body).verify_truncated_left(&code).ok().map(|()| body)
+    }
+
+    fn code(&self, purpose: &str, body: &str) -> Vec<u8> {
+        let code = self.mac(purpose, body).finalize().into_bytes();
+        code[..SEAL_BYTES].to_vec()
+    }
+
+    fn mac(&self, purpose: &str, body: &str) -> Hmac<Sha256> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.key).expect("any key length is allowed");
+        mac.update(purpose.as_bytes());
+        mac.update(b"\0");
+        mac.update(body.as_bytes());
+        mac
+    }
+}
--- /dev/null
+++ b/crates/core/src/once/ticket.rs
@@ -0,0 +1,51 @@
+//! Tickets: keys for calls that may not be repeated, issued by the instance that alone may spend
+//! them.
+
+use std::fmt;
+
+use crate::ids::{DataCentreId, Incarnation, InstanceId};
+use crate::once::seal::Seal;
+use crate::report::Holder;
+
+/// Purpose that separates seals of tickets from those of cursors.
+const PURPOSE: &str = "ticket";
+
+/// A ticket: its home run and a serial number within that run.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Ticket {
+    /// The run that issued it and alone may spend it.
+    pub home: Holder,
+    /// The home's data centre.
+    pub data_centre: DataCentreId,
+    /// Number within the run.
+    pub serial: u64,
+}
+
+impl Ticket {
+    /// The text handed to the caller.
+    pub fn seal(&self, seal: &Seal) -> String {
+        seal.close(PURPOSE, &self.to_string())
+    }
+
+    /// The ticket in a text, or nothing where it was altered or issued elsewhere.
+    pub fn unseal(text: &str, seal: &Seal) -> Option<Self> {
+        let body = seal.open(PURPOSE, text)?;
+        let mut parts = body.split('/');
+        let ticket = Ticket {
+            data_centre: parts.next()?.parse().ok()?,
+            home: Holder {
+                instance: parts.next()?.parse::<InstanceId>().ok()?,
+                incarnation: parts.next()?.parse::<Incarnation>().ok()?,
+            },
+            serial: parts.next()?.parse().ok()?,
+        };
+        parts.next().is_none().then_some(ticket)
+    }
+}
+
+impl fmt::Display for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Holder { instance, incarnation } = &self.home;
+        write!(f, "{}/{}/{}/{}", self.data_centre, instance, incarnation, self.serial)
+    }
+}
--- /dev/null
+++ b/crates/core/src/request/cursor.rs
@@ -0,0 +1,48 @@
+//! Cursors: where an answer can be continued, sealed so that altered ones are refused.
+//!
+//! A cursor names the decode engine, the stream and the index of the next token, so that any
+//! instance that reaches the engine can continue the answer with nothing stored.
+
+use std::fmt;
+
+use crate::ids::{ServerId, StreamId};
+use crate::once::Seal;
+
+/// Purpose that separates seals of cursors from those of tickets.
+const PURPOSE: &str = "cursor";
+
+/// A place in an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Cursor {
+    /// The decode engine.
+    pub server: ServerId,
+    /// The stream.
+    pub stream: StreamId,
+    /// Index of the next token that the caller lacks.
+    pub next_index: u64,
+}
+
+impl Cursor {
+    /// The text handed to the caller.
+    pub fn seal(&self, seal: &Seal) -> String {
+        seal.close(PURPOSE, &self.to_string())
+    }
+
+    /// The cursor in a text, or nothing where it was altered or issued elsewhere.
+    pub fn unseal(text: &str, seal: &Seal) -> Option<Self> {
+        let body = seal.open(PURPOSE, text)?;
+        let mut parts = body.split('/');
+        let cursor = Cursor {
+            server: parts.next()?.parse().ok()?,
+            stream: parts.next()?.parse().ok()?,
+            next_index: parts.next()?.parse().ok()?,
+        };
+        parts.next().is_none().then_some(cursor)
+    }
+}
+
+impl fmt::Display for Cursor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.server, self.stream, self.next_index)
+    }
+}
--- /dev/null
+++ b/crates/core/src/request/flow.rs
@@ -0,0 +1,66 @@
+//! One model request: its stage, its servers and its tries.
+
+use std::collections::BTreeSet;
+
+use crate::config::window::Targets;
+use crate::event::ModelRequest;
+use crate::ids::{ModelVersion, ServerId, StreamId};
+use crate::units::{KvPieces, Millis};
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// Waiting for a decode seat.
+    Waiting,
+    /// An owner was asked for a seat at this time.
+    Asking {
+        /// When.
+        since_ms: Millis,
+    },
+    /// The prompt is being computed.
+    Prefilling,
+    /// The KV cache is on its way.
+    Transferring,
+    /// Tokens are being generated.
+    Decoding,
+}
+
+/// One model request on its way.
+#[derive(Clone, Debug)]
+pub struct Flow {
+    /// What was asked; nothing for an answer that is being continued.
+    pub asked: Option<ModelRequest>,
+    /// The version that serves it.
+    pub version: Option<ModelVersion>,
+    /// Targets in force when it arrived.
+    pub targets: Targets,
+    /// When it arrived.
+    pub arrived_ms: Millis,
+    /// Where it stands.
+    pub stage: Stage,
+    /// The stream of the present try.
+    pub stream: StreamId,
+    /// Number of the present try.
+    pub attempt: u64,
+    /// The decode engine, from the request for its seat on.
+    pub decode: Option<ServerId>,
+    /// The prefill engine, from the start of the prefill on.
+    pub prefill: Option<ServerId>,
+    /// Memory set aside at the decode engine.
+    pub kv_pieces: KvPieces,
+    /// Index of the next token that the caller lacks.
+    pub next_index: u64,
+    /// Engines that failed this request.
+    pub excluded: BTreeSet<ServerId>,
+    /// When the first token arrived.
+    pub first_token_ms: Option<Millis>,
+    /// Broken readings of the present stream.
+    pub broken_reads: u64,
+}
+
+impl Flow {
+    /// When the first token is due.
+    pub fn due_ms(&self) -> Millis {
+        self.arrived_ms + self.targets.first_token_ms
+    }
+}
--- /dev/null
+++ b/crates/core/src/request/mod.rs
@@ -0,0 +1,9 @@
+//! The state of one request on its way through the engines.
+
+pub mod cursor;
+pub mod flow;
+pub mod plain_flow;
+
+pub use cursor::Cursor;
+pub use flow::{Flow, Stage};
+pub use plain_flow::PlainFlow;
--- /dev/null
+++ b/crates/core/src/seats/ledger.rs
@@ -0,0 +1,156 @@
+//! The owner's account of one engine: who holds which stream and how many KV pieces.
+//!
+//! Leases are renewed by the heartbeats of their holder. Streams that the engine reports and the
+//! account does not know are adopted, and cancelled when no live holder claims them in time, so
+//! that memory is freed also where holder and previous owner died together.
+
+use std::collections::BTreeMap;
+
+use crate::ids::StreamId;
+use crate::report::{Holder, LoadReport};
+use crate::units::{KvPieces, Millis, Streams};
+
+/// Time from the last sign of life of a holder to the cancellation of its streams.
+pub const LEASE_MS: Millis = Millis(4_000);
+
+/// Time that a granted stream may take to appear in the engine's reports.
+const APPEAR_WITHIN_MS: Millis = Millis(30_000);
+
+/// What an engine can hold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SeatLimits {
+    /// Streams at a time.
+    pub streams: Streams,
+    /// KV pieces in all.
+    pub pieces: KvPieces,
+}
+
+/// One stream on the engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Lease {
+    /// Who holds it.
+    pub holder: Holder,
+    /// KV pieces set aside.
+    pub kv_pieces: KvPieces,
+    /// When it was granted or adopted.
+    pub granted_ms: Millis,
+    /// When it ends unless the holder shows signs of life.
+    pub ends_ms: Millis,
+    /// Whether the engine has reported it.
+    pub is_reported: bool,
+}
+
+/// The account of one engine.
+#[derive(Clone, Debug)]
+pub struct SeatLedger {
+    limits: SeatLimits,
+    leases: BTreeMap<StreamId, Lease>,
+}
+
+impl SeatLedger {
+    /// An empty account.
+    pub fn new(limits: SeatLimits) -> Self {
+        Self { limits, leases: BTreeMap::new() }
+    }
+
+    /// Streams and pieces that can still be granted.
+    pub fn free(&self) -> SeatLimits {
+        let used_pieces = self.leases.values().map(|lease| lease.kv_pieces.0).sum();
+        SeatLimits {
+            streams: self.limits.streams - Streams(self.leases.len() as u64),
+            pieces: self.limits.pieces - KvPieces(used_pieces),
+        }
+    }
+
+    /// The leases.
+    pub fn leases(&self) -> &BTreeMap<StreamId, Lease> {
+        &self.leases
+    }
+
+    /// Grants a seat; repeated requests for the same stream and holder are granted once.
+    pub fn grant(
+        &mut self,
+        now_ms: Millis,
+        stream: &StreamId,
+        holder: &Holder,
+        kv_pieces: KvPieces,
+    ) -> bool {
+        if let Some(lease) = self.leases.get(stream) {
+            return lease.holder == *holder;
+        }
+        let free = self.free();
+        if free.streams == Streams::ZERO || free.pieces < kv_pieces {
+            return false;
+        }
+        self.insert(now_ms, stream.clone(), holder.clone(), kv_pieces, false);
+        let used_pieces: u64 = self.leases.values().map(|lease| lease.kv_pieces.0).sum();
+        assert!(used_pieces <= self.limits.pieces.0, "granted more KV pieces than the engine has");
+        assert!(
+            self.leases.len() as u64 <= self.limits.streams.0,
+            "granted more seats than there are"
+        );
+        true
+    }
+
+    /// Moves a stream to another holder, as when a caller resumes at another instance.
+    pub fn take_over(&mut self, now_ms: Millis, stream: &StreamId, holder: &Holder) -> bool {
+        let Some(lease) = self.leases.get_mut(stream) else {
+            return false;
+        };
+        lease.holder = holder.clone();
+        lease.ends_ms = now_ms + LEASE_MS;
+        true
+    }
+
+    /// Ends a lease.
+    pub fn release(&mut self, stream: &StreamId) -> bool {
+        self.leases.remove(stream).is_some()
+    }
+
+    /// Compares the account with a report: adopts unknown streams, drops those that are over.
+    pub fn reconcile(&mut self, now_ms: Millis, report: &LoadReport) {
+        for (stream, held) in &report.held {
+            if let Some(lease) = self.leases.get_mut(stream) {
+                lease.is_reported = true;
+                continue;
+            }
+            self.insert(now_ms, stream.clone(), held.holder.clone(), held.kv_pieces, true);
+        }
+        self.leases.retain(|stream, lease| {
+            let is_over = lease.is_reported && !report.held.contains_key(stream);
+            let never_came = !lease.is_reported && now_ms - lease.granted_ms > APPEAR_WITHIN_MS;
+            !is_over && !never_came
+        });
+    }
+
+    /// Renews leases of live holders and removes those that ended, to be cancelled at the engine.
+    pub fn expire(&mut self, now_ms: Millis, is_live: impl Fn(&Holder) -> bool) -> Vec<StreamId> {
+        let mut ended = Vec::new();
+        for (stream, lease) in &mut self.leases {
+            if is_live(&lease.holder) {
+                lease.ends_ms = now_ms + LEASE_MS;
+                continue;
+            }
+            if lease.ends_ms <= now_ms {
+                ended.push(stream.clone());
+            }
+        }
+        for stream in &ended {
+            self.leases.remove(stream);
+        }
+        ended
+    }
+
+    fn insert(
+        &mut self,
+        now_ms: Millis,
+        stream: StreamId,
+        holder: Holder,
+        kv_pieces: KvPieces,
+        is_reported: bool,
+    ) {
+        let ends_ms = now_ms + LEASE_MS;
+        let lease = Lease { holder, kv_pieces, granted_ms: now_ms, ends_ms, is_reported };
+        self.leases.insert(stream, lease);
+    }
+}
--- /dev/null
+++ b/crates/core/src/token_order.rs
@@ -0,0 +1,59 @@
+//! Order of the tokens of one answer.
+//!
+//! Each token event has an index. The filter passes indices on strictly rising without a gap,
+//! holds early ones, drops repeated ones, and recognises the explicit end only when every token
+//! before it has been passed on.
+
+use std::collections::BTreeMap;
+
+/// Most early tokens held for one answer.
+const MAX_HELD_TOKENS: usize = 4096;
+
+/// Puts the token events of one answer in order.
+#[derive(Clone, Debug, Default)]
+pub struct TokenOrder {
+    next_index: u64,
+    end_index: Option<u64>,
+    held: BTreeMap<u64, String>,
+}
+
+impl TokenOrder {
+    /// An order that starts at `next_index`, as for a resumed answer.
+    pub fn starting_at(next_index: u64) -> Self {
+        Self { next_index, ..Self::default() }
+    }
+
+    /// Index of the next token to pass on.
+    pub fn next_index(&self) -> u64 {
+        self.next_index
+    }
+
+    /// Whether every token before the end has been passed on.
+    pub fn is_complete(&self) -> bool {
+        self.end_index == Some(self.next_index)
+    }
+
+    /// Takes a token event and returns the tokens that can be passed on now.
+    pub fn push(&mut self, index: u64, text: String) -> Vec<(u64, String)> {
+        let is_past_end = self.end_index.is_some_and(|end| index >= end);
+        if index < self.next_index || is_past_end {
+            return Vec::new();
+        }
+        if index != self.next_index && self.held.len() >= MAX_HELD_TOKENS {
+            return Vec::new();
+        }
+        self.held.entry(index).or_insert(text);
+        let mut ready = Vec::new();
+        while let Some(text) = self.held.remove(&self.next_index) {
+            ready.push((self.next_index, text));
+            self.next_index += 1;
+        }
+        ready
+    }
+
+    /// Takes the explicit end: `count` is the number of tokens of the whole answer.
+    pub fn finish(&mut self, count: u64) {
+        assert!(count >= self.next_index, "an answer ended before a token already passed on");
+        self.end_index.get_or_insert(count);
+    }
+}
--- /dev/null
+++ b/crates/core/src/units.rs
@@ -0,0 +1,142 @@
+//! Sizes, times and rates as newtypes, each with `Display` and `FromStr`.
+//!
+//! The text form carries the unit (`250ms`, `2s`, `64KiB`, `800tokens`, `1.5GB/s`). Numbers on
+//! the wire are plain integers in the unit that the field's name ends in.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// A quantity that could not be parsed.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("bad quantity {value:?}: expected a number followed by one of {units}")]
+pub struct UnitError {
+    /// The offending text.
+    pub value: String,
+    /// The accepted units.
+    pub units: &'static str,
+}
+
+fn parse_scaled(text: &str, units: &'static str, scales: &[(&str, f64)]) -> Result<u64, UnitError> {
+    let error = || UnitError { value: text.to_owned(), units };
+    let split = text.find(|c: char| !c.is_ascii_digit() && c != '.').unwrap_or(text.len());
+    let (number, unit) = text.split_at(split);
+    let scale = scales.iter().find(|(name, _)| *name == unit.trim()).ok_or_else(error)?.1;
+    let number: f64 = number.parse().map_err(|_| error())?;
+    let scaled = number * scale;
+    if !scaled.is_finite() || scaled > u64::MAX as f64 / 2.0 {
+        return Err(error());
+    }
+    Ok(scaled.round() as u64)
+}
+
+macro_rules! quantity {
+    ($name:ident, $doc:literal, $suffix:literal, $units:literal, $scales:expr) => {
+        #[doc = $doc]
+        #[derive(
+            Clone,
+            Copy,
+            Debug,
+            Default,
+            Deserialize,
+            Eq,
+            Hash,
+            Ord,
+            PartialEq,
+            PartialOrd,
+            Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Zero.
+            pub const ZERO: Self = Self(0);
+
+            /// The difference, or zero where `other` is larger.
+            pub fn saturating_sub(self, other: Self) -> Self {
+                Self(self.0.saturating_sub(other.0))
+            }
+        }
+
+        impl Add for $name {
+            type Output = Self;
+
+            fn add(self, other: Self) -> Self {
+                Self(self.0.saturating_add(other.0))
+            }
+        }
+
+        impl Sub for $name {
+            type Output = Self;
+
+            fn sub(self, other: Self) -> Self {
+                self.saturating_sub(other)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{}", $suffix), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = UnitError;
+
+            fn from_str(text: &str) -> Result<Self, UnitError> {
+                parse_scaled(text, $units, &$scales).map(Self)
+            }
+        }
+    };
+}
+
+quantity!(
+    Millis,
+    "A duration, or a monotonic instant, in milliseconds.",
+    "ms",
+    "ms, s, m, h",
+    [("ms", 1.0), ("s", 1e3), ("m", 6e4), ("h", 3.6e6)]
+);
+quantity!(
+    WallMillis,
+    "Wall-clock time in milliseconds since 1970-01-01 UTC.",
+    "ms",
+    "ms, s",
+    [("ms", 1.0), ("s", 1e3)]
+);
+quantity!(
+    Bytes,
+    "A size in bytes.",
+    "B",
+    "B, KB, MB, GB, KiB, MiB, GiB",
+    [
+        ("B", 1.0),
+        ("KB", 1e3),
+        ("MB", 1e6),
+        ("GB", 1e9),
+        ("KiB", 1024.0),
+        ("MiB", 1048576.0),
+        ("GiB", 1073741824.0)
+    ]
+);
+quantity!(Tokens, "A count of tokens.", "tokens", "tokens", [("tokens", 1.0)]);
+quantity!(KvPieces, "A count of KV cache pieces.", "pieces", "pieces", [("pieces", 1.0)]);
+quantity!(Streams, "A count of streams.", "streams", "streams", [("streams", 1.0)]);
+quantity!(
+    BytesPerSecond,
+    "A rate in bytes a second.",
+    "B/s",
+    "B/s, KB/s, MB/s, GB/s",
+    [("B/s", 1.0), ("KB/s", 1e3), ("MB/s", 1e6), ("GB/s", 1e9)]
+);
+quantity!(
+    TokensPerSecond,
+    "A rate in tokens a second.",
+    "tokens/s",
+    "tokens/s",
+    [("tokens/s", 1.0)]
+);
--- /dev/null
+++ b/crates/fakes/src/fleet.rs
@@ -0,0 +1,314 @@
+//! A whole deployment on loopback: fakes in this process, instances as processes of their own.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use async_std::task;
+use serde_json::{Value, json};
+use turmericrail_core::ids::InstanceId;
+use turmericrail_core::membership::{ListedInstance, ListedState};
+use turmericrail_wire::client::Call;
+
+use crate::engine::{EngineSettings, FakeEngine};
+use crate::plain::FakePlain;
+use crate::platform::FakePlatform;
+
+/// Longest wait for an instance to become ready.
+const READY_TRIES: usize = 400;
+/// Time between looks at readiness.
+const READY_STEP: Duration = Duration::from_millis(25);
+
+/// One instance as a process.
+pub struct FleetInstance {
+    /// Its id.
+    pub id: InstanceId,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its caller edge.
+    pub caller_address: SocketAddr,
+    /// Its peer edge.
+    pub peer_address: SocketAddr,
+    /// The process, while it runs.
+    pub process: Option<Child>,
+    /// Its log.
+    pub log_path: PathBuf,
+}
+
+impl FleetInstance {
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: &str) {
+        let Some(process) = &self.process else {
+            return;
+        };
+        let id = process.id().to_string();
+        let _ = Command::new("kill").args([&format!("-{signal}"), &id]).status();
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+}
+
+impl Drop for FleetInstance {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// How a fleet is laid out.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// The daemon's executable.
+    pub daemon: PathBuf,
+    /// Folder for settings and logs.
+    pub folder: PathBuf,
+    /// Instances in each data centre.
+    pub data_centres: BTreeMap<String, usize>,
+    /// Prefill engines in each data centre.
+    pub prefill_engines: usize,
+    /// Decode engines in each data centre.
+    pub decode_engines: usize,
+    /// Plain services in all.
+    pub plain_services: usize,
+    /// Speed and size of the engines.
+    pub engine: EngineSettings,
+}
+
+impl FleetPlan {
+    /// Three instances in two data centres.
+    pub fn small(daemon: impl Into<PathBuf>, name: &str) -> Self {
+        let folder =
+            std::env::temp_dir().join(format!("turmericrail-{name}-{}", std::process::id()));
+        Self {
+            daemon: daemon.into(),
+            folder,
+            data_centres: BTreeMap::from([("dc-a".to_owned(), 2), ("dc-b".to_owned(), 1)]),
+            prefill_engines: 1,
+            decode_engines: 2,
+            plain_services: 2,
+            engine: EngineSettings::default(),
+        }
+    }
+}
+
+/// A whole deployment.
+pub struct Fleet {
+    /// How it is laid out.
+    pub plan: FleetPlan,
+    /// The platform.
+    pub platform: FakePlatform,
+    /// Prefill engines by server id.
+    pub prefill: BTreeMap<String, FakeEngine>,
+    /// Decode engines by server id.
+    pub decode: BTreeMap<String, FakeEngine>,
+    /// Plain services by server id.
+    pub plain: BTreeMap<String, FakePlain>,
+    /// Instances.
+    pub instances: Vec<FleetInstance>,
+}
+
+/// A free loopback address.
+pub fn free_address() -> std::io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+impl Fleet {
+    /// Starts everything and waits until each instance is ready.
+    pub async fn start(plan: FleetPlan) -> std::io::Result<Self> {
+        std::fs::create_dir_all(&plan.folder)?;
+        let mut fleet = Self {
+            platform: FakePlatform::start(Value::Null).await?,
+            prefill: BTreeMap::new(),
+            decode: BTreeMap::new(),
+            plain: BTreeMap::new(),
+            instances: Vec::new(),
+            plan,
+        };
+        let document = fleet.start_servers().await?;
+        {
+            let mut state = fleet.platform.state();
+            state.changes = vec![(1, document.clone())];
+            state.document = document;
+        }
+        for (data_centre, count) in fleet.plan.data_centres.clone() {
+            for number in 1..=count {
+                fleet.add_instance(&data_centre, number)?;
+            }
+        }
+        fleet.publish_list();
+        for index in 0..fleet.instances.len() {
+            fleet.launch(index)?;
+        }
+        fleet.wait_ready().await;
+        Ok(fleet)
+    }
+
+    /// Starts the process of an instance.
+    pub fn launch(&mut self, index: usize) -> std::io::Result<()> {
+        let platform = self.platform.address;
+        let instance = &mut self.instances[index];
+        let settings = format!(
+            "deployment: test\ninstance: {}\ndata_centre: {}\ncaller_address: {}\n\
+             peer_address: {}\nplatform_address: {platform}\nseal_key: 0123456789abcdef\n",
+            instance.id, instance.data_centre, instance.caller_address, instance.peer_address
+        );
+        let path = self.plan.folder.join(format!("{}.yaml", instance.id));
+        std::fs::write(&path, settings)?;
+        let log = std::fs::File::options().create(true).append(true).open(&instance.log_path)?;
+        let process = Command::new(&self.plan.daemon)
+            .arg("--settings")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        instance.process = Some(process);
+        Ok(())
+    }
+
+    /// Waits until every running instance is ready and sees the load of every engine.
+    pub async fn wait_ready(&self) {
+        for instance in &self.instances {
+            if instance.process.is_some() {
+                self.wait_instance(instance).await;
+            }
+        }
+    }
+
+    /// The status page of an instance.
+    pub async fn status(&self, index: usize) -> Option<Value> {
+        let call =
+            Call::get(self.instances[index].caller_address, "/status", Duration::from_secs(1));
+        call.send_json().await.ok()
+    }
+
+    /// Tells the platform's list of instances.
+    pub fn publish_list(&self) {
+        let listed = self.instances.iter().map(|instance| {
+            let entry = ListedInstance {
+                data_centre: instance.data_centre.parse().expect("plans name valid data centres"),
+                peer_address: instance.peer_address,
+                state: ListedState::Live,
+            };
+            (instance.id.clone(), entry)
+        });
+        self.platform.state().list.instances = listed.collect();
+    }
+
+    fn add_instance(&mut self, data_centre: &str, number: usize) -> std::io::Result<()> {
+        let id: InstanceId =
+            format!("{data_centre}-{number}").parse().expect("plans name valid data centres");
+        let log_path = self.plan.folder.join(format!("{id}.log"));
+        self.instances.push(FleetInstance {
+            id,
+            data_centre: data_centre.to_owned(),
+            caller_address: free_address()?,
+            peer_address: free_address()?,
+            process: None,
+            log_path,
+        });
+        Ok(())
+    }
+
+    async fn start_servers(&mut self) -> std::io::Result<Value> {
+        let mut servers = serde_json::Map::new();
+        let mut engines = Vec::new();
+        for data_centre in self.plan.data_centres.keys() {
+            for number in 1..=self.plan.prefill_engines {
+                let id = format!("{data_centre}-prefill-{number}");
+                let engine = FakeEngine::start(self.plan.engine.clone()).await?;
+                servers.insert(id.clone(), server(data_centre, engine.address, "prefill"));
+                engines.push(id.clone());
+                self.prefill.insert(id, engine);
+            }
+            for number in 1..=self.plan.decode_engines {
+                let id = format!("{data_centre}-decode-{number}");
+                let engine = FakeEngine::start(self.plan.engine.clone()).await?;
+                servers.insert(id.clone(), server(data_centre, engine.address, "decode"));
+                engines.push(id.clone());
+                self.decode.insert(id, engine);
+            }
+        }
+        let data_centres: Vec<_> = self.plan.data_centres.keys().cloned().collect();
+        for number in 1..=self.plan.plain_services {
+            let id = format!("plain-{number}");
+            let service = FakePlain::start().await?;
+            let data_centre = &data_centres[number % data_centres.len()];
+            servers.insert(id.clone(), server(data_centre, service.address, "plain"));
+            self.plain.insert(id, service);
+        }
+        Ok(self.document(servers, &engines))
+    }
+
+    fn document(&self, servers: serde_json::Map<String, Value>, engines: &[String]) -> Value {
+        let plain: Vec<_> = self.plain.keys().collect();
+        let route = |method: &str, path: &str, idempotent: bool| {
+            json!({
+                "method": method, "path": path, "idempotent": idempotent,
+                "timeout_ms": 2000, "servers": plain,
+            })
+        };
+        json!({
+            "version": 1,
+            "caller_kinds": {
+                "printer": targets("Africa/Dakar", 3.0, 1.0),
+                "author": targets("Asia/Taipei", 1.0, 3.0),
+            },
+            "routes": {
+                "read-stock": route("GET", "/stock/{board}", true),
+                "book-slot": route("POST", "/slots/{slot}/bookings", false),
+                "read-catalogue": route("GET", "/catalogue/{mod}", true),
+                "install": route("POST", "/installs", false),
+            },
+            "models": {
+                "quote": {
+                    "default_version": "v1",
+                    "versions": {"v1": {"servers": engines}},
+                },
+            },
+            "servers": servers,
+        })
+    }
+
+    async fn wait_instance(&self, instance: &FleetInstance) {
+        for _ in 0..READY_TRIES {
+            let call = Call::get(instance.caller_address, "/status", READY_STEP * 20);
+            let status: Option<Value> = call.send_json().await.ok();
+            if status.is_some_and(|status| sees_all_engines(&status)) {
+                return;
+            }
+            task::sleep(READY_STEP).await;
+        }
+        panic!("instance {} did not become ready", instance.id);
+    }
+}
+
+fn sees_all_engines(status: &Value) -> bool {
+    let servers = status["servers"].as_object();
+    let has_load =
+        |(id, server): (&String, &Value)| id.starts_with("plain") || !server["load"].is_null();
+    status["is_ready"] == true && servers.is_some_and(|servers| servers.iter().all(has_load))
+}
+
+fn server(data_centre: &str, address: SocketAddr, role: &str) -> Value {
+    json!({"data_centre": data_centre, "address": address.to_string(), "role": role})
+}
+
+fn targets(time_zone: &str, goodput_weight: f64, wasted_prefill_weight: f64) -> Value {
+    json!({
+        "time_zone": time_zone,
+        "goodput_weight": goodput_weight,
+        "wasted_prefill_weight": wasted_prefill_weight,
+        "windows": {
+            "day": {"from": "07:00", "until": "20:00", "first_token_ms": 2000, "per_token_ms": 100},
+            "night": {"from": "20:00", "until": "07:00", "first_token_ms": 4000, "per_token_ms": 200},
+        },
+    })
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,17 @@
+//! Small stand-ins for the platform and the backend servers, for tests and examples only.
+//!
+//! Each listens on a loopback port of its own and has switches for the ways in which the real ones
+//! fail. They are no simulator: what they compute is a fixed function of the prompt, and time
+//! passes in the real clock.
+
+pub mod engine;
+pub mod fleet;
+pub mod plain;
+pub mod platform;
+mod serve;
+pub mod text;
+
+pub use engine::{EngineSettings, FakeEngine};
+pub use fleet::{Fleet, FleetInstance, FleetPlan};
+pub use plain::FakePlain;
+pub use platform::FakePlatform;
--- /dev/null
+++ b/crates/fakes/src/plain.rs
@@ -0,0 +1,62 @@
+//! A plain service that counts its executions.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use async_std::task;
+use tide::{Request, Response, Server};
+
+use crate::serve::serve;
+
+/// State and switches of a plain service.
+#[derive(Debug, Default)]
+pub struct PlainState {
+    /// Executions by body.
+    pub executions: BTreeMap<String, u64>,
+    /// Time that a call takes.
+    pub delay_ms: u64,
+    /// Whether calls are executed and never answered.
+    pub is_silent: bool,
+}
+
+/// The stand-in for a plain service.
+#[derive(Clone, Debug)]
+pub struct FakePlain {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<Mutex<PlainState>>,
+}
+
+impl FakePlain {
+    /// Starts the service.
+    pub async fn start() -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(PlainState::default()));
+        let mut app = Server::with_state(Arc::clone(&state));
+        app.at("/*").all(execute);
+        let address = serve(app).await?;
+        Ok(Self { address, state })
+    }
+
+    /// State and switches.
+    pub fn state(&self) -> MutexGuard<'_, PlainState> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+async fn execute(mut request: Request<Arc<Mutex<PlainState>>>) -> tide::Result {
+    let body = request.body_string().await?;
+    let (count, delay_ms, is_silent) = {
+        let mut state = request.state().lock().expect("no holder of the lock panics");
+        let count = state.executions.entry(body.clone()).or_default();
+        *count += 1;
+        (*count, state.delay_ms, state.is_silent)
+    };
+    task::sleep(Duration::from_millis(delay_ms)).await;
+    if is_silent {
+        task::sleep(Duration::from_secs(3600)).await;
+    }
+    let answer = format!("{} {} execution={count}", request.method(), request.url().path());
+    Ok(Response::builder(200).body(answer).build())
+}
--- /dev/null
+++ b/crates/turmericctl/src/main.rs
@@ -0,0 +1,5 @@
+//! The operators' command line.
+
+fn main() {
+    println!("turmericctl {}", env!("CARGO_PKG_VERSION"));
+}
--- /dev/null
+++ b/crates/turmericrail/src/backend_edge/mod.rs
@@ -0,0 +1,5 @@
+//! Calls to backend servers, one adapter a file.
+
+pub mod engine;
+pub mod plain;
+pub mod tokens;
--- /dev/null
+++ b/crates/turmericrail/src/caller_edge/mod.rs
@@ -0,0 +1,69 @@
+//! HTTP towards callers, operators and the balancer.
+
+mod completions;
+mod connection;
+mod pages;
+mod plain;
+mod reply;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::stream::StreamExt;
+use async_std::task;
+use tide::Server;
+
+use crate::daemon::Shared;
+use crate::error::StartError;
+
+/// Longest wait for the last bytes to reach callers at shutdown.
+const DRAIN_LIMIT: Duration = Duration::from_millis(2_000);
+/// Time between looks while draining.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+
+type App = Server<Arc<Shared>>;
+
+fn app(shared: &Arc<Shared>) -> App {
+    let mut app = Server::with_state(Arc::clone(shared));
+    app.at("/v1/completions").post(completions::complete);
+    app.at("/v1/completions/resume").get(completions::resume);
+    app.at("/v1/tickets").post(plain::issue_ticket);
+    app.at("/health").get(pages::health);
+    app.at("/ready").get(pages::ready);
+    app.at("/metrics").get(pages::metrics);
+    app.at("/status").get(pages::status);
+    app.at("/*").all(plain::call);
+    app
+}
+
+/// Listens for callers.
+pub async fn listen(shared: &Arc<Shared>) -> Result<(), StartError> {
+    let address = shared.settings.caller_address;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.map_err(|source| StartError::Listen { address, source })?;
+    let app = app(shared);
+    let shared = Arc::clone(shared);
+    task::spawn(async move {
+        let mut incoming = listener.incoming();
+        while let Some(stream) = incoming.next().await {
+            let Ok(stream) = stream else {
+                task::sleep(DRAIN_STEP).await;
+                continue;
+            };
+            connection::start(&shared, &app, stream);
+        }
+    });
+    Ok(())
+}
+
+/// Waits for the last answers to be written.
+pub async fn drain(shared: &Arc<Shared>) {
+    let waiting = async {
+        while !shared.callers.is_empty() {
+            task::sleep(DRAIN_STEP).await;
+        }
+        task::sleep(DRAIN_STEP * 5).await;
+    };
+    let _ = async_std::future::timeout(DRAIN_LIMIT, waiting).await;
+}
--- /dev/null
+++ b/crates/turmericrail/src/caller_edge/pages.rs
@@ -0,0 +1,33 @@
+//! Health, readiness, metrics and status.
+
+use std::sync::Arc;
+
+use tide::{Request, Response, StatusCode};
+
+use super::reply;
+use crate::daemon::Shared;
+
+pub async fn health(_request: Request<Arc<Shared>>) -> tide::Result {
+    Ok(Response::new(StatusCode::Ok))
+}
+
+pub async fn ready(request: Request<Arc<Shared>>) -> tide::Result {
+    let status = match request.state().node().is_ready() {
+        true => StatusCode::Ok,
+        false => StatusCode::ServiceUnavailable,
+    };
+    Ok(Response::new(status))
+}
+
+pub async fn metrics(request: Request<Arc<Shared>>) -> tide::Result {
+    let shared = request.state();
+    let version = shared.node().status().config_version;
+    shared.metrics.config_version.set(version.0 as i64);
+    let body = shared.metrics.render();
+    Ok(Response::builder(200).content_type("text/plain; version=0.0.4").body(body).build())
+}
+
+pub async fn status(request: Request<Arc<Shared>>) -> tide::Result {
+    let status = request.state().node().status();
+    reply::json(&status)
+}
--- /dev/null
+++ b/crates/turmericrail/src/daemon/driver.rs
@@ -0,0 +1,98 @@
+//! The driver: passes events to the coordinator and carries out its actions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_std::task;
+use turmericrail_core::action::{Action, Decision};
+use turmericrail_core::error_kind::ErrorKind;
+use turmericrail_core::event::Event;
+use turmericrail_core::ids::RequestId;
+
+use crate::daemon::Shared;
+use crate::daemon::callers::ToCaller;
+use crate::{backend_edge, logs, peer_edge, platform_edge};
+
+/// Time between ticks.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Runs until the coordinator asks to exit.
+pub async fn drive(shared: &Arc<Shared>, events: Receiver<Event>) {
+    start_ticks(shared);
+    while let Ok(event) = events.recv().await {
+        let actions = shared.node().handle(shared.now(), event);
+        for action in actions {
+            if action == Action::Exit {
+                return;
+            }
+            perform(shared, action);
+        }
+    }
+}
+
+fn start_ticks(shared: &Arc<Shared>) {
+    let shared = Arc::clone(shared);
+    task::spawn(async move {
+        loop {
+            task::sleep(TICK).await;
+            shared.tell(Event::Tick);
+        }
+    });
+}
+
+fn perform(shared: &Arc<Shared>, action: Action) {
+    match action {
+        Action::Send { to, address, envelope } => {
+            peer_edge::client::send(shared, to, address, &envelope);
+        }
+        Action::Prefill(call) => {
+            spawn(shared, |shared| backend_edge::engine::prefill(shared, call))
+        }
+        Action::Transfer(call) => {
+            spawn(shared, |shared| backend_edge::engine::transfer(shared, call))
+        }
+        Action::Read(call) => spawn(shared, |shared| backend_edge::tokens::read(shared, call)),
+        Action::Cancel { target, stream } => {
+            spawn(shared, |shared| backend_edge::engine::cancel(shared, target, stream));
+        }
+        Action::Poll(target) => spawn(shared, |shared| backend_edge::engine::poll(shared, target)),
+        Action::CallPlain(call) => spawn(shared, |shared| backend_edge::plain::call(shared, call)),
+        Action::Forward { request, home, address, timeout_ms } => spawn(shared, move |shared| {
+            peer_edge::client::forward(shared, request, home, address, timeout_ms)
+        }),
+        Action::AnswerTicket(request, ticket) => finish(shared, request, ToCaller::Ticket(ticket)),
+        Action::AnswerPlain(request, answer) => finish(shared, request, ToCaller::Plain(answer)),
+        Action::AnswerError { request, kind, retry_after_ms } => {
+            finish(shared, request, ToCaller::Error { kind, retry_after_ms });
+        }
+        Action::FetchDocument => spawn(shared, platform_edge::fetch_document),
+        Action::Log(decision) => log(shared, &decision),
+        Action::Exit => {}
+    }
+}
+
+fn spawn<F>(shared: &Arc<Shared>, start: impl FnOnce(Arc<Shared>) -> F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    task::spawn(start(Arc::clone(shared)));
+}
+
+fn finish(shared: &Arc<Shared>, request: RequestId, answer: ToCaller) {
+    count_answer(shared, &answer);
+    shared.callers.finish(request, answer);
+}
+
+fn count_answer(shared: &Shared, answer: &ToCaller) {
+    let kind = match answer {
+        ToCaller::Error { kind, .. } => ErrorKind::answer(*kind).text,
+        _ => "completed",
+    };
+    shared.metrics.answers.with_label_values(&[kind]).inc();
+}
+
+fn log(shared: &Shared, decision: &Decision) {
+    shared.metrics.decisions.with_label_values(&[decision.event]).inc();
+    spdlog::info!("{}", logs::line(decision));
+}
--- /dev/null
+++ b/crates/turmericrail/src/daemon/mod.rs
@@ -0,0 +1,57 @@
+//! The process: starts the edges and drives the coordinator until shutdown.
+
+pub mod callers;
+pub mod driver;
+pub mod shared;
+
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+
+use async_std::io::ReadExt;
+use async_std::task;
+use turmericrail_core::event::Event;
+
+use crate::error::StartError;
+use crate::settings::Settings;
+use crate::{caller_edge, logs, peer_edge, platform_edge};
+
+pub use shared::Shared;
+
+/// Runs the daemon until it was told to end and all work is done.
+pub async fn run(settings: Settings) -> Result<(), StartError> {
+    logs::set_up(&settings.log_level)?;
+    let (shared, events) = Shared::new(settings);
+    let shared = Arc::new(shared);
+    watch_signals(&shared)?;
+    caller_edge::listen(&shared).await?;
+    peer_edge::server::listen(&shared).await?;
+    platform_edge::start(&shared);
+    spdlog::info!(
+        "event=started instance={} incarnation={} caller_address={} peer_address={}",
+        shared.settings.instance,
+        shared.incarnation,
+        shared.settings.caller_address,
+        shared.settings.peer_address
+    );
+    driver::drive(&shared, events).await;
+    caller_edge::drain(&shared).await;
+    spdlog::info!("event=ended instance={}", shared.settings.instance);
+    Ok(())
+}
+
+fn watch_signals(shared: &Arc<Shared>) -> Result<(), StartError> {
+    let (reader, writer) = UnixStream::pair().map_err(StartError::Signals)?;
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        let writer = writer.try_clone().map_err(StartError::Signals)?;
+        signal_hook::low_level::pipe::register(signal, writer).map_err(StartError::Signals)?;
+    }
+    let shared = Arc::clone(shared);
+    task::spawn(async move {
+        let mut reader = async_std::os::unix::net::UnixStream::from(reader);
+        let mut byte = [0];
+        if reader.read_exact(&mut byte).await.is_ok() {
+            shared.tell(Event::Shutdown);
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/turmericrail/src/error.rs
@@ -0,0 +1,44 @@
+//! Why the daemon did not start or had to stop.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use thiserror::Error;
+
+/// Why the daemon did not start or had to stop.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// No settings file was named.
+    #[error("no settings: pass --settings <file>")]
+    NoSettings,
+    /// The settings file can't be read.
+    #[error("can't read settings {path:?}: {source}")]
+    ReadSettings {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The settings are wrong.
+    #[error("bad settings in {path:?}: {problem}")]
+    BadSettings {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong, and where.
+        problem: String,
+    },
+    /// An address can't be listened on.
+    #[error("can't listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// Signals can't be received.
+    #[error("can't receive signals: {0}")]
+    Signals(std::io::Error),
+    /// The log can't be set up.
+    #[error("can't set up the log: {0}")]
+    Log(String),
+}
--- /dev/null
+++ b/crates/turmericrail/src/lib.rs
@@ -0,0 +1,16 @@
+//! The daemon of each entry instance: edges around the coordinator of `turmericrail-core`.
+//!
+//! A request passes from the caller edge through the driver, which owns the coordinator, to the
+//! backend edge; the peer and platform edges feed the driver with what others know. Handlers hold
+//! no decisions: they turn what they see into events and carry out actions.
+
+pub mod backend_edge;
+pub mod caller_edge;
+pub mod cli;
+pub mod daemon;
+pub mod error;
+pub mod logs;
+pub mod metrics;
+pub mod peer_edge;
+pub mod platform_edge;
+pub mod settings;
--- /dev/null
+++ b/crates/turmericrail/src/main.rs
@@ -0,0 +1,20 @@
+//! The daemon of each entry instance.
+
+use std::process::ExitCode;
+
+use turmericrail::{cli, daemon, error::StartError};
+
+fn run() -> Result<(), StartError> {
+    let options = cli::parse()?;
+    async_std::task::block_on(daemon::run(options.settings))
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("turmericrail: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericrail/src/metrics.rs
@@ -0,0 +1,72 @@
+//! Metrics for `/metrics`.
+
+use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Every metric of the process.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Final answers by kind; `completed` where the request completed.
+    pub answers: IntCounterVec,
+    /// Logged decisions by event.
+    pub decisions: IntCounterVec,
+    /// Messages to peers by type.
+    pub peer_messages: IntCounterVec,
+    /// Bytes of messages to peers by type.
+    pub peer_bytes: IntCounterVec,
+    /// Callers connected.
+    pub connections: IntGauge,
+    /// Configuration version in force.
+    pub config_version: IntGauge,
+}
+
+fn counter(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
+    let counter = IntCounterVec::new(Opts::new(name, help), &[label]).expect("the names are valid");
+    registry.register(Box::new(counter.clone())).expect("each name is registered once");
+    counter
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("the names are valid");
+    registry.register(Box::new(gauge.clone())).expect("each name is registered once");
+    gauge
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        Self {
+            answers: counter(&registry, "turmericrail_answers_total", "Final answers.", "kind"),
+            decisions: counter(&registry, "turmericrail_decisions_total", "Decisions.", "event"),
+            peer_messages: counter(
+                &registry,
+                "turmericrail_peer_messages_total",
+                "Messages to peers.",
+                "type",
+            ),
+            peer_bytes: counter(
+                &registry,
+                "turmericrail_peer_bytes_total",
+                "Bytes to peers.",
+                "type",
+            ),
+            connections: gauge(&registry, "turmericrail_connections", "Callers connected."),
+            config_version: gauge(
+                &registry,
+                "turmericrail_config_version",
+                "Configuration version in force.",
+            ),
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// The text form for a scrape.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        encoded.expect("writing to memory does not fail");
+        text
+    }
+}
--- /dev/null
+++ b/crates/turmericrail/src/peer_edge/mod.rs
@@ -0,0 +1,4 @@
+//! Messages between instances over tonic.
+
+pub mod client;
+pub mod server;
--- /dev/null
+++ b/crates/turmericrail/src/peer_edge/server.rs
@@ -0,0 +1,104 @@
+//! The receiving side.
+
+use std::sync::Arc;
+
+use async_std::task;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status};
+use turmericrail_core::event::{Event, PlainRequest};
+use turmericrail_wire::convert;
+use turmericrail_wire::peer::peer_server::{Peer, PeerServer};
+use turmericrail_wire::peer::{Delivered, Envelope, ForwardReply, ForwardRequest};
+
+use crate::daemon::Shared;
+use crate::daemon::callers::{Sent, ToCaller};
+use crate::error::StartError;
+
+struct PeerEdge {
+    shared: Arc<Shared>,
+}
+
+impl PeerEdge {
+    fn check_deployment(&self, deployment: &str) -> Result<(), Status> {
+        if deployment != self.shared.settings.deployment {
+            let problem = format!(
+                "this instance belongs to deployment {:?}",
+                self.shared.settings.deployment
+            );
+            return Err(Status::permission_denied(problem));
+        }
+        Ok(())
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for PeerEdge {
+    async fn deliver(&self, request: Request<Envelope>) -> Result<Response<Delivered>, Status> {
+        let envelope = request.into_inner();
+        self.check_deployment(&envelope.deployment)?;
+        let envelope = convert::decode(envelope);
+        let envelope = envelope.map_err(|error| Status::invalid_argument(error.to_string()))?;
+        self.shared.tell(Event::Peer(envelope));
+        Ok(Response::new(Delivered {}))
+    }
+
+    async fn forward(
+        &self,
+        request: Request<ForwardRequest>,
+    ) -> Result<Response<ForwardReply>, Status> {
+        let forwarded = request.into_inner();
+        self.check_deployment(&forwarded.deployment)?;
+        let request = self.shared.next_request();
+        let asked = PlainRequest {
+            request,
+            method: forwarded.method.clone(),
+            path: forwarded.path.split('?').next().unwrap_or_default().to_owned(),
+            ticket: Some(forwarded.ticket.clone()),
+            is_forwarded: true,
+        };
+        let sent = Sent {
+            method: forwarded.method,
+            path: forwarded.path,
+            ticket: Some(forwarded.ticket),
+            content_type: forwarded.content_type,
+            body: forwarded.body,
+        };
+        let answers = self.shared.callers.register(request, sent);
+        self.shared.tell(Event::PlainRequest(asked));
+        let answer = answers.recv().await.map_err(|_| Status::unavailable("no answer"))?;
+        Ok(Response::new(to_reply(answer)))
+    }
+}
+
+fn to_reply(answer: ToCaller) -> ForwardReply {
+    match answer {
+        ToCaller::Plain(answer) => ForwardReply {
+            status: u32::from(answer.status),
+            content_type: answer.content_type,
+            body: answer.body,
+            ..ForwardReply::default()
+        },
+        ToCaller::Error { kind, retry_after_ms } => ForwardReply {
+            error_kind: kind.to_string(),
+            retry_after_ms: retry_after_ms.unwrap_or_default().0,
+            ..ForwardReply::default()
+        },
+        _ => ForwardReply::default(),
+    }
+}
+
+/// Listens for other instances.
+pub async fn listen(shared: &Arc<Shared>) -> Result<(), StartError> {
+    let address = shared.settings.peer_address;
+    let bound = std::net::TcpListener::bind(address);
+    bound.map_err(|source| StartError::Listen { address, source })?;
+    let edge = PeerEdge { shared: Arc::clone(shared) };
+    task::spawn(async move {
+        let serving = Server::builder().add_service(PeerServer::new(edge)).serve(address);
+        if let Err(error) = serving.await {
+            spdlog::error!("event=peer_edge_error address={address} error={:?}", error.to_string());
+            std::process::exit(1);
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/wire/src/client.rs
@@ -0,0 +1,136 @@
+//! A small HTTP client: one fresh connection for each call, so that a call is written once and
+//! never repeated behind the caller's back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::io::prelude::*;
+use async_std::net::TcpStream;
+use http_types::{Method, Request, Response, Url};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Why a call has no answer.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// Nothing was written.
+    #[error("not sent to {address}: {reason}")]
+    NotSent {
+        /// The receiver.
+        address: SocketAddr,
+        /// Why.
+        reason: String,
+    },
+    /// Something was written and no whole answer came.
+    #[error("lost at {address}: {reason}")]
+    Lost {
+        /// The receiver.
+        address: SocketAddr,
+        /// Why.
+        reason: String,
+    },
+    /// The answer's status is not a success.
+    #[error("{address} answered with status {status}")]
+    Status {
+        /// The receiver.
+        address: SocketAddr,
+        /// HTTP status code.
+        status: u16,
+    },
+}
+
+/// A call to be written.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The receiver.
+    pub address: SocketAddr,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Media type of the body.
+    pub content_type: String,
+    /// The body.
+    pub body: Vec<u8>,
+    /// Longest wait for the head of the answer.
+    pub timeout: Duration,
+}
+
+impl Call {
+    /// A call without a body.
+    pub fn get(address: SocketAddr, path: impl Into<String>, timeout: Duration) -> Self {
+        let content_type = String::new();
+        Self {
+            address,
+            method: Method::Get,
+            path: path.into(),
+            content_type,
+            body: Vec::new(),
+            timeout,
+        }
+    }
+
+    /// A call with a JSON body.
+    pub fn post(address: SocketAddr, path: &str, body: &impl Serialize, timeout: Duration) -> Self {
+        let body = serde_json::to_vec(body).expect("the types of this package serialise");
+        let content_type = "application/json".to_owned();
+        Self { address, method: Method::Post, path: path.to_owned(), content_type, body, timeout }
+    }
+
+    /// Writes the call and returns the answer's head; its body is read by the receiver.
+    pub async fn open(self) -> Result<Response, CallError> {
+        let (address, timeout) = (self.address, self.timeout);
+        let not_sent = |reason: String| CallError::NotSent { address, reason };
+        let request = self.into_request().map_err(not_sent)?;
+        let stream =
+            async_std::io::timeout(CONNECT_TIMEOUT.min(timeout), TcpStream::connect(address))
+                .await
+                .map_err(|error| not_sent(error.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        let answer = async_std::future::timeout(timeout, async_h1::connect(stream, request)).await;
+        let lost = |reason: String| CallError::Lost { address, reason };
+        let answer = answer.map_err(|_| lost("no answer in time".to_owned()))?;
+        answer.map_err(|error| lost(error.to_string()))
+    }
+
+    /// Writes the call and reads the whole answer.
+    pub async fn send(self) -> Result<(Response, Vec<u8>), CallError> {
+        let (address, timeout) = (self.address, self.timeout);
+        let mut answer = self.open().await?;
+        let lost = |reason: String| CallError::Lost { address, reason };
+        let mut body = Vec::new();
+        let reading = async_std::io::timeout(timeout, answer.read_to_end(&mut body));
+        reading.await.map_err(|error| lost(error.to_string()))?;
+        if let Some(expected) = answer.len().filter(|expected| *expected != body.len()) {
+            return Err(lost(format!("{} of {expected} bytes came", body.len())));
+        }
+        Ok((answer, body))
+    }
+
+    /// Writes the call and decodes a JSON answer.
+    pub async fn send_json<T: DeserializeOwned>(self) -> Result<T, CallError> {
+        let address = self.address;
+        let (answer, body) = self.send().await?;
+        if !answer.status().is_success() {
+            return Err(CallError::Status { address, status: answer.status() as u16 });
+        }
+        let lost = |reason: String| CallError::Lost { address, reason };
+        serde_json::from_slice(&body).map_err(|error| lost(error.to_string()))
+    }
+
+    fn into_request(self) -> Result<Request, String> {
+        let url = format!("http://{}{}", self.address, self.path);
+        let url = Url::parse(&url).map_err(|error| error.to_string())?;
+        let mut request = Request::new(self.method, url);
+        request.insert_header("connection", "close");
+        request.set_body(self.body);
+        if !self.content_type.is_empty() {
+            request.insert_header("content-type", self.content_type);
+        }
+        Ok(request)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/convert.rs
@@ -0,0 +1,203 @@
+//! Translation between the typed messages of the coordination package and the generated ones.
+//!
+//! A message that lacks a field or holds a malformed id is refused whole.
+
+use std::str::FromStr;
+
+use thiserror::Error;
+use turmericrail_core::config::Change;
+use turmericrail_core::ids::{ConfigVersion, Incarnation, RequestId, ServerId};
+use turmericrail_core::membership::{Heartbeat, MemberDigest, ServerLoad};
+use turmericrail_core::message::{Envelope, PeerMessage, SeatReply, SeatRequest, StreamOnServer};
+use turmericrail_core::report::Holder;
+use turmericrail_core::units::{KvPieces, Streams, Tokens};
+
+use crate::peer;
+use crate::peer::envelope::Message;
+
+/// Why a message was refused.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum ConvertError {
+    /// A field is missing.
+    #[error("the message lacks {0}")]
+    Missing(&'static str),
+    /// A field can't be parsed.
+    #[error("bad {0} in a message: {1}")]
+    Malformed(&'static str, String),
+}
+
+fn parse<T>(field: &'static str, text: &str) -> Result<T, ConvertError>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    text.parse().map_err(|error: T::Err| ConvertError::Malformed(field, error.to_string()))
+}
+
+fn parse_json(field: &'static str, text: &str) -> Result<serde_json::Value, ConvertError> {
+    serde_json::from_str(text).map_err(|error| ConvertError::Malformed(field, error.to_string()))
+}
+
+/// The generated form of an envelope.
+pub fn encode(deployment: &str, envelope: &Envelope) -> peer::Envelope {
+    peer::Envelope {
+        deployment: deployment.to_owned(),
+        from: Some(encode_holder(&envelope.from)),
+        config_version: envelope.config_version.0,
+        message: Some(encode_message(&envelope.message)),
+    }
+}
+
+/// The typed form of an envelope.
+pub fn decode(envelope: peer::Envelope) -> Result<Envelope, ConvertError> {
+    let from = decode_holder(envelope.from)?;
+    let config_version = ConfigVersion(envelope.config_version);
+    let message = envelope.message.ok_or(ConvertError::Missing("message"))?;
+    let message = decode_message(message, &from, config_version)?;
+    Ok(Envelope { from, config_version, message })
+}
+
+/// The generated form of a holder.
+pub fn encode_holder(holder: &Holder) -> peer::Holder {
+    peer::Holder { instance: holder.instance.to_string(), incarnation: holder.incarnation.0 }
+}
+
+/// The typed form of a holder.
+pub fn decode_holder(holder: Option<peer::Holder>) -> Result<Holder, ConvertError> {
+    let holder = holder.ok_or(ConvertError::Missing("holder"))?;
+    let instance = parse("instance", &holder.instance)?;
+    Ok(Holder { instance, incarnation: Incarnation(holder.incarnation) })
+}
+
+fn encode_message(message: &PeerMessage) -> Message {
+    match message {
+        PeerMessage::Heartbeat(heartbeat) => Message::Heartbeat(encode_heartbeat(heartbeat)),
+        PeerMessage::SeatRequest(asked) => Message::SeatRequest(peer::SeatRequest {
+            request: asked.request.0,
+            seat: Some(encode_seat(&asked.seat)),
+            kv_pieces: asked.kv_pieces.0,
+        }),
+        PeerMessage::SeatReply(reply) => Message::SeatReply(peer::SeatReply {
+            request: reply.request.0,
+            seat: Some(encode_seat(&reply.seat)),
+            is_granted: reply.is_granted,
+        }),
+        PeerMessage::Release(seat) => Message::Release(encode_seat(seat)),
+        PeerMessage::Claim(seat) => Message::Claim(encode_seat(seat)),
+        PeerMessage::ChangesRequest(after) => {
+            Message::ChangesRequest(peer::ChangesRequest { after: after.0 })
+        }
+        PeerMessage::Changes(changes) => {
+            Message::Changes(peer::Changes { changes: changes.iter().map(encode_change).collect() })
+        }
+        PeerMessage::Document(version, document) => {
+            Message::Document(peer::Document { version: version.0, document: document.to_string() })
+        }
+    }
+}
+
+fn decode_message(
+    message: Message,
+    from: &Holder,
+    config_version: ConfigVersion,
+) -> Result<PeerMessage, ConvertError> {
+    let message = match message {
+        Message::Heartbeat(heartbeat) => {
+            PeerMessage::Heartbeat(decode_heartbeat(heartbeat, from, config_version)?)
+        }
+        Message::SeatRequest(asked) => PeerMessage::SeatRequest(SeatRequest {
+            request: RequestId(asked.request),
+            seat: decode_seat(asked.seat)?,
+            kv_pieces: KvPieces(asked.kv_pieces),
+        }),
+        Message::SeatReply(reply) => PeerMessage::SeatReply(SeatReply {
+            request: RequestId(reply.request),
+            seat: decode_seat(reply.seat)?,
+            is_granted: reply.is_granted,
+        }),
+        Message::Release(seat) => PeerMessage::Release(decode_seat(Some(seat))?),
+        Message::Claim(seat) => PeerMessage::Claim(decode_seat(Some(seat))?),
+        Message::ChangesRequest(asked) => PeerMessage::ChangesRequest(ConfigVersion(asked.after)),
+        Message::Changes(changes) => {
+            let changes = changes.changes.into_iter().map(decode_change);
+            PeerMessage::Changes(changes.collect::<Result<_, _>>()?)
+        }
+        Message::Document(document) => PeerMessage::Document(
+            ConfigVersion(document.version),
+            parse_json("document", &document.document)?,
+        ),
+    };
+    Ok(message)
+}
+
+fn encode_heartbeat(heartbeat: &Heartbeat) -> peer::Heartbeat {
+    let loads = heartbeat.loads.iter().map(|(server, load)| peer::ServerLoad {
+        server: server.to_string(),
+        free_streams: load.free_streams.0,
+        free_pieces: load.free_pieces.0,
+        queued_tokens: load.queued_tokens.0,
+    });
+    let members = heartbeat.members.iter().map(|digest| peer::MemberDigest {
+        member: Some(peer::Holder {
+            instance: digest.instance.to_string(),
+            incarnation: digest.incarnation.0,
+        }),
+        beat: digest.beat,
+        is_leaving: digest.is_leaving,
+        peer_address: digest.peer_address.to_string(),
+        data_centre: digest.data_centre.to_string(),
+    });
+    peer::Heartbeat { members: members.collect(), loads: loads.collect() }
+}
+
+fn decode_heartbeat(
+    heartbeat: peer::Heartbeat,
+    from: &Holder,
+    config_version: ConfigVersion,
+) -> Result<Heartbeat, ConvertError> {
+    let members = heartbeat.members.into_iter().map(decode_digest).collect::<Result<_, _>>()?;
+    let loads = heartbeat.loads.into_iter().map(decode_load).collect::<Result<_, _>>()?;
+    Ok(Heartbeat { from: from.clone(), config_version, members, loads })
+}
+
+fn decode_digest(digest: peer::MemberDigest) -> Result<MemberDigest, ConvertError> {
+    let member = decode_holder(digest.member)?;
+    Ok(MemberDigest {
+        instance: member.instance,
+        incarnation: member.incarnation,
+        beat: digest.beat,
+        is_leaving: digest.is_leaving,
+        peer_address: parse("peer address", &digest.peer_address)?,
+        data_centre: parse("data centre", &digest.data_centre)?,
+    })
+}
+
+fn decode_load(load: peer::ServerLoad) -> Result<(ServerId, ServerLoad), ConvertError> {
+    let server = parse("server", &load.server)?;
+    let load = ServerLoad {
+        free_streams: Streams(load.free_streams),
+        free_pieces: KvPieces(load.free_pieces),
+        queued_tokens: Tokens(load.queued_tokens),
+    };
+    Ok((server, load))
+}
+
+fn encode_seat(seat: &StreamOnServer) -> peer::StreamOnServer {
+    peer::StreamOnServer { server: seat.server.to_string(), stream: seat.stream.to_string() }
+}
+
+fn decode_seat(seat: Option<peer::StreamOnServer>) -> Result<StreamOnServer, ConvertError> {
+    let seat = seat.ok_or(ConvertError::Missing("seat"))?;
+    let server = parse("server", &seat.server)?;
+    let stream = parse("stream", &seat.stream)?;
+    Ok(StreamOnServer { server, stream })
+}
+
+fn encode_change(change: &Change) -> peer::Change {
+    peer::Change { version: change.version.0, patch: change.patch.to_string() }
+}
+
+fn decode_change(change: peer::Change) -> Result<Change, ConvertError> {
+    let patch = parse_json("patch", &change.patch)?;
+    Ok(Change { version: ConfigVersion(change.version), patch })
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,15 @@
+//! Messages between turmericrail instances, and the HTTP types of the outer edges.
+//!
+//! This package translates and decides nothing.
+
+pub mod body;
+pub mod caller;
+pub mod client;
+pub mod convert;
+pub mod engine;
+#[allow(missing_docs)]
+#[allow(clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/turmericrail.peer.rs"]
+pub mod peer;
+pub mod platform;
