--- /dev/null
+++ b/crates/wire/tests/generated_code.rs
@@ -0,0 +1,18 @@
+//! The committed generated code is what the generator makes of the protocol file.
+
+use std::path::Path;
+
+#[test]
+fn same_as_generated() {
+    let manifest = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let folder =
+        std::env::temp_dir().join(format!("turmericrail-generated-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let files = protox::compile(["peer.proto"], [manifest.join("proto")]).unwrap();
+    tonic_prost_build::configure().out_dir(&folder).compile_fds(files).unwrap();
+    let name = "turmericrail.peer.rs";
+    let made = std::fs::read_to_string(folder.join(name)).unwrap();
+    let committed = std::fs::read_to_string(manifest.join("src/generated").join(name)).unwrap();
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(made == committed, "run the generate example and commit its output");
+}
--- /dev/null
+++ b/crates/wire/tests/peer_messages.rs
@@ -0,0 +1,103 @@
+//! Messages between instances survive the way through their encoded form, and junk is refused.
+
+use prost::Message;
+use quickcheck::{Arbitrary, Gen};
+use serde_json::json;
+use turmericrail_core::config::Change;
+use turmericrail_core::ids::{ConfigVersion, Incarnation, RequestId};
+use turmericrail_core::message::{Envelope, PeerMessage, SeatReply, SeatRequest, StreamOnServer};
+use turmericrail_core::report::Holder;
+use turmericrail_core::units::KvPieces;
+use turmericrail_wire::convert::{decode, encode};
+use turmericrail_wire::peer;
+
+/// Cases of each randomised test.
+const CASES: u64 = 2_000;
+/// Size of generated values.
+const SIZE: usize = 64;
+
+fn seat() -> StreamOnServer {
+    StreamOnServer { server: "decode-1".parse().unwrap(), stream: "a_1_2_3".parse().unwrap() }
+}
+
+fn any_message(source: &mut Gen) -> PeerMessage {
+    let number = u64::arbitrary(source);
+    let request = RequestId(number);
+    match number % 6 {
+        0 => PeerMessage::SeatRequest(SeatRequest {
+            request,
+            seat: seat(),
+            kv_pieces: KvPieces(number),
+        }),
+        1 => PeerMessage::SeatReply(SeatReply {
+            request,
+            seat: seat(),
+            is_granted: bool::arbitrary(source),
+        }),
+        2 => PeerMessage::Release(seat()),
+        3 => PeerMessage::ChangesRequest(ConfigVersion(number)),
+        4 => PeerMessage::Changes(vec![Change {
+            version: ConfigVersion(number),
+            patch: json!({"routes": {String::arbitrary(source): number}}),
+        }]),
+        _ => PeerMessage::Document(ConfigVersion(number), json!([String::arbitrary(source)])),
+    }
+}
+
+#[test]
+fn round_trip() {
+    for seed in 0..CASES {
+        let mut source = Gen::from_size_and_seed(SIZE, seed);
+        let envelope = Envelope {
+            from: Holder { instance: "dc-a-1".parse().unwrap(), incarnation: Incarnation(seed) },
+            config_version: ConfigVersion(u64::arbitrary(&mut source)),
+            message: any_message(&mut source),
+        };
+        let bytes = encode("test", &envelope).encode_to_vec();
+        let decoded = decode(peer::Envelope::decode(bytes.as_slice()).unwrap()).unwrap();
+        assert_eq!(decoded, envelope, "seed {seed}");
+    }
+}
+
+#[test]
+fn junk_bytes() {
+    for seed in 0..CASES {
+        let mut source = Gen::from_size_and_seed(SIZE, seed);
+        let bytes = Vec::<u8>::arbitrary(&mut source);
+        let Ok(envelope) = peer::Envelope::decode(bytes.as_slice()) else {
+            continue;
+        };
+        assert!(decode(envelope).is_err(), "seed {seed}: junk without a sender was taken");
+    }
+}
+
+#[test]
+fn flipped_bytes() {
+    let envelope = Envelope {
+        from: Holder { instance: "dc-a-1".parse().unwrap(), incarnation: Incarnation(7) },
+        config_version: ConfigVersion(9),
+        message: PeerMessage::Release(seat()),
+    };
+    let bytes = encode("test", &envelope).encode_to_vec();
+    for seed in 0..CASES {
+        let mut source = Gen::from_size_and_seed(SIZE, seed);
+        let mut damaged = bytes.clone();
+        let position = usize::arbitrary(&mut source) % damaged.len();
+        damaged[position] ^= u8::arbitrary(&mut source);
+        let _ = peer::Envelope::decode(damaged.as_slice()).map(decode);
+    }
+}
+
+#[test]
+fn unknown_fields() {
+    let envelope = Envelope {
+        from: Holder { instance: "dc-a-1".parse().unwrap(), incarnation: Incarnation(7) },
+        config_version: ConfigVersion(9),
+        message: PeerMessage::Release(seat()),
+    };
+    let mut bytes = encode("test", &envelope).encode_to_vec();
+    let newer_field = [0xfa, 0x3e, 0x03, b'n', b'e', b'w'];
+    bytes.extend_from_slice(&newer_field);
+    let decoded = decode(peer::Envelope::decode(bytes.as_slice()).unwrap()).unwrap();
+    assert_eq!(decoded, envelope);
+}
