Test failures of instances, engines and callers with real processes

Cause: the promises on engine memory, whole answers and shutdown had no test against separate processes.

--- /dev/null
+++ b/crates/fakes/src/caller.rs
@@ -0,0 +1,148 @@
+//! A caller that reads a streamed answer event by event and can leave, or resume elsewhere.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_std::io::BufReader;
+use async_std::io::prelude::*;
+use async_std::net::TcpStream;
+use async_std::task;
+use http_types::{Request, Response, Url};
+use serde_json::Value;
+use turmericrail_wire::client::Call;
+
+/// Longest wait for an event.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between looks at a condition.
+const LOOK_STEP: Duration = Duration::from_millis(20);
+
+/// One event of a streamed answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AnswerEvent {
+    /// A token.
+    Token {
+        /// Index within the answer.
+        index: u64,
+        /// The token's text.
+        text: String,
+    },
+    /// The explicit end, with the tokens of the whole answer.
+    End(u64),
+    /// The final answer of a request that did not complete, with its error kind.
+    Error(String),
+    /// The connection ended before a final answer.
+    Cut,
+}
+
+/// A caller and what it has received.
+#[derive(Debug)]
+pub struct StreamCaller {
+    lines: BufReader<Response>,
+    /// Cursor behind the last token.
+    pub cursor: String,
+    /// Tokens received, over all connections.
+    pub tokens: Vec<(u64, String)>,
+    /// The last event that was no token.
+    pub end: Option<AnswerEvent>,
+}
+
+impl StreamCaller {
+    /// Sends a completion request and waits for the head of the answer.
+    pub async fn open(address: SocketAddr, body: &Value) -> Option<Self> {
+        let answer = Call::post(address, "/v1/completions", body, EVENT_TIMEOUT).open().await;
+        Some(Self::reading(answer.ok().filter(|answer| answer.status().is_success())?))
+    }
+
+    /// Continues the answer at another instance, behind the last token received.
+    pub async fn resume(self, address: SocketAddr) -> Option<Self> {
+        let url = Url::parse(&format!("http://{address}/v1/completions/resume")).ok()?;
+        let mut request = Request::get(url);
+        request.insert_header("last-event-id", self.cursor.as_str());
+        let stream = TcpStream::connect(address).await.ok()?;
+        let answer = async_h1::connect(stream, request);
+        let answer = async_std::future::timeout(EVENT_TIMEOUT, answer).await.ok()?.ok()?;
+        let resumed = Self::reading(Some(answer).filter(|answer| answer.status().is_success())?);
+        Some(Self { cursor: self.cursor, tokens: self.tokens, ..resumed })
+    }
+
+    /// Reads tokens until there are `count` or the answer ends.
+    pub async fn read_tokens(&mut self, count: usize) {
+        while self.tokens.len() < count && self.end.is_none() {
+            self.read_event().await;
+        }
+    }
+
+    /// Reads to the end of the connection or the answer.
+    pub async fn read_all(&mut self) -> AnswerEvent {
+        while self.end.is_none() {
+            self.read_event().await;
+        }
+        self.end.clone().unwrap_or(AnswerEvent::Cut)
+    }
+
+    /// The text received.
+    pub fn text(&self) -> String {
+        self.tokens.iter().map(|(_, text)| text.as_str()).collect()
+    }
+
+    fn reading(answer: Response) -> Self {
+        let lines = BufReader::new(answer);
+        Self { lines, cursor: String::new(), tokens: Vec::new(), end: None }
+    }
+
+    async fn read_event(&mut self) {
+        let Some((id, event, data)) = self.read_fields().await else {
+            self.end = Some(AnswerEvent::Cut);
+            return;
+        };
+        match event.as_str() {
+            "token" => {
+                self.cursor = id;
+                let index = data["index"].as_u64().unwrap_or(u64::MAX);
+                let text = data["text"].as_str().unwrap_or_default().to_owned();
+                self.tokens.push((index, text));
+            }
+            "end" => self.end = Some(AnswerEvent::End(data["count"].as_u64().unwrap_or_default())),
+            _ => {
+                let kind = data["error"].as_str().unwrap_or_default().to_owned();
+                self.end = Some(AnswerEvent::Error(kind));
+            }
+        }
+    }
+
+    async fn read_fields(&mut self) -> Option<(String, String, Value)> {
+        let (mut id, mut event, mut data) = (String::new(), String::new(), Value::Null);
+        loop {
+            let mut line = String::new();
+            let reading = async_std::io::timeout(EVENT_TIMEOUT, self.lines.read_line(&mut line));
+            if reading.await.ok()? == 0 {
+                return None;
+            }
+            let line = line.trim_end();
+            if let Some(text) = line.strip_prefix("id: ") {
+                id = text.to_owned();
+            }
+            if let Some(text) = line.strip_prefix("event: ") {
+                event = text.to_owned();
+            }
+            if let Some(text) = line.strip_prefix("data: ") {
+                data = serde_json::from_str(text).ok()?;
+            }
+            if line.is_empty() && !event.is_empty() {
+                return Some((id, event, data));
+            }
+        }
+    }
+}
+
+/// Waits until a condition holds; returns the time that it took, or nothing past the limit.
+pub async fn wait_until(limit: Duration, mut condition: impl FnMut() -> bool) -> Option<Duration> {
+    let started = Instant::now();
+    while started.elapsed() < limit {
+        if condition() {
+            return Some(started.elapsed());
+        }
+        task::sleep(LOOK_STEP).await;
+    }
+    None
+}
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -90,11 +90,38 @@
     pub queued_tokens: u64,
     /// Whether the engine does nothing and answers nothing.
     pub is_frozen: bool,
-    /// Whether token readers hear nothing more while generation goes on.
-    pub is_mute: bool,
+    /// Whether the process is gone: every call fails.
+    pub is_down: bool,
+    /// Whether KV transfers to this engine never finish.
+    pub is_stalled: bool,
+    /// Where set, every report tells this.
+    pub stale_report: Option<LoadReport>,
+    /// Token readings opened so far.
+    pub readers: u64,
+    /// Readers numbered below this hear nothing more while generation goes on.
+    pub mute_below: u64,
+    /// Readers numbered below this lose their connections.
+    pub cut_below: u64,
 }
 
 impl EngineState {
+    /// Silences the present token readers; new ones are heard.
+    pub fn mute_readers(&mut self) {
+        self.mute_below = self.readers + 1;
+    }
+
+    /// Cuts the connections of the present token readers.
+    pub fn cut_readers(&mut self) {
+        self.cut_below = self.readers + 1;
+    }
+
+    /// Ends the engine as a crash does: all memory is lost and calls fail.
+    pub fn crash(&mut self) {
+        self.is_down = true;
+        self.streams.clear();
+        self.ended.clear();
+    }
+
     fn find(&self, stream: &StreamId) -> Option<&EngineStream> {
         self.streams.get(stream).or_else(|| self.ended.get(stream))
     }
@@ -163,6 +190,13 @@
     Ok(Response::builder(200).body(Body::from_json(value)?).build())
 }
 
+fn admit(inner: &Inner) -> tide::Result<()> {
+    if inner.state().is_down {
+        return Err(tide::Error::from_str(StatusCode::ServiceUnavailable, "down"));
+    }
+    Ok(())
+}
+
 fn gone() -> tide::Result {
     Ok(Response::new(StatusCode::Gone))
 }
@@ -171,6 +205,7 @@
     let body: PrefillBody = request.body_json().await?;
     let inner = Arc::clone(request.state());
     inner.thaw().await;
+    admit(&inner)?;
     let prompt_tokens = text::prompt_tokens(&body.prompt);
     let kv_pieces = KvPieces(prompt_tokens.div_ceil(16));
     let stream = EngineStream {
@@ -224,6 +259,7 @@
     let body: ExportBody = request.body_json().await?;
     let inner = Arc::clone(request.state());
     inner.thaw().await;
+    admit(&inner)?;
     let exported = inner.state().streams.remove(&body.stream);
     let Some(exported) = exported.filter(|stream| stream.is_computed) else {
         return gone();
@@ -235,6 +271,7 @@
     let body: ImportBody = request.body_json().await?;
     let inner = Arc::clone(request.state());
     inner.thaw().await;
+    admit(&inner)?;
     if !has_room(&inner, body.kv_pieces) {
         return Ok(Response::new(StatusCode::TooManyRequests));
     }
@@ -255,6 +292,9 @@
     };
     task::sleep(Duration::from_millis(inner.settings.transfer_ms)).await;
     inner.thaw().await;
+    while inner.state().is_stalled {
+        task::sleep(STEP).await;
+    }
     match inner.state().streams.get_mut(&body.stream) {
         Some(stream) => stream.prompt = exported.prompt,
         None => return gone(),
@@ -301,13 +341,19 @@
     let query: TokensQuery = request.query()?;
     let inner = Arc::clone(request.state());
     inner.thaw().await;
+    admit(&inner)?;
     if inner.state().find(&query.stream).is_none() {
         return gone();
     }
+    let reader = {
+        let mut state = inner.state();
+        state.readers += 1;
+        state.readers
+    };
     let (sender, receiver) = async_channel::bounded(16);
     task::spawn(async move {
         let mut index = query.from;
-        while let Some(line) = next_line(&inner, &query.stream, index).await {
+        while let Some(line) = next_line(&inner, &query.stream, index, reader).await {
             let mut piece = serde_json::to_vec(&line).expect("token lines serialise");
             piece.push(b'\n');
             let is_end = matches!(line, TokenLine::End { .. });
@@ -322,12 +368,15 @@
     Ok(Response::builder(200).body(channel_body(receiver)).build())
 }
 
-async fn next_line(inner: &Inner, stream: &StreamId, index: u64) -> Option<TokenLine> {
+async fn next_line(inner: &Inner, stream: &StreamId, index: u64, reader: u64) -> Option<TokenLine> {
     loop {
         {
             let state = inner.state();
             let found = state.find(stream)?;
-            let is_told = !state.is_mute && !state.is_frozen;
+            if reader < state.cut_below {
+                return None;
+            }
+            let is_told = reader >= state.mute_below && !state.is_frozen;
             if is_told && index < found.generated {
                 return Some(TokenLine::Token { index, text: text::token(&found.prompt, index) });
             }
@@ -343,6 +392,7 @@
     let body: CancelBody = request.body_json().await?;
     let inner = Arc::clone(request.state());
     inner.thaw().await;
+    admit(&inner)?;
     inner.state().waste(&body.stream);
     Ok(Response::new(StatusCode::Ok))
 }
@@ -350,7 +400,11 @@
 async fn report(request: Request<Shared>) -> tide::Result {
     let inner = Arc::clone(request.state());
     inner.thaw().await;
+    admit(&inner)?;
     let state = inner.state();
+    if let Some(report) = &state.stale_report {
+        return json(report);
+    }
     let held = state.streams.iter().map(|(id, stream)| {
         let held = HeldStream { holder: stream.holder.clone(), kv_pieces: stream.kv_pieces };
         (id.clone(), held)
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -189,6 +189,24 @@
         call.send_json().await.ok()
     }
 
+    /// Streams whose memory is held, over all engines.
+    pub fn held_streams(&self) -> usize {
+        let engines = self.prefill.values().chain(self.decode.values());
+        engines.map(|engine| engine.state().streams.len()).sum()
+    }
+
+    /// The decode engine that holds the most streams.
+    pub fn busiest_decode(&self) -> Option<(&String, &FakeEngine)> {
+        self.decode.iter().max_by_key(|(_, engine)| engine.state().streams.len())
+    }
+
+    /// Index of the instance that owns a server in the view of another.
+    pub async fn owner_of(&self, server: &str, asked: usize) -> Option<usize> {
+        let status = self.status(asked).await?;
+        let owner = status["servers"][server]["owner"].as_str()?.to_owned();
+        self.instances.iter().position(|instance| instance.id.as_str() == owner)
+    }
+
     /// Tells the platform's list of instances.
     pub fn publish_list(&self) {
         let listed = self.instances.iter().map(|instance| {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,6 +4,7 @@
 //! fail. They are no simulator: what they compute is a fixed function of the prompt, and time
 //! passes in the real clock.
 
+pub mod caller;
 pub mod engine;
 pub mod fleet;
 pub mod plain;
@@ -11,6 +12,7 @@
 mod serve;
 pub mod text;
 
+pub use caller::{AnswerEvent, StreamCaller, wait_until};
 pub use engine::{EngineSettings, FakeEngine};
 pub use fleet::{Fleet, FleetInstance, FleetPlan};
 pub use plain::FakePlain;
--- a/crates/turmericrail/tests/common/mod.rs
+++ b/crates/turmericrail/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! What the process tests share.
+#![allow(dead_code)]
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,10 +12,14 @@
 /// Longest wait for an answer in tests; no test asserts a time.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Layout of a small fleet of the daemon under test.
+pub fn small_plan(name: &str) -> FleetPlan {
+    FleetPlan::small(env!("CARGO_BIN_EXE_turmericrail"), name)
+}
+
 /// Starts a small fleet of the daemon under test.
 pub async fn start_fleet(name: &str) -> Fleet {
-    let plan = FleetPlan::small(env!("CARGO_BIN_EXE_turmericrail"), name);
-    Fleet::start(plan).await.expect("loopback ports are free")
+    Fleet::start(small_plan(name)).await.expect("loopback ports are free")
 }
 
 /// The body of a completion request.
