Keep a resumed stream with its new holder and free a dead data centre's memory

Cause: an instance that woke after its caller had resumed elsewhere cancelled the stream in use (frozen_instance: resumed_meanwhile failed with cursor_expired), and nobody swept the engines of a data centre whose instances had all died (holder_and_owner: whole_data_centre_killed, memory still held after 30 s). Change: a cancellation names the holder and leaves a stream of another holder alone; a reader that resumes takes the stream over at the engine, later readings by the former holder are refused. Servers of a data centre with no live member and none listed alive are owned by the other data centres. Claims of resumed streams are repeated each second, owners ask holders of old leases whether the request still exists, a node that was paused drops its accounts and adopts them anew, the account asserts that no lease outlives end and holder, and an impossible end of an answer is a broken stream, no panic. Excluded: ownership by another data centre while the platform still lists live instances: a partition between instances would cancel streams in use.

--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -71,6 +71,8 @@
     pub target: Target,
     /// Who holds the stream.
     pub holder: Holder,
+    /// Whether the reader takes the stream over from another holder.
+    pub takes_over: bool,
     /// Index of the first token to read.
     pub from_index: u64,
     /// Longest silence before the stream counts as broken.
@@ -123,6 +125,8 @@
         target: Target,
         /// The stream.
         stream: StreamId,
+        /// The holder in whose name it is cancelled; a stream that moved to another one stays.
+        holder: Holder,
     },
     /// Ask a backend server for its load.
     Poll(Target),
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -160,6 +160,20 @@
         rendezvous::owner(key, &members).cloned()
     }
 
+    /// Owner of a key among the live members of all data centres.
+    pub fn owner_anywhere(&self, key: &str, now_ms: Millis) -> Option<InstanceId> {
+        let fresh = self.heard.values().filter(|heard| is_fresh(heard, now_ms));
+        let digests = fresh.map(|heard| &heard.digest).chain(std::iter::once(&self.own));
+        let members = digests.filter(|digest| !digest.is_leaving).map(|digest| &digest.instance);
+        rendezvous::owner(key, members).cloned()
+    }
+
+    /// Whether the platform lists a live instance in a data centre.
+    pub fn is_listed_alive(&self, data_centre: &DataCentreId) -> bool {
+        let mut listed = self.listed.values();
+        listed.any(|listed| listed.data_centre == *data_centre && listed.state == ListedState::Live)
+    }
+
     /// Peers to send heartbeats to, with addresses: all that are listed or heard.
     pub fn peers(&self) -> BTreeMap<InstanceId, SocketAddr> {
         let listed = self.listed.iter().map(|(id, listed)| (id.clone(), listed.peer_address));
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -35,6 +35,8 @@
     Release(StreamOnServer),
     /// Tells the owner that the sender now holds the stream.
     Claim(StreamOnServer),
+    /// Asks the holder of leases whether it still has their requests.
+    LeaseCheck(Vec<StreamOnServer>),
     /// Asks for the configuration patches after a version.
     ChangesRequest(ConfigVersion),
     /// Configuration patches.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -26,6 +26,9 @@
 use crate::seats::SeatLedger;
 use crate::units::Millis;
 
+/// Time between two events past which the process counts as having been paused.
+const PAUSE_LIMIT_MS: Millis = Millis(1_500);
+
 /// What a node is told at its start.
 #[derive(Clone)]
 pub struct NodeSettings {
@@ -59,6 +62,7 @@
     is_leaving: bool,
     next_beat_ms: Millis,
     next_poll_ms: Millis,
+    next_claim_ms: Millis,
     actions: Vec<Action>,
 }
 
@@ -94,6 +98,7 @@
             is_leaving: false,
             next_beat_ms: Millis::ZERO,
             next_poll_ms: Millis::ZERO,
+            next_claim_ms: Millis::ZERO,
             actions: Vec::new(),
         }
     }
@@ -101,7 +106,11 @@
     /// Handles one event and returns what is to be done.
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
         assert!(now.mono_ms >= self.now.mono_ms, "monotonic time went back");
+        let gap_ms = now.mono_ms - self.now.mono_ms;
         self.now = now;
+        if gap_ms > PAUSE_LIMIT_MS {
+            self.distrust_accounts(gap_ms);
+        }
         self.dispatch(event);
         std::mem::take(&mut self.actions)
     }
@@ -148,6 +157,8 @@
         self.beat();
         self.poll_servers();
         self.expire_leases();
+        self.check_leases();
+        self.repeat_claims();
         self.advance_waiting();
         self.tickets.expire(self.now.mono_ms);
         let is_idle = self.flows.is_empty() && self.plain_flows.is_empty();
@@ -176,6 +187,7 @@
             PeerMessage::SeatReply(reply) => self.take_seat_reply(reply),
             PeerMessage::Release(seat) => self.take_release(&from, &seat),
             PeerMessage::Claim(seat) => self.take_claim(&from, &seat),
+            PeerMessage::LeaseCheck(seats) => self.take_lease_check(&from, seats),
             PeerMessage::ChangesRequest(after) => self.take_changes_request(&from.instance, after),
             PeerMessage::Changes(changes) => self.take_changes(changes, Some(&from.instance)),
             PeerMessage::Document(version, document) => self.take_document(version, document),
--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -67,6 +67,7 @@
             excluded: BTreeSet::new(),
             first_token_ms: None,
             broken_reads: 0,
+            is_taken_over: true,
         };
         self.flows.insert(request, flow);
         let seat = StreamOnServer { server: cursor.server, stream: cursor.stream };
@@ -253,6 +254,7 @@
             excluded: BTreeSet::new(),
             first_token_ms: None,
             broken_reads: 0,
+            is_taken_over: false,
         })
     }
 
@@ -356,6 +358,7 @@
             stream: flow.stream.clone(),
             target,
             holder,
+            takes_over: flow.is_taken_over && flow.broken_reads == 0,
             from_index: flow.next_index,
             silence_ms: TOKEN_SILENCE_MS,
         };
@@ -381,6 +384,7 @@
             flow.stream = stream;
             flow.decode = None;
             flow.prefill = None;
+            flow.is_taken_over = false;
             flow.broken_reads = 0;
             flow.stage = Stage::Waiting;
         }
@@ -406,8 +410,8 @@
         let engines = prefill.into_iter().chain(decode.clone().filter(|_| is_at_decode));
         for server in engines {
             let target = self.target(&server);
-            let stream = stream.clone();
-            self.actions.extend(target.map(|target| Action::Cancel { target, stream }));
+            let (stream, holder) = (stream.clone(), self.members.own_holder());
+            self.actions.extend(target.map(|target| Action::Cancel { target, stream, holder }));
         }
         if let Some(server) = decode {
             self.release(StreamOnServer { server, stream });
@@ -419,7 +423,7 @@
     }
 
     /// Passes a message to the owner of a server, which may be this node.
-    fn tell_owner(&mut self, server: &ServerId, message: PeerMessage) {
+    pub(super) fn tell_owner(&mut self, server: &ServerId, message: PeerMessage) {
         let Some(owner) = self.owner_of(server) else {
             return;
         };
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -1,5 +1,7 @@
 //! The owner's side of seats: reports, grants, renewals and the end of leases.
 
+use std::collections::BTreeMap;
+
 use crate::action::Action;
 use crate::config::document::ServerRole;
 use crate::ids::{InstanceId, ServerId};
@@ -13,11 +15,21 @@
 /// Time between polls of a server's report.
 const POLL_MS: Millis = Millis(500);
 
+/// Time between two claims of one stream that was taken over.
+const CLAIM_MS: Millis = Millis(1_000);
+
 impl Node {
-    /// Owner of a backend server: a live member of the server's data centre.
+    /// Owner of a backend server: a live member of the server's data centre, or of any other
+    /// where that one has no live member and the platform lists none. One that is listed but not
+    /// heard may be cut off from here and still serve its callers.
     pub(super) fn owner_of(&self, server: &ServerId) -> Option<InstanceId> {
         let known = self.config.in_force()?.servers.get(server)?;
-        self.members.owner_of(server.as_str(), &known.data_centre, self.now.mono_ms)
+        let now_ms = self.now.mono_ms;
+        let near = self.members.owner_of(server.as_str(), &known.data_centre, now_ms);
+        if near.is_some() || self.members.is_listed_alive(&known.data_centre) {
+            return near;
+        }
+        self.members.owner_anywhere(server.as_str(), now_ms)
     }
 
     pub(super) fn owns(&self, server: &ServerId) -> bool {
@@ -110,19 +122,97 @@
         let members = &self.members;
         let mut ended = Vec::new();
         for (server, ledger) in &mut self.ledgers {
-            for stream in ledger.expire(now_ms, |holder| members.is_live(holder, now_ms)) {
-                ended.push((server.clone(), stream));
+            for (stream, holder) in ledger.expire(now_ms, |holder| members.is_live(holder, now_ms))
+            {
+                ended.push((server.clone(), stream, holder));
             }
         }
-        for (server, stream) in ended {
-            let fields = vec![("server", server.to_string()), ("stream", stream.to_string())];
+        for (server, stream, holder) in ended {
+            let fields = vec![
+                ("server", server.to_string()),
+                ("stream", stream.to_string()),
+                ("holder", holder.instance.to_string()),
+            ];
             self.log("lease_ended", None, fields);
             self.note_free_seats(&server);
             let target = self.target(&server);
-            self.actions.extend(target.map(|target| Action::Cancel { target, stream }));
+            self.actions.extend(target.map(|target| Action::Cancel { target, stream, holder }));
+        }
+    }
+
+    /// Asks holders whether they still have the requests of their leases.
+    pub(super) fn check_leases(&mut self) {
+        let now_ms = self.now.mono_ms;
+        let mut due: BTreeMap<Holder, Vec<StreamOnServer>> = BTreeMap::new();
+        for (server, ledger) in &mut self.ledgers {
+            for (stream, holder) in ledger.due_checks(now_ms) {
+                let seat = StreamOnServer { server: server.clone(), stream };
+                due.entry(holder).or_default().push(seat);
+            }
+        }
+        let own = self.members.own_holder();
+        for (holder, seats) in due {
+            if holder == own {
+                self.take_lease_check(&own, seats);
+                continue;
+            }
+            if self.members.is_live(&holder, now_ms) {
+                self.send(&holder.instance, PeerMessage::LeaseCheck(seats));
+            }
+        }
+    }
+
+    /// Gives back what is held in this node's name without a request behind it.
+    pub(super) fn take_lease_check(&mut self, owner: &Holder, seats: Vec<StreamOnServer>) {
+        let own = self.members.own_holder();
+        for seat in seats {
+            let has_request = self
+                .flows
+                .values()
+                .any(|flow| flow.stream == seat.stream && flow.holds_at(&seat.server));
+            if has_request {
+                continue;
+            }
+            let fields =
+                vec![("server", seat.server.to_string()), ("stream", seat.stream.to_string())];
+            self.log("lease_without_request", None, fields);
+            let (stream, holder) = (seat.stream.clone(), own.clone());
+            let target = self.target(&seat.server);
+            self.actions.extend(target.map(|target| Action::Cancel { target, stream, holder }));
+            if *owner == own {
+                self.take_release(&own, &seat);
+                continue;
+            }
+            self.send(&owner.instance, PeerMessage::Release(seat));
         }
     }
 
+    /// Tells owners again which streams this node took over.
+    pub(super) fn repeat_claims(&mut self) {
+        if self.now.mono_ms < self.next_claim_ms {
+            return;
+        }
+        self.next_claim_ms = self.now.mono_ms + CLAIM_MS;
+        let mut seats = Vec::new();
+        for flow in self.flows.values().filter(|flow| flow.is_taken_over) {
+            let Some(server) = flow.decode.clone() else {
+                continue;
+            };
+            seats.push(StreamOnServer { server, stream: flow.stream.clone() });
+        }
+        for seat in seats {
+            self.tell_owner(&seat.server.clone(), PeerMessage::Claim(seat));
+        }
+    }
+
+    /// Drops accounts after a pause: what they say of others may be long over. They are built
+    /// anew from the next reports.
+    pub(super) fn distrust_accounts(&mut self, gap_ms: Millis) {
+        self.log("paused", None, vec![("gap_ms", gap_ms.0.to_string())]);
+        self.ledgers.clear();
+        self.loads.clear();
+    }
+
     fn grant(&mut self, from: &Holder, asked: &SeatRequest) -> bool {
         let server = &asked.seat.server;
         if !self.owns(server) || self.leaving_servers.contains(server) {
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -56,6 +56,8 @@
     pub first_token_ms: Option<Millis>,
     /// Broken readings of the present stream.
     pub broken_reads: u64,
+    /// Whether the stream was taken over from another holder.
+    pub is_taken_over: bool,
 }
 
 impl Flow {
@@ -63,4 +65,11 @@
     pub fn due_ms(&self) -> Millis {
         self.arrived_ms + self.targets.first_token_ms
     }
+
+    /// Whether the present try holds, or may hold, memory of its stream at a server.
+    pub fn holds_at(&self, server: &ServerId) -> bool {
+        let is_at_prefill = matches!(self.stage, Stage::Prefilling | Stage::Transferring);
+        let is_at_decode = self.stage != Stage::Waiting && self.decode.as_ref() == Some(server);
+        is_at_decode || (is_at_prefill && self.prefill.as_ref() == Some(server))
+    }
 }
--- a/crates/core/src/seats/ledger.rs
+++ b/crates/core/src/seats/ledger.rs
@@ -2,7 +2,9 @@
 //!
 //! Leases are renewed by the heartbeats of their holder. Streams that the engine reports and the
 //! account does not know are adopted, and cancelled when no live holder claims them in time, so
-//! that memory is freed also where holder and previous owner died together.
+//! that memory is freed also where holder and previous owner died together. A live holder is asked
+//! now and then whether it still has the request, less often as the lease grows older, so that a
+//! lost message does not keep a seat for ever.
 
 use std::collections::BTreeMap;
 
@@ -13,6 +15,12 @@
 /// Time from the last sign of life of a holder to the cancellation of its streams.
 pub const LEASE_MS: Millis = Millis(4_000);
 
+/// Age at which the holder of a lease is first asked whether it still has the request.
+pub const FIRST_CHECK_MS: Millis = Millis(5_000);
+
+/// Longest time between two such questions.
+const LONGEST_CHECK_MS: Millis = Millis(20_000);
+
 /// Time that a granted stream may take to appear in the engine's reports.
 const APPEAR_WITHIN_MS: Millis = Millis(30_000);
 
@@ -36,8 +44,10 @@
     pub granted_ms: Millis,
     /// When it ends unless the holder shows signs of life.
     pub ends_ms: Millis,
-    /// Whether the engine has reported it.
-    pub is_reported: bool,
+    /// The holder on record at the engine, once the engine has reported the stream.
+    pub reported_holder: Option<Holder>,
+    /// When the holder is next asked whether it still has the request.
+    pub next_check_ms: Millis,
 }
 
 /// The account of one engine.
@@ -82,7 +92,7 @@
         if free.streams == Streams::ZERO || free.pieces < kv_pieces {
             return false;
         }
-        self.insert(now_ms, stream.clone(), holder.clone(), kv_pieces, false);
+        self.insert(now_ms, stream.clone(), holder.clone(), kv_pieces, None);
         let used_pieces: u64 = self.leases.values().map(|lease| lease.kv_pieces.0).sum();
         assert!(used_pieces <= self.limits.pieces.0, "granted more KV pieces than the engine has");
         assert!(
@@ -111,46 +121,78 @@
     pub fn reconcile(&mut self, now_ms: Millis, report: &LoadReport) {
         for (stream, held) in &report.held {
             if let Some(lease) = self.leases.get_mut(stream) {
-                lease.is_reported = true;
+                lease.reported_holder = Some(held.holder.clone());
                 continue;
             }
-            self.insert(now_ms, stream.clone(), held.holder.clone(), held.kv_pieces, true);
+            let reported = Some(held.holder.clone());
+            self.insert(now_ms, stream.clone(), held.holder.clone(), held.kv_pieces, reported);
         }
         self.leases.retain(|stream, lease| {
-            let is_over = lease.is_reported && !report.held.contains_key(stream);
-            let never_came = !lease.is_reported && now_ms - lease.granted_ms > APPEAR_WITHIN_MS;
+            let is_reported = lease.reported_holder.is_some();
+            let is_over = is_reported && !report.held.contains_key(stream);
+            let never_came = !is_reported && now_ms - lease.granted_ms > APPEAR_WITHIN_MS;
             !is_over && !never_came
         });
     }
 
     /// Renews leases of live holders and removes those that ended, to be cancelled at the engine.
-    pub fn expire(&mut self, now_ms: Millis, is_live: impl Fn(&Holder) -> bool) -> Vec<StreamId> {
+    pub fn expire(
+        &mut self,
+        now_ms: Millis,
+        is_live: impl Fn(&Holder) -> bool,
+    ) -> Vec<(StreamId, Holder)> {
         let mut ended = Vec::new();
         for (stream, lease) in &mut self.leases {
+            let moved_to = lease.reported_holder.as_ref().filter(|holder| is_live(holder));
+            if let Some(holder) = moved_to.filter(|_| !is_live(&lease.holder)) {
+                lease.holder = holder.clone();
+            }
             if is_live(&lease.holder) {
                 lease.ends_ms = now_ms + LEASE_MS;
                 continue;
             }
             if lease.ends_ms <= now_ms {
-                ended.push(stream.clone());
+                ended.push((stream.clone(), lease.holder.clone()));
             }
         }
-        for stream in &ended {
+        for (stream, _) in &ended {
             self.leases.remove(stream);
         }
+        let is_in_force = |lease: &Lease| is_live(&lease.holder) || lease.ends_ms > now_ms;
+        assert!(self.leases.values().all(is_in_force), "a lease outlived its end and its holder");
         ended
     }
 
+    /// Streams whose holders are to be asked now whether they still have the request.
+    pub fn due_checks(&mut self, now_ms: Millis) -> Vec<(StreamId, Holder)> {
+        let mut due = Vec::new();
+        for (stream, lease) in &mut self.leases {
+            if lease.next_check_ms > now_ms {
+                continue;
+            }
+            let age_ms = now_ms - lease.granted_ms;
+            lease.next_check_ms = now_ms + age_ms.clamp(FIRST_CHECK_MS, LONGEST_CHECK_MS);
+            due.push((stream.clone(), lease.holder.clone()));
+        }
+        due
+    }
+
     fn insert(
         &mut self,
         now_ms: Millis,
         stream: StreamId,
         holder: Holder,
         kv_pieces: KvPieces,
-        is_reported: bool,
+        reported_holder: Option<Holder>,
     ) {
-        let ends_ms = now_ms + LEASE_MS;
-        let lease = Lease { holder, kv_pieces, granted_ms: now_ms, ends_ms, is_reported };
+        let lease = Lease {
+            holder,
+            kv_pieces,
+            granted_ms: now_ms,
+            ends_ms: now_ms + LEASE_MS,
+            reported_holder,
+            next_check_ms: now_ms + FIRST_CHECK_MS,
+        };
         self.leases.insert(stream, lease);
     }
 }
--- a/crates/core/src/token_order.rs
+++ b/crates/core/src/token_order.rs
@@ -51,9 +51,13 @@
         ready
     }
 
-    /// Takes the explicit end: `count` is the number of tokens of the whole answer.
-    pub fn finish(&mut self, count: u64) {
-        assert!(count >= self.next_index, "an answer ended before a token already passed on");
-        self.end_index.get_or_insert(count);
+    /// Takes the explicit end: `count` is the number of tokens of the whole answer. Returns whether
+    /// that is possible: an end before a token already passed on is not.
+    pub fn finish(&mut self, count: u64) -> bool {
+        let is_possible = count >= self.next_index;
+        if is_possible {
+            self.end_index.get_or_insert(count);
+        }
+        is_possible
     }
 }
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -11,7 +11,7 @@
 use async_std::task;
 use serde::Deserialize;
 use tide::{Body, Request, Response, Server, StatusCode};
-use turmericrail_core::ids::StreamId;
+use turmericrail_core::ids::{Incarnation, InstanceId, StreamId};
 use turmericrail_core::report::{HeldStream, Holder, LoadReport};
 use turmericrail_core::units::{KvPieces, Streams, Tokens};
 use turmericrail_wire::body::channel_body;
@@ -335,6 +335,24 @@
 struct TokensQuery {
     stream: StreamId,
     from: u64,
+    instance: InstanceId,
+    incarnation: Incarnation,
+    takes_over: bool,
+}
+
+/// Makes the reader the holder where it may be; returns the status where it may not.
+fn admit_reader(state: &mut EngineState, query: &TokensQuery) -> Result<u64, StatusCode> {
+    let reader = Holder { instance: query.instance.clone(), incarnation: query.incarnation };
+    let found = match state.streams.get_mut(&query.stream) {
+        Some(stream) => stream,
+        None => state.ended.get_mut(&query.stream).ok_or(StatusCode::Gone)?,
+    };
+    if found.holder != reader && !query.takes_over {
+        return Err(StatusCode::Conflict);
+    }
+    found.holder = reader;
+    state.readers += 1;
+    Ok(state.readers)
 }
 
 async fn tokens(request: Request<Shared>) -> tide::Result {
@@ -342,13 +360,10 @@
     let inner = Arc::clone(request.state());
     inner.thaw().await;
     admit(&inner)?;
-    if inner.state().find(&query.stream).is_none() {
-        return gone();
-    }
-    let reader = {
-        let mut state = inner.state();
-        state.readers += 1;
-        state.readers
+    let admitted = admit_reader(&mut inner.state(), &query);
+    let reader = match admitted {
+        Ok(reader) => reader,
+        Err(status) => return Ok(Response::new(status)),
     };
     let (sender, receiver) = async_channel::bounded(16);
     task::spawn(async move {
@@ -393,7 +408,12 @@
     let inner = Arc::clone(request.state());
     inner.thaw().await;
     admit(&inner)?;
-    inner.state().waste(&body.stream);
+    let mut state = inner.state();
+    let is_holder =
+        state.streams.get(&body.stream).is_some_and(|stream| stream.holder == body.holder);
+    if is_holder {
+        state.waste(&body.stream);
+    }
     Ok(Response::new(StatusCode::Ok))
 }
 
--- a/crates/turmericrail/src/backend_edge/engine.rs
+++ b/crates/turmericrail/src/backend_edge/engine.rs
@@ -6,7 +6,7 @@
 use turmericrail_core::action::{PrefillCall, Target, TransferCall};
 use turmericrail_core::event::Event;
 use turmericrail_core::ids::StreamId;
-use turmericrail_core::report::LoadReport;
+use turmericrail_core::report::{Holder, LoadReport};
 use turmericrail_wire::client::Call;
 use turmericrail_wire::engine::{CancelBody, ImportBody, PrefillAnswer, PrefillBody};
 
@@ -71,8 +71,8 @@
 }
 
 /// Frees all memory of a stream; the owner's sweep covers what these tries miss.
-pub async fn cancel(_shared: Arc<Shared>, target: Target, stream: StreamId) {
-    let body = CancelBody { stream };
+pub async fn cancel(_shared: Arc<Shared>, target: Target, stream: StreamId, holder: Holder) {
+    let body = CancelBody { stream, holder };
     for _ in 0..CANCEL_TRIES {
         let call = Call::post(target.address, "/cancel", &body, CANCEL_TIMEOUT);
         if call.send().await.is_ok() {
--- a/crates/turmericrail/src/backend_edge/tokens.rs
+++ b/crates/turmericrail/src/backend_edge/tokens.rs
@@ -21,11 +21,14 @@
 
 /// HTTP status of an engine that does not know the stream.
 const GONE: u16 = 410;
+/// HTTP status of an engine where another holder reads the stream.
+const CONFLICT: u16 = 409;
 
 enum ReadEnd {
     Complete(u64),
     Broken { is_held: bool },
     CallerGone,
+    TakenOver,
 }
 
 /// Reads a stream to its end and passes its tokens to the caller.
@@ -42,6 +45,10 @@
             shared.callers.finish(call.request, ToCaller::End { count });
             shared.tell(Event::StreamEnded(call.request, call.stream));
         }
+        ReadEnd::TakenOver => {
+            shared.callers.forget(call.request);
+            shared.tell(Event::CallerGone(call.request));
+        }
         ReadEnd::CallerGone => shared.tell(Event::CallerGone(call.request)),
         ReadEnd::Broken { is_held } => shared.tell(Event::StreamBroken {
             request: call.request,
@@ -59,11 +66,21 @@
     order: &mut TokenOrder,
 ) -> ReadEnd {
     let silence = Duration::from_millis(call.silence_ms.0);
-    let path = format!("/tokens?stream={}&from={}", call.stream, call.from_index);
+    let path = format!(
+        "/tokens?stream={}&from={}&instance={}&incarnation={}&takes_over={}",
+        call.stream,
+        call.from_index,
+        call.holder.instance,
+        call.holder.incarnation,
+        call.takes_over
+    );
     let opened = Call::get(call.target.address, path, silence).open().await;
     let Ok(answer) = opened else {
         return ReadEnd::Broken { is_held: true };
     };
+    if answer.status() as u16 == CONFLICT {
+        return ReadEnd::TakenOver;
+    }
     if !answer.status().is_success() {
         return ReadEnd::Broken { is_held: answer.status() as u16 != GONE };
     }
@@ -84,7 +101,11 @@
                     return ReadEnd::CallerGone;
                 }
             }
-            TokenLine::End { count } => order.finish(count),
+            TokenLine::End { count } => {
+                if !order.finish(count) {
+                    return ReadEnd::Broken { is_held: false };
+                }
+            }
         }
         if order.is_complete() {
             return ReadEnd::Complete(order.next_index());
--- a/crates/turmericrail/src/daemon/driver.rs
+++ b/crates/turmericrail/src/daemon/driver.rs
@@ -53,8 +53,8 @@
             spawn(shared, |shared| backend_edge::engine::transfer(shared, call))
         }
         Action::Read(call) => spawn(shared, |shared| backend_edge::tokens::read(shared, call)),
-        Action::Cancel { target, stream } => {
-            spawn(shared, |shared| backend_edge::engine::cancel(shared, target, stream));
+        Action::Cancel { target, stream, holder } => {
+            spawn(shared, |shared| backend_edge::engine::cancel(shared, target, stream, holder));
         }
         Action::Poll(target) => spawn(shared, |shared| backend_edge::engine::poll(shared, target)),
         Action::CallPlain(call) => spawn(shared, |shared| backend_edge::plain::call(shared, call)),
--- a/crates/turmericrail/src/peer_edge/client.rs
+++ b/crates/turmericrail/src/peer_edge/client.rs
@@ -64,6 +64,7 @@
         PeerMessage::SeatReply(_) => "seat_reply",
         PeerMessage::Release(_) => "release",
         PeerMessage::Claim(_) => "claim",
+        PeerMessage::LeaseCheck(_) => "lease_check",
         PeerMessage::ChangesRequest(_) => "changes_request",
         PeerMessage::Changes(_) => "changes",
         PeerMessage::Document(..) => "document",
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -84,6 +84,9 @@
         }),
         PeerMessage::Release(seat) => Message::Release(encode_seat(seat)),
         PeerMessage::Claim(seat) => Message::Claim(encode_seat(seat)),
+        PeerMessage::LeaseCheck(seats) => {
+            Message::LeaseCheck(peer::LeaseCheck { seats: seats.iter().map(encode_seat).collect() })
+        }
         PeerMessage::ChangesRequest(after) => {
             Message::ChangesRequest(peer::ChangesRequest { after: after.0 })
         }
@@ -117,6 +120,10 @@
         }),
         Message::Release(seat) => PeerMessage::Release(decode_seat(Some(seat))?),
         Message::Claim(seat) => PeerMessage::Claim(decode_seat(Some(seat))?),
+        Message::LeaseCheck(check) => {
+            let seats = check.seats.into_iter().map(|seat| decode_seat(Some(seat)));
+            PeerMessage::LeaseCheck(seats.collect::<Result<_, _>>()?)
+        }
         Message::ChangesRequest(asked) => PeerMessage::ChangesRequest(ConfigVersion(asked.after)),
         Message::Changes(changes) => {
             let changes = changes.changes.into_iter().map(decode_change);
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -51,9 +51,13 @@
 pub struct CancelBody {
     /// The stream.
     pub stream: StreamId,
+    /// The holder in whose name it is cancelled; a stream of another holder stays.
+    pub holder: Holder,
 }
 
-/// A line of `GET /tokens?stream=…&from=…`.
+/// A line of `GET /tokens?stream=…&from=…&instance=…&incarnation=…&takes_over=…`, where instance
+/// and incarnation name the reader. One that is not the holder is refused with status 409 unless
+/// it takes the stream over.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TokenLine {
