--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -268,10 +268,8 @@
                 "install": route("POST", "/installs", false),
             },
             "models": {
-                "quote": {
-                    "default_version": "v1",
-                    "versions": {"v1": {"servers": engines}},
-                },
+                "quote": model(engines),
+                "review": model(engines),
             },
             "servers": servers,
         })
@@ -297,6 +295,10 @@
     status["is_ready"] == true && servers.is_some_and(|servers| servers.iter().all(has_load))
 }
 
+fn model(engines: &[String]) -> Value {
+    json!({"default_version": "v1", "versions": {"v1": {"servers": engines}}})
+}
+
 fn server(data_centre: &str, address: SocketAddr, role: &str) -> Value {
     json!({"data_centre": data_centre, "address": address.to_string(), "role": role})
 }
