Name the line and the remedy for each mistake in files; add turmericctl

Cause: mistakes in settings and configuration were told without line or remedy, limits in settings took texts while the configuration took integers, and turmericctl only printed its version. Excluded: Spanned fields in the document itself (they would stand in every decision); PickFirst of serde_with (its errors take three lines). Conclusion: a newcomer is told which line to mend.

--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -1,80 +1,116 @@
 //! Parsing and checks of a configuration document.
 
-use jiff::tz::TimeZone;
 use serde_json::Value;
-use thiserror::Error;
 
-use crate::config::document::{CallerTargets, Configuration, ServerRole};
-use crate::config::window::MINUTES_PER_DAY;
+use crate::config::check_routes::check_routes;
+use crate::config::check_targets::check_targets;
+use crate::config::document::{Configuration, Server, ServerRole};
+use crate::config::error::{ConfigError, decode_text, decode_value};
+use crate::config::key_path::KeyPath;
 use crate::ids::ServerId;
 
-/// Why a configuration was refused.
-#[derive(Clone, Debug, Error, PartialEq)]
-pub enum ConfigError {
-    /// The text is not a document of the expected shape.
-    #[error("{0}")]
-    Shape(String),
-    /// A value is wrong.
-    #[error("{path}: {problem}")]
-    Value {
-        /// Path of keys, joined by dots.
-        path: String,
-        /// What is wrong and what to change.
-        problem: String,
-    },
-}
-
-impl ConfigError {
-    fn at(path: impl Into<String>, problem: impl Into<String>) -> Self {
-        ConfigError::Value { path: path.into(), problem: problem.into() }
-    }
-}
-
 /// Parses and checks a YAML document.
 pub fn parse_document(text: &str) -> Result<Configuration, ConfigError> {
-    let configuration: Configuration =
-        serde_saphyr::from_str(text).map_err(|error| ConfigError::Shape(error.to_string()))?;
-    check(&configuration)?;
+    let configuration = decode_text(text)?;
+    check(&configuration).map_err(|error| error.in_text(text))?;
     Ok(configuration)
 }
 
 /// Parses and checks a document that was already decoded.
 pub fn parse_value(value: &Value) -> Result<Configuration, ConfigError> {
-    let configuration: Configuration = serde_json::from_value(value.clone())
-        .map_err(|error| ConfigError::Shape(error.to_string()))?;
+    let configuration = decode_value(value)?;
     check(&configuration)?;
     Ok(configuration)
 }
 
 fn check(configuration: &Configuration) -> Result<(), ConfigError> {
     for (kind, targets) in &configuration.caller_kinds {
-        check_targets(&format!("caller_kinds.{kind}"), targets)?;
+        check_targets(&KeyPath::new("caller_kinds").then(kind), targets)?;
     }
-    for (id, route) in &configuration.routes {
-        let path = format!("routes.{id}.servers");
-        check_servers(configuration, &path, &route.servers, |role| role == ServerRole::Plain)?;
+    check_addresses(configuration)?;
+    check_routes(configuration)?;
+    check_models(configuration)?;
+    check_links(configuration)?;
+    if configuration.limits.tokens_per_piece == 0 {
+        let path = KeyPath::new("limits").then("tokens_per_piece");
+        return Err(ConfigError::at(path, "must be at least 1"));
     }
+    Ok(())
+}
+
+fn check_addresses(configuration: &Configuration) -> Result<(), ConfigError> {
+    let servers: Vec<(&ServerId, &Server)> = configuration.servers.iter().collect();
+    for (index, (id, server)) in servers.iter().enumerate() {
+        let path = KeyPath::new("servers").then(id).then("address");
+        if server.address.ip().is_unspecified() || server.address.port() == 0 {
+            let problem =
+                format!("{} can't be reached: name an IP number and port", server.address);
+            return Err(ConfigError::at(path, problem));
+        }
+        let same = servers[..index].iter().find(|(_, other)| other.address == server.address);
+        if let Some((other, _)) = same {
+            let problem = format!(
+                "duplicate address {}: server {other} has it too, change one of them",
+                server.address
+            );
+            return Err(ConfigError::at(path, problem));
+        }
+    }
+    Ok(())
+}
+
+fn check_models(configuration: &Configuration) -> Result<(), ConfigError> {
     for (id, model) in &configuration.models {
+        let path = KeyPath::new("models").then(id);
         if !model.versions.contains_key(&model.default_version) {
-            let problem =
-                format!("names version {:?}, which is not served", model.default_version.as_str());
-            return Err(ConfigError::at(format!("models.{id}.default_version"), problem));
+            let problem = format!(
+                "names version {:?}, which is not served: add it to versions or name another",
+                model.default_version.as_str()
+            );
+            return Err(ConfigError::at(path.then("default_version"), problem));
         }
         for (version, served) in &model.versions {
-            let path = format!("models.{id}.versions.{version}.servers");
-            check_servers(configuration, &path, &served.servers, |role| role != ServerRole::Plain)?;
+            let path = path.then("versions").then(version).then("servers");
+            let is_engine = |role| role != ServerRole::Plain;
+            check_servers(configuration, &path, &served.servers, "prefill or decode", is_engine)?;
         }
     }
     Ok(())
 }
 
-fn check_servers(
+fn check_links(configuration: &Configuration) -> Result<(), ConfigError> {
+    for (name, link) in &configuration.links {
+        let path = KeyPath::new("links").then(name);
+        if link.rate_bytes_per_second.0 == 0 {
+            let path = path.then("rate_bytes_per_second");
+            return Err(ConfigError::at(path, "must be more than zero"));
+        }
+        let names_two = name.match_indices('.').any(|(dot, _)| {
+            is_data_centre(configuration, &name[..dot])
+                && is_data_centre(configuration, &name[dot + 1..])
+        });
+        if !names_two {
+            let problem = "names no two data centres: write <from>.<to> as the servers name them";
+            return Err(ConfigError::at(path, problem));
+        }
+    }
+    Ok(())
+}
+
+fn is_data_centre(configuration: &Configuration, name: &str) -> bool {
+    configuration.servers.values().any(|server| server.data_centre.as_str() == name)
+}
+
+/// Checks that each server is known, stands once in the list and has an allowed role.
+pub(super) fn check_servers(
     configuration: &Configuration,
-    path: &str,
+    path: &KeyPath,
     servers: &[ServerId],
+    allowed: &str,
     is_allowed: impl Fn(ServerRole) -> bool,
 ) -> Result<(), ConfigError> {
-    for server in servers {
+    for (index, server) in servers.iter().enumerate() {
+        let path = path.then(index);
         let Some(known) = configuration.servers.get(server) else {
             let problem = format!(
                 "unknown server {:?}: add it to servers or remove it here",
@@ -83,54 +119,17 @@
             return Err(ConfigError::at(path, problem));
         };
         if !is_allowed(known.role) {
-            let problem =
-                format!("server {:?} has the wrong role {:?}", server.as_str(), known.role);
+            let problem = format!(
+                "server {:?} has the wrong role {}: name one whose role is {allowed}",
+                server.as_str(),
+                known.role
+            );
             return Err(ConfigError::at(path, problem));
         }
-    }
-    Ok(())
-}
-
-fn check_targets(path: &str, targets: &CallerTargets) -> Result<(), ConfigError> {
-    if TimeZone::get(&targets.time_zone).is_err() {
-        let problem = format!("unknown time zone {:?}: use an IANA name", targets.time_zone);
-        return Err(ConfigError::at(format!("{path}.time_zone"), problem));
-    }
-    let weights = [targets.goodput_weight, targets.wasted_prefill_weight];
-    if weights.iter().any(|weight| !weight.is_finite() || *weight < 0.0) {
-        return Err(ConfigError::at(path, "weights must be zero or more"));
-    }
-    check_coverage(path, targets)
-}
-
-fn check_coverage(path: &str, targets: &CallerTargets) -> Result<(), ConfigError> {
-    let mut ranges = Vec::new();
-    for (name, window) in &targets.windows {
-        let path = format!("{path}.windows.{name}");
-        let parts = window.ranges().map_err(|problem| ConfigError::at(path, problem))?;
-        ranges.extend(parts.into_iter().map(|(from, until)| (from, until, name)));
-    }
-    ranges.sort();
-    let mut covered_until = 0;
-    for (from, until, name) in ranges {
-        let path = format!("{path}.windows.{name}");
-        if from < covered_until {
-            return Err(ConfigError::at(path, "overlaps another window: move its from or until"));
-        }
-        if from > covered_until {
-            let problem =
-                format!("leaves {} to {} without a window", clock(covered_until), clock(from));
+        if servers[..index].contains(server) {
+            let problem = format!("duplicate server {:?}: remove it here", server.as_str());
             return Err(ConfigError::at(path, problem));
         }
-        covered_until = until;
-    }
-    if covered_until < MINUTES_PER_DAY {
-        let problem = format!("leave {} to 24:00 without a window", clock(covered_until));
-        return Err(ConfigError::at(format!("{path}.windows"), problem));
     }
     Ok(())
 }
-
-fn clock(minute: u32) -> String {
-    format!("{:02}:{:02}", minute / 60, minute % 60)
-}
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -5,7 +5,9 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
+use crate::adapters::{IpAndPort, Quantity};
 use crate::config::window::Window;
 use crate::ids::{
     CallerKind, ConfigVersion, DataCentreId, ModelId, ModelVersion, RouteId, ServerId,
@@ -53,6 +55,7 @@
 }
 
 /// A call to plain services.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
@@ -63,6 +66,7 @@
     /// Whether the call may be executed more than once.
     pub idempotent: bool,
     /// Longest wait for the answer.
+    #[serde_as(as = "Quantity")]
     pub timeout_ms: Millis,
     /// Servers that take the call.
     pub servers: Vec<ServerId>,
@@ -79,12 +83,14 @@
 }
 
 /// One version of a model.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServedVersion {
     /// Engines that may serve it.
     pub servers: Vec<ServerId>,
     /// Size of the weights.
+    #[serde_as(as = "Quantity")]
     #[serde(default)]
     pub weights_bytes: Bytes,
 }
@@ -101,13 +107,25 @@
     Plain,
 }
 
+impl std::fmt::Display for ServerRole {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            ServerRole::Prefill => "prefill",
+            ServerRole::Decode => "decode",
+            ServerRole::Plain => "plain",
+        })
+    }
+}
+
 /// A backend server.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Server {
     /// Where it stands.
     pub data_centre: DataCentreId,
     /// IP number and port.
+    #[serde_as(as = "IpAndPort")]
     pub address: std::net::SocketAddr,
     /// What it does unless an order changed it.
     pub role: ServerRole,
@@ -115,9 +133,11 @@
     #[serde(default)]
     pub checks_fencing: bool,
     /// Most streams at a time.
+    #[serde_as(as = "Quantity")]
     #[serde(default = "default_stream_limit")]
     pub stream_limit_streams: Streams,
     /// KV cache pieces.
+    #[serde_as(as = "Quantity")]
     #[serde(default = "default_kv_pieces")]
     pub kv_pieces: KvPieces,
 }
@@ -131,18 +151,22 @@
 }
 
 /// A link that KV caches travel over.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Link {
     /// Its limit.
+    #[serde_as(as = "Quantity")]
     pub rate_bytes_per_second: BytesPerSecond,
 }
 
 /// Limits that hold for every instance.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Size of the KV cache of one token.
+    #[serde_as(as = "Quantity")]
     pub kv_bytes_per_token: Bytes,
     /// Tokens in one KV piece.
     pub tokens_per_piece: u64,
--- a/crates/core/src/config/history.rs
+++ b/crates/core/src/config/history.rs
@@ -8,8 +8,9 @@
 
 use serde_json::Value;
 
-use crate::config::check::{ConfigError, parse_value};
+use crate::config::check::parse_value;
 use crate::config::document::Configuration;
+use crate::config::error::ConfigError;
 use crate::ids::ConfigVersion;
 
 /// Patches kept for peers.
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,10 +1,19 @@
 //! The platform's numbered configuration: its document, checks, time windows and patches.
 
 pub mod check;
+mod check_routes;
+mod check_targets;
 pub mod document;
+pub mod error;
 pub mod history;
+pub mod key_path;
+pub mod lines;
+pub mod patch;
 pub mod window;
 
-pub use check::{ConfigError, parse_document, parse_value};
+pub use check::{parse_document, parse_value};
 pub use document::Configuration;
+pub use error::ConfigError;
 pub use history::{Change, ConfigHistory};
+pub use key_path::KeyPath;
+pub use patch::{PatchError, PatchFile};
--- a/crates/core/src/config/window.rs
+++ b/crates/core/src/config/window.rs
@@ -3,7 +3,9 @@
 use jiff::civil::Time;
 use jiff::tz::TimeZone;
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
+use crate::adapters::Quantity;
 use crate::config::document::CallerTargets;
 use crate::units::{Millis, WallMillis};
 
@@ -11,6 +13,7 @@
 pub const MINUTES_PER_DAY: u32 = 24 * 60;
 
 /// A window of the day; `until` before `from` means that it spans midnight.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Window {
@@ -19,8 +22,10 @@
     /// First minute after the window, as `HH:MM`; `24:00` ends the day.
     pub until: String,
     /// Longest time to the first token.
+    #[serde_as(as = "Quantity")]
     pub first_token_ms: Millis,
     /// Longest mean time between tokens.
+    #[serde_as(as = "Quantity")]
     pub per_token_ms: Millis,
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! parts into the coordinator that runs on each instance.
 
 pub mod action;
+pub mod adapters;
 pub mod config;
 pub mod error_kind;
 pub mod event;
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -12,23 +12,35 @@
 
 /// A quantity that could not be parsed.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
-#[error("bad quantity {value:?}: expected a number followed by one of {units}")]
-pub struct UnitError {
-    /// The offending text.
-    pub value: String,
-    /// The accepted units.
-    pub units: &'static str,
+pub enum UnitError {
+    /// No number, or no unit that fits.
+    #[error("bad quantity {value:?}: expected a number followed by one of {units}")]
+    Shape {
+        /// The offending text.
+        value: String,
+        /// The accepted units.
+        units: &'static str,
+    },
+    /// The number does not fit.
+    #[error("bad quantity {value:?}: too large")]
+    TooLarge {
+        /// The offending text.
+        value: String,
+    },
 }
 
+/// Largest quantity, so that sums stay in range.
+pub(crate) const MAX_QUANTITY: u64 = 1 << 53;
+
 fn parse_scaled(text: &str, units: &'static str, scales: &[(&str, f64)]) -> Result<u64, UnitError> {
-    let error = || UnitError { value: text.to_owned(), units };
+    let error = || UnitError::Shape { value: text.to_owned(), units };
     let split = text.find(|c: char| !c.is_ascii_digit() && c != '.').unwrap_or(text.len());
     let (number, unit) = text.split_at(split);
     let scale = scales.iter().find(|(name, _)| *name == unit.trim()).ok_or_else(error)?.1;
     let number: f64 = number.parse().map_err(|_| error())?;
     let scaled = number * scale;
-    if !scaled.is_finite() || scaled > u64::MAX as f64 / 2.0 {
-        return Err(error());
+    if !scaled.is_finite() || scaled > MAX_QUANTITY as f64 {
+        return Err(UnitError::TooLarge { value: text.to_owned() });
     }
     Ok(scaled.round() as u64)
 }
@@ -62,6 +74,12 @@
             }
         }
 
+        impl From<u64> for $name {
+            fn from(count: u64) -> Self {
+                Self(count)
+            }
+        }
+
         impl Add for $name {
             type Output = Self;
 
--- /dev/null
+++ b/crates/turmericctl/src/commands/mod.rs
@@ -0,0 +1,29 @@
+//! The commands, one a file; each returns what is to be printed.
+
+mod check;
+mod diff;
+mod explain;
+mod patch;
+mod status;
+
+use std::path::Path;
+
+use crate::error::ControlError;
+use crate::options::{Command, Format};
+
+/// Runs a command.
+pub async fn run(command: &Command, format: Format) -> Result<String, ControlError> {
+    match command {
+        Command::Check(files) => check::check(files, format),
+        Command::Patch { file, base } => patch::patch(file, base, format).await,
+        Command::Status(instances) => status::status(instances, format).await,
+        Command::Explain { instance, request } => {
+            explain::explain(*instance, *request, format).await
+        }
+    }
+}
+
+fn read_file(path: &Path) -> Result<String, ControlError> {
+    std::fs::read_to_string(path)
+        .map_err(|source| ControlError::ReadFile { path: path.to_owned(), source })
+}
--- /dev/null
+++ b/crates/turmericctl/src/options.rs
@@ -0,0 +1,105 @@
+//! The command line as checked, typed options.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use turmericrail_core::ids::RequestId;
+
+use crate::cli::{Arguments, CheckArguments, CommandArguments, PatchArguments};
+use crate::error::UsageError;
+
+/// Form of what is printed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Format {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+/// What to check.
+#[derive(Clone, Debug)]
+pub enum Checked {
+    /// A settings file.
+    Settings(PathBuf),
+    /// A configuration.
+    Configuration(PathBuf),
+}
+
+/// Where the present configuration is read.
+#[derive(Clone, Debug)]
+pub enum Base {
+    /// A file.
+    File(PathBuf),
+    /// The platform's service.
+    Platform(SocketAddr),
+}
+
+/// What to do.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Check files.
+    Check(Vec<Checked>),
+    /// Try a patch.
+    Patch { file: PathBuf, base: Base },
+    /// Show the status of instances.
+    Status(Vec<SocketAddr>),
+    /// Show the decisions of a request.
+    Explain { instance: SocketAddr, request: RequestId },
+}
+
+/// The checked command line.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// What to do.
+    pub command: Command,
+    /// Form of what is printed.
+    pub format: Format,
+}
+
+impl Options {
+    /// Checks the command line.
+    pub fn from_arguments(arguments: Arguments) -> Result<Self, UsageError> {
+        let command = arguments.command.ok_or(UsageError::NoCommand)?;
+        let (command, is_json) = match command {
+            CommandArguments::Check(check) => {
+                let is_json = check.json;
+                (checked(check)?, is_json)
+            }
+            CommandArguments::Patch(patch) => {
+                let is_json = patch.json;
+                (patched(patch)?, is_json)
+            }
+            CommandArguments::Status(status) if status.instances.is_empty() => {
+                return Err(UsageError::NoInstance);
+            }
+            CommandArguments::Status(status) => (Command::Status(status.instances), status.json),
+            CommandArguments::Explain(explain) => {
+                let request = RequestId(explain.request);
+                (Command::Explain { instance: explain.instance, request }, explain.json)
+            }
+        };
+        let format = if is_json { Format::Json } else { Format::Text };
+        Ok(Self { command, format })
+    }
+}
+
+fn checked(check: CheckArguments) -> Result<Command, UsageError> {
+    let settings = check.settings.map(Checked::Settings);
+    let configuration = check.configuration.map(Checked::Configuration);
+    let files: Vec<_> = settings.into_iter().chain(configuration).collect();
+    if files.is_empty() {
+        return Err(UsageError::NothingToCheck);
+    }
+    Ok(Command::Check(files))
+}
+
+fn patched(patch: PatchArguments) -> Result<Command, UsageError> {
+    let base = match (patch.configuration, patch.platform) {
+        (Some(file), None) => Base::File(file),
+        (None, Some(address)) => Base::Platform(address),
+        (None, None) => return Err(UsageError::NoBase),
+        (Some(_), Some(_)) => return Err(UsageError::TwoBases),
+    };
+    Ok(Command::Patch { file: patch.file, base })
+}
--- /dev/null
+++ b/crates/turmericctl/tests/patch_trial.rs
@@ -0,0 +1,84 @@
+//! A dry run of a patch shows the next version and what would change, or why it is refused.
+
+mod common;
+
+use common::{Folder, Run, example, turmericctl};
+use serde_json::{Value, json};
+use turmericrail_fakes::FakePlatform;
+
+fn try_patch(name: &str, text: &str, extra: &[&str]) -> Run {
+    let folder = Folder::new(name);
+    let patch = folder.write("patch.yaml", text);
+    let base = example("configuration.yaml");
+    let arguments = ["patch", &patch, "--configuration", base.to_str().unwrap()];
+    turmericctl(&[&arguments[..], extra].concat())
+}
+
+#[test]
+fn accepted_patch() {
+    let text = "base_version: 1\npatch:\n  routes:\n    read-stock: {timeout_ms: 3000}\n    book-slot: null\n  limits: {retry_percent: 10}\n";
+    let run = try_patch("accepted", text, &[]);
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    assert!(run.stdout.contains("it would become version 2"));
+    assert!(run.stdout.contains("~ limits.retry_percent: 20 -> 10"));
+    assert!(run.stdout.contains("~ routes.read-stock.timeout_ms: \"2s\" -> 3000"));
+    assert!(run.stdout.contains("- routes.book-slot: "));
+    let run = try_patch("accepted", text, &["--json"]);
+    let shown: Value = serde_json::from_str(&run.stdout).unwrap();
+    assert_eq!(shown["next_version"], 2);
+    assert_eq!(shown["changes"].as_array().unwrap().len(), 3);
+}
+
+#[test]
+fn other_version() {
+    let text = "base_version: 4\npatch: {limits: {retry_percent: 10}}\n";
+    let run = try_patch("other-version", text, &[]);
+    assert_eq!(run.code, 1);
+    assert!(run.stderr.contains("made against version 4, but version 1 is the newest"));
+}
+
+#[test]
+fn wrong_patches() {
+    let table = [
+        ("base_version: 1\npatch: {}\n", "changes nothing"),
+        ("base_version: 1\npatch: []\n", "line 2: patch: must hold"),
+        ("base_version: 1\nptach: {}\n", "line 2: ptach: unknown field"),
+        ("base_version: one\npatch: {}\n", "line 1: base_version: "),
+        ("base_version: 1\npatch:\n  version: 7\n", "line 3: patch.version: "),
+        (
+            "base_version: 1\npatch:\n  routes:\n    read-stock:\n      servers: [nobody]\n",
+            "line 5: routes.read-stock.servers.0: unknown server \"nobody\"",
+        ),
+        (
+            "base_version: 1\npatch:\n  servers:\n    desk-1: null\n",
+            "routes.book-slot.servers.0: unknown server \"desk-1\"",
+        ),
+        (
+            "base_version: 1\npatch:\n  models:\n    quote: {bogus: 1}\n",
+            "line 4: models.quote.bogus: unknown field `bogus`",
+        ),
+    ];
+    for (text, says) in table {
+        let run = try_patch("wrong", text, &[]);
+        assert_eq!(run.code, 1, "{text}");
+        assert!(run.stderr.contains(says), "{text}: {}", run.stderr);
+    }
+}
+
+#[async_std::test]
+async fn platform_base() {
+    let document = json!({"version": 1, "limits": {"retry_percent": 20}});
+    let platform = FakePlatform::start(document).await.unwrap();
+    platform.accept(json!({"limits": {"retry_percent": 30}}));
+    let folder = Folder::new("platform");
+    let patch =
+        folder.write("patch.yaml", "base_version: 2\npatch: {limits: {retry_percent: 5}}\n");
+    let address = platform.address.to_string();
+    let run = async_std::task::spawn_blocking(move || {
+        turmericctl(&["patch", &patch, "--platform", &address])
+    });
+    let run = run.await;
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    assert!(run.stdout.contains("version 3\n  ~ limits.retry_percent: 30 -> 5"), "{}", run.stdout);
+    assert_eq!(platform.state().version, 2);
+}
--- a/crates/turmericrail/src/caller_edge/mod.rs
+++ b/crates/turmericrail/src/caller_edge/mod.rs
@@ -33,6 +33,7 @@
     app.at("/ready").get(pages::ready);
     app.at("/metrics").get(pages::metrics);
     app.at("/status").get(pages::status);
+    app.at("/decisions/:request").get(pages::decisions);
     app.at("/*").all(plain::call);
     app
 }
--- a/crates/turmericrail/src/caller_edge/pages.rs
+++ b/crates/turmericrail/src/caller_edge/pages.rs
@@ -1,4 +1,4 @@
-//! Health, readiness, metrics and status.
+//! Health, readiness, metrics, status and decisions.
 
 use std::sync::Arc;
 
@@ -31,3 +31,11 @@
     let status = request.state().node().status();
     reply::json(&status)
 }
+
+pub async fn decisions(request: Request<Arc<Shared>>) -> tide::Result {
+    let asked = request.param("request").ok().and_then(|text| text.parse().ok());
+    match asked.and_then(|asked| request.state().decisions.of(asked)) {
+        Some(decisions) => reply::json(&decisions),
+        None => Ok(Response::new(StatusCode::NotFound)),
+    }
+}
--- a/crates/turmericrail/src/caller_edge/plain.rs
+++ b/crates/turmericrail/src/caller_edge/plain.rs
@@ -77,6 +77,7 @@
     match answers.recv().await {
         Ok(ToCaller::Plain(answer)) => {
             let mut response = Response::new(answer.status);
+            response.insert_header("x-request-id", id.to_string());
             response.set_body(answer.body);
             if !answer.content_type.is_empty() {
                 response.insert_header("content-type", answer.content_type);
--- a/crates/turmericrail/src/daemon/driver.rs
+++ b/crates/turmericrail/src/daemon/driver.rs
@@ -94,5 +94,6 @@
 
 fn log(shared: &Shared, decision: &Decision) {
     shared.metrics.decisions.with_label_values(&[decision.event]).inc();
+    shared.decisions.keep(shared.now().wall_ms, decision);
     spdlog::info!("{}", logs::line(decision));
 }
--- a/crates/turmericrail/src/daemon/mod.rs
+++ b/crates/turmericrail/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The process: starts the edges and drives the coordinator until shutdown.
 
 pub mod callers;
+pub mod decisions;
 pub mod driver;
 pub mod shared;
 
@@ -19,7 +20,7 @@
 
 /// Runs the daemon until it was told to end and all work is done.
 pub async fn run(settings: Settings) -> Result<(), StartError> {
-    logs::set_up(&settings.log_level)?;
+    logs::set_up(settings.log_level)?;
     let (shared, events) = Shared::new(settings);
     let shared = Arc::new(shared);
     watch_signals(&shared)?;
--- a/crates/turmericrail/src/daemon/shared.rs
+++ b/crates/turmericrail/src/daemon/shared.rs
@@ -12,6 +12,7 @@
 use turmericrail_core::units::{Millis, WallMillis};
 
 use crate::daemon::callers::Callers;
+use crate::daemon::decisions::Decisions;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
@@ -25,6 +26,8 @@
     pub seal: Seal,
     /// Callers that wait for answers.
     pub callers: Callers,
+    /// Decisions of the latest requests.
+    pub decisions: Decisions,
     /// Metrics.
     pub metrics: Metrics,
     /// Connections to peers.
@@ -53,6 +56,7 @@
             incarnation,
             seal,
             callers: Callers::default(),
+            decisions: Decisions::default(),
             metrics: Metrics::default(),
             peers: crate::peer_edge::client::Peers::default(),
             events: sender,
--- a/crates/turmericrail/src/error.rs
+++ b/crates/turmericrail/src/error.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use thiserror::Error;
+use turmericrail_core::config::ConfigError;
 
 /// Why the daemon did not start or had to stop.
 #[derive(Debug, Error)]
@@ -12,7 +13,7 @@
     #[error("no settings: pass --settings <file>")]
     NoSettings,
     /// The settings file can't be read.
-    #[error("can't read settings {path:?}: {source}")]
+    #[error("can't read settings {}: {source}", path.display())]
     ReadSettings {
         /// The file.
         path: PathBuf,
@@ -20,12 +21,12 @@
         source: std::io::Error,
     },
     /// The settings are wrong.
-    #[error("bad settings in {path:?}: {problem}")]
+    #[error("bad settings in {}: {problem}", path.display())]
     BadSettings {
         /// The file.
         path: PathBuf,
         /// What is wrong, and where.
-        problem: String,
+        problem: ConfigError,
     },
     /// An address can't be listened on.
     #[error("can't listen on {address}: {source}")]
--- a/crates/turmericrail/src/lib.rs
+++ b/crates/turmericrail/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cli;
 pub mod daemon;
 pub mod error;
+pub mod log_level;
 pub mod logs;
 pub mod metrics;
 pub mod peer_edge;
--- a/crates/turmericrail/src/logs.rs
+++ b/crates/turmericrail/src/logs.rs
@@ -4,19 +4,14 @@
 
 use spdlog::formatter::{PatternFormatter, pattern};
 use spdlog::sink::StdStreamSink;
-use spdlog::{Level, LevelFilter, Logger};
+use spdlog::{LevelFilter, Logger};
 use turmericrail_core::action::Decision;
 
 use crate::error::StartError;
+use crate::log_level::LogLevel;
 
 /// Sets the log up for the whole process.
-pub fn set_up(level: &str) -> Result<(), StartError> {
-    let level = match level {
-        "error" => Level::Error,
-        "warn" => Level::Warn,
-        "debug" => Level::Debug,
-        _ => Level::Info,
-    };
+pub fn set_up(level: LogLevel) -> Result<(), StartError> {
     let formatter = PatternFormatter::new(pattern!(
         "time={year}-{month}-{day}T{hour}:{minute}:{second}.{millisecond} level={level} {payload}{eol}"
     ));
@@ -24,7 +19,7 @@
     let sink = sink.map_err(|error| StartError::Log(error.to_string()))?;
     let logger = Logger::builder()
         .sink(sink)
-        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .level_filter(LevelFilter::MoreSevereEqual(level.into()))
         .build()
         .map_err(|error| StartError::Log(error.to_string()))?;
     spdlog::set_default_logger(Arc::new(logger));
--- a/crates/turmericrail/src/settings.rs
+++ b/crates/turmericrail/src/settings.rs
@@ -4,11 +4,18 @@
 use std::path::Path;
 
 use serde::{Deserialize, Serialize};
-use serde_with::{DisplayFromStr, serde_as};
+use serde_with::serde_as;
+use turmericrail_core::adapters::{IpAndPort, Quantity};
+use turmericrail_core::config::error::decode_text;
+use turmericrail_core::config::{ConfigError, KeyPath};
 use turmericrail_core::ids::{DataCentreId, InstanceId};
 use turmericrail_core::units::{Bytes, Millis};
 
 use crate::error::StartError;
+use crate::log_level::LogLevel;
+
+/// Least length of the seal key.
+const MIN_SEAL_KEY_BYTES: usize = 16;
 
 /// Settings of one instance.
 #[serde_as]
@@ -22,16 +29,19 @@
     /// Where it stands.
     pub data_centre: DataCentreId,
     /// IP number and port for callers.
+    #[serde_as(as = "IpAndPort")]
     pub caller_address: SocketAddr,
     /// IP number and port for other instances.
+    #[serde_as(as = "IpAndPort")]
     pub peer_address: SocketAddr,
     /// IP number and port of the platform's services.
+    #[serde_as(as = "IpAndPort")]
     pub platform_address: SocketAddr,
     /// Key for tickets and cursors, the same on all instances of the deployment.
     pub seal_key: String,
     /// Least severe level that is logged.
-    #[serde(default = "default_log_level")]
-    pub log_level: String,
+    #[serde(default)]
+    pub log_level: LogLevel,
     /// Limits against slow or oversized callers.
     #[serde(default)]
     pub limits: CallerLimits,
@@ -43,15 +53,15 @@
 #[serde(deny_unknown_fields, default)]
 pub struct CallerLimits {
     /// Largest body.
-    #[serde_as(as = "DisplayFromStr")]
+    #[serde_as(as = "Quantity")]
     pub max_body_bytes: Bytes,
     /// Most connections at a time.
     pub max_connections: u64,
     /// Longest time for a request's head and body to arrive.
-    #[serde_as(as = "DisplayFromStr")]
+    #[serde_as(as = "Quantity")]
     pub receive_timeout_ms: Millis,
     /// Longest time that a caller may leave written bytes unread.
-    #[serde_as(as = "DisplayFromStr")]
+    #[serde_as(as = "Quantity")]
     pub stall_timeout_ms: Millis,
 }
 
@@ -66,10 +76,6 @@
     }
 }
 
-fn default_log_level() -> String {
-    "info".to_owned()
-}
-
 impl Settings {
     /// Reads and checks a settings file.
     pub fn read(path: &Path) -> Result<Self, StartError> {
@@ -80,30 +86,75 @@
     }
 
     /// Parses and checks the text of a settings file.
-    pub fn parse(text: &str) -> Result<Self, String> {
-        let settings: Self = serde_saphyr::from_str(text).map_err(|error| error.to_string())?;
-        settings.check()?;
+    pub fn parse(text: &str) -> Result<Self, ConfigError> {
+        let settings: Self = decode_text(text)?;
+        settings.check().map_err(|error| error.in_text(text))?;
         Ok(settings)
     }
 
-    fn check(&self) -> Result<(), String> {
-        if self.deployment.is_empty() {
-            return Err("deployment: must not be empty".to_owned());
+    fn check(&self) -> Result<(), ConfigError> {
+        let error = |field: &str, problem: &str| Err(ConfigError::at(KeyPath::new(field), problem));
+        if self.deployment.trim().is_empty() {
+            return error("deployment", "must not be empty: name the deployment");
         }
-        if self.seal_key.len() < 16 {
-            return Err("seal_key: use at least 16 bytes".to_owned());
-        }
-        let levels = ["error", "warn", "info", "debug"];
-        if !levels.contains(&self.log_level.as_str()) {
-            return Err(format!(
-                "log_level: {:?} is none of {}",
-                self.log_level,
-                levels.join(", ")
-            ));
+        if self.seal_key.len() < MIN_SEAL_KEY_BYTES {
+            return error(
+                "seal_key",
+                "too short: use at least 16 bytes, the same on all instances",
+            );
         }
         if self.peer_address.ip().is_unspecified() {
-            return Err("peer_address: name the IP number that other instances reach".to_owned());
+            return error("peer_address", "name the IP number that other instances reach");
+        }
+        if self.platform_address.ip().is_unspecified() {
+            return error("platform_address", "name the IP number of the platform's services");
+        }
+        self.check_ports()?;
+        self.limits.check()
+    }
+
+    fn check_ports(&self) -> Result<(), ConfigError> {
+        let addresses = [
+            ("caller_address", self.caller_address),
+            ("peer_address", self.peer_address),
+            ("platform_address", self.platform_address),
+        ];
+        for (index, (field, address)) in addresses.iter().enumerate() {
+            let error = |problem: String| Err(ConfigError::at(KeyPath::new(field), problem));
+            if address.port() == 0 {
+                return error("port 0 can't be reached: name a port".to_owned());
+            }
+            let same = addresses[..index].iter().find(|(_, other)| is_same(*address, *other));
+            if let Some((other, _)) = same {
+                let problem =
+                    format!("duplicate address {address}: {other} has it too, change one of them");
+                return error(problem);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl CallerLimits {
+    fn check(&self) -> Result<(), ConfigError> {
+        let limits = [
+            ("max_body_bytes", self.max_body_bytes.0),
+            ("max_connections", self.max_connections),
+            ("receive_timeout_ms", self.receive_timeout_ms.0),
+            ("stall_timeout_ms", self.stall_timeout_ms.0),
+        ];
+        for (field, limit) in limits {
+            if limit == 0 {
+                let path = KeyPath::new("limits").then(field);
+                return Err(ConfigError::at(path, "must be more than zero"));
+            }
         }
         Ok(())
     }
 }
+
+/// Whether two sockets can't be told apart; an unspecified IP number stands for all of them.
+fn is_same(one: SocketAddr, other: SocketAddr) -> bool {
+    let is_any = one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() == other.port() && (is_any || one.ip() == other.ip())
+}
