--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -139,8 +139,8 @@
         /// Longest wait.
         timeout_ms: Millis,
     },
-    /// Give a caller a ticket.
-    AnswerTicket(RequestId, String),
+    /// Give a caller tickets.
+    AnswerTickets(RequestId, Vec<String>),
     /// Give a caller the answer of a plain service.
     AnswerPlain(RequestId, PlainAnswer),
     /// Give a caller its final answer: it failed.
--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -84,19 +84,25 @@
 error_kinds! {
     BadRequest, "bad_request", 400, NotRun, false, "The request can't be parsed or lacks a field.";
     TooLarge, "too_large", 413, NotRun, false, "The request is larger than the settings allow.";
+    ReceiveTimeout, "receive_timeout", 408, NotRun, false, "The body did not arrive in time.";
     UnknownRoute, "unknown_route", 404, NotRun, false, "No route of the configuration matches the method and path.";
     UnknownModel, "unknown_model", 404, NotRun, false, "The configuration names no such model or version.";
     UnknownCallerKind, "unknown_caller_kind", 400, NotRun, false, "The configuration names no such caller kind.";
     TicketRequired, "ticket_required", 428, NotRun, false, "The route is not idempotent and the call carries no ticket.";
-    BadTicket, "bad_ticket", 400, NotRun, false, "The ticket was not issued by this deployment or was altered.";
+    BadTicket, "bad_ticket", 400, Unknown, false, "The ticket was altered, or sealed with a key that this instance does not have.";
+    TicketMismatch, "ticket_mismatch", 422, Unknown, false, "The ticket was spent by a call with another method, path or body; this call was not sent.";
+    CopyRefused, "copy_refused", 400, Unknown, false, "This copy of the call was refused before its ticket was looked at; an earlier copy may have run.";
     BadCursor, "bad_cursor", 400, NotRun, false, "The cursor was not issued by this deployment or was altered.";
     CursorExpired, "cursor_expired", 410, Unknown, false, "The stream that the cursor names is no longer held by its engine.";
+    HeadRefused, "head_refused", 400, Unknown, false, "The head of the request was refused, so nothing of it was read; an earlier copy may have run.";
+    TooManyConnections, "too_many_connections", 503, Unknown, true, "This instance has as many connections as its settings allow, so nothing of the request was read; an earlier copy may have run.";
     DeadlineUnreachable, "deadline_unreachable", 503, NotRun, true, "The target for this caller kind and hour can't be met at the present load.";
     Overloaded, "overloaded", 503, NotRun, true, "The workspace or the instance is at its limit.";
     NoServer, "no_server", 503, NotRun, true, "No reachable backend server serves the call.";
     NotReady, "not_ready", 503, NotRun, true, "This instance has no configuration yet.";
     ShuttingDown, "shutting_down", 503, NotRun, true, "This instance is shutting down and takes no new work.";
     HomeUnreachable, "home_unreachable", 504, Unknown, false, "The instance that issued the ticket can't be reached, so whether the call ran is not known.";
+    PlainTimeout, "plain_timeout", 504, Unknown, false, "No whole answer came within the route's timeout; the call may have run.";
     ServerLost, "server_lost", 502, Unknown, false, "The backend server was lost after the call may have started.";
     StreamBroken, "stream_broken", 502, Unknown, false, "The answer could not be completed within the retry budget.";
     CallerGone, "caller_gone", 499, Unknown, false, "The caller closed its connection.";
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 
 use crate::config::Change;
+use crate::error_kind::ErrorKind;
 use crate::ids::{
     CallerKind, ConfigVersion, InstanceId, ModelId, ModelVersion, RequestId, ServerId, StreamId,
     WorkspaceId,
@@ -57,6 +58,19 @@
     pub ticket: Option<String>,
     /// Whether another instance forwarded the call.
     pub is_forwarded: bool,
+    /// Hash of the method, the whole path and the body.
+    pub fingerprint: u64,
+}
+
+/// How the forwarding of a call to its ticket's home ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ForwardResult {
+    /// The home answered with the service's answer.
+    Answered(PlainAnswer),
+    /// The home answered with an error.
+    Failed(ErrorKind),
+    /// No answer came.
+    Lost,
 }
 
 /// An answer of a plain service.
@@ -95,12 +109,19 @@
         /// The cursor, as the caller sent it.
         cursor: String,
     },
-    /// A caller asks for a ticket.
-    TicketRequest(RequestId),
+    /// A caller asks for tickets.
+    TicketRequest {
+        /// Number at this instance.
+        request: RequestId,
+        /// How many.
+        count: usize,
+    },
     /// A caller, or another instance on its behalf, calls a plain service.
     PlainRequest(PlainRequest),
     /// One try of a plain call ended.
     PlainResult(RequestId, ServerId, PlainResult),
+    /// The forwarding of a plain call ended.
+    ForwardResult(RequestId, ForwardResult),
     /// A caller closed its connection.
     CallerGone(RequestId),
     /// A prefill finished; its result waits for export.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod member_path;
 mod model_path;
 mod plain_path;
+mod plain_tries;
 mod seat_path;
 pub mod status;
 
@@ -22,7 +23,8 @@
 use crate::membership::{MemberDigest, MemberView, ServerLoad};
 use crate::message::{Envelope, PeerMessage};
 use crate::once::{Seal, TicketBook};
-use crate::request::{Flow, PlainFlow};
+use crate::request::{Flow, PlainCaller, PlainFlow, RetryBudget};
+use crate::route::ServerHealth;
 use crate::seats::SeatLedger;
 use crate::units::Millis;
 
@@ -54,7 +56,10 @@
     loads: BTreeMap<ServerId, KnownLoad>,
     leaving_servers: BTreeSet<ServerId>,
     flows: BTreeMap<RequestId, Flow>,
+    plain_callers: BTreeMap<RequestId, PlainCaller>,
     plain_flows: BTreeMap<RequestId, PlainFlow>,
+    plain_health: BTreeMap<ServerId, ServerHealth>,
+    plain_budget: RetryBudget,
     tickets: TicketBook<PlainEnd>,
     is_leaving: bool,
     next_beat_ms: Millis,
@@ -89,7 +94,10 @@
             loads: BTreeMap::new(),
             leaving_servers: BTreeSet::new(),
             flows: BTreeMap::new(),
+            plain_callers: BTreeMap::new(),
             plain_flows: BTreeMap::new(),
+            plain_health: BTreeMap::new(),
+            plain_budget: RetryBudget::default(),
             tickets: TicketBook::default(),
             is_leaving: false,
             next_beat_ms: Millis::ZERO,
@@ -116,12 +124,16 @@
             Event::Tick => self.tick(),
             Event::ModelRequest(asked) => self.take_model_request(asked),
             Event::ResumeRequest { request, cursor } => self.take_resume_request(request, &cursor),
-            Event::TicketRequest(request) => self.take_ticket_request(request),
+            Event::TicketRequest { request, count } => self.take_ticket_request(request, count),
             Event::PlainRequest(asked) => self.take_plain_request(asked),
             Event::PlainResult(request, server, result) => {
                 self.take_plain_result(request, server, result)
             }
-            Event::CallerGone(request) => self.take_caller_gone(request),
+            Event::ForwardResult(request, result) => self.take_forward_result(request, result),
+            Event::CallerGone(request) => {
+                self.take_plain_caller_gone(request);
+                self.take_caller_gone(request);
+            }
             Event::PrefillDone { request, stream, cached_tokens } => {
                 self.take_prefill_done(request, &stream, cached_tokens)
             }
@@ -149,9 +161,8 @@
         self.poll_servers();
         self.expire_leases();
         self.advance_waiting();
-        self.tickets.expire(self.now.mono_ms);
-        let is_idle = self.flows.is_empty() && self.plain_flows.is_empty();
-        if self.is_leaving && is_idle {
+        self.advance_plain();
+        if self.is_leaving && self.flows.is_empty() && self.is_plain_idle() {
             self.actions.push(Action::Exit);
         }
     }
--- a/crates/core/src/node/plain_path.rs
+++ b/crates/core/src/node/plain_path.rs
@@ -1,175 +1,186 @@
-//! The way of a plain call: route, ticket, tries.
+//! Plain calls seen from their callers: route, ticket, forward, final answer.
+//!
+//! An outcome speaks of the ticket, not of the copy that carried it. Only the ticket's home says
+//! `not_run`, after it has closed the ticket for good; everybody else says `unknown`.
 
-use crate::action::{Action, PlainCall};
+use crate::action::Action;
 use crate::config::document::Route;
-use crate::error_kind::ErrorKind;
-use crate::event::{PlainAnswer, PlainRequest, PlainResult};
-use crate::ids::{RequestId, RouteId, ServerId};
-use crate::membership::rendezvous;
+use crate::error_kind::{ErrorKind, Outcome};
+use crate::event::{ForwardResult, PlainRequest};
+use crate::ids::{RequestId, RouteId};
 use crate::node::{Node, PlainEnd};
 use crate::once::{Admission, Ticket};
-use crate::request::PlainFlow;
+use crate::request::PlainCaller;
 use crate::route::match_route;
-use crate::units::Millis;
+use crate::units::{Bytes, Millis};
 
 /// Wait told to callers whose call was not run.
 const RETRY_AFTER_MS: Millis = Millis(1_000);
-/// Most tries of an idempotent call.
-const MAX_TRIES: usize = 3;
+/// Longest wait for the home of a ticket where the route is not known here.
+const FORWARD_TIMEOUT_MS: Millis = Millis(10_000);
+/// Time that a leaving instance waits for tickets it has just issued.
+const LINGER_MS: Millis = Millis(2_000);
+/// Memory of a recorded answer apart from its body.
+const RECORD_BYTES: u64 = 128;
 
 impl Node {
-    pub(super) fn take_ticket_request(&mut self, request: RequestId) {
+    pub(super) fn take_ticket_request(&mut self, request: RequestId, count: usize) {
         if !self.is_ready() {
-            self.answer_error(request, ErrorKind::NotReady, Some(RETRY_AFTER_MS));
+            let kind = if self.is_leaving { ErrorKind::ShuttingDown } else { ErrorKind::NotReady };
+            self.answer_error(request, kind, Some(RETRY_AFTER_MS));
             return;
         }
-        let serial = self.tickets.issue(self.now.mono_ms);
-        let ticket = Ticket {
-            home: self.members.own_holder(),
-            data_centre: self.members.own_data_centre().clone(),
-            serial,
-        };
-        self.actions.push(Action::AnswerTicket(request, ticket.seal(&self.seal)));
+        let issued_ms = self.now.mono_ms;
+        let mut tickets = Vec::new();
+        for _ in 0..count {
+            let ticket = Ticket {
+                home: self.members.own_holder(),
+                data_centre: self.members.own_data_centre().clone(),
+                serial: self.tickets.issue(issued_ms),
+                issued_ms,
+            };
+            tickets.push(ticket.seal(&self.seal));
+        }
+        self.actions.push(Action::AnswerTickets(request, tickets));
     }
 
     pub(super) fn take_plain_request(&mut self, asked: PlainRequest) {
-        let request = asked.request;
-        let Some(configuration) = self.config.in_force() else {
-            self.answer_error(request, ErrorKind::NotReady, Some(RETRY_AFTER_MS));
-            return;
-        };
-        let Some((id, route)) = match_route(configuration, &asked.method, &asked.path) else {
-            self.answer_error(request, ErrorKind::UnknownRoute, None);
-            return;
-        };
-        let (id, route) = (id.clone(), route.clone());
-        if route.idempotent {
-            self.start_plain(request, id, None);
-            return;
-        }
-        let Some(text) = &asked.ticket else {
-            self.answer_error(request, ErrorKind::TicketRequired, None);
-            return;
-        };
-        match Ticket::unseal(text, &self.seal) {
-            Some(ticket) => self.spend(&asked, id, &route, ticket),
-            None => self.answer_error(request, ErrorKind::BadTicket, None),
+        let ticket = asked.ticket.as_ref().and_then(|text| Ticket::unseal(text, &self.seal));
+        match ticket {
+            Some(ticket) if ticket.home == self.members.own_holder() => self.spend(&asked, &ticket),
+            Some(ticket) => self.forward(&asked, ticket),
+            None => self.start_without_ticket(&asked),
         }
     }
 
-    pub(super) fn take_plain_result(
-        &mut self,
-        request: RequestId,
-        server: ServerId,
-        result: PlainResult,
-    ) {
-        let Some(flow) = self.plain_flows.get(&request) else {
-            return;
+    pub(super) fn take_forward_result(&mut self, request: RequestId, result: ForwardResult) {
+        let end = match result {
+            ForwardResult::Answered(answer) => Ok(answer),
+            ForwardResult::Failed(kind) => Err(kind),
+            ForwardResult::Lost => Err(ErrorKind::HomeUnreachable),
         };
-        let can_repeat = flow.serial.is_none() && flow.tried.len() < MAX_TRIES;
-        match result {
-            PlainResult::Answered(answer) => self.end_plain(request, Ok(answer)),
-            PlainResult::NotSent => self.try_plain(request),
-            PlainResult::Lost if can_repeat => self.try_plain(request),
-            PlainResult::Lost => {
-                self.log("plain_lost", Some(request), vec![("server", server.to_string())]);
-                self.end_plain(request, Err(ErrorKind::ServerLost));
-            }
-        }
+        self.answer_plain(request, end);
     }
 
-    /// Spends a ticket at its home, or forwards the call there.
-    fn spend(&mut self, asked: &PlainRequest, id: RouteId, route: &Route, ticket: Ticket) {
-        let request = asked.request;
-        let own = self.members.own_holder();
-        if ticket.home != own {
-            let address = self.members.peers().get(&ticket.home.instance).copied();
-            let can_forward = !asked.is_forwarded && !self.members.is_replaced(&ticket.home);
-            let Some(address) = address.filter(|_| can_forward) else {
-                self.answer_error(request, ErrorKind::HomeUnreachable, None);
-                return;
-            };
-            let timeout_ms = route.timeout_ms;
-            self.actions.push(Action::Forward { request, home: ticket.home, address, timeout_ms });
+    pub(super) fn take_plain_caller_gone(&mut self, request: RequestId) {
+        if self.plain_callers.remove(&request).is_none() {
             return;
         }
-        match self.tickets.admit(ticket.serial, request) {
-            Admission::Run => self.start_plain(request, id, Some(ticket.serial)),
-            Admission::Wait => {}
-            Admission::Replay(end) => self.answer_plain(request, end),
-            Admission::Forgotten => self.answer_error(request, ErrorKind::HomeUnreachable, None),
+        self.log("plain_caller_gone", Some(request), Vec::new());
+        self.drop_idempotent(request);
+    }
+
+    /// Gives final answers at their deadlines and forgets old tickets.
+    pub(super) fn advance_plain(&mut self) {
+        self.tickets.expire(self.now.mono_ms);
+        let is_over = |caller: &PlainCaller| self.now.mono_ms >= caller.deadline_ms;
+        let over = self.plain_callers.iter().filter(|(_, caller)| is_over(caller));
+        let over: Vec<_> = over.map(|(id, caller)| (*id, caller.is_forwarded)).collect();
+        for (request, is_forwarded) in over {
+            let kind =
+                if is_forwarded { ErrorKind::HomeUnreachable } else { ErrorKind::PlainTimeout };
+            self.answer_plain(request, Err(kind));
+            self.drop_idempotent(request);
         }
+        self.hedge_plain();
     }
 
-    fn start_plain(&mut self, request: RequestId, route: RouteId, serial: Option<u64>) {
-        let arrived_ms = self.now.mono_ms;
-        let flow = PlainFlow { route, serial, arrived_ms, tried: Default::default() };
-        self.plain_flows.insert(request, flow);
-        self.try_plain(request);
+    /// Whether no plain call is under way and no ticket was issued just now.
+    pub(super) fn is_plain_idle(&self) -> bool {
+        let is_idle = self.plain_flows.is_empty() && self.plain_callers.is_empty();
+        is_idle && !self.tickets.has_recent_unspent(self.now.mono_ms, LINGER_MS)
     }
 
-    fn try_plain(&mut self, request: RequestId) {
-        let Some(call) = self.plain_call(request) else {
-            self.end_plain(request, Err(ErrorKind::NoServer));
-            return;
+    fn start_without_ticket(&mut self, asked: &PlainRequest) {
+        let request = asked.request;
+        let kind = match self.plain_route(asked) {
+            Ok((id, route)) if route.idempotent => {
+                self.wait_plain(request, route.timeout_ms, false);
+                self.start_plain(request, id, &route, None);
+                return;
+            }
+            Ok(_) if asked.ticket.is_none() => ErrorKind::TicketRequired,
+            Ok(_) => ErrorKind::BadTicket,
+            Err(kind) => kind,
         };
-        let fields = vec![
-            ("server", call.target.server.to_string()),
-            ("config_version", self.config.version().to_string()),
-            ("reason", "rendezvous".to_owned()),
-        ];
-        self.log("choose_plain", Some(request), fields);
-        if let Some(flow) = self.plain_flows.get_mut(&request) {
-            flow.tried.insert(call.target.server.clone());
-        }
-        self.actions.push(Action::CallPlain(call));
+        let retry_after_ms = kind.answer().has_retry_after.then_some(RETRY_AFTER_MS);
+        self.answer_error(request, kind, retry_after_ms);
     }
 
-    fn plain_call(&self, request: RequestId) -> Option<PlainCall> {
-        let flow = self.plain_flows.get(&request)?;
-        let configuration = self.config.in_force()?;
-        let route = configuration.routes.get(&flow.route)?;
-        let usable = |server: &&ServerId| {
-            !flow.tried.contains(*server) && !self.leaving_servers.contains(*server)
-        };
-        let key = request.to_string();
-        let server = route.servers.iter().filter(usable).max_by_key(|server| {
-            let known = configuration.servers.get(*server);
-            let is_near =
-                known.is_some_and(|known| known.data_centre == *self.members.own_data_centre());
-            (is_near, rendezvous::stable_hash(&format!("{key}/{server}")))
-        })?;
-        let timeout_ms = route.timeout_ms;
-        Some(PlainCall { request, target: self.target(server)?, timeout_ms })
+    /// Spends a ticket that this run issued. The record comes before the route, which may have
+    /// been removed since.
+    fn spend(&mut self, asked: &PlainRequest, ticket: &Ticket) {
+        let request = asked.request;
+        let route = self.plain_route(asked);
+        let timeout_ms = route.as_ref().map_or(FORWARD_TIMEOUT_MS, |(_, route)| route.timeout_ms);
+        self.wait_plain(request, timeout_ms, false);
+        let (serial, issued_ms) = (ticket.serial, ticket.issued_ms);
+        let now_ms = self.now.mono_ms;
+        let fingerprint = asked.fingerprint;
+        let admission = self.tickets.admit(now_ms, serial, issued_ms, fingerprint, request);
+        self.log_admission(request, serial, &admission);
+        match (admission, route) {
+            (Admission::Run, Ok((id, route))) => {
+                self.start_plain(request, id, &route, Some(serial));
+            }
+            (Admission::Run, Err(kind)) => self.close_ticket(serial, Err(kind)),
+            (Admission::Wait, _) => {}
+            (Admission::Replay(end), _) => self.answer_plain(request, end),
+            (Admission::Forgotten, _) => {
+                self.answer_plain(request, Err(ErrorKind::HomeUnreachable));
+            }
+            (Admission::Mismatch, _) => self.answer_plain(request, Err(ErrorKind::TicketMismatch)),
+        }
     }
 
-    fn end_plain(&mut self, request: RequestId, end: PlainEnd) {
-        let Some(flow) = self.plain_flows.remove(&request) else {
-            return;
-        };
-        let Some(serial) = flow.serial else {
-            self.answer_plain(request, end);
+    /// Forwards a call to the run that issued its ticket, whatever is known here of the route.
+    fn forward(&mut self, asked: &PlainRequest, ticket: Ticket) {
+        let request = asked.request;
+        let timeout_ms =
+            self.plain_route(asked).map_or(FORWARD_TIMEOUT_MS, |(_, route)| route.timeout_ms);
+        self.wait_plain(request, timeout_ms, true);
+        let address = self.members.peers().get(&ticket.home.instance).copied();
+        let can_forward = !asked.is_forwarded && !self.members.is_replaced(&ticket.home);
+        let Some(address) = address.filter(|_| can_forward) else {
+            self.answer_plain(request, Err(ErrorKind::HomeUnreachable));
             return;
         };
-        let is_not_run = matches!(end, Err(ErrorKind::NoServer));
-        let waiting = if is_not_run {
-            self.tickets.reopen(serial)
-        } else {
-            self.tickets.answer(serial, end.clone())
-        };
-        for request in waiting {
+        let home = ticket.home;
+        self.log("forward_plain", Some(request), vec![("home", home.instance.to_string())]);
+        self.actions.push(Action::Forward { request, home, address, timeout_ms });
+    }
+
+    fn plain_route(&self, asked: &PlainRequest) -> Result<(RouteId, Route), ErrorKind> {
+        let configuration = self.config.in_force().ok_or(ErrorKind::NotReady)?;
+        let matched = match_route(configuration, &asked.method, &asked.path);
+        let (id, route) = matched.ok_or(ErrorKind::UnknownRoute)?;
+        Ok((id.clone(), route.clone()))
+    }
+
+    fn wait_plain(&mut self, request: RequestId, timeout_ms: Millis, is_forwarded: bool) {
+        let deadline_ms = self.now.mono_ms + timeout_ms;
+        let known = self.plain_callers.insert(request, PlainCaller { deadline_ms, is_forwarded });
+        assert!(known.is_none(), "a request number was used twice");
+    }
+
+    /// Records the final answer of a ticket and gives it to all copies that wait.
+    pub(super) fn close_ticket(&mut self, serial: u64, end: PlainEnd) {
+        let body_bytes = end.as_ref().map_or(0, |answer| answer.body.len() as u64);
+        let size_bytes = Bytes(body_bytes + RECORD_BYTES);
+        for request in self.tickets.answer(serial, end.clone(), size_bytes) {
             self.answer_plain(request, end.clone());
         }
     }
 
-    fn answer_plain(&mut self, request: RequestId, end: Result<PlainAnswer, ErrorKind>) {
+    /// Gives a caller its final answer, unless it had one already.
+    pub(super) fn answer_plain(&mut self, request: RequestId, end: PlainEnd) {
+        if self.plain_callers.remove(&request).is_none() {
+            return;
+        }
         match end {
             Ok(answer) => {
-                self.log(
-                    "plain_answered",
-                    Some(request),
-                    vec![("status", answer.status.to_string())],
-                );
+                let fields = vec![("status", answer.status.to_string())];
+                self.log("plain_answered", Some(request), fields);
                 self.actions.push(Action::AnswerPlain(request, answer));
             }
             Err(kind) => {
@@ -178,4 +189,21 @@
             }
         }
     }
+
+    fn log_admission(&mut self, request: RequestId, serial: u64, admission: &Admission<PlainEnd>) {
+        let decision = match admission {
+            Admission::Run => "run",
+            Admission::Wait => "wait",
+            Admission::Replay(_) => "replay",
+            Admission::Forgotten => "forgotten",
+            Admission::Mismatch => "mismatch",
+        };
+        let fields = vec![("serial", serial.to_string()), ("decision", decision.to_owned())];
+        self.log("spend_ticket", Some(request), fields);
+    }
+}
+
+/// Whether an answer promises that nothing was executed.
+pub(super) fn is_not_run(end: &PlainEnd) -> bool {
+    end.as_ref().is_err_and(|kind| kind.answer().outcome == Outcome::NotRun)
 }
--- a/crates/core/src/once/book.rs
+++ b/crates/core/src/once/book.rs
@@ -1,26 +1,34 @@
 //! The home's account of the tickets it issued.
 //!
-//! A ticket is marked as spent before the first byte of its call is written and is never unmarked.
+//! A ticket is recorded as spent before the first byte of its call is written, and no record ever
+//! becomes spendable again: a call that could not be sent closes its ticket with that answer.
 //! Copies that arrive while the call runs wait for its answer; later ones get the recorded answer.
-//! Answers are kept for a while; after that a spent ticket is answered with `unknown`.
+//!
+//! Unspent tickets take no memory. Records of spent ones are bounded in count and bytes. A record
+//! that is dropped raises the floor: serials at or below it can't be spent, whatever the clock
+//! says.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::ids::RequestId;
-use crate::units::Millis;
+use crate::units::{Bytes, Millis};
 
 /// Time that a ticket can be spent and an answer is kept.
 pub const TICKET_LIFE_MS: Millis = Millis(600_000);
 
-/// State of one ticket.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum TicketState<A> {
-    /// Issued and not spent.
-    Open,
-    /// Spent; these requests wait for the answer.
-    Running(Vec<RequestId>),
-    /// Spent and answered.
-    Answered(A),
+/// Bounds on what is kept of spent tickets.
+#[derive(Clone, Copy, Debug)]
+pub struct BookLimits {
+    /// Most records.
+    pub max_records: usize,
+    /// Most bytes of recorded answers.
+    pub max_answer_bytes: Bytes,
+}
+
+impl Default for BookLimits {
+    fn default() -> Self {
+        Self { max_records: 50_000, max_answer_bytes: Bytes(32 << 20) }
+    }
 }
 
 /// What to do with a copy of a call.
@@ -32,90 +40,200 @@
     Wait,
     /// Give this recorded answer.
     Replay(A),
-    /// The ticket's record is no longer kept: what happened is not known.
+    /// The ticket's record or answer is no longer kept: what happened is not known.
     Forgotten,
+    /// The ticket was spent by another call.
+    Mismatch,
+}
+
+#[derive(Clone, Debug)]
+enum TicketState<A> {
+    Running(Vec<RequestId>),
+    Answered(A, Bytes),
+    AnswerDropped,
+}
+
+#[derive(Clone, Debug)]
+struct Record<A> {
+    issued_ms: Millis,
+    fingerprint: u64,
+    state: TicketState<A>,
 }
 
 /// Tickets issued by one run.
 #[derive(Clone, Debug)]
 pub struct TicketBook<A> {
+    limits: BookLimits,
     next_serial: u64,
-    records: BTreeMap<u64, (Millis, TicketState<A>)>,
+    last_issued_ms: Option<Millis>,
+    spent_count: u64,
+    floor: u64,
+    records: BTreeMap<u64, Record<A>>,
+    answered: VecDeque<u64>,
+    answer_bytes: Bytes,
 }
 
 impl<A: Clone> Default for TicketBook<A> {
     fn default() -> Self {
-        Self { next_serial: 1, records: BTreeMap::new() }
+        Self::new(BookLimits::default())
     }
 }
 
 impl<A: Clone> TicketBook<A> {
+    /// An empty book.
+    pub fn new(limits: BookLimits) -> Self {
+        Self {
+            limits,
+            next_serial: 1,
+            last_issued_ms: None,
+            spent_count: 0,
+            floor: 0,
+            records: BTreeMap::new(),
+            answered: VecDeque::new(),
+            answer_bytes: Bytes::ZERO,
+        }
+    }
+
     /// Issues the next serial number.
     pub fn issue(&mut self, now_ms: Millis) -> u64 {
         let serial = self.next_serial;
         self.next_serial += 1;
-        self.records.insert(serial, (now_ms, TicketState::Open));
+        self.last_issued_ms = Some(now_ms);
         serial
     }
 
     /// Admits one copy of the call of a ticket.
-    pub fn admit(&mut self, serial: u64, request: RequestId) -> Admission<A> {
-        let Some((_, state)) = self.records.get_mut(&serial) else {
+    pub fn admit(
+        &mut self,
+        now_ms: Millis,
+        serial: u64,
+        issued_ms: Millis,
+        fingerprint: u64,
+        request: RequestId,
+    ) -> Admission<A> {
+        if let Some(record) = self.records.get_mut(&serial) {
+            return record.admit_copy(fingerprint, request);
+        }
+        let is_on_record = serial > self.floor && serial < self.next_serial;
+        if !is_on_record || now_ms - issued_ms >= TICKET_LIFE_MS {
             return Admission::Forgotten;
-        };
-        match state {
-            TicketState::Open => {
-                *state = TicketState::Running(vec![request]);
-                Admission::Run
-            }
-            TicketState::Running(waiting) => {
-                waiting.push(request);
-                Admission::Wait
-            }
-            TicketState::Answered(answer) => Admission::Replay(answer.clone()),
         }
+        let state = TicketState::Running(vec![request]);
+        self.records.insert(serial, Record { issued_ms, fingerprint, state });
+        self.spent_count += 1;
+        self.drop_records();
+        Admission::Run
     }
 
-    /// Records the answer and returns the requests that wait for it.
-    pub fn answer(&mut self, serial: u64, answer: A) -> Vec<RequestId> {
-        let Some((_, state)) = self.records.get_mut(&serial) else {
-            return Vec::new();
+    /// Records the answer, with its size, and returns the requests that wait for it.
+    pub fn answer(&mut self, serial: u64, answer: A, size_bytes: Bytes) -> Vec<RequestId> {
+        let record = self.records.get_mut(&serial).expect("a running ticket is on record");
+        let state = std::mem::replace(&mut record.state, TicketState::Answered(answer, size_bytes));
+        let TicketState::Running(waiting) = state else {
+            panic!("a ticket was answered that was not running");
         };
-        match std::mem::replace(state, TicketState::Answered(answer)) {
-            TicketState::Running(waiting) => waiting,
-            TicketState::Open => panic!("a ticket was answered that was never spent"),
-            TicketState::Answered(_) => panic!("a ticket was answered twice"),
-        }
+        self.answered.push_back(serial);
+        self.answer_bytes = self.answer_bytes + size_bytes;
+        self.drop_answers();
+        waiting
     }
 
-    /// Makes a ticket open again whose call was never written to a server, and returns the
-    /// requests that wait for it.
-    pub fn reopen(&mut self, serial: u64) -> Vec<RequestId> {
-        let Some((_, state)) = self.records.get_mut(&serial) else {
-            return Vec::new();
-        };
-        match std::mem::replace(state, TicketState::Open) {
-            TicketState::Running(waiting) => waiting,
-            TicketState::Open | TicketState::Answered(_) => {
-                panic!("reopened a ticket that was not running")
-            }
+    /// Drops records past their life, except those still running.
+    pub fn expire(&mut self, now_ms: Millis) {
+        let is_expired = |record: &Record<A>| now_ms - record.issued_ms >= TICKET_LIFE_MS;
+        let expired = self.records.iter().take_while(|(_, record)| is_expired(record));
+        let serials: Vec<_> = expired.map(|(serial, _)| *serial).collect();
+        for serial in serials {
+            self.remove(serial);
         }
     }
 
-    /// Drops records past their life, except those still running.
-    pub fn expire(&mut self, now_ms: Millis) {
-        self.records.retain(|_, (issued_ms, state)| {
-            matches!(state, TicketState::Running(_)) || now_ms - *issued_ms < TICKET_LIFE_MS
-        });
+    /// Whether a ticket that was issued within `within_ms` may still be unspent.
+    pub fn has_recent_unspent(&self, now_ms: Millis, within_ms: Millis) -> bool {
+        let has_unspent = self.next_serial - 1 > self.spent_count;
+        has_unspent && self.last_issued_ms.is_some_and(|issued_ms| now_ms - issued_ms < within_ms)
     }
 
-    /// Tickets on record.
+    /// Spent tickets on record.
     pub fn len(&self) -> usize {
         self.records.len()
     }
 
-    /// Whether no ticket is on record.
+    /// Whether no spent ticket is on record.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
+
+    /// Bytes of recorded answers.
+    pub fn answer_bytes(&self) -> Bytes {
+        self.answer_bytes
+    }
+
+    fn remove(&mut self, serial: u64) {
+        let Some(record) = self.records.get(&serial) else {
+            return;
+        };
+        match record.state {
+            TicketState::Running(_) => return,
+            TicketState::Answered(_, size_bytes) => {
+                self.answer_bytes = self.answer_bytes - size_bytes;
+            }
+            TicketState::AnswerDropped => {}
+        }
+        self.records.remove(&serial);
+        self.floor = self.floor.max(serial);
+    }
+
+    fn drop_records(&mut self) {
+        while self.records.len() > self.limits.max_records {
+            let is_over = |record: &Record<A>| !matches!(record.state, TicketState::Running(_));
+            let oldest = self.records.iter().find(|(_, record)| is_over(record));
+            let Some(serial) = oldest.map(|(serial, _)| *serial) else {
+                return;
+            };
+            self.remove(serial);
+        }
+    }
+
+    fn drop_answers(&mut self) {
+        while self.answer_bytes > self.limits.max_answer_bytes {
+            let Some(serial) = self.answered.pop_front() else {
+                return;
+            };
+            let Some(record) = self.records.get_mut(&serial) else {
+                continue;
+            };
+            if let TicketState::Answered(_, size_bytes) = record.state {
+                self.answer_bytes = self.answer_bytes - size_bytes;
+                record.state = TicketState::AnswerDropped;
+            }
+        }
+        self.trim_answered();
+    }
+
+    /// Keeps the order of answers from outgrowing the records.
+    fn trim_answered(&mut self) {
+        while let Some(serial) = self.answered.front() {
+            if self.records.contains_key(serial) {
+                return;
+            }
+            self.answered.pop_front();
+        }
+    }
+}
+
+impl<A: Clone> Record<A> {
+    fn admit_copy(&mut self, fingerprint: u64, request: RequestId) -> Admission<A> {
+        if fingerprint != self.fingerprint {
+            return Admission::Mismatch;
+        }
+        match &mut self.state {
+            TicketState::Running(waiting) => {
+                waiting.push(request);
+                Admission::Wait
+            }
+            TicketState::Answered(answer, _) => Admission::Replay(answer.clone()),
+            TicketState::AnswerDropped => Admission::Forgotten,
+        }
+    }
 }
--- a/crates/core/src/once/mod.rs
+++ b/crates/core/src/once/mod.rs
@@ -1,9 +1,9 @@
-//! At-most-once execution of calls that may not be repeated.
+//! At-most-once execution of calls that are not idempotent.
 
 pub mod book;
 pub mod seal;
 pub mod ticket;
 
-pub use book::{Admission, TicketBook, TicketState};
+pub use book::{Admission, BookLimits, TICKET_LIFE_MS, TicketBook};
 pub use seal::Seal;
 pub use ticket::Ticket;
--- a/crates/core/src/once/ticket.rs
+++ b/crates/core/src/once/ticket.rs
@@ -1,11 +1,15 @@
-//! Tickets: keys for calls that may not be repeated, issued by the instance that alone may spend
+//! Tickets: keys for calls that are not idempotent, issued by the instance that alone may spend
 //! them.
+//!
+//! A ticket carries all that its home needs to know about it while it is unspent, so that issued
+//! tickets take no memory there.
 
 use std::fmt;
 
 use crate::ids::{DataCentreId, Incarnation, InstanceId};
 use crate::once::seal::Seal;
 use crate::report::Holder;
+use crate::units::Millis;
 
 /// Purpose that separates seals of tickets from those of cursors.
 const PURPOSE: &str = "ticket";
@@ -19,6 +23,8 @@
     pub data_centre: DataCentreId,
     /// Number within the run.
     pub serial: u64,
+    /// When it was issued, on the monotonic clock of the run.
+    pub issued_ms: Millis,
 }
 
 impl Ticket {
@@ -38,6 +44,7 @@
                 incarnation: parts.next()?.parse::<Incarnation>().ok()?,
             },
             serial: parts.next()?.parse().ok()?,
+            issued_ms: Millis(parts.next()?.parse().ok()?),
         };
         parts.next().is_none().then_some(ticket)
     }
@@ -46,6 +53,7 @@
 impl fmt::Display for Ticket {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Holder { instance, incarnation } = &self.home;
-        write!(f, "{}/{}/{}/{}", self.data_centre, instance, incarnation, self.serial)
+        let (serial, issued_ms) = (self.serial, self.issued_ms.0);
+        write!(f, "{}/{instance}/{incarnation}/{serial}/{issued_ms}", self.data_centre)
     }
 }
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -3,7 +3,9 @@
 pub mod cursor;
 pub mod flow;
 pub mod plain_flow;
+pub mod retry_budget;
 
 pub use cursor::Cursor;
 pub use flow::{Flow, Stage};
-pub use plain_flow::PlainFlow;
+pub use plain_flow::{PlainCaller, PlainFlow};
+pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/crates/core/src/route/health.rs
@@ -0,0 +1,70 @@
+//! Health of one plain server as this instance's own calls show it.
+//!
+//! Failures in a row eject a server for a while that doubles with each further failure. After it
+//! the server is on probation: one idempotent call at a time goes there, until one is answered.
+
+use crate::units::Millis;
+
+/// Failures in a row that eject a server.
+const EJECT_AFTER_FAILURES: u32 = 3;
+/// First time of ejection.
+const EJECT_MS: Millis = Millis(1_000);
+/// Longest time of ejection.
+const MAX_EJECT_MS: Millis = Millis(30_000);
+/// Most doublings of the time of ejection.
+const MAX_DOUBLINGS: u32 = 5;
+/// Time on probation after which calls that are not idempotent go there too.
+const PROBATION_MS: Millis = Millis(30_000);
+
+/// Calls in flight from which on a server counts as crowded.
+const CROWDED_CALLS: u64 = 8;
+
+/// Health of one server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServerHealth {
+    in_flight: u64,
+    failures: u32,
+    ejected_until_ms: Option<Millis>,
+}
+
+impl ServerHealth {
+    /// Counts a call that starts.
+    pub fn start(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Counts a call that ended.
+    pub fn end(&mut self, now_ms: Millis, is_answered: bool) {
+        self.in_flight = self.in_flight.checked_sub(1).expect("a call that ends was started");
+        if is_answered {
+            self.failures = 0;
+            self.ejected_until_ms = None;
+            return;
+        }
+        self.failures = self.failures.saturating_add(1);
+        if let Some(doublings) = self.failures.checked_sub(EJECT_AFTER_FAILURES) {
+            let factor = 1 << doublings.min(MAX_DOUBLINGS);
+            let ejected_ms = Millis(EJECT_MS.0 * factor).min(MAX_EJECT_MS);
+            self.ejected_until_ms = Some(now_ms + ejected_ms);
+        }
+    }
+
+    /// Whether a call may go there while others are healthy.
+    pub fn is_usable(&self, now_ms: Millis, is_idempotent: bool) -> bool {
+        let Some(until_ms) = self.ejected_until_ms else {
+            return true;
+        };
+        let from_ms = if is_idempotent { until_ms } else { until_ms + PROBATION_MS };
+        now_ms >= from_ms && self.in_flight == 0
+    }
+
+    /// Whether so many calls have not ended that others are to be preferred.
+    pub fn is_crowded(&self) -> bool {
+        self.in_flight >= CROWDED_CALLS
+    }
+
+    /// Calls that have not ended.
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight
+    }
+}
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -1,7 +1,9 @@
 //! Choice of backend servers.
 
+pub mod health;
 pub mod path;
 pub mod rank;
 
+pub use health::ServerHealth;
 pub use path::match_route;
 pub use rank::{Candidate, best_decode, best_prefill};
--- /dev/null
+++ b/crates/core/tests/once_world/mod.rs
@@ -0,0 +1,270 @@
+//! Several nodes joined by a message queue, with a model of plain servers that counts executions.
+//!
+//! A caller that is told `not_run` takes a new ticket and books again, and every copy of its
+//! earlier calls may still be on its way: executions are counted by booking, over all its tickets.
+
+pub mod dice;
+mod faults;
+mod network;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use dice::Dice;
+pub use faults::FaultMix;
+use network::{Delivery, Slot};
+use serde_json::json;
+use turmericrail_core::error_kind::{ErrorKind, Outcome};
+use turmericrail_core::event::{Event, PlainRequest};
+use turmericrail_core::ids::{ConfigVersion, RequestId};
+use turmericrail_core::units::Millis;
+
+/// Instances.
+const SLOTS: u64 = 5;
+/// Time between two new bookings.
+const BOOKING_STEP_MS: u64 = 60;
+/// Time between ticks of a node.
+const TICK_MS: u64 = 50;
+/// Time without new bookings at the end.
+const SETTLE_MS: u64 = 40_000;
+/// Timeout of the route.
+const ROUTE_TIMEOUT_MS: u64 = 2_000;
+/// Most tickets that the caller of one booking takes.
+const MAX_TICKETS: usize = 3;
+
+/// A request at one run of one slot.
+pub type RequestKey = (usize, u64, RequestId);
+
+/// What a caller was told of one ticket.
+#[derive(Debug, Default)]
+pub struct TicketFate {
+    pub booking: u64,
+    pub executions: u64,
+    pub outcomes: BTreeSet<&'static str>,
+    /// Whether the caller took another ticket in its place.
+    pub is_given_up: bool,
+}
+
+/// Who waits for a request's answer.
+#[derive(Clone, Debug)]
+pub enum Asker {
+    Ticket { booking: u64 },
+    Caller { ticket: String },
+    Peer { origin: RequestKey, ticket: String },
+}
+
+/// Counts of one run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    pub bookings: u64,
+    pub executed: u64,
+    pub told_completed: u64,
+    pub told_not_run: u64,
+    pub unknown_executed: u64,
+    pub unknown_not_executed: u64,
+    pub never_told: u64,
+}
+
+pub struct World {
+    pub dice: Dice,
+    pub mix: FaultMix,
+    pub now_ms: u64,
+    slots: Vec<Slot>,
+    queue: BTreeMap<(u64, u64), Delivery>,
+    next_number: u64,
+    askers: BTreeMap<RequestKey, Asker>,
+    answered: BTreeSet<RequestKey>,
+    tickets: BTreeMap<String, TicketFate>,
+    bookings: BTreeMap<u64, Vec<String>>,
+    is_partitioned: bool,
+    config_version: u64,
+    documents: Vec<serde_json::Value>,
+}
+
+impl World {
+    pub fn new(seed: u64, mix: FaultMix) -> Self {
+        let mut world = Self {
+            dice: Dice::new(seed),
+            mix,
+            now_ms: 0,
+            slots: Vec::new(),
+            queue: BTreeMap::new(),
+            next_number: 1,
+            askers: BTreeMap::new(),
+            answered: BTreeSet::new(),
+            tickets: BTreeMap::new(),
+            bookings: BTreeMap::new(),
+            is_partitioned: false,
+            config_version: 1,
+            documents: vec![document(1, true, false, 3)],
+        };
+        for index in 0..SLOTS as usize {
+            world.slots.push(Slot::new(index));
+        }
+        for index in 0..SLOTS as usize {
+            world.start_slot(index);
+        }
+        world
+    }
+
+    /// Runs until all bookings are settled and returns what happened to them.
+    pub fn run(mut self, bookings: u64) -> Tally {
+        self.advance(5_000);
+        for booking in 0..bookings {
+            self.ask_ticket(booking);
+            self.inject_faults();
+            self.advance(BOOKING_STEP_MS);
+        }
+        self.end_faults();
+        self.advance(SETTLE_MS);
+        self.tally()
+    }
+
+    fn advance(&mut self, span_ms: u64) {
+        let until_ms = self.now_ms + span_ms;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > until_ms {
+                break;
+            }
+            let ((at_ms, _), delivery) = entry.remove_entry();
+            self.now_ms = self.now_ms.max(at_ms);
+            self.deliver(delivery);
+        }
+        self.now_ms = until_ms;
+    }
+
+    pub(self) fn later(&mut self, delay_ms: u64, delivery: Delivery) {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.queue.insert((self.now_ms + delay_ms, number), delivery);
+    }
+
+    pub(self) fn next_request(&mut self) -> RequestId {
+        self.next_number += 1;
+        RequestId(self.next_number)
+    }
+
+    fn ask_ticket(&mut self, booking: u64) {
+        if self.bookings.entry(booking).or_default().len() >= MAX_TICKETS {
+            return;
+        }
+        let slot = self.dice.below(SLOTS) as usize;
+        let request = self.next_request();
+        let key = (slot, self.slots[slot].incarnation, request);
+        self.askers.insert(key, Asker::Ticket { booking });
+        self.later(1, Delivery::ToNode(key.0, key.1, Event::TicketRequest { request, count: 1 }));
+    }
+
+    /// Sends copies of a booking's call to several instances, some in the same moment.
+    fn send_copies(&mut self, booking: u64, ticket: String) {
+        self.tickets.insert(ticket.clone(), TicketFate { booking, ..TicketFate::default() });
+        self.bookings.entry(booking).or_default().push(ticket.clone());
+        let copies = 1 + self.dice.below(3);
+        for _ in 0..copies {
+            let delays = [1, 1, 200, 900, 2_500, 6_000];
+            let delay_ms = delays[self.dice.below(delays.len() as u64) as usize];
+            let slot = self.dice.below(SLOTS) as usize;
+            self.later(delay_ms, Delivery::Copy { slot, ticket: ticket.clone() });
+        }
+    }
+
+    pub(self) fn plain_request(&self, request: RequestId, ticket: &str, hop: bool) -> PlainRequest {
+        PlainRequest {
+            request,
+            method: "POST".to_owned(),
+            path: "/slots/7/bookings".to_owned(),
+            ticket: Some(ticket.to_owned()),
+            is_forwarded: hop,
+            fingerprint: self.tickets[ticket].booking,
+        }
+    }
+
+    /// One execution at a server.
+    pub(self) fn execute(&mut self, ticket: &str) {
+        let fate = self.tickets.get_mut(ticket).unwrap();
+        fate.executions += 1;
+        let booking = fate.booking;
+        assert!(!fate.outcomes.contains("not_run"), "executed after not_run was said");
+        let executions: u64 =
+            self.bookings[&booking].iter().map(|ticket| self.tickets[ticket].executions).sum();
+        assert_eq!(executions, 1, "booking {booking} was executed twice");
+    }
+
+    /// A caller's final answer.
+    pub(self) fn tell_caller(&mut self, ticket: &str, outcome: Outcome) {
+        let fate = self.tickets.get_mut(ticket).unwrap();
+        fate.outcomes.insert(outcome.as_str());
+        let booking = fate.booking;
+        match outcome {
+            Outcome::Completed => assert_eq!(fate.executions, 1, "completed without execution"),
+            Outcome::NotRun => {
+                assert_eq!(fate.executions, 0, "not_run was said of what ran");
+                if !std::mem::replace(&mut fate.is_given_up, true) {
+                    self.ask_ticket(booking);
+                }
+            }
+            Outcome::Unknown => {}
+        }
+    }
+
+    pub(self) fn answer(&mut self, key: RequestKey, outcome: Outcome, kind: Option<ErrorKind>) {
+        assert!(self.answered.insert(key), "request {key:?} was answered twice");
+        match self.askers.get(&key).cloned() {
+            Some(Asker::Caller { ticket }) => self.tell_caller(&ticket, outcome),
+            Some(Asker::Peer { origin, .. }) => self.reply(key, origin, kind),
+            Some(Asker::Ticket { .. }) | None => {}
+        }
+    }
+
+    fn tally(&self) -> Tally {
+        let mut tally = Tally::default();
+        for tickets in self.bookings.values().filter(|tickets| !tickets.is_empty()) {
+            let fates = tickets.iter().map(|ticket| &self.tickets[ticket]);
+            let executions: u64 = fates.clone().map(|fate| fate.executions).sum();
+            let is_told = |outcome| fates.clone().any(|fate| fate.outcomes.contains(outcome));
+            tally.bookings += 1;
+            tally.executed += executions;
+            match (is_told("completed"), is_told("unknown"), executions) {
+                (true, _, _) => tally.told_completed += 1,
+                (false, true, 0) => tally.unknown_not_executed += 1,
+                (false, true, _) => tally.unknown_executed += 1,
+                (false, false, _) if is_told("not_run") => tally.told_not_run += 1,
+                (false, false, _) => tally.never_told += 1,
+            }
+        }
+        tally
+    }
+}
+
+/// A configuration document; `has_route` and `is_idempotent` vary between versions.
+fn document(version: u64, has_route: bool, is_idempotent: bool, servers: u64) -> serde_json::Value {
+    let ids: Vec<_> = (1..=servers).map(|number| format!("plain-{number}")).collect();
+    let mut known = serde_json::Map::new();
+    for (number, id) in ids.iter().enumerate() {
+        let address = SocketAddr::from(([127, 0, 0, 1], 9_001 + number as u16));
+        let data_centre = format!("dc-{}", number % 2);
+        known.insert(
+            id.clone(),
+            json!({"data_centre": data_centre, "address": address.to_string(), "role": "plain"}),
+        );
+    }
+    let mut routes = serde_json::Map::new();
+    if has_route {
+        routes.insert(
+            "book".to_owned(),
+            json!({
+                "method": "POST", "path": "/slots/{slot}/bookings", "idempotent": is_idempotent,
+                "timeout_ms": ROUTE_TIMEOUT_MS, "servers": ids,
+            }),
+        );
+    }
+    json!({"version": version, "routes": routes, "servers": known})
+}
+
+fn config_event(documents: &[serde_json::Value], version: u64) -> Event {
+    Event::ConfigDocument(ConfigVersion(version), documents[version as usize - 1].clone())
+}
+
+fn millis(value_ms: u64) -> Millis {
+    Millis(value_ms)
+}
--- a/crates/turmericrail/src/caller_edge/completions.rs
+++ b/crates/turmericrail/src/caller_edge/completions.rs
@@ -15,7 +15,7 @@
 use turmericrail_wire::caller::{CompletionAnswer, CompletionBody, EndEvent, TokenEvent};
 
 use super::connection::Connection;
-use super::plain::receive_body;
+use super::plain::{decode_body, receive_body};
 use super::reply;
 use crate::daemon::Shared;
 use crate::daemon::callers::{Sent, ToCaller};
@@ -32,10 +32,11 @@
     let id = shared.next_request();
     let body = match receive_body(&mut request).await {
         Ok(body) => body,
-        Err(kind) => return reply::error(id, kind, None),
+        Err(refusal) => return reply::refusal(id, &refusal),
     };
-    let Ok(body) = serde_json::from_slice::<CompletionBody>(&body) else {
-        return reply::error(id, ErrorKind::BadRequest, None);
+    let body: CompletionBody = match decode_body(&body) {
+        Ok(body) => body,
+        Err(refusal) => return reply::refusal(id, &refusal),
     };
     let asked = to_request(id, &body);
     let sent = Sent { body: body.prompt.into_bytes(), ..Sent::default() };
@@ -99,7 +100,7 @@
                 connection.remove(id);
                 return reply::error(id, kind, retry_after_ms);
             }
-            ToCaller::Ticket(_) | ToCaller::Plain(_) => {}
+            ToCaller::Tickets(_) | ToCaller::Plain(_) => {}
         }
     }
     reply::error(id, ErrorKind::CallerGone, None)
@@ -164,7 +165,7 @@
             let data = serde_json::to_string(&reply::error_body(id, kind, retry_after_ms));
             (format!("event: error\ndata: {}\n\n", data.unwrap_or_default()), true)
         }
-        ToCaller::Ticket(_) | ToCaller::Plain(_) => return true,
+        ToCaller::Tickets(_) | ToCaller::Plain(_) => return true,
     };
     let sending = sender.send(Ok(event.into_bytes()));
     let is_sent = matches!(async_std::future::timeout(stall, sending).await, Ok(Ok(())));
--- a/crates/turmericrail/src/caller_edge/connection.rs
+++ b/crates/turmericrail/src/caller_edge/connection.rs
@@ -6,16 +6,22 @@
 
 use std::collections::BTreeSet;
 use std::net::Shutdown;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use async_h1::server::ConnectionStatus;
+use async_std::io::prelude::*;
 use async_std::net::TcpStream;
 use async_std::task;
+use futures_lite::FutureExt;
+use http_types::{Request, Response};
+use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::event::Event;
 use turmericrail_core::ids::RequestId;
 
-use super::App;
+use super::guarded_stream::{GuardedStream, MAX_HEAD_BYTES};
+use super::{App, reply};
 use crate::daemon::Shared;
 
 /// Time between looks for end of file.
@@ -25,6 +31,25 @@
 /// Idle time before keepalive probes.
 const KEEPALIVE: Duration = Duration::from_secs(5);
 
+/// Longest time to write a refusal and to wait for the caller's close.
+const CLOSE_LIMIT: Duration = Duration::from_millis(1_000);
+/// Bytes read at a time while waiting for the caller's close.
+const CLOSE_BUFFER_BYTES: usize = 4 * 1024;
+/// Most reads while waiting for the caller's close.
+const CLOSE_READS: usize = 64;
+/// Most connections over the limit that are told so at a time.
+const MAX_REFUSING: usize = 64;
+
+/// Connections over the limit that are being told so.
+static REFUSING: AtomicUsize = AtomicUsize::new(0);
+
+/// What is wrong with the head of a request.
+#[derive(Clone, Copy, Debug)]
+enum HeadProblem {
+    Slow,
+    Malformed,
+}
+
 /// The requests in progress on one connection.
 #[derive(Clone, Default)]
 pub struct Connection {
@@ -59,28 +84,120 @@
 
 /// Serves one connection until it closes.
 pub fn start(shared: &Arc<Shared>, app: &App, stream: TcpStream) {
+    set_liveness(&stream);
     let connections = &shared.metrics.connections;
     if connections.get() as u64 >= shared.settings.limits.max_connections {
+        refuse(shared, stream);
         return;
     }
     connections.inc();
-    set_liveness(&stream);
-    let connection = Connection::default();
     let (shared, app) = (Arc::clone(shared), app.clone());
     task::spawn(async move {
+        let connection = Connection::default();
         let watch = task::spawn(watch(Arc::clone(&shared), connection.clone(), stream.clone()));
-        let accepting = async_h1::accept(stream.clone(), |mut request| {
-            request.ext_mut().insert(connection.clone());
-            app.respond(request)
-        });
-        let _ = accepting.await;
-        let _ = stream.shutdown(Shutdown::Both);
+        serve(&shared, &app, &connection, &stream).await;
         watch.cancel().await;
+        close_gently(&stream).await;
         connection.close(&shared);
         shared.metrics.connections.dec();
     });
 }
 
+async fn serve(shared: &Shared, app: &App, connection: &Connection, stream: &TcpStream) {
+    let guarded = GuardedStream::new(stream.clone());
+    let mut server = async_h1::server::Server::new(guarded.clone(), |mut request: Request| {
+        guarded.start_body();
+        request.ext_mut().insert(connection.clone());
+        let answering = app.respond::<Request, Response>(request);
+        let guarded = guarded.clone();
+        async move {
+            let answer = answering.await;
+            guarded.start_answer();
+            answer
+        }
+    });
+    let limit = Duration::from_millis(shared.settings.limits.receive_timeout_ms.0);
+    loop {
+        guarded.expect_head();
+        let serving = async { server.accept_one().await.map_err(|_| HeadProblem::Malformed) };
+        let status = serving.or(watch_head(&guarded, limit)).await;
+        match status {
+            Ok(ConnectionStatus::KeepAlive) => {}
+            Err(problem) if guarded.is_in_head() && guarded.head_bytes() > 0 => {
+                refuse_head(shared, stream, problem, &guarded).await;
+                return;
+            }
+            _ => return,
+        }
+    }
+}
+
+/// Ends with an error when a head does not arrive in time, else never.
+async fn watch_head(
+    guarded: &GuardedStream,
+    limit: Duration,
+) -> Result<ConnectionStatus, HeadProblem> {
+    task::sleep(limit).await;
+    if !guarded.is_in_head() {
+        std::future::pending::<()>().await;
+    }
+    Err(HeadProblem::Slow)
+}
+
+async fn refuse_head(
+    shared: &Shared,
+    stream: &TcpStream,
+    problem: HeadProblem,
+    guarded: &GuardedStream,
+) {
+    let limit_ms = shared.settings.limits.receive_timeout_ms;
+    let detail = match problem {
+        HeadProblem::Slow => format!("it did not arrive within {limit_ms}: send it at once"),
+        HeadProblem::Malformed if guarded.head_bytes() >= MAX_HEAD_BYTES => {
+            format!("it is longer than {MAX_HEAD_BYTES} bytes: shorten the path or the headers")
+        }
+        HeadProblem::Malformed => {
+            "it is no HTTP/1.1 head: send method, path, HTTP/1.1 and a host header".to_owned()
+        }
+    };
+    let kind = ErrorKind::HeadRefused;
+    shared.metrics.answers.with_label_values(&[kind.answer().text]).inc();
+    let answer = reply::raw_error(shared.next_request(), kind, &detail);
+    let _ = async_std::io::timeout(CLOSE_LIMIT, (&*stream).write_all(&answer)).await;
+}
+
+/// Tells a caller that there are too many connections; past a bound, closes without a word.
+fn refuse(shared: &Arc<Shared>, stream: TcpStream) {
+    let kind = ErrorKind::TooManyConnections;
+    shared.metrics.answers.with_label_values(&[kind.answer().text]).inc();
+    if REFUSING.fetch_add(1, Ordering::SeqCst) >= MAX_REFUSING {
+        REFUSING.fetch_sub(1, Ordering::SeqCst);
+        return;
+    }
+    let answer = reply::raw_error(shared.next_request(), kind, "");
+    task::spawn(async move {
+        let _ = async_std::io::timeout(CLOSE_LIMIT, (&stream).write_all(&answer)).await;
+        close_gently(&stream).await;
+        REFUSING.fetch_sub(1, Ordering::SeqCst);
+    });
+}
+
+/// Closes so that the last answer is not lost to bytes that nobody read.
+async fn close_gently(stream: &TcpStream) {
+    let _ = stream.shutdown(Shutdown::Write);
+    let mut buffer = vec![0; CLOSE_BUFFER_BYTES];
+    let draining = async {
+        for _ in 0..CLOSE_READS {
+            match (&*stream).read(&mut buffer).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    };
+    let _ = async_std::future::timeout(CLOSE_LIMIT, draining).await;
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
 async fn watch(shared: Arc<Shared>, connection: Connection, stream: TcpStream) {
     let mut byte = [0];
     loop {
--- /dev/null
+++ b/crates/turmericrail/src/caller_edge/guarded_stream.rs
@@ -0,0 +1,110 @@
+//! A caller's stream with a bound on the head of each request.
+//!
+//! The HTTP library reads a head line of any length into memory, and after an answer it reads an
+//! unread body to its end however slowly that comes. This stream fails the first once the head is
+//! too long and the second at once.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
+
+use async_std::io::{Error, ErrorKind, Read, Result, Write};
+use async_std::net::TcpStream;
+
+/// Longest head of a request, in bytes; the HTTP library's own limit.
+pub const MAX_HEAD_BYTES: u64 = 8 * 1024;
+/// Bytes that the HTTP library reads ahead of the head's end.
+const READ_AHEAD_BYTES: u64 = 8 * 1024;
+
+/// The head is arriving.
+const HEAD: u8 = 0;
+/// The request is with its handler, which bounds the body.
+const BODY: u8 = 1;
+/// The answer is decided; nothing more is read.
+const ANSWER: u8 = 2;
+
+#[derive(Debug, Default)]
+struct Guard {
+    phase: AtomicU8,
+    head_bytes: AtomicU64,
+}
+
+/// The stream.
+#[derive(Clone, Debug)]
+pub struct GuardedStream {
+    stream: TcpStream,
+    guard: Arc<Guard>,
+}
+
+impl GuardedStream {
+    /// A guard around a stream.
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream, guard: Arc::default() }
+    }
+
+    /// Expects the head of the next request.
+    pub fn expect_head(&self) {
+        self.guard.head_bytes.store(0, Ordering::SeqCst);
+        self.guard.phase.store(HEAD, Ordering::SeqCst);
+    }
+
+    /// Marks the head as complete.
+    pub fn start_body(&self) {
+        self.guard.phase.store(BODY, Ordering::SeqCst);
+    }
+
+    /// Marks the answer as decided.
+    pub fn start_answer(&self) {
+        self.guard.phase.store(ANSWER, Ordering::SeqCst);
+    }
+
+    /// Whether the head is not complete.
+    pub fn is_in_head(&self) -> bool {
+        self.guard.phase.load(Ordering::SeqCst) == HEAD
+    }
+
+    /// Bytes of the head that have come.
+    pub fn head_bytes(&self) -> u64 {
+        self.guard.head_bytes.load(Ordering::SeqCst)
+    }
+}
+
+impl Read for GuardedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<Result<usize>> {
+        let phase = self.guard.phase.load(Ordering::SeqCst);
+        if phase == ANSWER {
+            return Poll::Ready(Err(Error::other("the request was not read to its end")));
+        }
+        let count = ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if phase == HEAD {
+            let before = self.guard.head_bytes.fetch_add(count as u64, Ordering::SeqCst);
+            if before + count as u64 > MAX_HEAD_BYTES + READ_AHEAD_BYTES {
+                return Poll::Ready(Err(Error::new(ErrorKind::InvalidData, "head too long")));
+            }
+        }
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl Write for GuardedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, buffer)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
--- a/crates/turmericrail/src/caller_edge/mod.rs
+++ b/crates/turmericrail/src/caller_edge/mod.rs
@@ -2,6 +2,7 @@
 
 mod completions;
 mod connection;
+mod guarded_stream;
 mod pages;
 mod plain;
 mod reply;
@@ -28,7 +29,7 @@
     let mut app = Server::with_state(Arc::clone(shared));
     app.at("/v1/completions").post(completions::complete);
     app.at("/v1/completions/resume").get(completions::resume);
-    app.at("/v1/tickets").post(plain::issue_ticket);
+    app.at("/v1/tickets").post(plain::issue_tickets);
     app.at("/health").get(pages::health);
     app.at("/ready").get(pages::ready);
     app.at("/metrics").get(pages::metrics);
--- a/crates/turmericrail/src/caller_edge/plain.rs
+++ b/crates/turmericrail/src/caller_edge/plain.rs
@@ -7,74 +7,123 @@
 use tide::{Request, Response};
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::event::{Event, PlainRequest};
-use turmericrail_wire::caller::TicketAnswer;
+use turmericrail_core::ids::RequestId;
+use turmericrail_core::once::{TICKET_LIFE_MS, Ticket};
+use turmericrail_wire::caller::{MAX_TICKETS, TicketAnswer, TicketBody};
 
-use super::reply;
+use super::connection::Connection;
+use super::reply::{self, Refusal};
 use crate::daemon::Shared;
-use crate::daemon::callers::{Sent, ToCaller};
+use crate::daemon::callers::{Sent, ToCaller, call_fingerprint};
 
 /// Header that carries a ticket.
 const TICKET_HEADER: &str = "idempotency-key";
 
 /// Receives a body within the limits.
-pub async fn receive_body(request: &mut Request<Arc<Shared>>) -> Result<Vec<u8>, ErrorKind> {
+pub async fn receive_body(request: &mut Request<Arc<Shared>>) -> Result<Vec<u8>, Refusal> {
     let limits = request.state().settings.limits.clone();
     let limit = limits.max_body_bytes.0;
-    if request.len().is_some_and(|length| length as u64 > limit) {
-        return Err(ErrorKind::TooLarge);
+    let announced = request.len().map(|length| length as u64);
+    if announced.is_some_and(|length| length > limit) {
+        return Err(too_large(limit));
     }
     let timeout = Duration::from_millis(limits.receive_timeout_ms.0);
     let mut body = Vec::new();
     let mut limited = request.take(limit + 1);
     let reading = async_std::io::timeout(timeout, limited.read_to_end(&mut body)).await;
-    reading.map_err(|_| ErrorKind::BadRequest)?;
-    if body.len() as u64 > limit {
-        return Err(ErrorKind::TooLarge);
+    reading.map_err(|error| unreadable(&error, timeout))?;
+    let length = body.len() as u64;
+    if length > limit {
+        return Err(too_large(limit));
+    }
+    if let Some(announced) = announced.filter(|announced| *announced != length) {
+        let detail = format!("The body has {length} of the {announced} bytes announced.");
+        return Err(Refusal { kind: ErrorKind::BadRequest, detail });
     }
     Ok(body)
 }
 
-pub async fn issue_ticket(request: Request<Arc<Shared>>) -> tide::Result {
-    let shared = request.state();
+fn too_large(limit: u64) -> Refusal {
+    let detail = format!("A body may have {limit} bytes at most (limits.max_body_bytes).");
+    Refusal { kind: ErrorKind::TooLarge, detail }
+}
+
+fn unreadable(error: &std::io::Error, timeout: Duration) -> Refusal {
+    if error.kind() == std::io::ErrorKind::TimedOut {
+        let detail = format!("Send it within {} ms.", timeout.as_millis());
+        return Refusal { kind: ErrorKind::ReceiveTimeout, detail };
+    }
+    Refusal { kind: ErrorKind::BadRequest, detail: format!("The body can't be read: {error}.") }
+}
+
+/// Decodes a JSON body; the refusal names the place of the first mistake.
+pub fn decode_body<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|error| Refusal {
+        kind: ErrorKind::BadRequest,
+        detail: format!("In the JSON body: {error}."),
+    })
+}
+
+pub async fn issue_tickets(mut request: Request<Arc<Shared>>) -> tide::Result {
+    let shared = Arc::clone(request.state());
     let id = shared.next_request();
+    let body = receive_body(&mut request).await.and_then(|body| decode_ticket_body(&body));
+    let count = match body {
+        Ok(body) => body.count,
+        Err(refusal) => return reply::refusal(id, &refusal),
+    };
     let answers = shared.callers.register(id, Sent::default());
-    shared.tell(Event::TicketRequest(id));
+    shared.tell(Event::TicketRequest { request: id, count });
     match answers.recv().await {
-        Ok(ToCaller::Ticket(ticket)) => reply::json(&TicketAnswer { ticket }),
+        Ok(ToCaller::Tickets(tickets)) => {
+            let ticket = tickets.first().cloned().unwrap_or_default();
+            reply::json(&TicketAnswer { ticket, tickets, valid_ms: TICKET_LIFE_MS.0 })
+        }
         Ok(ToCaller::Error { kind, retry_after_ms }) => reply::error(id, kind, retry_after_ms),
         _ => reply::error(id, ErrorKind::NotReady, None),
     }
 }
 
+fn decode_ticket_body(body: &[u8]) -> Result<TicketBody, Refusal> {
+    if body.is_empty() {
+        return Ok(TicketBody::default());
+    }
+    let body: TicketBody = decode_body(body)?;
+    if !(1..=MAX_TICKETS).contains(&body.count) {
+        let detail = format!("Ask for 1 to {MAX_TICKETS} tickets in count.");
+        return Err(Refusal { kind: ErrorKind::BadRequest, detail });
+    }
+    Ok(body)
+}
+
 pub async fn call(mut request: Request<Arc<Shared>>) -> tide::Result {
     let shared = Arc::clone(request.state());
     let id = shared.next_request();
+    let ticket = request.header(TICKET_HEADER).map(|values| values.as_str().to_owned());
     let body = match receive_body(&mut request).await {
         Ok(body) => body,
-        Err(kind) => return reply::error(id, kind, None),
+        Err(refusal) => return refuse_copy(id, refusal, ticket.is_some()),
     };
-    let ticket = request.header(TICKET_HEADER).map(|values| values.as_str().to_owned());
-    let url = request.url();
-    let path = url.path().to_owned();
-    let full_path = url.query().map_or_else(|| path.clone(), |query| format!("{path}?{query}"));
-    let method = request.method().to_string();
-    let content_type = request.content_type().map(|mime| mime.to_string()).unwrap_or_default();
-    let sent = Sent {
-        method: method.clone(),
-        path: full_path,
-        ticket: ticket.clone(),
-        content_type,
-        body,
-    };
-    let answers = shared.callers.register(id, sent);
-    shared.tell(Event::PlainRequest(PlainRequest {
+    let (sent, path) = to_sent(&request, ticket, body);
+    let asked = PlainRequest {
         request: id,
-        method,
+        method: sent.method.clone(),
         path,
-        ticket,
+        ticket: sent.ticket.clone(),
         is_forwarded: false,
-    }));
-    match answers.recv().await {
+        fingerprint: call_fingerprint(&sent.method, &sent.path, &sent.body),
+    };
+    let connection = request.ext::<Connection>().cloned().unwrap_or_default();
+    let ticket = sent.ticket.as_ref().and_then(|text| Ticket::unseal(text, &shared.seal));
+    let is_ticketed = ticket.is_some();
+    let answers = shared.callers.register(id, sent);
+    if !is_ticketed {
+        connection.add(&shared, id);
+    }
+    shared.tell(Event::PlainRequest(asked));
+    let answer = answers.recv().await;
+    connection.remove(id);
+    match answer {
         Ok(ToCaller::Plain(answer)) => {
             let mut response = Response::new(answer.status);
             response.set_body(answer.body);
@@ -83,7 +132,32 @@
             }
             Ok(response)
         }
-        Ok(ToCaller::Error { kind, retry_after_ms }) => reply::error(id, kind, retry_after_ms),
-        _ => reply::error(id, ErrorKind::ServerLost, None),
+        Ok(ToCaller::Error { kind, retry_after_ms }) => {
+            reply::plain_error(id, kind, retry_after_ms, is_ticketed)
+        }
+        _ => reply::error(id, ErrorKind::CallerGone, None),
     }
 }
+
+/// Refuses a copy of a ticket's call as unknown: another copy may have run.
+fn refuse_copy(id: RequestId, refusal: Refusal, is_ticketed: bool) -> tide::Result {
+    if !is_ticketed {
+        return reply::refusal(id, &refusal);
+    }
+    let meaning = refusal.kind.answer().meaning;
+    let detail = format!("{meaning} {}", refusal.detail);
+    reply::refusal(id, &Refusal { kind: ErrorKind::CopyRefused, detail })
+}
+
+fn to_sent(
+    request: &Request<Arc<Shared>>,
+    ticket: Option<String>,
+    body: Vec<u8>,
+) -> (Sent, String) {
+    let url = request.url();
+    let path = url.path().to_owned();
+    let full_path = url.query().map_or_else(|| path.clone(), |query| format!("{path}?{query}"));
+    let content_type = request.content_type().map(|mime| mime.to_string()).unwrap_or_default();
+    let method = request.method().to_string();
+    (Sent { method, path: full_path, ticket, content_type, body }, path)
+}
--- a/crates/turmericrail/src/caller_edge/reply.rs
+++ b/crates/turmericrail/src/caller_edge/reply.rs
@@ -1,11 +1,23 @@
 //! Final answers as HTTP responses.
 
-use tide::{Body, Response};
-use turmericrail_core::error_kind::ErrorKind;
+use tide::{Body, Response, StatusCode};
+use turmericrail_core::error_kind::{ErrorKind, Outcome};
 use turmericrail_core::ids::RequestId;
 use turmericrail_core::units::Millis;
 use turmericrail_wire::caller::ErrorBody;
 
+/// Wait told to callers whose connection is one too many.
+const RAW_RETRY_AFTER_MS: Millis = Millis(1_000);
+
+/// Why a request was refused before any decision.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// The kind.
+    pub kind: ErrorKind,
+    /// What is wrong and what to change.
+    pub detail: String,
+}
+
 /// The body of a final answer.
 pub fn error_body(
     request: RequestId,
@@ -24,15 +36,67 @@
 
 /// The response of a final answer.
 pub fn error(request: RequestId, kind: ErrorKind, retry_after_ms: Option<Millis>) -> tide::Result {
-    let body = error_body(request, kind, retry_after_ms);
+    error_response(&error_body(request, kind, retry_after_ms), kind, retry_after_ms)
+}
+
+fn error_response(
+    body: &ErrorBody,
+    kind: ErrorKind,
+    retry_after_ms: Option<Millis>,
+) -> tide::Result {
     let mut response = Response::new(kind.answer().status);
     if let Some(wait) = retry_after_ms {
         response.insert_header("retry-after", wait.0.div_ceil(1_000).max(1).to_string());
     }
-    response.set_body(Body::from_json(&body)?);
+    response.set_body(Body::from_json(body)?);
     Ok(response)
 }
 
+/// The response of a final answer, with what is wrong and what to change.
+pub fn refusal(request: RequestId, refusal: &Refusal) -> tide::Result {
+    let mut body = error_body(request, refusal.kind, None);
+    body.message = format!("{} {}", body.message, refusal.detail);
+    error_response(&body, refusal.kind, None)
+}
+
+/// The response of a plain call's final answer; a ticket that was not run is closed for good.
+pub fn plain_error(
+    request: RequestId,
+    kind: ErrorKind,
+    retry_after_ms: Option<Millis>,
+    is_ticketed: bool,
+) -> tide::Result {
+    let is_not_run = kind.answer().outcome == Outcome::NotRun;
+    if !is_ticketed || !is_not_run {
+        return error(request, kind, retry_after_ms);
+    }
+    let mut body = error_body(request, kind, retry_after_ms);
+    body.message = format!("{} The ticket is closed: take a new one to send again.", body.message);
+    error_response(&body, kind, retry_after_ms)
+}
+
+/// The bytes of a final answer where the HTTP library has no request to answer.
+pub fn raw_error(request: RequestId, kind: ErrorKind, detail: &str) -> Vec<u8> {
+    let retry_after_ms = kind.answer().has_retry_after.then_some(RAW_RETRY_AFTER_MS);
+    let mut body = error_body(request, kind, retry_after_ms);
+    body.message = format!("{} {detail}", body.message).trim_end().to_owned();
+    let body = serde_json::to_string(&body).unwrap_or_default();
+    let status = StatusCode::try_from(kind.answer().status);
+    let status = status.unwrap_or(StatusCode::BadRequest);
+    let retry_after = match retry_after_ms {
+        Some(wait) => format!("retry-after: {}\r\n", wait.0.div_ceil(1_000)),
+        None => String::new(),
+    };
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {} {}\r\n{retry_after}content-type: application/json\r\n\
+         content-length: {length}\r\nconnection: close\r\n\r\n{body}",
+        status as u16,
+        status.canonical_reason()
+    )
+    .into_bytes()
+}
+
 /// A JSON response.
 pub fn json(value: &impl serde::Serialize) -> tide::Result {
     Ok(Response::builder(200).body(Body::from_json(value)?).build())
--- a/crates/turmericrail/src/daemon/callers.rs
+++ b/crates/turmericrail/src/daemon/callers.rs
@@ -8,6 +8,7 @@
 use turmericrail_core::event::PlainAnswer;
 use turmericrail_core::ids::RequestId;
 use turmericrail_core::units::Millis;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Messages to one caller that are held before its reader is waited for.
 const HELD_MESSAGES: usize = 64;
@@ -29,8 +30,8 @@
         /// Tokens of the whole answer.
         count: u64,
     },
-    /// A ticket.
-    Ticket(String),
+    /// Tickets.
+    Tickets(Vec<String>),
     /// The answer of a plain service.
     Plain(PlainAnswer),
     /// The final answer of a request that did not complete.
@@ -57,6 +58,12 @@
     pub body: Vec<u8>,
 }
 
+/// Hash by which copies of a plain call are told from other calls.
+pub fn call_fingerprint(method: &str, path: &str, body: &[u8]) -> u64 {
+    let head = format!("{method} {path}");
+    xxh3_64_with_seed(body, xxh3_64_with_seed(head.as_bytes(), 0))
+}
+
 #[derive(Clone)]
 struct Caller {
     sender: Sender<ToCaller>,
--- a/crates/turmericrail/src/daemon/driver.rs
+++ b/crates/turmericrail/src/daemon/driver.rs
@@ -61,7 +61,9 @@
         Action::Forward { request, home, address, timeout_ms } => spawn(shared, move |shared| {
             peer_edge::client::forward(shared, request, home, address, timeout_ms)
         }),
-        Action::AnswerTicket(request, ticket) => finish(shared, request, ToCaller::Ticket(ticket)),
+        Action::AnswerTickets(request, tickets) => {
+            finish(shared, request, ToCaller::Tickets(tickets))
+        }
         Action::AnswerPlain(request, answer) => finish(shared, request, ToCaller::Plain(answer)),
         Action::AnswerError { request, kind, retry_after_ms } => {
             finish(shared, request, ToCaller::Error { kind, retry_after_ms });
--- a/crates/turmericrail/src/daemon/shared.rs
+++ b/crates/turmericrail/src/daemon/shared.rs
@@ -15,6 +15,9 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
+/// Random low bits of an incarnation.
+const INCARNATION_RANDOM_BITS: u32 = 12;
+
 /// What the edges share.
 pub struct Shared {
     /// The settings.
@@ -38,8 +41,7 @@
 impl Shared {
     /// The shared part and the receiving end of the driver's events.
     pub fn new(settings: Settings) -> (Self, Receiver<Event>) {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let incarnation = Incarnation(since_epoch.as_micros() as u64);
+        let incarnation = new_incarnation();
         let seal = Seal::new(&settings.seal_key);
         let node = Node::new(NodeSettings {
             instance: settings.instance.clone(),
@@ -88,3 +90,11 @@
         }
     }
 }
+
+/// A number above those of earlier runs; the random part keeps it unique where the clock was set
+/// back.
+fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let random = fastrand::u64(0..1 << INCARNATION_RANDOM_BITS);
+    Incarnation((since_epoch.as_millis() as u64) << INCARNATION_RANDOM_BITS | random)
+}
--- a/crates/turmericrail/src/peer_edge/client.rs
+++ b/crates/turmericrail/src/peer_edge/client.rs
@@ -12,7 +12,7 @@
 use prost::Message;
 use tonic::transport::{Channel, Endpoint};
 use turmericrail_core::error_kind::ErrorKind;
-use turmericrail_core::event::PlainAnswer;
+use turmericrail_core::event::{Event, ForwardResult, PlainAnswer};
 use turmericrail_core::ids::{InstanceId, RequestId};
 use turmericrail_core::message::{Envelope, PeerMessage};
 use turmericrail_core::report::Holder;
@@ -22,7 +22,7 @@
 use turmericrail_wire::peer::{ForwardReply, ForwardRequest};
 
 use crate::daemon::Shared;
-use crate::daemon::callers::{Sent, ToCaller};
+use crate::daemon::callers::Sent;
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -98,8 +98,8 @@
         return;
     };
     let reply = call_home(&shared, &home, &sent, address, timeout_ms).await;
-    let answer = reply.map_or_else(|_| unknown(), to_answer);
-    shared.callers.finish(request, answer);
+    let result = reply.map_or(ForwardResult::Lost, to_result);
+    shared.tell(Event::ForwardResult(request, result));
 }
 
 async fn call_home(
@@ -126,22 +126,14 @@
     reply.map(tonic::Response::into_inner).map_err(|status| status.message().to_owned())
 }
 
-fn unknown() -> ToCaller {
-    ToCaller::Error { kind: ErrorKind::HomeUnreachable, retry_after_ms: None }
-}
-
-fn to_answer(reply: ForwardReply) -> ToCaller {
+fn to_result(reply: ForwardReply) -> ForwardResult {
     if reply.error_kind.is_empty() {
-        return ToCaller::Plain(PlainAnswer {
+        return ForwardResult::Answered(PlainAnswer {
             status: reply.status as u16,
             content_type: reply.content_type,
             body: reply.body,
         });
     }
     let kind = ErrorKind::ALL.iter().find(|kind| kind.answer().text == reply.error_kind);
-    let Some(kind) = kind else {
-        return unknown();
-    };
-    let retry_after_ms = kind.answer().has_retry_after.then_some(Millis(reply.retry_after_ms));
-    ToCaller::Error { kind: *kind, retry_after_ms }
+    kind.map_or(ForwardResult::Lost, |kind| ForwardResult::Failed(*kind))
 }
--- a/crates/turmericrail/src/peer_edge/server.rs
+++ b/crates/turmericrail/src/peer_edge/server.rs
@@ -11,7 +11,7 @@
 use turmericrail_wire::peer::{Delivered, Envelope, ForwardReply, ForwardRequest};
 
 use crate::daemon::Shared;
-use crate::daemon::callers::{Sent, ToCaller};
+use crate::daemon::callers::{Sent, ToCaller, call_fingerprint};
 use crate::error::StartError;
 
 struct PeerEdge {
@@ -55,6 +55,7 @@
             path: forwarded.path.split('?').next().unwrap_or_default().to_owned(),
             ticket: Some(forwarded.ticket.clone()),
             is_forwarded: true,
+            fingerprint: call_fingerprint(&forwarded.method, &forwarded.path, &forwarded.body),
         };
         let sent = Sent {
             method: forwarded.method,
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -79,9 +79,35 @@
     pub retry_after_ms: Option<u64>,
 }
 
+/// Most tickets of one call.
+pub const MAX_TICKETS: usize = 100;
+
+/// Body of `POST /v1/tickets`; may be missing.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TicketBody {
+    /// How many tickets, from 1 to [`MAX_TICKETS`].
+    #[serde(default = "default_ticket_count")]
+    pub count: usize,
+}
+
+fn default_ticket_count() -> usize {
+    1
+}
+
+impl Default for TicketBody {
+    fn default() -> Self {
+        Self { count: default_ticket_count() }
+    }
+}
+
 /// Body of the answer to `POST /v1/tickets`.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TicketAnswer {
-    /// Goes into the `idempotency-key` header of one call.
+    /// The first ticket; goes into the `idempotency-key` header of one call.
     pub ticket: String,
+    /// All tickets, one for each call.
+    pub tickets: Vec<String>,
+    /// Time that they can be spent.
+    pub valid_ms: u64,
 }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -14,6 +14,9 @@
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Longest answer that is read whole.
+const MAX_ANSWER_BYTES: u64 = 16 << 20;
+
 /// Why a call has no answer.
 #[derive(Debug, Error)]
 pub enum CallError {
@@ -103,8 +106,12 @@
         let mut answer = self.open().await?;
         let lost = |reason: String| CallError::Lost { address, reason };
         let mut body = Vec::new();
-        let reading = async_std::io::timeout(timeout, answer.read_to_end(&mut body));
+        let mut limited = (&mut answer).take(MAX_ANSWER_BYTES + 1);
+        let reading = async_std::io::timeout(timeout, limited.read_to_end(&mut body));
         reading.await.map_err(|error| lost(error.to_string()))?;
+        if body.len() as u64 > MAX_ANSWER_BYTES {
+            return Err(lost(format!("the answer is longer than {MAX_ANSWER_BYTES} bytes")));
+        }
         if let Some(expected) = answer.len().filter(|expected| *expected != body.len()) {
             return Err(lost(format!("{} of {expected} bytes came", body.len())));
         }
