Order engines to load versions and change roles, fenced

Cause: new versions and roles by the hour need orders to engines, and there may be two owners, or one that wakes late with an old order.

Change: placement/ works out the desired state from version and hour, and an order book gives orders on fresh reports only, spaced, with a fencing number one above the engine's. Engines that ignore fencing numbers are only told to load listed versions; the configuration check refuses a role schedule for them. Weight loads share the rate that the platform tells.

Excluded: a lease on the right to give orders (a paused owner does not know that it ended); unloading (a late order would throw work away).

--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -6,6 +6,7 @@
 use crate::event::PlainAnswer;
 use crate::ids::{InstanceId, ModelId, ModelVersion, RequestId, ServerId, StreamId};
 use crate::message::Envelope;
+use crate::placement::EngineOrder;
 use crate::report::Holder;
 use crate::units::{KvPieces, Millis, Tokens};
 
@@ -130,6 +131,13 @@
     },
     /// Ask a backend server for its load.
     Poll(Target),
+    /// Give an order to an engine.
+    Order {
+        /// The engine.
+        target: Target,
+        /// The order.
+        order: EngineOrder,
+    },
     /// Call a plain service.
     CallPlain(PlainCall),
     /// Forward a plain call to the instance that issued its ticket.
--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -7,6 +7,7 @@
 use crate::config::document::{Configuration, Server, ServerRole};
 use crate::config::error::{ConfigError, decode_text, decode_value};
 use crate::config::key_path::KeyPath;
+use crate::config::role_schedule::check_schedule;
 use crate::ids::ServerId;
 
 /// Parses and checks a YAML document.
@@ -28,6 +29,9 @@
         check_targets(&KeyPath::new("caller_kinds").then(kind), targets)?;
     }
     check_addresses(configuration)?;
+    for (id, server) in &configuration.servers {
+        check_schedule(&KeyPath::new("servers").then(id), server)?;
+    }
     check_routes(configuration)?;
     check_models(configuration)?;
     check_links(configuration)?;
--- a/crates/core/src/config/check_targets.rs
+++ b/crates/core/src/config/check_targets.rs
@@ -8,13 +8,7 @@
 use crate::config::window::{MINUTES_PER_DAY, Window};
 
 pub(super) fn check_targets(path: &KeyPath, targets: &CallerTargets) -> Result<(), ConfigError> {
-    if TimeZone::get(&targets.time_zone).is_err() {
-        let problem = format!(
-            "unknown time zone {:?}: use an IANA name such as Africa/Dakar",
-            targets.time_zone
-        );
-        return Err(ConfigError::at(path.then("time_zone"), problem));
-    }
+    check_time_zone(path, &targets.time_zone)?;
     check_weight(path.then("goodput_weight"), targets.goodput_weight)?;
     check_weight(path.then("wasted_prefill_weight"), targets.wasted_prefill_weight)?;
     let path = path.then("windows");
@@ -24,6 +18,15 @@
     check_coverage(&path, targets)
 }
 
+/// Checks the `time_zone` field below `path`.
+pub(super) fn check_time_zone(path: &KeyPath, time_zone: &str) -> Result<(), ConfigError> {
+    if TimeZone::get(time_zone).is_ok() {
+        return Ok(());
+    }
+    let problem = format!("unknown time zone {time_zone:?}: use an IANA name such as Africa/Dakar");
+    Err(ConfigError::at(path.then("time_zone"), problem))
+}
+
 fn check_weight(path: KeyPath, weight: f64) -> Result<(), ConfigError> {
     if weight.is_finite() && weight >= 0.0 {
         return Ok(());
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -8,11 +8,12 @@
 use serde_with::serde_as;
 
 use crate::adapters::{IpAndPort, Quantity};
+use crate::config::role_schedule::RoleSchedule;
 use crate::config::window::Window;
 use crate::ids::{
     CallerKind, ConfigVersion, DataCentreId, ModelId, ModelVersion, RouteId, ServerId,
 };
-use crate::units::{Bytes, BytesPerSecond, KvPieces, Millis, Streams};
+use crate::units::{Bytes, BytesPerSecond, KvPieces, Millis, Streams, WallMillis};
 
 /// One version of the configuration.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -129,6 +130,10 @@
     pub address: std::net::SocketAddr,
     /// What it does unless an order changed it.
     pub role: ServerRole,
+    /// Roles by the hour; `role` holds in the rest of the day. Only for servers that refuse orders
+    /// with an old fencing number.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub role_schedule: Option<RoleSchedule>,
     /// Whether it refuses orders with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
@@ -142,6 +147,14 @@
     pub kv_pieces: KvPieces,
 }
 
+impl Server {
+    /// The role that the server should have at a wall-clock time.
+    pub fn role_at(&self, wall_ms: WallMillis) -> ServerRole {
+        let scheduled = self.role_schedule.as_ref().and_then(|schedule| schedule.role_at(wall_ms));
+        scheduled.unwrap_or(self.role)
+    }
+}
+
 fn default_stream_limit() -> Streams {
     Streams(20)
 }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -9,6 +9,7 @@
 pub mod key_path;
 pub mod lines;
 pub mod patch;
+pub mod role_schedule;
 pub mod window;
 
 pub use check::{parse_document, parse_value};
--- /dev/null
+++ b/crates/core/src/config/role_schedule.rs
@@ -0,0 +1,69 @@
+//! Roles of an engine by the hour.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::document::{Server, ServerRole};
+use crate::config::error::ConfigError;
+use crate::config::key_path::KeyPath;
+use crate::config::window::{is_between, local_minute, parse_minute};
+use crate::units::WallMillis;
+
+/// Windows of the day with a role of their own.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RoleSchedule {
+    /// IANA name of the time zone that the windows are read in.
+    pub time_zone: String,
+    /// The windows.
+    pub windows: BTreeMap<String, RoleWindow>,
+}
+
+/// A window of the day; `until` before `from` means that it spans midnight.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RoleWindow {
+    /// First minute, as `HH:MM`.
+    pub from: String,
+    /// First minute after the window, as `HH:MM`.
+    pub until: String,
+    /// The role in it.
+    pub role: ServerRole,
+}
+
+impl RoleSchedule {
+    /// The role scheduled at a wall-clock time, or nothing outside all windows.
+    pub fn role_at(&self, wall_ms: WallMillis) -> Option<ServerRole> {
+        let minute = local_minute(&self.time_zone, wall_ms)?;
+        let mut windows = self.windows.values();
+        let window = windows.find(|window| is_between(minute, &window.from, &window.until))?;
+        Some(window.role)
+    }
+}
+
+/// Checks the role schedule of a server.
+pub(super) fn check_schedule(path: &KeyPath, server: &Server) -> Result<(), ConfigError> {
+    let Some(schedule) = &server.role_schedule else {
+        return Ok(());
+    };
+    let path = path.then("role_schedule");
+    if !server.checks_fencing {
+        let problem = "needs checks_fencing: true, since a late order could change the role back";
+        return Err(ConfigError::at(path, problem));
+    }
+    super::check_targets::check_time_zone(&path, &schedule.time_zone)?;
+    for (name, window) in &schedule.windows {
+        let path = path.then("windows").then(name);
+        for (field, time) in [("from", &window.from), ("until", &window.until)] {
+            let parsed = parse_minute(time);
+            parsed.map_err(|problem| ConfigError::at(path.then(field), problem))?;
+        }
+        let is_engine = |role| role != ServerRole::Plain;
+        if !is_engine(window.role) || !is_engine(server.role) {
+            let problem = "only prefill and decode engines change roles";
+            return Err(ConfigError::at(path.then("role"), problem));
+        }
+    }
+    Ok(())
+}
--- a/crates/core/src/config/window.rs
+++ b/crates/core/src/config/window.rs
@@ -41,19 +41,34 @@
 impl Window {
     /// The minutes of the day as half-open ranges: two where the window spans midnight.
     pub fn ranges(&self) -> Result<Vec<(u32, u32)>, String> {
-        let from = parse_minute(&self.from)?;
-        let until = parse_minute(&self.until)?;
-        if from < until {
-            return Ok(vec![(from, until)]);
-        }
-        let parts = [(from, MINUTES_PER_DAY), (0, until)];
-        Ok(parts.into_iter().filter(|(start, end)| start < end).collect())
+        day_ranges(&self.from, &self.until)
     }
+}
 
-    fn contains(&self, minute: u32) -> bool {
-        let ranges = self.ranges().unwrap_or_default();
-        ranges.iter().any(|(from, until)| (*from..*until).contains(&minute))
+/// The minutes of the day from one `HH:MM` to another as half-open ranges: two where they span
+/// midnight.
+pub fn day_ranges(from: &str, until: &str) -> Result<Vec<(u32, u32)>, String> {
+    let from = parse_minute(from)?;
+    let until = parse_minute(until)?;
+    if from < until {
+        return Ok(vec![(from, until)]);
     }
+    let parts = [(from, MINUTES_PER_DAY), (0, until)];
+    Ok(parts.into_iter().filter(|(start, end)| start < end).collect())
+}
+
+/// Whether a minute of the day lies from one `HH:MM` to another.
+pub fn is_between(minute: u32, from: &str, until: &str) -> bool {
+    let ranges = day_ranges(from, until).unwrap_or_default();
+    ranges.iter().any(|(from, until)| (*from..*until).contains(&minute))
+}
+
+/// Minute of the day in a time zone, or nothing where the zone is unknown.
+pub fn local_minute(time_zone: &str, wall_ms: WallMillis) -> Option<u32> {
+    let zone = TimeZone::get(time_zone).ok()?;
+    let timestamp = jiff::Timestamp::from_millisecond(wall_ms.0 as i64).ok()?;
+    let local = timestamp.to_zoned(zone);
+    Some(local.hour() as u32 * 60 + local.minute() as u32)
 }
 
 /// Minute of the day of `HH:MM`, up to and including `24:00`.
@@ -69,11 +84,9 @@
 impl CallerTargets {
     /// The targets in force at a wall-clock time.
     pub fn at(&self, wall_ms: WallMillis) -> Option<Targets> {
-        let zone = TimeZone::get(&self.time_zone).ok()?;
-        let timestamp = jiff::Timestamp::from_millisecond(wall_ms.0 as i64).ok()?;
-        let local = timestamp.to_zoned(zone);
-        let minute = local.hour() as u32 * 60 + local.minute() as u32;
-        let window = self.windows.values().find(|window| window.contains(minute))?;
+        let minute = local_minute(&self.time_zone, wall_ms)?;
+        let mut windows = self.windows.values();
+        let window = windows.find(|window| is_between(minute, &window.from, &window.until))?;
         Some(Targets { first_token_ms: window.first_token_ms, per_token_ms: window.per_token_ms })
     }
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -13,7 +13,7 @@
 use crate::membership::ListedInstance;
 use crate::message::Envelope;
 use crate::report::LoadReport;
-use crate::units::{Millis, Tokens, WallMillis};
+use crate::units::{BytesPerSecond, Millis, Tokens, WallMillis};
 
 /// The time at which an event is handled.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -168,6 +168,8 @@
     InstanceList(BTreeMap<InstanceId, ListedInstance>),
     /// The platform's list of backend servers that are leaving.
     LeavingServers(Vec<ServerId>),
+    /// The rate that the weight store gives to the whole deployment.
+    WeightRate(BytesPerSecond),
     /// The process was told to end.
     Shutdown,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod message;
 pub mod node;
 pub mod once;
+pub mod placement;
 pub mod report;
 pub mod request;
 pub mod route;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod config_path;
 mod member_path;
 mod model_path;
+mod placement_path;
 mod plain_path;
 mod plain_tries;
 mod seat_path;
@@ -23,6 +24,7 @@
 use crate::membership::{MemberDigest, MemberView, ServerLoad};
 use crate::message::{Envelope, PeerMessage};
 use crate::once::{Seal, TicketBook};
+use crate::placement::PlacementState;
 use crate::request::{Flow, PlainCaller, PlainFlow, RetryBudget};
 use crate::route::ServerHealth;
 use crate::seats::SeatLedger;
@@ -58,6 +60,7 @@
     ledgers: BTreeMap<ServerId, SeatLedger>,
     loads: BTreeMap<ServerId, KnownLoad>,
     leaving_servers: BTreeSet<ServerId>,
+    placement: PlacementState,
     flows: BTreeMap<RequestId, Flow>,
     plain_callers: BTreeMap<RequestId, PlainCaller>,
     plain_flows: BTreeMap<RequestId, PlainFlow>,
@@ -97,6 +100,7 @@
             ledgers: BTreeMap::new(),
             loads: BTreeMap::new(),
             leaving_servers: BTreeSet::new(),
+            placement: PlacementState::default(),
             flows: BTreeMap::new(),
             plain_callers: BTreeMap::new(),
             plain_flows: BTreeMap::new(),
@@ -161,6 +165,7 @@
             Event::ConfigChanges(changes) => self.take_changes(changes, None),
             Event::InstanceList(listed) => self.members.take_list(listed),
             Event::LeavingServers(servers) => self.leaving_servers = servers.into_iter().collect(),
+            Event::WeightRate(rate) => self.take_weight_rate(rate),
             Event::Shutdown => self.shut_down(),
         }
     }
@@ -170,6 +175,7 @@
         self.poll_servers();
         self.expire_leases();
         self.check_leases();
+        self.place();
         self.repeat_claims();
         self.advance_waiting();
         self.advance_plain();
--- /dev/null
+++ b/crates/core/src/node/placement_path.rs
@@ -0,0 +1,89 @@
+//! Orders to the engines that this node owns.
+
+use crate::action::Action;
+use crate::config::document::ServerRole;
+use crate::ids::ServerId;
+use crate::node::Node;
+use crate::placement::{EngineOrder, Look, OrderKind, Terms, desired_state};
+use crate::report::LoadReport;
+use crate::units::{BytesPerSecond, Millis};
+
+/// Time between looks for orders to give.
+const PLACEMENT_MS: Millis = Millis(500);
+
+impl Node {
+    /// Takes the rate that the weight store gives to the whole deployment.
+    pub(super) fn take_weight_rate(&mut self, rate: BytesPerSecond) {
+        self.placement.weight_rate_bytes_per_second = rate;
+    }
+
+    /// Takes the part of a report that orders depend on.
+    pub(super) fn note_look(&mut self, server: &ServerId, report: &LoadReport) {
+        let look = Look {
+            learned_ms: self.now.mono_ms,
+            role: report.role,
+            loaded: report.loaded.clone(),
+            fencing_number: report.fencing_number,
+            is_holding: !report.held.is_empty(),
+        };
+        self.placement.orders.look(server.clone(), look);
+    }
+
+    /// Whether an owned engine takes new work in its present role.
+    pub(super) fn is_in_role(&self, server: &ServerId) -> bool {
+        let known = self.config.in_force().and_then(|found| found.servers.get(server));
+        let Some(known) = known else {
+            return false;
+        };
+        let reported = self.placement.orders.reported_role(server);
+        let is_right = reported.is_none_or(|role| role == known.role_at(self.now.wall_ms));
+        is_right && !self.placement.orders.is_draining(server, self.now.mono_ms)
+    }
+
+    /// Gives the orders that are due.
+    pub(super) fn place(&mut self) {
+        if self.is_leaving || self.now.mono_ms < self.placement.next_ms {
+            return;
+        }
+        self.placement.next_ms = self.now.mono_ms + PLACEMENT_MS;
+        let servers: Vec<_> = self.ledgers.keys().cloned().collect();
+        for server in servers {
+            if !self.owns(&server) {
+                self.placement.orders.forget(&server);
+                continue;
+            }
+            if let Some(order) = self.next_order(&server) {
+                self.give_order(&server, order);
+            }
+        }
+    }
+
+    fn next_order(&mut self, server: &ServerId) -> Option<EngineOrder> {
+        let configuration = self.config.in_force()?;
+        let known = configuration.servers.get(server)?;
+        if known.role == ServerRole::Plain {
+            return None;
+        }
+        let desired = desired_state(configuration, server, self.now.wall_ms)?;
+        let members = self.members.live_members(self.now.mono_ms).max(1) as u64;
+        let share = BytesPerSecond(self.placement.weight_rate_bytes_per_second.0 / members);
+        let checks_fencing = known.checks_fencing;
+        let terms = Terms { checks_fencing, share_bytes_per_second: share };
+        let order = self.placement.orders.next_order(self.now.mono_ms, server, &desired, terms)?;
+        let changes_role = matches!(order.kind, OrderKind::ChangeRole { .. });
+        let has_leases = self.ledgers.get(server).is_some_and(|held| !held.leases().is_empty());
+        (!changes_role || !has_leases).then_some(order)
+    }
+
+    fn give_order(&mut self, server: &ServerId, order: EngineOrder) {
+        let fields = vec![
+            ("server", server.to_string()),
+            ("order", order.kind.to_string()),
+            ("fencing_number", order.fencing_number.to_string()),
+            ("config_version", self.config.version().to_string()),
+        ];
+        self.log("order", None, fields);
+        let target = self.target(server);
+        self.actions.extend(target.map(|target| Action::Order { target, order }));
+    }
+}
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -73,6 +73,7 @@
             queued_tokens: report.queued_tokens,
         };
         self.loads.insert(server.clone(), KnownLoad { load, learned_ms: now_ms });
+        self.note_look(server, report);
     }
 
     pub(super) fn take_report_failed(&mut self, server: &ServerId) {
@@ -211,11 +212,12 @@
         self.log("paused", None, vec![("gap_ms", gap_ms.0.to_string())]);
         self.ledgers.clear();
         self.loads.clear();
+        self.placement.orders.forget_looks();
     }
 
     fn grant(&mut self, from: &Holder, asked: &SeatRequest) -> bool {
         let server = &asked.seat.server;
-        if !self.owns(server) || self.leaving_servers.contains(server) {
+        if !self.owns(server) || self.leaving_servers.contains(server) || !self.is_in_role(server) {
             return false;
         }
         let now_ms = self.now.mono_ms;
--- /dev/null
+++ b/crates/core/src/placement/mod.rs
@@ -0,0 +1,17 @@
+//! What each engine should hold and do, and the orders that lead there.
+//!
+//! The desired state is a pure function of the configuration version and the hour, so that two
+//! owners never contradict each other. Orders carry a fencing number one above the engine's own.
+//! Where the engine refuses old numbers, it is itself the arbiter between two owners and role
+//! changes are ordered. Where it ignores them, nothing is ever ordered but to load versions that
+//! the configuration lists for it: such an order can be repeated or late and does no harm.
+
+pub mod desired;
+pub mod order;
+pub mod order_book;
+pub mod state;
+
+pub use desired::{Desired, desired_state};
+pub use order::{EngineOrder, OrderKind};
+pub use order_book::{Look, OrderBook, Terms};
+pub use state::PlacementState;
--- /dev/null
+++ b/crates/core/src/placement/order.rs
@@ -0,0 +1,44 @@
+//! Orders to engines.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::document::ServerRole;
+use crate::ids::{FencingNumber, ModelId, ModelVersion};
+
+/// What an engine is told to do.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderKind {
+    /// Load a version of a model; without effect where it is loaded.
+    Load {
+        /// The model.
+        model: ModelId,
+        /// The version.
+        version: ModelVersion,
+    },
+    /// Take another role.
+    ChangeRole {
+        /// The new role.
+        role: ServerRole,
+    },
+}
+
+impl fmt::Display for OrderKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            OrderKind::Load { model, version } => write!(f, "load:{model}:{version}"),
+            OrderKind::ChangeRole { role } => write!(f, "role:{role}"),
+        }
+    }
+}
+
+/// An order with its fencing number.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineOrder {
+    /// One above the number that the engine reported.
+    pub fencing_number: FencingNumber,
+    /// What to do.
+    pub kind: OrderKind,
+}
--- /dev/null
+++ b/crates/core/src/placement/order_book.rs
@@ -0,0 +1,164 @@
+//! The owner's account of the orders it gave.
+//!
+//! An order is given only on a fresh report, spaced from the last one to the same engine. Loads
+//! share the rate of the weight store: each owner has one load under way and counts on its share
+//! of the rate. A role changes only after the wish for it has stood for a while and the engine
+//! holds no stream.
+
+use std::collections::BTreeMap;
+
+use crate::config::document::ServerRole;
+use crate::ids::{FencingNumber, ModelId, ModelVersion, ServerId};
+use crate::placement::desired::Desired;
+use crate::placement::order::{EngineOrder, OrderKind};
+use crate::units::{Bytes, BytesPerSecond, Millis};
+
+/// Age at which a report no longer serves as ground for an order.
+const REPORT_LIFE_MS: Millis = Millis(1_500);
+/// Time between two orders to one engine.
+const ORDER_PAUSE_MS: Millis = Millis(2_000);
+/// Time for which the wish for a role must stand.
+const ROLE_HYSTERESIS_MS: Millis = Millis(10_000);
+/// Milliseconds in a second.
+const MS_PER_S: u64 = 1_000;
+
+/// What an engine reported last, as far as orders depend on it.
+#[derive(Clone, Debug)]
+pub struct Look {
+    /// When the report came.
+    pub learned_ms: Millis,
+    /// Its role, where it tells one.
+    pub role: Option<ServerRole>,
+    /// Versions loaded.
+    pub loaded: Vec<(ModelId, ModelVersion)>,
+    /// Highest fencing number accepted.
+    pub fencing_number: FencingNumber,
+    /// Whether it holds any stream.
+    pub is_holding: bool,
+}
+
+/// What holds for the engine by configuration and membership.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// This owner's share of the weight store's rate.
+    pub share_bytes_per_second: BytesPerSecond,
+}
+
+/// The orders of one owner.
+#[derive(Clone, Debug, Default)]
+pub struct OrderBook {
+    looks: BTreeMap<ServerId, Look>,
+    next_order_ms: BTreeMap<ServerId, Millis>,
+    role_wish_since_ms: BTreeMap<ServerId, (ServerRole, Millis)>,
+    next_load_ms: Millis,
+}
+
+impl OrderBook {
+    /// Takes what an engine reported.
+    pub fn look(&mut self, server: ServerId, look: Look) {
+        self.looks.insert(server, look);
+    }
+
+    /// Forgets an engine that has another owner now.
+    pub fn forget(&mut self, server: &ServerId) {
+        self.looks.remove(server);
+        self.role_wish_since_ms.remove(server);
+    }
+
+    /// Forgets every report, as after a pause: no order is given before a fresh one.
+    pub fn forget_looks(&mut self) {
+        self.looks.clear();
+        self.role_wish_since_ms.clear();
+    }
+
+    /// Whether an engine is to lose its streams before its role changes.
+    pub fn is_draining(&self, server: &ServerId, now_ms: Millis) -> bool {
+        let wish = self.role_wish_since_ms.get(server);
+        wish.is_some_and(|(_, since_ms)| now_ms - *since_ms >= ROLE_HYSTERESIS_MS)
+    }
+
+    /// Whether a version is reported as loaded, or nothing where there is no report.
+    pub fn is_loaded(&self, server: &ServerId, version: &(ModelId, ModelVersion)) -> Option<bool> {
+        self.looks.get(server).map(|look| look.loaded.contains(version))
+    }
+
+    /// The role that an engine reported.
+    pub fn reported_role(&self, server: &ServerId) -> Option<ServerRole> {
+        self.looks.get(server)?.role
+    }
+
+    /// The next order to an engine, if one is due.
+    pub fn next_order(
+        &mut self,
+        now_ms: Millis,
+        server: &ServerId,
+        desired: &Desired,
+        terms: Terms,
+    ) -> Option<EngineOrder> {
+        let look = self.looks.get(server)?.clone();
+        let is_fresh = now_ms - look.learned_ms < REPORT_LIFE_MS;
+        let is_spaced = self.next_order_ms.get(server).is_none_or(|next_ms| now_ms >= *next_ms);
+        self.note_role_wish(now_ms, server, &look, desired, terms);
+        if !is_fresh || !is_spaced {
+            return None;
+        }
+        let kind = self
+            .role_order(now_ms, server, &look)
+            .or_else(|| self.load_order(now_ms, &look, desired, terms))?;
+        assert!(
+            terms.checks_fencing || matches!(kind, OrderKind::Load { .. }),
+            "ordered more than a load at an engine that ignores fencing numbers"
+        );
+        self.next_order_ms.insert(server.clone(), now_ms + ORDER_PAUSE_MS);
+        let fencing_number = FencingNumber(look.fencing_number.0 + 1);
+        Some(EngineOrder { fencing_number, kind })
+    }
+
+    fn note_role_wish(
+        &mut self,
+        now_ms: Millis,
+        server: &ServerId,
+        look: &Look,
+        desired: &Desired,
+        terms: Terms,
+    ) {
+        let is_wished = look.role.is_some_and(|role| role != desired.role);
+        if !is_wished || !terms.checks_fencing {
+            self.role_wish_since_ms.remove(server);
+            return;
+        }
+        let wish = self.role_wish_since_ms.entry(server.clone()).or_insert((desired.role, now_ms));
+        if wish.0 != desired.role {
+            *wish = (desired.role, now_ms);
+        }
+    }
+
+    fn role_order(&self, now_ms: Millis, server: &ServerId, look: &Look) -> Option<OrderKind> {
+        let (role, _) = *self.role_wish_since_ms.get(server)?;
+        let is_drained = self.is_draining(server, now_ms) && !look.is_holding;
+        is_drained.then_some(OrderKind::ChangeRole { role })
+    }
+
+    fn load_order(
+        &mut self,
+        now_ms: Millis,
+        look: &Look,
+        desired: &Desired,
+        terms: Terms,
+    ) -> Option<OrderKind> {
+        if now_ms < self.next_load_ms || terms.share_bytes_per_second.0 == 0 {
+            return None;
+        }
+        let mut missing =
+            desired.versions.iter().filter(|(version, _)| !look.loaded.contains(version));
+        let ((model, version), weights_bytes) = missing.next()?;
+        self.next_load_ms = now_ms + load_time(*weights_bytes, terms.share_bytes_per_second);
+        Some(OrderKind::Load { model: model.clone(), version: version.clone() })
+    }
+}
+
+fn load_time(weights_bytes: Bytes, rate: BytesPerSecond) -> Millis {
+    Millis(weights_bytes.0.saturating_mul(MS_PER_S) / rate.0.max(1))
+}
--- /dev/null
+++ b/crates/core/src/placement/state.rs
@@ -0,0 +1,15 @@
+//! What a node keeps to place models and roles.
+
+use crate::placement::order_book::OrderBook;
+use crate::units::{BytesPerSecond, Millis};
+
+/// What a node keeps to place models and roles.
+#[derive(Clone, Debug, Default)]
+pub struct PlacementState {
+    /// Orders to the engines that the node owns.
+    pub orders: OrderBook,
+    /// Rate of the weight store for the whole deployment; zero until it is known.
+    pub weight_rate_bytes_per_second: BytesPerSecond,
+    /// When to look for orders next.
+    pub next_ms: Millis,
+}
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::config::document::ServerRole;
 use crate::ids::{FencingNumber, Incarnation, InstanceId, ModelId, ModelVersion, StreamId};
 use crate::units::{KvPieces, Streams, Tokens};
 
@@ -41,6 +42,9 @@
     pub kv_free_pieces: KvPieces,
     /// Prompt tokens waiting for prefill.
     pub queued_tokens: Tokens,
+    /// Its role, where it tells one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub role: Option<ServerRole>,
     /// Models and versions loaded.
     pub loaded: Vec<(ModelId, ModelVersion)>,
     /// Highest fencing number accepted.
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use tide::{Body, Request, Response, Server, StatusCode};
 use turmericrail_core::ids::{Incarnation, InstanceId, StreamId};
+use turmericrail_core::placement::EngineOrder;
 use turmericrail_core::report::{HeldStream, Holder, LoadReport};
 use turmericrail_core::units::{KvPieces, Streams, Tokens};
 use turmericrail_wire::body::channel_body;
@@ -20,6 +21,7 @@
     CancelBody, ExportAnswer, ExportBody, ImportBody, PrefillAnswer, PrefillBody, TokenLine,
 };
 
+use crate::orders::OrderState;
 use crate::serve::serve;
 use crate::text;
 
@@ -88,6 +90,8 @@
     pub wasted_tokens: u64,
     /// Prompt tokens waiting.
     pub queued_tokens: u64,
+    /// What orders did.
+    pub orders: OrderState,
     /// Whether the engine does nothing and answers nothing.
     pub is_frozen: bool,
     /// Whether the process is gone: every call fails.
@@ -176,6 +180,7 @@
         app.at("/tokens").get(tokens);
         app.at("/cancel").post(cancel);
         app.at("/report").get(report);
+        app.at("/orders").post(take_order);
         let address = serve(app).await?;
         Ok(Self { address, inner })
     }
@@ -206,6 +211,9 @@
     let inner = Arc::clone(request.state());
     inner.thaw().await;
     admit(&inner)?;
+    if !inner.state().orders.serves(&body.model, &body.version) {
+        return Ok(Response::new(StatusCode::Conflict));
+    }
     let prompt_tokens = text::prompt_tokens(&body.prompt);
     let kv_pieces = KvPieces(prompt_tokens.div_ceil(16));
     let stream = EngineStream {
@@ -417,6 +425,15 @@
     Ok(Response::new(StatusCode::Ok))
 }
 
+async fn take_order(mut request: Request<Shared>) -> tide::Result {
+    let order: EngineOrder = request.body_json().await?;
+    let inner = Arc::clone(request.state());
+    inner.thaw().await;
+    admit(&inner)?;
+    let is_obeyed = inner.state().orders.obey(order);
+    Ok(Response::new(if is_obeyed { StatusCode::Ok } else { StatusCode::Conflict }))
+}
+
 async fn report(request: Request<Shared>) -> tide::Result {
     let inner = Arc::clone(request.state());
     inner.thaw().await;
@@ -437,6 +454,8 @@
         kv_total_pieces: KvPieces(inner.settings.kv_total_pieces),
         kv_free_pieces: KvPieces(inner.settings.kv_total_pieces.saturating_sub(used)),
         queued_tokens: Tokens(state.queued_tokens),
-        ..LoadReport::default()
+        role: state.orders.role,
+        loaded: state.orders.loaded.clone(),
+        fencing_number: state.orders.fencing_number,
     })
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod engine;
 pub mod fleet;
+pub mod orders;
 pub mod plain;
 pub mod platform;
 mod serve;
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -9,7 +9,10 @@
 use serde_json::Value;
 use tide::{Request, Response, Server, StatusCode};
 use turmericrail_core::ids::ConfigVersion;
-use turmericrail_wire::platform::{ChangeAnswer, ChangesAnswer, DocumentAnswer, InstancesAnswer};
+use turmericrail_core::units::BytesPerSecond;
+use turmericrail_wire::platform::{
+    ChangeAnswer, ChangesAnswer, DocumentAnswer, InstancesAnswer, WeightStoreAnswer,
+};
 
 use crate::serve::serve;
 
@@ -27,6 +30,8 @@
     pub changes: Vec<(u64, Value)>,
     /// The list of instances.
     pub list: InstancesAnswer,
+    /// Rate of the weight store.
+    pub weight_rate: BytesPerSecond,
     /// Calls counted, a waiting watch as one.
     pub calls: u64,
     /// Whether every call fails.
@@ -82,6 +87,7 @@
         app.at("/configuration").get(get_document);
         app.at("/configuration/changes").get(get_changes);
         app.at("/instances").get(get_instances);
+        app.at("/weight-store").get(get_weight_store);
         let address = serve(app).await?;
         Ok(Self { address, state })
     }
@@ -185,3 +191,11 @@
     let state = request.state().lock().expect("no holder of the lock panics");
     json(&state.list)
 }
+
+async fn get_weight_store(request: Request<Shared>) -> tide::Result {
+    if let Some(refusal) = admit(&request).await {
+        return Ok(refusal);
+    }
+    let state = request.state().lock().expect("no holder of the lock panics");
+    json(&WeightStoreAnswer { rate_bytes_per_second: state.weight_rate })
+}
--- a/crates/turmericrail/src/daemon/driver.rs
+++ b/crates/turmericrail/src/daemon/driver.rs
@@ -57,6 +57,9 @@
             spawn(shared, |shared| backend_edge::engine::cancel(shared, target, stream, holder));
         }
         Action::Poll(target) => spawn(shared, |shared| backend_edge::engine::poll(shared, target)),
+        Action::Order { target, order } => {
+            spawn(shared, |_| backend_edge::orders::give(target, order));
+        }
         Action::CallPlain(call) => spawn(shared, |shared| backend_edge::plain::call(shared, call)),
         Action::Forward { request, home, address, timeout_ms } => spawn(shared, move |shared| {
             peer_edge::client::forward(shared, request, home, address, timeout_ms)
--- a/crates/turmericrail/src/platform_edge/mod.rs
+++ b/crates/turmericrail/src/platform_edge/mod.rs
@@ -1,5 +1,7 @@
 //! Adapters for the platform's services, which are only read.
 
+mod weight_store;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +27,7 @@
 pub fn start(shared: &Arc<Shared>) {
     task::spawn(watch_configuration(Arc::clone(shared)));
     task::spawn(read_list(Arc::clone(shared)));
+    task::spawn(weight_store::read_rate(Arc::clone(shared)));
 }
 
 /// Reads the whole document once.
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 use turmericrail_core::ids::{ConfigVersion, InstanceId, ServerId};
 use turmericrail_core::membership::ListedInstance;
+use turmericrail_core::units::BytesPerSecond;
 
 /// Answer to `GET /configuration`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -40,3 +41,10 @@
     /// Backend servers that are leaving.
     pub leaving_servers: Vec<ServerId>,
 }
+
+/// Answer to `GET /weight-store`.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct WeightStoreAnswer {
+    /// Rate for the whole deployment.
+    pub rate_bytes_per_second: BytesPerSecond,
+}
