Test bookings, reads and hostile callers with real processes

The plain path and the caller edge had one process test.

Nearness of a server counts only while it is not crowded. Test ports come from below the kernel's range.

Dropping the server's connection when the caller of a read leaves: the call ends at its timeout anyway and its result tells the health of the server.

Seen and left. The HTTP library drops requests that are pipelined behind another (the caller sees its connection close), and waits for its timeout where the last line of a chunked body comes in a packet of its own. A caller that closes its sending half counts as gone.

--- a/crates/core/src/node/plain_tries.rs
+++ b/crates/core/src/node/plain_tries.rs
@@ -155,7 +155,8 @@
             let health = self.plain_health.get(*server).copied().unwrap_or_default();
             let is_usable = health.is_usable(self.now.mono_ms, is_idempotent);
             let hash = rendezvous::stable_hash(&format!("{key}/{server}"));
-            let rank = (is_usable, !health.is_crowded(), is_near);
+            let is_crowded = health.is_crowded();
+            let rank = (is_usable, !is_crowded, is_near && !is_crowded);
             (rank, Reverse(health.in_flight()), hash)
         })?;
         let timeout_ms = flow.deadline_ms - self.now.mono_ms;
--- /dev/null
+++ b/crates/core/tests/plain_servers.rs
@@ -0,0 +1,58 @@
+//! Ejection of failing plain servers, the way back, and the bound on retries.
+
+use turmericrail_core::request::RetryBudget;
+use turmericrail_core::route::ServerHealth;
+use turmericrail_core::units::Millis;
+
+const LONG_MS: Millis = Millis(100_000);
+
+fn fail(health: &mut ServerHealth, now_ms: Millis, count: usize) {
+    for _ in 0..count {
+        health.start();
+        health.end(now_ms, false);
+    }
+}
+
+#[test]
+fn ejection() {
+    let mut health = ServerHealth::default();
+    fail(&mut health, Millis(0), 2);
+    assert!(health.is_usable(Millis(0), true));
+    fail(&mut health, Millis(0), 1);
+    assert!(!health.is_usable(Millis(0), true));
+}
+
+#[test]
+fn way_back() {
+    let mut health = ServerHealth::default();
+    fail(&mut health, Millis(0), 3);
+    assert!(health.is_usable(LONG_MS, true));
+    health.start();
+    assert!(!health.is_usable(LONG_MS, true), "one call at a time on probation");
+    health.end(LONG_MS, true);
+    health.start();
+    assert!(health.is_usable(LONG_MS, true));
+}
+
+#[test]
+fn ticket_probation() {
+    let mut health = ServerHealth::default();
+    fail(&mut health, Millis(0), 3);
+    let first_ms = (0..).map(Millis).find(|now_ms| health.is_usable(*now_ms, true)).unwrap();
+    assert!(!health.is_usable(first_ms, false));
+    assert!(health.is_usable(LONG_MS, false));
+}
+
+#[test]
+fn retry_ratio() {
+    let mut budget = RetryBudget::default();
+    while budget.spend() {}
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.earn(20);
+        if budget.spend() {
+            retries += 1;
+        }
+    }
+    assert_eq!(retries, 200);
+}
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -4,11 +4,13 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_std::task;
 use serde_json::{Value, json};
 use turmericrail_core::ids::InstanceId;
+use turmericrail_core::membership::rendezvous::stable_hash;
 use turmericrail_core::membership::{ListedInstance, ListedState};
 use turmericrail_wire::client::Call;
 
@@ -79,6 +81,8 @@
     pub plain_services: usize,
     /// Speed and size of the engines.
     pub engine: EngineSettings,
+    /// Further lines of each instance's settings.
+    pub extra_settings: String,
 }
 
 impl FleetPlan {
@@ -94,6 +98,7 @@
             decode_engines: 2,
             plain_services: 2,
             engine: EngineSettings::default(),
+            extra_settings: String::new(),
         }
     }
 }
@@ -114,9 +119,24 @@
     pub instances: Vec<FleetInstance>,
 }
 
+/// First port given to instances: below the ports that the kernel gives to connections, so that
+/// none takes it between this choice and the start of the instance.
+const FIRST_PORT: u16 = 10_000;
+/// Ports given to instances.
+const PORT_COUNT: u64 = 20_000;
+
 /// A free loopback address.
 pub fn free_address() -> std::io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    loop {
+        let key = format!("{}/{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_PORT + (stable_hash(&key) % PORT_COUNT) as u16;
+        match TcpListener::bind(("127.0.0.1", port)) {
+            Ok(listener) => return listener.local_addr(),
+            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
+        }
+    }
 }
 
 impl Fleet {
@@ -154,9 +174,10 @@
     pub fn launch(&mut self, index: usize) -> std::io::Result<()> {
         let platform = self.platform.address;
         let instance = &mut self.instances[index];
+        let extra = &self.plan.extra_settings;
         let settings = format!(
             "deployment: test\ninstance: {}\ndata_centre: {}\ncaller_address: {}\n\
-             peer_address: {}\nplatform_address: {platform}\nseal_key: 0123456789abcdef\n",
+             peer_address: {}\nplatform_address: {platform}\nseal_key: 0123456789abcdef\n{extra}",
             instance.id, instance.data_centre, instance.caller_address, instance.peer_address
         );
         let path = self.plan.folder.join(format!("{}.yaml", instance.id));
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use async_std::task;
-use tide::{Request, Response, Server};
+use tide::{Body, Request, Response, Server};
+use turmericrail_wire::body::channel_body;
 
 use crate::serve::serve;
 
@@ -19,6 +20,8 @@
     pub delay_ms: u64,
     /// Whether calls are executed and never answered.
     pub is_silent: bool,
+    /// Whether calls are executed and the connection is cut within the answer.
+    pub is_cut: bool,
 }
 
 /// The stand-in for a plain service.
@@ -47,16 +50,29 @@
 
 async fn execute(mut request: Request<Arc<Mutex<PlainState>>>) -> tide::Result {
     let body = request.body_string().await?;
-    let (count, delay_ms, is_silent) = {
+    let (count, delay_ms, is_silent, is_cut) = {
         let mut state = request.state().lock().expect("no holder of the lock panics");
         let count = state.executions.entry(body.clone()).or_default();
         *count += 1;
-        (*count, state.delay_ms, state.is_silent)
+        (*count, state.delay_ms, state.is_silent, state.is_cut)
     };
     task::sleep(Duration::from_millis(delay_ms)).await;
     if is_silent {
         task::sleep(Duration::from_secs(3600)).await;
     }
+    if is_cut {
+        return Ok(Response::builder(200).body(cut_body()).build());
+    }
     let answer = format!("{} {} execution={count}", request.method(), request.url().path());
     Ok(Response::builder(200).body(answer).build())
 }
+
+/// A body whose first piece is followed by a cut.
+fn cut_body() -> Body {
+    let (sender, receiver) = async_channel::bounded(2);
+    let pieces = [Ok(b"GET".to_vec()), Err(std::io::Error::other("cut"))];
+    for piece in pieces {
+        sender.try_send(piece).expect("the channel holds both pieces");
+    }
+    channel_body(receiver)
+}
--- a/crates/turmericrail/src/caller_edge/plain.rs
+++ b/crates/turmericrail/src/caller_edge/plain.rs
@@ -58,10 +58,14 @@
 
 /// Decodes a JSON body; the refusal names the place of the first mistake.
 pub fn decode_body<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
-    serde_json::from_slice(body).map_err(|error| Refusal {
+    let refusal = |problem: String| Refusal {
         kind: ErrorKind::BadRequest,
-        detail: format!("In the JSON body: {error}."),
-    })
+        detail: format!("In the JSON body: {problem}."),
+    };
+    if body.trim_ascii_start().first() == Some(&b'[') {
+        return Err(refusal("expected an object, found an array at line 1 column 1".to_owned()));
+    }
+    serde_json::from_slice(body).map_err(|error| refusal(error.to_string()))
 }
 
 pub async fn issue_tickets(mut request: Request<Arc<Shared>>) -> tide::Result {
--- /dev/null
+++ b/crates/turmericrail/tests/booking_faults.rs
@@ -0,0 +1,202 @@
+//! Bookings under failures: executed at most once, and never `not_run` of what may have run.
+
+mod plain_support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::io::prelude::*;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use plain_support::{
+    book, change_config, closed_port, executions, start_fleet, take_ticket, wait_until,
+};
+use serde_json::json;
+
+#[async_std::test]
+async fn same_moment() {
+    let fleet = start_fleet("same-moment").await;
+    fleet.plain.values().for_each(|plain| plain.state().delay_ms = 200);
+    let addresses: Vec<_> = fleet.instances.iter().map(|known| known.caller_address).collect();
+    for round in 0..5 {
+        let member = format!("member {round}");
+        let ticket = take_ticket(addresses[round % addresses.len()]).await;
+        let copies = addresses.iter().map(|address| {
+            let (address, ticket, member) = (*address, ticket.clone(), member.clone());
+            task::spawn(async move { book(address, &ticket, &member).await })
+        });
+        let copies: Vec<_> = copies.collect();
+        for copy in copies {
+            assert_eq!(copy.await.status, 200);
+        }
+        assert_eq!(executions(&fleet, &member), 1);
+    }
+}
+
+#[async_std::test]
+async fn home_replaced() {
+    let mut fleet = start_fleet("home-replaced").await;
+    let (home, other) = (fleet.instances[0].caller_address, fleet.instances[1].caller_address);
+    let (spent, unspent) = (take_ticket(home).await, take_ticket(home).await);
+    assert_eq!(book(other, &spent, "member 1").await.status, 200);
+    fleet.instances[0].kill();
+    let while_gone = book(other, &spent, "member 1").await;
+    assert_eq!(while_gone.outcome(), "unknown");
+    fleet.launch(0).unwrap();
+    fleet.wait_ready().await;
+    for address in [home, other] {
+        for ticket in [&spent, &unspent] {
+            let answer = book(address, ticket, "member 1").await;
+            assert_eq!(answer.field("error"), "home_unreachable");
+            assert_eq!(answer.outcome(), "unknown");
+        }
+    }
+    assert_eq!(executions(&fleet, "member 1"), 1);
+}
+
+#[async_std::test]
+async fn home_killed_in_call() {
+    let mut fleet = start_fleet("home-killed").await;
+    fleet.plain.values().for_each(|plain| plain.state().delay_ms = 60_000);
+    let (home, other) = (fleet.instances[0].caller_address, fleet.instances[1].caller_address);
+    let ticket = take_ticket(home).await;
+    let copy = {
+        let ticket = ticket.clone();
+        task::spawn(async move { book(other, &ticket, "member 1").await })
+    };
+    wait_until("the call runs", || executions(&fleet, "member 1") == 1).await;
+    fleet.instances[0].kill();
+    assert_eq!(copy.await.outcome(), "unknown");
+    assert_eq!(book(other, &ticket, "member 1").await.outcome(), "unknown");
+    assert_eq!(executions(&fleet, "member 1"), 1);
+}
+
+#[async_std::test]
+async fn home_frozen() {
+    let fleet = start_fleet("home-frozen").await;
+    let (home, other) = (fleet.instances[0].caller_address, fleet.instances[1].caller_address);
+    let ticket = take_ticket(home).await;
+    fleet.instances[0].signal("STOP");
+    let while_frozen = book(other, &ticket, "member 1").await;
+    assert_eq!(while_frozen.outcome(), "unknown");
+    fleet.instances[0].signal("CONT");
+    for address in [home, other, home] {
+        let answer = book(address, &ticket, "member 1").await;
+        assert_ne!(answer.outcome(), "not_run");
+    }
+    assert_eq!(executions(&fleet, "member 1"), 1);
+}
+
+#[async_std::test]
+async fn server_dies_after_run() {
+    let fleet = start_fleet("server-dies").await;
+    let (home, other) = (fleet.instances[0].caller_address, fleet.instances[1].caller_address);
+    fleet.plain.values().for_each(|plain| plain.state().is_cut = true);
+    let cut = take_ticket(home).await;
+    for address in [home, other] {
+        let answer = book(address, &cut, "member 1").await;
+        assert_eq!((answer.field("error"), answer.outcome()), lost("server_lost"));
+    }
+    fleet.plain.values().for_each(|plain| plain.state().is_silent = true);
+    let silent = take_ticket(home).await;
+    let answer = book(other, &silent, "member 2").await;
+    assert_eq!(answer.outcome(), "unknown");
+    assert_eq!((executions(&fleet, "member 1"), executions(&fleet, "member 2")), (1, 1));
+}
+
+fn lost(kind: &str) -> (String, String) {
+    (kind.to_owned(), "unknown".to_owned())
+}
+
+/// A server that closes each connection after its first byte.
+async fn first_byte_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read_exact(&mut [0]).await;
+        }
+    });
+    address
+}
+
+#[async_std::test]
+async fn lost_after_first_byte() {
+    let fleet = start_fleet("first-byte").await;
+    let (home, other) = (fleet.instances[0].caller_address, fleet.instances[1].caller_address);
+    let first = json!({"address": first_byte_server().await.to_string()});
+    let second = json!({"address": first_byte_server().await.to_string()});
+    change_config(&fleet, json!({"servers": {"plain-1": first, "plain-2": second}})).await;
+    let ticket = take_ticket(home).await;
+    for address in [home, other] {
+        let answer = book(address, &ticket, "member 1").await;
+        assert_eq!((answer.field("error"), answer.outcome()), lost("server_lost"));
+    }
+}
+
+#[async_std::test]
+async fn not_run_is_final() {
+    let fleet = start_fleet("not-run").await;
+    let (home, other) = (fleet.instances[0].caller_address, fleet.instances[1].caller_address);
+    let addresses: Vec<_> = fleet.plain.values().map(|plain| plain.address).collect();
+    let ((_first, first), (_second, second)) = (closed_port(), closed_port());
+    let (first, second) = (json!({"address": first}), json!({"address": second}));
+    change_config(&fleet, json!({"servers": {"plain-1": first, "plain-2": second}})).await;
+    let ticket = take_ticket(home).await;
+    let answer = book(other, &ticket, "member 1").await;
+    assert_eq!(
+        (answer.field("error").as_str(), answer.outcome().as_str()),
+        ("no_server", "not_run")
+    );
+    let back = |index: usize| json!({"address": addresses[index].to_string()});
+    change_config(&fleet, json!({"servers": {"plain-1": back(0), "plain-2": back(1)}})).await;
+    assert_eq!(book(home, &ticket, "member 1").await.outcome(), "not_run");
+    assert_eq!(executions(&fleet, "member 1"), 0);
+    let next = take_ticket(home).await;
+    assert_eq!(book(other, &next, "member 1").await.status, 200);
+    assert_eq!(executions(&fleet, "member 1"), 1);
+}
+
+#[async_std::test]
+async fn route_removed() {
+    let fleet = start_fleet("route-removed").await;
+    let (home, other) = (fleet.instances[0].caller_address, fleet.instances[1].caller_address);
+    let ticket = take_ticket(home).await;
+    let first = book(home, &ticket, "member 1").await;
+    assert_eq!(first.status, 200);
+    change_config(&fleet, json!({"routes": {"book-slot": null}})).await;
+    assert_eq!(book(other, &ticket, "member 1").await, first);
+    assert_eq!(executions(&fleet, "member 1"), 1);
+}
+
+#[async_std::test]
+async fn other_body() {
+    let fleet = start_fleet("other-body").await;
+    let (home, other) = (fleet.instances[0].caller_address, fleet.instances[1].caller_address);
+    let ticket = take_ticket(home).await;
+    assert_eq!(book(home, &ticket, "member 1").await.status, 200);
+    let answer = book(other, &ticket, "member 2").await;
+    assert_eq!((answer.field("error"), answer.outcome()), lost("ticket_mismatch"));
+    assert_eq!(executions(&fleet, "member 2"), 0);
+}
+
+#[async_std::test]
+async fn caller_leaves() {
+    let fleet = start_fleet("caller-leaves").await;
+    fleet.plain.values().for_each(|plain| plain.state().delay_ms = 300);
+    let (home, other) = (fleet.instances[0].caller_address, fleet.instances[1].caller_address);
+    let ticket = take_ticket(home).await;
+    for address in [home, other] {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let head = format!(
+            "POST /slots/7/bookings HTTP/1.1\r\nhost: h\r\nidempotency-key: {ticket}\r\n\
+             content-length: 8\r\n\r\nmember 1"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        task::sleep(Duration::from_millis(100)).await;
+        drop(stream);
+    }
+    let answer = book(other, &ticket, "member 1").await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(executions(&fleet, "member 1"), 1);
+}
--- /dev/null
+++ b/crates/turmericrail/tests/hostile_callers.rs
@@ -0,0 +1,196 @@
+//! Slow, oversized, malformed and half-closed callers get a clear error and take nothing from
+//! others.
+
+mod plain_support;
+
+use std::net::SocketAddr;
+
+use async_std::io::prelude::*;
+use async_std::net::TcpStream;
+use http_types::Method;
+use plain_support::{PATIENCE, book, executions, read_stock, send, send_raw, take_ticket};
+use turmericrail_fakes::{Fleet, FleetPlan};
+
+/// A fleet with tight limits.
+async fn start_tight(name: &str) -> Fleet {
+    start_limited(name, "  max_body_bytes: 2KiB\n  receive_timeout_ms: 1500ms\n").await
+}
+
+async fn start_limited(name: &str, limits: &str) -> Fleet {
+    let mut plan = FleetPlan::small(env!("CARGO_BIN_EXE_turmericrail"), name);
+    plan.extra_settings = format!("limits:\n{limits}");
+    Fleet::start(plan).await.expect("loopback ports are free")
+}
+
+fn address(fleet: &Fleet) -> SocketAddr {
+    fleet.instances[0].caller_address
+}
+
+/// Asserts that an answer has a status and holds some texts, and that others are still served.
+async fn assert_refused(fleet: &Fleet, answer: &str, status: u16, texts: &[&str]) {
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer:?}");
+    for text in texts {
+        assert!(answer.contains(text), "{text:?} is not in {answer:?}");
+    }
+    assert_eq!(read_stock(address(fleet)).await.status, 200);
+}
+
+#[async_std::test]
+async fn malformed_heads() {
+    let fleet = start_tight("malformed-heads").await;
+    let heads = ["rubbish\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", "GET /x HTTP/9.9\r\nhost: h\r\n\r\n"];
+    for head in heads {
+        let answer = send_raw(address(&fleet), head.as_bytes(), false).await;
+        assert_refused(&fleet, &answer, 400, &["head_refused", "no HTTP/1.1 head"]).await;
+    }
+}
+
+#[async_std::test]
+async fn long_heads() {
+    let fleet = start_tight("long-heads").await;
+    let one_line = "x".repeat(100_000);
+    let many_lines = format!("GET / HTTP/1.1\r\n{}", "a: b\r\n".repeat(20_000));
+    for head in [one_line, many_lines] {
+        let answer = send_raw(address(&fleet), head.as_bytes(), false).await;
+        assert_refused(&fleet, &answer, 400, &["head_refused", "longer than 8192 bytes"]).await;
+    }
+}
+
+#[async_std::test]
+async fn slow_head() {
+    let fleet = start_tight("slow-head").await;
+    let answer = send_raw(address(&fleet), b"GET / HTTP/1.1\r\nhost:", false).await;
+    assert_refused(&fleet, &answer, 400, &["head_refused", "did not arrive within 1500ms"]).await;
+}
+
+#[async_std::test]
+async fn slow_body() {
+    let fleet = start_tight("slow-body").await;
+    let head = "POST /slots/7/bookings HTTP/1.1\r\nhost: h\r\ncontent-length: 100\r\n";
+    let answer = send_raw(address(&fleet), format!("{head}\r\nhalf").as_bytes(), false).await;
+    assert_refused(&fleet, &answer, 408, &["receive_timeout", "not_run"]).await;
+    let ticket = take_ticket(address(&fleet)).await;
+    let copy = format!("{head}idempotency-key: {ticket}\r\n\r\nhalf");
+    let answer = send_raw(address(&fleet), copy.as_bytes(), false).await;
+    assert_refused(&fleet, &answer, 400, &["copy_refused", "unknown"]).await;
+}
+
+#[async_std::test]
+async fn large_body() {
+    let fleet = start_tight("large-body").await;
+    let body = "x".repeat(5_000);
+    let answer = book(address(&fleet), "", &body).await;
+    assert_eq!((answer.status, answer.field("error").as_str()), (413, "too_large"));
+    assert!(answer.field("message").contains("limits.max_body_bytes"), "{answer:?}");
+    let ticket = take_ticket(address(&fleet)).await;
+    let copy = book(address(&fleet), &ticket, &body).await;
+    assert_eq!(
+        (copy.field("error").as_str(), copy.outcome().as_str()),
+        ("copy_refused", "unknown")
+    );
+    let chunk = format!("{:x}\r\n{}\r\n", body.len(), body);
+    let chunked = format!(
+        "POST /installs HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n{}",
+        chunk.repeat(10)
+    );
+    let answer = send_raw(address(&fleet), chunked.as_bytes(), false).await;
+    assert_refused(&fleet, &answer, 413, &["too_large"]).await;
+}
+
+#[async_std::test]
+async fn cut_body() {
+    let fleet = start_tight("cut-body").await;
+    let ticket = take_ticket(address(&fleet)).await;
+    let copy = format!(
+        "POST /slots/7/bookings HTTP/1.1\r\nhost: h\r\nidempotency-key: {ticket}\r\n\
+         content-length: 100\r\n\r\nmember 1"
+    );
+    send_raw(address(&fleet), copy.as_bytes(), true).await;
+    assert_eq!(executions(&fleet, "member 1"), 0);
+    assert_eq!(book(address(&fleet), &ticket, "member 1").await.status, 200);
+    assert_eq!(executions(&fleet, "member 1"), 1);
+}
+
+#[async_std::test]
+async fn unread_body() {
+    let fleet = start_tight("unread-body").await;
+    let head = "GET /health HTTP/1.1\r\nhost: h\r\ncontent-length: 1000000\r\n\r\nslow";
+    let answer = send_raw(address(&fleet), head.as_bytes(), false).await;
+    assert_refused(&fleet, &answer, 200, &[]).await;
+}
+
+#[async_std::test]
+async fn many_connections() {
+    let limits = "  max_connections: 20\n  receive_timeout_ms: 60s\n";
+    let fleet = start_limited("many-connections", limits).await;
+    let mut idle = Vec::new();
+    for _ in 0..20 {
+        let mut stream = TcpStream::connect(address(&fleet)).await.unwrap();
+        stream.write_all(b"GET /stock/b1 HTTP/1.1\r\nhost: h\r\n").await.unwrap();
+        idle.push(stream);
+    }
+    let answer = send_raw(address(&fleet), b"GET /health HTTP/1.1\r\nhost: h\r\n\r\n", false).await;
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}");
+    assert!(answer.contains("too_many_connections") && answer.contains("retry-after: 1"));
+    for mut stream in idle {
+        stream.write_all(b"connection: close\r\n\r\n").await.unwrap();
+        let mut answer = String::new();
+        let reading = async_std::io::timeout(PATIENCE, stream.read_to_string(&mut answer));
+        reading.await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+    }
+}
+
+#[async_std::test]
+async fn half_closed_read() {
+    let fleet = start_tight("half-closed").await;
+    fleet.plain.values().for_each(|plain| plain.state().delay_ms = 60_000);
+    let head = b"GET /stock/b1 HTTP/1.1\r\nhost: h\r\n\r\n";
+    let answer = send_raw(address(&fleet), head, true).await;
+    assert_eq!(answer, "", "a caller that closed its sending half counts as gone");
+    fleet.plain.values().for_each(|plain| plain.state().delay_ms = 0);
+    assert_eq!(read_stock(address(&fleet)).await.status, 200);
+}
+
+#[async_std::test]
+async fn bad_json() {
+    let fleet = start_tight("bad-json").await;
+    let texts = [("{", "EOF"), ("{\"modle\": 1}", "unknown field `modle`"), ("{}", "`model`")];
+    for (body, expected) in texts {
+        let answer =
+            send(address(&fleet), Method::Post, "/v1/completions", "", body).await.unwrap();
+        assert_eq!((answer.status, answer.field("error").as_str()), (400, "bad_request"));
+        let message = answer.field("message");
+        assert!(message.contains(expected) && message.contains("line 1 column"), "{message}");
+    }
+}
+
+#[async_std::test]
+async fn altered_texts() {
+    let fleet = start_tight("altered-texts").await;
+    let ticket = take_ticket(address(&fleet)).await;
+    let altered = ticket.replacen('1', "2", 1);
+    let answer = book(address(&fleet), &altered, "member 1").await;
+    assert_eq!((answer.status, answer.field("error").as_str()), (400, "bad_ticket"));
+    let resume = "GET /v1/completions/resume HTTP/1.1\r\nhost: h\r\nconnection: close\r\n";
+    let request = format!("{resume}last-event-id: a/b/1~c\r\n\r\n");
+    let answer = send_raw(address(&fleet), request.as_bytes(), false).await;
+    assert_refused(&fleet, &answer, 400, &["bad_cursor"]).await;
+}
+
+#[async_std::test]
+async fn bulk_tickets() {
+    let fleet = start_tight("bulk-tickets").await;
+    let ask = |body: &'static str| send(address(&fleet), Method::Post, "/v1/tickets", "", body);
+    let answer = ask("{\"count\": 3}").await.unwrap();
+    let body: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+    for (number, ticket) in body["tickets"].as_array().unwrap().iter().enumerate() {
+        let member = format!("member {number}");
+        let answer = book(address(&fleet), ticket.as_str().unwrap(), &member).await;
+        assert_eq!((answer.status, executions(&fleet, &member)), (200, 1));
+    }
+    for body in ["{\"count\": 0}", "{\"count\": 101}", "{\"number\": 1}", "[]"] {
+        let answer = ask(body).await.unwrap();
+        assert_eq!((answer.status, answer.field("error").as_str()), (400, "bad_request"));
+    }
+}
