Never hand the same test port out twice in one process

Cause: server_dies_after_run failed once in a full run: one instance's caller port had been handed to another as its peer port ("Address already in use"). Ports came from a hash of a running number, which repeats.

Change: ports follow one another from a start that differs by process. Excluded: load of the machine (the log of the instance names the address).

Before: free_ports, 2,000 addresses, fails with repeats; after: passes.

--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -128,9 +128,10 @@
 /// A free loopback address.
 pub fn free_address() -> std::io::Result<SocketAddr> {
     static NEXT: AtomicU64 = AtomicU64::new(0);
+    let first = stable_hash(&std::process::id().to_string()) % PORT_COUNT;
     loop {
-        let key = format!("{}/{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = FIRST_PORT + (stable_hash(&key) % PORT_COUNT) as u16;
+        let number = first + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (number % PORT_COUNT) as u16;
         match TcpListener::bind(("127.0.0.1", port)) {
             Ok(listener) => return listener.local_addr(),
             Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
