--- a/crates/core/tests/at_most_once.rs
+++ b/crates/core/tests/at_most_once.rs
@@ -8,13 +8,20 @@
 const BOOKINGS: u64 = 150;
 /// Runs of each fault mix.
 const SEEDS: u64 = 10;
+/// Variable that asks for another number of runs.
+const SEEDS_VARIABLE: &str = "TURMERICRAIL_SEEDS";
+
+fn seeds() -> u64 {
+    let asked = std::env::var(SEEDS_VARIABLE).ok();
+    asked.map_or(SEEDS, |asked| asked.parse().expect("a number of runs"))
+}
 
 #[test]
 fn random_faults() {
-    println!("mix bookings executed completed not_run unknown_executed unknown_idle never_told");
+    println!("mix bookings executed completed not_run unknown_executed unknown_idle no_answer");
     for mix in FaultMix::all() {
         let mut sum = Tally::default();
-        for seed in 1..=SEEDS {
+        for seed in 1..=seeds() {
             println!("running mix={} seed={seed}", mix.name);
             add(&mut sum, World::new(seed, mix).run(BOOKINGS));
         }
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -1,9 +1,10 @@
 //! A whole deployment on loopback: fakes in this process, instances as processes of their own.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -125,16 +126,27 @@
 /// Ports given to instances.
 const PORT_COUNT: u64 = 20_000;
 
-/// A free loopback address.
+/// Ports given out by this process, each kept from other processes by a UDP socket.
+static RESERVED: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
+
+/// A free loopback address, never the same twice, which no other fleet on this machine is given.
 pub fn free_address() -> std::io::Result<SocketAddr> {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     let first = stable_hash(&std::process::id().to_string()) % PORT_COUNT;
     loop {
         let number = first + NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + (number % PORT_COUNT) as u16;
+        let is_in_use = |error: &std::io::Error| error.kind() == std::io::ErrorKind::AddrInUse;
+        let reservation = UdpSocket::bind(("127.0.0.1", port));
+        if reservation.as_ref().is_err_and(is_in_use) {
+            continue;
+        }
         match TcpListener::bind(("127.0.0.1", port)) {
-            Ok(listener) => return listener.local_addr(),
-            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
+            Ok(listener) => {
+                RESERVED.lock().expect("no holder of the lock panics").extend(reservation);
+                return listener.local_addr();
+            }
+            Err(error) if is_in_use(&error) => {}
             Err(error) => return Err(error),
         }
     }
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -22,6 +22,8 @@
     pub is_silent: bool,
     /// Whether calls are executed and the connection is cut within the answer.
     pub is_cut: bool,
+    /// Bytes added to each answer.
+    pub padding_bytes: usize,
 }
 
 /// The stand-in for a plain service.
@@ -50,11 +52,11 @@
 
 async fn execute(mut request: Request<Arc<Mutex<PlainState>>>) -> tide::Result {
     let body = request.body_string().await?;
-    let (count, delay_ms, is_silent, is_cut) = {
+    let (count, delay_ms, is_silent, is_cut, padding_bytes) = {
         let mut state = request.state().lock().expect("no holder of the lock panics");
         let count = state.executions.entry(body.clone()).or_default();
         *count += 1;
-        (*count, state.delay_ms, state.is_silent, state.is_cut)
+        (*count, state.delay_ms, state.is_silent, state.is_cut, state.padding_bytes)
     };
     task::sleep(Duration::from_millis(delay_ms)).await;
     if is_silent {
@@ -64,6 +66,7 @@
         return Ok(Response::builder(200).body(cut_body()).build());
     }
     let answer = format!("{} {} execution={count}", request.method(), request.url().path());
+    let answer = answer + &" ".repeat(padding_bytes);
     Ok(Response::builder(200).body(answer).build())
 }
 
--- a/crates/turmericrail/src/peer_edge/client.rs
+++ b/crates/turmericrail/src/peer_edge/client.rs
@@ -21,6 +21,7 @@
 use turmericrail_wire::peer::peer_client::PeerClient;
 use turmericrail_wire::peer::{ForwardReply, ForwardRequest};
 
+use super::MAX_MESSAGE_BYTES;
 use crate::daemon::Shared;
 use crate::daemon::callers::Sent;
 
@@ -42,7 +43,7 @@
         let mut channels = self.channels.lock().unwrap_or_else(|_| std::process::abort());
         let known = channels.get(peer).filter(|(known, _)| *known == address);
         if let Some((_, channel)) = known {
-            return Some(PeerClient::new(channel.clone()));
+            return Some(sized_client(channel.clone()));
         }
         let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
         let channel = endpoint
@@ -53,10 +54,15 @@
             .keep_alive_while_idle(true)
             .connect_lazy();
         channels.insert(peer.clone(), (address, channel.clone()));
-        Some(PeerClient::new(channel))
+        Some(sized_client(channel))
     }
 }
 
+fn sized_client(channel: Channel) -> PeerClient<Channel> {
+    let client = PeerClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
+    client.max_encoding_message_size(MAX_MESSAGE_BYTES)
+}
+
 fn message_type(message: &PeerMessage) -> &'static str {
     match message {
         PeerMessage::Heartbeat(_) => "heartbeat",
--- a/crates/turmericrail/src/peer_edge/server.rs
+++ b/crates/turmericrail/src/peer_edge/server.rs
@@ -10,6 +10,7 @@
 use turmericrail_wire::peer::peer_server::{Peer, PeerServer};
 use turmericrail_wire::peer::{Delivered, Envelope, ForwardReply, ForwardRequest};
 
+use super::MAX_MESSAGE_BYTES;
 use crate::daemon::Shared;
 use crate::daemon::callers::{Sent, ToCaller, call_fingerprint};
 use crate::error::StartError;
@@ -94,8 +95,11 @@
     let bound = std::net::TcpListener::bind(address);
     bound.map_err(|source| StartError::Listen { address, source })?;
     let edge = PeerEdge { shared: Arc::clone(shared) };
+    let service = PeerServer::new(edge)
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES);
     task::spawn(async move {
-        let serving = Server::builder().add_service(PeerServer::new(edge)).serve(address);
+        let serving = Server::builder().add_service(service).serve(address);
         if let Err(error) = serving.await {
             spdlog::error!("event=peer_edge_error address={address} error={:?}", error.to_string());
             std::process::exit(1);
--- a/crates/turmericrail/tests/booking_faults.rs
+++ b/crates/turmericrail/tests/booking_faults.rs
@@ -200,3 +200,40 @@
     assert_eq!(answer.status, 200);
     assert_eq!(executions(&fleet, "member 1"), 1);
 }
+
+#[async_std::test]
+async fn home_leaves() {
+    let mut fleet = start_fleet("home-leaves").await;
+    fleet.plain.values().for_each(|plain| plain.state().delay_ms = 500);
+    let (home, other) = (fleet.instances[0].caller_address, fleet.instances[1].caller_address);
+    let (spent, unspent) = (take_ticket(home).await, take_ticket(home).await);
+    let copies: Vec<_> = [home, other]
+        .into_iter()
+        .map(|address| {
+            let ticket = spent.clone();
+            task::spawn(async move { book(address, &ticket, "member 1").await })
+        })
+        .collect();
+    wait_until("the call runs", || executions(&fleet, "member 1") == 1).await;
+    fleet.instances[0].signal("TERM");
+    for copy in copies {
+        assert_eq!(copy.await.status, 200);
+    }
+    let mut process = fleet.instances[0].process.take().unwrap();
+    task::spawn_blocking(move || process.wait()).await.unwrap();
+    let answer = book(other, &unspent, "member 2").await;
+    assert_eq!(answer.outcome(), "unknown");
+    assert_eq!((executions(&fleet, "member 1"), executions(&fleet, "member 2")), (1, 0));
+}
+
+#[async_std::test]
+async fn large_answer() {
+    let fleet = start_fleet("large-answer").await;
+    let (home, other) = (fleet.instances[0].caller_address, fleet.instances[1].caller_address);
+    fleet.plain.values().for_each(|plain| plain.state().padding_bytes = 8 << 20);
+    let ticket = take_ticket(home).await;
+    let answer = book(other, &ticket, "member 1").await;
+    assert_eq!((answer.status, answer.body.len() > 8 << 20), (200, true));
+    assert_eq!(book(home, &ticket, "member 1").await, answer);
+    assert_eq!(executions(&fleet, "member 1"), 1);
+}
