--- a/crates/core/src/config/history.rs
+++ b/crates/core/src/config/history.rs
@@ -13,8 +13,10 @@
 use crate::config::error::ConfigError;
 use crate::ids::ConfigVersion;
 
-/// Patches kept for peers.
+/// Most patches kept for peers.
 const KEPT_CHANGES: usize = 256;
+/// Most bytes of patches kept for peers, as JSON.
+const KEPT_BYTES: usize = 256 * 1024;
 
 /// One accepted patch: a merge patch (RFC 7386) and the number it became.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,13 +27,20 @@
     pub patch: Value,
 }
 
+#[derive(Clone, Debug)]
+struct KeptChange {
+    change: Change,
+    size_bytes: usize,
+}
+
 /// Documents and patches known to one instance.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigHistory {
     in_force: Option<Configuration>,
     document: Value,
     document_version: ConfigVersion,
-    changes: VecDeque<Change>,
+    changes: VecDeque<KeptChange>,
+    kept_bytes: usize,
     rejected: Option<(ConfigVersion, String)>,
 }
 
@@ -71,55 +80,86 @@
             return Ok(false);
         }
         self.changes.clear();
-        self.install(version, document)
+        self.kept_bytes = 0;
+        self.document = document;
+        self.install(version).map(|()| true)
     }
 
     /// Takes patches in order; returns whether a gap needs the whole document.
+    ///
+    /// A run of patches is checked once, at its end. Where that version fails its checks, the run
+    /// is taken one by one, so that the newest good version comes into force.
     pub fn take_changes(&mut self, changes: Vec<Change>) -> Result<bool, ConfigError> {
-        let mut problem = Ok(());
-        for change in changes {
-            if change.version <= self.document_version {
-                continue;
-            }
-            if change.version.0 != self.document_version.0 + 1 || self.document.is_null() {
-                return Ok(true);
-            }
-            let mut document = self.document.clone();
-            json_patch::merge(&mut document, &change.patch);
-            self.changes.push_back(change.clone());
-            if self.changes.len() > KEPT_CHANGES {
-                self.changes.pop_front();
-            }
-            problem = self.install(change.version, document).map(|_| ());
+        let known = self.document_version;
+        let news: Vec<_> = changes.into_iter().filter(|change| change.version > known).collect();
+        let expected = (known.0 + 1..).map(ConfigVersion);
+        let is_next = |(change, version): &(&Change, ConfigVersion)| change.version == *version;
+        let count = news.iter().zip(expected).take_while(is_next).count();
+        let has_gap = count < news.len() || (self.document.is_null() && !news.is_empty());
+        if count == 0 || self.document.is_null() {
+            return Ok(has_gap);
         }
-        problem.map(|()| false)
+        let run = &news[..count];
+        let before = (count > 1).then(|| self.document.clone());
+        let result = self.install_run(run);
+        let result = match (result, before) {
+            (Err(_), Some(before)) => self.install_each(before, run),
+            (result, _) => result,
+        };
+        news.into_iter().take(count).for_each(|change| self.keep(change));
+        result.map(|()| has_gap)
     }
 
     /// The patches after `version`, or nothing where some are no longer kept.
     pub fn changes_after(&self, version: ConfigVersion) -> Option<Vec<Change>> {
-        let first = self.changes.front()?.version;
+        let first = self.changes.front()?.change.version;
         if version.0 + 1 < first.0 {
             return None;
         }
-        Some(self.changes.iter().filter(|change| change.version > version).cloned().collect())
+        let changes = self.changes.iter().map(|kept| &kept.change);
+        Some(changes.filter(|change| change.version > version).cloned().collect())
     }
 
-    fn install(
-        &mut self,
-        version: ConfigVersion,
-        mut document: Value,
-    ) -> Result<bool, ConfigError> {
-        if let Some(fields) = document.as_object_mut() {
+    fn install_run(&mut self, run: &[Change]) -> Result<(), ConfigError> {
+        for change in run {
+            json_patch::merge(&mut self.document, &change.patch);
+        }
+        run.last().map_or(Ok(()), |change| self.install(change.version))
+    }
+
+    fn install_each(&mut self, before: Value, run: &[Change]) -> Result<(), ConfigError> {
+        self.document = before;
+        let mut result = Ok(());
+        for change in run {
+            result = self.install_run(std::slice::from_ref(change));
+        }
+        result
+    }
+
+    fn keep(&mut self, change: Change) {
+        let size_bytes = change.patch.to_string().len();
+        self.kept_bytes += size_bytes;
+        self.changes.push_back(KeptChange { change, size_bytes });
+        while self.changes.len() > KEPT_CHANGES || self.kept_bytes > KEPT_BYTES {
+            let Some(dropped) = self.changes.pop_front() else {
+                return;
+            };
+            self.kept_bytes -= dropped.size_bytes;
+        }
+    }
+
+    /// Checks the document as the given version and puts it in force where it is good.
+    fn install(&mut self, version: ConfigVersion) -> Result<(), ConfigError> {
+        if let Some(fields) = self.document.as_object_mut() {
             fields.insert("version".to_owned(), Value::from(version.0));
         }
         self.document_version = version;
-        self.document = document;
         match parse_value(&self.document) {
             Ok(configuration) => {
                 assert!(configuration.version > self.version(), "the version in force went down");
                 self.in_force = Some(configuration);
                 self.rejected = None;
-                Ok(true)
+                Ok(())
             }
             Err(error) => {
                 self.rejected = Some((version, error.to_string()));
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -164,6 +164,11 @@
     ConfigDocument(ConfigVersion, Value),
     /// The configuration service told patches.
     ConfigChanges(Vec<Change>),
+    /// A call of the configuration service was answered or failed.
+    ConfigService {
+        /// Whether an answer came.
+        is_answered: bool,
+    },
     /// The platform's list of entry instances.
     InstanceList(BTreeMap<InstanceId, ListedInstance>),
     /// The platform's list of backend servers that are leaving.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -111,6 +111,7 @@
 text_id!(RouteId, "route");
 
 number_id!(Incarnation, "incarnation");
+number_id!(MemberKey, "member key");
 number_id!(ConfigVersion, "configuration version");
 number_id!(FencingNumber, "fencing number");
 number_id!(RequestId, "request");
--- a/crates/core/src/membership/rendezvous.rs
+++ b/crates/core/src/membership/rendezvous.rs
@@ -13,6 +13,18 @@
     members.into_iter().max_by_key(|member| (weight(key, member), *member))
 }
 
+/// The `count` members that come first for `key`, best first.
+pub fn first<'a>(
+    key: &str,
+    members: impl IntoIterator<Item = &'a InstanceId>,
+    count: usize,
+) -> Vec<&'a InstanceId> {
+    let mut ranked: Vec<_> = members.into_iter().collect();
+    ranked.sort_by_cached_key(|member| std::cmp::Reverse((weight(key, member), *member)));
+    ranked.truncate(count);
+    ranked
+}
+
 /// Hash of a text, the same in every process.
 pub fn stable_hash(text: &str) -> u64 {
     xxh3_64_with_seed(text.as_bytes(), 0)
--- /dev/null
+++ b/crates/core/src/membership/spread.rs
@@ -0,0 +1,223 @@
+//! Whom a beat goes to and what it carries: a fixed number of messages of bounded size, whatever
+//! the size of the fleet.
+//!
+//! Inside a data centre each beat sends two messages over the ring of live members, at distances
+//! of one, two, four and so on in turn, so that news reaches all within half as many beats as the
+//! number of members has bits. For each other data centre two members are chosen by rendezvous
+//! hashing as representatives; where this instance is one, a third message goes there and carries
+//! a summary. A change of the live members is told to all represented data centres at once.
+
+use crate::ids::{DataCentreId, InstanceId, MemberKey};
+use crate::membership::digest::{MemberBeat, MemberDigest};
+use crate::membership::heartbeat::{Members, MembersRequest};
+use crate::membership::rendezvous;
+use crate::membership::summary::{Summary, SummaryHead};
+use crate::membership::view::{DATA_CENTRE_TIMEOUT_MS, MemberView};
+use crate::units::Millis;
+
+/// Messages of a beat inside the data centre.
+const FAN_OUT: u64 = 2;
+/// Representatives of a data centre towards each other one.
+const REPRESENTATIVES: usize = 2;
+/// Most records of changed members in a heartbeat.
+const MAX_RECORDS: usize = 4;
+/// Most beats in a heartbeat.
+const MAX_BEATS: usize = 48;
+/// Most heads in a heartbeat.
+const MAX_HEADS: usize = 8;
+/// Heartbeats that carry a head after its clock advanced.
+const HEAD_SENDS: u32 = 3;
+/// Beats between two looks for members that are not live.
+const PROBE_EVERY_BEATS: u64 = 4;
+/// Most members in an answer to a request.
+const MAX_ANSWERED: usize = 64;
+
+impl MemberView {
+    /// Starts the next beat and returns whom its messages go to.
+    pub fn beat(&mut self, now_ms: Millis) -> Vec<InstanceId> {
+        self.own.beat += 1;
+        self.forget(now_ms);
+        self.refresh_if_stale(now_ms);
+        let ring = self.ring();
+        let mut targets = self.scheduled(&ring);
+        targets.extend(self.remote_targets());
+        let is_probe = self.own.beat.is_multiple_of(PROBE_EVERY_BEATS);
+        if is_probe || ring.is_empty() {
+            targets.extend(self.silent_target());
+        }
+        targets.dedup();
+        targets
+    }
+
+    /// The other live members of the own data centre.
+    pub fn neighbours(&self) -> Vec<InstanceId> {
+        self.ring()
+    }
+
+    /// The digest of this instance.
+    pub fn own_digest(&self) -> MemberDigest {
+        self.own.clone()
+    }
+
+    /// Records of live members that changed lately.
+    pub fn changed_records(&mut self, now_ms: Millis) -> Vec<MemberDigest> {
+        let heard = &self.heard;
+        let is_live =
+            |instance: &InstanceId| heard.get(instance).is_some_and(|heard| heard.is_fresh(now_ms));
+        self.changes.retain(|instance, sends| *sends > 0 && is_live(instance));
+        let mut records = Vec::new();
+        for (instance, sends) in self.changes.iter_mut().take(MAX_RECORDS) {
+            *sends -= 1;
+            records.extend(heard.get(instance).map(|heard| heard.digest.clone()));
+        }
+        records
+    }
+
+    /// Beats of live members of the own data centre.
+    pub fn beats(&self) -> Vec<MemberBeat> {
+        let ring = self.ring();
+        let start = self.own.beat as usize * MAX_BEATS % ring.len().max(1);
+        let turned = ring.iter().cycle().skip(start).take(ring.len().min(MAX_BEATS));
+        let digests = turned.filter_map(|member| self.heard.get(member));
+        digests.map(|heard| MemberBeat { key: heard.key, beat: heard.digest.beat }).collect()
+    }
+
+    /// Heads of the summaries that advanced lately, newest first.
+    pub fn heads(&mut self, now_ms: Millis) -> Vec<SummaryHead> {
+        let clock = self.clock;
+        let own = self.own_summary_at(clock).head();
+        let mut advanced: Vec<_> = self
+            .remote
+            .values_mut()
+            .filter(|remote| remote.sends < HEAD_SENDS && remote.head.clock > 0)
+            .filter(|remote| now_ms - remote.heard_ms < DATA_CENTRE_TIMEOUT_MS)
+            .collect();
+        advanced.sort_by_key(|remote| remote.sends);
+        let mut heads = vec![own];
+        for remote in advanced.into_iter().take(MAX_HEADS) {
+            remote.sends += 1;
+            heads.push(remote.head.clone());
+        }
+        heads
+    }
+
+    /// A new summary of the own data centre.
+    pub fn next_summary(&mut self) -> Summary {
+        self.clock += 1;
+        self.own_summary_at(self.clock)
+    }
+
+    /// Answers a request for members and data centres.
+    pub fn answer(&self, asked: &MembersRequest) -> Members {
+        let keys = &asked.keys[..asked.keys.len().min(MAX_ANSWERED)];
+        let mut summaries = Vec::new();
+        for data_centre in asked.data_centres.iter().take(MAX_ANSWERED) {
+            let Some(remote) = self.remote.get(data_centre) else {
+                continue;
+            };
+            if remote.members.is_empty() {
+                continue;
+            }
+            summaries.push(Summary {
+                data_centre: data_centre.clone(),
+                clock: remote.head.clock,
+                members: remote.members.clone(),
+            });
+        }
+        Members { records: self.records(keys), summaries }
+    }
+
+    fn own_summary_at(&self, clock: u64) -> Summary {
+        let mut members: Vec<MemberKey> = vec![self.own_key];
+        let ring = self.ring();
+        let others = ring.iter().filter_map(|member| self.heard.get(member));
+        members.extend(others.map(|heard| heard.key));
+        members.sort();
+        Summary { data_centre: self.own.data_centre.clone(), clock, members }
+    }
+
+    /// Other live members of the own data centre, starting behind this one.
+    fn ring(&self) -> Vec<InstanceId> {
+        let members = self.live.get(&self.own.data_centre).map_or(&[][..], Vec::as_slice);
+        let (before, after) =
+            members.split_at(members.partition_point(|member| *member <= self.own.instance));
+        let others = after.iter().chain(before).filter(|member| **member != self.own.instance);
+        others.cloned().collect()
+    }
+
+    fn scheduled(&self, ring: &[InstanceId]) -> Vec<InstanceId> {
+        let steps = u64::from(usize::BITS - ring.len().leading_zeros());
+        let first = self.own.beat * FAN_OUT;
+        let turns = (first..first + FAN_OUT.min(steps)).filter_map(|turn| turn.checked_rem(steps));
+        let members = turns.filter_map(|step| ring.get((1 << step) - 1));
+        members.cloned().collect()
+    }
+
+    fn random_of(&self, members: &[InstanceId]) -> Option<InstanceId> {
+        let text = format!("{}/{}/{}", self.own.instance, self.own.incarnation, self.own.beat);
+        let index = rendezvous::stable_hash(&text).checked_rem(members.len() as u64)?;
+        members.get(index as usize).cloned()
+    }
+
+    /// A member of one other data centre that this instance represents its own towards, in turn;
+    /// of each, where the own data centre changed.
+    fn remote_targets(&mut self) -> Vec<InstanceId> {
+        let mut data_centres = self.represented();
+        let hash = self.own_summary_at(self.clock).head().hash;
+        let is_changed = std::mem::replace(&mut self.told_hash, hash) != hash;
+        if !is_changed && !data_centres.is_empty() {
+            let turn = self.own.beat as usize % data_centres.len();
+            data_centres = vec![data_centres.swap_remove(turn)];
+        }
+        let target = |data_centre: &DataCentreId| match self.live.get(data_centre) {
+            Some(members) => self.random_of(members),
+            None => self.random_of(&self.known_of(data_centre)),
+        };
+        data_centres.iter().filter_map(target).collect()
+    }
+
+    fn represented(&self) -> Vec<DataCentreId> {
+        let members = self.members_of(&self.own.data_centre);
+        let members =
+            if members.is_empty() { std::slice::from_ref(&self.own.instance) } else { members };
+        let mut represented = Vec::new();
+        for data_centre in self.data_centres() {
+            let key = format!("{}>{data_centre}", self.own.data_centre);
+            let chosen = rendezvous::first(&key, members, REPRESENTATIVES);
+            if chosen.contains(&&self.own.instance) {
+                represented.push(data_centre);
+            }
+        }
+        represented
+    }
+
+    /// Other data centres, as far as known.
+    fn data_centres(&self) -> Vec<DataCentreId> {
+        let listed = self.listed.values().map(|listed| &listed.data_centre);
+        let heard = self.heard.values().map(|heard| &heard.digest.data_centre);
+        let mut data_centres: Vec<_> =
+            listed.chain(heard).filter(|known| **known != self.own.data_centre).collect();
+        data_centres.sort();
+        data_centres.dedup();
+        data_centres.into_iter().cloned().collect()
+    }
+
+    fn known_of(&self, data_centre: &DataCentreId) -> Vec<InstanceId> {
+        let listed = self.listed.iter().filter(|(_, listed)| listed.data_centre == *data_centre);
+        let heard = self.heard.iter().filter(|(_, heard)| heard.digest.data_centre == *data_centre);
+        let mut known: Vec<_> =
+            listed.map(|(id, _)| id).chain(heard.map(|(id, _)| id)).cloned().collect();
+        known.sort();
+        known.dedup();
+        known.retain(|instance| *instance != self.own.instance);
+        known
+    }
+
+    /// A member of the own data centre that is known and not live.
+    fn silent_target(&self) -> Option<InstanceId> {
+        let live = self.live.get(&self.own.data_centre).map_or(&[][..], Vec::as_slice);
+        let mut silent = self.known_of(&self.own.data_centre);
+        silent.retain(|instance| live.binary_search(instance).is_err());
+        self.random_of(&silent)
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/summary.rs
@@ -0,0 +1,63 @@
+//! Summaries of a data centre, by which other data centres know its members.
+//!
+//! A summary carries a logical clock that every member of the data centre may advance above the
+//! highest value it knows, so that the newest summary wins whichever member made it. A head names
+//! a summary by its clock and the hash of its members; it is enough to renew what is known.
+
+use crate::ids::{DataCentreId, MemberKey};
+use crate::membership::rendezvous::stable_hash;
+use crate::units::Millis;
+
+/// Bits of a summary's hash, which travels as four bytes.
+const HASH_BITS: u64 = 0xffff_ffff;
+
+/// Name of a summary.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SummaryHead {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// Logical clock of the data centre.
+    pub clock: u64,
+    /// Hash of the members.
+    pub hash: u64,
+}
+
+/// The live members of a data centre.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Summary {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// Logical clock of the data centre.
+    pub clock: u64,
+    /// Keys of its live members, in order.
+    pub members: Vec<MemberKey>,
+}
+
+impl Summary {
+    /// The name of this summary.
+    pub fn head(&self) -> SummaryHead {
+        let keys: Vec<_> = self.members.iter().map(MemberKey::to_string).collect();
+        let hash = stable_hash(&keys.join("/")) & HASH_BITS;
+        SummaryHead { data_centre: self.data_centre.clone(), clock: self.clock, hash }
+    }
+}
+
+/// What is known of another data centre.
+#[derive(Clone, Debug)]
+pub(super) struct RemoteDataCentre {
+    /// The newest head.
+    pub head: SummaryHead,
+    /// Members of the last whole summary.
+    pub members: Vec<MemberKey>,
+    /// When the clock last advanced.
+    pub heard_ms: Millis,
+    /// Heartbeats that carried the head since it advanced.
+    pub sends: u32,
+}
+
+impl RemoteDataCentre {
+    /// A data centre just heard of.
+    pub fn new(head: SummaryHead, now_ms: Millis) -> Self {
+        Self { head, members: Vec::new(), heard_ms: now_ms, sends: 0 }
+    }
+}
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -1,26 +1,41 @@
 //! One instance's view of the other instances.
 //!
-//! The platform's list lags, heartbeats do not, so a member counts as live while its heartbeats
-//! arrive, whether listed or not. The list contributes addresses of instances not yet heard and
-//! the news that one is leaving. Ownership built on this view serves efficiency only: every
+//! A member of the own data centre counts as live while its beats rise, one of another data centre
+//! while the summaries of that data centre arrive and name it; a message straight from a member
+//! counts for both. The platform's list lags: it contributes addresses of instances not yet heard
+//! and the news that one is leaving. Ownership built on this view serves efficiency only: every
 //! promise holds with two owners at once, or none.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{DataCentreId, InstanceId};
-use crate::membership::heartbeat::MemberDigest;
+use crate::ids::{DataCentreId, Incarnation, InstanceId, MemberKey};
+use crate::membership::digest::{MemberBeat, MemberDigest};
 use crate::membership::rendezvous;
+use crate::membership::summary::{RemoteDataCentre, Summary, SummaryHead};
 use crate::report::Holder;
 use crate::units::Millis;
 
 /// Silence after which a member no longer counts as live.
-pub const MEMBER_TIMEOUT_MS: Millis = Millis(3_000);
+pub const MEMBER_TIMEOUT_MS: Millis = Millis(2_200);
 
-/// Silence after which a member that is not listed is forgotten.
-const FORGET_AFTER_MS: Millis = Millis(60_000);
+/// Silence after which no member of another data centre counts as live.
+pub(super) const DATA_CENTRE_TIMEOUT_MS: Millis = Millis(4_000);
+
+/// Silence after which a member that is not listed is forgotten: longer than data centres lose
+/// each other for, so that they find each other again without the list.
+const FORGET_AFTER_MS: Millis = Millis(2 * 3_600_000);
+/// Most keys remembered, those of earlier revisions included.
+const MAX_KEYS: usize = 4_096;
+/// Heartbeats that carry a change of a member.
+const CHANGE_SENDS: u32 = 8;
+/// Age of a run within which it may take a higher incarnation.
+const RAISE_WITHIN_MS: Millis = Millis(10_000);
+/// Low bits of an incarnation, chosen at random by each run. They keep two runs apart whose clocks
+/// agree or that rose above the same predecessor.
+pub const INCARNATION_RANDOM_BITS: u32 = 22;
 
 /// State of an instance in the platform's list.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -43,29 +58,96 @@
     pub state: ListedState,
 }
 
+/// What a digest of the own instance says about this run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OwnNews {
+    /// This run took a higher incarnation, as its predecessor's clock was ahead.
+    Raised(Incarnation),
+    /// Another run of the same instance took this one's place.
+    Replaced(Incarnation),
+}
+
 #[derive(Clone, Debug)]
-struct Heard {
-    digest: MemberDigest,
-    heard_ms: Millis,
+pub(super) struct Heard {
+    pub(super) digest: MemberDigest,
+    /// Key of the digest.
+    pub(super) key: MemberKey,
+    /// Silence of others about it after which it no longer counts as live.
+    pub(super) timeout_ms: Millis,
+    /// Last sign of life through others.
+    pub(super) heard_ms: Option<Millis>,
+    /// Last message straight from it.
+    pub(super) direct_ms: Option<Millis>,
+    /// When it was last heard in any way.
+    pub(super) seen_ms: Millis,
+}
+
+impl Heard {
+    /// When it stops to count as live.
+    fn expires_ms(&self) -> Option<Millis> {
+        let heard = self.heard_ms.map(|heard_ms| heard_ms + self.timeout_ms);
+        heard.max(self.direct_ms.map(|direct_ms| direct_ms + MEMBER_TIMEOUT_MS))
+    }
+
+    pub(super) fn is_fresh(&self, now_ms: Millis) -> bool {
+        self.expires_ms().is_some_and(|expires_ms| now_ms < expires_ms)
+    }
 }
 
 /// The merged view.
 #[derive(Clone, Debug)]
 pub struct MemberView {
-    own: MemberDigest,
-    listed: BTreeMap<InstanceId, ListedInstance>,
-    heard: BTreeMap<InstanceId, Heard>,
+    pub(super) own: MemberDigest,
+    pub(super) own_key: MemberKey,
+    pub(super) listed: BTreeMap<InstanceId, ListedInstance>,
+    pub(super) heard: BTreeMap<InstanceId, Heard>,
+    pub(super) keys: BTreeMap<MemberKey, (InstanceId, Incarnation)>,
+    pub(super) remote: BTreeMap<DataCentreId, RemoteDataCentre>,
+    pub(super) changes: BTreeMap<InstanceId, u32>,
+    /// Live members of each data centre, leaving ones included.
+    pub(super) live: BTreeMap<DataCentreId, Vec<InstanceId>>,
+    /// Live members of each data centre that take work.
+    working: BTreeMap<DataCentreId, Vec<InstanceId>>,
+    pub(super) clock: u64,
+    /// Data centres with a live instance in the platform's list.
+    listed_alive: BTreeSet<DataCentreId>,
+    generation: u64,
+    is_stale: bool,
+    has_news: bool,
+    /// Hash of the members in the last summary that representatives sent.
+    pub(super) told_hash: u64,
+    /// When the first live member stops to count as live unless it is heard again.
+    next_expiry_ms: Option<Millis>,
 }
 
 impl MemberView {
     /// A view that knows only its own instance.
     pub fn new(own: MemberDigest) -> Self {
-        Self { own, listed: BTreeMap::new(), heard: BTreeMap::new() }
+        let mut view = Self {
+            own_key: own.key(),
+            own,
+            listed: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            remote: BTreeMap::new(),
+            changes: BTreeMap::new(),
+            live: BTreeMap::new(),
+            working: BTreeMap::new(),
+            clock: 0,
+            listed_alive: BTreeSet::new(),
+            generation: 0,
+            is_stale: true,
+            has_news: false,
+            told_hash: 0,
+            next_expiry_ms: None,
+        };
+        view.refresh(Millis::ZERO);
+        view
     }
 
     /// This instance and its run.
     pub fn own_holder(&self) -> Holder {
-        Holder { instance: self.own.instance.clone(), incarnation: self.own.incarnation }
+        self.own.holder()
     }
 
     /// The data centre of this instance.
@@ -75,42 +157,166 @@
 
     /// Marks this instance as leaving.
     pub fn leave(&mut self) {
-        self.own.is_leaving = true;
+        if !self.own.is_leaving {
+            self.own.is_leaving = true;
+            self.own.revision += 1;
+            self.note_own_change();
+        }
     }
 
-    /// Starts the next beat and returns the digests to send.
-    pub fn beat(&mut self, now_ms: Millis) -> Vec<MemberDigest> {
-        self.own.beat += 1;
-        self.heard.retain(|instance, heard| {
-            let is_recent = now_ms - heard.heard_ms < FORGET_AFTER_MS;
-            is_recent || self.listed.contains_key(instance)
-        });
-        let live = self.heard.values().filter(|heard| is_fresh(heard, now_ms));
-        let others = live.map(|heard| heard.digest.clone());
-        std::iter::once(self.own.clone()).chain(others).collect()
+    /// Marks whether this instance can't read the configuration service.
+    pub fn set_cut_off(&mut self, is_cut_off: bool) {
+        if self.own.is_cut_off != is_cut_off {
+            self.own.is_cut_off = is_cut_off;
+            self.own.revision += 1;
+            self.note_own_change();
+        }
     }
 
     /// Replaces the platform's list.
     pub fn take_list(&mut self, listed: BTreeMap<InstanceId, ListedInstance>) {
         self.listed = listed;
+        self.is_stale = true;
     }
 
-    /// Takes digests from a heartbeat; only a newer incarnation or beat counts as a sign of life.
-    pub fn take_digests(&mut self, now_ms: Millis, digests: Vec<MemberDigest>) {
+    /// Takes digests that others give of members, which are no signs of life of members already
+    /// known; returns what they say about this run itself.
+    pub fn take_digests(
+        &mut self,
+        now_ms: Millis,
+        digests: impl IntoIterator<Item = MemberDigest>,
+    ) -> Option<OwnNews> {
+        let mut news = None;
         for digest in digests {
             if digest.instance == self.own.instance {
+                news = self.take_own(now_ms, &digest).or(news);
                 continue;
             }
-            let known = self.heard.get(&digest.instance).map(|heard| &heard.digest);
-            let is_news = known.is_none_or(|known| {
-                (digest.incarnation, digest.beat) > (known.incarnation, known.beat)
-            });
-            if !is_news {
+            self.take_digest(now_ms, digest);
+        }
+        news
+    }
+
+    /// Takes the digest that the sender of a heartbeat gives of itself.
+    pub fn take_sender(&mut self, now_ms: Millis, own: MemberDigest) -> Option<OwnNews> {
+        let holder = own.holder();
+        let beat = MemberBeat { key: own.key(), beat: own.beat };
+        let news = self.take_digests(now_ms, [own]);
+        self.take_beats(now_ms, &[beat]);
+        self.note_direct(now_ms, &holder);
+        news
+    }
+
+    /// Notes a message straight from a member.
+    pub fn note_direct(&mut self, now_ms: Millis, from: &Holder) {
+        let Some(heard) = self.heard.get_mut(&from.instance) else {
+            return;
+        };
+        if heard.digest.incarnation == from.incarnation {
+            self.is_stale |= !heard.is_fresh(now_ms);
+            heard.direct_ms = Some(now_ms);
+            heard.seen_ms = now_ms;
+        }
+    }
+
+    /// Takes beats; returns the keys that are not known.
+    pub fn take_beats(&mut self, now_ms: Millis, beats: &[MemberBeat]) -> Vec<MemberKey> {
+        let mut unknown = Vec::new();
+        for MemberBeat { key, beat } in beats {
+            if *key == self.own_key {
+                continue;
+            }
+            let Some((instance, incarnation)) = self.keys.get(key) else {
+                unknown.push(*key);
+                continue;
+            };
+            let Some(heard) = self.heard.get_mut(instance) else {
+                continue;
+            };
+            if heard.digest.incarnation != *incarnation || heard.digest.beat >= *beat {
                 continue;
             }
-            let instance = digest.instance.clone();
-            self.heard.insert(instance, Heard { digest, heard_ms: now_ms });
+            self.is_stale |= !heard.is_fresh(now_ms);
+            heard.digest.beat = *beat;
+            heard.heard_ms = Some(now_ms);
+            heard.seen_ms = now_ms;
         }
+        unknown
+    }
+
+    /// Takes the name of a summary; returns whether its members are not known.
+    pub fn take_head(&mut self, now_ms: Millis, head: SummaryHead) -> bool {
+        if head.data_centre == self.own.data_centre {
+            self.clock = self.clock.max(head.clock);
+            return false;
+        }
+        let data_centre = head.data_centre.clone();
+        let Some(known) = self.remote.get_mut(&data_centre) else {
+            let nameless = SummaryHead { clock: 0, hash: 0, ..head };
+            self.remote.insert(data_centre, RemoteDataCentre::new(nameless, now_ms));
+            return true;
+        };
+        if head.clock <= known.head.clock {
+            return false;
+        }
+        if head.hash != known.head.hash {
+            return true;
+        }
+        known.head.clock = head.clock;
+        known.heard_ms = now_ms;
+        known.sends = 0;
+        self.renew_remote(now_ms, &data_centre);
+        false
+    }
+
+    /// Takes a whole summary; returns the keys that are not known.
+    pub fn take_summary(&mut self, now_ms: Millis, summary: Summary) -> Vec<MemberKey> {
+        let head = summary.head();
+        if head.data_centre == self.own.data_centre {
+            self.clock = self.clock.max(head.clock);
+            return Vec::new();
+        }
+        let known = self.remote.get(&head.data_centre);
+        if known.is_some_and(|known| known.head.clock >= head.clock) {
+            return Vec::new();
+        }
+        let data_centre = head.data_centre.clone();
+        let before = known.map(|known| known.members.clone()).unwrap_or_default();
+        let unknown = summary.members.iter().filter(|key| !self.keys.contains_key(key));
+        let unknown: Vec<_> = unknown.copied().collect();
+        let mut remote = RemoteDataCentre::new(head, now_ms);
+        remote.members = summary.members;
+        self.drop_absent(&before, &remote.members);
+        self.remote.insert(data_centre.clone(), remote);
+        self.renew_remote(now_ms, &data_centre);
+        self.is_stale = true;
+        unknown
+    }
+
+    /// The records of members, as far as they are known.
+    pub fn records(&self, keys: &[MemberKey]) -> Vec<MemberDigest> {
+        let mut records = Vec::new();
+        for key in keys {
+            if *key == self.own_key {
+                records.push(self.own.clone());
+                continue;
+            }
+            let known = self.keys.get(key).and_then(|(instance, _)| self.heard.get(instance));
+            records.extend(known.map(|heard| heard.digest.clone()));
+        }
+        records
+    }
+
+    /// Members that summaries name and that are not known.
+    pub fn missing(&self) -> Vec<MemberKey> {
+        let named = self.remote.values().flat_map(|remote| &remote.members);
+        named.filter(|key| !self.keys.contains_key(key)).copied().collect()
+    }
+
+    /// The record of an instance where it outranks the given one.
+    pub fn newer_record(&self, digest: &MemberDigest) -> Option<MemberDigest> {
+        let known = &self.heard.get(&digest.instance)?.digest;
+        (known.incarnation > digest.incarnation).then(|| known.clone())
     }
 
     /// Whether this run of an instance is live.
@@ -120,13 +326,13 @@
         }
         let heard = self.heard.get(&holder.instance);
         heard.is_some_and(|heard| {
-            heard.digest.incarnation == holder.incarnation && is_fresh(heard, now_ms)
+            heard.digest.incarnation == holder.incarnation && heard.is_fresh(now_ms)
         })
     }
 
     /// Number of live members of all data centres, this one included.
     pub fn live_members(&self, now_ms: Millis) -> usize {
-        self.heard.values().filter(|heard| is_fresh(heard, now_ms)).count() + 1
+        self.heard.values().filter(|heard| heard.is_fresh(now_ms)).count() + 1
     }
 
     /// Whether this run of an instance was replaced by a newer one.
@@ -139,47 +345,31 @@
     }
 
     /// Live members of a data centre that are not leaving, in order.
-    pub fn members_of(&self, data_centre: &DataCentreId, now_ms: Millis) -> Vec<InstanceId> {
-        let mut members: Vec<_> = self
-            .heard
-            .values()
-            .filter(|heard| is_fresh(heard, now_ms))
-            .map(|heard| &heard.digest)
-            .chain(std::iter::once(&self.own))
-            .filter(|digest| digest.data_centre == *data_centre && !digest.is_leaving)
-            .filter(|digest| !self.is_listed_leaving(&digest.instance))
-            .map(|digest| digest.instance.clone())
-            .collect();
-        members.sort();
-        members
+    pub fn members_of(&self, data_centre: &DataCentreId) -> &[InstanceId] {
+        self.working.get(data_centre).map_or(&[], Vec::as_slice)
     }
 
     /// Owner of a key among the live members of a data centre.
-    pub fn owner_of(
-        &self,
-        key: &str,
-        data_centre: &DataCentreId,
-        now_ms: Millis,
-    ) -> Option<InstanceId> {
-        let members = self.members_of(data_centre, now_ms);
-        rendezvous::owner(key, &members).cloned()
+    pub fn owner_of(&self, key: &str, data_centre: &DataCentreId) -> Option<&InstanceId> {
+        rendezvous::owner(key, self.members_of(data_centre))
     }
 
     /// Owner of a key among the live members of all data centres.
-    pub fn owner_anywhere(&self, key: &str, now_ms: Millis) -> Option<InstanceId> {
-        let fresh = self.heard.values().filter(|heard| is_fresh(heard, now_ms));
-        let digests = fresh.map(|heard| &heard.digest).chain(std::iter::once(&self.own));
-        let members = digests.filter(|digest| !digest.is_leaving).map(|digest| &digest.instance);
-        rendezvous::owner(key, members).cloned()
+    pub fn owner_anywhere(&self, key: &str) -> Option<&InstanceId> {
+        rendezvous::owner(key, self.working.values().flatten())
     }
 
     /// Whether the platform lists a live instance in a data centre.
     pub fn is_listed_alive(&self, data_centre: &DataCentreId) -> bool {
-        let mut listed = self.listed.values();
-        listed.any(|listed| listed.data_centre == *data_centre && listed.state == ListedState::Live)
+        self.listed_alive.contains(data_centre)
     }
 
-    /// Peers to send heartbeats to, with addresses: all that are listed or heard.
+    /// Number that rises with each change of the live members.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Peers with their addresses: all that are listed or heard.
     pub fn peers(&self) -> BTreeMap<InstanceId, SocketAddr> {
         let listed = self.listed.iter().map(|(id, listed)| (id.clone(), listed.peer_address));
         let heard = self.heard.iter().map(|(id, heard)| (id.clone(), heard.digest.peer_address));
@@ -188,18 +378,197 @@
         peers
     }
 
+    /// Peer edge of an instance.
+    pub fn address_of(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        let heard = self.heard.get(instance).map(|heard| heard.digest.peer_address);
+        heard.or_else(|| self.listed.get(instance).map(|listed| listed.peer_address))
+    }
+
+    /// Whether another instance is listed or was heard.
+    pub fn has_peers(&self) -> bool {
+        let is_other = |instance: &InstanceId| *instance != self.own.instance;
+        !self.heard.is_empty() || self.listed.keys().any(is_other)
+    }
+
+    /// Where an instance stands.
+    pub fn data_centre_of(&self, instance: &InstanceId) -> Option<&DataCentreId> {
+        let heard = self.heard.get(instance).map(|heard| &heard.digest.data_centre);
+        heard.or_else(|| self.listed.get(instance).map(|listed| &listed.data_centre))
+    }
+
     /// Every member heard of, for the status page.
     pub fn status(&self, now_ms: Millis) -> Vec<(MemberDigest, bool)> {
         let others =
-            self.heard.values().map(|heard| (heard.digest.clone(), is_fresh(heard, now_ms)));
+            self.heard.values().map(|heard| (heard.digest.clone(), heard.is_fresh(now_ms)));
         std::iter::once((self.own.clone(), true)).chain(others).collect()
     }
 
+    /// Members of this data centre that take work and can read the configuration service.
+    pub fn readers(&self) -> Vec<&InstanceId> {
+        let can_read = |instance: &&InstanceId| match self.heard.get(*instance) {
+            Some(heard) => !heard.digest.is_cut_off,
+            None => !self.own.is_cut_off,
+        };
+        self.members_of(&self.own.data_centre).iter().filter(can_read).collect()
+    }
+
+    /// Gives every member that was live before a pause of this process a new time to be heard.
+    pub fn wake(&mut self, slept_at_ms: Millis, now_ms: Millis) {
+        for heard in self.heard.values_mut() {
+            if heard.is_fresh(slept_at_ms) {
+                heard.heard_ms = Some(now_ms);
+            }
+        }
+        for remote in self.remote.values_mut() {
+            if slept_at_ms - remote.heard_ms < DATA_CENTRE_TIMEOUT_MS {
+                remote.heard_ms = now_ms;
+            }
+        }
+        self.is_stale = true;
+    }
+
+    /// Brings the lists of live members up to date.
+    pub fn refresh(&mut self, now_ms: Millis) {
+        self.is_stale = false;
+        self.next_expiry_ms = None;
+        let mut live: BTreeMap<DataCentreId, Vec<InstanceId>> = BTreeMap::new();
+        let mut working = live.clone();
+        let fresh: Vec<_> = self.heard.values().filter(|heard| heard.is_fresh(now_ms)).collect();
+        self.next_expiry_ms = fresh.iter().filter_map(|heard| heard.expires_ms()).min();
+        let fresh = fresh.into_iter();
+        for digest in fresh.map(|heard| &heard.digest).chain(std::iter::once(&self.own)) {
+            let (data_centre, instance) = (&digest.data_centre, &digest.instance);
+            live.entry(data_centre.clone()).or_default().push(instance.clone());
+            if !digest.is_leaving && !self.is_listed_leaving(instance) {
+                working.entry(data_centre.clone()).or_default().push(instance.clone());
+            }
+        }
+        live.values_mut().chain(working.values_mut()).for_each(|members| members.sort());
+        self.live = live;
+        let alive = self.listed.values().filter(|listed| listed.state == ListedState::Live);
+        let listed_alive = alive.map(|listed| listed.data_centre.clone()).collect();
+        if listed_alive != self.listed_alive {
+            self.listed_alive = listed_alive;
+            self.generation += 1;
+        }
+        if working != self.working {
+            self.working = working;
+            self.generation += 1;
+            self.has_news = true;
+        }
+    }
+
+    /// Brings the lists of live members up to date where something changed or timed out.
+    pub fn refresh_if_stale(&mut self, now_ms: Millis) {
+        let is_expired = self.next_expiry_ms.is_some_and(|expiry_ms| now_ms >= expiry_ms);
+        if self.is_stale || is_expired {
+            self.refresh(now_ms);
+        }
+    }
+
+    /// Whether live members changed since this was last asked, so that others should hear soon.
+    pub fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.has_news)
+    }
+
+    /// Forgets members that were silent for long and keys of earlier revisions.
+    pub fn forget(&mut self, now_ms: Millis) {
+        let listed = &self.listed;
+        self.heard.retain(|instance, heard| {
+            now_ms - heard.seen_ms < FORGET_AFTER_MS || listed.contains_key(instance)
+        });
+        let heard = &self.heard;
+        if self.keys.len() > MAX_KEYS {
+            self.keys.retain(|key, (instance, _)| {
+                heard.get(instance).is_some_and(|heard| heard.key == *key)
+            });
+        }
+        self.keys.retain(|_, (instance, _)| heard.contains_key(instance));
+    }
+
+    fn take_digest(&mut self, now_ms: Millis, digest: MemberDigest) {
+        let known = self.heard.get(&digest.instance);
+        if known.is_some_and(|known| known.digest.rank() >= digest.rank()) {
+            return;
+        }
+        let (instance, key) = (digest.instance.clone(), digest.key());
+        let is_local = digest.data_centre == self.own.data_centre;
+        let is_same_run = known.is_some_and(|known| known.digest.incarnation == digest.incarnation);
+        let timeout_ms = if is_local { MEMBER_TIMEOUT_MS } else { DATA_CENTRE_TIMEOUT_MS };
+        let (heard_ms, direct_ms, seen_ms) = (None, None, now_ms);
+        let mut heard = Heard { digest, key, timeout_ms, heard_ms, direct_ms, seen_ms };
+        if let Some(known) = known.filter(|_| is_same_run) {
+            heard.digest.beat = heard.digest.beat.max(known.digest.beat);
+            (heard.heard_ms, heard.direct_ms) = (known.heard_ms, known.direct_ms);
+        }
+        let data_centre = &heard.digest.data_centre;
+        let is_named =
+            self.remote.get(data_centre).is_some_and(|remote| remote.members.contains(&key));
+        if (is_local && !is_same_run) || is_named {
+            heard.heard_ms = Some(now_ms);
+        }
+        self.keys.insert(key, (instance.clone(), heard.digest.incarnation));
+        if is_local {
+            self.changes.insert(instance.clone(), CHANGE_SENDS);
+        }
+        self.heard.insert(instance, heard);
+        self.is_stale = true;
+    }
+
+    fn note_own_change(&mut self) {
+        self.own_key = self.own.key();
+        self.is_stale = true;
+    }
+
+    fn take_own(&mut self, now_ms: Millis, digest: &MemberDigest) -> Option<OwnNews> {
+        if digest.incarnation <= self.own.incarnation {
+            return None;
+        }
+        if now_ms >= RAISE_WITHIN_MS {
+            return Some(OwnNews::Replaced(digest.incarnation));
+        }
+        let time = (digest.incarnation.0 >> INCARNATION_RANDOM_BITS) + 1;
+        let random = self.own.incarnation.0 & ((1 << INCARNATION_RANDOM_BITS) - 1);
+        self.own.incarnation = Incarnation((time << INCARNATION_RANDOM_BITS) | random);
+        self.note_own_change();
+        Some(OwnNews::Raised(self.own.incarnation))
+    }
+
+    /// Renews the sign of life of every member that the summary of a data centre names.
+    fn renew_remote(&mut self, now_ms: Millis, data_centre: &DataCentreId) {
+        let Some(remote) = self.remote.get(data_centre) else {
+            return;
+        };
+        for key in &remote.members {
+            let Some((instance, incarnation)) = self.keys.get(key) else {
+                continue;
+            };
+            let Some(heard) = self.heard.get_mut(instance) else {
+                continue;
+            };
+            if heard.digest.incarnation == *incarnation {
+                self.is_stale |= !heard.is_fresh(now_ms);
+                heard.heard_ms = Some(now_ms);
+                heard.seen_ms = now_ms;
+            }
+        }
+    }
+
+    /// Ends the sign of life of members that a newer summary no longer names.
+    fn drop_absent(&mut self, before: &[MemberKey], after: &[MemberKey]) {
+        let after: BTreeSet<_> = after.iter().collect();
+        for key in before.iter().filter(|key| !after.contains(key)) {
+            let Some((instance, _)) = self.keys.get(key) else {
+                continue;
+            };
+            if let Some(heard) = self.heard.get_mut(instance) {
+                heard.heard_ms = None;
+                self.is_stale = true;
+            }
+        }
+    }
+
     fn is_listed_leaving(&self, instance: &InstanceId) -> bool {
         self.listed.get(instance).is_some_and(|listed| listed.state == ListedState::Leaving)
     }
 }
-
-fn is_fresh(heard: &Heard, now_ms: Millis) -> bool {
-    now_ms - heard.heard_ms < MEMBER_TIMEOUT_MS
-}
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -7,7 +7,7 @@
 
 use crate::config::Change;
 use crate::ids::{ConfigVersion, RequestId, ServerId, StreamId};
-use crate::membership::Heartbeat;
+use crate::membership::{Heartbeat, Members, MembersRequest};
 use crate::report::Holder;
 use crate::units::KvPieces;
 
@@ -16,7 +16,7 @@
 pub struct Envelope {
     /// The sender.
     pub from: Holder,
-    /// Number of the configuration version in force at the sender.
+    /// Highest configuration version whose document the sender knows, in force or not.
     pub config_version: ConfigVersion,
     /// What is said.
     pub message: PeerMessage,
@@ -26,7 +26,13 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum PeerMessage {
     /// Sign of life with digests.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
+    /// Sign of life towards the owner of engines of another data centre.
+    Keepalive,
+    /// Asks for members that a digest named.
+    MembersRequest(MembersRequest),
+    /// Members and data centres.
+    Members(Members),
     /// Asks the owner of an engine for a seat.
     SeatRequest(SeatRequest),
     /// The owner's answer.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -7,11 +7,13 @@
 mod config_path;
 mod member_path;
 mod model_path;
+mod ownership;
 mod placement_path;
 mod plain_path;
 mod plain_tries;
 mod seat_path;
 pub mod status;
+mod sync;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -20,9 +22,12 @@
 use crate::config::ConfigHistory;
 use crate::error_kind::ErrorKind;
 use crate::event::{Event, Now, PlainAnswer};
-use crate::ids::{DataCentreId, Incarnation, InstanceId, RequestId, ServerId};
-use crate::membership::{MemberDigest, MemberView, ServerLoad};
+use crate::ids::{DataCentreId, Incarnation, InstanceId, MemberKey, RequestId, ServerId};
+use crate::membership::{LeavingServers, MemberDigest, MemberView, ServerLoad};
 use crate::message::{Envelope, PeerMessage};
+use crate::node::config_path::{Fetch, HeldMessage};
+use crate::node::ownership::OwnedServers;
+use crate::node::sync::SyncState;
 use crate::once::{Seal, TicketBook};
 use crate::placement::PlacementState;
 use crate::request::{Flow, PlainCaller, PlainFlow, RetryBudget};
@@ -59,8 +64,15 @@
     config: ConfigHistory,
     ledgers: BTreeMap<ServerId, SeatLedger>,
     loads: BTreeMap<ServerId, KnownLoad>,
+    leaving: LeavingServers,
     leaving_servers: BTreeSet<ServerId>,
     placement: PlacementState,
+    owned: OwnedServers,
+    sync: SyncState,
+    fetch: Fetch,
+    held_messages: Vec<HeldMessage>,
+    asked_keys: BTreeMap<MemberKey, Millis>,
+    service_lost_ms: Option<Millis>,
     flows: BTreeMap<RequestId, Flow>,
     plain_callers: BTreeMap<RequestId, PlainCaller>,
     plain_flows: BTreeMap<RequestId, PlainFlow>,
@@ -69,8 +81,10 @@
     tickets: TicketBook<PlainEnd>,
     is_leaving: bool,
     next_beat_ms: Millis,
+    earliest_beat_ms: Millis,
     next_poll_ms: Millis,
     next_claim_ms: Millis,
+    next_keepalive_ms: Millis,
     actions: Vec<Action>,
 }
 
@@ -87,8 +101,10 @@
         let own = MemberDigest {
             instance: settings.instance,
             incarnation: settings.incarnation,
+            revision: 0,
             beat: 0,
             is_leaving: false,
+            is_cut_off: false,
             peer_address: settings.peer_address,
             data_centre: settings.data_centre,
         };
@@ -99,8 +115,15 @@
             config: ConfigHistory::default(),
             ledgers: BTreeMap::new(),
             loads: BTreeMap::new(),
+            leaving: LeavingServers::default(),
             leaving_servers: BTreeSet::new(),
             placement: PlacementState::default(),
+            owned: OwnedServers::default(),
+            sync: SyncState::default(),
+            fetch: Fetch::default(),
+            held_messages: Vec::new(),
+            asked_keys: BTreeMap::new(),
+            service_lost_ms: None,
             flows: BTreeMap::new(),
             plain_callers: BTreeMap::new(),
             plain_flows: BTreeMap::new(),
@@ -109,8 +132,10 @@
             tickets: TicketBook::default(),
             is_leaving: false,
             next_beat_ms: Millis::ZERO,
+            earliest_beat_ms: Millis::ZERO,
             next_poll_ms: Millis::ZERO,
             next_claim_ms: Millis::ZERO,
+            next_keepalive_ms: Millis::ZERO,
             actions: Vec::new(),
         }
     }
@@ -118,18 +143,23 @@
     /// Handles one event and returns what is to be done.
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
         assert!(now.mono_ms >= self.now.mono_ms, "monotonic time went back");
-        let gap_ms = now.mono_ms - self.now.mono_ms;
-        self.now = now;
-        if gap_ms > PAUSE_LIMIT_MS {
-            self.distrust_accounts(gap_ms);
+        let before_ms = std::mem::replace(&mut self.now, now).mono_ms;
+        if before_ms > Millis::ZERO && now.mono_ms - before_ms > PAUSE_LIMIT_MS {
+            self.wake(before_ms);
         }
+        self.members.refresh_if_stale(now.mono_ms);
+        self.refresh_owned();
         self.dispatch(event);
+        self.members.refresh_if_stale(now.mono_ms);
+        self.refresh_owned();
+        self.sync.advance(now.mono_ms, self.members.has_peers(), self.config.known_version());
         std::mem::take(&mut self.actions)
     }
 
-    /// Whether new work is taken: a configuration is in force and no shutdown is under way.
+    /// Whether new work is taken: a configuration is in force, what peers know was heard since the
+    /// start or the last pause, and no shutdown is under way.
     pub fn is_ready(&self) -> bool {
-        self.config.in_force().is_some() && !self.is_leaving
+        self.config.in_force().is_some() && self.sync.is_done() && !self.is_leaving
     }
 
     fn dispatch(&mut self, event: Event) {
@@ -163,8 +193,12 @@
             Event::Peer(envelope) => self.take_peer(envelope),
             Event::ConfigDocument(version, document) => self.take_document(version, document),
             Event::ConfigChanges(changes) => self.take_changes(changes, None),
-            Event::InstanceList(listed) => self.members.take_list(listed),
-            Event::LeavingServers(servers) => self.leaving_servers = servers.into_iter().collect(),
+            Event::ConfigService { is_answered } => self.take_service_result(is_answered),
+            Event::InstanceList(listed) => self.take_list(listed),
+            Event::LeavingServers(servers) => {
+                self.leaving.take_list(self.now.mono_ms, servers);
+                self.leaving_servers = self.leaving.servers();
+            }
             Event::WeightRate(rate) => self.take_weight_rate(rate),
             Event::Shutdown => self.shut_down(),
         }
@@ -172,8 +206,11 @@
 
     fn tick(&mut self) {
         self.beat();
+        self.deliver_held();
         self.poll_servers();
-        self.expire_leases();
+        if self.sync.is_done() {
+            self.expire_leases();
+        }
         self.check_leases();
         self.place();
         self.repeat_claims();
@@ -187,19 +224,26 @@
     fn shut_down(&mut self) {
         self.is_leaving = true;
         self.members.leave();
-        self.next_beat_ms = Millis::ZERO;
-        self.beat();
+        self.beat_to_all();
         self.log("shutdown", None, vec![("flows", self.flows.len().to_string())]);
     }
 
     fn take_peer(&mut self, envelope: Envelope) {
-        let from = envelope.from;
+        let from = envelope.from.clone();
+        self.members.note_direct(self.now.mono_ms, &from);
+        self.sync.hear(envelope.config_version);
         if envelope.config_version > self.config.known_version() {
-            let after = self.config.known_version();
-            self.send(&from.instance, PeerMessage::ChangesRequest(after));
+            self.fetch_newer(&from.instance, envelope.config_version);
+            if matches!(envelope.message, PeerMessage::SeatRequest(_)) {
+                self.hold(envelope);
+                return;
+            }
         }
         match envelope.message {
-            PeerMessage::Heartbeat(heartbeat) => self.take_heartbeat(heartbeat),
+            PeerMessage::Heartbeat(heartbeat) => self.take_heartbeat(&from, *heartbeat),
+            PeerMessage::Keepalive => {}
+            PeerMessage::MembersRequest(asked) => self.take_members_request(&from, &asked),
+            PeerMessage::Members(members) => self.take_members(&from, members),
             PeerMessage::SeatRequest(asked) => self.take_seat_request(&from, asked),
             PeerMessage::SeatReply(reply) => self.take_seat_reply(reply),
             PeerMessage::Release(seat) => self.take_release(&from, &seat),
@@ -212,11 +256,11 @@
     }
 
     fn send(&mut self, to: &InstanceId, message: PeerMessage) {
-        let Some(address) = self.members.peers().get(to).copied() else {
+        let Some(address) = self.members.address_of(to) else {
             return;
         };
         let from = self.members.own_holder();
-        let envelope = Envelope { from, config_version: self.config.version(), message };
+        let envelope = Envelope { from, config_version: self.config.known_version(), message };
         self.actions.push(Action::Send { to: to.clone(), address, envelope });
     }
 
--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -366,7 +366,7 @@
     }
 
     /// Frees what the present try holds and starts the next one, or gives up.
-    fn retry(&mut self, request: RequestId, reason: &'static str) {
+    pub(super) fn retry(&mut self, request: RequestId, reason: &'static str) {
         self.free_engines(request);
         let Some(flow) = self.flows.get(&request) else {
             return;
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -4,7 +4,7 @@
 
 use crate::action::Action;
 use crate::config::document::ServerRole;
-use crate::ids::{InstanceId, ServerId};
+use crate::ids::ServerId;
 use crate::membership::ServerLoad;
 use crate::message::{PeerMessage, SeatReply, SeatRequest, StreamOnServer};
 use crate::node::{KnownLoad, Node};
@@ -19,23 +19,6 @@
 const CLAIM_MS: Millis = Millis(1_000);
 
 impl Node {
-    /// Owner of a backend server: a live member of the server's data centre, or of any other
-    /// where that one has no live member and the platform lists none. One that is listed but not
-    /// heard may be cut off from here and still serve its callers.
-    pub(super) fn owner_of(&self, server: &ServerId) -> Option<InstanceId> {
-        let known = self.config.in_force()?.servers.get(server)?;
-        let now_ms = self.now.mono_ms;
-        let near = self.members.owner_of(server.as_str(), &known.data_centre, now_ms);
-        if near.is_some() || self.members.is_listed_alive(&known.data_centre) {
-            return near;
-        }
-        self.members.owner_anywhere(server.as_str(), now_ms)
-    }
-
-    pub(super) fn owns(&self, server: &ServerId) -> bool {
-        self.owner_of(server).as_ref() == Some(&self.members.own_holder().instance)
-    }
-
     pub(super) fn poll_servers(&mut self) {
         if self.now.mono_ms < self.next_poll_ms {
             return;
@@ -217,7 +200,8 @@
 
     fn grant(&mut self, from: &Holder, asked: &SeatRequest) -> bool {
         let server = &asked.seat.server;
-        if !self.owns(server) || self.leaving_servers.contains(server) || !self.is_in_role(server) {
+        let is_usable = !self.leaving_servers.contains(server) && self.is_in_role(server);
+        if !self.sync.is_done() || !self.owns(server) || !is_usable {
             return false;
         }
         let now_ms = self.now.mono_ms;
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -60,8 +60,6 @@
 impl Node {
     /// The present status.
     pub fn status(&self) -> NodeStatus {
-        let members = self.members.status(self.now.mono_ms);
-        let members = members.into_iter().map(|(digest, is_live)| MemberStatus { digest, is_live });
         let configured = self.config.in_force().map(|configuration| &configuration.servers);
         let servers = configured.into_iter().flat_map(|servers| servers.keys());
         NodeStatus {
@@ -73,11 +71,17 @@
             flows: self.flows.len(),
             plain_flows: self.plain_flows.len(),
             tickets: self.tickets.len(),
-            members: members.collect(),
+            members: self.members_status(),
             servers: servers.map(|server| (server.clone(), self.server_status(server))).collect(),
         }
     }
 
+    /// Every member heard of.
+    pub fn members_status(&self) -> Vec<MemberStatus> {
+        let members = self.members.status(self.now.mono_ms);
+        members.into_iter().map(|(digest, is_live)| MemberStatus { digest, is_live }).collect()
+    }
+
     fn server_status(&self, server: &ServerId) -> ServerStatus {
         ServerStatus {
             owner: self.owner_of(server),
--- /dev/null
+++ b/crates/core/tests/fleet/mod.rs
@@ -0,0 +1,460 @@
+//! Several nodes joined by an in-memory queue, with a stand-in for the platform's services.
+//!
+//! All choices come from one seed. Each node has a monotonic clock of its own that starts with its
+//! run. Messages can be lost, delayed, doubled and so come out of order; data centres can be cut
+//! off from each other and nodes from the services.
+
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fastrand::Rng;
+use serde_json::{Value, json};
+use turmericrail_core::action::Action;
+use turmericrail_core::config::Change;
+use turmericrail_core::event::{Event, Now};
+use turmericrail_core::ids::{ConfigVersion, Incarnation, InstanceId, ServerId};
+use turmericrail_core::membership::{ListedInstance, ListedState};
+use turmericrail_core::message::Envelope;
+use turmericrail_core::node::status::NodeStatus;
+use turmericrail_core::node::{Node, NodeSettings};
+use turmericrail_core::once::Seal;
+use turmericrail_core::report::LoadReport;
+use turmericrail_core::units::{KvPieces, Millis, Streams, WallMillis};
+
+/// Time between ticks.
+const TICK_MS: u64 = 50;
+/// Time for which the service holds a watch.
+const WATCH_MS: u64 = 4_000;
+/// Time between looks of the service at its waiting watches.
+const LOOK_MS: u64 = 100;
+
+/// What the network does to messages.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    pub loss_percent: u64,
+    pub double_percent: u64,
+    pub max_delay_ms: u64,
+    /// Data centres that can't reach any other.
+    pub cut_off: BTreeSet<String>,
+}
+
+/// The platform's services.
+#[derive(Clone, Debug)]
+pub struct Service {
+    pub document: Value,
+    pub changes: Vec<Value>,
+    pub is_down: bool,
+    /// Where set, nothing newer than this version is told.
+    pub stale_at: Option<u64>,
+    /// Data centres that can't reach the services.
+    pub cut_off: BTreeSet<String>,
+    pub leaving_servers: Vec<ServerId>,
+    /// Calls counted, a waiting watch as one.
+    pub calls: u64,
+}
+
+impl Service {
+    pub fn version(&self) -> u64 {
+        1 + self.changes.len() as u64
+    }
+
+    fn told(&self) -> u64 {
+        self.stale_at.map_or(self.version(), |stale| stale.min(self.version()))
+    }
+
+    fn document_at(&self, version: u64) -> Value {
+        let mut document = self.document.clone();
+        for patch in &self.changes[..version as usize - 1] {
+            json_patch::merge(&mut document, patch);
+        }
+        document
+    }
+
+    fn changes_after(&self, after: u64) -> Vec<Change> {
+        let wanted = after.max(1) + 1..=self.told();
+        let change = |version: u64| Change {
+            version: ConfigVersion(version),
+            patch: self.changes[version as usize - 2].clone(),
+        };
+        wanted.map(change).collect()
+    }
+}
+
+/// One instance, present or not.
+pub struct Member {
+    pub id: InstanceId,
+    pub data_centre: String,
+    pub node: Option<Node>,
+    pub is_paused: bool,
+    incarnation: u64,
+    started_ms: u64,
+    run: u64,
+    watch_until_ms: Option<u64>,
+    highest_version: ConfigVersion,
+}
+
+enum Item {
+    Tick(usize, u64),
+    Deliver(usize, Envelope),
+    Report(usize, u64, ServerId),
+    Service(usize, u64),
+    List(usize, u64),
+}
+
+/// What is called with the sender and each message sent.
+pub type OnSend = Box<dyn FnMut(usize, &Envelope)>;
+
+/// The whole fleet.
+pub struct Fleet {
+    pub members: Vec<Member>,
+    pub faults: Faults,
+    pub service: Service,
+    pub now_ms: u64,
+    pub on_send: OnSend,
+    /// What every backend server reports.
+    pub reports: LoadReport,
+    is_listing: bool,
+    by_address: BTreeMap<std::net::SocketAddr, usize>,
+    queue: BTreeMap<(u64, u64), Item>,
+    next_item: u64,
+    rng: Rng,
+}
+
+/// A configuration with engines in each data centre.
+pub fn document(data_centres: &[String], engines: usize) -> Value {
+    let mut servers = serde_json::Map::new();
+    for data_centre in data_centres {
+        for number in 0..engines {
+            let role = if number % 3 == 0 { "prefill" } else { "decode" };
+            let port = 1_000 + servers.len() % 60_000;
+            let address = format!("10.1.0.1:{port}");
+            let server = json!({"data_centre": data_centre, "address": address, "role": role});
+            servers.insert(format!("{data_centre}-e{number}"), server);
+        }
+    }
+    json!({"version": 1, "servers": servers})
+}
+
+impl Fleet {
+    /// Nodes in data centres `dc0`, `dc1` and so on; none runs yet.
+    pub fn new(seed: u64, sizes: &[usize], engines: usize) -> Self {
+        let names: Vec<_> = (0..sizes.len()).map(|number| format!("dc{number}")).collect();
+        let mut members = Vec::new();
+        for (data_centre, size) in names.iter().zip(sizes) {
+            for number in 0..*size {
+                members.push(Member {
+                    id: format!("{data_centre}-{number}").parse().unwrap(),
+                    data_centre: data_centre.clone(),
+                    node: None,
+                    is_paused: false,
+                    incarnation: 0,
+                    started_ms: 0,
+                    run: 0,
+                    watch_until_ms: None,
+                    highest_version: ConfigVersion(0),
+                });
+            }
+        }
+        let service = Service {
+            document: document(&names, engines),
+            changes: Vec::new(),
+            is_down: false,
+            stale_at: None,
+            cut_off: BTreeSet::new(),
+            leaving_servers: Vec::new(),
+            calls: 0,
+        };
+        let reports = LoadReport {
+            stream_limit_streams: Streams(20),
+            kv_total_pieces: KvPieces(2_000),
+            kv_free_pieces: KvPieces(2_000),
+            ..LoadReport::default()
+        };
+        let by_address = (0..members.len()).map(|index| (address(index), index)).collect();
+        Self {
+            members,
+            faults: Faults { max_delay_ms: 2, ..Faults::default() },
+            service,
+            now_ms: 1_000_000,
+            on_send: Box::new(|_, _| {}),
+            reports,
+            is_listing: true,
+            by_address,
+            queue: BTreeMap::new(),
+            next_item: 0,
+            rng: Rng::with_seed(seed),
+        }
+    }
+
+    /// Starts every node at a moment of its own within half a second.
+    pub fn start_all(&mut self) {
+        for index in 0..self.members.len() {
+            self.start(index);
+        }
+    }
+
+    /// Starts a node, replacing the run before.
+    pub fn start(&mut self, index: usize) {
+        let incarnation = self.now_ms * 1_000 + index as u64;
+        self.start_as(index, incarnation);
+    }
+
+    /// Starts a node with a given incarnation.
+    pub fn start_as(&mut self, index: usize, incarnation: u64) {
+        let start_ms = self.now_ms + self.rng.u64(..500);
+        let member = &mut self.members[index];
+        member.node = Some(Node::new(NodeSettings {
+            instance: member.id.clone(),
+            incarnation: Incarnation(incarnation),
+            data_centre: member.data_centre.parse().unwrap(),
+            peer_address: address(index),
+            seal: Seal::new("0123456789abcdef"),
+        }));
+        member.incarnation = incarnation;
+        member.started_ms = self.now_ms;
+        member.run += 1;
+        member.watch_until_ms = None;
+        member.highest_version = ConfigVersion(0);
+        let run = member.run;
+        self.push(start_ms, Item::List(index, run));
+        self.push(start_ms + 1, Item::Service(index, run));
+        self.push(start_ms + 2, Item::Tick(index, run));
+    }
+
+    /// Ends a node at once.
+    pub fn kill(&mut self, index: usize) {
+        self.members[index].node = None;
+        self.members[index].run += 1;
+    }
+
+    /// Accepts a patch.
+    pub fn accept(&mut self, patch: Value) -> u64 {
+        self.service.changes.push(patch);
+        self.service.version()
+    }
+
+    /// Handles an event at a node and carries out what it asks for.
+    pub fn tell(&mut self, index: usize, event: Event) -> Vec<Action> {
+        let now = self.now_of(index);
+        let Some(node) = &mut self.members[index].node else {
+            return Vec::new();
+        };
+        let actions = node.handle(now, event);
+        self.check(index);
+        for action in &actions {
+            self.perform(index, action);
+        }
+        actions
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, for_ms: u64) {
+        let until_ms = self.now_ms + for_ms;
+        while let Some(entry) = self.queue.first_entry() {
+            let at_ms = entry.key().0;
+            if at_ms > until_ms {
+                break;
+            }
+            let item = entry.remove();
+            self.now_ms = self.now_ms.max(at_ms);
+            self.handle(item);
+        }
+        self.now_ms = until_ms;
+    }
+
+    /// Runs until a condition holds; returns the time that it took, or nothing after the limit.
+    pub fn run_until(&mut self, limit_ms: u64, is_met: impl Fn(&Self) -> bool) -> Option<u64> {
+        let start_ms = self.now_ms;
+        loop {
+            if is_met(self) {
+                return Some(self.now_ms - start_ms);
+            }
+            if self.now_ms - start_ms >= limit_ms {
+                return None;
+            }
+            self.run(100);
+        }
+    }
+
+    pub fn status(&self, index: usize) -> Option<NodeStatus> {
+        self.members[index].node.as_ref().map(Node::status)
+    }
+
+    /// Nodes that run.
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.members.len()).filter(|index| self.members[*index].node.is_some()).collect()
+    }
+
+    /// Whether every running node counts exactly the running nodes as live.
+    pub fn all_agree(&self) -> bool {
+        let running: BTreeSet<_> =
+            self.running().into_iter().map(|index| self.members[index].id.clone()).collect();
+        self.running().into_iter().all(|index| self.live(index) == running)
+    }
+
+    /// Members that a node counts as live.
+    pub fn live(&self, index: usize) -> BTreeSet<InstanceId> {
+        let node = self.members[index].node.as_ref().expect("the node runs");
+        let members = node.members_status().into_iter().filter(|member| member.is_live);
+        members.map(|member| member.digest.instance).collect()
+    }
+
+    /// Whether every running node has this version in force.
+    pub fn all_have(&self, version: u64) -> bool {
+        let version = ConfigVersion(version);
+        let mut nodes = self.members.iter().filter_map(|member| member.node.as_ref());
+        nodes.all(|node| node.config_version() == version)
+    }
+
+    fn now_of(&self, index: usize) -> Now {
+        let mono_ms = self.now_ms - self.members[index].started_ms;
+        Now { mono_ms: Millis(mono_ms), wall_ms: WallMillis(self.now_ms) }
+    }
+
+    fn check(&mut self, index: usize) {
+        let member = &mut self.members[index];
+        let Some(node) = &member.node else {
+            return;
+        };
+        let version = node.config_version();
+        assert!(version >= member.highest_version, "the version in force went down");
+        member.highest_version = version;
+    }
+
+    fn push(&mut self, at_ms: u64, item: Item) {
+        self.next_item += 1;
+        self.queue.insert((at_ms, self.next_item), item);
+    }
+
+    fn handle(&mut self, item: Item) {
+        match item {
+            Item::Tick(index, run) if self.members[index].run == run => {
+                if !self.members[index].is_paused {
+                    self.tell(index, Event::Tick);
+                }
+                self.push(self.now_ms + TICK_MS, Item::Tick(index, run));
+            }
+            Item::Deliver(to, envelope) if self.members[to].is_paused => {
+                self.push(self.now_ms + TICK_MS, Item::Deliver(to, envelope));
+            }
+            Item::Deliver(to, envelope) => {
+                self.tell(to, Event::Peer(envelope));
+            }
+            Item::Report(index, ..) | Item::List(index, _) if self.members[index].is_paused => {
+                self.push(self.now_ms + TICK_MS, item);
+            }
+            Item::Report(index, run, server) if self.members[index].run == run => {
+                let report = self.reports.clone();
+                self.tell(index, Event::Report(server, report));
+            }
+            Item::Service(index, run) if self.members[index].run == run => {
+                if !self.members[index].is_paused {
+                    self.read_service(index);
+                }
+                self.push(self.now_ms + LOOK_MS, Item::Service(index, run));
+            }
+            Item::List(index, run) if self.members[index].run == run => {
+                self.read_list(index);
+                self.push(self.now_ms + 1_000, Item::List(index, run));
+            }
+            _ => {}
+        }
+    }
+
+    fn can_read(&self, index: usize) -> bool {
+        !self.service.is_down && !self.service.cut_off.contains(&self.members[index].data_centre)
+    }
+
+    fn read_service(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        let Some(after) = self.members[index].node.as_ref().and_then(Node::config_watch) else {
+            self.members[index].watch_until_ms = None;
+            return;
+        };
+        let is_new_call =
+            self.members[index].watch_until_ms.is_none_or(|until_ms| until_ms <= now_ms);
+        if is_new_call {
+            self.service.calls += 1;
+            self.members[index].watch_until_ms = Some(now_ms + WATCH_MS);
+        }
+        if !self.can_read(index) {
+            self.members[index].watch_until_ms = Some(now_ms + 1_000);
+            self.tell(index, Event::ConfigService { is_answered: false });
+            return;
+        }
+        if after.0 == 0 {
+            let told = self.service.told();
+            let document = self.service.document_at(told);
+            self.tell(index, Event::ConfigDocument(ConfigVersion(told), document));
+            return;
+        }
+        let changes = self.service.changes_after(after.0);
+        if !changes.is_empty() {
+            self.members[index].watch_until_ms = None;
+            self.tell(index, Event::ConfigChanges(changes));
+        }
+        if is_new_call {
+            self.tell(index, Event::ConfigService { is_answered: true });
+        }
+    }
+
+    fn read_list(&mut self, index: usize) {
+        if !self.can_read(index) || !self.is_listing {
+            return;
+        }
+        let listed = self.members.iter().enumerate().map(|(other, member)| {
+            let listed = ListedInstance {
+                data_centre: member.data_centre.parse().unwrap(),
+                peer_address: address(other),
+                state: ListedState::Live,
+            };
+            (member.id.clone(), listed)
+        });
+        let listed = listed.collect();
+        self.tell(index, Event::InstanceList(listed));
+        let leaving = self.service.leaving_servers.clone();
+        self.tell(index, Event::LeavingServers(leaving));
+    }
+
+    fn perform(&mut self, index: usize, action: &Action) {
+        match action {
+            Action::Send { address, envelope, .. } => self.send(index, address, envelope),
+            Action::Poll(target) => {
+                let run = self.members[index].run;
+                let report = Item::Report(index, run, target.server.clone());
+                self.push(self.now_ms + 1, report);
+            }
+            Action::FetchDocument if self.can_read(index) => {
+                let told = self.service.told();
+                let document = self.service.document_at(told);
+                self.tell(index, Event::ConfigDocument(ConfigVersion(told), document));
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, address: &std::net::SocketAddr, envelope: &Envelope) {
+        (self.on_send)(from, envelope);
+        let Some(to) = self.by_address.get(address).copied() else {
+            return;
+        };
+        let (here, there) = (&self.members[from].data_centre, &self.members[to].data_centre);
+        let is_cut = self.faults.cut_off.contains(here) || self.faults.cut_off.contains(there);
+        if here != there && is_cut {
+            return;
+        }
+        let copies = 1 + u64::from(self.rng.u64(..100) < self.faults.double_percent);
+        for _ in 0..copies {
+            if self.rng.u64(..100) < self.faults.loss_percent {
+                continue;
+            }
+            let delay_ms = 1 + self.rng.u64(..=self.faults.max_delay_ms);
+            self.push(self.now_ms + delay_ms, Item::Deliver(to, envelope.clone()));
+        }
+    }
+}
+
+fn address(index: usize) -> std::net::SocketAddr {
+    format!("10.0.{}.{}:7000", index / 200, 1 + index % 200).parse().unwrap()
+}
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,205 @@
+//! Members, leaving servers and pauses in seeded runs of several nodes.
+
+mod fleet;
+
+use fleet::{Faults, Fleet};
+use turmericrail_core::action::Action;
+use turmericrail_core::event::Event;
+use turmericrail_core::ids::{ConfigVersion, Incarnation, ServerId};
+use turmericrail_core::membership::{MemberDigest, Members};
+use turmericrail_core::message::{Envelope, PeerMessage};
+
+/// Time within which members and leaving servers are known.
+const KNOWN_WITHIN_MS: u64 = 5_000;
+/// Time in which a fleet settles after its start.
+const SETTLE_MS: u64 = 6_000;
+
+fn settled(seed: u64, sizes: &[usize], engines: usize) -> Fleet {
+    let mut fleet = Fleet::new(seed, sizes, engines);
+    fleet.start_all();
+    fleet.run(SETTLE_MS);
+    fleet
+}
+
+fn lossy(max_delay_ms: u64) -> Faults {
+    Faults { loss_percent: 5, double_percent: 5, max_delay_ms, ..Faults::default() }
+}
+
+#[test]
+fn members_found() {
+    for seed in 1..=10 {
+        let mut fleet = Fleet::new(seed, &[3, 3, 3], 4);
+        fleet.start_all();
+        let took_ms = fleet.run_until(KNOWN_WITHIN_MS, Fleet::all_agree);
+        assert!(took_ms.is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn death_known() {
+    for seed in 1..=20 {
+        let mut fleet = settled(seed, &[3, 3, 3], 4);
+        fleet.faults = lossy(100);
+        fleet.run(2_000);
+        fleet.kill(seed as usize % 9);
+        let took_ms = fleet.run_until(KNOWN_WITHIN_MS, Fleet::all_agree);
+        assert!(took_ms.is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn large_death_known() {
+    let mut fleet = settled(7, &[24; 4], 0);
+    assert!(fleet.all_agree());
+    for index in [5, 50] {
+        fleet.kill(index);
+        let took_ms = fleet.run_until(KNOWN_WITHIN_MS, Fleet::all_agree);
+        assert!(took_ms.is_some(), "death of {index}");
+    }
+}
+
+#[test]
+fn restarts_under_loss() {
+    for seed in 1..=10 {
+        let mut fleet = settled(seed, &[3, 3, 3], 4);
+        fleet.faults = lossy(200);
+        for round in 0..5 {
+            let index = (seed as usize * 5 + round * 2) % 9;
+            fleet.kill(index);
+            fleet.run(700);
+            fleet.start(index);
+            fleet.run(900);
+        }
+        let took_ms = fleet.run_until(KNOWN_WITHIN_MS, Fleet::all_agree);
+        assert!(took_ms.is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn healed_partition() {
+    for seed in 1..=5 {
+        let mut fleet = settled(seed, &[3, 3, 3], 4);
+        fleet.faults.cut_off.insert("dc1".to_owned());
+        fleet.service.is_down = true;
+        fleet.run(120_000);
+        assert_eq!(fleet.live(4).len(), 3, "a data centre alone knows its own members");
+        fleet.faults.cut_off.clear();
+        let took_ms = fleet.run_until(KNOWN_WITHIN_MS, Fleet::all_agree);
+        assert!(took_ms.is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn clock_stepped_back() {
+    for seed in 1..=5 {
+        let mut fleet = settled(seed, &[3, 3], 4);
+        fleet.kill(1);
+        fleet.run(300);
+        fleet.start_as(1, 5);
+        let took_ms = fleet.run_until(KNOWN_WITHIN_MS, |fleet| {
+            fleet.all_agree() && fleet.status(1).is_some_and(|status| status.own.incarnation.0 > 5)
+        });
+        assert!(took_ms.is_some(), "seed {seed}");
+        fleet.run(10_000);
+        assert!(fleet.all_agree(), "seed {seed}");
+    }
+}
+
+#[test]
+fn replaced_run_leaves() {
+    let mut fleet = settled(3, &[3, 3], 4);
+    fleet.run(10_000);
+    let peer = fleet.status(0).unwrap().own;
+    let own = fleet.status(1).unwrap().members.swap_remove(0).digest;
+    let newer = MemberDigest { incarnation: Incarnation(own.incarnation.0 + 1), ..own };
+    let members = Members { records: vec![newer], summaries: Vec::new() };
+    let message = PeerMessage::Members(members);
+    let envelope = Envelope { from: peer, config_version: ConfigVersion(1), message };
+    fleet.tell(1, Event::Peer(envelope));
+    assert!(fleet.status(1).unwrap().is_leaving, "the older run ends when it hears of a newer");
+}
+
+#[test]
+fn leaving_instance() {
+    for seed in 1..=5 {
+        let mut fleet = settled(seed, &[3, 3, 3], 4);
+        fleet.service.is_down = true;
+        fleet.tell(2, Event::Shutdown);
+        let id = fleet.members[2].id.clone();
+        let took_ms = fleet.run_until(KNOWN_WITHIN_MS, |fleet| {
+            let owners = (0..9).flat_map(|index| fleet.status(index).unwrap().servers);
+            owners.into_iter().all(|(_, server)| server.owner.as_ref() != Some(&id))
+        });
+        assert!(took_ms.is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn leaving_server() {
+    let server: ServerId = "dc0-e1".parse().unwrap();
+    for seed in 1..=5 {
+        let mut fleet = settled(seed, &[3, 3, 3], 4);
+        fleet.service.cut_off.insert("dc1".to_owned());
+        fleet.service.leaving_servers.push(server.clone());
+        let is_known = |fleet: &Fleet| {
+            (0..9).all(|index| fleet.status(index).unwrap().servers[&server].is_leaving)
+        };
+        assert!(fleet.run_until(KNOWN_WITHIN_MS, is_known).is_some(), "seed {seed}");
+        fleet.service.is_down = true;
+        fleet.service.leaving_servers.clear();
+        fleet.run(60_000);
+        assert!(is_known(&fleet), "without a list the server is still leaving, seed {seed}");
+        fleet.service.is_down = false;
+        fleet.run(25_000);
+        let is_back = |index| !fleet.status(index).unwrap().servers[&server].is_leaving;
+        assert!((0..9).all(is_back), "seed {seed}");
+    }
+}
+
+#[test]
+fn loads_known() {
+    for seed in 1..=5 {
+        let mut fleet = settled(seed, &[3, 3, 3], 4);
+        let mut missing = 0;
+        for _ in 0..50 {
+            fleet.run(200);
+            let servers = (0..9).flat_map(|index| fleet.status(index).unwrap().servers);
+            missing += servers.filter(|(_, server)| server.load.is_none()).count();
+        }
+        assert_eq!(missing, 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn woken_instance() {
+    let mut fleet = settled(4, &[3, 3], 6);
+    fleet.members[0].is_paused = true;
+    fleet.run(20_000);
+    assert!((1..6).all(|index| fleet.live(index).len() == 5));
+    fleet.faults.loss_percent = 100;
+    fleet.members[0].is_paused = false;
+    let actions = fleet.tell(0, Event::Tick);
+    let status = fleet.status(0).unwrap();
+    assert!(!status.is_ready, "nothing is begun on old beliefs");
+    assert!(status.members.iter().all(|member| member.is_live), "its own pause is no death");
+    assert!(status.servers.values().all(|server| server.load.is_none()));
+    assert!(!actions.iter().any(|action| matches!(action, Action::Cancel { .. })));
+    fleet.faults.loss_percent = 0;
+    let took_ms = fleet
+        .run_until(KNOWN_WITHIN_MS, |fleet| fleet.all_agree() && fleet.status(0).unwrap().is_ready);
+    assert!(took_ms.is_some());
+}
+
+#[test]
+fn bounded_messages() {
+    let rate = |sizes: &[usize]| {
+        let mut fleet = settled(2, sizes, 0);
+        let count = std::rc::Rc::new(std::cell::Cell::new(0u64));
+        let counted = std::rc::Rc::clone(&count);
+        fleet.on_send = Box::new(move |_, _| counted.set(counted.get() + 1));
+        fleet.run(5_000);
+        count.get() as f64 / sizes.iter().sum::<usize>() as f64 / 5.0
+    };
+    let (small, large) = (rate(&[6, 6]), rate(&[24, 24]));
+    assert!(large < small * 1.5, "{small} messages a second each grew to {large}");
+}
--- a/crates/turmericrail/src/caller_edge/pages.rs
+++ b/crates/turmericrail/src/caller_edge/pages.rs
@@ -21,8 +21,12 @@
 
 pub async fn metrics(request: Request<Arc<Shared>>) -> tide::Result {
     let shared = request.state();
-    let version = shared.node().status().config_version;
-    shared.metrics.config_version.set(version.0 as i64);
+    let (in_force, rejected) = {
+        let node = shared.node();
+        (node.config_version(), node.rejected_version())
+    };
+    shared.metrics.config_version.set(in_force.0 as i64);
+    shared.metrics.config_rejected.set(rejected.0 as i64);
     let body = shared.metrics.render();
     Ok(Response::builder(200).content_type("text/plain; version=0.0.4").body(body).build())
 }
--- a/crates/turmericrail/src/daemon/shared.rs
+++ b/crates/turmericrail/src/daemon/shared.rs
@@ -7,6 +7,7 @@
 use async_channel::{Receiver, Sender};
 use turmericrail_core::event::{Event, Now};
 use turmericrail_core::ids::{Incarnation, RequestId};
+use turmericrail_core::membership::INCARNATION_RANDOM_BITS;
 use turmericrail_core::node::{Node, NodeSettings};
 use turmericrail_core::once::Seal;
 use turmericrail_core::units::{Millis, WallMillis};
@@ -16,9 +17,6 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
-/// Random low bits of an incarnation.
-const INCARNATION_RANDOM_BITS: u32 = 12;
-
 /// What the edges share.
 pub struct Shared {
     /// The settings.
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -14,10 +14,16 @@
     pub peer_messages: IntCounterVec,
     /// Bytes of messages to peers by type.
     pub peer_bytes: IntCounterVec,
+    /// Messages of peers refused by reason.
+    pub peer_refusals: IntCounterVec,
+    /// Calls of the platform's services by service.
+    pub platform_calls: IntCounterVec,
     /// Callers connected.
     pub connections: IntGauge,
     /// Configuration version in force.
     pub config_version: IntGauge,
+    /// Newest configuration version that failed its checks, zero where none did.
+    pub config_rejected: IntGauge,
 }
 
 fn counter(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
@@ -50,12 +56,29 @@
                 "Bytes to peers.",
                 "type",
             ),
+            peer_refusals: counter(
+                &registry,
+                "turmericrail_peer_refusals_total",
+                "Messages of peers refused.",
+                "reason",
+            ),
+            platform_calls: counter(
+                &registry,
+                "turmericrail_platform_calls_total",
+                "Calls of the platform's services.",
+                "service",
+            ),
             connections: gauge(&registry, "turmericrail_connections", "Callers connected."),
             config_version: gauge(
                 &registry,
                 "turmericrail_config_version",
                 "Configuration version in force.",
             ),
+            config_rejected: gauge(
+                &registry,
+                "turmericrail_config_rejected_version",
+                "Newest configuration version that failed its checks.",
+            ),
             registry,
         }
     }
--- a/crates/turmericrail/src/peer_edge/client.rs
+++ b/crates/turmericrail/src/peer_edge/client.rs
@@ -1,12 +1,13 @@
 //! The sending side: one lazy channel for each peer.
 //!
-//! Messages can be lost; nothing is sent again here. A connection that goes silent is closed by
-//! HTTP/2 keepalive and the next message opens a new one.
+//! Messages can be lost; nothing is sent again here. A connection on which a delivery timed out
+//! is given up, so that the next message opens a new one. Idle connections cost nothing: they are
+//! probed only while a delivery is under way, and closed when unused for long.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use prost::Message;
@@ -28,21 +29,31 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest wait for the delivery of a message.
 const DELIVER_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Time between keepalive probes.
+/// Time between keepalive probes while a delivery is under way.
 const KEEPALIVE: Duration = Duration::from_millis(1_000);
+/// Time after which an unused connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+
+struct Connection {
+    address: SocketAddr,
+    channel: Channel,
+    used: Instant,
+}
 
 /// Channels to peers.
 #[derive(Default)]
 pub struct Peers {
-    channels: Mutex<BTreeMap<InstanceId, (SocketAddr, Channel)>>,
+    connections: Mutex<BTreeMap<InstanceId, Connection>>,
 }
 
 impl Peers {
     fn client(&self, peer: &InstanceId, address: SocketAddr) -> Option<PeerClient<Channel>> {
-        let mut channels = self.channels.lock().unwrap_or_else(|_| std::process::abort());
-        let known = channels.get(peer).filter(|(known, _)| *known == address);
-        if let Some((_, channel)) = known {
-            return Some(PeerClient::new(channel.clone()));
+        let used = Instant::now();
+        let mut connections = self.connections.lock().unwrap_or_else(|_| std::process::abort());
+        let known = connections.get_mut(peer).filter(|known| known.address == address);
+        if let Some(known) = known {
+            known.used = used;
+            return Some(PeerClient::new(known.channel.clone()));
         }
         let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
         let channel = endpoint
@@ -50,16 +61,24 @@
             .tcp_nodelay(true)
             .http2_keep_alive_interval(KEEPALIVE)
             .keep_alive_timeout(KEEPALIVE)
-            .keep_alive_while_idle(true)
             .connect_lazy();
-        channels.insert(peer.clone(), (address, channel.clone()));
+        connections.retain(|_, known| used - known.used < IDLE_LIMIT);
+        connections.insert(peer.clone(), Connection { address, channel: channel.clone(), used });
         Some(PeerClient::new(channel))
     }
+
+    /// Gives up the connection to a peer.
+    fn close(&self, peer: &InstanceId) {
+        self.connections.lock().unwrap_or_else(|_| std::process::abort()).remove(peer);
+    }
 }
 
 fn message_type(message: &PeerMessage) -> &'static str {
     match message {
         PeerMessage::Heartbeat(_) => "heartbeat",
+        PeerMessage::Keepalive => "keepalive",
+        PeerMessage::MembersRequest(_) => "members_request",
+        PeerMessage::Members(_) => "members",
         PeerMessage::SeatRequest(_) => "seat_request",
         PeerMessage::SeatReply(_) => "seat_reply",
         PeerMessage::Release(_) => "release",
@@ -80,10 +99,13 @@
     let label = [message_type(&envelope.message)];
     shared.metrics.peer_messages.with_label_values(&label).inc();
     shared.metrics.peer_bytes.with_label_values(&label).inc_by(encoded.encoded_len() as u64);
+    let shared = Arc::clone(shared);
     task::spawn(async move {
-        let mut request = tonic::Request::new(encoded);
-        request.set_timeout(DELIVER_TIMEOUT);
-        let _ = async_std::future::timeout(DELIVER_TIMEOUT, client.deliver(request)).await;
+        let request = tonic::Request::new(encoded);
+        let delivery = async_std::future::timeout(DELIVER_TIMEOUT, client.deliver(request));
+        if delivery.await.is_err() {
+            shared.peers.close(&to);
+        }
     });
 }
 
--- a/crates/turmericrail/src/peer_edge/server.rs
+++ b/crates/turmericrail/src/peer_edge/server.rs
@@ -1,6 +1,7 @@
 //! The receiving side.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use async_std::task;
 use tonic::transport::Server;
@@ -16,16 +17,31 @@
 
 struct PeerEdge {
     shared: Arc<Shared>,
+    logged_second: AtomicU64,
 }
 
 impl PeerEdge {
+    /// Counts a refused message and logs one each second at the most.
+    fn refuse(&self, reason: &str, sender: &str, status: &Status) {
+        self.shared.metrics.peer_refusals.with_label_values(&[reason]).inc();
+        let second = self.shared.now().mono_ms.0 / 1_000 + 1;
+        if self.logged_second.swap(second, Ordering::Relaxed) != second {
+            let problem = status.message();
+            spdlog::warn!(
+                "event=peer_refused reason={reason} sender={sender:?} problem={problem:?}"
+            );
+        }
+    }
+
     fn check_deployment(&self, deployment: &str) -> Result<(), Status> {
         if deployment != self.shared.settings.deployment {
             let problem = format!(
                 "this instance belongs to deployment {:?}",
                 self.shared.settings.deployment
             );
-            return Err(Status::permission_denied(problem));
+            let status = Status::permission_denied(problem);
+            self.refuse("deployment", deployment, &status);
+            return Err(status);
         }
         Ok(())
     }
@@ -36,10 +52,18 @@
     async fn deliver(&self, request: Request<Envelope>) -> Result<Response<Delivered>, Status> {
         let envelope = request.into_inner();
         self.check_deployment(&envelope.deployment)?;
-        let envelope = convert::decode(envelope);
-        let envelope = envelope.map_err(|error| Status::invalid_argument(error.to_string()))?;
-        self.shared.tell(Event::Peer(envelope));
-        Ok(Response::new(Delivered {}))
+        let sender = envelope.from.as_ref().map(|from| from.instance.clone()).unwrap_or_default();
+        match convert::decode(envelope) {
+            Ok(envelope) => {
+                self.shared.tell(Event::Peer(envelope));
+                Ok(Response::new(Delivered {}))
+            }
+            Err(error) => {
+                let status = Status::invalid_argument(error.to_string());
+                self.refuse("malformed", &sender, &status);
+                Err(status)
+            }
+        }
     }
 
     async fn forward(
@@ -93,7 +117,7 @@
     let address = shared.settings.peer_address;
     let bound = std::net::TcpListener::bind(address);
     bound.map_err(|source| StartError::Listen { address, source })?;
-    let edge = PeerEdge { shared: Arc::clone(shared) };
+    let edge = PeerEdge { shared: Arc::clone(shared), logged_second: AtomicU64::new(0) };
     task::spawn(async move {
         let serving = Server::builder().add_service(PeerServer::new(edge)).serve(address);
         if let Err(error) = serving.await {
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -6,12 +6,15 @@
 
 use thiserror::Error;
 use turmericrail_core::config::Change;
-use turmericrail_core::ids::{ConfigVersion, Incarnation, RequestId, ServerId};
-use turmericrail_core::membership::{Heartbeat, MemberDigest, ServerLoad};
+use turmericrail_core::ids::{ConfigVersion, Incarnation, RequestId};
 use turmericrail_core::message::{Envelope, PeerMessage, SeatReply, SeatRequest, StreamOnServer};
 use turmericrail_core::report::Holder;
-use turmericrail_core::units::{KvPieces, Streams, Tokens};
+use turmericrail_core::units::KvPieces;
 
+use crate::convert_members::{
+    decode_heartbeat, decode_members, decode_members_request, encode_heartbeat, encode_members,
+    encode_members_request,
+};
 use crate::peer;
 use crate::peer::envelope::Message;
 
@@ -26,7 +29,7 @@
     Malformed(&'static str, String),
 }
 
-fn parse<T>(field: &'static str, text: &str) -> Result<T, ConvertError>
+pub(crate) fn parse<T>(field: &'static str, text: &str) -> Result<T, ConvertError>
 where
     T: FromStr,
     T::Err: std::fmt::Display,
@@ -53,7 +56,7 @@
     let from = decode_holder(envelope.from)?;
     let config_version = ConfigVersion(envelope.config_version);
     let message = envelope.message.ok_or(ConvertError::Missing("message"))?;
-    let message = decode_message(message, &from, config_version)?;
+    let message = decode_message(message, &from)?;
     Ok(Envelope { from, config_version, message })
 }
 
@@ -72,6 +75,11 @@
 fn encode_message(message: &PeerMessage) -> Message {
     match message {
         PeerMessage::Heartbeat(heartbeat) => Message::Heartbeat(encode_heartbeat(heartbeat)),
+        PeerMessage::Keepalive => Message::Keepalive(peer::Keepalive {}),
+        PeerMessage::MembersRequest(asked) => {
+            Message::MembersRequest(encode_members_request(asked))
+        }
+        PeerMessage::Members(members) => Message::Members(encode_members(members)),
         PeerMessage::SeatRequest(asked) => Message::SeatRequest(peer::SeatRequest {
             request: asked.request.0,
             seat: Some(encode_seat(&asked.seat)),
@@ -99,15 +107,16 @@
     }
 }
 
-fn decode_message(
-    message: Message,
-    from: &Holder,
-    config_version: ConfigVersion,
-) -> Result<PeerMessage, ConvertError> {
+fn decode_message(message: Message, from: &Holder) -> Result<PeerMessage, ConvertError> {
     let message = match message {
         Message::Heartbeat(heartbeat) => {
-            PeerMessage::Heartbeat(decode_heartbeat(heartbeat, from, config_version)?)
+            PeerMessage::Heartbeat(Box::new(decode_heartbeat(heartbeat, from)?))
+        }
+        Message::Keepalive(_) => PeerMessage::Keepalive,
+        Message::MembersRequest(asked) => {
+            PeerMessage::MembersRequest(decode_members_request(asked)?)
         }
+        Message::Members(members) => PeerMessage::Members(decode_members(members, from)?),
         Message::SeatRequest(asked) => PeerMessage::SeatRequest(SeatRequest {
             request: RequestId(asked.request),
             seat: decode_seat(asked.seat)?,
@@ -137,58 +146,6 @@
     Ok(message)
 }
 
-fn encode_heartbeat(heartbeat: &Heartbeat) -> peer::Heartbeat {
-    let loads = heartbeat.loads.iter().map(|(server, load)| peer::ServerLoad {
-        server: server.to_string(),
-        free_streams: load.free_streams.0,
-        free_pieces: load.free_pieces.0,
-        queued_tokens: load.queued_tokens.0,
-    });
-    let members = heartbeat.members.iter().map(|digest| peer::MemberDigest {
-        member: Some(peer::Holder {
-            instance: digest.instance.to_string(),
-            incarnation: digest.incarnation.0,
-        }),
-        beat: digest.beat,
-        is_leaving: digest.is_leaving,
-        peer_address: digest.peer_address.to_string(),
-        data_centre: digest.data_centre.to_string(),
-    });
-    peer::Heartbeat { members: members.collect(), loads: loads.collect() }
-}
-
-fn decode_heartbeat(
-    heartbeat: peer::Heartbeat,
-    from: &Holder,
-    config_version: ConfigVersion,
-) -> Result<Heartbeat, ConvertError> {
-    let members = heartbeat.members.into_iter().map(decode_digest).collect::<Result<_, _>>()?;
-    let loads = heartbeat.loads.into_iter().map(decode_load).collect::<Result<_, _>>()?;
-    Ok(Heartbeat { from: from.clone(), config_version, members, loads })
-}
-
-fn decode_digest(digest: peer::MemberDigest) -> Result<MemberDigest, ConvertError> {
-    let member = decode_holder(digest.member)?;
-    Ok(MemberDigest {
-        instance: member.instance,
-        incarnation: member.incarnation,
-        beat: digest.beat,
-        is_leaving: digest.is_leaving,
-        peer_address: parse("peer address", &digest.peer_address)?,
-        data_centre: parse("data centre", &digest.data_centre)?,
-    })
-}
-
-fn decode_load(load: peer::ServerLoad) -> Result<(ServerId, ServerLoad), ConvertError> {
-    let server = parse("server", &load.server)?;
-    let load = ServerLoad {
-        free_streams: Streams(load.free_streams),
-        free_pieces: KvPieces(load.free_pieces),
-        queued_tokens: Tokens(load.queued_tokens),
-    };
-    Ok((server, load))
-}
-
 fn encode_seat(seat: &StreamOnServer) -> peer::StreamOnServer {
     peer::StreamOnServer { server: seat.server.to_string(), stream: seat.stream.to_string() }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod client;
 pub mod convert;
+mod convert_members;
 pub mod engine;
 #[allow(missing_docs)]
 #[allow(clippy::all)]
