--- /dev/null
+++ b/crates/core/benches/policy.rs
@@ -0,0 +1,273 @@
+//! The decisions under load and faults: goodput and wasted prefill of each policy in each case.
+//!
+//! `cargo bench -p turmericrail-core --bench policy [-- PART]` runs the cases whose line would
+//! hold PART. The coordinators are the package's own [`Node`]s, one for each instance; engines and
+//! links are small event-driven stand-ins; time is simulated and every seed is fixed, so that a
+//! run gives the same figures each time.
+
+#[path = "policy/bound.rs"]
+mod bound;
+#[path = "policy/engine.rs"]
+mod engine;
+#[path = "policy/outcome.rs"]
+mod outcome;
+#[path = "policy/simple.rs"]
+mod simple;
+#[path = "policy/workload.rs"]
+mod workload;
+#[path = "policy/world.rs"]
+mod world;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+use turmericrail_core::event::{Event, Now};
+use turmericrail_core::ids::{ConfigVersion, DataCentreId, Incarnation, InstanceId, ServerId};
+use turmericrail_core::membership::{ListedInstance, ListedState};
+use turmericrail_core::node::{Node, NodeSettings};
+use turmericrail_core::once::Seal;
+use turmericrail_core::report::Holder;
+
+use crate::engine::Engine;
+use crate::outcome::Measures;
+use crate::simple::{Choose, Simple, least_loaded, power_of_two, round_robin};
+use crate::workload::{Deployment, PIECE_TOKENS, requests};
+use crate::world::{
+    BYTES_PER_TOKEN, FAR_BYTES_PER_MS, FAULT_MS, Fault, Handle, Instance, NEAR_BYTES_PER_MS, World,
+};
+
+const SEED: u64 = 7;
+const DATA_CENTRES: usize = 3;
+
+/// Builds what runs on one instance.
+type Build = Box<dyn Fn(&Deployment, usize) -> Handle>;
+
+struct Policy {
+    name: &'static str,
+    build: Build,
+}
+
+struct Case {
+    deployment: Deployment,
+    load: f64,
+    fault: Fault,
+}
+
+impl Case {
+    fn name(&self) -> String {
+        let fault = match self.fault {
+            Fault::None => "none",
+            Fault::DeadPrefill => "dead_prefill",
+            Fault::DeadDecode => "dead_decode",
+            Fault::SlowPrefill => "slow_prefill",
+            Fault::SlowDecode => "slow_decode",
+            Fault::LateReports => "late_reports",
+            Fault::CutOff => "cut_off",
+        };
+        format!("{}/load_{:.1}/{fault}", self.deployment.name, self.load)
+    }
+
+    /// Prefill and decode engines that work, on average over the case; a slow one counts in part.
+    fn working_engines(&self) -> (f64, f64) {
+        let (prefill, decode) =
+            (self.deployment.prefill_engines(), self.deployment.decode_engines());
+        let begins = (FAULT_MS - workload::WARM_UP_MS) as f64;
+        let share = 1.0 - begins / workload::ARRIVALS_MS as f64;
+        match self.fault {
+            Fault::DeadPrefill => (prefill - share, decode),
+            Fault::DeadDecode => (prefill, decode - share),
+            Fault::SlowPrefill => (prefill - share * (1.0 - 1.0 / 3.0), decode),
+            Fault::SlowDecode => (prefill, decode - share * (1.0 - 1.0 / 2.5)),
+            _ => (prefill, decode),
+        }
+    }
+}
+
+fn main() {
+    let wanted: Vec<_> = std::env::args().skip(1).filter(|arg| !arg.starts_with("--")).collect();
+    for case in cases() {
+        let asked = requests(&case.deployment, case.load, SEED);
+        let (prefill, decode) = case.working_engines();
+        let bound = bound::upper_bound(&asked, &case.deployment, prefill, decode);
+        for policy in policies() {
+            let title = format!("case={} policy={}", case.name(), policy.name);
+            if !wanted.iter().all(|part| title.contains(part.as_str())) {
+                continue;
+            }
+            let mut world = build_world(&case, &asked, &policy);
+            world.run();
+            let computed: f64 = world.engines.values().map(|engine| engine.computed_ms).sum();
+            let wasted: f64 = world.engines.values().map(|engine| engine.wasted_ms).sum();
+            let wasted_ratio = wasted / computed.max(1.0);
+            let measures = Measures::of(&asked, &world.outcomes, bound, wasted_ratio);
+            println!("{title} {measures} bound_requests={bound:.0} offered={}", asked.len());
+        }
+    }
+}
+
+fn cases() -> Vec<Case> {
+    let mut cases = Vec::new();
+    for deployment in [Deployment::association(), Deployment::lantern_forge()] {
+        for load in [0.7, 1.0, 1.3, 2.0] {
+            cases.push(Case { deployment: deployment.clone(), load, fault: Fault::None });
+        }
+        for fault in [
+            Fault::DeadPrefill,
+            Fault::DeadDecode,
+            Fault::SlowPrefill,
+            Fault::SlowDecode,
+            Fault::LateReports,
+            Fault::CutOff,
+        ] {
+            cases.push(Case { deployment: deployment.clone(), load: 1.0, fault });
+        }
+    }
+    cases
+}
+
+fn policies() -> Vec<Policy> {
+    vec![
+        simple("round_robin", round_robin),
+        simple("least_loaded", |_| least_loaded()),
+        simple("power_of_two", |instance| power_of_two(instance as u64)),
+        Policy { name: "first", build: Box::new(node) },
+    ]
+}
+
+fn simple(name: &'static str, choose: impl Fn(usize) -> Choose + 'static) -> Policy {
+    let build = move |deployment: &Deployment, instance: usize| -> Handle {
+        let kinds = deployment.kinds.iter();
+        let targets = kinds.map(|kind| (kind.name.to_owned(), kind.first_token_ms)).collect();
+        let servers = engine_places(deployment).into_iter();
+        let addresses = servers.map(|(id, _, address)| (id, address)).collect();
+        let mut simple = Simple::new(holder(instance), addresses, targets, choose(instance));
+        Box::new(move |now, event| simple.handle(now.mono_ms.0, event))
+    };
+    Policy { name, build: Box::new(build) }
+}
+
+fn node(deployment: &Deployment, instance: usize) -> Handle {
+    let mut node = Node::new(node_settings(instance));
+    prepare(&mut node, deployment);
+    Box::new(move |now, event| node.handle(now, event))
+}
+
+fn node_settings(instance: usize) -> NodeSettings {
+    NodeSettings {
+        instance: holder(instance).instance,
+        incarnation: holder(instance).incarnation,
+        data_centre: data_centre(instance % DATA_CENTRES),
+        peer_address: peer_address(instance),
+        seal: Seal::new("a key of the bench, long enough to use"),
+    }
+}
+
+fn prepare(node: &mut Node, deployment: &Deployment) {
+    let document = document(deployment);
+    let listed = (0..deployment.instances).map(|instance| {
+        let listed = ListedInstance {
+            data_centre: data_centre(instance % DATA_CENTRES),
+            peer_address: peer_address(instance),
+            state: ListedState::Live,
+        };
+        (holder(instance).instance, listed)
+    });
+    node.handle(Now::default(), Event::InstanceList(listed.collect()));
+    node.handle(Now::default(), Event::ConfigDocument(ConfigVersion(1), document));
+}
+
+fn build_world(case: &Case, asked: &[workload::Asked], policy: &Policy) -> World {
+    let instances = (0..case.deployment.instances).map(|instance| Instance {
+        data_centre: instance % DATA_CENTRES,
+        address: peer_address(instance),
+        handle: (policy.build)(&case.deployment, instance),
+    });
+    let engines = engine_places(&case.deployment)
+        .into_iter()
+        .map(|(id, data_centre, _)| (id, Engine::new(data_centre)));
+    World::new(instances.collect(), engines.collect(), asked.to_vec(), case.fault)
+}
+
+fn engine_places(deployment: &Deployment) -> Vec<(ServerId, usize, SocketAddr)> {
+    let mut places = Vec::new();
+    for data_centre in 0..DATA_CENTRES {
+        let counts =
+            [("p", deployment.prefill_per_data_centre), ("d", deployment.decode_per_data_centre)];
+        for (start, count) in counts {
+            for number in 0..count {
+                let id = format!("{start}-{data_centre}-{number}").parse().expect("plain id");
+                let port = 20_000 + places.len() as u16;
+                places.push((id, data_centre, SocketAddr::from(([127, 0, 0, 1], port))));
+            }
+        }
+    }
+    places
+}
+
+fn document(deployment: &Deployment) -> Value {
+    let mut servers = BTreeMap::new();
+    for (id, place, address) in engine_places(deployment) {
+        let role = if id.as_str().starts_with('p') { "prefill" } else { "decode" };
+        let data_centre = data_centre(place);
+        servers.insert(
+            id.to_string(),
+            json!({"data_centre": data_centre, "address": address, "role": role}),
+        );
+    }
+    let engines: Vec<_> = servers.keys().cloned().collect();
+    for number in 0..deployment.plain {
+        let address = SocketAddr::from(([127, 0, 0, 1], 30_000 + number as u16));
+        let data_centre = data_centre(number % DATA_CENTRES);
+        servers.insert(
+            format!("s-{number}"),
+            json!({"data_centre": data_centre, "address": address, "role": "plain"}),
+        );
+    }
+    let kinds: BTreeMap<_, _> = deployment
+        .kinds
+        .iter()
+        .map(|kind| {
+            let window = json!({
+                "from": "00:00", "until": "24:00",
+                "first_token_ms": kind.first_token_ms, "per_token_ms": kind.per_token_ms,
+            });
+            let targets = json!({
+                "time_zone": "Africa/Dakar",
+                "goodput_weight": kind.goodput_weight,
+                "wasted_prefill_weight": kind.wasted_prefill_weight,
+                "windows": {"day": window},
+            });
+            (kind.name, targets)
+        })
+        .collect();
+    let mut links = BTreeMap::new();
+    for from in 0..DATA_CENTRES {
+        for to in 0..DATA_CENTRES {
+            let rate = if from == to { NEAR_BYTES_PER_MS } else { FAR_BYTES_PER_MS };
+            let name = format!("{}.{}", data_centre(from), data_centre(to));
+            links.insert(name, json!({"rate_bytes_per_second": rate * 1_000}));
+        }
+    }
+    json!({
+        "version": 1,
+        "caller_kinds": kinds,
+        "models": {"m": {"default_version": "1", "versions": {"1": {"servers": engines}}}},
+        "servers": servers,
+        "links": links,
+        "limits": {"kv_bytes_per_token": BYTES_PER_TOKEN, "tokens_per_piece": PIECE_TOKENS},
+    })
+}
+
+fn holder(instance: usize) -> Holder {
+    let instance: InstanceId = format!("i{instance}").parse().expect("plain id");
+    Holder { instance, incarnation: Incarnation(1) }
+}
+
+fn data_centre(place: usize) -> DataCentreId {
+    format!("dc{place}").parse().expect("plain id")
+}
+
+fn peer_address(instance: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + instance as u16))
+}
