Plan admission, grant prefill slots, learn rates, keep the KV cache

Change: - node/admit_path.rs: waiting requests are planned by the latest end of their prefill (Moore and Hodgson); what can't make it is given up at once with a retry-after worked out from the backlog. Weights of goodput and wasted prefill set the cost and the reserve. - admission/prefill_slots.rs: owners of prefill engines grant their time a little ahead; SeatRequest goes to prefill engines too, SeatReply carries wait_ms. - node/turn_path.rs: slot, then seat, then prefill. An owner that doesn't answer costs no try, and a late grant is given back. - node/model_path.rs: a lost decode engine is replaced while the result lasts; timeouts follow the prediction; retries have a budget by ratio. - estimate/: prefill rate, token rate and transfer time, bounded; servers that fail are ejected and come back. - route/: pools by model worked out once a version; prefix beliefs that age; ties broken by a hash that differs between instances. - seats/ledger.rs: an older report does not bring a released stream back.

--- a/crates/core/benches/policy/simple.rs
+++ b/crates/core/benches/policy/simple.rs
@@ -178,6 +178,7 @@
             stream: call.stream.clone(),
             target: self.target(&call.decode),
             holder: self.holder.clone(),
+            takes_over: false,
             from_index: 0,
             silence_ms: SILENCE_MS,
         })]
@@ -199,6 +200,7 @@
             .map(|server| Action::Cancel {
                 target: self.target(server),
                 stream: call.stream.clone(),
+                holder: self.holder.clone(),
             })
             .into()
     }
--- /dev/null
+++ b/crates/core/src/estimate/suspects.rs
@@ -0,0 +1,48 @@
+//! Servers that failed calls of this instance: ejected for a while, longer with each failure in
+//! a row, and let back in when the time is over.
+
+use std::collections::BTreeMap;
+
+use crate::ids::ServerId;
+use crate::units::Millis;
+
+/// Time out of use after the first failure.
+const FIRST_EJECTION_MS: u64 = 1_000;
+/// Longest time out of use.
+const MAX_EJECTION_MS: u64 = 30_000;
+
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    failures: u32,
+    until_ms: Millis,
+}
+
+/// Servers out of use.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    by_server: BTreeMap<ServerId, Suspect>,
+}
+
+impl Suspects {
+    /// Takes note of a failure; failures during an ejection do not prolong it.
+    pub fn fail(&mut self, now_ms: Millis, server: &ServerId) {
+        let new = Suspect { failures: 0, until_ms: Millis::ZERO };
+        let suspect = self.by_server.entry(server.clone()).or_insert(new);
+        if suspect.until_ms > now_ms {
+            return;
+        }
+        let ejection_ms = FIRST_EJECTION_MS << suspect.failures.min(16);
+        suspect.failures += 1;
+        suspect.until_ms = now_ms + Millis(ejection_ms.min(MAX_EJECTION_MS));
+    }
+
+    /// Takes note of a success.
+    pub fn succeed(&mut self, server: &ServerId) {
+        self.by_server.remove(server);
+    }
+
+    /// Whether the server is out of use.
+    pub fn is_ejected(&self, now_ms: Millis, server: &ServerId) -> bool {
+        self.by_server.get(server).is_some_and(|suspect| suspect.until_ms > now_ms)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,8 +7,10 @@
 
 pub mod action;
 pub mod adapters;
+pub mod admission;
 pub mod config;
 pub mod error_kind;
+pub mod estimate;
 pub mod event;
 pub mod ids;
 pub mod membership;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -9,7 +9,7 @@
 use crate::ids::{ConfigVersion, RequestId, ServerId, StreamId};
 use crate::membership::Heartbeat;
 use crate::report::Holder;
-use crate::units::KvPieces;
+use crate::units::{KvPieces, Millis};
 
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq)]
@@ -54,14 +54,14 @@
     pub stream: StreamId,
 }
 
-/// A request for a seat.
+/// A request for a seat at a decode engine, or for a prompt's turn at a prefill engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SeatRequest {
     /// The request at the asking instance.
     pub request: RequestId,
     /// Where and for which stream.
     pub seat: StreamOnServer,
-    /// Memory to set aside.
+    /// Memory to set aside; at a prefill engine, the part of the prompt to be computed.
     pub kv_pieces: KvPieces,
 }
 
@@ -74,4 +74,6 @@
     pub seat: StreamOnServer,
     /// Whether the seat was granted.
     pub is_granted: bool,
+    /// At a prefill engine, the time until it gets to the prompt or until it is worth asking again.
+    pub wait_ms: Millis,
 }
--- /dev/null
+++ b/crates/core/src/node/admit_path.rs
@@ -0,0 +1,248 @@
+//! Arrival of model requests, their plan, and the end of those that can't meet their target.
+
+use std::collections::BTreeSet;
+
+use crate::admission::{WaitingRequest, plan};
+use crate::error_kind::ErrorKind;
+use crate::event::ModelRequest;
+use crate::ids::{ModelId, ModelVersion, RequestId};
+use crate::membership::rendezvous::stable_hash;
+use crate::node::Node;
+use crate::request::{Flow, Stage};
+use crate::units::{Millis, Streams};
+
+/// Least and greatest wait told to callers that are turned away.
+const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=60_000;
+/// Share by which waits told to callers differ, so that they do not come back together.
+const RETRY_SPREAD_PERCENT: u64 = 20;
+/// Share of a request's own time that is kept in reserve where only wasted prefill counts.
+const MAX_RESERVE_SHARE: f64 = 0.3;
+/// Ratio of the speed that the plan counts on to an equal share of the engines: the instances
+/// don't all have a backlog at the same time.
+const SPEED_RATIO: f64 = 1.25;
+
+impl Node {
+    pub(super) fn take_model_request(&mut self, asked: ModelRequest) {
+        let request = asked.request;
+        if let Some(configuration) = self.config.in_force() {
+            self.admission.pools.refresh(configuration);
+        }
+        match self.start_flow(asked) {
+            Ok(flow) => {
+                let percent = self.config.in_force().map_or(0, |known| known.limits.retry_percent);
+                self.admission.retries.earn(percent);
+                self.flows.insert(request, flow);
+                self.admission.waiting.insert(request);
+                self.advance_waiting();
+            }
+            Err(kind) => {
+                let retry_after_ms = self.retry_after_ms(request, self.admission.backlog_ms);
+                let retry_after_ms = kind.answer().has_retry_after.then_some(retry_after_ms);
+                self.answer_error(request, kind, retry_after_ms);
+            }
+        }
+    }
+
+    /// Serves the requests that wait, the most urgent first, and gives up those out of reach.
+    pub(super) fn advance_waiting(&mut self) {
+        if let Some(configuration) = self.config.in_force() {
+            self.admission.pools.refresh(configuration);
+        }
+        self.end_silent_asks();
+        let requests = self.waiting_requests();
+        if !self.admission.mechanisms.has_plan {
+            self.advance_in_order(requests);
+            return;
+        }
+        let mut models = BTreeSet::new();
+        models.extend(requests.iter().filter_map(|request| self.model_of(*request)));
+        for model in models {
+            let of_model = |request: &RequestId| self.model_of(*request).as_ref() == Some(&model);
+            let requests = requests.iter().copied().filter(of_model).collect();
+            self.advance_by_plan(requests);
+        }
+    }
+
+    fn waiting_requests(&mut self) -> Vec<RequestId> {
+        let flows = &self.flows;
+        self.admission.waiting.retain(|request| flows.contains_key(request));
+        let is_waiting = |request: &&RequestId| flows[request].stage == Stage::Waiting;
+        self.admission.waiting.iter().filter(is_waiting).copied().collect()
+    }
+
+    fn model_of(&self, request: RequestId) -> Option<(ModelId, ModelVersion)> {
+        let flow = self.flows.get(&request)?;
+        Some((flow.asked.as_ref()?.model.clone(), flow.version.clone()?))
+    }
+
+    fn advance_in_order(&mut self, requests: Vec<RequestId>) {
+        for request in requests {
+            let Some(flow) = self.flows.get(&request) else {
+                continue;
+            };
+            if self.now.mono_ms > flow.due_ms() {
+                self.give_up(request, Millis::ZERO);
+                continue;
+            }
+            self.serve(request);
+        }
+    }
+
+    fn advance_by_plan(&mut self, requests: Vec<RequestId>) {
+        let Some(flow) = requests.first().and_then(|request| self.flows.get(request)) else {
+            return;
+        };
+        let now_ms = self.now.mono_ms;
+        let (speed, wait_ms) = self.prefill_speed(flow);
+        let speed = (speed * SPEED_RATIO).max(f64::MIN_POSITIVE);
+        let waiting = requests.iter().filter_map(|request| self.as_waiting(*request)).collect();
+        let plan = plan(waiting, now_ms, now_ms + wait_ms, speed);
+        self.admission.backlog_ms = wait_ms + plan.backlog_ms;
+        for (request, late_ms) in plan.given_up {
+            self.give_up(request, late_ms);
+        }
+        for request in plan.order {
+            self.serve(request);
+        }
+    }
+
+    fn as_waiting(&self, request: RequestId) -> Option<WaitingRequest> {
+        let flow = self.flows.get(&request)?;
+        let asked = flow.asked.as_ref()?;
+        let work_ms = self.admission.estimates.average_prefill_ms(flow.work_tokens);
+        let weight = self.weights(flow).0;
+        let excess = if self.admission.mechanisms.has_isolation {
+            self.admission.usage.excess(&asked.workspace)
+        } else {
+            1.0
+        };
+        let cost = work_ms.0 as f64 * excess / weight.max(f64::MIN_POSITIVE);
+        Some(WaitingRequest { request, work_ms, latest_end_ms: self.latest_end_ms(flow), cost })
+    }
+
+    /// Latest end of a prefill that leaves time for the transfer, the first token and a reserve
+    /// that grows with the weight of wasted prefill.
+    pub(super) fn latest_end_ms(&self, flow: &Flow) -> Millis {
+        let tail_ms = self.tail_ms(flow);
+        let own_ms = tail_ms + self.admission.estimates.average_prefill_ms(flow.work_tokens);
+        let (goodput, wasted) = self.weights(flow);
+        let caution = wasted / (goodput + wasted).max(f64::MIN_POSITIVE);
+        let reserve_ms = Millis((own_ms.0 as f64 * caution * MAX_RESERVE_SHARE) as u64);
+        flow.due_ms() - tail_ms - reserve_ms
+    }
+
+    /// Weights of goodput and of wasted prefill for the caller kind.
+    fn weights(&self, flow: &Flow) -> (f64, f64) {
+        let kind = flow.asked.as_ref().map(|asked| &asked.caller_kind);
+        let kinds = self.config.in_force().map(|known| &known.caller_kinds);
+        let targets = kinds.zip(kind).and_then(|(kinds, kind)| kinds.get(kind));
+        targets.map_or((1.0, 1.0), |kind| (kind.goodput_weight, kind.wasted_prefill_weight))
+    }
+
+    /// Gives a request its final answer: its target is out of reach by `late_ms`.
+    pub(super) fn give_up(&mut self, request: RequestId, late_ms: Millis) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let waited_ms = self.now.mono_ms - flow.arrived_ms;
+        let kind = match flow.first_token_ms {
+            Some(_) => ErrorKind::StreamBroken,
+            None if !self.has_engines(flow) => ErrorKind::NoServer,
+            None => ErrorKind::DeadlineUnreachable,
+        };
+        let fields = vec![
+            ("late_ms", late_ms.0.to_string()),
+            ("waited_ms", waited_ms.0.to_string()),
+            ("backlog_ms", self.admission.backlog_ms.0.to_string()),
+            ("work_tokens", flow.work_tokens.0.to_string()),
+            ("reason", "target_out_of_reach".to_owned()),
+        ];
+        self.log("give_up", Some(request), fields);
+        self.finish(request, kind, late_ms);
+    }
+
+    /// Ends a request with an error after freeing what it holds.
+    pub(super) fn finish_with_error(&mut self, request: RequestId, kind: ErrorKind) {
+        self.finish(request, kind, self.admission.backlog_ms);
+    }
+
+    fn finish(&mut self, request: RequestId, kind: ErrorKind, wait_ms: Millis) {
+        self.free_engines(request);
+        self.flows.remove(&request);
+        let retry_after_ms = self.retry_after_ms(request, wait_ms);
+        let retry_after_ms = kind.answer().has_retry_after.then_some(retry_after_ms);
+        self.answer_error(request, kind, retry_after_ms);
+    }
+
+    fn retry_after_ms(&self, request: RequestId, wait_ms: Millis) -> Millis {
+        let spread = stable_hash(&request.to_string()) ^ self.instance_hash();
+        let percent = 100 + spread % (RETRY_SPREAD_PERCENT + 1);
+        let wait_ms = wait_ms.0.saturating_mul(percent) / 100;
+        Millis(wait_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end()))
+    }
+
+    fn start_flow(&mut self, asked: ModelRequest) -> Result<Flow, ErrorKind> {
+        if self.is_leaving {
+            return Err(ErrorKind::ShuttingDown);
+        }
+        let configuration = self.config.in_force().ok_or(ErrorKind::NotReady)?;
+        if self.admission.waiting.len() as u64 >= configuration.limits.queue_limit_requests {
+            return Err(ErrorKind::Overloaded);
+        }
+        let kind = configuration.caller_kinds.get(&asked.caller_kind);
+        let kind = kind.ok_or(ErrorKind::UnknownCallerKind)?;
+        let targets = kind.at(self.now.wall_ms).ok_or(ErrorKind::NotReady)?;
+        let served = configuration.served_version(&asked.model, asked.version.as_ref());
+        let (version, _) = served.ok_or(ErrorKind::UnknownModel)?;
+        let kv_pieces = configuration.pieces_for(asked.prompt_tokens.0 + asked.max_tokens.0);
+        let now_ms = self.now.mono_ms;
+        let mut flow = Flow {
+            stream: self.stream_id(asked.request, 1),
+            work_tokens: asked.prompt_tokens,
+            asked: Some(asked),
+            version: Some(version),
+            targets,
+            arrived_ms: now_ms,
+            due_from_ms: now_ms,
+            stage: Stage::Waiting,
+            stage_ms: now_ms,
+            attempt: 1,
+            decode: None,
+            prefill: None,
+            wait_ms: Millis::ZERO,
+            result_until_ms: Millis::ZERO,
+            batch: Streams::ZERO,
+            kv_pieces,
+            next_index: 0,
+            excluded: BTreeSet::new(),
+            first_token_ms: None,
+            broken_reads: 0,
+            is_taken_over: false,
+        };
+        if let Some(chosen) = self.choose_prefill(&flow) {
+            flow.work_tokens = self.work_tokens(&flow, &chosen.server);
+        }
+        Ok(flow)
+    }
+
+    /// Frees the memory that a request holds at engines, and what owners granted it.
+    pub(super) fn free_engines(&mut self, request: RequestId) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let stream = flow.stream.clone();
+        let (prefill, decode) = (flow.prefill.clone(), flow.decode.clone());
+        let is_at_prefill =
+            matches!(flow.stage, Stage::Prefilling | Stage::Transferring | Stage::Reseating { .. });
+        let is_at_decode = matches!(flow.stage, Stage::Transferring | Stage::Decoding);
+        let at_prefill = prefill.clone().filter(|_| is_at_prefill);
+        let engines = at_prefill.into_iter().chain(decode.clone().filter(|_| is_at_decode));
+        for server in engines {
+            self.cancel(&server, &stream);
+        }
+        self.release_slot(request);
+        if let Some(server) = decode {
+            self.release_seat(request, server, stream);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/choice.rs
@@ -0,0 +1,238 @@
+//! Choice of engines for a model request: predictions from estimates, beliefs and loads.
+
+use crate::config::document::ServerRole;
+use crate::ids::{DataCentreId, ServerId};
+use crate::membership::rendezvous::stable_hash;
+use crate::node::Node;
+use crate::request::Flow;
+use crate::route::{Choice, least};
+use crate::units::{BytesPerSecond, KvPieces, Millis, Streams, Tokens};
+
+/// Age at which a known load no longer counts.
+const LOAD_LIFE_MS: Millis = Millis(3_000);
+/// Cost of leaving this instance's data centre.
+const FAR_COST_MS: f64 = 20.0;
+/// Cost that puts an engine behind all that stand near.
+const FAR_LAST_COST: f64 = 1e12;
+/// Streams up to which an engine is tried whatever its learned token rate, as a way back.
+const PROBE_STREAMS: Streams = Streams(1);
+/// Batch for which the first token after a transfer is predicted.
+const USUAL_BATCH: Streams = Streams(10);
+
+/// An engine that was chosen.
+#[derive(Clone, Debug)]
+pub(super) struct Chosen {
+    pub server: ServerId,
+    pub cost: f64,
+    pub looked_at: usize,
+}
+
+impl Node {
+    /// The prefill engine with the earliest predicted end, its wait included.
+    pub(super) fn choose_prefill(&self, flow: &Flow) -> Option<Chosen> {
+        let engines = self.usable_engines(flow, ServerRole::Prefill);
+        let looked_at = engines.len();
+        let mechanisms = self.admission.mechanisms;
+        let choices = engines.into_iter().map(|server| {
+            let is_far = !self.is_near(server);
+            let cost = if mechanisms.has_slots {
+                let wait_ms = self.prefill_wait_ms(server).0 as f64;
+                let work_tokens = self.work_tokens(flow, server);
+                let work_ms = self.admission.estimates.prefill_ms(server, work_tokens).0 as f64;
+                wait_ms + work_ms + if is_far { FAR_COST_MS } else { 0.0 }
+            } else {
+                let queued = self.loads.get(server).map_or(0, |known| known.load.queued_tokens.0);
+                queued as f64 + if is_far { FAR_LAST_COST } else { 0.0 }
+            };
+            Choice { server, cost }
+        });
+        let best = least(choices, self.instance_hash())?;
+        Some(Chosen { server: best.server.clone(), cost: best.cost, looked_at })
+    }
+
+    /// The decode engine with room that is soonest and fastest from where the prompt is computed.
+    pub(super) fn choose_decode(&self, flow: &Flow, source: Option<&ServerId>) -> Option<Chosen> {
+        let engines = self.usable_engines(flow, ServerRole::Decode);
+        let looked_at = engines.len();
+        let choices = engines.into_iter().filter_map(|server| {
+            let cost = self.decode_cost(flow, source, server)?;
+            Some(Choice { server, cost })
+        });
+        let best = least(choices, self.instance_hash())?;
+        Some(Chosen { server: best.server.clone(), cost: best.cost, looked_at })
+    }
+
+    fn decode_cost(
+        &self,
+        flow: &Flow,
+        source: Option<&ServerId>,
+        server: &ServerId,
+    ) -> Option<f64> {
+        let load = self.loads.get(server)?.load;
+        if load.free_streams == Streams::ZERO || load.free_pieces < flow.kv_pieces {
+            return None;
+        }
+        let batch = self.batch(server);
+        let token_ms = self.admission.estimates.token_ms(server, batch + Streams(1));
+        let is_limited = self.admission.mechanisms.has_token_limit && batch > PROBE_STREAMS;
+        if is_limited && token_ms > flow.targets.per_token_ms.0 as f64 {
+            return None;
+        }
+        let far_cost = if self.is_near(server) { 0.0 } else { FAR_COST_MS };
+        let Some(source) = source else {
+            let far_last = if self.is_near(server) { 0.0 } else { FAR_LAST_COST };
+            return Some(far_last - load.free_streams.0 as f64);
+        };
+        Some(self.transfer_ms(flow, source, server).0 as f64 + token_ms + far_cost)
+    }
+
+    /// Streams that an engine holds, as far as known.
+    pub(super) fn batch(&self, server: &ServerId) -> Streams {
+        let limit = self.config.in_force().and_then(|known| known.servers.get(server));
+        let limit = limit.map_or(Streams::ZERO, |known| known.stream_limit_streams);
+        let free = self.loads.get(server).map_or(Streams::ZERO, |known| known.load.free_streams);
+        limit - free
+    }
+
+    /// Engines that may serve a request: fresh load, not leaving, not ejected.
+    pub(super) fn usable_engines(&self, flow: &Flow, role: ServerRole) -> Vec<&ServerId> {
+        let (Some(asked), Some(version)) = (&flow.asked, &flow.version) else {
+            return Vec::new();
+        };
+        let Some(pool) = self.admission.pools.pool(&asked.model, version, role) else {
+            return Vec::new();
+        };
+        let seed = asked.prefix_hashes.first().copied().unwrap_or(asked.request.0);
+        let sample = pool.sample(self.members.own_data_centre(), seed + flow.attempt - 1);
+        let is_usable =
+            |server: &&ServerId| !flow.excluded.contains(*server) && self.is_usable(server);
+        sample.into_iter().filter(is_usable).collect()
+    }
+
+    fn is_usable(&self, server: &ServerId) -> bool {
+        let now_ms = self.now.mono_ms;
+        let is_fresh =
+            self.loads.get(server).is_some_and(|known| now_ms - known.learned_ms <= LOAD_LIFE_MS);
+        let is_ejected = self.admission.mechanisms.has_ejection
+            && self.admission.suspects.is_ejected(now_ms, server);
+        is_fresh && !is_ejected && !self.leaving_servers.contains(server)
+    }
+
+    /// Time until a prefill engine is expected to take more work.
+    pub(super) fn prefill_wait_ms(&self, server: &ServerId) -> Millis {
+        let free_at_ms = self.admission.free_at_ms.get(server).copied().unwrap_or_default();
+        free_at_ms - self.now.mono_ms
+    }
+
+    /// Prompt tokens that an engine would have to compute.
+    pub(super) fn work_tokens(&self, flow: &Flow, server: &ServerId) -> Tokens {
+        let Some(asked) = &flow.asked else {
+            return Tokens::ZERO;
+        };
+        if !self.admission.mechanisms.has_affinity {
+            return asked.prompt_tokens;
+        }
+        let hashes = &asked.prefix_hashes;
+        let now_ms = self.now.mono_ms;
+        let beliefs = &self.admission.beliefs;
+        let cached = beliefs.cached_tokens(now_ms, server, hashes, asked.prompt_tokens);
+        asked.prompt_tokens - cached
+    }
+
+    /// Predicted time of a transfer between two engines.
+    pub(super) fn transfer_ms(&self, flow: &Flow, from: &ServerId, to: &ServerId) -> Millis {
+        let Some((link, rate, bytes)) = self.transfer_over(flow, from, to) else {
+            return Millis::ZERO;
+        };
+        self.admission.estimates.transfer_ms(&link, rate, bytes)
+    }
+
+    /// Predicted time from the end of a prefill to the first token, within a data centre.
+    pub(super) fn tail_ms(&self, flow: &Flow) -> Millis {
+        let own = self.members.own_data_centre();
+        let link = (own.clone(), own.clone());
+        let rate = self.link_rate(&link);
+        let transfer_ms = self.admission.estimates.transfer_ms(&link, rate, self.kv_bytes(flow));
+        transfer_ms + Millis(self.admission.estimates.usual_token_ms(USUAL_BATCH).ceil() as u64)
+    }
+
+    /// The link between two engines, its rate and what would travel over it.
+    pub(super) fn transfer_over(
+        &self,
+        flow: &Flow,
+        from: &ServerId,
+        to: &ServerId,
+    ) -> Option<((DataCentreId, DataCentreId), Option<BytesPerSecond>, u64)> {
+        let servers = &self.config.in_force()?.servers;
+        let place = |server| servers.get(server).map(|known| known.data_centre.clone());
+        let link = (place(from)?, place(to)?);
+        let rate = self.link_rate(&link);
+        Some((link, rate, self.kv_bytes(flow)))
+    }
+
+    fn link_rate(&self, link: &(DataCentreId, DataCentreId)) -> Option<BytesPerSecond> {
+        let links = &self.config.in_force()?.links;
+        links.get(&format!("{}.{}", link.0, link.1)).map(|known| known.rate_bytes_per_second)
+    }
+
+    fn kv_bytes(&self, flow: &Flow) -> u64 {
+        let per_token = self.config.in_force().map_or(0, |known| known.limits.kv_bytes_per_token.0);
+        flow.asked.as_ref().map_or(0, |asked| asked.prompt_tokens.0 * per_token)
+    }
+
+    fn is_near(&self, server: &ServerId) -> bool {
+        let known = self.config.in_force().and_then(|known| known.servers.get(server));
+        known.is_some_and(|known| known.data_centre == *self.members.own_data_centre())
+    }
+
+    /// A number that differs between instances.
+    pub(super) fn instance_hash(&self) -> u64 {
+        stable_hash(self.members.own_holder().instance.as_str())
+    }
+
+    /// Time of a slot at a prefill engine that this node owns.
+    pub(super) fn slot_work_ms(&self, server: &ServerId, kv_pieces: KvPieces) -> Millis {
+        let per_piece = self.config.in_force().map_or(0, |known| known.limits.tokens_per_piece);
+        self.admission.estimates.prefill_ms(server, Tokens(kv_pieces.0 * per_piece))
+    }
+
+    /// Prompt tokens ahead at an engine that this node owns: what was granted, where the report
+    /// lags, and the report else.
+    pub(super) fn queued_tokens(&self, server: &ServerId, reported: Tokens) -> Tokens {
+        if !self.admission.mechanisms.has_slots || !self.is_prefill(server) {
+            return reported;
+        }
+        let busy_ms = self.admission.slots.busy_ms(self.now.mono_ms, server);
+        let per_thousand_ms = self.admission.estimates.prefill_ms(server, Tokens(1_000)).0.max(1);
+        Tokens(busy_ms.0 * 1_000 / per_thousand_ms)
+    }
+
+    pub(super) fn is_prefill(&self, server: &ServerId) -> bool {
+        let known = self.config.in_force().and_then(|known| known.servers.get(server));
+        known.is_some_and(|known| known.role == ServerRole::Prefill)
+    }
+
+    /// How many prefill engines are at this instance's service, those usable being shared among the
+    /// live instances, and the time until the first of them takes work.
+    pub(super) fn prefill_speed(&self, flow: &Flow) -> (f64, Millis) {
+        let (Some(asked), Some(version)) = (&flow.asked, &flow.version) else {
+            return (0.0, Millis::ZERO);
+        };
+        let pool = self.admission.pools.pool(&asked.model, version, ServerRole::Prefill);
+        let Some(pool) = pool else {
+            return (0.0, Millis::ZERO);
+        };
+        let sample = pool.sample(self.members.own_data_centre(), asked.request.0);
+        let usable: Vec<_> = sample.iter().filter(|server| self.is_usable(server)).collect();
+        let wait_ms = usable.iter().map(|server| self.prefill_wait_ms(server)).min();
+        let usable_share = usable.len() as f64 / sample.len().max(1) as f64;
+        let engines = usable_share * pool.len() as f64;
+        (engines / self.live_instances().max(1) as f64, wait_ms.unwrap_or_default())
+    }
+
+    fn live_instances(&self) -> usize {
+        let now_ms = self.now.mono_ms;
+        let places = self.admission.pools.places().iter();
+        places.map(|place| self.members.members_of(place, now_ms).len()).sum()
+    }
+}
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -4,6 +4,8 @@
 //! the plain path. Each part is a file of this folder; [`Node::handle`] passes every event to its
 //! part and collects the actions.
 
+mod admit_path;
+mod choice;
 mod config_path;
 mod member_path;
 mod model_path;
@@ -12,11 +14,13 @@
 mod plain_tries;
 mod seat_path;
 pub mod status;
+mod turn_path;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use crate::action::{Action, Decision, Target};
+use crate::admission::{AdmissionState, Mechanisms};
 use crate::config::ConfigHistory;
 use crate::error_kind::ErrorKind;
 use crate::event::{Event, Now, PlainAnswer};
@@ -61,6 +65,7 @@
     loads: BTreeMap<ServerId, KnownLoad>,
     leaving_servers: BTreeSet<ServerId>,
     placement: PlacementState,
+    admission: AdmissionState,
     flows: BTreeMap<RequestId, Flow>,
     plain_callers: BTreeMap<RequestId, PlainCaller>,
     plain_flows: BTreeMap<RequestId, PlainFlow>,
@@ -101,6 +106,7 @@
             loads: BTreeMap::new(),
             leaving_servers: BTreeSet::new(),
             placement: PlacementState::default(),
+            admission: AdmissionState::default(),
             flows: BTreeMap::new(),
             plain_callers: BTreeMap::new(),
             plain_flows: BTreeMap::new(),
@@ -115,6 +121,13 @@
         }
     }
 
+    /// A node with some of its mechanisms switched off, to measure what each is worth.
+    pub fn with_mechanisms(settings: NodeSettings, mechanisms: Mechanisms) -> Self {
+        let mut node = Self::new(settings);
+        node.admission.mechanisms = mechanisms;
+        node
+    }
+
     /// Handles one event and returns what is to be done.
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
         assert!(now.mono_ms >= self.now.mono_ms, "monotonic time went back");
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::action::Action;
+use crate::admission::SlotAnswer;
 use crate::config::document::ServerRole;
 use crate::ids::{InstanceId, ServerId};
 use crate::membership::ServerLoad;
@@ -14,6 +15,8 @@
 
 /// Time between polls of a server's report.
 const POLL_MS: Millis = Millis(500);
+/// Wait told to those who ask for an engine that can't be used.
+const UNUSABLE_MS: Millis = Millis(1_000);
 
 /// Time between two claims of one stream that was taken over.
 const CLAIM_MS: Millis = Millis(1_000);
@@ -67,11 +70,9 @@
         let ledger = self.ledgers.entry(server.clone()).or_insert_with(|| SeatLedger::new(limits));
         ledger.reconcile(now_ms, report);
         let free = ledger.free();
-        let load = ServerLoad {
-            free_streams: free.streams,
-            free_pieces: free.pieces,
-            queued_tokens: report.queued_tokens,
-        };
+        let queued_tokens = self.queued_tokens(server, report.queued_tokens);
+        let load =
+            ServerLoad { free_streams: free.streams, free_pieces: free.pieces, queued_tokens };
         self.loads.insert(server.clone(), KnownLoad { load, learned_ms: now_ms });
         self.note_look(server, report);
     }
@@ -83,15 +84,26 @@
     }
 
     pub(super) fn take_seat_request(&mut self, from: &Holder, asked: SeatRequest) {
-        let is_granted = self.grant(from, &asked);
+        let answer = if self.is_prefill(&asked.seat.server) {
+            self.grant_slot(from, &asked)
+        } else {
+            SlotAnswer { is_granted: self.grant(from, &asked), wait_ms: Millis::ZERO }
+        };
+        let is_granted = answer.is_granted;
         let fields = vec![
             ("server", asked.seat.server.to_string()),
             ("stream", asked.seat.stream.to_string()),
             ("holder", from.instance.to_string()),
             ("granted", is_granted.to_string()),
+            ("wait_ms", answer.wait_ms.0.to_string()),
         ];
         self.log("seat", None, fields);
-        let reply = SeatReply { request: asked.request, seat: asked.seat, is_granted };
+        let reply = SeatReply {
+            request: asked.request,
+            seat: asked.seat,
+            is_granted,
+            wait_ms: answer.wait_ms,
+        };
         if *from == self.members.own_holder() {
             self.take_seat_reply(reply);
             return;
@@ -100,13 +112,15 @@
     }
 
     pub(super) fn take_release(&mut self, from: &Holder, seat: &StreamOnServer) {
+        let now_ms = self.now.mono_ms;
+        self.admission.slots.release(now_ms, &seat.server, &seat.stream, from);
         let Some(ledger) = self.ledgers.get_mut(&seat.server) else {
             return;
         };
         let is_holder =
             ledger.leases().get(&seat.stream).is_some_and(|lease| lease.holder == *from);
         if is_holder {
-            ledger.release(&seat.stream);
+            ledger.release(now_ms, &seat.stream);
             self.note_free_seats(&seat.server);
         }
     }
@@ -121,6 +135,7 @@
     pub(super) fn expire_leases(&mut self) {
         let now_ms = self.now.mono_ms;
         let members = &self.members;
+        self.admission.slots.expire(now_ms, |holder| members.is_live(holder, now_ms));
         let mut ended = Vec::new();
         for (server, ledger) in &mut self.ledgers {
             for (stream, holder) in ledger.expire(now_ms, |holder| members.is_live(holder, now_ms))
@@ -229,6 +244,20 @@
         is_granted
     }
 
+    /// Grants a prompt its turn at a prefill engine that this node owns.
+    fn grant_slot(&mut self, from: &Holder, asked: &SeatRequest) -> SlotAnswer {
+        let server = &asked.seat.server;
+        let is_usable = self.owns(server)
+            && self.loads.contains_key(server)
+            && !self.leaving_servers.contains(server);
+        if !is_usable {
+            return SlotAnswer { is_granted: false, wait_ms: UNUSABLE_MS };
+        }
+        let now_ms = self.now.mono_ms;
+        let work_ms = self.slot_work_ms(server, asked.kv_pieces);
+        self.admission.slots.grant(now_ms, server, &asked.seat.stream, from, work_ms)
+    }
+
     fn note_free_seats(&mut self, server: &ServerId) {
         let Some(free) = self.ledgers.get(server).map(SeatLedger::free) else {
             return;
--- /dev/null
+++ b/crates/core/src/node/turn_path.rs
@@ -0,0 +1,296 @@
+//! A request's turn: the slot at a prefill engine, then the seat at a decode engine, both lined up
+//! before the prefill starts.
+
+use crate::admission::prefill_slots::AHEAD_MS;
+use crate::ids::{RequestId, ServerId, StreamId};
+use crate::message::{PeerMessage, SeatReply, SeatRequest, StreamOnServer};
+use crate::node::Node;
+use crate::request::{Flow, Stage};
+use crate::units::{KvPieces, Millis, Streams};
+
+/// Longest wait for an owner's answer.
+const SEAT_TIMEOUT_MS: Millis = Millis(300);
+/// Time for which an engine whose owner did not answer is not asked for.
+const OWNER_SILENT_MS: Millis = Millis(1_000);
+
+impl Node {
+    /// Starts a request's turn where an engine takes more work now.
+    pub(super) fn serve(&mut self, request: RequestId) {
+        let is_waiting = |flow: &&Flow| flow.stage == Stage::Waiting;
+        let Some(flow) = self.flows.get(&request).filter(is_waiting) else {
+            return;
+        };
+        if !self.admission.mechanisms.has_slots {
+            self.ask_seat(request);
+            return;
+        }
+        let Some(chosen) = self.choose_prefill(flow) else {
+            return;
+        };
+        let is_free = self.prefill_wait_ms(&chosen.server) == Millis::ZERO;
+        if !is_free || self.choose_decode(flow, Some(&chosen.server)).is_none() {
+            return;
+        }
+        let fields = vec![
+            ("server", chosen.server.to_string()),
+            ("predicted_ms", format!("{:.0}", chosen.cost)),
+            ("looked_at", chosen.looked_at.to_string()),
+            ("config_version", self.config.version().to_string()),
+            ("reason", "earliest_predicted_end".to_owned()),
+        ];
+        self.log("choose_prefill", Some(request), fields);
+        self.ask_slot(request, chosen.server);
+    }
+
+    fn ask_slot(&mut self, request: RequestId, server: ServerId) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let work_tokens = self.work_tokens(flow, &server);
+        let Some(configuration) = self.config.in_force() else {
+            return;
+        };
+        let kv_pieces = configuration.pieces_for(work_tokens.0);
+        self.set_stage(request, Stage::AskingSlot { since_ms: self.now.mono_ms });
+        self.expect_work(&server, Millis::ZERO, self.slot_work_ms(&server, kv_pieces));
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        flow.prefill = Some(server.clone());
+        flow.work_tokens = work_tokens;
+        let seat = StreamOnServer { server: server.clone(), stream: flow.stream.clone() };
+        let asked = SeatRequest { request, seat, kv_pieces };
+        self.tell_owner(&server, PeerMessage::SeatRequest(asked));
+    }
+
+    /// Takes note that an engine gets to more work after `wait_ms` and is then busy with it.
+    fn expect_work(&mut self, server: &ServerId, wait_ms: Millis, work_ms: Millis) {
+        let free_at_ms = self.now.mono_ms + (wait_ms + work_ms - AHEAD_MS);
+        self.admission.free_at_ms.insert(server.clone(), free_at_ms);
+    }
+
+    pub(super) fn take_seat_reply(&mut self, reply: SeatReply) {
+        let SeatReply { request, seat, is_granted, wait_ms } = reply;
+        let flow = self.flows.get(&request).filter(|flow| flow.stream == seat.stream);
+        let stage = flow.map(|flow| flow.stage);
+        let is_prefill = flow.is_some_and(|flow| flow.prefill.as_ref() == Some(&seat.server));
+        let is_decode = flow.is_some_and(|flow| flow.decode.as_ref() == Some(&seat.server));
+        match stage {
+            Some(Stage::AskingSlot { .. }) if is_prefill && is_granted => {
+                self.take_slot(request, &seat.server, wait_ms);
+            }
+            Some(Stage::AskingSlot { .. }) if is_prefill => {
+                let again_ms = self.now.mono_ms + wait_ms;
+                self.admission.free_at_ms.insert(seat.server, again_ms);
+                self.wait_again(request);
+                self.serve(request);
+            }
+            Some(Stage::Asking { .. }) if is_decode && is_granted => {
+                self.take_seat(request, &seat.server);
+                self.start_prefill(request);
+            }
+            Some(Stage::Reseating { .. }) if is_decode && is_granted => {
+                self.take_seat(request, &seat.server);
+                self.start_transfer(request);
+            }
+            Some(Stage::Asking { .. } | Stage::Reseating { .. }) if is_decode => {
+                self.note_full(request, &seat.server);
+                self.ask_seat(request);
+            }
+            _ if is_granted && !is_prefill && !is_decode => {
+                self.tell_owner(&seat.server.clone(), PeerMessage::Release(seat));
+            }
+            _ => {}
+        }
+    }
+
+    fn take_slot(&mut self, request: RequestId, server: &ServerId, wait_ms: Millis) {
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        flow.wait_ms = wait_ms;
+        let work_tokens = flow.work_tokens;
+        let work_ms = self.admission.estimates.prefill_ms(server, work_tokens);
+        self.expect_work(server, wait_ms, work_ms);
+        let end_ms = self.now.mono_ms + wait_ms + work_ms;
+        let latest_end_ms = self.flows.get(&request).map(|flow| self.latest_end_ms(flow));
+        let late_ms = end_ms - latest_end_ms.unwrap_or_default();
+        if self.admission.mechanisms.has_plan && late_ms > Millis::ZERO {
+            self.give_up(request, late_ms);
+            return;
+        }
+        self.ask_seat(request);
+    }
+
+    /// Asks the owner of the best decode engine for a seat.
+    pub(super) fn ask_seat(&mut self, request: RequestId) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let is_reseating = matches!(flow.stage, Stage::Reseating { .. });
+        let Some(chosen) = self.choose_decode(flow, flow.prefill.as_ref()) else {
+            if !is_reseating && flow.stage != Stage::Waiting {
+                self.wait_again(request);
+            }
+            return;
+        };
+        let server = chosen.server;
+        let fields = vec![
+            ("server", server.to_string()),
+            ("predicted_ms", format!("{:.0}", chosen.cost)),
+            ("batch", self.batch(&server).0.to_string()),
+            ("looked_at", chosen.looked_at.to_string()),
+            ("config_version", self.config.version().to_string()),
+            (
+                "reason",
+                if is_reseating { "decode_lost" } else { "least_transfer_and_token_time" }
+                    .to_owned(),
+            ),
+        ];
+        self.log("choose_decode", Some(request), fields);
+        let since_ms = self.now.mono_ms;
+        let stage =
+            if is_reseating { Stage::Reseating { since_ms } } else { Stage::Asking { since_ms } };
+        self.set_stage(request, stage);
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        flow.decode = Some(server.clone());
+        let seat = StreamOnServer { server: server.clone(), stream: flow.stream.clone() };
+        let asked = SeatRequest { request, seat, kv_pieces: flow.kv_pieces };
+        self.tell_owner(&server, PeerMessage::SeatRequest(asked));
+    }
+
+    /// Counts a granted seat until its owner's next report does.
+    fn take_seat(&mut self, request: RequestId, server: &ServerId) {
+        let batch = self.batch(server);
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        flow.batch = batch + Streams(1);
+        let kv_pieces = flow.kv_pieces;
+        if self.owns(server) {
+            return;
+        }
+        if let Some(known) = self.loads.get_mut(server) {
+            known.load.free_streams = known.load.free_streams - Streams(1);
+            known.load.free_pieces = known.load.free_pieces - kv_pieces;
+        }
+    }
+
+    /// Counts a decode engine as too full for requests of this size until its owner tells more.
+    fn note_full(&mut self, request: RequestId, server: &ServerId) {
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        flow.decode = None;
+        if let Some(known) = self.loads.get_mut(server) {
+            let below = flow.kv_pieces - KvPieces(1);
+            known.load.free_pieces = known.load.free_pieces.min(below);
+        }
+    }
+
+    /// Gives a seat back and counts it as free at once.
+    pub(super) fn release_seat(&mut self, request: RequestId, server: ServerId, stream: StreamId) {
+        let is_granted = self.flows.get(&request).is_none_or(|flow| {
+            !matches!(flow.stage, Stage::Asking { .. } | Stage::Reseating { .. })
+        });
+        let kv_pieces = self.flows.get(&request).map_or(KvPieces::ZERO, |flow| flow.kv_pieces);
+        let is_counted_here = is_granted && !self.owns(&server);
+        if let Some(known) = self.loads.get_mut(&server).filter(|_| is_counted_here) {
+            known.load.free_streams = known.load.free_streams + Streams(1);
+            known.load.free_pieces = known.load.free_pieces + kv_pieces;
+        }
+        let seat = StreamOnServer { server, stream };
+        self.tell_owner(&seat.server.clone(), PeerMessage::Release(seat));
+    }
+
+    /// Gives the slot at the prefill engine back, where there may be one.
+    pub(super) fn release_slot(&mut self, request: RequestId) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let has_slot = matches!(
+            flow.stage,
+            Stage::AskingSlot { .. } | Stage::Asking { .. } | Stage::Prefilling
+        );
+        let Some(server) = flow.prefill.clone().filter(|_| has_slot) else {
+            return;
+        };
+        let seat = StreamOnServer { server, stream: flow.stream.clone() };
+        self.tell_owner(&seat.server.clone(), PeerMessage::Release(seat));
+    }
+
+    /// Puts a request back among those that wait; it holds nothing then.
+    fn wait_again(&mut self, request: RequestId) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let is_asking_seat = matches!(flow.stage, Stage::Asking { .. });
+        if let Some(server) = flow.prefill.clone().filter(|_| is_asking_seat) {
+            self.admission.free_at_ms.insert(server, self.now.mono_ms);
+        }
+        self.release_slot(request);
+        if let Some(flow) = self.flows.get_mut(&request) {
+            flow.prefill = None;
+            flow.decode = None;
+        }
+        self.set_stage(request, Stage::Waiting);
+    }
+
+    /// Turns away from owners that do not answer.
+    pub(super) fn end_silent_asks(&mut self) {
+        let now_ms = self.now.mono_ms;
+        let requests: Vec<_> = self.admission.waiting.iter().copied().collect();
+        for request in requests {
+            let Some(flow) = self.flows.get(&request) else {
+                continue;
+            };
+            let (Stage::AskingSlot { since_ms }
+            | Stage::Asking { since_ms }
+            | Stage::Reseating { since_ms }) = flow.stage
+            else {
+                continue;
+            };
+            let is_reseating = matches!(flow.stage, Stage::Reseating { .. });
+            if is_reseating && now_ms > flow.result_until_ms {
+                self.retry(request, "result_expired");
+                continue;
+            }
+            if is_reseating && flow.decode.is_none() {
+                self.ask_seat(request);
+                continue;
+            }
+            if now_ms - since_ms > SEAT_TIMEOUT_MS {
+                self.end_silent_ask(request);
+            }
+        }
+    }
+
+    fn end_silent_ask(&mut self, request: RequestId) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let (stage, stream) = (flow.stage, flow.stream.clone());
+        let (prefill, decode) = (flow.prefill.clone(), flow.decode.clone());
+        self.log("owner_silent", Some(request), vec![("stage", format!("{stage:?}"))]);
+        if let (Stage::AskingSlot { .. }, Some(server)) = (stage, prefill) {
+            self.wait_again(request);
+            let again_ms = self.now.mono_ms + OWNER_SILENT_MS;
+            self.admission.free_at_ms.insert(server, again_ms);
+            return;
+        }
+        if let Some(server) = decode {
+            self.note_full(request, &server);
+            let seat = StreamOnServer { server, stream };
+            self.tell_owner(&seat.server.clone(), PeerMessage::Release(seat));
+        }
+        self.ask_seat(request);
+    }
+
+    /// Whether any usable engine of each role is known for a request.
+    pub(super) fn has_engines(&self, flow: &Flow) -> bool {
+        use crate::config::document::ServerRole::{Decode, Prefill};
+        [Prefill, Decode].iter().all(|role| !self.usable_engines(flow, *role).is_empty())
+    }
+}
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -5,13 +5,18 @@
 use crate::config::window::Targets;
 use crate::event::ModelRequest;
 use crate::ids::{ModelVersion, ServerId, StreamId};
-use crate::units::{KvPieces, Millis};
+use crate::units::{KvPieces, Millis, Streams, Tokens};
 
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
-    /// Waiting for a decode seat.
+    /// Waiting for its turn.
     Waiting,
+    /// An owner was asked for a prefill slot at this time.
+    AskingSlot {
+        /// When.
+        since_ms: Millis,
+    },
     /// An owner was asked for a seat at this time.
     Asking {
         /// When.
@@ -21,6 +26,11 @@
     Prefilling,
     /// The KV cache is on its way.
     Transferring,
+    /// The prompt is computed, its decode engine is lost, and an owner was asked for another seat.
+    Reseating {
+        /// When.
+        since_ms: Millis,
+    },
     /// Tokens are being generated.
     Decoding,
 }
@@ -36,8 +46,12 @@
     pub targets: Targets,
     /// When it arrived.
     pub arrived_ms: Millis,
+    /// From when its target for the first token counts.
+    pub due_from_ms: Millis,
     /// Where it stands.
     pub stage: Stage,
+    /// Since when.
+    pub stage_ms: Millis,
     /// The stream of the present try.
     pub stream: StreamId,
     /// Number of the present try.
@@ -46,6 +60,14 @@
     pub decode: Option<ServerId>,
     /// The prefill engine, from the start of the prefill on.
     pub prefill: Option<ServerId>,
+    /// Prompt tokens that are not expected in the cache of the prefill engine.
+    pub work_tokens: Tokens,
+    /// Time that the owner of the prefill engine expected to pass before the prefill began.
+    pub wait_ms: Millis,
+    /// When the result of the prefill expires.
+    pub result_until_ms: Millis,
+    /// Streams on the decode engine when the seat was granted.
+    pub batch: Streams,
     /// Memory set aside at the decode engine.
     pub kv_pieces: KvPieces,
     /// Index of the next token that the caller lacks.
@@ -63,12 +85,13 @@
 impl Flow {
     /// When the first token is due.
     pub fn due_ms(&self) -> Millis {
-        self.arrived_ms + self.targets.first_token_ms
+        self.due_from_ms + self.targets.first_token_ms
     }
 
     /// Whether the present try holds, or may hold, memory of its stream at a server.
     pub fn holds_at(&self, server: &ServerId) -> bool {
-        let is_at_prefill = matches!(self.stage, Stage::Prefilling | Stage::Transferring);
+        let is_at_prefill =
+            matches!(self.stage, Stage::Prefilling | Stage::Transferring | Stage::Reseating { .. });
         let is_at_decode = self.stage != Stage::Waiting && self.decode.as_ref() == Some(server);
         is_at_decode || (is_at_prefill && self.prefill.as_ref() == Some(server))
     }
--- a/crates/core/src/route/rank.rs
+++ b/crates/core/src/route/rank.rs
@@ -1,30 +1,33 @@
 //! Ranking of engines for one request.
 
 use crate::ids::ServerId;
-use crate::membership::ServerLoad;
-use crate::units::KvPieces;
+use crate::membership::rendezvous::stable_hash;
 
 /// An engine that may serve a request.
-#[derive(Clone, Debug)]
-pub struct Candidate {
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice<'a> {
     /// The engine.
-    pub server: ServerId,
-    /// Its load, as far as known.
-    pub load: ServerLoad,
-    /// Whether it stands in this instance's data centre.
-    pub is_near: bool,
+    pub server: &'a ServerId,
+    /// Predicted cost of choosing it; the least is best.
+    pub cost: f64,
 }
 
-/// The decode engine with the most free seats, near ones first.
-pub fn best_decode(candidates: &[Candidate], kv_pieces: KvPieces) -> Option<&Candidate> {
-    candidates
-        .iter()
-        .filter(|candidate| candidate.load.free_streams.0 > 0)
-        .filter(|candidate| candidate.load.free_pieces >= kv_pieces)
-        .max_by_key(|candidate| (candidate.is_near, candidate.load.free_streams))
-}
-
-/// The prefill engine with the shortest queue, near ones first.
-pub fn best_prefill(candidates: &[Candidate]) -> Option<&Candidate> {
-    candidates.iter().min_by_key(|candidate| (!candidate.is_near, candidate.load.queued_tokens))
+/// The engine with the least cost; ties are broken by a hash that differs between instances, so
+/// that they do not all turn to the same engine.
+pub fn least<'a>(
+    choices: impl IntoIterator<Item = Choice<'a>>,
+    instance_hash: u64,
+) -> Option<Choice<'a>> {
+    let mut best: Option<Choice<'a>> = None;
+    for choice in choices {
+        let is_better = best.is_none_or(|best| {
+            let by_cost = choice.cost.total_cmp(&best.cost);
+            let tie = |server: &ServerId| stable_hash(server.as_str()) ^ instance_hash;
+            by_cost.then_with(|| tie(choice.server).cmp(&tie(best.server))).is_lt()
+        });
+        if is_better {
+            best = Some(choice);
+        }
+    }
+    best
 }
--- a/crates/core/src/seats/ledger.rs
+++ b/crates/core/src/seats/ledger.rs
@@ -24,6 +24,9 @@
 /// Time that a granted stream may take to appear in the engine's reports.
 const APPEAR_WITHIN_MS: Millis = Millis(30_000);
 
+/// Time for which reports may still name a stream that was released.
+const REPORT_LAG_MS: Millis = Millis(5_000);
+
 /// What an engine can hold.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SeatLimits {
@@ -55,12 +58,13 @@
 pub struct SeatLedger {
     limits: SeatLimits,
     leases: BTreeMap<StreamId, Lease>,
+    released_ms: BTreeMap<StreamId, Millis>,
 }
 
 impl SeatLedger {
     /// An empty account.
     pub fn new(limits: SeatLimits) -> Self {
-        Self { limits, leases: BTreeMap::new() }
+        Self { limits, leases: BTreeMap::new(), released_ms: BTreeMap::new() }
     }
 
     /// Streams and pieces that can still be granted.
@@ -112,14 +116,19 @@
         true
     }
 
-    /// Ends a lease.
-    pub fn release(&mut self, stream: &StreamId) -> bool {
+    /// Ends a lease; reports that were made before do not bring it back.
+    pub fn release(&mut self, now_ms: Millis, stream: &StreamId) -> bool {
+        self.released_ms.insert(stream.clone(), now_ms);
         self.leases.remove(stream).is_some()
     }
 
     /// Compares the account with a report: adopts unknown streams, drops those that are over.
     pub fn reconcile(&mut self, now_ms: Millis, report: &LoadReport) {
+        self.released_ms.retain(|_, released_ms| now_ms - *released_ms < REPORT_LAG_MS);
         for (stream, held) in &report.held {
+            if self.released_ms.contains_key(stream) {
+                continue;
+            }
             if let Some(lease) = self.leases.get_mut(stream) {
                 lease.reported_holder = Some(held.holder.clone());
                 continue;
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -10,7 +10,7 @@
 use turmericrail_core::membership::{Heartbeat, MemberDigest, ServerLoad};
 use turmericrail_core::message::{Envelope, PeerMessage, SeatReply, SeatRequest, StreamOnServer};
 use turmericrail_core::report::Holder;
-use turmericrail_core::units::{KvPieces, Streams, Tokens};
+use turmericrail_core::units::{KvPieces, Millis, Streams, Tokens};
 
 use crate::peer;
 use crate::peer::envelope::Message;
@@ -81,6 +81,7 @@
             request: reply.request.0,
             seat: Some(encode_seat(&reply.seat)),
             is_granted: reply.is_granted,
+            wait_ms: reply.wait_ms.0,
         }),
         PeerMessage::Release(seat) => Message::Release(encode_seat(seat)),
         PeerMessage::Claim(seat) => Message::Claim(encode_seat(seat)),
@@ -117,6 +118,7 @@
             request: RequestId(reply.request),
             seat: decode_seat(reply.seat)?,
             is_granted: reply.is_granted,
+            wait_ms: Millis(reply.wait_ms),
         }),
         Message::Release(seat) => PeerMessage::Release(decode_seat(Some(seat))?),
         Message::Claim(seat) => PeerMessage::Claim(decode_seat(Some(seat))?),
--- a/crates/wire/tests/peer_messages.rs
+++ b/crates/wire/tests/peer_messages.rs
@@ -7,7 +7,7 @@
 use turmericrail_core::ids::{ConfigVersion, Incarnation, RequestId};
 use turmericrail_core::message::{Envelope, PeerMessage, SeatReply, SeatRequest, StreamOnServer};
 use turmericrail_core::report::Holder;
-use turmericrail_core::units::KvPieces;
+use turmericrail_core::units::{KvPieces, Millis};
 use turmericrail_wire::convert::{decode, encode};
 use turmericrail_wire::peer;
 
@@ -33,6 +33,7 @@
             request,
             seat: seat(),
             is_granted: bool::arbitrary(source),
+            wait_ms: Millis(number),
         }),
         2 => PeerMessage::Release(seat()),
         3 => PeerMessage::ChangesRequest(ConfigVersion(number)),
