--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -30,12 +30,14 @@
 use turmericrail_core::once::Seal;
 use turmericrail_core::report::Holder;
 
+use crate::bound::Engines;
 use crate::engine::Engine;
 use crate::outcome::Measures;
 use crate::simple::{Choose, Simple, least_loaded, power_of_two, round_robin};
 use crate::workload::{Deployment, PIECE_TOKENS, requests};
 use crate::world::{
-    BYTES_PER_TOKEN, FAR_BYTES_PER_MS, FAULT_MS, Fault, Handle, Instance, NEAR_BYTES_PER_MS, World,
+    BYTES_PER_TOKEN, FAR_BYTES_PER_MS, FAULT_MS, Fault, Handle, Instance, NEAR_BYTES_PER_MS,
+    SLOW_DECODE, SLOW_PREFILL, World,
 };
 
 const SEED: u64 = 7;
@@ -69,19 +71,21 @@
         format!("{}/load_{:.1}/{fault}", self.deployment.name, self.load)
     }
 
-    /// Prefill and decode engines that work, on average over the case; a slow one counts in part.
-    fn working_engines(&self) -> (f64, f64) {
-        let (prefill, decode) =
-            (self.deployment.prefill_engines(), self.deployment.decode_engines());
-        let begins = (FAULT_MS - workload::WARM_UP_MS) as f64;
-        let share = 1.0 - begins / workload::ARRIVALS_MS as f64;
-        match self.fault {
-            Fault::DeadPrefill => (prefill - share, decode),
-            Fault::DeadDecode => (prefill, decode - share),
-            Fault::SlowPrefill => (prefill - share * (1.0 - 1.0 / 3.0), decode),
-            Fault::SlowDecode => (prefill, decode - share * (1.0 - 1.0 / 2.5)),
-            _ => (prefill, decode),
-        }
+    /// Prefill and decode engines at work at a time; a slow one counts in part.
+    fn engines(&self) -> Engines {
+        let whole = (self.deployment.prefill_engines(), self.deployment.decode_engines());
+        let lost = match self.fault {
+            Fault::DeadPrefill => (1.0, 0.0),
+            Fault::DeadDecode => (0.0, 1.0),
+            Fault::SlowPrefill => (1.0 - 1.0 / SLOW_PREFILL, 0.0),
+            Fault::SlowDecode => (0.0, 1.0 - 1.0 / SLOW_DECODE),
+            Fault::None | Fault::LateReports | Fault::CutOff => (0.0, 0.0),
+        };
+        Box::new(
+            move |now_ms| {
+                if now_ms < FAULT_MS { whole } else { (whole.0 - lost.0, whole.1 - lost.1) }
+            },
+        )
     }
 }
 
@@ -89,8 +93,7 @@
     let wanted: Vec<_> = std::env::args().skip(1).filter(|arg| !arg.starts_with("--")).collect();
     for case in cases() {
         let asked = requests(&case.deployment, case.load, SEED);
-        let (prefill, decode) = case.working_engines();
-        let bound = bound::upper_bound(&asked, &case.deployment, prefill, decode);
+        let bound = bound::upper_bound(&asked, &case.engines());
         for policy in policies() {
             let title = format!("case={} policy={}", case.name(), policy.name);
             if !wanted.iter().all(|part| title.contains(part.as_str())) {
--- a/crates/core/benches/policy/world.rs
+++ b/crates/core/benches/policy/world.rs
@@ -31,6 +31,11 @@
 /// When the fault of a case begins.
 pub const FAULT_MS: u64 = WARM_UP_MS + ARRIVALS_MS / 3;
 
+/// How much longer a slow prefill engine takes.
+pub const SLOW_PREFILL: f64 = 3.0;
+/// How much longer a slow decode engine takes.
+pub const SLOW_DECODE: f64 = 2.5;
+
 /// What an instance does with an event.
 pub type Handle = Box<dyn FnMut(Now, Event) -> Vec<Action>>;
 
@@ -172,8 +177,8 @@
         match self.fault {
             Fault::DeadPrefill => self.kill(&first("p")),
             Fault::DeadDecode => self.kill(&first("d")),
-            Fault::SlowPrefill => self.engine(&first("p")).slowness = 3.0,
-            Fault::SlowDecode => self.engine(&first("d")).slowness = 2.5,
+            Fault::SlowPrefill => self.engine(&first("p")).slowness = SLOW_PREFILL,
+            Fault::SlowDecode => self.engine(&first("d")).slowness = SLOW_DECODE,
             Fault::CutOff => self.is_cut = true,
             Fault::None | Fault::LateReports => {}
         }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -2,14 +2,12 @@
 
 pub mod mechanisms;
 pub mod plan;
-pub mod prefill_slots;
-pub mod retry_budget;
+pub mod prefill_queue;
 pub mod state;
 pub mod usage;
 
 pub use mechanisms::Mechanisms;
 pub use plan::{Plan, WaitingRequest, plan};
-pub use prefill_slots::{PrefillSlots, SlotAnswer};
-pub use retry_budget::RetryBudget;
+pub use prefill_queue::{PrefillQueue, SlotAnswer, SlotRequest};
 pub use state::AdmissionState;
 pub use usage::Usage;
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -2,12 +2,22 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::admission::{Mechanisms, PrefillSlots, RetryBudget, Usage};
+use crate::admission::{Mechanisms, PrefillQueue, Usage};
 use crate::estimate::{Estimates, Suspects};
 use crate::ids::{RequestId, ServerId};
+use crate::request::RetryBudget;
 use crate::route::{Pools, PrefixBeliefs};
 use crate::units::Millis;
 
+/// Work ahead at a prefill engine and when it was learned.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownBacklog {
+    /// When.
+    pub learned_ms: Millis,
+    /// When the work is done.
+    pub until_ms: Millis,
+}
+
 /// The memory of admission and choice.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionState {
@@ -23,11 +33,11 @@
     pub beliefs: PrefixBeliefs,
     /// Engines of each model, by role and place.
     pub pools: Pools,
-    /// When prefill engines are expected to take more work.
-    pub free_at_ms: BTreeMap<ServerId, Millis>,
-    /// The owner's account of prefill engines.
-    pub slots: PrefillSlots,
-    /// Time in which this instance would have served all that waits.
+    /// Work ahead at prefill engines, as this instance was told or asked for itself.
+    pub backlogs: BTreeMap<ServerId, KnownBacklog>,
+    /// Queues of the prefill engines that this instance owns.
+    pub queues: BTreeMap<ServerId, PrefillQueue>,
+    /// Shortest backlog that the last refused request was told of.
     pub backlog_ms: Millis,
     /// Retries that may still be made.
     pub retries: RetryBudget,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -63,6 +63,11 @@
     pub seat: StreamOnServer,
     /// Memory to set aside; at a prefill engine, the part of the prompt to be computed.
     pub kv_pieces: KvPieces,
+    /// At a prefill engine, the time in which the prefill must end.
+    pub latest_in_ms: Millis,
+    /// At a prefill engine, the cost of serving the request for its weight, in thousandths of a
+    /// millisecond of engine time.
+    pub cost: u64,
 }
 
 /// The answer to a request for a seat.
@@ -74,6 +79,8 @@
     pub seat: StreamOnServer,
     /// Whether the seat was granted.
     pub is_granted: bool,
-    /// At a prefill engine, the time until it gets to the prompt or until it is worth asking again.
+    /// At a prefill engine, whether the request waits there for its turn.
+    pub is_queued: bool,
+    /// At a prefill engine, the work that is ahead.
     pub wait_ms: Millis,
 }
--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -2,10 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use crate::admission::{WaitingRequest, plan};
 use crate::error_kind::ErrorKind;
 use crate::event::ModelRequest;
-use crate::ids::{ModelId, ModelVersion, RequestId};
+use crate::ids::RequestId;
 use crate::membership::rendezvous::stable_hash;
 use crate::node::Node;
 use crate::request::{Flow, Stage};
@@ -17,9 +16,8 @@
 const RETRY_SPREAD_PERCENT: u64 = 20;
 /// Share of a request's own time that is kept in reserve where only wasted prefill counts.
 const MAX_RESERVE_SHARE: f64 = 0.3;
-/// Ratio of the speed that the plan counts on to an equal share of the engines: the instances
-/// don't all have a backlog at the same time.
-const SPEED_RATIO: f64 = 1.25;
+/// Least weight that a cost is divided by.
+const MIN_WEIGHT: f64 = 0.001;
 
 impl Node {
     pub(super) fn take_model_request(&mut self, asked: ModelRequest) {
@@ -43,88 +41,64 @@
         }
     }
 
-    /// Serves the requests that wait, the most urgent first, and gives up those out of reach.
+    /// Serves the requests that wait for no owner, and gives up those out of reach.
     pub(super) fn advance_waiting(&mut self) {
         if let Some(configuration) = self.config.in_force() {
             self.admission.pools.refresh(configuration);
         }
-        self.end_silent_asks();
-        let requests = self.waiting_requests();
-        if !self.admission.mechanisms.has_plan {
-            self.advance_in_order(requests);
-            return;
-        }
-        let mut models = BTreeSet::new();
-        models.extend(requests.iter().filter_map(|request| self.model_of(*request)));
-        for model in models {
-            let of_model = |request: &RequestId| self.model_of(*request).as_ref() == Some(&model);
-            let requests = requests.iter().copied().filter(of_model).collect();
-            self.advance_by_plan(requests);
+        self.advance_asks();
+        let now_ms = self.now.mono_ms;
+        for (latest_end_ms, request) in self.waiting_requests() {
+            if now_ms > latest_end_ms {
+                self.give_up(request, self.admission.backlog_ms);
+                continue;
+            }
+            self.serve(request);
         }
     }
 
-    fn waiting_requests(&mut self) -> Vec<RequestId> {
+    /// Requests that wait for no owner, the most urgent first.
+    fn waiting_requests(&mut self) -> Vec<(Millis, RequestId)> {
         let flows = &self.flows;
         self.admission.waiting.retain(|request| flows.contains_key(request));
-        let is_waiting = |request: &&RequestId| flows[request].stage == Stage::Waiting;
-        self.admission.waiting.iter().filter(is_waiting).copied().collect()
-    }
-
-    fn model_of(&self, request: RequestId) -> Option<(ModelId, ModelVersion)> {
-        let flow = self.flows.get(&request)?;
-        Some((flow.asked.as_ref()?.model.clone(), flow.version.clone()?))
-    }
-
-    fn advance_in_order(&mut self, requests: Vec<RequestId>) {
-        for request in requests {
-            let Some(flow) = self.flows.get(&request) else {
+        let mut requests = Vec::new();
+        for request in &self.admission.waiting {
+            let Some(flow) = flows.get(request).filter(|flow| flow.stage == Stage::Waiting) else {
                 continue;
             };
-            if self.now.mono_ms > flow.due_ms() {
-                self.give_up(request, Millis::ZERO);
-                continue;
-            }
-            self.serve(request);
+            let latest_end_ms = if self.admission.mechanisms.has_plan {
+                self.latest_end_ms(flow) - self.work_ms(flow)
+            } else {
+                flow.due_ms()
+            };
+            requests.push((latest_end_ms, *request));
         }
+        requests.sort();
+        requests
     }
 
-    fn advance_by_plan(&mut self, requests: Vec<RequestId>) {
-        let Some(flow) = requests.first().and_then(|request| self.flows.get(request)) else {
-            return;
-        };
-        let now_ms = self.now.mono_ms;
-        let (speed, wait_ms) = self.prefill_speed(flow);
-        let speed = (speed * SPEED_RATIO).max(f64::MIN_POSITIVE);
-        let waiting = requests.iter().filter_map(|request| self.as_waiting(*request)).collect();
-        let plan = plan(waiting, now_ms, now_ms + wait_ms, speed);
-        self.admission.backlog_ms = wait_ms + plan.backlog_ms;
-        for (request, late_ms) in plan.given_up {
-            self.give_up(request, late_ms);
-        }
-        for request in plan.order {
-            self.serve(request);
-        }
+    /// Time of a request's prefill on an average engine.
+    fn work_ms(&self, flow: &Flow) -> Millis {
+        self.admission.estimates.average_prefill_ms(flow.work_tokens)
     }
 
-    fn as_waiting(&self, request: RequestId) -> Option<WaitingRequest> {
-        let flow = self.flows.get(&request)?;
-        let asked = flow.asked.as_ref()?;
-        let work_ms = self.admission.estimates.average_prefill_ms(flow.work_tokens);
-        let weight = self.weights(flow).0;
-        let excess = if self.admission.mechanisms.has_isolation {
-            self.admission.usage.excess(&asked.workspace)
-        } else {
-            1.0
+    /// Cost of serving a request for its weight, more where its workspace had more than its share.
+    pub(super) fn cost(&self, flow: &Flow) -> f64 {
+        let workspace = flow.asked.as_ref().map(|asked| &asked.workspace);
+        let excess = match workspace {
+            Some(workspace) if self.admission.mechanisms.has_isolation => {
+                self.admission.usage.excess(workspace)
+            }
+            _ => 1.0,
         };
-        let cost = work_ms.0 as f64 * excess / weight.max(f64::MIN_POSITIVE);
-        Some(WaitingRequest { request, work_ms, latest_end_ms: self.latest_end_ms(flow), cost })
+        self.work_ms(flow).0 as f64 * excess / self.weights(flow).0.max(MIN_WEIGHT)
     }
 
     /// Latest end of a prefill that leaves time for the transfer, the first token and a reserve
     /// that grows with the weight of wasted prefill.
     pub(super) fn latest_end_ms(&self, flow: &Flow) -> Millis {
         let tail_ms = self.tail_ms(flow);
-        let own_ms = tail_ms + self.admission.estimates.average_prefill_ms(flow.work_tokens);
+        let own_ms = tail_ms + self.work_ms(flow);
         let (goodput, wasted) = self.weights(flow);
         let caution = wasted / (goodput + wasted).max(f64::MIN_POSITIVE);
         let reserve_ms = Millis((own_ms.0 as f64 * caution * MAX_RESERVE_SHARE) as u64);
@@ -139,8 +113,8 @@
         targets.map_or((1.0, 1.0), |kind| (kind.goodput_weight, kind.wasted_prefill_weight))
     }
 
-    /// Gives a request its final answer: its target is out of reach by `late_ms`.
-    pub(super) fn give_up(&mut self, request: RequestId, late_ms: Millis) {
+    /// Gives a request its final answer: its target is out of reach behind the backlog.
+    pub(super) fn give_up(&mut self, request: RequestId, backlog_ms: Millis) {
         let Some(flow) = self.flows.get(&request) else {
             return;
         };
@@ -151,14 +125,13 @@
             None => ErrorKind::DeadlineUnreachable,
         };
         let fields = vec![
-            ("late_ms", late_ms.0.to_string()),
             ("waited_ms", waited_ms.0.to_string()),
-            ("backlog_ms", self.admission.backlog_ms.0.to_string()),
+            ("backlog_ms", backlog_ms.0.to_string()),
             ("work_tokens", flow.work_tokens.0.to_string()),
             ("reason", "target_out_of_reach".to_owned()),
         ];
         self.log("give_up", Some(request), fields);
-        self.finish(request, kind, late_ms);
+        self.finish(request, kind, backlog_ms);
     }
 
     /// Ends a request with an error after freeing what it holds.
@@ -211,9 +184,12 @@
             prefill: None,
             wait_ms: Millis::ZERO,
             result_until_ms: Millis::ZERO,
+            transfer_until_ms: Millis::ZERO,
+            has_stalled_transfer: false,
             batch: Streams::ZERO,
             kv_pieces,
             next_index: 0,
+            refused: BTreeSet::new(),
             excluded: BTreeSet::new(),
             first_token_ms: None,
             broken_reads: 0,
--- a/crates/core/src/node/choice.rs
+++ b/crates/core/src/node/choice.rs
@@ -1,5 +1,6 @@
 //! Choice of engines for a model request: predictions from estimates, beliefs and loads.
 
+use crate::admission::state::KnownBacklog;
 use crate::config::document::ServerRole;
 use crate::ids::{DataCentreId, ServerId};
 use crate::membership::rendezvous::stable_hash;
@@ -30,13 +31,14 @@
 impl Node {
     /// The prefill engine with the earliest predicted end, its wait included.
     pub(super) fn choose_prefill(&self, flow: &Flow) -> Option<Chosen> {
-        let engines = self.usable_engines(flow, ServerRole::Prefill);
+        let mut engines = self.usable_engines(flow, ServerRole::Prefill);
+        engines.retain(|server| !flow.refused.contains(*server));
         let looked_at = engines.len();
         let mechanisms = self.admission.mechanisms;
         let choices = engines.into_iter().map(|server| {
             let is_far = !self.is_near(server);
             let cost = if mechanisms.has_slots {
-                let wait_ms = self.prefill_wait_ms(server).0 as f64;
+                let wait_ms = self.backlog_ms(server).0 as f64;
                 let work_tokens = self.work_tokens(flow, server);
                 let work_ms = self.admission.estimates.prefill_ms(server, work_tokens).0 as f64;
                 wait_ms + work_ms + if is_far { FAR_COST_MS } else { 0.0 }
@@ -118,10 +120,28 @@
         is_fresh && !is_ejected && !self.leaving_servers.contains(server)
     }
 
-    /// Time until a prefill engine is expected to take more work.
-    pub(super) fn prefill_wait_ms(&self, server: &ServerId) -> Millis {
-        let free_at_ms = self.admission.free_at_ms.get(server).copied().unwrap_or_default();
-        free_at_ms - self.now.mono_ms
+    /// Work ahead at a prefill engine: what its owner told this instance last, by whichever way.
+    pub(super) fn backlog_ms(&self, server: &ServerId) -> Millis {
+        let now_ms = self.now.mono_ms;
+        if let Some(queue) = self.admission.queues.get(server).filter(|_| self.owns(server)) {
+            return queue.backlog_ms(now_ms);
+        }
+        let noted = self.admission.backlogs.get(server);
+        let Some(load) = self.loads.get(server) else {
+            return noted.map_or(Millis::ZERO, |noted| noted.until_ms - now_ms);
+        };
+        if let Some(noted) = noted.filter(|noted| noted.learned_ms > load.learned_ms) {
+            return noted.until_ms - now_ms;
+        }
+        let work_ms = self.admission.estimates.prefill_ms(server, load.load.queued_tokens);
+        load.learned_ms + work_ms - now_ms
+    }
+
+    /// Takes note of the work ahead at a prefill engine.
+    pub(super) fn note_backlog(&mut self, server: &ServerId, backlog_ms: Millis) {
+        let learned_ms = self.now.mono_ms;
+        let until_ms = learned_ms + backlog_ms;
+        self.admission.backlogs.insert(server.clone(), KnownBacklog { learned_ms, until_ms });
     }
 
     /// Prompt tokens that an engine would have to compute.
@@ -196,43 +216,20 @@
         self.admission.estimates.prefill_ms(server, Tokens(kv_pieces.0 * per_piece))
     }
 
-    /// Prompt tokens ahead at an engine that this node owns: what was granted, where the report
-    /// lags, and the report else.
+    /// Prompt tokens ahead at an engine that this node owns: what was granted and asked for, where
+    /// the report lags, and the report else.
     pub(super) fn queued_tokens(&self, server: &ServerId, reported: Tokens) -> Tokens {
         if !self.admission.mechanisms.has_slots || !self.is_prefill(server) {
             return reported;
         }
-        let busy_ms = self.admission.slots.busy_ms(self.now.mono_ms, server);
+        let queue = self.admission.queues.get(server);
+        let backlog_ms = queue.map_or(Millis::ZERO, |queue| queue.backlog_ms(self.now.mono_ms));
         let per_thousand_ms = self.admission.estimates.prefill_ms(server, Tokens(1_000)).0.max(1);
-        Tokens(busy_ms.0 * 1_000 / per_thousand_ms)
+        Tokens(backlog_ms.0 * 1_000 / per_thousand_ms)
     }
 
     pub(super) fn is_prefill(&self, server: &ServerId) -> bool {
         let known = self.config.in_force().and_then(|known| known.servers.get(server));
         known.is_some_and(|known| known.role == ServerRole::Prefill)
     }
-
-    /// How many prefill engines are at this instance's service, those usable being shared among the
-    /// live instances, and the time until the first of them takes work.
-    pub(super) fn prefill_speed(&self, flow: &Flow) -> (f64, Millis) {
-        let (Some(asked), Some(version)) = (&flow.asked, &flow.version) else {
-            return (0.0, Millis::ZERO);
-        };
-        let pool = self.admission.pools.pool(&asked.model, version, ServerRole::Prefill);
-        let Some(pool) = pool else {
-            return (0.0, Millis::ZERO);
-        };
-        let sample = pool.sample(self.members.own_data_centre(), asked.request.0);
-        let usable: Vec<_> = sample.iter().filter(|server| self.is_usable(server)).collect();
-        let wait_ms = usable.iter().map(|server| self.prefill_wait_ms(server)).min();
-        let usable_share = usable.len() as f64 / sample.len().max(1) as f64;
-        let engines = usable_share * pool.len() as f64;
-        (engines / self.live_instances().max(1) as f64, wait_ms.unwrap_or_default())
-    }
-
-    fn live_instances(&self) -> usize {
-        let now_ms = self.now.mono_ms;
-        let places = self.admission.pools.places().iter();
-        places.map(|place| self.members.members_of(place, now_ms).len()).sum()
-    }
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -12,6 +12,7 @@
 mod placement_path;
 mod plain_path;
 mod plain_tries;
+mod queue_path;
 mod seat_path;
 pub mod status;
 mod turn_path;
@@ -190,6 +191,7 @@
         self.check_leases();
         self.place();
         self.repeat_claims();
+        self.advance_queues();
         self.advance_waiting();
         self.advance_plain();
         if self.is_leaving && self.flows.is_empty() && self.is_plain_idle() {
--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -50,9 +50,12 @@
             work_tokens: Tokens::ZERO,
             wait_ms: zero,
             result_until_ms: zero,
+            transfer_until_ms: zero,
+            has_stalled_transfer: false,
             batch: Streams::ZERO,
             kv_pieces: KvPieces::ZERO,
             next_index: cursor.next_index,
+            refused: BTreeSet::new(),
             excluded: BTreeSet::new(),
             first_token_ms: None,
             broken_reads: 0,
@@ -150,6 +153,9 @@
             return;
         };
         self.set_stage(request, Stage::Transferring);
+        if let Some(flow) = self.flows.get_mut(&request) {
+            flow.transfer_until_ms = self.now.mono_ms + call.timeout_ms;
+        }
         self.actions.push(Action::Transfer(call));
     }
 
@@ -191,17 +197,29 @@
     }
 
     /// Takes the same KV cache to another decode engine while it lasts; a second prefill is the
-    /// last resort.
+    /// last resort. An engine that stalled may have taken the cache with it: where the next one
+    /// fails at once, it is not to blame.
     pub(super) fn take_transfer_failed(&mut self, request: RequestId, stream: &StreamId) {
         if !self.is_at(request, stream, Stage::Transferring) {
             return;
         }
-        self.exclude(request, |flow| flow.decode.clone());
         let now_ms = self.now.mono_ms;
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        let is_stalled = now_ms >= flow.transfer_until_ms;
+        let is_given_away = flow.has_stalled_transfer && !is_stalled;
+        flow.has_stalled_transfer |= is_stalled;
+        if is_stalled {
+            self.suspect(request, |flow| flow.decode.clone());
+        }
+        if !is_given_away {
+            self.exclude(request, |flow| flow.decode.clone());
+        }
         let Some(flow) = self.flows.get(&request) else {
             return;
         };
-        let lasts = now_ms + self.tail_ms(flow) < flow.result_until_ms;
+        let lasts = !is_given_away && now_ms + self.tail_ms(flow) < flow.result_until_ms;
         if !self.admission.mechanisms.has_reseat || !lasts {
             self.retry(request, "transfer_failed");
             return;
@@ -279,6 +297,8 @@
             flow.prefill = None;
             flow.broken_reads = 0;
             flow.is_taken_over = false;
+            flow.refused.clear();
+            flow.has_stalled_transfer = false;
             if flow.first_token_ms.is_some() {
                 flow.due_from_ms = now_ms;
             }
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 
 use crate::action::Action;
-use crate::admission::SlotAnswer;
 use crate::config::document::ServerRole;
 use crate::ids::{InstanceId, ServerId};
 use crate::membership::ServerLoad;
@@ -15,8 +14,6 @@
 
 /// Time between polls of a server's report.
 const POLL_MS: Millis = Millis(500);
-/// Wait told to those who ask for an engine that can't be used.
-const UNUSABLE_MS: Millis = Millis(1_000);
 
 /// Time between two claims of one stream that was taken over.
 const CLAIM_MS: Millis = Millis(1_000);
@@ -84,36 +81,36 @@
     }
 
     pub(super) fn take_seat_request(&mut self, from: &Holder, asked: SeatRequest) {
-        let answer = if self.is_prefill(&asked.seat.server) {
-            self.grant_slot(from, &asked)
-        } else {
-            SlotAnswer { is_granted: self.grant(from, &asked), wait_ms: Millis::ZERO }
-        };
-        let is_granted = answer.is_granted;
+        if self.is_prefill(&asked.seat.server) {
+            self.take_slot_request(from, asked);
+            return;
+        }
+        let is_granted = self.grant(from, &asked);
         let fields = vec![
             ("server", asked.seat.server.to_string()),
             ("stream", asked.seat.stream.to_string()),
             ("holder", from.instance.to_string()),
             ("granted", is_granted.to_string()),
-            ("wait_ms", answer.wait_ms.0.to_string()),
         ];
         self.log("seat", None, fields);
-        let reply = SeatReply {
-            request: asked.request,
-            seat: asked.seat,
-            is_granted,
-            wait_ms: answer.wait_ms,
-        };
-        if *from == self.members.own_holder() {
+        let (request, seat) = (asked.request, asked.seat);
+        let (is_queued, wait_ms) = (false, Millis::ZERO);
+        self.reply(from, SeatReply { request, seat, is_granted, is_queued, wait_ms });
+    }
+
+    pub(super) fn reply(&mut self, to: &Holder, reply: SeatReply) {
+        if *to == self.members.own_holder() {
             self.take_seat_reply(reply);
             return;
         }
-        self.send(&from.instance, PeerMessage::SeatReply(reply));
+        self.send(&to.instance, PeerMessage::SeatReply(reply));
     }
 
     pub(super) fn take_release(&mut self, from: &Holder, seat: &StreamOnServer) {
         let now_ms = self.now.mono_ms;
-        self.admission.slots.release(now_ms, &seat.server, &seat.stream, from);
+        if self.is_prefill(&seat.server) {
+            self.release_turn(from, seat);
+        }
         let Some(ledger) = self.ledgers.get_mut(&seat.server) else {
             return;
         };
@@ -135,7 +132,6 @@
     pub(super) fn expire_leases(&mut self) {
         let now_ms = self.now.mono_ms;
         let members = &self.members;
-        self.admission.slots.expire(now_ms, |holder| members.is_live(holder, now_ms));
         let mut ended = Vec::new();
         for (server, ledger) in &mut self.ledgers {
             for (stream, holder) in ledger.expire(now_ms, |holder| members.is_live(holder, now_ms))
@@ -226,6 +222,7 @@
     pub(super) fn distrust_accounts(&mut self, gap_ms: Millis) {
         self.log("paused", None, vec![("gap_ms", gap_ms.0.to_string())]);
         self.ledgers.clear();
+        self.admission.queues.clear();
         self.loads.clear();
         self.placement.orders.forget_looks();
     }
@@ -244,20 +241,6 @@
         is_granted
     }
 
-    /// Grants a prompt its turn at a prefill engine that this node owns.
-    fn grant_slot(&mut self, from: &Holder, asked: &SeatRequest) -> SlotAnswer {
-        let server = &asked.seat.server;
-        let is_usable = self.owns(server)
-            && self.loads.contains_key(server)
-            && !self.leaving_servers.contains(server);
-        if !is_usable {
-            return SlotAnswer { is_granted: false, wait_ms: UNUSABLE_MS };
-        }
-        let now_ms = self.now.mono_ms;
-        let work_ms = self.slot_work_ms(server, asked.kv_pieces);
-        self.admission.slots.grant(now_ms, server, &asked.seat.stream, from, work_ms)
-    }
-
     fn note_free_seats(&mut self, server: &ServerId) {
         let Some(free) = self.ledgers.get(server).map(SeatLedger::free) else {
             return;
--- a/crates/core/src/node/turn_path.rs
+++ b/crates/core/src/node/turn_path.rs
@@ -1,7 +1,6 @@
 //! A request's turn: the slot at a prefill engine, then the seat at a decode engine, both lined up
 //! before the prefill starts.
 
-use crate::admission::prefill_slots::AHEAD_MS;
 use crate::ids::{RequestId, ServerId, StreamId};
 use crate::message::{PeerMessage, SeatReply, SeatRequest, StreamOnServer};
 use crate::node::Node;
@@ -10,7 +9,11 @@
 
 /// Longest wait for an owner's answer.
 const SEAT_TIMEOUT_MS: Millis = Millis(300);
-/// Time for which an engine whose owner did not answer is not asked for.
+/// Time between requests for the same turn.
+const ASK_AGAIN_MS: Millis = Millis(500);
+/// Scale of costs in messages.
+const COST_SCALE: f64 = 1_000.0;
+/// Backlog assumed of an engine whose owner did not answer.
 const OWNER_SILENT_MS: Millis = Millis(1_000);
 
 impl Node {
@@ -27,8 +30,7 @@
         let Some(chosen) = self.choose_prefill(flow) else {
             return;
         };
-        let is_free = self.prefill_wait_ms(&chosen.server) == Millis::ZERO;
-        if !is_free || self.choose_decode(flow, Some(&chosen.server)).is_none() {
+        if self.choose_decode(flow, Some(&chosen.server)).is_none() {
             return;
         }
         let fields = vec![
@@ -42,48 +44,59 @@
         self.ask_slot(request, chosen.server);
     }
 
+    /// Asks the owner of a prefill engine for a turn.
     fn ask_slot(&mut self, request: RequestId, server: ServerId) {
         let Some(flow) = self.flows.get(&request) else {
             return;
         };
         let work_tokens = self.work_tokens(flow, &server);
-        let Some(configuration) = self.config.in_force() else {
+        let work_ms = self.admission.estimates.prefill_ms(&server, work_tokens);
+        let backlog_ms = self.backlog_ms(&server) + work_ms;
+        self.note_backlog(&server, backlog_ms);
+        let now_ms = self.now.mono_ms;
+        self.set_stage(request, Stage::AskingSlot { since_ms: now_ms });
+        if let Some(flow) = self.flows.get_mut(&request) {
+            flow.prefill = Some(server);
+            flow.work_tokens = work_tokens;
+        }
+        self.send_slot_request(request);
+    }
+
+    fn send_slot_request(&mut self, request: RequestId) {
+        let (Some(flow), Some(configuration)) = (self.flows.get(&request), self.config.in_force())
+        else {
             return;
         };
-        let kv_pieces = configuration.pieces_for(work_tokens.0);
-        self.set_stage(request, Stage::AskingSlot { since_ms: self.now.mono_ms });
-        self.expect_work(&server, Millis::ZERO, self.slot_work_ms(&server, kv_pieces));
-        let Some(flow) = self.flows.get_mut(&request) else {
+        let Some(server) = flow.prefill.clone() else {
             return;
         };
-        flow.prefill = Some(server.clone());
-        flow.work_tokens = work_tokens;
-        let seat = StreamOnServer { server: server.clone(), stream: flow.stream.clone() };
-        let asked = SeatRequest { request, seat, kv_pieces };
+        let asked = SeatRequest {
+            request,
+            seat: StreamOnServer { server: server.clone(), stream: flow.stream.clone() },
+            kv_pieces: configuration.pieces_for(flow.work_tokens.0),
+            latest_in_ms: self.latest_end_ms(flow) - self.now.mono_ms,
+            cost: (self.cost(flow) * COST_SCALE) as u64,
+        };
         self.tell_owner(&server, PeerMessage::SeatRequest(asked));
     }
 
-    /// Takes note that an engine gets to more work after `wait_ms` and is then busy with it.
-    fn expect_work(&mut self, server: &ServerId, wait_ms: Millis, work_ms: Millis) {
-        let free_at_ms = self.now.mono_ms + (wait_ms + work_ms - AHEAD_MS);
-        self.admission.free_at_ms.insert(server.clone(), free_at_ms);
-    }
-
     pub(super) fn take_seat_reply(&mut self, reply: SeatReply) {
-        let SeatReply { request, seat, is_granted, wait_ms } = reply;
+        let SeatReply { request, seat, is_granted, is_queued, wait_ms } = reply;
         let flow = self.flows.get(&request).filter(|flow| flow.stream == seat.stream);
         let stage = flow.map(|flow| flow.stage);
         let is_prefill = flow.is_some_and(|flow| flow.prefill.as_ref() == Some(&seat.server));
         let is_decode = flow.is_some_and(|flow| flow.decode.as_ref() == Some(&seat.server));
         match stage {
             Some(Stage::AskingSlot { .. }) if is_prefill && is_granted => {
-                self.take_slot(request, &seat.server, wait_ms);
+                self.take_slot(request, wait_ms);
+            }
+            Some(Stage::AskingSlot { .. }) if is_prefill && is_queued => {
+                self.note_backlog(&seat.server, wait_ms);
+                let since_ms = self.now.mono_ms;
+                self.set_stage(request, Stage::AskingSlot { since_ms });
             }
             Some(Stage::AskingSlot { .. }) if is_prefill => {
-                let again_ms = self.now.mono_ms + wait_ms;
-                self.admission.free_at_ms.insert(seat.server, again_ms);
-                self.wait_again(request);
-                self.serve(request);
+                self.take_refusal(request, seat.server, wait_ms);
             }
             Some(Stage::Asking { .. }) if is_decode && is_granted => {
                 self.take_seat(request, &seat.server);
@@ -104,22 +117,33 @@
         }
     }
 
-    fn take_slot(&mut self, request: RequestId, server: &ServerId, wait_ms: Millis) {
+    fn take_slot(&mut self, request: RequestId, wait_ms: Millis) {
         let Some(flow) = self.flows.get_mut(&request) else {
             return;
         };
         flow.wait_ms = wait_ms;
-        let work_tokens = flow.work_tokens;
-        let work_ms = self.admission.estimates.prefill_ms(server, work_tokens);
-        self.expect_work(server, wait_ms, work_ms);
-        let end_ms = self.now.mono_ms + wait_ms + work_ms;
-        let latest_end_ms = self.flows.get(&request).map(|flow| self.latest_end_ms(flow));
-        let late_ms = end_ms - latest_end_ms.unwrap_or_default();
-        if self.admission.mechanisms.has_plan && late_ms > Millis::ZERO {
-            self.give_up(request, late_ms);
+        self.ask_seat(request);
+    }
+
+    /// Turns to the next best prefill engine; where every owner refused, the request is given up.
+    fn take_refusal(&mut self, request: RequestId, server: ServerId, backlog_ms: Millis) {
+        self.note_backlog(&server, backlog_ms);
+        if let Some(flow) = self.flows.get_mut(&request) {
+            flow.refused.insert(server);
+            flow.prefill = None;
+        }
+        self.set_stage(request, Stage::Waiting);
+        self.serve(request);
+        let Some(flow) = self.flows.get(&request) else {
             return;
+        };
+        let is_refused_by_all = self.choose_prefill(flow).is_none();
+        if flow.stage == Stage::Waiting && is_refused_by_all {
+            let engines = flow.refused.iter().map(|server| self.backlog_ms(server));
+            let least_ms = engines.min().unwrap_or(backlog_ms);
+            self.admission.backlog_ms = least_ms;
+            self.give_up(request, least_ms);
         }
-        self.ask_seat(request);
     }
 
     /// Asks the owner of the best decode engine for a seat.
@@ -157,7 +181,13 @@
         };
         flow.decode = Some(server.clone());
         let seat = StreamOnServer { server: server.clone(), stream: flow.stream.clone() };
-        let asked = SeatRequest { request, seat, kv_pieces: flow.kv_pieces };
+        let asked = SeatRequest {
+            request,
+            seat,
+            kv_pieces: flow.kv_pieces,
+            latest_in_ms: Millis::ZERO,
+            cost: 0,
+        };
         self.tell_owner(&server, PeerMessage::SeatRequest(asked));
     }
 
@@ -223,13 +253,6 @@
 
     /// Puts a request back among those that wait; it holds nothing then.
     fn wait_again(&mut self, request: RequestId) {
-        let Some(flow) = self.flows.get(&request) else {
-            return;
-        };
-        let is_asking_seat = matches!(flow.stage, Stage::Asking { .. });
-        if let Some(server) = flow.prefill.clone().filter(|_| is_asking_seat) {
-            self.admission.free_at_ms.insert(server, self.now.mono_ms);
-        }
         self.release_slot(request);
         if let Some(flow) = self.flows.get_mut(&request) {
             flow.prefill = None;
@@ -238,8 +261,8 @@
         self.set_stage(request, Stage::Waiting);
     }
 
-    /// Turns away from owners that do not answer.
-    pub(super) fn end_silent_asks(&mut self) {
+    /// Repeats requests for a turn, and turns away from owners that do not answer.
+    pub(super) fn advance_asks(&mut self) {
         let now_ms = self.now.mono_ms;
         let requests: Vec<_> = self.admission.waiting.iter().copied().collect();
         for request in requests {
@@ -261,8 +284,14 @@
                 self.ask_seat(request);
                 continue;
             }
-            if now_ms - since_ms > SEAT_TIMEOUT_MS {
+            let is_queued = matches!(flow.stage, Stage::AskingSlot { .. });
+            let silence_ms = now_ms - since_ms;
+            let is_asked_again = is_queued && now_ms - flow.stage_ms >= ASK_AGAIN_MS;
+            if silence_ms > SEAT_TIMEOUT_MS + if is_queued { ASK_AGAIN_MS } else { Millis::ZERO } {
                 self.end_silent_ask(request);
+            } else if is_asked_again {
+                self.set_stage(request, Stage::AskingSlot { since_ms });
+                self.send_slot_request(request);
             }
         }
     }
@@ -276,8 +305,7 @@
         self.log("owner_silent", Some(request), vec![("stage", format!("{stage:?}"))]);
         if let (Stage::AskingSlot { .. }, Some(server)) = (stage, prefill) {
             self.wait_again(request);
-            let again_ms = self.now.mono_ms + OWNER_SILENT_MS;
-            self.admission.free_at_ms.insert(server, again_ms);
+            self.note_backlog(&server, OWNER_SILENT_MS);
             return;
         }
         if let Some(server) = decode {
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -12,7 +12,7 @@
 pub enum Stage {
     /// Waiting for its turn.
     Waiting,
-    /// An owner was asked for a prefill slot at this time.
+    /// An owner was asked for a prefill slot; it was last heard of at this time.
     AskingSlot {
         /// When.
         since_ms: Millis,
@@ -66,12 +66,18 @@
     pub wait_ms: Millis,
     /// When the result of the prefill expires.
     pub result_until_ms: Millis,
+    /// When the present transfer times out.
+    pub transfer_until_ms: Millis,
+    /// Whether a transfer of the present result timed out.
+    pub has_stalled_transfer: bool,
     /// Streams on the decode engine when the seat was granted.
     pub batch: Streams,
     /// Memory set aside at the decode engine.
     pub kv_pieces: KvPieces,
     /// Index of the next token that the caller lacks.
     pub next_index: u64,
+    /// Prefill engines whose owner refused this request.
+    pub refused: BTreeSet<ServerId>,
     /// Engines that failed this request.
     pub excluded: BTreeSet<ServerId>,
     /// When the first token arrived.
--- a/crates/core/src/route/pools.rs
+++ b/crates/core/src/route/pools.rs
@@ -1,6 +1,6 @@
 //! The engines of each model, by role and place, worked out once for each configuration version.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::config::Configuration;
 use crate::config::document::ServerRole;
@@ -20,7 +20,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pools {
     version: Option<ConfigVersion>,
-    places: BTreeSet<DataCentreId>,
     by_model: BTreeMap<(ModelId, ModelVersion), BTreeMap<ServerRole, Pool>>,
 }
 
@@ -32,8 +31,6 @@
         }
         self.version = Some(configuration.version);
         self.by_model.clear();
-        let servers = configuration.servers.values();
-        self.places = servers.map(|server| server.data_centre.clone()).collect();
         for (model, known) in &configuration.models {
             for (version, served) in &known.versions {
                 let pools = self.by_model.entry((model.clone(), version.clone())).or_default();
@@ -49,11 +46,6 @@
         }
     }
 
-    /// Data centres with backend servers.
-    pub fn places(&self) -> &BTreeSet<DataCentreId> {
-        &self.places
-    }
-
     /// The engines of one role that serve a version.
     pub fn pool(&self, model: &ModelId, version: &ModelVersion, role: ServerRole) -> Option<&Pool> {
         self.by_model.get(&(model.clone(), version.clone()))?.get(&role)
