Refuse transfers that outlast the result; ablations in the bench

Cause: at lantern_forge load 2.0 ten prompts were computed whose KV cache could only go over a far link that takes longer than the result survives.

Change: a decode engine counts as reachable only where the predicted transfer fits into the life of the result.

--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -1,7 +1,7 @@
 //! The decisions under load and faults: goodput and wasted prefill of each policy in each case.
 //!
 //! `cargo bench -p turmericrail-core --bench policy [-- PART]` runs the cases whose line would
-//! hold PART. The coordinators are the package's own [`Node`]s, one for each instance; engines and
+//! hold PART; with `--ablations` it runs today's policy with one mechanism off at a time. The coordinators are the package's own [`Node`]s, one for each instance; engines and
 //! links are small event-driven stand-ins; time is simulated and every seed is fixed, so that a
 //! run gives the same figures each time.
 
@@ -67,6 +67,7 @@
             Fault::SlowDecode => "slow_decode",
             Fault::LateReports => "late_reports",
             Fault::CutOff => "cut_off",
+            Fault::Flood => "flood",
         };
         format!("{}/load_{:.1}/{fault}", self.deployment.name, self.load)
     }
@@ -79,7 +80,7 @@
             Fault::DeadDecode => (0.0, 1.0),
             Fault::SlowPrefill => (1.0 - 1.0 / SLOW_PREFILL, 0.0),
             Fault::SlowDecode => (0.0, 1.0 - 1.0 / SLOW_DECODE),
-            Fault::None | Fault::LateReports | Fault::CutOff => (0.0, 0.0),
+            Fault::None | Fault::LateReports | Fault::CutOff | Fault::Flood => (0.0, 0.0),
         };
         Box::new(
             move |now_ms| {
@@ -91,10 +92,13 @@
 
 fn main() {
     let wanted: Vec<_> = std::env::args().skip(1).filter(|arg| !arg.starts_with("--")).collect();
+    let has_ablations = std::env::args().any(|arg| arg == "--ablations");
     for case in cases() {
-        let asked = requests(&case.deployment, case.load, SEED);
+        let flood_from_ms = if case.fault == Fault::Flood { FAULT_MS } else { u64::MAX };
+        let asked = requests(&case.deployment, case.load, SEED, flood_from_ms);
         let bound = bound::upper_bound(&asked, &case.engines());
-        for policy in policies() {
+        let policies = if has_ablations { ablations() } else { policies() };
+        for policy in policies {
             let title = format!("case={} policy={}", case.name(), policy.name);
             if !wanted.iter().all(|part| title.contains(part.as_str())) {
                 continue;
@@ -126,6 +130,7 @@
         ] {
             cases.push(Case { deployment: deployment.clone(), load: 1.0, fault });
         }
+        cases.push(Case { deployment, load: 2.0, fault: Fault::Flood });
     }
     cases
 }
@@ -140,6 +145,21 @@
     ]
 }
 
+/// Today's policy with one mechanism off at a time.
+fn ablations() -> Vec<Policy> {
+    let all = Mechanisms::ALL;
+    vec![
+        with_mechanisms("today", all),
+        with_mechanisms("without_plan", Mechanisms { has_plan: false, ..all }),
+        with_mechanisms("without_slots", Mechanisms { has_slots: false, ..all }),
+        with_mechanisms("without_reseat", Mechanisms { has_reseat: false, ..all }),
+        with_mechanisms("without_affinity", Mechanisms { has_affinity: false, ..all }),
+        with_mechanisms("without_token_limit", Mechanisms { has_token_limit: false, ..all }),
+        with_mechanisms("without_ejection", Mechanisms { has_ejection: false, ..all }),
+        with_mechanisms("without_isolation", Mechanisms { has_isolation: false, ..all }),
+    ]
+}
+
 fn simple(name: &'static str, choose: impl Fn(usize) -> Choose + 'static) -> Policy {
     let build = move |deployment: &Deployment, instance: usize| -> Handle {
         let kinds = deployment.kinds.iter();
--- a/crates/core/benches/policy/outcome.rs
+++ b/crates/core/benches/policy/outcome.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::workload::Asked;
+use crate::workload::{Asked, FLOODING_WORKSPACE};
 
 /// What became of one request.
 #[derive(Clone, Default)]
@@ -25,6 +25,7 @@
     pub token_p95_ms: f64,
     pub refused_ratio: f64,
     pub refusal_p50_ms: u64,
+    pub others_good_ratio: f64,
 }
 
 impl Measures {
@@ -40,11 +41,14 @@
         let mut refusals = Vec::new();
         let mut good = 0;
         let mut counted = 0;
+        let (mut others, mut others_good) = (0, 0);
         for (asked, outcome) in asked.iter().zip(outcomes) {
             if asked.gone_after_ms.is_some() {
                 continue;
             }
             counted += 1;
+            let is_other = asked.workspace != FLOODING_WORKSPACE;
+            others += u64::from(is_other);
             refusals.extend(outcome.refused_after_ms);
             let (Some(first_ms), Some(ended_ms)) = (outcome.first_token_ms, outcome.ended_ms)
             else {
@@ -58,6 +62,7 @@
             let is_good = waited_ms <= asked.kind.first_token_ms
                 && token_ms <= asked.kind.per_token_ms as f64;
             good += u64::from(is_good);
+            others_good += u64::from(is_good && is_other);
         }
         Self {
             goodput: good as f64,
@@ -67,6 +72,7 @@
             token_p95_ms: percentile(tokens, 95) as f64 / 10.0,
             refused_ratio: refusals.len() as f64 / counted as f64,
             refusal_p50_ms: percentile(refusals, 50),
+            others_good_ratio: others_good as f64 / others.max(1) as f64,
         }
     }
 }
@@ -76,13 +82,15 @@
         write!(
             f,
             "goodput_ratio={:.3} wasted_prefill_ratio={:.4} ttft_p95_ms={} token_p95_ms={:.1} \
-             refused_ratio={:.3} refusal_p50_ms={} goodput_requests={}",
+             refused_ratio={:.3} refusal_p50_ms={} \
+             others_good_ratio={:.3} goodput_requests={}",
             self.goodput_ratio,
             self.wasted_prefill_ratio,
             self.ttft_p95_ms,
             self.token_p95_ms,
             self.refused_ratio,
             self.refusal_p50_ms,
+            self.others_good_ratio,
             self.goodput,
         )
     }
--- a/crates/core/benches/policy/workload.rs
+++ b/crates/core/benches/policy/workload.rs
@@ -23,6 +23,9 @@
 
 const WORKSPACES: u64 = 16;
 const TEMPLATES: u64 = 12;
+/// The workspace that sends most requests in a flood.
+pub const FLOODING_WORKSPACE: u64 = 0;
+const FLOOD_PERCENT: u64 = 60;
 const CANCEL_PERCENT: u64 = 3;
 const BURST_EVERY_MS: u64 = 20_000;
 const BURST_MS: u64 = 4_000;
@@ -136,8 +139,9 @@
     }
 }
 
-/// The requests of a deployment at a load, where 1.0 is what its engines can carry.
-pub fn requests(deployment: &Deployment, load: f64, seed: u64) -> Vec<Asked> {
+/// The requests of a deployment at a load, where 1.0 is what its engines can carry; from a time on
+/// one workspace may send most of them.
+pub fn requests(deployment: &Deployment, load: f64, seed: u64, flood_from_ms: u64) -> Vec<Asked> {
     let mut rng = Rng::with_seed(seed);
     let sample: Vec<_> = (0..2_000).map(|_| draw(deployment, &mut rng, 0)).collect();
     let capacity_per_ms = capacity_per_ms(deployment, &sample);
@@ -146,7 +150,11 @@
     while now_ms < (WARM_UP_MS + ARRIVALS_MS) as f64 {
         let rate = load * capacity_per_ms * burst_factor(now_ms as u64);
         now_ms -= (1.0 - rng.f64()).ln() / rate;
-        asked.push(draw(deployment, &mut rng, now_ms as u64));
+        let mut drawn = draw(deployment, &mut rng, now_ms as u64);
+        if drawn.arrives_ms >= flood_from_ms && rng.u64(0..100) < FLOOD_PERCENT {
+            drawn.workspace = FLOODING_WORKSPACE;
+        }
+        asked.push(drawn);
     }
     asked
 }
--- a/crates/core/benches/policy/world.rs
+++ b/crates/core/benches/policy/world.rs
@@ -56,6 +56,7 @@
     SlowPrefill,
     LateReports,
     CutOff,
+    Flood,
 }
 
 enum Item {
@@ -180,7 +181,7 @@
             Fault::SlowPrefill => self.engine(&first("p")).slowness = SLOW_PREFILL,
             Fault::SlowDecode => self.engine(&first("d")).slowness = SLOW_DECODE,
             Fault::CutOff => self.is_cut = true,
-            Fault::None | Fault::LateReports => {}
+            Fault::None | Fault::LateReports | Fault::Flood => {}
         }
     }
 
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -7,7 +7,7 @@
 pub mod usage;
 
 pub use mechanisms::Mechanisms;
-pub use plan::{Plan, WaitingRequest, plan};
+pub use plan::{Plan, WaitingRequest, keep_all, plan};
 pub use prefill_queue::{PrefillQueue, SlotAnswer, SlotRequest};
 pub use state::AdmissionState;
 pub use usage::Usage;
--- a/crates/core/src/admission/plan.rs
+++ b/crates/core/src/admission/plan.rs
@@ -50,6 +50,12 @@
     Plan { order: kept.iter().map(|request| request.request).collect(), given_up }
 }
 
+/// Keeps all requests in the order given.
+pub fn keep_all(waiting: Vec<WaitingRequest>, _now_ms: Millis, _start_ms: Millis) -> Plan {
+    let order = waiting.iter().map(|request| request.request).collect();
+    Plan { order, given_up: Vec::new() }
+}
+
 fn costliest(kept: &[WaitingRequest]) -> usize {
     let order = kept.iter().enumerate();
     order.max_by(|(_, a), (_, b)| a.cost.total_cmp(&b.cost)).map_or(0, |(place, _)| place)
--- a/crates/core/src/admission/prefill_queue.rs
+++ b/crates/core/src/admission/prefill_queue.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::admission::{WaitingRequest, plan};
+use crate::admission::{Plan, WaitingRequest};
 use crate::ids::{RequestId, StreamId};
 use crate::report::Holder;
 use crate::units::Millis;
@@ -88,8 +88,12 @@
         SlotAnswer::Refused(backlog_ms)
     }
 
-    /// Plans those that wait, grants turns and gives up what can't meet its target.
-    pub fn advance(&mut self, now_ms: Millis) -> Vec<(SlotRequest, SlotAnswer)> {
+    /// Orders those that wait by `plan`, grants turns and gives up what the plan gives up.
+    pub fn advance(
+        &mut self,
+        now_ms: Millis,
+        plan: impl Fn(Vec<WaitingRequest>, Millis, Millis) -> Plan,
+    ) -> Vec<(SlotRequest, SlotAnswer)> {
         let mut answers = Vec::new();
         let streams: Vec<_> = self.queued.keys().cloned().collect();
         let waiting = self.queued.values().enumerate().map(|(place, queued)| WaitingRequest {
--- a/crates/core/src/node/choice.rs
+++ b/crates/core/src/node/choice.rs
@@ -5,12 +5,14 @@
 use crate::ids::{DataCentreId, ServerId};
 use crate::membership::rendezvous::stable_hash;
 use crate::node::Node;
-use crate::request::Flow;
+use crate::request::{Flow, Stage};
 use crate::route::{Choice, least};
 use crate::units::{BytesPerSecond, KvPieces, Millis, Streams, Tokens};
 
 /// Age at which a known load no longer counts.
 const LOAD_LIFE_MS: Millis = Millis(3_000);
+/// Time for which the result of a prefill is counted on.
+pub(super) const RESULT_LIFE_MS: Millis = Millis(800);
 /// Cost of leaving this instance's data centre.
 const FAR_COST_MS: f64 = 20.0;
 /// Cost that puts an engine behind all that stand near.
@@ -85,7 +87,12 @@
             let far_last = if self.is_near(server) { 0.0 } else { FAR_LAST_COST };
             return Some(far_last - load.free_streams.0 as f64);
         };
-        Some(self.transfer_ms(flow, source, server).0 as f64 + token_ms + far_cost)
+        let transfer_ms = self.transfer_ms(flow, source, server);
+        let lasts_ms = match flow.stage {
+            Stage::Reseating { .. } => flow.result_until_ms - self.now.mono_ms,
+            _ => RESULT_LIFE_MS,
+        };
+        (transfer_ms < lasts_ms).then_some(transfer_ms.0 as f64 + token_ms + far_cost)
     }
 
     /// Streams that an engine holds, as far as known.
--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -8,6 +8,7 @@
 use crate::ids::{RequestId, ServerId, StreamId};
 use crate::message::{PeerMessage, StreamOnServer};
 use crate::node::Node;
+use crate::node::choice::RESULT_LIFE_MS;
 use crate::request::{Cursor, Flow, Stage};
 use crate::units::{KvPieces, Millis, Streams, Tokens};
 
@@ -17,8 +18,6 @@
 const TRANSFER_TIMEOUT_MS: std::ops::RangeInclusive<u64> = 300..=5_000;
 /// Ratio of a timeout to the predicted time.
 const TIMEOUT_RATIO: u64 = 4;
-/// Time for which the result of a prefill is counted on.
-const RESULT_LIFE_MS: Millis = Millis(800);
 /// Longest silence of a token stream.
 const TOKEN_SILENCE_MS: Millis = Millis(3_000);
 /// Most tries of one request.
--- a/crates/core/src/node/queue_path.rs
+++ b/crates/core/src/node/queue_path.rs
@@ -1,6 +1,6 @@
 //! The owner's side of prefill engines: the queue of each, and what is answered to those in it.
 
-use crate::admission::{SlotAnswer, SlotRequest};
+use crate::admission::{SlotAnswer, SlotRequest, keep_all, plan};
 use crate::ids::ServerId;
 use crate::message::{SeatReply, SeatRequest, StreamOnServer};
 use crate::node::Node;
@@ -32,9 +32,10 @@
             self.answer_slot(&server, &slot, SlotAnswer::Refused(UNUSABLE_MS));
             return;
         }
+        let order = if self.admission.mechanisms.has_plan { plan } else { keep_all };
         let queue = self.admission.queues.entry(server.clone()).or_default();
         queue.ask(now_ms, slot.clone());
-        let answers = queue.advance(now_ms);
+        let answers = queue.advance(now_ms, order);
         let answer = queue.answer(now_ms, &stream);
         let is_answered = answers.iter().any(|(other, _)| other.stream == stream);
         if !is_answered {
@@ -73,10 +74,11 @@
 
     fn advance_queue(&mut self, server: &ServerId) {
         let now_ms = self.now.mono_ms;
+        let order = if self.admission.mechanisms.has_plan { plan } else { keep_all };
         let Some(queue) = self.admission.queues.get_mut(server) else {
             return;
         };
-        for (slot, answer) in queue.advance(now_ms) {
+        for (slot, answer) in queue.advance(now_ms, order) {
             self.answer_slot(server, &slot, answer);
         }
     }
