--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -9,7 +9,7 @@
 use crate::ids::{ConfigVersion, RequestId, ServerId, StreamId};
 use crate::membership::{Heartbeat, Members, MembersRequest};
 use crate::report::Holder;
-use crate::units::KvPieces;
+use crate::units::{KvPieces, Millis};
 
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq)]
@@ -60,15 +60,20 @@
     pub stream: StreamId,
 }
 
-/// A request for a seat.
+/// A request for a seat at a decode engine, or for a prompt's turn at a prefill engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SeatRequest {
     /// The request at the asking instance.
     pub request: RequestId,
     /// Where and for which stream.
     pub seat: StreamOnServer,
-    /// Memory to set aside.
+    /// Memory to set aside; at a prefill engine, the part of the prompt to be computed.
     pub kv_pieces: KvPieces,
+    /// At a prefill engine, the time in which the prefill must end.
+    pub latest_in_ms: Millis,
+    /// At a prefill engine, the cost of serving the request for its weight, in thousandths of a
+    /// millisecond of engine time.
+    pub cost: u64,
 }
 
 /// The answer to a request for a seat.
@@ -80,4 +85,8 @@
     pub seat: StreamOnServer,
     /// Whether the seat was granted.
     pub is_granted: bool,
+    /// At a prefill engine, whether the request waits there for its turn.
+    pub is_queued: bool,
+    /// At a prefill engine, the work that is ahead.
+    pub wait_ms: Millis,
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -4,6 +4,8 @@
 //! the plain path. Each part is a file of this folder; [`Node::handle`] passes every event to its
 //! part and collects the actions.
 
+mod admit_path;
+mod choice;
 mod config_path;
 mod member_path;
 mod model_path;
@@ -11,14 +13,17 @@
 mod placement_path;
 mod plain_path;
 mod plain_tries;
+mod queue_path;
 mod seat_path;
 pub mod status;
 mod sync;
+mod turn_path;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use crate::action::{Action, Decision, Target};
+use crate::admission::{AdmissionState, Mechanisms};
 use crate::config::ConfigHistory;
 use crate::error_kind::ErrorKind;
 use crate::event::{Event, Now, PlainAnswer};
@@ -73,6 +78,7 @@
     held_messages: Vec<HeldMessage>,
     asked_keys: BTreeMap<MemberKey, Millis>,
     service_lost_ms: Option<Millis>,
+    admission: AdmissionState,
     flows: BTreeMap<RequestId, Flow>,
     plain_callers: BTreeMap<RequestId, PlainCaller>,
     plain_flows: BTreeMap<RequestId, PlainFlow>,
@@ -124,6 +130,7 @@
             held_messages: Vec::new(),
             asked_keys: BTreeMap::new(),
             service_lost_ms: None,
+            admission: AdmissionState::default(),
             flows: BTreeMap::new(),
             plain_callers: BTreeMap::new(),
             plain_flows: BTreeMap::new(),
@@ -140,6 +147,13 @@
         }
     }
 
+    /// A node with some of its mechanisms switched off, to measure what each is worth.
+    pub fn with_mechanisms(settings: NodeSettings, mechanisms: Mechanisms) -> Self {
+        let mut node = Self::new(settings);
+        node.admission.mechanisms = mechanisms;
+        node
+    }
+
     /// Handles one event and returns what is to be done.
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
         assert!(now.mono_ms >= self.now.mono_ms, "monotonic time went back");
@@ -214,6 +228,7 @@
         self.check_leases();
         self.place();
         self.repeat_claims();
+        self.advance_queues();
         self.advance_waiting();
         self.advance_plain();
         if self.is_leaving && self.flows.is_empty() && self.is_plain_idle() {
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -50,11 +50,9 @@
         let ledger = self.ledgers.entry(server.clone()).or_insert_with(|| SeatLedger::new(limits));
         ledger.reconcile(now_ms, report);
         let free = ledger.free();
-        let load = ServerLoad {
-            free_streams: free.streams,
-            free_pieces: free.pieces,
-            queued_tokens: report.queued_tokens,
-        };
+        let queued_tokens = self.queued_tokens(server, report.queued_tokens);
+        let load =
+            ServerLoad { free_streams: free.streams, free_pieces: free.pieces, queued_tokens };
         self.loads.insert(server.clone(), KnownLoad { load, learned_ms: now_ms });
         self.note_look(server, report);
     }
@@ -66,6 +64,10 @@
     }
 
     pub(super) fn take_seat_request(&mut self, from: &Holder, asked: SeatRequest) {
+        if self.is_prefill(&asked.seat.server) {
+            self.take_slot_request(from, asked);
+            return;
+        }
         let is_granted = self.grant(from, &asked);
         let fields = vec![
             ("server", asked.seat.server.to_string()),
@@ -74,22 +76,31 @@
             ("granted", is_granted.to_string()),
         ];
         self.log("seat", None, fields);
-        let reply = SeatReply { request: asked.request, seat: asked.seat, is_granted };
-        if *from == self.members.own_holder() {
+        let (request, seat) = (asked.request, asked.seat);
+        let (is_queued, wait_ms) = (false, Millis::ZERO);
+        self.reply(from, SeatReply { request, seat, is_granted, is_queued, wait_ms });
+    }
+
+    pub(super) fn reply(&mut self, to: &Holder, reply: SeatReply) {
+        if *to == self.members.own_holder() {
             self.take_seat_reply(reply);
             return;
         }
-        self.send(&from.instance, PeerMessage::SeatReply(reply));
+        self.send(&to.instance, PeerMessage::SeatReply(reply));
     }
 
     pub(super) fn take_release(&mut self, from: &Holder, seat: &StreamOnServer) {
+        let now_ms = self.now.mono_ms;
+        if self.is_prefill(&seat.server) {
+            self.release_turn(from, seat);
+        }
         let Some(ledger) = self.ledgers.get_mut(&seat.server) else {
             return;
         };
         let is_holder =
             ledger.leases().get(&seat.stream).is_some_and(|lease| lease.holder == *from);
         if is_holder {
-            ledger.release(&seat.stream);
+            ledger.release(now_ms, &seat.stream);
             self.note_free_seats(&seat.server);
         }
     }
@@ -194,6 +205,7 @@
     pub(super) fn distrust_accounts(&mut self, gap_ms: Millis) {
         self.log("paused", None, vec![("gap_ms", gap_ms.0.to_string())]);
         self.ledgers.clear();
+        self.admission.queues.clear();
         self.loads.clear();
         self.placement.orders.forget_looks();
     }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -9,7 +9,7 @@
 use turmericrail_core::ids::{ConfigVersion, Incarnation, RequestId};
 use turmericrail_core::message::{Envelope, PeerMessage, SeatReply, SeatRequest, StreamOnServer};
 use turmericrail_core::report::Holder;
-use turmericrail_core::units::KvPieces;
+use turmericrail_core::units::{KvPieces, Millis};
 
 use crate::convert_members::{
     decode_heartbeat, decode_members, decode_members_request, encode_heartbeat, encode_members,
@@ -84,11 +84,15 @@
             request: asked.request.0,
             seat: Some(encode_seat(&asked.seat)),
             kv_pieces: asked.kv_pieces.0,
+            latest_in_ms: asked.latest_in_ms.0,
+            cost: asked.cost,
         }),
         PeerMessage::SeatReply(reply) => Message::SeatReply(peer::SeatReply {
             request: reply.request.0,
             seat: Some(encode_seat(&reply.seat)),
             is_granted: reply.is_granted,
+            wait_ms: reply.wait_ms.0,
+            is_queued: reply.is_queued,
         }),
         PeerMessage::Release(seat) => Message::Release(encode_seat(seat)),
         PeerMessage::Claim(seat) => Message::Claim(encode_seat(seat)),
@@ -121,11 +125,15 @@
             request: RequestId(asked.request),
             seat: decode_seat(asked.seat)?,
             kv_pieces: KvPieces(asked.kv_pieces),
+            latest_in_ms: Millis(asked.latest_in_ms),
+            cost: asked.cost,
         }),
         Message::SeatReply(reply) => PeerMessage::SeatReply(SeatReply {
             request: RequestId(reply.request),
             seat: decode_seat(reply.seat)?,
             is_granted: reply.is_granted,
+            wait_ms: Millis(reply.wait_ms),
+            is_queued: reply.is_queued,
         }),
         Message::Release(seat) => PeerMessage::Release(decode_seat(Some(seat))?),
         Message::Claim(seat) => PeerMessage::Claim(decode_seat(Some(seat))?),
