--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use async_std::task;
 use serde::Deserialize;
 use tide::{Body, Request, Response, Server, StatusCode};
@@ -27,6 +28,8 @@
 
 /// Time between looks for new tokens or cancellations.
 const STEP: Duration = Duration::from_millis(2);
+/// Longest time between looks of a reader that waits for a token.
+const READ_STEP: Duration = Duration::from_millis(10);
 /// Time for which an ended stream can still be read.
 const ENDED_LIFE: Duration = Duration::from_secs(10);
 
@@ -60,6 +63,20 @@
     }
 }
 
+/// Wakes the reader of a stream when a token is there.
+#[derive(Clone, Debug)]
+pub struct Progress {
+    sender: Sender<()>,
+    receiver: Receiver<()>,
+}
+
+impl Default for Progress {
+    fn default() -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        Self { sender, receiver }
+    }
+}
+
 /// One stream on the engine.
 #[derive(Clone, Debug)]
 pub struct EngineStream {
@@ -75,6 +92,8 @@
     pub generated: u64,
     /// Tokens of the whole answer.
     pub max_tokens: u64,
+    /// Wakes the reader when a token is there.
+    pub progress: Progress,
 }
 
 /// State and switches of an engine.
@@ -223,6 +242,7 @@
         is_computed: false,
         generated: 0,
         max_tokens: 0,
+        progress: Progress::default(),
     };
     {
         let mut state = inner.state();
@@ -290,6 +310,7 @@
         is_computed: false,
         generated: 0,
         max_tokens: body.max_tokens.0,
+        progress: Progress::default(),
     };
     inner.state().streams.insert(body.stream.clone(), placeholder);
     let exporting = ExportBody { stream: body.stream.clone() };
@@ -327,6 +348,7 @@
             return;
         };
         generating.generated += 1;
+        let _ = generating.progress.sender.try_send(());
         if generating.generated < generating.max_tokens {
             continue;
         }
@@ -393,7 +415,7 @@
 
 async fn next_line(inner: &Inner, stream: &StreamId, index: u64, reader: u64) -> Option<TokenLine> {
     loop {
-        {
+        let progress = {
             let state = inner.state();
             let found = state.find(stream)?;
             if reader < state.cut_below {
@@ -406,8 +428,9 @@
             if is_told && found.generated >= found.max_tokens {
                 return Some(TokenLine::End { count: found.max_tokens });
             }
-        }
-        task::sleep(STEP).await;
+            found.progress.receiver.clone()
+        };
+        let _ = async_std::future::timeout(READ_STEP, progress.recv()).await;
     }
 }
 
