Take task switches and the log off the way of a token

Change: the body of a streamed answer takes its events straight from the caller's channel (one task and one channel fewer for each token); a token waits on a timer only where the caller's channel is full; the driver runs as a task instead of on a thread of its own; decisions are logged after the other actions of an event. A caller that stalls is forgotten, so that its answer is cut instead of ending cleanly. Kept decisions share the log's texts. Excluded: handling events inside the edges (actions of two events could swap); pooled connections to engines (one may be silent for good).

--- a/crates/turmericrail/src/backend_edge/tokens.rs
+++ b/crates/turmericrail/src/backend_edge/tokens.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::Sender;
+use async_channel::{Sender, TrySendError};
 use async_std::io::BufReader;
 use async_std::io::prelude::*;
 use turmericrail_core::action::ReadCall;
@@ -45,11 +45,10 @@
             shared.callers.finish(call.request, ToCaller::End { count });
             shared.tell(Event::StreamEnded(call.request, call.stream));
         }
-        ReadEnd::TakenOver => {
+        ReadEnd::CallerGone | ReadEnd::TakenOver => {
             shared.callers.forget(call.request);
             shared.tell(Event::CallerGone(call.request));
         }
-        ReadEnd::CallerGone => shared.tell(Event::CallerGone(call.request)),
         ReadEnd::Broken { is_held } => shared.tell(Event::StreamBroken {
             request: call.request,
             stream: call.stream,
@@ -132,10 +131,21 @@
             next_index: index + 1,
         };
         let cursor = cursor.seal(&shared.seal);
-        let sending = sender.send(ToCaller::Token { index, text, cursor });
-        if !matches!(async_std::future::timeout(stall, sending).await, Ok(Ok(()))) {
+        if !send(sender, ToCaller::Token { index, text, cursor }, stall).await {
             return false;
         }
     }
     true
 }
+
+/// Passes a message on; waits only where the caller reads more slowly than tokens come.
+async fn send(sender: &Sender<ToCaller>, message: ToCaller, stall: Duration) -> bool {
+    match sender.try_send(message) {
+        Ok(()) => true,
+        Err(TrySendError::Closed(_)) => false,
+        Err(TrySendError::Full(message)) => {
+            let sending = sender.send(message);
+            matches!(async_std::future::timeout(stall, sending).await, Ok(Ok(())))
+        }
+    }
+}
--- a/crates/turmericrail/src/caller_edge/completions.rs
+++ b/crates/turmericrail/src/caller_edge/completions.rs
@@ -1,17 +1,15 @@
 //! Model calls: the completion request and the continuation of an answer.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use async_channel::{Receiver, Sender};
-use async_std::task;
+use async_channel::Receiver;
 use tide::{Request, Response};
 use turmericrail_core::error_kind::{ErrorKind, Outcome};
 use turmericrail_core::event::{Event, ModelRequest};
 use turmericrail_core::ids::RequestId;
 use turmericrail_core::membership::rendezvous::stable_hash;
 use turmericrail_core::units::Tokens;
-use turmericrail_wire::body::{Piece, channel_body};
+use turmericrail_wire::body::{Part, Then, message_body};
 use turmericrail_wire::caller::{CompletionAnswer, CompletionBody, EndEvent, TokenEvent};
 
 use super::connection::Connection;
@@ -45,7 +43,7 @@
     connection.add(&shared, id);
     shared.tell(Event::ModelRequest(asked));
     match body.stream {
-        true => stream_answer(&shared, id, connection, answers).await,
+        true => stream_answer(id, connection, answers).await,
         false => whole_answer(id, connection, answers).await,
     }
 }
@@ -61,7 +59,7 @@
     let answers = shared.callers.register(id, Sent::default());
     connection.add(&shared, id);
     shared.tell(Event::ResumeRequest { request: id, cursor });
-    stream_answer(&shared, id, connection, answers).await
+    stream_answer(id, connection, answers).await
 }
 
 fn to_request(request: RequestId, body: &CompletionBody) -> ModelRequest {
@@ -107,7 +105,6 @@
 }
 
 async fn stream_answer(
-    shared: &Arc<Shared>,
     id: RequestId,
     connection: Connection,
     answers: Receiver<ToCaller>,
@@ -120,24 +117,8 @@
         Ok(first) => first,
         Err(_) => return reply::error(id, ErrorKind::CallerGone, None),
     };
-    let (sender, receiver) = async_channel::bounded(1);
-    let stall = Duration::from_millis(shared.settings.limits.stall_timeout_ms.0);
-    task::spawn(async move {
-        let mut next = Some(first);
-        while let Some(answer) = next {
-            let is_last = matches!(answer, ToCaller::End { .. } | ToCaller::Error { .. });
-            if is_last {
-                connection.remove(id);
-            }
-            let is_sent = send_event(&sender, id, answer, stall).await;
-            if !is_sent || is_last {
-                return;
-            }
-            next = answers.recv().await.ok();
-        }
-        let _ = sender.send(Err(std::io::Error::other("the answer was cut off"))).await;
-    });
-    let body = channel_body(receiver);
+    let first = to_part(id, &connection, Some(first));
+    let body = message_body(first, answers, move |answer| to_part(id, &connection, answer));
     Ok(Response::builder(200)
         .content_type("text/event-stream")
         .header("cache-control", "no-cache")
@@ -146,31 +127,28 @@
         .build())
 }
 
-async fn send_event(
-    sender: &Sender<Piece>,
-    id: RequestId,
-    answer: ToCaller,
-    stall: Duration,
-) -> bool {
-    let (event, is_cut) = match answer {
-        ToCaller::Token { index, text, cursor } => {
-            let data = serde_json::to_string(&TokenEvent { index, text });
-            (format!("id: {cursor}\nevent: token\ndata: {}\n\n", data.unwrap_or_default()), false)
+/// The event of an answer; a closed channel cuts the body, so that the caller sees no clean end.
+fn to_part(id: RequestId, connection: &Connection, answer: Option<ToCaller>) -> Part {
+    let (event, then) = match answer {
+        Some(ToCaller::Token { index, text, cursor }) => {
+            let data = serde_json::to_string(&TokenEvent { index, text }).unwrap_or_default();
+            (format!("id: {cursor}\nevent: token\ndata: {data}\n\n"), Then::More)
         }
-        ToCaller::End { count } => {
-            let data = serde_json::to_string(&EndEvent { outcome: Outcome::Completed, count });
-            (format!("event: end\ndata: {}\n\n", data.unwrap_or_default()), false)
+        Some(ToCaller::End { count }) => {
+            let end = EndEvent { outcome: Outcome::Completed, count };
+            let data = serde_json::to_string(&end).unwrap_or_default();
+            (format!("event: end\ndata: {data}\n\n"), Then::End)
         }
-        ToCaller::Error { kind, retry_after_ms } => {
-            let data = serde_json::to_string(&reply::error_body(id, kind, retry_after_ms));
-            (format!("event: error\ndata: {}\n\n", data.unwrap_or_default()), true)
+        Some(ToCaller::Error { kind, retry_after_ms }) => {
+            let body = reply::error_body(id, kind, retry_after_ms);
+            let data = serde_json::to_string(&body).unwrap_or_default();
+            (format!("event: error\ndata: {data}\n\n"), Then::Cut)
         }
-        ToCaller::Tickets(_) | ToCaller::Plain(_) => return true,
+        Some(ToCaller::Tickets(_) | ToCaller::Plain(_)) => (String::new(), Then::More),
+        None => (String::new(), Then::Cut),
     };
-    let sending = sender.send(Ok(event.into_bytes()));
-    let is_sent = matches!(async_std::future::timeout(stall, sending).await, Ok(Ok(())));
-    if is_cut && is_sent {
-        let _ = sender.send(Err(std::io::Error::other("the answer was cut off"))).await;
+    if then != Then::More {
+        connection.remove(id);
     }
-    is_sent
+    Part { bytes: event.into_bytes(), then }
 }
--- a/crates/turmericrail/src/daemon/callers.rs
+++ b/crates/turmericrail/src/daemon/callers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use async_channel::{Receiver, Sender};
+use async_channel::{Receiver, Sender, TrySendError};
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::event::PlainAnswer;
 use turmericrail_core::ids::RequestId;
@@ -99,7 +99,9 @@
         let Some(caller) = self.waiting().remove(&request) else {
             return false;
         };
-        async_std::task::spawn(async move { caller.sender.send(answer).await });
+        if let Err(TrySendError::Full(answer)) = caller.sender.try_send(answer) {
+            async_std::task::spawn(async move { caller.sender.send(answer).await });
+        }
         true
     }
 
--- a/crates/turmericrail/src/daemon/decisions.rs
+++ b/crates/turmericrail/src/daemon/decisions.rs
@@ -43,26 +43,26 @@
 
 #[derive(Default)]
 struct Kept {
-    by_request: BTreeMap<RequestId, RequestDecisions>,
+    by_request: BTreeMap<RequestId, KeptRequest>,
     order: VecDeque<RequestId>,
 }
 
+#[derive(Default)]
+struct KeptRequest {
+    decisions: Vec<(WallMillis, Decision)>,
+    dropped: u64,
+}
+
 impl Decisions {
     /// Keeps a decision where it belongs to a request.
-    pub fn keep(&self, wall_ms: WallMillis, decision: &Decision) {
+    pub fn keep(&self, wall_ms: WallMillis, decision: Decision) {
         let Some(request) = decision.request else {
             return;
         };
-        let fields = decision.fields.iter().map(|(key, value)| (key.to_string(), value.clone()));
-        let event = decision.event.to_owned();
-        let shown = ShownDecision { wall_ms, event, fields: fields.collect() };
         let mut kept = self.kept();
-        kept.make_room(request);
-        let Some(known) = kept.by_request.get_mut(&request) else {
-            return;
-        };
+        let known = kept.request(request);
         if known.decisions.len() < KEPT_DECISIONS {
-            known.decisions.push(shown);
+            known.decisions.push((wall_ms, decision));
             return;
         }
         known.dropped += 1;
@@ -70,7 +70,10 @@
 
     /// The decisions of a request that are still kept.
     pub fn of(&self, request: RequestId) -> Option<RequestDecisions> {
-        self.kept().by_request.get(&request).cloned()
+        let kept = self.kept();
+        let known = kept.by_request.get(&request)?;
+        let decisions = known.decisions.iter().map(|(wall_ms, decision)| show(*wall_ms, decision));
+        Some(RequestDecisions { request, decisions: decisions.collect(), dropped: known.dropped })
     }
 
     fn kept(&self) -> MutexGuard<'_, Kept> {
@@ -79,17 +82,21 @@
 }
 
 impl Kept {
-    fn make_room(&mut self, request: RequestId) {
-        if self.by_request.contains_key(&request) {
-            return;
+    /// The entry of a request; a new one replaces the oldest.
+    fn request(&mut self, request: RequestId) -> &mut KeptRequest {
+        if !self.by_request.contains_key(&request) {
+            self.order.push_back(request);
         }
-        if self.order.len() >= KEPT_REQUESTS
+        if self.order.len() > KEPT_REQUESTS
             && let Some(oldest) = self.order.pop_front()
         {
             self.by_request.remove(&oldest);
         }
-        self.order.push_back(request);
-        let empty = RequestDecisions { request, decisions: Vec::new(), dropped: 0 };
-        self.by_request.insert(request, empty);
+        self.by_request.entry(request).or_default()
     }
 }
+
+fn show(wall_ms: WallMillis, decision: &Decision) -> ShownDecision {
+    let fields = decision.fields.iter().map(|(key, value)| (key.to_string(), value.clone()));
+    ShownDecision { wall_ms, event: decision.event.to_owned(), fields: fields.collect() }
+}
--- a/crates/turmericrail/src/daemon/driver.rs
+++ b/crates/turmericrail/src/daemon/driver.rs
@@ -18,19 +18,34 @@
 const TICK: Duration = Duration::from_millis(50);
 
 /// Runs until the coordinator asks to exit.
-pub async fn drive(shared: &Arc<Shared>, events: Receiver<Event>) {
-    start_ticks(shared);
+pub async fn drive(shared: Arc<Shared>, events: Receiver<Event>) {
+    start_ticks(&shared);
     while let Ok(event) = events.recv().await {
         let actions = shared.node().handle(shared.now(), event);
-        for action in actions {
-            if action == Action::Exit {
-                return;
-            }
-            perform(shared, action);
+        if !perform_all(&shared, actions) {
+            return;
         }
     }
 }
 
+/// Carries actions out; decisions are logged last, so that no request waits for the log. Returns
+/// whether the process goes on.
+fn perform_all(shared: &Arc<Shared>, actions: Vec<Action>) -> bool {
+    let mut goes_on = true;
+    let mut decisions = Vec::new();
+    for action in actions {
+        match action {
+            Action::Exit => goes_on = false,
+            Action::Log(decision) => decisions.push(decision),
+            action => perform(shared, action),
+        }
+    }
+    for decision in decisions {
+        log(shared, decision);
+    }
+    goes_on
+}
+
 fn start_ticks(shared: &Arc<Shared>) {
     let shared = Arc::clone(shared);
     task::spawn(async move {
@@ -72,8 +87,7 @@
             finish(shared, request, ToCaller::Error { kind, retry_after_ms });
         }
         Action::FetchDocument => spawn(shared, platform_edge::fetch_document),
-        Action::Log(decision) => log(shared, &decision),
-        Action::Exit => {}
+        Action::Log(_) | Action::Exit => {}
     }
 }
 
@@ -97,8 +111,8 @@
     shared.metrics.answers.with_label_values(&[kind]).inc();
 }
 
-fn log(shared: &Shared, decision: &Decision) {
+fn log(shared: &Shared, decision: Decision) {
     shared.metrics.decisions.with_label_values(&[decision.event]).inc();
+    spdlog::info!("{}", logs::line(&decision));
     shared.decisions.keep(shared.now().wall_ms, decision);
-    spdlog::info!("{}", logs::line(decision));
 }
--- a/crates/turmericrail/src/daemon/mod.rs
+++ b/crates/turmericrail/src/daemon/mod.rs
@@ -34,7 +34,7 @@
         shared.settings.caller_address,
         shared.settings.peer_address
     );
-    driver::drive(&shared, events).await;
+    task::spawn(driver::drive(Arc::clone(&shared), events)).await;
     caller_edge::drain(&shared).await;
     spdlog::info!("event=ended instance={}", shared.settings.instance);
     Ok(())
--- /dev/null
+++ b/crates/wire/tests/body_parts.rs
@@ -0,0 +1,45 @@
+//! Bodies end cleanly only where their messages say so.
+
+use async_std::io::ReadExt;
+use http_types::Body;
+use turmericrail_wire::body::{Part, Then, channel_body, message_body};
+
+fn part(text: &str, then: Then) -> Part {
+    Part { bytes: text.as_bytes().to_vec(), then }
+}
+
+fn body_of(messages: &[&'static str]) -> Body {
+    let (sender, receiver) = async_channel::unbounded();
+    for message in messages {
+        sender.try_send(*message).unwrap();
+    }
+    message_body(part("first ", Then::More), receiver, |message| match message {
+        Some("end") => part("end", Then::End),
+        Some(text) => part(text, Then::More),
+        None => part("", Then::Cut),
+    })
+}
+
+#[async_std::test]
+async fn clean_end() {
+    let mut text = String::new();
+    body_of(&["a ", "b ", "end", "late"]).read_to_string(&mut text).await.unwrap();
+    assert_eq!(text, "first a b end");
+}
+
+#[async_std::test]
+async fn closed_channel() {
+    let mut bytes = Vec::new();
+    body_of(&["a "]).read_to_end(&mut bytes).await.unwrap_err();
+    assert_eq!(bytes, b"first a ");
+}
+
+#[async_std::test]
+async fn error_piece() {
+    let (sender, receiver) = async_channel::unbounded();
+    sender.try_send(Ok(b"a".to_vec())).unwrap();
+    sender.try_send(Err(std::io::Error::other("cut"))).unwrap();
+    let mut bytes = Vec::new();
+    channel_body(receiver).read_to_end(&mut bytes).await.unwrap_err();
+    assert_eq!(bytes, b"a");
+}
