--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -14,7 +14,7 @@
     ChangeAnswer, ChangesAnswer, DocumentAnswer, InstancesAnswer, WeightStoreAnswer,
 };
 
-use crate::serve::serve;
+use crate::serve::{FREE_PORT, serve_at};
 
 /// Time between looks of a waiting watch.
 const WATCH_STEP: Duration = Duration::from_millis(20);
@@ -76,6 +76,11 @@
 impl FakePlatform {
     /// Starts with a first document, which becomes version 1.
     pub async fn start(document: Value) -> std::io::Result<Self> {
+        Self::start_at(FREE_PORT, document).await
+    }
+
+    /// Starts on an address with a first document, which becomes version 1.
+    pub async fn start_at(address: SocketAddr, document: Value) -> std::io::Result<Self> {
         let state = PlatformState {
             changes: vec![(1, document.clone())],
             document,
@@ -88,7 +93,7 @@
         app.at("/configuration/changes").get(get_changes);
         app.at("/instances").get(get_instances);
         app.at("/weight-store").get(get_weight_store);
-        let address = serve(app).await?;
+        let address = serve_at(address, app).await?;
         Ok(Self { address, state })
     }
 
--- a/crates/fakes/src/serve.rs
+++ b/crates/fakes/src/serve.rs
@@ -1,18 +1,29 @@
 //! Listening on a loopback port with a tide app.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use async_std::net::TcpListener;
 use async_std::stream::StreamExt;
 use async_std::task;
 use tide::Server;
 
+/// Any free loopback port.
+pub const FREE_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// Listens on a free loopback port and serves the app until the process ends.
 pub async fn serve<S>(app: Server<S>) -> std::io::Result<SocketAddr>
 where
     S: Clone + Send + Sync + 'static,
 {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    serve_at(FREE_PORT, app).await
+}
+
+/// Listens on an address and serves the app until the process ends.
+pub async fn serve_at<S>(address: SocketAddr, app: Server<S>) -> std::io::Result<SocketAddr>
+where
+    S: Clone + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     task::spawn(async move {
         let mut incoming = listener.incoming();
