Name the run of a ticket's home by a random number

A home recognised its tickets by its incarnation, which comes from a clock. Two runs of one instance with the same incarnation (clock set back, two starts at once) spend each other's tickets: a safety that rests on a clock.

A ticket carries a random 64-bit number of the run; the home compares it too.

More random bits in the incarnation: it would no longer pass through JSON as a number.

New fault mix clock_back (each restart has the same incarnation).

--- a/crates/core/src/node/plain_path.rs
+++ b/crates/core/src/node/plain_path.rs
@@ -36,6 +36,7 @@
             let ticket = Ticket {
                 home: self.members.own_holder(),
                 data_centre: self.members.own_data_centre().clone(),
+                run_nonce: self.seal.run_nonce(),
                 serial: self.tickets.issue(issued_ms),
                 issued_ms,
             };
@@ -47,7 +48,7 @@
     pub(super) fn take_plain_request(&mut self, asked: PlainRequest) {
         let ticket = asked.ticket.as_ref().and_then(|text| Ticket::unseal(text, &self.seal));
         match ticket {
-            Some(ticket) if ticket.home == self.members.own_holder() => self.spend(&asked, &ticket),
+            Some(ticket) if self.is_home(&ticket) => self.spend(&asked, &ticket),
             Some(ticket) => self.forward(&asked, ticket),
             None => self.start_without_ticket(&asked),
         }
@@ -107,6 +108,11 @@
         self.answer_error(request, kind, retry_after_ms);
     }
 
+    fn is_home(&self, ticket: &Ticket) -> bool {
+        let is_own_run = ticket.run_nonce == self.seal.run_nonce();
+        is_own_run && ticket.home == self.members.own_holder()
+    }
+
     /// Spends a ticket that this run issued. The record comes before the route, which may have
     /// been removed since.
     fn spend(&mut self, asked: &PlainRequest, ticket: &Ticket) {
--- a/crates/core/src/once/seal.rs
+++ b/crates/core/src/once/seal.rs
@@ -8,16 +8,27 @@
 /// Bytes of the seal that are kept.
 const SEAL_BYTES: usize = 16;
 
-/// The deployment's key for seals.
+/// The deployment's key for seals, and the nonce of the run that uses it.
 #[derive(Clone)]
 pub struct Seal {
     key: Vec<u8>,
+    run_nonce: u64,
 }
 
 impl Seal {
     /// A seal with the deployment's key.
     pub fn new(key: &str) -> Self {
-        Self { key: key.as_bytes().to_vec() }
+        Self::for_run(key, 0)
+    }
+
+    /// A seal with the deployment's key for a run with a random nonce.
+    pub fn for_run(key: &str, run_nonce: u64) -> Self {
+        Self { key: key.as_bytes().to_vec(), run_nonce }
+    }
+
+    /// The nonce of the run.
+    pub fn run_nonce(&self) -> u64 {
+        self.run_nonce
     }
 
     /// `body` followed by a dot and its seal.
--- a/crates/core/src/once/ticket.rs
+++ b/crates/core/src/once/ticket.rs
@@ -21,6 +21,8 @@
     pub home: Holder,
     /// The home's data centre.
     pub data_centre: DataCentreId,
+    /// Random number of the run, which holds where a clock gave two runs one incarnation.
+    pub run_nonce: u64,
     /// Number within the run.
     pub serial: u64,
     /// When it was issued, on the monotonic clock of the run.
@@ -43,6 +45,7 @@
                 instance: parts.next()?.parse::<InstanceId>().ok()?,
                 incarnation: parts.next()?.parse::<Incarnation>().ok()?,
             },
+            run_nonce: parts.next()?.parse().ok()?,
             serial: parts.next()?.parse().ok()?,
             issued_ms: Millis(parts.next()?.parse().ok()?),
         };
@@ -53,7 +56,7 @@
 impl fmt::Display for Ticket {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Holder { instance, incarnation } = &self.home;
-        let (serial, issued_ms) = (self.serial, self.issued_ms.0);
-        write!(f, "{}/{instance}/{incarnation}/{serial}/{issued_ms}", self.data_centre)
+        let (nonce, serial, issued_ms) = (self.run_nonce, self.serial, self.issued_ms.0);
+        write!(f, "{}/{instance}/{incarnation}/{nonce}/{serial}/{issued_ms}", self.data_centre)
     }
 }
--- a/crates/core/tests/once_world/network.rs
+++ b/crates/core/tests/once_world/network.rs
@@ -67,16 +67,18 @@
 
 impl World {
     pub(super) fn start_slot(&mut self, index: usize) {
+        let run_nonce = self.next_request().0;
+        let is_clock_back = self.dice.happens(self.mix.clock_back);
         let slot = &mut self.slots[index];
         slot.incarnation += 1;
         slot.started_ms = self.now_ms;
         slot.paused_until_ms = 0;
         slot.node = Some(Node::new(NodeSettings {
             instance: slot.id(),
-            incarnation: Incarnation(slot.incarnation),
+            incarnation: Incarnation(if is_clock_back { 1 } else { slot.incarnation }),
             data_centre: slot.data_centre().parse().unwrap(),
             peer_address: slot.address(),
-            seal: Seal::new("0123456789abcdef"),
+            seal: Seal::for_run("0123456789abcdef", run_nonce),
         }));
         let incarnation = slot.incarnation;
         let version = self.config_version;
--- a/crates/core/tests/sealed_texts.rs
+++ b/crates/core/tests/sealed_texts.rs
@@ -18,6 +18,7 @@
     Ticket {
         home: Holder { instance: "dc-a-1".parse().unwrap(), incarnation: Incarnation(incarnation) },
         data_centre: "dc-a".parse().unwrap(),
+        run_nonce: incarnation ^ serial,
         serial,
         issued_ms: Millis(issued_ms),
     }
--- a/crates/turmericrail/src/daemon/shared.rs
+++ b/crates/turmericrail/src/daemon/shared.rs
@@ -43,7 +43,7 @@
     /// The shared part and the receiving end of the driver's events.
     pub fn new(settings: Settings) -> (Self, Receiver<Event>) {
         let incarnation = new_incarnation();
-        let seal = Seal::new(&settings.seal_key);
+        let seal = Seal::for_run(&settings.seal_key, fastrand::u64(..));
         let node = Node::new(NodeSettings {
             instance: settings.instance.clone(),
             incarnation,
