Keep calls that can't be repeated away from a server that has just failed

A frozen server was ejected after three failures in a row. Each of the three is a booking that ends unknown, which somebody has to settle.

After one failure a server comes last for calls with tickets for 30 s; reads still go there and find out.

--- a/crates/core/src/node/plain_tries.rs
+++ b/crates/core/src/node/plain_tries.rs
@@ -156,7 +156,8 @@
             let is_usable = health.is_usable(self.now.mono_ms, is_idempotent);
             let hash = rendezvous::stable_hash(&format!("{key}/{server}"));
             let is_crowded = health.is_crowded();
-            let rank = (is_usable, !is_crowded, is_near && !is_crowded);
+            let is_trusted = is_idempotent || !health.is_suspect(self.now.mono_ms);
+            let rank = (is_usable, is_trusted, !is_crowded, is_near && !is_crowded);
             (rank, Reverse(health.in_flight()), hash)
         })?;
         let timeout_ms = flow.deadline_ms - self.now.mono_ms;
--- a/crates/core/src/route/health.rs
+++ b/crates/core/src/route/health.rs
@@ -24,6 +24,7 @@
 pub struct ServerHealth {
     in_flight: u64,
     failures: u32,
+    failed_ms: Millis,
     ejected_until_ms: Option<Millis>,
 }
 
@@ -42,6 +43,7 @@
             return;
         }
         self.failures = self.failures.saturating_add(1);
+        self.failed_ms = now_ms;
         if let Some(doublings) = self.failures.checked_sub(EJECT_AFTER_FAILURES) {
             let factor = 1 << doublings.min(MAX_DOUBLINGS);
             let ejected_ms = Millis(EJECT_MS.0 * factor).min(MAX_EJECT_MS);
@@ -58,6 +60,12 @@
         now_ms >= from_ms && self.in_flight == 0
     }
 
+    /// Whether the last call failed a short while ago, so that a call that can't be repeated had
+    /// better go elsewhere.
+    pub fn is_suspect(&self, now_ms: Millis) -> bool {
+        self.failures > 0 && now_ms - self.failed_ms < PROBATION_MS
+    }
+
     /// Whether so many calls have not ended that others are to be preferred.
     pub fn is_crowded(&self) -> bool {
         self.in_flight >= CROWDED_CALLS
--- a/crates/core/tests/plain_servers.rs
+++ b/crates/core/tests/plain_servers.rs
@@ -43,6 +43,15 @@
     assert!(health.is_usable(LONG_MS, false));
 }
 
+#[test]
+fn suspicion() {
+    let mut health = ServerHealth::default();
+    assert!(!health.is_suspect(Millis(0)));
+    fail(&mut health, Millis(0), 1);
+    assert!(health.is_suspect(Millis(0)));
+    assert!(!health.is_suspect(LONG_MS));
+}
+
 #[test]
 fn retry_ratio() {
     let mut budget = RetryBudget::default();
--- a/crates/turmericrail/tests/booking_faults.rs
+++ b/crates/turmericrail/tests/booking_faults.rs
@@ -237,3 +237,27 @@
     assert_eq!(book(home, &ticket, "member 1").await, answer);
     assert_eq!(executions(&fleet, "member 1"), 1);
 }
+
+#[async_std::test]
+async fn frozen_server() {
+    let fleet = start_fleet("frozen-booking").await;
+    let home = fleet.instances[0].caller_address;
+    fleet.plain["plain-2"].state().is_silent = true;
+    let mut unknown = 0;
+    let mut completed_in_a_row = 0;
+    let mut number = 0;
+    while completed_in_a_row < 10 {
+        let member = format!("member {number}");
+        number += 1;
+        let answer = book(home, &take_ticket(home).await, &member).await;
+        assert_ne!(answer.outcome(), "not_run");
+        assert_eq!(executions(&fleet, &member), 1);
+        if answer.status == 200 {
+            completed_in_a_row += 1;
+        } else {
+            completed_in_a_row = 0;
+            unknown += 1;
+        }
+        assert!(unknown <= 1, "the frozen server still gets bookings after {unknown} failures");
+    }
+}
