Log and show the ejection of plain servers

Change. eject_server and readmit_server log lines, is_ejected on the status page; health of servers that the configuration no longer names is dropped when a version comes into force.

Measured. plain_servers 5 tests, at_most_once, booking_faults 13, stock_reads 3: pass.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -22,7 +22,9 @@
 use crate::config::ConfigHistory;
 use crate::error_kind::ErrorKind;
 use crate::event::{Event, Now, PlainAnswer};
-use crate::ids::{DataCentreId, Incarnation, InstanceId, MemberKey, RequestId, ServerId};
+use crate::ids::{
+    ConfigVersion, DataCentreId, Incarnation, InstanceId, MemberKey, RequestId, ServerId,
+};
 use crate::membership::{LeavingServers, MemberDigest, MemberView, ServerLoad};
 use crate::message::{Envelope, PeerMessage};
 use crate::node::config_path::{Fetch, HeldMessage};
@@ -77,6 +79,7 @@
     plain_callers: BTreeMap<RequestId, PlainCaller>,
     plain_flows: BTreeMap<RequestId, PlainFlow>,
     plain_health: BTreeMap<ServerId, ServerHealth>,
+    plain_pruned: ConfigVersion,
     plain_budget: RetryBudget,
     tickets: TicketBook<PlainEnd>,
     is_leaving: bool,
@@ -128,6 +131,7 @@
             plain_callers: BTreeMap::new(),
             plain_flows: BTreeMap::new(),
             plain_health: BTreeMap::new(),
+            plain_pruned: ConfigVersion(0),
             plain_budget: RetryBudget::default(),
             tickets: TicketBook::default(),
             is_leaving: false,
--- a/crates/core/src/node/plain_path.rs
+++ b/crates/core/src/node/plain_path.rs
@@ -84,6 +84,7 @@
             self.drop_idempotent(request);
         }
         self.hedge_plain();
+        self.prune_plain_health();
     }
 
     /// Whether no plain call is under way and no ticket was issued just now.
--- a/crates/core/src/node/plain_tries.rs
+++ b/crates/core/src/node/plain_tries.rs
@@ -15,6 +15,7 @@
 use crate::node::plain_path::is_not_run;
 use crate::node::{Node, PlainEnd};
 use crate::request::PlainFlow;
+use crate::route::HealthChange;
 use crate::units::Millis;
 
 /// Most tries of one call.
@@ -53,8 +54,7 @@
         result: PlainResult,
     ) {
         let is_answered = matches!(result, PlainResult::Answered(_));
-        let health = self.plain_health.get_mut(&server);
-        health.expect("a server that was called").end(self.now.mono_ms, is_answered);
+        self.end_try(&server, is_answered);
         let Some(flow) = self.plain_flows.get_mut(&request) else {
             return;
         };
@@ -69,6 +69,33 @@
         }
     }
 
+    /// Forgets the health of servers that were removed, once their calls have ended.
+    pub(super) fn prune_plain_health(&mut self) {
+        let Some(configuration) = self.config.in_force() else {
+            return;
+        };
+        if self.plain_pruned == configuration.version {
+            return;
+        }
+        self.plain_pruned = configuration.version;
+        self.plain_health.retain(|server, health| {
+            configuration.servers.contains_key(server) || health.in_flight() > 0
+        });
+    }
+
+    fn end_try(&mut self, server: &ServerId, is_answered: bool) {
+        let health = self.plain_health.get_mut(server).expect("a server that was called");
+        let server = ("server", server.to_string());
+        match health.end(self.now.mono_ms, is_answered) {
+            HealthChange::None => {}
+            HealthChange::Ejected(for_ms) => {
+                let fields = vec![server, ("for_ms", for_ms.0.to_string())];
+                self.log("eject_server", None, fields);
+            }
+            HealthChange::Readmitted => self.log("readmit_server", None, vec![server]),
+        }
+    }
+
     /// Starts a second try of idempotent calls that are slow.
     pub(super) fn hedge_plain(&mut self) {
         let is_due = |flow: &PlainFlow| {
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -30,6 +30,8 @@
     pub leases: usize,
     /// Whether it takes no new work.
     pub is_leaving: bool,
+    /// Whether failures of plain calls of this instance ejected it.
+    pub is_ejected: bool,
 }
 
 /// The status of an instance.
@@ -88,6 +90,7 @@
             load: self.loads.get(server).map(|known| known.load),
             leases: self.ledgers.get(server).map_or(0, |ledger| ledger.leases().len()),
             is_leaving: self.leaving_servers.contains(server),
+            is_ejected: self.plain_health.get(server).is_some_and(|health| health.is_ejected()),
         }
     }
 }
--- a/crates/core/src/route/health.rs
+++ b/crates/core/src/route/health.rs
@@ -19,6 +19,17 @@
 /// Calls in flight from which on a server counts as crowded.
 const CROWDED_CALLS: u64 = 8;
 
+/// What the end of a call changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HealthChange {
+    /// Nothing.
+    None,
+    /// The server was ejected for this time.
+    Ejected(Millis),
+    /// The server answered and is in use again.
+    Readmitted,
+}
+
 /// Health of one server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServerHealth {
@@ -35,20 +46,29 @@
     }
 
     /// Counts a call that ended.
-    pub fn end(&mut self, now_ms: Millis, is_answered: bool) {
+    pub fn end(&mut self, now_ms: Millis, is_answered: bool) -> HealthChange {
         self.in_flight = self.in_flight.checked_sub(1).expect("a call that ends was started");
         if is_answered {
             self.failures = 0;
-            self.ejected_until_ms = None;
-            return;
+            return match self.ejected_until_ms.take() {
+                Some(_) => HealthChange::Readmitted,
+                None => HealthChange::None,
+            };
         }
         self.failures = self.failures.saturating_add(1);
         self.failed_ms = now_ms;
-        if let Some(doublings) = self.failures.checked_sub(EJECT_AFTER_FAILURES) {
-            let factor = 1 << doublings.min(MAX_DOUBLINGS);
-            let ejected_ms = Millis(EJECT_MS.0 * factor).min(MAX_EJECT_MS);
-            self.ejected_until_ms = Some(now_ms + ejected_ms);
-        }
+        let Some(doublings) = self.failures.checked_sub(EJECT_AFTER_FAILURES) else {
+            return HealthChange::None;
+        };
+        let factor = 1 << doublings.min(MAX_DOUBLINGS);
+        let ejected_ms = Millis(EJECT_MS.0 * factor).min(MAX_EJECT_MS);
+        self.ejected_until_ms = Some(now_ms + ejected_ms);
+        HealthChange::Ejected(ejected_ms)
+    }
+
+    /// Whether failures ejected it and no call was answered since.
+    pub fn is_ejected(&self) -> bool {
+        self.ejected_until_ms.is_some()
     }
 
     /// Whether a call may go there while others are healthy.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -4,6 +4,6 @@
 pub mod path;
 pub mod rank;
 
-pub use health::ServerHealth;
+pub use health::{HealthChange, ServerHealth};
 pub use path::match_route;
 pub use rank::{Candidate, best_decode, best_prefill};
--- a/crates/core/tests/plain_servers.rs
+++ b/crates/core/tests/plain_servers.rs
@@ -1,7 +1,7 @@
 //! Ejection of failing plain servers, the way back, and the bound on retries.
 
 use turmericrail_core::request::RetryBudget;
-use turmericrail_core::route::ServerHealth;
+use turmericrail_core::route::{HealthChange, ServerHealth};
 use turmericrail_core::units::Millis;
 
 const LONG_MS: Millis = Millis(100_000);
@@ -29,7 +29,9 @@
     assert!(health.is_usable(LONG_MS, true));
     health.start();
     assert!(!health.is_usable(LONG_MS, true), "one call at a time on probation");
-    health.end(LONG_MS, true);
+    assert!(health.is_ejected());
+    assert_eq!(health.end(LONG_MS, true), HealthChange::Readmitted);
+    assert!(!health.is_ejected());
     health.start();
     assert!(health.is_usable(LONG_MS, true));
 }
