--- a/crates/core/tests/plain_servers.rs
+++ b/crates/core/tests/plain_servers.rs
@@ -1,7 +1,7 @@
 //! Ejection of failing plain servers, the way back, and the bound on retries.
 
 use turmericrail_core::request::RetryBudget;
-use turmericrail_core::route::ServerHealth;
+use turmericrail_core::route::{HealthChange, ServerHealth};
 use turmericrail_core::units::Millis;
 
 const LONG_MS: Millis = Millis(100_000);
@@ -29,7 +29,9 @@
     assert!(health.is_usable(LONG_MS, true));
     health.start();
     assert!(!health.is_usable(LONG_MS, true), "one call at a time on probation");
-    health.end(LONG_MS, true);
+    assert!(health.is_ejected());
+    assert_eq!(health.end(LONG_MS, true), HealthChange::Readmitted);
+    assert!(!health.is_ejected());
     health.start();
     assert!(health.is_usable(LONG_MS, true));
 }
@@ -43,6 +45,15 @@
     assert!(health.is_usable(LONG_MS, false));
 }
 
+#[test]
+fn suspicion() {
+    let mut health = ServerHealth::default();
+    assert!(!health.is_suspect(Millis(0)));
+    fail(&mut health, Millis(0), 1);
+    assert!(health.is_suspect(Millis(0)));
+    assert!(!health.is_suspect(LONG_MS));
+}
+
 #[test]
 fn retry_ratio() {
     let mut budget = RetryBudget::default();
