Free the seats of callers that left while their instance was paused

Cause: a caller whose connection closed before its request was passed on left a request behind that waited for a prefill nobody had started: its seat and flow stayed for ever (left_while_frozen: 4 of 8 requests still there after 10 s). The answer to such a caller has the status 499, which the HTTP library refuses with a panic, so that the connection was counted for ever too. A resumption whose caller had left took the stream from its reader and cancelled it (resumed_at_frozen failed with cursor_expired in one run of two). Change: a prefill without a caller tells the coordinator that the caller is gone; the status is 408; a resumption looks for the end of its connection before it is passed on. Excluded: a caller that leaves between that look and the engine's answer, a few milliseconds.

--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -105,7 +105,7 @@
     PlainTimeout, "plain_timeout", 504, Unknown, false, "No whole answer came within the route's timeout; the call may have run.";
     ServerLost, "server_lost", 502, Unknown, false, "The backend server was lost after the call may have started.";
     StreamBroken, "stream_broken", 502, Unknown, false, "The answer could not be completed within the retry budget.";
-    CallerGone, "caller_gone", 499, Unknown, false, "The caller closed its connection.";
+    CallerGone, "caller_gone", 408, Unknown, false, "The caller closed its connection.";
 }
 
 impl fmt::Display for ErrorKind {
--- a/crates/turmericrail/src/backend_edge/engine.rs
+++ b/crates/turmericrail/src/backend_edge/engine.rs
@@ -22,6 +22,7 @@
 /// Computes a prompt.
 pub async fn prefill(shared: Arc<Shared>, call: PrefillCall) {
     let Some(sent) = shared.callers.sent(call.request) else {
+        shared.tell(Event::CallerGone(call.request));
         return;
     };
     let body = PrefillBody {
--- a/crates/turmericrail/src/caller_edge/completions.rs
+++ b/crates/turmericrail/src/caller_edge/completions.rs
@@ -58,6 +58,9 @@
         return reply::error(id, ErrorKind::BadCursor, None);
     };
     let connection = request.ext::<Connection>().cloned().unwrap_or_default();
+    if connection.has_ended().await {
+        return reply::error(id, ErrorKind::CallerGone, None);
+    }
     let answers = shared.callers.register(id, Sent::default());
     connection.add(&shared, id);
     shared.tell(Event::ResumeRequest { request: id, cursor });
--- a/crates/turmericrail/src/caller_edge/connection.rs
+++ b/crates/turmericrail/src/caller_edge/connection.rs
@@ -26,6 +26,8 @@
 
 /// Time between looks for end of file.
 const WATCH_STEP: Duration = Duration::from_millis(20);
+/// Time of a fresh look for end of file.
+const FRESH_LOOK: Duration = Duration::from_millis(5);
 /// Time after which unacknowledged bytes close the connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Idle time before keepalive probes.
@@ -55,6 +57,7 @@
 pub struct Connection {
     requests: Arc<Mutex<BTreeSet<RequestId>>>,
     is_closed: Arc<AtomicBool>,
+    stream: Option<TcpStream>,
 }
 
 impl Connection {
@@ -66,6 +69,17 @@
         }
     }
 
+    /// Whether the caller has closed the connection, seen by a fresh look: the watch may be behind
+    /// where the process was paused.
+    pub async fn has_ended(&self) -> bool {
+        let Some(stream) = &self.stream else {
+            return false;
+        };
+        let mut byte = [0];
+        let looking = async_std::future::timeout(FRESH_LOOK, stream.peek(&mut byte)).await;
+        matches!(looking, Ok(Ok(0) | Err(_)))
+    }
+
     /// Removes a request that was answered.
     pub fn remove(&self, request: RequestId) {
         self.requests.lock().unwrap_or_else(|_| std::process::abort()).remove(&request);
@@ -93,7 +107,7 @@
     connections.inc();
     let (shared, app) = (Arc::clone(shared), app.clone());
     task::spawn(async move {
-        let connection = Connection::default();
+        let connection = Connection { stream: Some(stream.clone()), ..Connection::default() };
         let watch = task::spawn(watch(Arc::clone(&shared), connection.clone(), stream.clone()));
         serve(&shared, &app, &connection, &stream).await;
         watch.cancel().await;
--- a/crates/turmericrail/tests/frozen_instance.rs
+++ b/crates/turmericrail/tests/frozen_instance.rs
@@ -2,10 +2,15 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use async_std::io::WriteExt;
+use async_std::net::TcpStream;
+
 use common::{PATIENCE, completion, start_fleet};
-use turmericrail_fakes::{AnswerEvent, StreamCaller, text, wait_until};
+use turmericrail_fakes::{AnswerEvent, Fleet, StreamCaller, text, wait_until};
+use turmericrail_wire::client::Call;
 
 /// Freeze that outlasts the member timeout and the lease together.
 const FREEZE: Duration = Duration::from_secs(9);
@@ -47,3 +52,62 @@
     assert_eq!(caller.text(), text::answer("a lid", ANSWER_TOKENS));
     assert!(wait_until(PATIENCE, || fleet.held_streams() == 0).await.is_some(), "memory held");
 }
+
+/// Sends a request and closes the connection before the answer.
+async fn ask_and_leave(address: SocketAddr, line: &str, header: &str, body: &str) {
+    let length = body.len();
+    let request = format!(
+        "{line} HTTP/1.1\r\nhost: {address}\r\n{header}\r\ncontent-length: {length}\r\n\r\n{body}"
+    );
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+}
+
+#[async_std::test]
+async fn resumed_at_frozen() {
+    let mut fleet = start_fleet("resumed-at-frozen").await;
+    let asked = completion("a crate", ANSWER_TOKENS, true);
+    let mut caller = StreamCaller::open(fleet.instances[2].caller_address, &asked).await.unwrap();
+    caller.read_tokens(20).await;
+    fleet.instances[0].signal("STOP");
+    fleet.instances[2].kill();
+    for _ in 0..4 {
+        let header = format!("last-event-id: {}", caller.cursor);
+        let address = fleet.instances[0].caller_address;
+        ask_and_leave(address, "GET /v1/completions/resume", &header, "").await;
+    }
+    let mut caller = caller.resume(fleet.instances[1].caller_address).await.unwrap();
+    caller.read_tokens(100).await;
+    fleet.instances[0].signal("CONT");
+    assert_eq!(caller.read_all().await, AnswerEvent::End(ANSWER_TOKENS));
+    assert_eq!(caller.text(), text::answer("a crate", ANSWER_TOKENS));
+}
+
+#[async_std::test]
+async fn left_while_frozen() {
+    let fleet = start_fleet("left-while-frozen").await;
+    fleet.instances[0].signal("STOP");
+    let asked = completion("a hamper", 20_000, true).to_string();
+    for _ in 0..8 {
+        let address = fleet.instances[0].caller_address;
+        let header = "content-type: application/json";
+        ask_and_leave(address, "POST /v1/completions", header, &asked).await;
+    }
+    fleet.instances[0].signal("CONT");
+    for _ in 0..200 {
+        async_std::task::sleep(Duration::from_millis(50)).await;
+        let status = fleet.status(0).await.unwrap();
+        if status["flows"] == 0 && fleet.held_streams() == 0 && has_no_connection(&fleet).await {
+            return;
+        }
+    }
+    panic!("requests of callers that left are still there: {:?}", fleet.status(0).await);
+}
+
+/// Whether the instance counts no connection but the one that asks.
+async fn has_no_connection(fleet: &Fleet) -> bool {
+    let call = Call::get(fleet.instances[0].caller_address, "/metrics", PATIENCE);
+    let (_, body) = call.send().await.unwrap();
+    let body = String::from_utf8(body).unwrap();
+    body.lines().any(|line| line == "turmericrail_connections 1")
+}
