Run seeded episodes with faults over several coordinators

Cause: promises under several faults at once were not proved by long randomised runs. Change: nodes joined by a queue in memory, with engines, callers and a platform; loss, copies and delay of messages, crashes, pauses with late wakes, partitions, isolation, clock steps, a late, stale or silent platform, dying, mute, stalled and stale engines, leaving servers. An episode has some kinds of faults only, often or seldom. It checks each caller's tokens, that final answers come once, that no stream in use is cancelled by another instance while its reader is heard, and that nothing is held at the end. Failing episodes are shrunk. A resumption at an instance without a configuration is answered with not_ready, no longer with stream_broken. Excluded: plain calls and tickets, which have a test of their own.

--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -51,6 +51,14 @@
             self.answer_error(request, ErrorKind::BadCursor, None);
             return;
         };
+        let Some(configuration) = self.config.in_force() else {
+            self.answer_error(request, ErrorKind::NotReady, Some(RETRY_AFTER_MS));
+            return;
+        };
+        if !configuration.servers.contains_key(&cursor.server) {
+            self.answer_error(request, ErrorKind::CursorExpired, None);
+            return;
+        }
         let zero = Millis::ZERO;
         let flow = Flow {
             asked: None,
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -68,8 +68,8 @@
 
     /// Whether the present try holds, or may hold, memory of its stream at a server.
     pub fn holds_at(&self, server: &ServerId) -> bool {
-        let is_at_prefill = matches!(self.stage, Stage::Prefilling | Stage::Transferring);
+        let is_at_prefill = self.stage != Stage::Decoding && self.prefill.as_ref() == Some(server);
         let is_at_decode = self.stage != Stage::Waiting && self.decode.as_ref() == Some(server);
-        is_at_decode || (is_at_prefill && self.prefill.as_ref() == Some(server))
+        is_at_prefill || is_at_decode
     }
 }
--- /dev/null
+++ b/crates/core/tests/soak_world/mod.rs
@@ -0,0 +1,251 @@
+//! Randomised episodes: several nodes, an in-memory message queue and stand-ins for engines, with
+//! faults that come alone or together. All choices come from one seed.
+//!
+//! The program asserts its invariants itself; the episode checks what only the outside can see:
+//! each caller's answer, final answers that come once, and that nothing is held at the end.
+
+mod actions;
+mod callers;
+mod draw;
+mod engines;
+mod platform;
+mod readers;
+mod step;
+mod world;
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+use callers::{Caller, CallerState};
+use draw::Draw;
+use step::{Step, draw_steps};
+use world::World;
+
+/// Steps of one episode.
+pub const EPISODE_STEPS: usize = 1_500;
+/// Most time of one step.
+const STEP_MS: u64 = 80;
+/// Time for everything to settle after the last step.
+const SETTLE_MS: u64 = 60_000;
+
+/// What an episode came to.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Callers that asked.
+    pub callers: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Times a caller's connection broke.
+    pub returns: u64,
+    /// Callers that left.
+    pub left: u64,
+    /// Final answers that were errors, by kind.
+    pub errors: BTreeMap<String, u64>,
+}
+
+/// An invariant that did not hold.
+#[derive(Clone, Debug)]
+pub struct Violation {
+    /// What was violated.
+    pub problem: String,
+    /// The shrunk steps, with the place of each in the episode.
+    pub steps: Vec<String>,
+}
+
+impl Tally {
+    /// Adds the tally of another episode.
+    pub fn add(&mut self, other: Tally) {
+        self.callers += other.callers;
+        self.whole += other.whole;
+        self.returns += other.returns;
+        self.left += other.left;
+        for (kind, count) in other.errors {
+            *self.errors.entry(kind).or_default() += count;
+        }
+    }
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { callers, whole, returns, left, errors } = self;
+        write!(f, "callers={callers} whole={whole} left={left} returns={returns}")?;
+        errors.iter().try_for_each(|(kind, count)| write!(f, " {kind}={count}"))
+    }
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "problem={:?}", self.problem)?;
+        self.steps.iter().try_for_each(|step| write!(f, "\n  {step}"))
+    }
+}
+
+/// Runs an episode; a failing one is shrunk by leaving steps out.
+pub fn run_episode(seed: u64, count: usize) -> Result<Tally, Violation> {
+    let steps = draw_steps(&mut Draw::new(seed), count);
+    let hook = std::panic::take_hook();
+    std::panic::set_hook(Box::new(|_| {}));
+    let result = play(seed, &steps).map_err(|problem| shrink(seed, steps, problem));
+    std::panic::set_hook(hook);
+    result
+}
+
+fn shrink(seed: u64, steps: Vec<Step>, problem: String) -> Violation {
+    let mut steps = steps;
+    let mut size = steps.len().div_ceil(2);
+    while size > 0 {
+        let mut from = 0;
+        while from < steps.len() {
+            let until = (from + size).min(steps.len());
+            let mut fewer = steps.clone();
+            fewer[from..until].fill(Step::Wait);
+            if fewer != steps && play(seed, &fewer).is_err() {
+                steps = fewer;
+            }
+            from = until;
+        }
+        size /= 2;
+    }
+    let problem = play(seed, &steps).err().unwrap_or(problem);
+    let kept = steps.iter().enumerate().filter(|(_, step)| **step != Step::Wait);
+    Violation { problem, steps: kept.map(|(at, step)| format!("{at}: {step:?}")).collect() }
+}
+
+fn play(seed: u64, steps: &[Step]) -> Result<Tally, String> {
+    let playing = catch_unwind(AssertUnwindSafe(|| {
+        let mut world = World::new(seed);
+        world.run(3_000);
+        for step in steps {
+            world.take_step(*step);
+            let step_ms = world.draw.below(STEP_MS);
+            world.run(step_ms.next_multiple_of(world::QUANTUM_MS));
+        }
+        world.heal();
+        world.run(SETTLE_MS);
+        world.check_end()
+    }));
+    playing.map_err(|panic| {
+        let text = panic.downcast_ref::<String>().cloned();
+        text.or_else(|| panic.downcast_ref::<&str>().map(|text| (*text).to_owned()))
+            .unwrap_or_default()
+    })
+}
+
+impl World {
+    fn take_step(&mut self, step: Step) {
+        let now_ms = self.now_ms;
+        let instances = self.slots.len() as u64;
+        match step {
+            Step::Wait => {}
+            Step::Ask { instance, tokens } => {
+                self.callers.push(Caller::new(tokens));
+                self.connect(self.callers.len() - 1, instance);
+            }
+            Step::Leave { caller } if !self.callers.is_empty() => {
+                self.leave(caller as usize % self.callers.len());
+            }
+            Step::Leave { .. } => {}
+            Step::Crash { instance, down_ms } => {
+                self.crash((instance % instances) as usize, down_ms);
+            }
+            Step::CrashDataCentre { instance, down_ms } => {
+                let first = if instance.is_multiple_of(2) { 0..3 } else { 3..5 };
+                first.for_each(|index| self.crash(index, down_ms));
+            }
+            Step::Pause { instance, pause_ms } => {
+                self.slots[(instance % instances) as usize].paused_until_ms = now_ms + pause_ms;
+            }
+            Step::SetClock { instance, wall_ms } => {
+                self.slots[(instance % instances) as usize].wall_ms = wall_ms;
+            }
+            Step::Isolate { instance, for_ms } => {
+                self.slots[(instance % instances) as usize].isolated_until_ms = now_ms + for_ms;
+            }
+            Step::Disturb { loss_percent, copy_percent, delay_ms, for_ms } => {
+                self.network.loss_percent = loss_percent;
+                self.network.copy_percent = copy_percent;
+                self.network.delay_ms = delay_ms;
+                self.network.disturbed_until_ms = now_ms + for_ms;
+            }
+            Step::Part { for_ms } => self.network.parted_until_ms = now_ms + for_ms,
+            Step::Configure => self.platform.version += 1,
+            Step::ServiceDown { for_ms } => self.platform.down_until_ms = now_ms + for_ms,
+            Step::ServiceStale { for_ms } => self.platform.stale_until_ms = now_ms + for_ms,
+            step => self.take_engine_step(step),
+        }
+    }
+
+    fn take_engine_step(&mut self, step: Step) {
+        let now_ms = self.now_ms;
+        let (Step::CrashEngine { engine: number, .. }
+        | Step::MuteReaders { engine: number }
+        | Step::Stall { engine: number, .. }
+        | Step::StaleReports { engine: number, .. }
+        | Step::LeaveServer { engine: number, .. }) = step
+        else {
+            return;
+        };
+        let count = self.engines.len();
+        let Some(engine) = self.engines.values_mut().nth(number as usize % count) else {
+            return;
+        };
+        match step {
+            Step::CrashEngine { down_ms, .. } => {
+                engine.streams.clear();
+                engine.ended.clear();
+                engine.down_until_ms = now_ms + down_ms;
+            }
+            Step::MuteReaders { .. } => engine.mute_until_ms = now_ms + 1,
+            Step::Stall { for_ms, .. } => engine.stalled_until_ms = now_ms + for_ms,
+            Step::StaleReports { for_ms, .. } => {
+                engine.stale = Some((now_ms + for_ms, engine.report(now_ms)));
+            }
+            Step::LeaveServer { for_ms, .. } => engine.leaving_until_ms = now_ms + for_ms,
+            _ => {}
+        }
+    }
+
+    fn heal(&mut self) {
+        let now_ms = self.now_ms;
+        self.network = world::Network { bad_ms: self.network.bad_ms, ..Default::default() };
+        self.platform.down_until_ms = now_ms;
+        self.platform.stale_until_ms = now_ms;
+        for slot in &mut self.slots {
+            slot.paused_until_ms = slot.paused_until_ms.min(now_ms);
+            slot.isolated_until_ms = now_ms;
+            slot.restart_ms = slot.restart_ms.min(now_ms);
+        }
+        for engine in self.engines.values_mut() {
+            engine.down_until_ms = engine.down_until_ms.min(now_ms);
+            engine.stalled_until_ms = now_ms;
+            engine.leaving_until_ms = now_ms;
+            engine.stale = None;
+        }
+    }
+
+    fn check_end(&self) -> Tally {
+        for (id, engine) in &self.engines {
+            let held: Vec<_> = engine.streams.keys().collect();
+            assert!(held.is_empty(), "engine {id} still holds {held:?}");
+        }
+        for slot in &self.slots {
+            let status = slot.node.as_ref().expect("every instance runs").status();
+            let own = &status.own.instance;
+            assert_eq!(status.flows, 0, "{own} still has requests");
+            let leases: usize = status.servers.values().map(|server| server.leases).sum();
+            assert_eq!(leases, 0, "{own} still has leases");
+            assert_eq!(status.config_version.0, self.platform.version, "{own} lags behind");
+        }
+        let is_done = |caller: &&Caller| caller.state == CallerState::Done;
+        let waiting = self.callers.iter().filter(|caller| !is_done(caller)).count();
+        assert_eq!(waiting, 0, "callers still wait for a final answer");
+        Tally {
+            callers: self.callers.len() as u64,
+            whole: self.callers.iter().filter(|caller| caller.is_whole).count() as u64,
+            returns: self.callers.iter().map(|caller| caller.returns).sum(),
+            left: self.callers.iter().filter(|caller| caller.has_left).count() as u64,
+            errors: self.errors.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/soak_world/platform.rs
@@ -0,0 +1,110 @@
+//! The platform: the configuration service and the list of instances, as each instance hears them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+use turmericrail_core::event::Event;
+use turmericrail_core::ids::{ConfigVersion, InstanceId};
+use turmericrail_core::membership::{ListedInstance, ListedState};
+
+use super::engines::{KV_TOTAL_PIECES, STREAM_LIMIT_STREAMS};
+use super::world::{DATA_CENTRES, Delivery, World, instance_id};
+
+/// Time between tellings.
+const TELL_MS: u64 = 1_000;
+/// Engines, by data centre and role.
+pub const ENGINES: [(&str, &str, &str); 5] = [
+    ("a-prefill", "dc-a", "prefill"),
+    ("a-decode-1", "dc-a", "decode"),
+    ("a-decode-2", "dc-a", "decode"),
+    ("b-prefill", "dc-b", "prefill"),
+    ("b-decode", "dc-b", "decode"),
+];
+
+/// The platform's service.
+#[derive(Clone, Debug, Default)]
+pub struct Platform {
+    /// Newest version.
+    pub version: u64,
+    /// Version told while stale.
+    pub stale_version: u64,
+    /// Stale until this time.
+    pub stale_until_ms: u64,
+    /// Down until this time.
+    pub down_until_ms: u64,
+    /// The list as last told, which lags.
+    pub list: BTreeMap<InstanceId, ListedInstance>,
+}
+
+/// Address of an instance or engine; nothing listens there.
+pub fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + number as u16))
+}
+
+impl World {
+    /// Tells every instance what the platform says, some time later.
+    pub fn tell_platform(&mut self) {
+        if !self.now_ms.is_multiple_of(TELL_MS) || self.now_ms < self.platform.down_until_ms {
+            return;
+        }
+        let is_stale = self.now_ms < self.platform.stale_until_ms;
+        if !is_stale {
+            self.platform.stale_version = self.platform.version;
+            self.platform.list = self.list();
+        }
+        let version = self.platform.stale_version;
+        let leaving =
+            self.engines.iter().filter(|(_, engine)| self.now_ms < engine.leaving_until_ms);
+        let leaving: Vec<_> = leaving.map(|(id, _)| id.clone()).collect();
+        for index in 0..self.slots.len() {
+            let run = (index, self.slots[index].incarnation);
+            let delay_ms = self.draw.below(TELL_MS);
+            let list = self.platform.list.clone();
+            self.queue_in(delay_ms, Delivery::Event(run, Event::InstanceList(list)));
+            let left = leaving.clone();
+            self.queue_in(delay_ms, Delivery::Event(run, Event::LeavingServers(left)));
+            let event = Event::ConfigDocument(ConfigVersion(version), document(version));
+            self.queue_in(delay_ms, Delivery::Event(run, event));
+        }
+    }
+
+    fn list(&self) -> BTreeMap<InstanceId, ListedInstance> {
+        let listed = (0..self.slots.len()).map(|index| {
+            let state = ListedState::Live;
+            let data_centre = DATA_CENTRES[index].parse().expect("a valid id");
+            (
+                instance_id(index),
+                ListedInstance { data_centre, peer_address: address(index), state },
+            )
+        });
+        listed.collect()
+    }
+}
+
+/// The configuration document of a version.
+fn document(version: u64) -> Value {
+    let servers = ENGINES.iter().enumerate().map(|(number, (id, data_centre, role))| {
+        let server = json!({
+            "data_centre": data_centre, "role": role, "address": address(100 + number).to_string(),
+            "stream_limit_streams": STREAM_LIMIT_STREAMS, "kv_pieces": KV_TOTAL_PIECES,
+        });
+        ((*id).to_owned(), server)
+    });
+    let servers: serde_json::Map<_, _> = servers.collect();
+    let engines: Vec<_> = ENGINES.iter().map(|(id, _, _)| *id).collect();
+    json!({
+        "version": version,
+        "caller_kinds": {"printer": {
+            "time_zone": "Africa/Dakar", "goodput_weight": 1.0, "wasted_prefill_weight": 1.0,
+            "windows": {"all": {
+                "from": "00:00", "until": "24:00", "first_token_ms": 3_000, "per_token_ms": 100,
+            }},
+        }},
+        "models": {"quote": {
+            "default_version": "v1", "versions": {"v1": {"servers": engines}},
+        }},
+        "servers": servers,
+        "limits": {"retry_percent": version % 100},
+    })
+}
