Assert answers, versions and leaving servers in the coordinator itself

Cause: that a request gets one final answer, that the version in force never goes down and that a leaving server gets no new work were checked by tests only. Change: node/invariants.rs asserts them with every event, in release builds too.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -5,6 +5,7 @@
 //! part and collects the actions.
 
 mod config_path;
+mod invariants;
 mod member_path;
 mod model_path;
 mod placement_path;
@@ -23,6 +24,7 @@
 use crate::ids::{DataCentreId, Incarnation, InstanceId, RequestId, ServerId};
 use crate::membership::{MemberDigest, MemberView, ServerLoad};
 use crate::message::{Envelope, PeerMessage};
+use crate::node::invariants::Invariants;
 use crate::once::{Seal, TicketBook};
 use crate::placement::PlacementState;
 use crate::request::{Flow, PlainCaller, PlainFlow, RetryBudget};
@@ -71,6 +73,7 @@
     next_beat_ms: Millis,
     next_poll_ms: Millis,
     next_claim_ms: Millis,
+    invariants: Invariants,
     actions: Vec<Action>,
 }
 
@@ -111,6 +114,7 @@
             next_beat_ms: Millis::ZERO,
             next_poll_ms: Millis::ZERO,
             next_claim_ms: Millis::ZERO,
+            invariants: Invariants::default(),
             actions: Vec::new(),
         }
     }
@@ -123,7 +127,10 @@
         if gap_ms > PAUSE_LIMIT_MS {
             self.distrust_accounts(gap_ms);
         }
+        self.invariants.note_event(&event);
         self.dispatch(event);
+        self.invariants.note_leaving(now.mono_ms, &self.leaving_servers);
+        self.invariants.check(now.mono_ms, &self.actions, self.config.version());
         std::mem::take(&mut self.actions)
     }
 
--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -339,6 +339,9 @@
 
     fn transfer_call(&self, request: RequestId) -> Option<TransferCall> {
         let flow = self.flows.get(&request)?;
+        if !self.invariants.takes_work(self.now.mono_ms, flow.decode.as_ref()?) {
+            return None;
+        }
         Some(TransferCall {
             request,
             stream: flow.stream.clone(),
