--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod admit_path;
 mod choice;
 mod config_path;
+mod invariants;
 mod member_path;
 mod model_path;
 mod ownership;
@@ -33,6 +34,7 @@
 use crate::membership::{LeavingServers, MemberDigest, MemberView, ServerLoad};
 use crate::message::{Envelope, PeerMessage};
 use crate::node::config_path::{Fetch, HeldMessage};
+use crate::node::invariants::Invariants;
 use crate::node::ownership::OwnedServers;
 use crate::node::sync::SyncState;
 use crate::once::{Seal, TicketBook};
@@ -94,6 +96,7 @@
     next_poll_ms: Millis,
     next_claim_ms: Millis,
     next_keepalive_ms: Millis,
+    invariants: Invariants,
     actions: Vec<Action>,
 }
 
@@ -147,6 +150,7 @@
             next_poll_ms: Millis::ZERO,
             next_claim_ms: Millis::ZERO,
             next_keepalive_ms: Millis::ZERO,
+            invariants: Invariants::default(),
             actions: Vec::new(),
         }
     }
@@ -167,10 +171,13 @@
         }
         self.members.refresh_if_stale(now.mono_ms);
         self.refresh_owned();
+        self.invariants.note_event(&event);
         self.dispatch(event);
         self.members.refresh_if_stale(now.mono_ms);
         self.refresh_owned();
         self.sync.advance(now.mono_ms, self.members.has_peers(), self.config.known_version());
+        self.invariants.note_leaving(now.mono_ms, &self.leaving_servers);
+        self.invariants.check(now.mono_ms, &self.actions, self.config.version());
         std::mem::take(&mut self.actions)
     }
 
--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -24,6 +24,8 @@
 const MAX_ATTEMPTS: u64 = 3;
 /// Most broken readings of one stream that its engine still holds.
 const MAX_BROKEN_READS: u64 = 3;
+/// Wait told to callers that resume at an instance without a configuration.
+const NOT_READY_MS: Millis = Millis(2_000);
 /// Shortest answer whose token rate is learned from.
 const MIN_LEARNED_TOKENS: u64 = 8;
 
@@ -33,6 +35,14 @@
             self.answer_error(request, ErrorKind::BadCursor, None);
             return;
         };
+        let Some(configuration) = self.config.in_force() else {
+            self.answer_error(request, ErrorKind::NotReady, Some(NOT_READY_MS));
+            return;
+        };
+        if !configuration.servers.contains_key(&cursor.server) {
+            self.answer_error(request, ErrorKind::CursorExpired, None);
+            return;
+        }
         let zero = Millis::ZERO;
         let flow = Flow {
             asked: None,
@@ -378,6 +388,9 @@
 
     fn transfer_call(&self, request: RequestId) -> Option<TransferCall> {
         let flow = self.flows.get(&request)?;
+        if !self.invariants.takes_work(self.now.mono_ms, flow.decode.as_ref()?) {
+            return None;
+        }
         let predicted_ms = self.transfer_ms(flow, flow.prefill.as_ref()?, flow.decode.as_ref()?).0;
         Some(TransferCall {
             request,
