Bound the memory that bodies of callers take in all

Cause. 4000 connections may each send a body of 1 MiB: 4 GiB on a small instance, whether the callers mean harm or not.

Change. limits.max_buffered_bytes (128 MiB) over all bodies, taken before a body is read and given back when its request is answered or its caller leaves. Past it: overloaded with retry-after, or copy_refused (unknown) for a call with a ticket. Receiving of bodies has a file of its own.

Counting bytes as they arrive: a caller would be cut off half way.

--- a/crates/turmericctl/tests/mistakes.rs
+++ b/crates/turmericctl/tests/mistakes.rs
@@ -103,6 +103,13 @@
             "peer_address",
             &["duplicate address", "caller_address"],
         ),
+        mistake(
+            "small buffer",
+            "max_buffered_bytes: 128MiB",
+            "max_buffered_bytes: 1KiB",
+            "max_buffered_bytes",
+            &["max_body_bytes", "raise"],
+        ),
         mistake("short key", "change-me-0123456789", "short", "short", &["seal_key", "16 bytes"]),
         mistake("log level", "level: info", "level: loud", "loud", &["log_level", "debug"]),
         mistake(
--- /dev/null
+++ b/crates/turmericrail/src/caller_edge/body.rs
@@ -0,0 +1,111 @@
+//! Bodies of requests: received within limits of size, time and memory.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use async_std::io::ReadExt;
+use serde::de::DeserializeOwned;
+use tide::Request;
+use turmericrail_core::error_kind::ErrorKind;
+use turmericrail_core::units::Bytes;
+
+use super::reply::Refusal;
+use crate::daemon::Shared;
+
+/// Memory that bodies take in all.
+#[derive(Clone, Debug, Default)]
+pub struct BodyBudget {
+    used_bytes: Arc<AtomicU64>,
+}
+
+/// A part of the budget, given back when dropped.
+#[derive(Debug)]
+pub struct BodyPermit {
+    used_bytes: Arc<AtomicU64>,
+    bytes: u64,
+}
+
+impl BodyBudget {
+    /// Takes `wanted` out of the budget, if that much is left of `limit`.
+    fn take(&self, wanted: Bytes, limit: Bytes) -> Option<BodyPermit> {
+        let add = |used: u64| used.checked_add(wanted.0).filter(|used| *used <= limit.0);
+        let taken = self.used_bytes.fetch_update(Ordering::SeqCst, Ordering::SeqCst, add);
+        taken.ok()?;
+        Some(BodyPermit { used_bytes: Arc::clone(&self.used_bytes), bytes: wanted.0 })
+    }
+}
+
+impl Drop for BodyPermit {
+    fn drop(&mut self) {
+        self.used_bytes.fetch_sub(self.bytes, Ordering::SeqCst);
+    }
+}
+
+/// A whole body, with its part of the budget.
+#[derive(Debug)]
+pub struct ReceivedBody {
+    /// The body.
+    pub bytes: Vec<u8>,
+    /// Kept while the request is answered.
+    pub permit: BodyPermit,
+}
+
+/// Receives a body within the limits.
+pub async fn receive_body(request: &mut Request<Arc<Shared>>) -> Result<ReceivedBody, Refusal> {
+    let shared = Arc::clone(request.state());
+    let limits = &shared.settings.limits;
+    let limit = limits.max_body_bytes.0;
+    let announced = request.len().map(|length| length as u64);
+    if announced.is_some_and(|length| length > limit) {
+        return Err(too_large(limit));
+    }
+    let wanted = Bytes(announced.unwrap_or(limit));
+    let permit = shared.bodies.take(wanted, limits.max_buffered_bytes);
+    let permit = permit.ok_or_else(|| no_memory(limits.max_buffered_bytes))?;
+    let timeout = Duration::from_millis(limits.receive_timeout_ms.0);
+    let mut bytes = Vec::new();
+    let mut limited = request.take(limit + 1);
+    let reading = async_std::io::timeout(timeout, limited.read_to_end(&mut bytes)).await;
+    reading.map_err(|error| unreadable(&error, timeout))?;
+    let length = bytes.len() as u64;
+    if length > limit {
+        return Err(too_large(limit));
+    }
+    if let Some(announced) = announced.filter(|announced| *announced != length) {
+        let detail = format!("The body has {length} of the {announced} bytes announced.");
+        return Err(Refusal { kind: ErrorKind::BadRequest, detail });
+    }
+    Ok(ReceivedBody { bytes, permit })
+}
+
+/// Decodes a JSON object; the refusal names the place of the first mistake.
+pub fn decode_body<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    let refusal = |problem: String| Refusal {
+        kind: ErrorKind::BadRequest,
+        detail: format!("In the JSON body: {problem}."),
+    };
+    if body.trim_ascii_start().first() == Some(&b'[') {
+        return Err(refusal("expected an object, found an array at line 1 column 1".to_owned()));
+    }
+    serde_json::from_slice(body).map_err(|error| refusal(error.to_string()))
+}
+
+fn too_large(limit: u64) -> Refusal {
+    let detail = format!("A body may have {limit} bytes at most (limits.max_body_bytes).");
+    Refusal { kind: ErrorKind::TooLarge, detail }
+}
+
+fn no_memory(limit: Bytes) -> Refusal {
+    let detail =
+        format!("The bodies of all requests may have {limit} (limits.max_buffered_bytes).");
+    Refusal { kind: ErrorKind::Overloaded, detail }
+}
+
+fn unreadable(error: &std::io::Error, timeout: Duration) -> Refusal {
+    if error.kind() == std::io::ErrorKind::TimedOut {
+        let detail = format!("Send it within {} ms.", timeout.as_millis());
+        return Refusal { kind: ErrorKind::ReceiveTimeout, detail };
+    }
+    Refusal { kind: ErrorKind::BadRequest, detail: format!("The body can't be read: {error}.") }
+}
--- a/crates/turmericrail/src/caller_edge/completions.rs
+++ b/crates/turmericrail/src/caller_edge/completions.rs
@@ -12,8 +12,8 @@
 use turmericrail_wire::body::{Part, Then, message_body};
 use turmericrail_wire::caller::{CompletionAnswer, CompletionBody, EndEvent, TokenEvent};
 
+use super::body::{decode_body, receive_body};
 use super::connection::Connection;
-use super::plain::{decode_body, receive_body};
 use super::reply;
 use crate::daemon::Shared;
 use crate::daemon::callers::{Sent, ToCaller};
@@ -28,11 +28,11 @@
 pub async fn complete(mut request: Request<Arc<Shared>>) -> tide::Result {
     let shared = Arc::clone(request.state());
     let id = shared.next_request();
-    let body = match receive_body(&mut request).await {
+    let received = match receive_body(&mut request).await {
         Ok(body) => body,
         Err(refusal) => return reply::refusal(id, &refusal),
     };
-    let body: CompletionBody = match decode_body(&body) {
+    let body: CompletionBody = match decode_body(&received.bytes) {
         Ok(body) => body,
         Err(refusal) => return reply::refusal(id, &refusal),
     };
--- a/crates/turmericrail/src/caller_edge/mod.rs
+++ b/crates/turmericrail/src/caller_edge/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP towards callers, operators and the balancer.
 
+pub mod body;
 mod completions;
 mod connection;
 mod guarded_stream;
--- a/crates/turmericrail/src/caller_edge/plain.rs
+++ b/crates/turmericrail/src/caller_edge/plain.rs
@@ -1,9 +1,7 @@
 //! Tickets and calls to plain services.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use async_std::io::ReadExt;
 use tide::{Request, Response};
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::event::{Event, PlainRequest};
@@ -11,6 +9,7 @@
 use turmericrail_core::once::{TICKET_LIFE_MS, Ticket};
 use turmericrail_wire::caller::{MAX_TICKETS, TicketAnswer, TicketBody};
 
+use super::body::{ReceivedBody, decode_body, receive_body};
 use super::connection::Connection;
 use super::reply::{self, Refusal};
 use crate::daemon::Shared;
@@ -19,59 +18,10 @@
 /// Header that carries a ticket.
 const TICKET_HEADER: &str = "idempotency-key";
 
-/// Receives a body within the limits.
-pub async fn receive_body(request: &mut Request<Arc<Shared>>) -> Result<Vec<u8>, Refusal> {
-    let limits = request.state().settings.limits.clone();
-    let limit = limits.max_body_bytes.0;
-    let announced = request.len().map(|length| length as u64);
-    if announced.is_some_and(|length| length > limit) {
-        return Err(too_large(limit));
-    }
-    let timeout = Duration::from_millis(limits.receive_timeout_ms.0);
-    let mut body = Vec::new();
-    let mut limited = request.take(limit + 1);
-    let reading = async_std::io::timeout(timeout, limited.read_to_end(&mut body)).await;
-    reading.map_err(|error| unreadable(&error, timeout))?;
-    let length = body.len() as u64;
-    if length > limit {
-        return Err(too_large(limit));
-    }
-    if let Some(announced) = announced.filter(|announced| *announced != length) {
-        let detail = format!("The body has {length} of the {announced} bytes announced.");
-        return Err(Refusal { kind: ErrorKind::BadRequest, detail });
-    }
-    Ok(body)
-}
-
-fn too_large(limit: u64) -> Refusal {
-    let detail = format!("A body may have {limit} bytes at most (limits.max_body_bytes).");
-    Refusal { kind: ErrorKind::TooLarge, detail }
-}
-
-fn unreadable(error: &std::io::Error, timeout: Duration) -> Refusal {
-    if error.kind() == std::io::ErrorKind::TimedOut {
-        let detail = format!("Send it within {} ms.", timeout.as_millis());
-        return Refusal { kind: ErrorKind::ReceiveTimeout, detail };
-    }
-    Refusal { kind: ErrorKind::BadRequest, detail: format!("The body can't be read: {error}.") }
-}
-
-/// Decodes a JSON body; the refusal names the place of the first mistake.
-pub fn decode_body<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
-    let refusal = |problem: String| Refusal {
-        kind: ErrorKind::BadRequest,
-        detail: format!("In the JSON body: {problem}."),
-    };
-    if body.trim_ascii_start().first() == Some(&b'[') {
-        return Err(refusal("expected an object, found an array at line 1 column 1".to_owned()));
-    }
-    serde_json::from_slice(body).map_err(|error| refusal(error.to_string()))
-}
-
 pub async fn issue_tickets(mut request: Request<Arc<Shared>>) -> tide::Result {
     let shared = Arc::clone(request.state());
     let id = shared.next_request();
-    let body = receive_body(&mut request).await.and_then(|body| decode_ticket_body(&body));
+    let body = receive_body(&mut request).await.and_then(|body| decode_ticket_body(&body.bytes));
     let count = match body {
         Ok(body) => body.count,
         Err(refusal) => return reply::refusal(id, &refusal),
@@ -108,7 +58,8 @@
         Ok(body) => body,
         Err(refusal) => return refuse_copy(id, refusal, ticket.is_some()),
     };
-    let (sent, path) = to_sent(&request, ticket, body);
+    let ReceivedBody { bytes, permit: _permit } = body;
+    let (sent, path) = to_sent(&request, ticket, bytes);
     let asked = PlainRequest {
         request: id,
         method: sent.method.clone(),
--- a/crates/turmericrail/src/caller_edge/reply.rs
+++ b/crates/turmericrail/src/caller_edge/reply.rs
@@ -6,8 +6,8 @@
 use turmericrail_core::units::Millis;
 use turmericrail_wire::caller::ErrorBody;
 
-/// Wait told to callers whose connection is one too many.
-const RAW_RETRY_AFTER_MS: Millis = Millis(1_000);
+/// Wait told to callers that the edge turns away.
+const EDGE_RETRY_AFTER_MS: Millis = Millis(1_000);
 
 /// Why a request was refused before any decision.
 #[derive(Clone, Debug)]
@@ -54,9 +54,11 @@
 
 /// The response of a final answer, with what is wrong and what to change.
 pub fn refusal(request: RequestId, refusal: &Refusal) -> tide::Result {
-    let mut body = error_body(request, refusal.kind, None);
+    let has_retry_after = refusal.kind.answer().has_retry_after;
+    let retry_after_ms = has_retry_after.then_some(EDGE_RETRY_AFTER_MS);
+    let mut body = error_body(request, refusal.kind, retry_after_ms);
     body.message = format!("{} {}", body.message, refusal.detail);
-    error_response(&body, refusal.kind, None)
+    error_response(&body, refusal.kind, retry_after_ms)
 }
 
 /// The response of a plain call's final answer; a ticket that was not run is closed for good.
@@ -77,7 +79,7 @@
 
 /// The bytes of a final answer where the HTTP library has no request to answer.
 pub fn raw_error(request: RequestId, kind: ErrorKind, detail: &str) -> Vec<u8> {
-    let retry_after_ms = kind.answer().has_retry_after.then_some(RAW_RETRY_AFTER_MS);
+    let retry_after_ms = kind.answer().has_retry_after.then_some(EDGE_RETRY_AFTER_MS);
     let mut body = error_body(request, kind, retry_after_ms);
     body.message = format!("{} {detail}", body.message).trim_end().to_owned();
     let body = serde_json::to_string(&body).unwrap_or_default();
--- a/crates/turmericrail/src/daemon/shared.rs
+++ b/crates/turmericrail/src/daemon/shared.rs
@@ -12,6 +12,7 @@
 use turmericrail_core::once::Seal;
 use turmericrail_core::units::{Millis, WallMillis};
 
+use crate::caller_edge::body::BodyBudget;
 use crate::daemon::callers::Callers;
 use crate::daemon::decisions::Decisions;
 use crate::metrics::Metrics;
@@ -29,6 +30,8 @@
     pub callers: Callers,
     /// Decisions of the latest requests.
     pub decisions: Decisions,
+    /// Memory that bodies of callers take.
+    pub bodies: BodyBudget,
     /// Metrics.
     pub metrics: Metrics,
     /// Connections to peers.
@@ -57,6 +60,7 @@
             seal,
             callers: Callers::default(),
             decisions: Decisions::default(),
+            bodies: BodyBudget::default(),
             metrics: Metrics::default(),
             peers: crate::peer_edge::client::Peers::default(),
             events: sender,
--- a/crates/turmericrail/src/settings.rs
+++ b/crates/turmericrail/src/settings.rs
@@ -55,6 +55,9 @@
     /// Largest body.
     #[serde_as(as = "Quantity")]
     pub max_body_bytes: Bytes,
+    /// Most memory for the bodies of all requests.
+    #[serde_as(as = "Quantity")]
+    pub max_buffered_bytes: Bytes,
     /// Most connections at a time.
     pub max_connections: u64,
     /// Longest time for a request's head and body to arrive.
@@ -69,6 +72,7 @@
     fn default() -> Self {
         Self {
             max_body_bytes: Bytes(1 << 20),
+            max_buffered_bytes: Bytes(128 << 20),
             max_connections: 4_000,
             receive_timeout_ms: Millis(10_000),
             stall_timeout_ms: Millis(15_000),
@@ -149,6 +153,10 @@
                 return Err(ConfigError::at(path, "must be more than zero"));
             }
         }
+        if self.max_buffered_bytes < self.max_body_bytes {
+            let path = KeyPath::new("limits").then("max_buffered_bytes");
+            return Err(ConfigError::at(path, "less than max_body_bytes: raise it"));
+        }
         Ok(())
     }
 }
--- a/crates/turmericrail/tests/hostile_callers.rs
+++ b/crates/turmericrail/tests/hostile_callers.rs
@@ -194,3 +194,33 @@
         assert_eq!((answer.status, answer.field("error").as_str()), (400, "bad_request"));
     }
 }
+
+#[async_std::test]
+async fn buffered_bodies() {
+    let limits = "  max_body_bytes: 4KiB\n  max_buffered_bytes: 8KiB\n  receive_timeout_ms: 60s\n";
+    let fleet = start_limited("buffered-bodies", limits).await;
+    let ticket = take_ticket(address(&fleet)).await;
+    let head = "POST /slots/7/bookings HTTP/1.1\r\nhost: h\r\ncontent-length: 4000\r\n";
+    let mut slow = Vec::new();
+    for _ in 0..2 {
+        let mut stream = TcpStream::connect(address(&fleet)).await.unwrap();
+        stream.write_all(format!("{head}\r\nhalf").as_bytes()).await.unwrap();
+        slow.push(stream);
+    }
+    let refused = async {
+        loop {
+            let answer = book(address(&fleet), &ticket, &"x".repeat(4_000)).await;
+            if answer.field("error") == "copy_refused" {
+                return answer;
+            }
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+    };
+    let refused = async_std::future::timeout(PATIENCE, refused).await.expect("the limit holds");
+    assert!(refused.field("message").contains("limits.max_buffered_bytes"), "{refused:?}");
+    assert_eq!(read_stock(address(&fleet)).await.status, 200);
+    drop(slow);
+    let large =
+        async { while book(address(&fleet), &ticket, &"x".repeat(4_000)).await.status != 200 {} };
+    async_std::future::timeout(PATIENCE, large).await.expect("callers that left hold nothing");
+}
