Choose engines by the role of the hour

Cause: a role schedule changed the engine, but instances still chose engines by the role in the configuration, so that an engine in its other role got nothing and its owner refused everybody else.

Change: pools are worked out again each minute where any server has a schedule, with the role of that minute. Excluded: choosing by the reported role, which only the owner knows at once.

--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -23,7 +23,7 @@
     pub(super) fn take_model_request(&mut self, asked: ModelRequest) {
         let request = asked.request;
         if let Some(configuration) = self.config.in_force() {
-            self.admission.pools.refresh(configuration);
+            self.admission.pools.refresh(configuration, self.now.wall_ms);
         }
         match self.start_flow(asked) {
             Ok(flow) => {
@@ -44,7 +44,7 @@
     /// Serves the requests that wait for no owner, and gives up those out of reach.
     pub(super) fn advance_waiting(&mut self) {
         if let Some(configuration) = self.config.in_force() {
-            self.admission.pools.refresh(configuration);
+            self.admission.pools.refresh(configuration, self.now.wall_ms);
         }
         self.advance_asks();
         let now_ms = self.now.mono_ms;
--- a/crates/core/src/node/choice.rs
+++ b/crates/core/src/node/choice.rs
@@ -237,6 +237,6 @@
 
     pub(super) fn is_prefill(&self, server: &ServerId) -> bool {
         let known = self.config.in_force().and_then(|known| known.servers.get(server));
-        known.is_some_and(|known| known.role == ServerRole::Prefill)
+        known.is_some_and(|known| known.role_at(self.now.wall_ms) == ServerRole::Prefill)
     }
 }
--- a/crates/core/src/route/pools.rs
+++ b/crates/core/src/route/pools.rs
@@ -5,7 +5,10 @@
 use crate::config::Configuration;
 use crate::config::document::ServerRole;
 use crate::ids::{ConfigVersion, DataCentreId, ModelId, ModelVersion, ServerId};
+use crate::units::WallMillis;
 
+/// Milliseconds in a minute.
+const MS_PER_MINUTE: u64 = 60_000;
 /// Engines looked at for one choice where a pool is larger.
 const MAX_LOOKED_AT: usize = 12;
 
@@ -20,15 +23,22 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pools {
     version: Option<ConfigVersion>,
+    minute: Option<u64>,
     by_model: BTreeMap<(ModelId, ModelVersion), BTreeMap<ServerRole, Pool>>,
 }
 
 impl Pools {
-    /// Works the pools out again where another configuration is in force.
-    pub fn refresh(&mut self, configuration: &Configuration) {
-        if self.version == Some(configuration.version) {
+    /// Works the pools out again where another configuration is in force, and each minute where
+    /// roles follow the hour.
+    pub fn refresh(&mut self, configuration: &Configuration, wall_ms: WallMillis) {
+        let minute = Some(wall_ms.0 / MS_PER_MINUTE);
+        let is_current = self.version == Some(configuration.version);
+        if is_current && (self.minute.is_none() || self.minute == minute) {
             return;
         }
+        let mut known = configuration.servers.values();
+        let has_schedule = known.any(|server| server.role_schedule.is_some());
+        self.minute = minute.filter(|_| has_schedule);
         self.version = Some(configuration.version);
         self.by_model.clear();
         for (model, known) in &configuration.models {
@@ -38,7 +48,7 @@
                     let Some(server) = configuration.servers.get(id) else {
                         continue;
                     };
-                    let pool = pools.entry(server.role).or_default();
+                    let pool = pools.entry(server.role_at(wall_ms)).or_default();
                     pool.by_place.entry(server.data_centre.clone()).or_default().push(id.clone());
                     pool.len += 1;
                 }
