--- a/crates/core/tests/soak_world/mod.rs
+++ b/crates/core/tests/soak_world/mod.rs
@@ -171,7 +171,10 @@
             Step::Part { for_ms } => self.network.parted_until_ms = now_ms + for_ms,
             Step::Configure => self.platform.version += 1,
             Step::ServiceDown { for_ms } => self.platform.down_until_ms = now_ms + for_ms,
-            Step::ServiceStale { for_ms } => self.platform.stale_until_ms = now_ms + for_ms,
+            Step::ServiceStale { for_ms } => {
+                self.platform.stale_until_ms = now_ms + for_ms;
+                self.platform.stale_version = self.platform.version.saturating_sub(2).max(1);
+            }
             step => self.take_engine_step(step),
         }
     }
