--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -1,10 +1,13 @@
 //! Parsing and checks of a configuration document.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
 use serde_json::Value;
 
 use crate::config::check_routes::check_routes;
 use crate::config::check_targets::check_targets;
-use crate::config::document::{Configuration, Server, ServerRole};
+use crate::config::document::{Configuration, ServerRole};
 use crate::config::error::{ConfigError, decode_text, decode_value};
 use crate::config::key_path::KeyPath;
 use crate::config::role_schedule::check_schedule;
@@ -43,21 +46,20 @@
 }
 
 fn check_addresses(configuration: &Configuration) -> Result<(), ConfigError> {
-    let servers: Vec<(&ServerId, &Server)> = configuration.servers.iter().collect();
-    for (index, (id, server)) in servers.iter().enumerate() {
-        let path = KeyPath::new("servers").then(id).then("address");
+    let mut seen: BTreeMap<SocketAddr, &ServerId> = BTreeMap::new();
+    for (id, server) in &configuration.servers {
+        let path = || KeyPath::new("servers").then(id).then("address");
         if server.address.ip().is_unspecified() || server.address.port() == 0 {
             let problem =
                 format!("{} can't be reached: name an IP number and port", server.address);
-            return Err(ConfigError::at(path, problem));
+            return Err(ConfigError::at(path(), problem));
         }
-        let same = servers[..index].iter().find(|(_, other)| other.address == server.address);
-        if let Some((other, _)) = same {
+        if let Some(other) = seen.insert(server.address, id) {
             let problem = format!(
                 "duplicate address {}: server {other} has it too, change one of them",
                 server.address
             );
-            return Err(ConfigError::at(path, problem));
+            return Err(ConfigError::at(path(), problem));
         }
     }
     Ok(())
--- a/crates/core/src/config/error.rs
+++ b/crates/core/src/config/error.rs
@@ -66,8 +66,11 @@
     ConfigError { line: Some(location.line()), path, problem: problem.to_owned() }
 }
 
-/// Decodes a JSON value.
+/// Decodes a JSON value; only where that fails is it read again to find the path.
 pub fn decode_value<T: DeserializeOwned>(value: &Value) -> Result<T, ConfigError> {
+    if let Ok(decoded) = T::deserialize(value) {
+        return Ok(decoded);
+    }
     serde_path_to_error::deserialize(value).map_err(|error| {
         let path = KeyPath(error.path().iter().map(|segment| segment.to_string()).collect());
         ConfigError::at(path, error.inner().to_string())
--- a/crates/core/src/membership/spread.rs
+++ b/crates/core/src/membership/spread.rs
@@ -22,7 +22,7 @@
 /// Most records of changed members in a heartbeat.
 const MAX_RECORDS: usize = 4;
 /// Most beats in a heartbeat.
-const MAX_BEATS: usize = 48;
+pub(crate) const MAX_BEATS: usize = 48;
 /// Most heads in a heartbeat.
 const MAX_HEADS: usize = 8;
 /// Heartbeats that carry a head after its clock advanced.
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -19,7 +19,10 @@
 use crate::units::Millis;
 
 /// Silence after which a member no longer counts as live.
-pub const MEMBER_TIMEOUT_MS: Millis = Millis(2_200);
+pub const MEMBER_TIMEOUT_MS: Millis = Millis(2_500);
+
+/// Silence after which a member that another no longer counts as live is not counted here either.
+const SUSPECT_AFTER_MS: Millis = Millis(1_000);
 
 /// Silence after which no member of another data centre counts as live.
 pub(super) const DATA_CENTRE_TIMEOUT_MS: Millis = Millis(4_000);
@@ -244,6 +247,23 @@
         unknown
     }
 
+    /// Ends the sign of life of members of this data centre that have been silent for some time and
+    /// that another member, which told all that it counts as live, no longer names.
+    pub fn take_absence(&mut self, now_ms: Millis, sender: &InstanceId, beats: &[MemberBeat]) {
+        let named: BTreeSet<MemberKey> = beats.iter().map(|beat| beat.key).collect();
+        for (instance, heard) in &mut self.heard {
+            let is_near = heard.digest.data_centre == self.own.data_centre;
+            if !is_near || instance == sender || named.contains(&heard.key) {
+                continue;
+            }
+            let last_ms = heard.heard_ms.max(heard.direct_ms);
+            if last_ms.is_some_and(|last_ms| now_ms - last_ms > SUSPECT_AFTER_MS) {
+                (heard.heard_ms, heard.direct_ms) = (None, None);
+                self.is_stale = true;
+            }
+        }
+    }
+
     /// Takes the name of a summary; returns whether its members are not known.
     pub fn take_head(&mut self, now_ms: Millis, head: SummaryHead) -> bool {
         if head.data_centre == self.own.data_centre {
--- a/crates/core/src/node/member_path.rs
+++ b/crates/core/src/node/member_path.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::ids::{InstanceId, MemberKey, ServerId};
+use crate::membership::spread::MAX_BEATS;
 use crate::membership::{
     Heartbeat, ListedInstance, ListedState, LoadDigest, Members, MembersRequest, OwnNews,
 };
@@ -26,8 +27,14 @@
 const MAX_ASKED: usize = 64;
 /// Most loads in a heartbeat.
 const MAX_LOADS: usize = 12;
+/// Most loads in a heartbeat of a large data centre.
+const MAX_LOADS_LARGE: usize = 8;
+/// Members above which a data centre is large.
+const LARGE_MEMBERS: usize = 8;
+/// Age above which a load is forgotten.
+const LOAD_FORGET_MS: Millis = Millis(10_000);
 /// Loads of own servers in a heartbeat where there are others to relay.
-const MAX_OWN_LOADS: usize = 6;
+const MAX_OWN_LOADS: usize = 4;
 /// Age above which a load is not relayed.
 const RELAY_LIFE_MS: Millis = Millis(1_500);
 
@@ -46,6 +53,10 @@
         self.leaving.expire(now_ms);
         self.leaving_servers = self.leaving.servers();
         self.asked_keys.retain(|_, asked_ms| now_ms - *asked_ms < ASK_AGAIN_MS);
+        let owned = &self.owned;
+        self.loads.retain(|server, known| {
+            now_ms - known.learned_ms < LOAD_FORGET_MS || owned.contains(server)
+        });
         let records = self.members.changed_records(now_ms);
         for target in self.members.beat(now_ms) {
             self.send_heartbeat(&target, records.clone());
@@ -69,10 +80,14 @@
             let members = Members { records: vec![newer], summaries: Vec::new() };
             self.send(sender, PeerMessage::Members(members));
         }
-        self.members.take_sender(now_ms, heartbeat.own);
         let news = self.members.take_digests(now_ms, heartbeat.records);
         self.take_own_news(news);
+        let is_near = heartbeat.own.data_centre == *self.members.own_data_centre();
+        self.members.take_sender(now_ms, heartbeat.own);
         let keys = self.members.take_beats(now_ms, &heartbeat.beats);
+        if is_near && heartbeat.beats.len() < MAX_BEATS {
+            self.members.take_absence(now_ms, sender, &heartbeat.beats);
+        }
         let mut asked = MembersRequest { keys, data_centres: Vec::new() };
         for head in heartbeat.heads {
             let data_centre = head.data_centre.clone();
@@ -219,12 +234,14 @@
             }
         }
         relayed.sort_by_key(|digest| (digest.load.free_streams == Streams::ZERO, digest.age_ms));
-        let wanted = MAX_OWN_LOADS.max(MAX_LOADS.saturating_sub(relayed.len())).min(own.len());
+        let members = self.members.members_of(self.members.own_data_centre()).len();
+        let most = if members > LARGE_MEMBERS { MAX_LOADS_LARGE } else { MAX_LOADS };
+        let wanted = MAX_OWN_LOADS.max(most.saturating_sub(relayed.len())).min(own.len());
         let start = turn as usize * wanted % own.len().max(1);
         own.rotate_left(start);
         own.truncate(wanted);
         let mut digests = own;
-        relayed.truncate(MAX_LOADS - digests.len());
+        relayed.truncate(most - digests.len());
         digests.extend(relayed);
         digests
     }
--- a/crates/core/src/node/ownership.rs
+++ b/crates/core/src/node/ownership.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::config::document::ServerRole;
 use crate::ids::{ConfigVersion, DataCentreId, InstanceId, ServerId};
 use crate::node::Node;
 
@@ -13,7 +14,26 @@
     servers: BTreeSet<ServerId>,
 }
 
+impl OwnedServers {
+    /// Whether a backend server is among them.
+    pub(super) fn contains(&self, server: &ServerId) -> bool {
+        self.servers.contains(server)
+    }
+}
+
 impl Node {
+    /// Owned backend servers that are engines.
+    pub(super) fn owned_engines(&self) -> Vec<ServerId> {
+        let Some(configuration) = self.config.in_force() else {
+            return Vec::new();
+        };
+        let is_engine = |server: &&ServerId| {
+            let known = configuration.servers.get(*server);
+            known.is_some_and(|known| known.role != ServerRole::Plain)
+        };
+        self.owned.servers.iter().filter(is_engine).cloned().collect()
+    }
+
     /// Owner of a backend server: a live member of the server's data centre, or of any other
     /// where that one has no live member and the platform lists none. One that is listed but not
     /// heard may be cut off from here and still serve its callers.
@@ -32,7 +52,7 @@
 
     /// Whether this instance owns a backend server.
     pub(super) fn owns(&self, server: &ServerId) -> bool {
-        self.owned.servers.contains(server)
+        self.owned.contains(server)
     }
 
     pub(super) fn is_in_own_data_centre(&self, server: &ServerId) -> bool {
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 
 use crate::action::Action;
-use crate::config::document::ServerRole;
 use crate::ids::ServerId;
 use crate::membership::ServerLoad;
 use crate::message::{PeerMessage, SeatReply, SeatRequest, StreamOnServer};
@@ -24,17 +23,9 @@
             return;
         }
         self.next_poll_ms = self.now.mono_ms + POLL_MS;
-        let Some(configuration) = self.config.in_force() else {
-            return;
-        };
-        let engines =
-            configuration.servers.iter().filter(|(_, known)| known.role != ServerRole::Plain);
-        let engines: Vec<_> = engines.map(|(server, _)| server.clone()).collect();
-        for server in engines {
-            if !self.owns(&server) {
-                self.ledgers.remove(&server);
-                continue;
-            }
+        let owned = &self.owned;
+        self.ledgers.retain(|server, _| owned.contains(server));
+        for server in self.owned_engines() {
             let target = self.target(&server);
             self.actions.extend(target.map(Action::Poll));
         }
