Deal representatives out evenly, let a data centre outrun its past

Cause: representatives chosen by hash for each pair of data centres fall on few members: the busiest of 320 instances sent 5,264 bytes a second.

Change: representatives are dealt out in the order of members and send in alternate beats. A heartbeat to another data centre names the newest head known of it.

--- a/crates/core/src/membership/spread.rs
+++ b/crates/core/src/membership/spread.rs
@@ -3,9 +3,8 @@
 //!
 //! Inside a data centre each beat sends two messages over the ring of live members, at distances
 //! of one, two, four and so on in turn, so that news reaches all within half as many beats as the
-//! number of members has bits. For each other data centre two members are chosen by rendezvous
-//! hashing as representatives; where this instance is one, a third message goes there and carries
-//! a summary. A change of the live members is told to all represented data centres at once.
+//! number of members has bits. For each other data centre two members are representatives and
+//! send it, in alternate beats, a message that carries a summary. A change of the live members is told to all represented data centres at once.
 
 use crate::ids::{DataCentreId, InstanceId, MemberKey};
 use crate::membership::digest::{MemberBeat, MemberDigest};
@@ -32,6 +31,15 @@
 /// Most members in an answer to a request.
 const MAX_ANSWERED: usize = 64;
 
+/// Most messages of a beat to other data centres, where the own one did not change.
+const MAX_REMOTE: usize = 2;
+
+/// A data centre towards which this instance represents its own.
+struct Duty {
+    data_centre: DataCentreId,
+    is_due: bool,
+}
+
 impl MemberView {
     /// Starts the next beat and returns whom its messages go to.
     pub fn beat(&mut self, now_ms: Millis) -> Vec<InstanceId> {
@@ -101,6 +109,13 @@
         heads
     }
 
+    /// The newest head known of the data centre of a member there, so that a data centre that
+    /// started anew learns its former clock.
+    pub fn head_towards(&self, member: &InstanceId) -> Option<SummaryHead> {
+        let remote = self.remote.get(self.data_centre_of(member)?)?;
+        Some(remote.head.clone())
+    }
+
     /// A new summary of the own data centre.
     pub fn next_summary(&mut self) -> Summary {
         self.clock += 1;
@@ -159,33 +174,43 @@
         members.get(index as usize).cloned()
     }
 
-    /// A member of one other data centre that this instance represents its own towards, in turn;
-    /// of each, where the own data centre changed.
+    /// A member of each other data centre whose turn it is; of all that this instance represents
+    /// its own towards, where the own data centre changed.
     fn remote_targets(&mut self) -> Vec<InstanceId> {
-        let mut data_centres = self.represented();
+        let represented = self.represented();
         let hash = self.own_summary_at(self.clock).head().hash;
         let is_changed = std::mem::replace(&mut self.told_hash, hash) != hash;
-        if !is_changed && !data_centres.is_empty() {
-            let turn = self.own.beat as usize % data_centres.len();
-            data_centres = vec![data_centres.swap_remove(turn)];
+        let is_due = |duty: &&Duty| is_changed || duty.is_due;
+        let mut duties: Vec<_> = represented.iter().filter(is_due).collect();
+        if !is_changed && !duties.is_empty() {
+            let turn = self.own.beat as usize % duties.len();
+            duties.rotate_left(turn);
+            duties.truncate(MAX_REMOTE);
         }
-        let target = |data_centre: &DataCentreId| match self.live.get(data_centre) {
+        let target = |duty: &Duty| match self.live.get(&duty.data_centre) {
             Some(members) => self.random_of(members),
-            None => self.random_of(&self.known_of(data_centre)),
+            None => self.random_of(&self.known_of(&duty.data_centre)),
         };
-        data_centres.iter().filter_map(target).collect()
+        duties.into_iter().filter_map(target).collect()
     }
 
-    fn represented(&self) -> Vec<DataCentreId> {
+    /// Data centres that this instance represents its own towards. Duties are dealt to the members
+    /// in order, so that none has two while others have none.
+    fn represented(&self) -> Vec<Duty> {
         let members = self.members_of(&self.own.data_centre);
-        let members =
-            if members.is_empty() { std::slice::from_ref(&self.own.instance) } else { members };
+        let (position, count) = match members.binary_search(&self.own.instance) {
+            Ok(position) => (position, members.len()),
+            Err(_) if members.is_empty() => (0, 1),
+            Err(_) => return Vec::new(),
+        };
         let mut represented = Vec::new();
-        for data_centre in self.data_centres() {
-            let key = format!("{}>{data_centre}", self.own.data_centre);
-            let chosen = rendezvous::first(&key, members, REPRESENTATIVES);
-            if chosen.contains(&&self.own.instance) {
-                represented.push(data_centre);
+        for (index, data_centre) in self.data_centres().into_iter().enumerate() {
+            for place in 0..REPRESENTATIVES {
+                if (index * REPRESENTATIVES + place) % count != position {
+                    continue;
+                }
+                let is_due = (self.own.beat as usize + place).is_multiple_of(REPRESENTATIVES);
+                represented.push(Duty { data_centre: data_centre.clone(), is_due });
             }
         }
         represented
--- a/crates/core/src/node/member_path.rs
+++ b/crates/core/src/node/member_path.rs
@@ -165,10 +165,12 @@
             self.members.data_centre_of(to).is_none_or(|there| *there == own_data_centre);
         let own = self.members.own_digest();
         let turn = own.beat;
+        let mut heads = self.members.heads(now_ms);
+        heads.extend(self.members.head_towards(to));
         let heartbeat = Heartbeat {
             records: if is_local { records } else { Vec::new() },
             beats: if is_local { self.members.beats() } else { Vec::new() },
-            heads: self.members.heads(now_ms),
+            heads,
             summary: (!is_local).then(|| self.members.next_summary()),
             loads: self.load_digests(is_local, turn),
             list_age_ms: self.leaving.list_age_ms(now_ms),
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -58,6 +58,27 @@
     }
 }
 
+#[test]
+fn rack_lost() {
+    let mut fleet = settled(8, &[12; 3], 0);
+    (12..18).for_each(|index| fleet.kill(index));
+    assert!(fleet.run_until(KNOWN_WITHIN_MS, Fleet::all_agree).is_some());
+}
+
+#[test]
+fn data_centre_lost() {
+    for seed in 1..=5 {
+        let mut fleet = settled(seed, &[3, 3, 3], 4);
+        (3..6).for_each(|index| fleet.kill(index));
+        let took_ms = fleet.run_until(KNOWN_WITHIN_MS, Fleet::all_agree);
+        assert!(took_ms.is_some(), "seed {seed}");
+        fleet.run(30_000);
+        (3..6).for_each(|index| fleet.start(index));
+        let took_ms = fleet.run_until(KNOWN_WITHIN_MS, Fleet::all_agree);
+        assert!(took_ms.is_some(), "a data centre that starts anew outruns its past, seed {seed}");
+    }
+}
+
 #[test]
 fn restarts_under_loss() {
     for seed in 1..=10 {
