--- a/crates/turmericctl/tests/mistakes.rs
+++ b/crates/turmericctl/tests/mistakes.rs
@@ -119,6 +119,7 @@
             "deployment",
             &["name"],
         ),
+        mistake("no threads", "threads: 2", "threads: 0", "threads: 0", &["1 to 64"]),
         mistake("bad id", "dakar-1-1", "dakar/1", "dakar/1", &["instance", "letters, digits"]),
         mistake("duplicate key", "log_level: info", "instance: a", "instance: a", &["duplicate"]),
     ];
--- a/crates/turmericrail/examples/local_fleet/main.rs
+++ b/crates/turmericrail/examples/local_fleet/main.rs
@@ -41,7 +41,7 @@
 
 fn run_daemon() -> ExitCode {
     let started = turmericrail::cli::parse()
-        .and_then(|options| task::block_on(turmericrail::daemon::run(options.settings)));
+        .and_then(|options| turmericrail::daemon::start(options.settings));
     match started {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/turmericrail/src/daemon/mod.rs
+++ b/crates/turmericrail/src/daemon/mod.rs
@@ -8,6 +8,7 @@
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 
+use async_global_executor::GlobalExecutorConfig;
 use async_std::io::ReadExt;
 use async_std::task;
 use turmericrail_core::event::Event;
@@ -18,6 +19,16 @@
 
 pub use shared::Shared;
 
+/// Starts the executor with the threads of the settings and runs the daemon on it.
+pub fn start(settings: Settings) -> Result<(), StartError> {
+    let executor = GlobalExecutorConfig::default()
+        .with_min_threads(settings.worker_threads)
+        .with_max_threads(settings.worker_threads)
+        .with_thread_name_fn(|| "worker".to_owned());
+    async_global_executor::init_with_config(executor);
+    task::block_on(run(settings))
+}
+
 /// Runs the daemon until it was told to end and all work is done.
 pub async fn run(settings: Settings) -> Result<(), StartError> {
     logs::set_up(settings.log_level)?;
--- a/crates/turmericrail/src/main.rs
+++ b/crates/turmericrail/src/main.rs
@@ -6,7 +6,7 @@
 
 fn run() -> Result<(), StartError> {
     let options = cli::parse()?;
-    async_std::task::block_on(daemon::run(options.settings))
+    daemon::start(options.settings)
 }
 
 fn main() -> ExitCode {
--- a/crates/turmericrail/src/settings.rs
+++ b/crates/turmericrail/src/settings.rs
@@ -14,6 +14,8 @@
 use crate::error::StartError;
 use crate::log_level::LogLevel;
 
+/// Most threads that run tasks.
+const MAX_WORKER_THREADS: usize = 64;
 /// Least length of the seal key.
 const MIN_SEAL_KEY_BYTES: usize = 16;
 
@@ -42,6 +44,9 @@
     /// Least severe level that is logged.
     #[serde(default)]
     pub log_level: LogLevel,
+    /// Threads that run the process's tasks.
+    #[serde(default = "default_worker_threads")]
+    pub worker_threads: usize,
     /// Limits against slow or oversized callers.
     #[serde(default)]
     pub limits: CallerLimits,
@@ -80,6 +85,10 @@
     }
 }
 
+fn default_worker_threads() -> usize {
+    2
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     pub fn read(path: &Path) -> Result<Self, StartError> {
@@ -113,6 +122,9 @@
         if self.platform_address.ip().is_unspecified() {
             return error("platform_address", "name the IP number of the platform's services");
         }
+        if !(1..=MAX_WORKER_THREADS).contains(&self.worker_threads) {
+            return error("worker_threads", "use 1 to 64 threads");
+        }
         self.check_ports()?;
         self.limits.check()
     }
