--- a/crates/turmericctl/src/commands/status.rs
+++ b/crates/turmericctl/src/commands/status.rs
@@ -52,6 +52,7 @@
     load: Option<Load>,
     leases: u64,
     is_leaving: bool,
+    is_ejected: bool,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -152,6 +153,10 @@
         }
         None => "load not known".to_owned(),
     };
-    let leaving = if server.is_leaving { ", leaving" } else { "" };
-    format!("  server {id:<20} owner {owner}, {load}, {} leases here{leaving}", server.leases)
+    let state = match (server.is_leaving, server.is_ejected) {
+        (true, _) => ", leaving",
+        (false, true) => ", ejected",
+        (false, false) => "",
+    };
+    format!("  server {id:<20} owner {owner}, {load}, {} leases here{state}", server.leases)
 }
