--- a/crates/core/src/admission/usage.rs
+++ b/crates/core/src/admission/usage.rs
@@ -8,7 +8,9 @@
 /// Time in which the count of past work halves.
 const HALF_LIFE_MS: f64 = 10_000.0;
 /// Work below which a workspace is forgotten.
-const FORGOTTEN_MS: f64 = 1.0;
+const FORGOTTEN_MS: f64 = 0.1;
+/// Work that a workspace counts with when it asks, so that it is among those compared.
+const ASKED_MS: Millis = Millis(1);
 
 /// Work granted to each workspace, fading with time.
 #[derive(Clone, Debug, Default)]
@@ -18,6 +20,11 @@
 }
 
 impl Usage {
+    /// Takes note that a workspace asks for work.
+    pub fn ask(&mut self, now_ms: Millis, workspace: &WorkspaceId) {
+        self.add(now_ms, workspace, ASKED_MS);
+    }
+
     /// Takes note of work begun for a workspace.
     pub fn add(&mut self, now_ms: Millis, workspace: &WorkspaceId, work_ms: Millis) {
         self.fade(now_ms);
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -69,7 +69,7 @@
     pub seat: StreamOnServer,
     /// Memory to set aside; at a prefill engine, the part of the prompt to be computed.
     pub kv_pieces: KvPieces,
-    /// At a prefill engine, the time in which the prefill must end.
+    /// At a prefill engine, the time in which the prefill must end; zero asks for a decode seat.
     pub latest_in_ms: Millis,
     /// At a prefill engine, the cost of serving the request for its weight, in thousandths of a
     /// millisecond of engine time.
--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -29,6 +29,9 @@
             Ok(flow) => {
                 let percent = self.config.in_force().map_or(0, |known| known.limits.retry_percent);
                 self.admission.retries.earn(percent);
+                if let Some(asked) = &flow.asked {
+                    self.admission.usage.ask(self.now.mono_ms, &asked.workspace);
+                }
                 self.flows.insert(request, flow);
                 self.admission.waiting.insert(request);
                 self.advance_waiting();
@@ -50,7 +53,8 @@
         let now_ms = self.now.mono_ms;
         for (latest_end_ms, request) in self.waiting_requests() {
             if now_ms > latest_end_ms {
-                self.give_up(request, self.admission.backlog_ms);
+                let backlog_ms = self.flows.get(&request).map(|flow| self.least_backlog_ms(flow));
+                self.give_up(request, backlog_ms.unwrap_or_default());
                 continue;
             }
             self.serve(request);
@@ -131,6 +135,7 @@
             ("reason", "target_out_of_reach".to_owned()),
         ];
         self.log("give_up", Some(request), fields);
+        self.admission.backlog_ms = backlog_ms;
         self.finish(request, kind, backlog_ms);
     }
 
--- a/crates/core/src/node/choice.rs
+++ b/crates/core/src/node/choice.rs
@@ -144,6 +144,12 @@
         load.learned_ms + work_ms - now_ms
     }
 
+    /// The least work ahead at a prefill engine that could serve a request.
+    pub(super) fn least_backlog_ms(&self, flow: &Flow) -> Millis {
+        let engines = self.usable_engines(flow, ServerRole::Prefill).into_iter();
+        engines.map(|server| self.backlog_ms(server)).min().unwrap_or_default()
+    }
+
     /// Takes note of the work ahead at a prefill engine.
     pub(super) fn note_backlog(&mut self, server: &ServerId, backlog_ms: Millis) {
         let learned_ms = self.now.mono_ms;
--- a/crates/core/src/node/queue_path.rs
+++ b/crates/core/src/node/queue_path.rs
@@ -27,7 +27,9 @@
         };
         let is_usable = self.owns(&server)
             && self.loads.contains_key(&server)
-            && !self.leaving_servers.contains(&server);
+            && !self.leaving_servers.contains(&server)
+            && self.is_prefill(&server)
+            && self.is_in_role(&server);
         if !is_usable {
             self.answer_slot(&server, &slot, SlotAnswer::Refused(UNUSABLE_MS));
             return;
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -64,7 +64,7 @@
     }
 
     pub(super) fn take_seat_request(&mut self, from: &Holder, asked: SeatRequest) {
-        if self.is_prefill(&asked.seat.server) {
+        if asked.latest_in_ms > Millis::ZERO {
             self.take_slot_request(from, asked);
             return;
         }
@@ -91,9 +91,7 @@
 
     pub(super) fn take_release(&mut self, from: &Holder, seat: &StreamOnServer) {
         let now_ms = self.now.mono_ms;
-        if self.is_prefill(&seat.server) {
-            self.release_turn(from, seat);
-        }
+        self.release_turn(from, seat);
         let Some(ledger) = self.ledgers.get_mut(&seat.server) else {
             return;
         };
--- a/crates/core/src/node/turn_path.rs
+++ b/crates/core/src/node/turn_path.rs
@@ -74,7 +74,7 @@
             request,
             seat: StreamOnServer { server: server.clone(), stream: flow.stream.clone() },
             kv_pieces: configuration.pieces_for(flow.work_tokens.0),
-            latest_in_ms: self.latest_end_ms(flow) - self.now.mono_ms,
+            latest_in_ms: (self.latest_end_ms(flow) - self.now.mono_ms).max(Millis(1)),
             cost: (self.cost(flow) * COST_SCALE) as u64,
         };
         self.tell_owner(&server, PeerMessage::SeatRequest(asked));
@@ -139,10 +139,8 @@
         };
         let is_refused_by_all = self.choose_prefill(flow).is_none();
         if flow.stage == Stage::Waiting && is_refused_by_all {
-            let engines = flow.refused.iter().map(|server| self.backlog_ms(server));
-            let least_ms = engines.min().unwrap_or(backlog_ms);
-            self.admission.backlog_ms = least_ms;
-            self.give_up(request, least_ms);
+            let least_ms = self.least_backlog_ms(flow);
+            self.give_up(request, if least_ms > Millis::ZERO { least_ms } else { backlog_ms });
         }
     }
 
--- a/crates/core/src/route/pools.rs
+++ b/crates/core/src/route/pools.rs
@@ -1,4 +1,4 @@
-//! The engines of each model, by role and place, worked out once for each configuration version.
+//! The engines of each model, by role and place, worked out once for each configuration version and minute.
 
 use std::collections::BTreeMap;
 
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,166 @@
+//! Which requests are taken, in which order, and what those given up are told.
+
+mod model_world;
+
+use model_world::{World, errors, near_document, prefills, printer};
+use quickcheck::{Arbitrary, Gen};
+use turmericrail_core::admission::{WaitingRequest, plan};
+use turmericrail_core::error_kind::ErrorKind;
+use turmericrail_core::event::Event;
+use turmericrail_core::ids::RequestId;
+use turmericrail_core::units::Millis;
+
+const CASES: u64 = 2_000;
+
+#[test]
+fn given_up_early() {
+    let mut world = World::start(near_document());
+    let mut asked = printer(1, 8_000);
+    asked.caller_kind = "salesman".parse().unwrap();
+    let answers = errors(&world.ask(asked));
+    assert_eq!(answers.len(), 1, "the answer comes with the arrival");
+    assert_eq!(answers[0].1, ErrorKind::DeadlineUnreachable);
+}
+
+#[test]
+fn wait_follows_backlog() {
+    let mut waits_ms = Vec::new();
+    for queued in [1, 4] {
+        let mut world = World::start(near_document());
+        for request in 0..queued {
+            assert_eq!(errors(&world.ask(printer(request, 2_000))), []);
+        }
+        let answers = errors(&world.ask(printer(9, 11_000)));
+        assert_eq!(answers.len(), 1);
+        waits_ms.push(answers[0].2);
+    }
+    assert!(waits_ms[1] > waits_ms[0] + 1_000, "waits {waits_ms:?} for 500 ms and 2 s of backlog");
+}
+
+#[test]
+fn least_slack_first() {
+    let mut world = World::start(near_document());
+    let first = prefills(&world.ask(printer(1, 2_000)));
+    assert_eq!(first.len(), 1);
+    assert_eq!(prefills(&world.ask(printer(2, 2_000))), []);
+    let mut urgent = printer(3, 2_000);
+    urgent.caller_kind = "salesman".parse().unwrap();
+    assert_eq!(prefills(&world.ask(urgent)), []);
+    let next = prefills(&world.pass(450));
+    assert_eq!(next.iter().map(|call| call.0).collect::<Vec<_>>(), [3]);
+}
+
+#[test]
+fn weights_decide() {
+    let mut kinds = Vec::new();
+    for kind in ["printer", "careful"] {
+        let mut world = World::start(near_document());
+        let mut asked = printer(1, 9_500);
+        asked.caller_kind = kind.parse().unwrap();
+        kinds.push(errors(&world.ask(asked)).is_empty());
+    }
+    assert_eq!(kinds, [true, false], "a heavy weight of wasted prefill keeps a reserve");
+}
+
+#[test]
+fn greedy_workspace_yields() {
+    let mut world = World::start(near_document());
+    let mut done = Vec::new();
+    for request in 0..8 {
+        done.extend(prefills(&world.ask(printer(request, 2_000))));
+        for (request, stream, _) in std::mem::take(&mut done) {
+            world.pass(500);
+            done.extend(prefills(&world.prefill_done((RequestId(request), stream))));
+        }
+    }
+    let mut refused = Vec::new();
+    for request in 100..110 {
+        let mut asked = printer(request, 2_000);
+        let workspace = if request % 2 == 0 { "w2" } else { "w1" };
+        asked.workspace = workspace.parse().unwrap();
+        refused.extend(errors(&world.ask(asked)).into_iter().map(|answer| answer.0));
+    }
+    assert!(!refused.is_empty(), "ten prompts of half a second fit into three seconds");
+    assert!(refused.iter().all(|request| request % 2 == 1), "refused {refused:?}");
+}
+
+#[test]
+fn no_seat_no_prefill() {
+    let mut world = World::start(near_document());
+    for server in ["d1", "d2"] {
+        let streams = (0..20).map(|number| (format!("{server}_{number}").parse().unwrap(), 10));
+        world.held.insert(server.parse().unwrap(), streams.collect());
+    }
+    world.pass(600);
+    assert_eq!(prefills(&world.ask(printer(1, 500))), []);
+    world.held.clear();
+    assert_eq!(prefills(&world.pass(600)).len(), 1, "it starts once a seat is free");
+}
+
+#[test]
+fn retries_budgeted() {
+    let mut document = near_document();
+    document["limits"] = serde_json::json!({"retry_percent": 0});
+    let mut world = World::start(document);
+    let mut broken = 0;
+    for request in 0..12 {
+        let calls = prefills(&world.ask(printer(request, 200)));
+        let (_, stream, _) = calls.first().expect("the engine is idle").clone();
+        world.prefill_done((RequestId(request), stream.clone()));
+        world.give(Event::TransferDone(RequestId(request), stream.clone()));
+        let request = RequestId(request);
+        let actions =
+            world.give(Event::StreamBroken { request, stream, next_index: 0, is_held: false });
+        broken += errors(&actions).len();
+        world.give(Event::CallerGone(request));
+        world.pass(40_000);
+    }
+    assert_eq!(broken, 2, "ten retries are saved up, and no first try earns one");
+}
+
+#[test]
+fn plan_is_best() {
+    for seed in 0..CASES {
+        let mut source = Gen::from_size_and_seed(8, seed);
+        let waiting: Vec<_> = Vec::<(u8, u8)>::arbitrary(&mut source)
+            .into_iter()
+            .enumerate()
+            .map(|(number, (work, latest))| WaitingRequest {
+                request: RequestId(number as u64),
+                work_ms: Millis(u64::from(work) + 1),
+                latest_end_ms: Millis(u64::from(latest) * 3),
+                cost: f64::from(work) + 1.0,
+            })
+            .collect();
+        let made = plan(waiting.clone(), Millis::ZERO, Millis::ZERO);
+        assert_eq!(made.order.len() + made.given_up.len(), waiting.len(), "seed {seed}");
+        let kept = made.order.iter().map(|request| &waiting[request.0 as usize]);
+        assert!(meets_all(kept), "seed {seed}");
+        assert_eq!(made.order.len(), most_met(&waiting), "seed {seed}");
+    }
+}
+
+fn meets_all<'a>(requests: impl Iterator<Item = &'a WaitingRequest>) -> bool {
+    let mut end_ms = Millis::ZERO;
+    for request in requests {
+        end_ms = end_ms + request.work_ms;
+        if end_ms > request.latest_end_ms {
+            return false;
+        }
+    }
+    true
+}
+
+/// The most requests that any choice completes in time.
+fn most_met(waiting: &[WaitingRequest]) -> usize {
+    let mut sorted = waiting.to_vec();
+    sorted.sort_by_key(|request| request.latest_end_ms);
+    let mut most = 0;
+    for choice in 0..1_u32 << sorted.len() {
+        let chosen = sorted.iter().enumerate().filter(|(place, _)| choice >> place & 1 == 1);
+        if meets_all(chosen.map(|(_, request)| request)) {
+            most = most.max(choice.count_ones() as usize);
+        }
+    }
+    most
+}
--- /dev/null
+++ b/crates/core/tests/model_world/mod.rs
@@ -0,0 +1,194 @@
+//! One instance with engines that report what the test sets.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde_json::{Value, json};
+use turmericrail_core::action::Action;
+use turmericrail_core::error_kind::ErrorKind;
+use turmericrail_core::event::{Event, ModelRequest, Now};
+use turmericrail_core::ids::{ConfigVersion, Incarnation, RequestId, ServerId, StreamId};
+use turmericrail_core::node::{Node, NodeSettings};
+use turmericrail_core::once::Seal;
+use turmericrail_core::report::{HeldStream, Holder, LoadReport};
+use turmericrail_core::units::{KvPieces, Millis, Streams, Tokens, WallMillis};
+
+const TICK_MS: u64 = 50;
+const WARM_UP_MS: u64 = 6_000;
+
+/// One instance in data centre `a`.
+pub struct World {
+    pub node: Node,
+    pub now_ms: u64,
+    /// Streams that engines report besides what they were given.
+    pub held: BTreeMap<ServerId, Vec<(StreamId, u64)>>,
+    pub silent: BTreeSet<ServerId>,
+}
+
+/// A server of the configuration.
+pub fn server(data_centre: &str, role: &str, port: u16) -> Value {
+    json!({"data_centre": data_centre, "address": format!("127.0.0.1:{port}"), "role": role})
+}
+
+/// A caller kind with one window.
+pub fn kind(first_token_ms: u64, goodput_weight: f64, wasted_prefill_weight: f64) -> Value {
+    let window = json!({
+        "from": "00:00", "until": "24:00",
+        "first_token_ms": first_token_ms, "per_token_ms": 30,
+    });
+    json!({
+        "time_zone": "Africa/Dakar",
+        "goodput_weight": goodput_weight,
+        "wasted_prefill_weight": wasted_prefill_weight,
+        "windows": {"day": window},
+    })
+}
+
+/// A configuration with one prefill and two decode engines near and one of each far.
+pub fn document() -> Value {
+    let servers = json!({
+        "d1": server("a", "decode", 1), "d2": server("a", "decode", 2), "p1": server("a", "prefill", 3),
+        "q1": server("b", "prefill", 4), "x1": server("b", "decode", 5),
+    });
+    json!({
+        "version": 1,
+        "caller_kinds": {
+            "printer": kind(3_000, 3.0, 1.0), "salesman": kind(1_500, 3.0, 1.0),
+            "careful": kind(3_000, 1.0, 9.0),
+        },
+        "models": {"m": {
+            "default_version": "1",
+            "versions": {"1": {"servers": ["d1", "d2", "p1", "q1", "x1"]}},
+        }},
+        "servers": servers,
+        "links": {
+            "a.a": {"rate_bytes_per_second": 4_000_000_000_u64},
+            "b.b": {"rate_bytes_per_second": 4_000_000_000_u64},
+        },
+    })
+}
+
+/// The configuration without the other data centre.
+pub fn near_document() -> Value {
+    let mut document = document();
+    document["models"]["m"]["versions"]["1"]["servers"] = json!(["d1", "d2", "p1"]);
+    document
+}
+
+/// A request of a printer.
+pub fn printer(request: u64, prompt_tokens: u64) -> ModelRequest {
+    ModelRequest {
+        request: RequestId(request),
+        workspace: "w1".parse().unwrap(),
+        caller_kind: "printer".parse().unwrap(),
+        model: "m".parse().unwrap(),
+        version: None,
+        prompt_tokens: Tokens(prompt_tokens),
+        max_tokens: Tokens(100),
+        prefix_hashes: Vec::new(),
+    }
+}
+
+impl World {
+    /// An instance that knows its configuration and has heard of all engines.
+    pub fn start(document: Value) -> Self {
+        let settings = NodeSettings {
+            instance: "i1".parse().unwrap(),
+            incarnation: Incarnation(1),
+            data_centre: "a".parse().unwrap(),
+            peer_address: "127.0.0.1:9".parse().unwrap(),
+            seal: Seal::new("a key for tests, long enough to be used"),
+        };
+        let node = Node::new(settings);
+        let (held, silent) = (BTreeMap::new(), BTreeSet::new());
+        let mut world = Self { node, now_ms: 0, held, silent };
+        world.give(Event::ConfigDocument(ConfigVersion(1), document));
+        world.pass(WARM_UP_MS);
+        world
+    }
+
+    /// Handles an event now.
+    pub fn give(&mut self, event: Event) -> Vec<Action> {
+        let wall_ms = WallMillis(1_767_268_800_000 + self.now_ms);
+        self.node.handle(Now { mono_ms: Millis(self.now_ms), wall_ms }, event)
+    }
+
+    /// Asks for a completion.
+    pub fn ask(&mut self, asked: ModelRequest) -> Vec<Action> {
+        self.give(Event::ModelRequest(asked))
+    }
+
+    /// Lets time pass; engines answer polls at once.
+    pub fn pass(&mut self, time_ms: u64) -> Vec<Action> {
+        let end_ms = self.now_ms + time_ms;
+        let mut done = Vec::new();
+        while self.now_ms < end_ms {
+            self.now_ms = (self.now_ms + TICK_MS).min(end_ms);
+            let actions = self.give(Event::Tick);
+            for action in &actions {
+                if let Action::Poll(target) = action {
+                    done.extend(self.report(&target.server));
+                }
+            }
+            done.extend(actions);
+        }
+        done
+    }
+
+    fn report(&mut self, server: &ServerId) -> Vec<Action> {
+        if self.silent.contains(server) {
+            return self.give(Event::ReportFailed(server.clone()));
+        }
+        let holder = Holder { instance: "i1".parse().unwrap(), incarnation: Incarnation(1) };
+        let streams = self.held.get(server).into_iter().flatten();
+        let held = streams.map(|(stream, pieces)| {
+            let kv_pieces = KvPieces(*pieces);
+            (stream.clone(), HeldStream { holder: holder.clone(), kv_pieces })
+        });
+        let report = LoadReport {
+            held: held.collect(),
+            stream_limit_streams: Streams(20),
+            kv_total_pieces: KvPieces(2_000),
+            kv_free_pieces: KvPieces(2_000),
+            ..LoadReport::default()
+        };
+        self.give(Event::Report(server.clone(), report))
+    }
+
+    /// Ends the prefill that an action started.
+    pub fn prefill_done(&mut self, call: (RequestId, StreamId)) -> Vec<Action> {
+        let (request, stream) = call;
+        self.give(Event::PrefillDone { request, stream, cached_tokens: Tokens::ZERO })
+    }
+}
+
+/// Prefills among actions: request, stream and engine.
+pub fn prefills(actions: &[Action]) -> Vec<(u64, StreamId, String)> {
+    let calls = actions.iter().filter_map(|action| match action {
+        Action::Prefill(call) => Some(call),
+        _ => None,
+    });
+    calls
+        .map(|call| (call.request.0, call.stream.clone(), call.target.server.to_string()))
+        .collect()
+}
+
+/// Targets of the transfers among actions.
+pub fn transfers(actions: &[Action]) -> Vec<String> {
+    let calls = actions.iter().filter_map(|action| match action {
+        Action::Transfer(call) => Some(call.target.server.to_string()),
+        _ => None,
+    });
+    calls.collect()
+}
+
+/// Errors among actions: request, kind and wait.
+pub fn errors(actions: &[Action]) -> Vec<(u64, ErrorKind, u64)> {
+    let answers = actions.iter().filter_map(|action| match action {
+        Action::AnswerError { request, kind, retry_after_ms } => {
+            Some((request.0, *kind, retry_after_ms.map_or(0, |wait| wait.0)))
+        }
+        _ => None,
+    });
+    answers.collect()
+}
