--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -1,12 +1,15 @@
 //! The decisions under load and faults: goodput and wasted prefill of each policy in each case.
 //!
 //! `cargo bench -p turmericrail-core --bench policy [-- PART]` runs the cases whose line would
-//! hold PART; with `--ablations` it runs today's policy with one mechanism off at a time. The coordinators are the package's own [`Node`]s, one for each instance; engines and
+//! hold PART; with `--ablations` it runs today's policy with one mechanism off at a time, with
+//! `--cost` it measures the processor time of the decisions by the number of engines. The coordinators are the package's own [`Node`]s, one for each instance; engines and
 //! links are small event-driven stand-ins; time is simulated and every seed is fixed, so that a
 //! run gives the same figures each time.
 
 #[path = "policy/bound.rs"]
 mod bound;
+#[path = "policy/cost.rs"]
+mod cost;
 #[path = "policy/engine.rs"]
 mod engine;
 #[path = "policy/outcome.rs"]
@@ -41,7 +44,8 @@
 };
 
 const SEED: u64 = 7;
-const DATA_CENTRES: usize = 3;
+const LARGE_ENGINES: [usize; 4] = [75, 300, 1_200, 4_800];
+const LARGE_REQUESTS: usize = 2_000;
 
 /// Builds what runs on one instance.
 type Build = Box<dyn Fn(&Deployment, usize) -> Handle>;
@@ -92,6 +96,10 @@
 
 fn main() {
     let wanted: Vec<_> = std::env::args().skip(1).filter(|arg| !arg.starts_with("--")).collect();
+    if std::env::args().any(|arg| arg == "--cost") {
+        measure_cost();
+        return;
+    }
     let has_ablations = std::env::args().any(|arg| arg == "--ablations");
     for case in cases() {
         let flood_from_ms = if case.fault == Fault::Flood { FAULT_MS } else { u64::MAX };
@@ -114,6 +122,32 @@
     }
 }
 
+/// Processor time of the decisions on one request by the number of engines.
+fn measure_cost() {
+    for engines in LARGE_ENGINES {
+        let deployment = Deployment::large(engines);
+        let mut asked = requests(&deployment, 0.9, SEED, u64::MAX);
+        asked.truncate(LARGE_REQUESTS);
+        let last_ms = asked.last().map_or(0, |asked| asked.arrives_ms);
+        let spent = cost::Spent::default();
+        let measured = std::rc::Rc::clone(&spent);
+        let build = move |deployment: &Deployment, instance: usize| -> Handle {
+            let today = with_mechanisms("today", Mechanisms::ALL);
+            cost::measured((today.build)(deployment, instance), std::rc::Rc::clone(&measured))
+        };
+        let policy = Policy { name: "today", build: Box::new(build) };
+        let case = Case { deployment, load: 0.9, fault: Fault::None };
+        let mut world = build_world(&case, &asked, &policy);
+        world.run_until(last_ms + 1_000);
+        println!(
+            "cost=decision instances=32 engines={engines} requests={} p50_us={:.1} p95_us={:.1}",
+            asked.len(),
+            cost::percentile_us(&spent, 50),
+            cost::percentile_us(&spent, 95),
+        );
+    }
+}
+
 fn cases() -> Vec<Case> {
     let mut cases = Vec::new();
     for deployment in [Deployment::association(), Deployment::lantern_forge()] {
@@ -174,18 +208,18 @@
 
 fn with_mechanisms(name: &'static str, mechanisms: Mechanisms) -> Policy {
     let build = move |deployment: &Deployment, instance: usize| -> Handle {
-        let mut node = Node::with_mechanisms(node_settings(instance), mechanisms);
+        let mut node = Node::with_mechanisms(node_settings(deployment, instance), mechanisms);
         prepare(&mut node, deployment);
         Box::new(move |now, event| node.handle(now, event))
     };
     Policy { name, build: Box::new(build) }
 }
 
-fn node_settings(instance: usize) -> NodeSettings {
+fn node_settings(deployment: &Deployment, instance: usize) -> NodeSettings {
     NodeSettings {
         instance: holder(instance).instance,
         incarnation: holder(instance).incarnation,
-        data_centre: data_centre(instance % DATA_CENTRES),
+        data_centre: data_centre(instance % deployment.data_centres),
         peer_address: peer_address(instance),
         seal: Seal::new("a key of the bench, long enough to use"),
     }
@@ -195,7 +229,7 @@
     let document = document(deployment);
     let listed = (0..deployment.instances).map(|instance| {
         let listed = ListedInstance {
-            data_centre: data_centre(instance % DATA_CENTRES),
+            data_centre: data_centre(instance % deployment.data_centres),
             peer_address: peer_address(instance),
             state: ListedState::Live,
         };
@@ -207,7 +241,7 @@
 
 fn build_world(case: &Case, asked: &[workload::Asked], policy: &Policy) -> World {
     let instances = (0..case.deployment.instances).map(|instance| Instance {
-        data_centre: instance % DATA_CENTRES,
+        data_centre: instance % case.deployment.data_centres,
         address: peer_address(instance),
         handle: (policy.build)(&case.deployment, instance),
     });
@@ -219,7 +253,7 @@
 
 fn engine_places(deployment: &Deployment) -> Vec<(ServerId, usize, SocketAddr)> {
     let mut places = Vec::new();
-    for data_centre in 0..DATA_CENTRES {
+    for data_centre in 0..deployment.data_centres {
         let counts =
             [("p", deployment.prefill_per_data_centre), ("d", deployment.decode_per_data_centre)];
         for (start, count) in counts {
@@ -245,8 +279,8 @@
     }
     let engines: Vec<_> = servers.keys().cloned().collect();
     for number in 0..deployment.plain {
-        let address = SocketAddr::from(([127, 0, 0, 1], 30_000 + number as u16));
-        let data_centre = data_centre(number % DATA_CENTRES);
+        let address = SocketAddr::from(([127, 0, 0, 1], 9_000 + number as u16));
+        let data_centre = data_centre(number % deployment.data_centres);
         servers.insert(
             format!("s-{number}"),
             json!({"data_centre": data_centre, "address": address, "role": "plain"}),
@@ -270,8 +304,8 @@
         })
         .collect();
     let mut links = BTreeMap::new();
-    for from in 0..DATA_CENTRES {
-        for to in 0..DATA_CENTRES {
+    for from in 0..deployment.data_centres {
+        for to in 0..deployment.data_centres {
             let rate = if from == to { NEAR_BYTES_PER_MS } else { FAR_BYTES_PER_MS };
             let name = format!("{}.{}", data_centre(from), data_centre(to));
             links.insert(name, json!({"rate_bytes_per_second": rate * 1_000}));
--- a/crates/core/benches/policy/workload.rs
+++ b/crates/core/benches/policy/workload.rs
@@ -45,6 +45,7 @@
 #[derive(Clone)]
 pub struct Deployment {
     pub name: &'static str,
+    pub data_centres: usize,
     pub instances: usize,
     pub prefill_per_data_centre: usize,
     pub decode_per_data_centre: usize,
@@ -74,6 +75,7 @@
     pub fn association() -> Self {
         Self {
             name: "association",
+            data_centres: 3,
             instances: 8,
             prefill_per_data_centre: 1,
             decode_per_data_centre: 2,
@@ -103,6 +105,7 @@
     pub fn lantern_forge() -> Self {
         Self {
             name: "lantern_forge",
+            data_centres: 3,
             instances: 9,
             prefill_per_data_centre: 2,
             decode_per_data_centre: 2,
@@ -128,14 +131,26 @@
         }
     }
 
-    /// Prefill engines in all three data centres.
+    /// One data centre of 32 instances with this many engines.
+    pub fn large(engines: usize) -> Self {
+        Self {
+            name: "large",
+            data_centres: 1,
+            instances: 32,
+            prefill_per_data_centre: engines / 3,
+            decode_per_data_centre: engines - engines / 3,
+            ..Self::association()
+        }
+    }
+
+    /// Prefill engines in all data centres.
     pub fn prefill_engines(&self) -> f64 {
-        3.0 * self.prefill_per_data_centre as f64
+        self.data_centres as f64 * self.prefill_per_data_centre as f64
     }
 
-    /// Decode engines in all three data centres.
+    /// Decode engines in all data centres.
     pub fn decode_engines(&self) -> f64 {
-        3.0 * self.decode_per_data_centre as f64
+        self.data_centres as f64 * self.decode_per_data_centre as f64
     }
 }
 
--- a/crates/core/benches/policy/world.rs
+++ b/crates/core/benches/policy/world.rs
@@ -117,6 +117,11 @@
 
     /// Runs the case to its end.
     pub fn run(&mut self) {
+        self.run_until(WARM_UP_MS + ARRIVALS_MS + COOL_DOWN_MS);
+    }
+
+    /// Runs the case up to a time.
+    pub fn run_until(&mut self, end_ms: u64) {
         for instance in 0..self.instances.len() {
             self.at(1 + instance as u64 * 6, Item::Tick(instance));
         }
@@ -127,7 +132,6 @@
             }
         }
         self.at(FAULT_MS, Item::FaultBegins);
-        let end_ms = WARM_UP_MS + ARRIVALS_MS + COOL_DOWN_MS;
         while let Some(((at_ms, _), item)) = self.queue.pop_first() {
             if at_ms > end_ms {
                 break;
