Look up less for a choice, and compare only engines that can be used

Cause: each candidate's choice took ten look-ups and a formatted link name; at 1,200 engines the sample was taken before it was known which engines have a fresh load, as heartbeats carry a bounded number of loads, so that requests found no engine. A pause cost a request one of its tries.

Change: link rates and pools are worked out once; beliefs are kept by engine; the sample holds usable engines alone; an arrival serves its own request alone; a request whose owner was asked before a pause waits again without a try spent.

--- a/crates/core/src/estimate/estimates.rs
+++ b/crates/core/src/estimate/estimates.rs
@@ -22,7 +22,7 @@
     any_prefill_ms_per_token: BoundedMean,
     token_ms: BTreeMap<ServerId, BoundedMean>,
     any_token_ms: BoundedMean,
-    transfer_factor: BTreeMap<(DataCentreId, DataCentreId), BoundedMean>,
+    transfer_factor: BTreeMap<DataCentreId, BTreeMap<DataCentreId, BoundedMean>>,
 }
 
 impl Default for Estimates {
@@ -79,24 +79,26 @@
     /// Time of a transfer over a link of the given rate.
     pub fn transfer_ms(
         &self,
-        link: &(DataCentreId, DataCentreId),
+        (from, to): (&DataCentreId, &DataCentreId),
         rate: Option<BytesPerSecond>,
         bytes: u64,
     ) -> Millis {
-        let factor = self.transfer_factor.get(link).map_or(1.0, BoundedMean::value);
+        let learned = self.transfer_factor.get(from).and_then(|links| links.get(to));
+        let factor = learned.map_or(1.0, BoundedMean::value);
         Millis((nominal_transfer_ms(rate, bytes) * factor).ceil() as u64)
     }
 
     /// Takes the time of a finished transfer.
     pub fn learn_transfer(
         &mut self,
-        link: (DataCentreId, DataCentreId),
+        (from, to): (&DataCentreId, &DataCentreId),
         rate: Option<BytesPerSecond>,
         bytes: u64,
         took_ms: Millis,
     ) {
         let sample = took_ms.0.max(1) as f64 / nominal_transfer_ms(rate, bytes).max(1.0);
-        self.transfer_factor.entry(link).or_insert(BoundedMean::new(1.0)).add(sample);
+        let links = self.transfer_factor.entry(from.clone()).or_default();
+        links.entry(to.clone()).or_insert(BoundedMean::new(1.0)).add(sample);
     }
 }
 
--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -34,7 +34,7 @@
                 }
                 self.flows.insert(request, flow);
                 self.admission.waiting.insert(request);
-                self.advance_waiting();
+                self.serve_or_give_up(request);
             }
             Err(kind) => {
                 let retry_after_ms = self.retry_after_ms(request, self.admission.backlog_ms);
@@ -50,19 +50,25 @@
             self.admission.pools.refresh(configuration, self.now.wall_ms);
         }
         self.advance_asks();
-        let now_ms = self.now.mono_ms;
-        for (latest_end_ms, request) in self.waiting_requests() {
-            if now_ms > latest_end_ms {
-                let backlog_ms = self.flows.get(&request).map(|flow| self.least_backlog_ms(flow));
-                self.give_up(request, backlog_ms.unwrap_or_default());
-                continue;
-            }
-            self.serve(request);
+        for request in self.waiting_requests() {
+            self.serve_or_give_up(request);
+        }
+    }
+
+    fn serve_or_give_up(&mut self, request: RequestId) {
+        self.serve(request);
+        let is_waiting = |flow: &&Flow| flow.stage == Stage::Waiting;
+        let Some(flow) = self.flows.get(&request).filter(is_waiting) else {
+            return;
+        };
+        if self.now.mono_ms > self.latest_start_ms(flow) {
+            let backlog_ms = self.least_backlog_ms(flow);
+            self.give_up(request, backlog_ms);
         }
     }
 
     /// Requests that wait for no owner, the most urgent first.
-    fn waiting_requests(&mut self) -> Vec<(Millis, RequestId)> {
+    fn waiting_requests(&mut self) -> Vec<RequestId> {
         let flows = &self.flows;
         self.admission.waiting.retain(|request| flows.contains_key(request));
         let mut requests = Vec::new();
@@ -70,15 +76,19 @@
             let Some(flow) = flows.get(request).filter(|flow| flow.stage == Stage::Waiting) else {
                 continue;
             };
-            let latest_end_ms = if self.admission.mechanisms.has_plan {
-                self.latest_end_ms(flow) - self.work_ms(flow)
-            } else {
-                flow.due_ms()
-            };
-            requests.push((latest_end_ms, *request));
+            requests.push((self.latest_start_ms(flow), *request));
         }
         requests.sort();
-        requests
+        requests.into_iter().map(|(_, request)| request).collect()
+    }
+
+    /// Latest start of a request's prefill that meets its target.
+    fn latest_start_ms(&self, flow: &Flow) -> Millis {
+        if self.admission.mechanisms.has_plan {
+            self.latest_end_ms(flow) - self.work_ms(flow)
+        } else {
+            flow.due_ms()
+        }
     }
 
     /// Time of a request's prefill on an average engine.
@@ -174,7 +184,7 @@
         let (version, _) = served.ok_or(ErrorKind::UnknownModel)?;
         let kv_pieces = configuration.pieces_for(asked.prompt_tokens.0 + asked.max_tokens.0);
         let now_ms = self.now.mono_ms;
-        let mut flow = Flow {
+        Ok(Flow {
             stream: self.stream_id(asked.request, 1),
             work_tokens: asked.prompt_tokens,
             asked: Some(asked),
@@ -199,11 +209,7 @@
             first_token_ms: None,
             broken_reads: 0,
             is_taken_over: false,
-        };
-        if let Some(chosen) = self.choose_prefill(&flow) {
-            flow.work_tokens = self.work_tokens(&flow, &chosen.server);
-        }
-        Ok(flow)
+        })
     }
 
     /// Frees the memory that a request holds at engines, and what owners granted it.
--- a/crates/core/src/node/choice.rs
+++ b/crates/core/src/node/choice.rs
@@ -58,6 +58,7 @@
     pub(super) fn choose_decode(&self, flow: &Flow, source: Option<&ServerId>) -> Option<Chosen> {
         let engines = self.usable_engines(flow, ServerRole::Decode);
         let looked_at = engines.len();
+        let source = source.and_then(|source| self.place_of(source));
         let choices = engines.into_iter().filter_map(|server| {
             let cost = self.decode_cost(flow, source, server)?;
             Some(Choice { server, cost })
@@ -66,35 +67,52 @@
         Some(Chosen { server: best.server.clone(), cost: best.cost, looked_at })
     }
 
+    /// Whether any decode engine has room for what is computed at `source`.
+    pub(super) fn has_decode(&self, flow: &Flow, source: &ServerId) -> bool {
+        let source = self.place_of(source);
+        let engines = self.usable_engines(flow, ServerRole::Decode).into_iter();
+        let mut costs = engines.map(|server| self.decode_cost(flow, source, server));
+        costs.any(|cost| cost.is_some())
+    }
+
+    /// Cost of a decode engine, or nothing where it has no room or can't be used in time.
     fn decode_cost(
         &self,
         flow: &Flow,
-        source: Option<&ServerId>,
+        source: Option<&DataCentreId>,
         server: &ServerId,
     ) -> Option<f64> {
         let load = self.loads.get(server)?.load;
         if load.free_streams == Streams::ZERO || load.free_pieces < flow.kv_pieces {
             return None;
         }
-        let batch = self.batch(server);
+        let known = self.config.in_force()?.servers.get(server)?;
+        let batch = known.stream_limit_streams - load.free_streams;
         let token_ms = self.admission.estimates.token_ms(server, batch + Streams(1));
         let is_limited = self.admission.mechanisms.has_token_limit && batch > PROBE_STREAMS;
         if is_limited && token_ms > flow.targets.per_token_ms.0 as f64 {
             return None;
         }
-        let far_cost = if self.is_near(server) { 0.0 } else { FAR_COST_MS };
+        let is_near = known.data_centre == *self.members.own_data_centre();
         let Some(source) = source else {
-            let far_last = if self.is_near(server) { 0.0 } else { FAR_LAST_COST };
+            let far_last = if is_near { 0.0 } else { FAR_LAST_COST };
             return Some(far_last - load.free_streams.0 as f64);
         };
-        let transfer_ms = self.transfer_ms(flow, source, server);
+        let rate = self.admission.pools.link_rate(source, &known.data_centre);
+        let link = (source, &known.data_centre);
+        let transfer_ms = self.admission.estimates.transfer_ms(link, rate, self.kv_bytes(flow));
         let lasts_ms = match flow.stage {
             Stage::Reseating { .. } => flow.result_until_ms - self.now.mono_ms,
             _ => RESULT_LIFE_MS,
         };
+        let far_cost = if is_near { 0.0 } else { FAR_COST_MS };
         (transfer_ms < lasts_ms).then_some(transfer_ms.0 as f64 + token_ms + far_cost)
     }
 
+    fn place_of(&self, server: &ServerId) -> Option<&DataCentreId> {
+        Some(&self.config.in_force()?.servers.get(server)?.data_centre)
+    }
+
     /// Streams that an engine holds, as far as known.
     pub(super) fn batch(&self, server: &ServerId) -> Streams {
         let limit = self.config.in_force().and_then(|known| known.servers.get(server));
@@ -111,11 +129,10 @@
         let Some(pool) = self.admission.pools.pool(&asked.model, version, role) else {
             return Vec::new();
         };
-        let seed = asked.prefix_hashes.first().copied().unwrap_or(asked.request.0);
-        let sample = pool.sample(self.members.own_data_centre(), seed + flow.attempt - 1);
+        let seed = asked.prefix_hashes.first().copied().unwrap_or(asked.request.0) >> 1;
         let is_usable =
-            |server: &&ServerId| !flow.excluded.contains(*server) && self.is_usable(server);
-        sample.into_iter().filter(is_usable).collect()
+            |server: &ServerId| !flow.excluded.contains(server) && self.is_usable(server);
+        pool.sample(self.members.own_data_centre(), seed + flow.attempt - 1, is_usable)
     }
 
     fn is_usable(&self, server: &ServerId) -> bool {
@@ -177,15 +194,15 @@
         let Some((link, rate, bytes)) = self.transfer_over(flow, from, to) else {
             return Millis::ZERO;
         };
-        self.admission.estimates.transfer_ms(&link, rate, bytes)
+        self.admission.estimates.transfer_ms(link, rate, bytes)
     }
 
     /// Predicted time from the end of a prefill to the first token, within a data centre.
     pub(super) fn tail_ms(&self, flow: &Flow) -> Millis {
         let own = self.members.own_data_centre();
-        let link = (own.clone(), own.clone());
-        let rate = self.link_rate(&link);
-        let transfer_ms = self.admission.estimates.transfer_ms(&link, rate, self.kv_bytes(flow));
+        let rate = self.admission.pools.link_rate(own, own);
+        let bytes = self.kv_bytes(flow);
+        let transfer_ms = self.admission.estimates.transfer_ms((own, own), rate, bytes);
         transfer_ms + Millis(self.admission.estimates.usual_token_ms(USUAL_BATCH).ceil() as u64)
     }
 
@@ -195,19 +212,13 @@
         flow: &Flow,
         from: &ServerId,
         to: &ServerId,
-    ) -> Option<((DataCentreId, DataCentreId), Option<BytesPerSecond>, u64)> {
+    ) -> Option<((&DataCentreId, &DataCentreId), Option<BytesPerSecond>, u64)> {
         let servers = &self.config.in_force()?.servers;
-        let place = |server| servers.get(server).map(|known| known.data_centre.clone());
-        let link = (place(from)?, place(to)?);
-        let rate = self.link_rate(&link);
+        let link = (&servers.get(from)?.data_centre, &servers.get(to)?.data_centre);
+        let rate = self.admission.pools.link_rate(link.0, link.1);
         Some((link, rate, self.kv_bytes(flow)))
     }
 
-    fn link_rate(&self, link: &(DataCentreId, DataCentreId)) -> Option<BytesPerSecond> {
-        let links = &self.config.in_force()?.links;
-        links.get(&format!("{}.{}", link.0, link.1)).map(|known| known.rate_bytes_per_second)
-    }
-
     fn kv_bytes(&self, flow: &Flow) -> u64 {
         let per_token = self.config.in_force().map_or(0, |known| known.limits.kv_bytes_per_token.0);
         flow.asked.as_ref().map_or(0, |asked| asked.prompt_tokens.0 * per_token)
--- a/crates/core/src/node/member_path.rs
+++ b/crates/core/src/node/member_path.rs
@@ -135,11 +135,12 @@
         self.held_messages.clear();
         self.sync.restart(now_ms);
         (self.next_beat_ms, self.next_poll_ms) = (Millis::ZERO, Millis::ZERO);
-        let is_asking = |stage: Stage| matches!(stage, Stage::Asking { .. });
+        let is_asking =
+            |stage: Stage| matches!(stage, Stage::AskingSlot { .. } | Stage::Asking { .. });
         let asking = self.flows.iter().filter(|(_, flow)| is_asking(flow.stage));
         let asking: Vec<_> = asking.map(|(request, _)| *request).collect();
         for request in asking {
-            self.retry(request, "woken");
+            self.wait_again(request);
         }
     }
 
--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -201,7 +201,9 @@
         };
         let took_ms = self.now.mono_ms - flow.stage_ms;
         if let Some((link, rate, bytes)) = self.transfer_over(flow, from, to) {
-            self.admission.estimates.learn_transfer(link, rate, bytes, took_ms);
+            let link = (link.0.clone(), link.1.clone());
+            let estimates = &mut self.admission.estimates;
+            estimates.learn_transfer((&link.0, &link.1), rate, bytes, took_ms);
         }
     }
 
--- a/crates/core/src/node/turn_path.rs
+++ b/crates/core/src/node/turn_path.rs
@@ -30,7 +30,7 @@
         let Some(chosen) = self.choose_prefill(flow) else {
             return;
         };
-        if self.choose_decode(flow, Some(&chosen.server)).is_none() {
+        if !self.has_decode(flow, &chosen.server) {
             return;
         }
         let fields = vec![
@@ -250,7 +250,7 @@
     }
 
     /// Puts a request back among those that wait; it holds nothing then.
-    fn wait_again(&mut self, request: RequestId) {
+    pub(super) fn wait_again(&mut self, request: RequestId) {
         self.release_slot(request);
         if let Some(flow) = self.flows.get_mut(&request) {
             flow.prefill = None;
--- a/crates/core/src/route/pools.rs
+++ b/crates/core/src/route/pools.rs
@@ -5,12 +5,14 @@
 use crate::config::Configuration;
 use crate::config::document::ServerRole;
 use crate::ids::{ConfigVersion, DataCentreId, ModelId, ModelVersion, ServerId};
-use crate::units::WallMillis;
+use crate::units::{BytesPerSecond, WallMillis};
 
 /// Milliseconds in a minute.
 const MS_PER_MINUTE: u64 = 60_000;
-/// Engines looked at for one choice where a pool is larger.
-const MAX_LOOKED_AT: usize = 12;
+/// Engines compared for one choice where a pool is larger.
+const MAX_CHOICES: usize = 8;
+/// Engines looked at to find those that can be used.
+const MAX_LOOKED_AT: usize = 64;
 
 /// Engines of one role that serve one version of a model.
 #[derive(Clone, Debug, Default)]
@@ -25,6 +27,7 @@
     version: Option<ConfigVersion>,
     minute: Option<u64>,
     by_model: BTreeMap<(ModelId, ModelVersion), BTreeMap<ServerRole, Pool>>,
+    link_rates: BTreeMap<DataCentreId, BTreeMap<DataCentreId, BytesPerSecond>>,
 }
 
 impl Pools {
@@ -40,6 +43,7 @@
         let has_schedule = known.any(|server| server.role_schedule.is_some());
         self.minute = minute.filter(|_| has_schedule);
         self.version = Some(configuration.version);
+        self.refresh_links(configuration);
         self.by_model.clear();
         for (model, known) in &configuration.models {
             for (version, served) in &known.versions {
@@ -56,6 +60,25 @@
         }
     }
 
+    fn refresh_links(&mut self, configuration: &Configuration) {
+        self.link_rates.clear();
+        for (name, link) in &configuration.links {
+            let Some((from, to)) = name.split_once('.') else {
+                continue;
+            };
+            let (Ok(from), Ok(to)) = (from.parse(), to.parse()) else {
+                continue;
+            };
+            let rates = self.link_rates.entry(from).or_default();
+            rates.insert(to, link.rate_bytes_per_second);
+        }
+    }
+
+    /// The rate of the link between two data centres.
+    pub fn link_rate(&self, from: &DataCentreId, to: &DataCentreId) -> Option<BytesPerSecond> {
+        self.link_rates.get(from)?.get(to).copied()
+    }
+
     /// The engines of one role that serve a version.
     pub fn pool(&self, model: &ModelId, version: &ModelVersion, role: ServerRole) -> Option<&Pool> {
         self.by_model.get(&(model.clone(), version.clone()))?.get(&role)
@@ -73,25 +96,36 @@
         self.len == 0
     }
 
-    /// Engines to choose from, those of `place` first: all of a small pool, else a sample that
-    /// differs with `seed`, so that instances don't all turn to the same engine.
-    pub fn sample(&self, place: &DataCentreId, seed: u64) -> Vec<&ServerId> {
+    /// Engines to choose from, those of `place` first: all usable ones of a small pool, else a
+    /// sample that differs with `seed`, so that instances don't all turn to the same engine.
+    pub fn sample(
+        &self,
+        place: &DataCentreId,
+        seed: u64,
+        is_usable: impl Fn(&ServerId) -> bool,
+    ) -> Vec<&ServerId> {
         let mut sample = Vec::new();
         let near = self.by_place.get(place).map_or(&[][..], Vec::as_slice);
-        take(&mut sample, near, seed, MAX_LOOKED_AT);
+        take(&mut sample, near, seed, MAX_CHOICES, &is_usable);
         let others = self.by_place.iter().filter(|(other, _)| *other != place);
         for (_, servers) in others {
-            take(&mut sample, servers, seed, MAX_LOOKED_AT / 2);
+            take(&mut sample, servers, seed, MAX_CHOICES / 2, &is_usable);
         }
         sample
     }
 }
 
-fn take<'a>(sample: &mut Vec<&'a ServerId>, servers: &'a [ServerId], seed: u64, most: usize) {
+fn take<'a>(
+    sample: &mut Vec<&'a ServerId>,
+    servers: &'a [ServerId],
+    seed: u64,
+    most: usize,
+    is_usable: impl Fn(&ServerId) -> bool,
+) {
     if servers.is_empty() {
         return;
     }
     let first = (seed % servers.len() as u64) as usize;
-    let turned = servers[first..].iter().chain(&servers[..first]);
-    sample.extend(turned.take(most));
+    let turned = servers[first..].iter().chain(&servers[..first]).take(MAX_LOOKED_AT);
+    sample.extend(turned.filter(|server| is_usable(server)).take(most));
 }
