--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -72,7 +72,7 @@
         };
         self.flows.insert(request, flow);
         let seat = StreamOnServer { server: cursor.server, stream: cursor.stream };
-        self.tell_owner(&seat.server.clone(), PeerMessage::Claim(seat));
+        self.claim(seat);
         self.read_tokens(request);
     }
 
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -4,7 +4,7 @@
 
 use crate::action::Action;
 use crate::ids::ServerId;
-use crate::membership::ServerLoad;
+use crate::membership::{ServerLoad, rendezvous};
 use crate::message::{PeerMessage, SeatReply, SeatRequest, StreamOnServer};
 use crate::node::{KnownLoad, Node};
 use crate::report::{Holder, LoadReport};
@@ -14,6 +14,9 @@
 /// Time between polls of a server's report.
 const POLL_MS: Millis = Millis(500);
 
+/// Members in line for an engine that are told of a claim.
+const CLAIMED_OWNERS: usize = 3;
+
 /// Time between two claims of one stream that was taken over.
 const CLAIM_MS: Millis = Millis(1_000);
 
@@ -187,7 +190,33 @@
             seats.push(StreamOnServer { server, stream: flow.stream.clone() });
         }
         for seat in seats {
+            self.claim(seat);
+        }
+    }
+
+    /// Claims a stream at the first members in line for its engine: views of who is its owner may
+    /// differ for longer than a lease lasts.
+    pub(super) fn claim(&mut self, seat: StreamOnServer) {
+        let Some(configuration) = self.config.in_force() else {
+            return;
+        };
+        let Some(known) = configuration.servers.get(&seat.server) else {
+            return;
+        };
+        let members = self.members.members_of(&known.data_centre);
+        let first = rendezvous::first(seat.server.as_str(), members, CLAIMED_OWNERS);
+        let first: Vec<_> = first.into_iter().cloned().collect();
+        let own = self.members.own_holder();
+        if first.is_empty() {
             self.tell_owner(&seat.server.clone(), PeerMessage::Claim(seat));
+            return;
+        }
+        for member in first {
+            if member == own.instance {
+                self.take_claim(&own, &seat);
+                continue;
+            }
+            self.send(&member, PeerMessage::Claim(seat.clone()));
         }
     }
 
