--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -379,6 +379,15 @@
         rendezvous::owner(key, self.working.values().flatten())
     }
 
+    /// Members of a data centre that may take work: those heard and those that the platform lists.
+    pub fn possible_members_of(&self, data_centre: &DataCentreId) -> BTreeSet<&InstanceId> {
+        let is_there = |listed: &ListedInstance| {
+            listed.data_centre == *data_centre && listed.state == ListedState::Live
+        };
+        let listed = self.listed.iter().filter(|(_, listed)| is_there(listed));
+        listed.map(|(id, _)| id).chain(self.members_of(data_centre)).collect()
+    }
+
     /// Whether the platform lists a live instance in a data centre.
     pub fn is_listed_alive(&self, data_centre: &DataCentreId) -> bool {
         self.listed_alive.contains(data_centre)
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -194,8 +194,8 @@
         }
     }
 
-    /// Claims a stream at the first members in line for its engine: views of who is its owner may
-    /// differ for longer than a lease lasts.
+    /// Claims a stream at the first members in line for its engine, heard or listed: views of who
+    /// is its owner may differ for longer than a lease lasts.
     pub(super) fn claim(&mut self, seat: StreamOnServer) {
         let Some(configuration) = self.config.in_force() else {
             return;
@@ -203,7 +203,7 @@
         let Some(known) = configuration.servers.get(&seat.server) else {
             return;
         };
-        let members = self.members.members_of(&known.data_centre);
+        let members = self.members.possible_members_of(&known.data_centre);
         let first = rendezvous::first(seat.server.as_str(), members, CLAIMED_OWNERS);
         let first: Vec<_> = first.into_iter().cloned().collect();
         let own = self.members.own_holder();
--- a/crates/core/tests/soak_world/platform.rs
+++ b/crates/core/tests/soak_world/platform.rs
@@ -97,9 +97,14 @@
         "version": version,
         "caller_kinds": {"printer": {
             "time_zone": "Africa/Dakar", "goodput_weight": 1.0, "wasted_prefill_weight": 1.0,
-            "windows": {"all": {
-                "from": "00:00", "until": "24:00", "first_token_ms": 3_000, "per_token_ms": 100,
-            }},
+            "windows": {
+                "day": {
+                    "from": "07:00", "until": "20:00", "first_token_ms": 2_000, "per_token_ms": 100,
+                },
+                "night": {
+                    "from": "20:00", "until": "07:00", "first_token_ms": 5_000, "per_token_ms": 200,
+                },
+            },
         }},
         "models": {"quote": {
             "default_version": "v1", "versions": {"v1": {"servers": engines}},
--- a/crates/wire/tests/peer_messages.rs
+++ b/crates/wire/tests/peer_messages.rs
@@ -23,7 +23,7 @@
 fn any_message(source: &mut Gen) -> PeerMessage {
     let number = u64::arbitrary(source);
     let request = RequestId(number);
-    match number % 6 {
+    match number % 8 {
         0 => PeerMessage::SeatRequest(SeatRequest {
             request,
             seat: seat(),
@@ -44,6 +44,8 @@
             version: ConfigVersion(number),
             patch: json!({"routes": {String::arbitrary(source): number}}),
         }]),
+        5 => PeerMessage::Claim(seat()),
+        6 => PeerMessage::LeaseCheck(vec![seat(); number as usize % 3]),
         _ => PeerMessage::Document(ConfigVersion(number), json!([String::arbitrary(source)])),
     }
 }
