--- a/crates/core/src/membership/spread.rs
+++ b/crates/core/src/membership/spread.rs
@@ -4,7 +4,8 @@
 //! Inside a data centre each beat sends two messages over the ring of live members, at distances
 //! of one, two, four and so on in turn, so that news reaches all within half as many beats as the
 //! number of members has bits. For each other data centre two members are representatives and
-//! send it, in alternate beats, a message that carries a summary. A change of the live members is told to all represented data centres at once.
+//! send it, in alternate beats, a message that carries a summary. A change of the live members is
+//! told to all represented data centres at once.
 
 use crate::ids::{DataCentreId, InstanceId, MemberKey};
 use crate::membership::digest::{MemberBeat, MemberDigest};
--- a/crates/turmericrail/benches/slopes/main.rs
+++ b/crates/turmericrail/benches/slopes/main.rs
@@ -1,7 +1,8 @@
 //! How the cost of control grows: `cargo bench --bench slopes`.
 //!
-//! Parts are chosen by name: `framing`, `core`, `documents`, `processes`, `restarts`. Rows of measured figures and, below each table, the exponent with which a figure grows between
-//! the first and the last row. Nothing here is a test: no figure is asserted.
+//! Parts are chosen by name: `framing`, `core`, `documents`, `processes`, `restarts`. Each prints
+//! rows of measured figures and, where it tells something, the exponent with which a figure grows
+//! between the first and the last row. Nothing here is a test: no figure is asserted.
 
 mod core_alone;
 mod documents;
