Tell the members in line for an engine that its streams have a live holder

Change: signs of life towards owners in other data centres go to the same three members in line as claims. The fleet of the fakes removes its folder at its end.

--- a/crates/core/src/node/member_path.rs
+++ b/crates/core/src/node/member_path.rs
@@ -259,7 +259,7 @@
         let held: BTreeSet<&ServerId> =
             self.flows.values().filter_map(|flow| flow.decode.as_ref()).collect();
         let remote = held.into_iter().filter(|server| !self.is_in_own_data_centre(server));
-        let owners: BTreeSet<_> = remote.filter_map(|server| self.owner_of(server)).collect();
+        let owners: BTreeSet<_> = remote.flat_map(|server| self.members_in_line(server)).collect();
         for owner in owners {
             self.send(&owner, PeerMessage::Keepalive);
         }
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::action::Action;
-use crate::ids::ServerId;
+use crate::ids::{InstanceId, ServerId};
 use crate::membership::{ServerLoad, rendezvous};
 use crate::message::{PeerMessage, SeatReply, SeatRequest, StreamOnServer};
 use crate::node::{KnownLoad, Node};
@@ -14,8 +14,8 @@
 /// Time between polls of a server's report.
 const POLL_MS: Millis = Millis(500);
 
-/// Members in line for an engine that are told of a claim.
-const CLAIMED_OWNERS: usize = 3;
+/// Members in line for a server that hear of streams held there.
+const MEMBERS_IN_LINE: usize = 3;
 
 /// Time between two claims of one stream that was taken over.
 const CLAIM_MS: Millis = Millis(1_000);
@@ -192,24 +192,15 @@
         }
     }
 
-    /// Claims a stream at the first members in line for its engine, heard or listed: views of who
-    /// is its owner may differ for longer than a lease lasts.
+    /// Claims a stream at the members in line for its engine.
     pub(super) fn claim(&mut self, seat: StreamOnServer) {
-        let Some(configuration) = self.config.in_force() else {
-            return;
-        };
-        let Some(known) = configuration.servers.get(&seat.server) else {
-            return;
-        };
-        let members = self.members.possible_members_of(&known.data_centre);
-        let first = rendezvous::first(seat.server.as_str(), members, CLAIMED_OWNERS);
-        let first: Vec<_> = first.into_iter().cloned().collect();
         let own = self.members.own_holder();
-        if first.is_empty() {
+        let members = self.members_in_line(&seat.server);
+        if members.is_empty() {
             self.tell_owner(&seat.server.clone(), PeerMessage::Claim(seat));
             return;
         }
-        for member in first {
+        for member in members {
             if member == own.instance {
                 self.take_claim(&own, &seat);
                 continue;
@@ -218,6 +209,18 @@
         }
     }
 
+    /// The first members, heard or listed, in line for a server: views of who is its owner may
+    /// differ for longer than a lease lasts.
+    pub(super) fn members_in_line(&self, server: &ServerId) -> Vec<InstanceId> {
+        let servers = self.config.in_force().map(|configuration| &configuration.servers);
+        let Some(known) = servers.and_then(|servers| servers.get(server)) else {
+            return Vec::new();
+        };
+        let members = self.members.possible_members_of(&known.data_centre);
+        let first = rendezvous::first(server.as_str(), members, MEMBERS_IN_LINE);
+        first.into_iter().cloned().collect()
+    }
+
     /// Drops accounts after a pause: what they say of others may be long over. They are built
     /// anew from the next reports.
     pub(super) fn distrust_accounts(&mut self, gap_ms: Millis) {
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -152,6 +152,15 @@
     }
 }
 
+impl Drop for Fleet {
+    /// Removes settings and logs, unless a failed test may want them.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.plan.folder);
+        }
+    }
+}
+
 impl Fleet {
     /// Starts everything and waits until each instance is ready.
     pub async fn start(plan: FleetPlan) -> std::io::Result<Self> {
