--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -43,6 +43,7 @@
     SLOW_DECODE, SLOW_PREFILL, World,
 };
 
+/// Seed of the workload where `--seed=N` names no other.
 const SEED: u64 = 7;
 const LARGE_ENGINES: [usize; 4] = [75, 300, 1_200, 4_800];
 const LARGE_REQUESTS: usize = 2_000;
@@ -103,7 +104,7 @@
     let has_ablations = std::env::args().any(|arg| arg == "--ablations");
     for case in cases() {
         let flood_from_ms = if case.fault == Fault::Flood { FAULT_MS } else { u64::MAX };
-        let asked = requests(&case.deployment, case.load, SEED, flood_from_ms);
+        let asked = requests(&case.deployment, case.load, seed(), flood_from_ms);
         let bound = bound::upper_bound(&asked, &case.engines());
         let policies = if has_ablations { ablations() } else { policies() };
         for policy in policies {
@@ -122,11 +123,16 @@
     }
 }
 
+fn seed() -> u64 {
+    let named = std::env::args().find_map(|arg| arg.strip_prefix("--seed=")?.parse().ok());
+    named.unwrap_or(SEED)
+}
+
 /// Processor time of the decisions on one request by the number of engines.
 fn measure_cost() {
     for engines in LARGE_ENGINES {
         let deployment = Deployment::large(engines);
-        let mut asked = requests(&deployment, 0.9, SEED, u64::MAX);
+        let mut asked = requests(&deployment, 0.9, seed(), u64::MAX);
         asked.truncate(LARGE_REQUESTS);
         let last_ms = asked.last().map_or(0, |asked| asked.arrives_ms);
         let spent = cost::Spent::default();
