--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -11,6 +11,9 @@
 use crate::report::Holder;
 use crate::units::{KvPieces, Millis};
 
+/// Scale of the cost in a [`SeatRequest`].
+pub const COST_SCALE: f64 = 1_000.0;
+
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Envelope {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod choice;
 mod config_path;
 mod invariants;
+mod learn_path;
 mod member_path;
 mod model_path;
 mod ownership;
--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -26,8 +26,6 @@
 const MAX_BROKEN_READS: u64 = 3;
 /// Wait told to callers that resume at an instance without a configuration.
 const NOT_READY_MS: Millis = Millis(2_000);
-/// Shortest answer whose token rate is learned from.
-const MIN_LEARNED_TOKENS: u64 = 8;
 
 impl Node {
     pub(super) fn take_resume_request(&mut self, request: RequestId, cursor: &str) {
@@ -137,24 +135,6 @@
         self.advance_waiting();
     }
 
-    fn learn_prefill(&mut self, request: RequestId, cached_tokens: Tokens) {
-        let Some(flow) = self.flows.get(&request) else {
-            return;
-        };
-        let (Some(asked), Some(server)) = (&flow.asked, &flow.prefill) else {
-            return;
-        };
-        let now_ms = self.now.mono_ms;
-        let took_ms = now_ms - flow.stage_ms - flow.wait_ms;
-        let computed = asked.prompt_tokens - cached_tokens;
-        let admission = &mut self.admission;
-        if admission.mechanisms.has_slots {
-            admission.estimates.learn_prefill(server, computed, took_ms);
-        }
-        admission.beliefs.learn(now_ms, server, &asked.prefix_hashes);
-        admission.suspects.succeed(server);
-    }
-
     /// Starts the transfer to the decode engine whose seat was granted.
     pub(super) fn start_transfer(&mut self, request: RequestId) {
         let Some(call) = self.transfer_call(request) else {
@@ -192,21 +172,6 @@
         self.read_tokens(request);
     }
 
-    fn learn_transfer(&mut self, request: RequestId) {
-        let Some(flow) = self.flows.get(&request) else {
-            return;
-        };
-        let (Some(from), Some(to)) = (&flow.prefill, &flow.decode) else {
-            return;
-        };
-        let took_ms = self.now.mono_ms - flow.stage_ms;
-        if let Some((link, rate, bytes)) = self.transfer_over(flow, from, to) {
-            let link = (link.0.clone(), link.1.clone());
-            let estimates = &mut self.admission.estimates;
-            estimates.learn_transfer((&link.0, &link.1), rate, bytes, took_ms);
-        }
-    }
-
     /// Takes the same KV cache to another decode engine while it lasts; a second prefill is the
     /// last resort. An engine that stalled may have taken the cache with it: where the next one
     /// fails at once, it is not to blame.
@@ -265,26 +230,6 @@
         self.advance_waiting();
     }
 
-    fn learn_tokens(&mut self, request: RequestId) {
-        let Some(flow) = self.flows.get(&request) else {
-            return;
-        };
-        let (Some(asked), Some(server)) = (&flow.asked, &flow.decode) else {
-            return;
-        };
-        let Some(first_ms) = flow.first_token_ms.filter(|_| flow.attempt == 1) else {
-            return;
-        };
-        let tokens = asked.max_tokens.0;
-        if tokens < MIN_LEARNED_TOKENS {
-            return;
-        }
-        let token_ms = (self.now.mono_ms - first_ms).0 as f64 / (tokens - 1) as f64;
-        let batch = Streams((flow.batch.0 + self.batch(server).0) / 2);
-        self.admission.estimates.learn_token(server, batch, token_ms);
-        self.admission.suspects.succeed(server);
-    }
-
     /// Frees what the present try holds and starts the next one, or gives up.
     pub(super) fn retry(&mut self, request: RequestId, reason: &'static str) {
         self.free_engines(request);
--- a/crates/core/src/node/queue_path.rs
+++ b/crates/core/src/node/queue_path.rs
@@ -2,15 +2,13 @@
 
 use crate::admission::{SlotAnswer, SlotRequest, keep_all, plan};
 use crate::ids::ServerId;
-use crate::message::{SeatReply, SeatRequest, StreamOnServer};
+use crate::message::{COST_SCALE, SeatReply, SeatRequest, StreamOnServer};
 use crate::node::Node;
 use crate::report::Holder;
 use crate::units::Millis;
 
 /// Backlog told to those who ask for an engine that can't be used.
 const UNUSABLE_MS: Millis = Millis(1_000);
-/// Scale of costs in messages.
-const COST_SCALE: f64 = 1_000.0;
 
 impl Node {
     pub(super) fn take_slot_request(&mut self, from: &Holder, asked: SeatRequest) {
--- a/crates/core/src/node/turn_path.rs
+++ b/crates/core/src/node/turn_path.rs
@@ -1,8 +1,9 @@
 //! A request's turn: the slot at a prefill engine, then the seat at a decode engine, both lined up
 //! before the prefill starts.
 
+use crate::config::document::ServerRole;
 use crate::ids::{RequestId, ServerId, StreamId};
-use crate::message::{PeerMessage, SeatReply, SeatRequest, StreamOnServer};
+use crate::message::{COST_SCALE, PeerMessage, SeatReply, SeatRequest, StreamOnServer};
 use crate::node::Node;
 use crate::request::{Flow, Stage};
 use crate::units::{KvPieces, Millis, Streams};
@@ -11,8 +12,6 @@
 const SEAT_TIMEOUT_MS: Millis = Millis(300);
 /// Time between requests for the same turn.
 const ASK_AGAIN_MS: Millis = Millis(500);
-/// Scale of costs in messages.
-const COST_SCALE: f64 = 1_000.0;
 /// Backlog assumed of an engine whose owner did not answer.
 const OWNER_SILENT_MS: Millis = Millis(1_000);
 
@@ -316,7 +315,8 @@
 
     /// Whether any usable engine of each role is known for a request.
     pub(super) fn has_engines(&self, flow: &Flow) -> bool {
-        use crate::config::document::ServerRole::{Decode, Prefill};
-        [Prefill, Decode].iter().all(|role| !self.usable_engines(flow, *role).is_empty())
+        [ServerRole::Prefill, ServerRole::Decode]
+            .iter()
+            .all(|role| !self.usable_engines(flow, *role).is_empty())
     }
 }
