--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod admit_path;
 mod choice;
 mod config_path;
+mod decode_path;
 mod invariants;
 mod learn_path;
 mod member_path;
--- a/crates/turmericctl/tests/mistakes.rs
+++ b/crates/turmericctl/tests/mistakes.rs
@@ -15,6 +15,9 @@
     says: &'static [&'static str],
 }
 
+/// An instance id of 70 letters.
+const LONG_ID: &str = "aaaaaaaaaabbbbbbbbbbccccccccccddddddddddeeeeeeeeeeffffffffffgggggggggg";
+
 fn mistake(
     name: &'static str,
     from: &'static str,
@@ -111,6 +114,7 @@
             &["max_body_bytes", "raise"],
         ),
         mistake("short key", "change-me-0123456789", "short", "short", &["seal_key", "16 bytes"]),
+        mistake("long id", "dakar-1-1", LONG_ID, LONG_ID, &["instance", "64 characters"]),
         mistake("log level", "level: info", "level: loud", "loud", &["log_level", "debug"]),
         mistake(
             "empty deployment",
--- a/crates/turmericrail/src/settings.rs
+++ b/crates/turmericrail/src/settings.rs
@@ -16,6 +16,8 @@
 
 /// Most threads that run tasks.
 const MAX_WORKER_THREADS: usize = 64;
+/// Longest instance id, which leaves room for the numbers of a stream id.
+const MAX_INSTANCE_ID_BYTES: usize = 64;
 /// Least length of the seal key.
 const MIN_SEAL_KEY_BYTES: usize = 16;
 
@@ -110,6 +112,9 @@
         if self.deployment.trim().is_empty() {
             return error("deployment", "must not be empty: name the deployment");
         }
+        if self.instance.as_str().len() > MAX_INSTANCE_ID_BYTES {
+            return error("instance", "too long: use at most 64 characters");
+        }
         if self.seal_key.len() < MIN_SEAL_KEY_BYTES {
             return error(
                 "seal_key",
