Let a caller resume with its cursor and its request in one call

Cause: a resumption carried no prompt, so a stream whose decode engine died after, or together with, its entry instance ended in cursor_expired and the caller had to start anew.

Change: POST /v1/completions/resume takes the body of the first request beside last-event-id. The stream is taken over where the engine holds it; else the request passes the checks of a new one, spends a retry, and is read from the caller's next index. The sealed cursor names the model version and a hash of the request: another request is bad_cursor, a version that is no longer served is version_removed (new error kind). Cursors of earlier releases stay readable. A resumption that passed on no token and finds the budget spent gets overloaded with a wait, one that did stream_broken, never not_run. One log event more: resume. The soak's callers send their request along in 70 of 100 cases; one of those told cursor_expired or bad_cursor is a violation. The soak prints retries by reason.

The property of altered cursors in sealed_texts covers both forms.

--- a/crates/core/benches/policy/simple.rs
+++ b/crates/core/benches/policy/simple.rs
@@ -181,6 +181,7 @@
             takes_over: false,
             from_index: 0,
             silence_ms: SILENCE_MS,
+            binding: None,
         })]
     }
 
--- a/crates/core/benches/policy/world.rs
+++ b/crates/core/benches/policy/world.rs
@@ -270,6 +270,7 @@
             prompt_tokens: Tokens(asked.prompt_tokens),
             max_tokens: Tokens(asked.max_tokens),
             prefix_hashes: asked.hashes.clone(),
+            fingerprint: index as u64,
         };
         self.tell(asked.instance, Event::ModelRequest(request));
     }
--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -8,6 +8,7 @@
 use crate::message::Envelope;
 use crate::placement::EngineOrder;
 use crate::report::Holder;
+use crate::request::RequestBinding;
 use crate::units::{KvPieces, Millis, Tokens};
 
 /// A backend server and where it is reached.
@@ -78,6 +79,8 @@
     pub from_index: u64,
     /// Longest silence before the stream counts as broken.
     pub silence_ms: Millis,
+    /// What the cursors of its tokens are bound to.
+    pub binding: Option<RequestBinding>,
 }
 
 /// One try of a plain call.
--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -94,6 +94,7 @@
     CopyRefused, "copy_refused", 400, Unknown, false, "This copy of the call was refused before its ticket was looked at; an earlier copy may have run.";
     BadCursor, "bad_cursor", 400, NotRun, false, "The cursor was not issued by this deployment or was altered.";
     CursorExpired, "cursor_expired", 410, Unknown, false, "The stream that the cursor names is no longer held by its engine.";
+    VersionRemoved, "version_removed", 410, Unknown, false, "The stream is no longer held by its engine, and the model version that began the answer is no longer served.";
     HeadRefused, "head_refused", 400, Unknown, false, "The head of the request was refused, so nothing of it was read; an earlier copy may have run.";
     TooManyConnections, "too_many_connections", 503, Unknown, true, "This instance has as many connections as its settings allow, so nothing of the request was read; an earlier copy may have run.";
     DeadlineUnreachable, "deadline_unreachable", 503, NotRun, true, "The target for this caller kind and hour can't be met at the present load.";
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -43,6 +43,8 @@
     pub max_tokens: Tokens,
     /// Hash of each prefix of the prompt, shortest first, a fixed block apart.
     pub prefix_hashes: Vec<u64>,
+    /// Hash of the whole request, by which a cursor is tied to it.
+    pub fingerprint: u64,
 }
 
 /// A call to a plain service; its body stays at the caller edge.
@@ -108,6 +110,8 @@
         request: RequestId,
         /// The cursor, as the caller sent it.
         cursor: String,
+        /// The request whose answer it continues, where the caller sent it along.
+        asked: Option<ModelRequest>,
     },
     /// A caller asks for tickets.
     TicketRequest {
--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -2,12 +2,13 @@
 
 use std::collections::BTreeSet;
 
+use crate::config::window::Targets;
 use crate::error_kind::ErrorKind;
 use crate::event::ModelRequest;
-use crate::ids::RequestId;
+use crate::ids::{ModelVersion, RequestId};
 use crate::membership::rendezvous::stable_hash;
 use crate::node::Node;
-use crate::request::{Flow, Stage};
+use crate::request::{Flow, RequestBinding, Stage};
 use crate::units::{Millis, Streams};
 
 /// Least and greatest wait told to callers that are turned away.
@@ -133,10 +134,10 @@
             return;
         };
         let waited_ms = self.now.mono_ms - flow.arrived_ms;
-        let kind = match flow.first_token_ms {
-            Some(_) => ErrorKind::StreamBroken,
-            None if !self.has_engines(flow) => ErrorKind::NoServer,
-            None => ErrorKind::DeadlineUnreachable,
+        let kind = match flow.has_passed_tokens() {
+            true => ErrorKind::StreamBroken,
+            false if !self.has_engines(flow) => ErrorKind::NoServer,
+            false => ErrorKind::DeadlineUnreachable,
         };
         let fields = vec![
             ("waited_ms", waited_ms.0.to_string()),
@@ -169,7 +170,8 @@
         Millis(wait_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end()))
     }
 
-    fn start_flow(&mut self, asked: ModelRequest) -> Result<Flow, ErrorKind> {
+    /// Checks whether new work is taken for a request, and gives its targets and its version.
+    pub(super) fn admit(&self, asked: &ModelRequest) -> Result<(Targets, ModelVersion), ErrorKind> {
         if self.is_leaving {
             return Err(ErrorKind::ShuttingDown);
         }
@@ -182,13 +184,19 @@
         let targets = kind.at(self.now.wall_ms).ok_or(ErrorKind::NotReady)?;
         let served = configuration.served_version(&asked.model, asked.version.as_ref());
         let (version, _) = served.ok_or(ErrorKind::UnknownModel)?;
+        Ok((targets, version))
+    }
+
+    fn start_flow(&mut self, asked: ModelRequest) -> Result<Flow, ErrorKind> {
+        let (targets, version) = self.admit(&asked)?;
+        let configuration = self.config.in_force().ok_or(ErrorKind::NotReady)?;
         let kv_pieces = configuration.pieces_for(asked.prompt_tokens.0 + asked.max_tokens.0);
         let now_ms = self.now.mono_ms;
         Ok(Flow {
             stream: self.stream_id(asked.request, 1),
             work_tokens: asked.prompt_tokens,
+            binding: Some(RequestBinding { version, fingerprint: asked.fingerprint }),
             asked: Some(asked),
-            version: Some(version),
             targets,
             arrived_ms: now_ms,
             due_from_ms: now_ms,
@@ -203,6 +211,7 @@
             has_stalled_transfer: false,
             batch: Streams::ZERO,
             kv_pieces,
+            first_index: 0,
             next_index: 0,
             refused: BTreeSet::new(),
             excluded: BTreeSet::new(),
--- a/crates/core/src/node/choice.rs
+++ b/crates/core/src/node/choice.rs
@@ -123,10 +123,10 @@
 
     /// Engines that may serve a request: fresh load, not leaving, not ejected.
     pub(super) fn usable_engines(&self, flow: &Flow, role: ServerRole) -> Vec<&ServerId> {
-        let (Some(asked), Some(version)) = (&flow.asked, &flow.version) else {
+        let (Some(asked), Some(binding)) = (&flow.asked, &flow.binding) else {
             return Vec::new();
         };
-        let Some(pool) = self.admission.pools.pool(&asked.model, version, role) else {
+        let Some(pool) = self.admission.pools.pool(&asked.model, &binding.version, role) else {
             return Vec::new();
         };
         let seed = asked.prefix_hashes.first().copied().unwrap_or(asked.request.0) >> 1;
--- a/crates/core/src/node/decode_path.rs
+++ b/crates/core/src/node/decode_path.rs
@@ -1,70 +1,17 @@
-//! From the first token to the end of an answer, and its continuation at another instance.
-
-use std::collections::BTreeSet;
+//! From the first token to the end of an answer.
 
 use crate::action::{Action, ReadCall};
-use crate::config::window::Targets;
 use crate::error_kind::ErrorKind;
 use crate::ids::{RequestId, StreamId};
-use crate::message::StreamOnServer;
 use crate::node::Node;
-use crate::request::{Cursor, Flow, Stage};
-use crate::units::{KvPieces, Millis, Streams, Tokens};
+use crate::units::Millis;
 
 /// Longest silence of a token stream.
 const TOKEN_SILENCE_MS: Millis = Millis(3_000);
 /// Most broken readings of one stream that its engine still holds.
 const MAX_BROKEN_READS: u64 = 3;
-/// Wait told to callers that resume at an instance without a configuration.
-const NOT_READY_MS: Millis = Millis(2_000);
 
 impl Node {
-    pub(super) fn take_resume_request(&mut self, request: RequestId, cursor: &str) {
-        let Some(cursor) = Cursor::unseal(cursor, &self.seal) else {
-            self.answer_error(request, ErrorKind::BadCursor, None);
-            return;
-        };
-        let Some(configuration) = self.config.in_force() else {
-            self.answer_error(request, ErrorKind::NotReady, Some(NOT_READY_MS));
-            return;
-        };
-        if !configuration.servers.contains_key(&cursor.server) {
-            self.answer_error(request, ErrorKind::CursorExpired, None);
-            return;
-        }
-        let zero = Millis::ZERO;
-        let flow = Flow {
-            asked: None,
-            version: None,
-            targets: Targets { first_token_ms: zero, per_token_ms: zero },
-            arrived_ms: self.now.mono_ms,
-            due_from_ms: self.now.mono_ms,
-            stage: Stage::Decoding,
-            stage_ms: self.now.mono_ms,
-            stream: cursor.stream.clone(),
-            attempt: 1,
-            decode: Some(cursor.server.clone()),
-            prefill: None,
-            work_tokens: Tokens::ZERO,
-            wait_ms: zero,
-            result_until_ms: zero,
-            transfer_until_ms: zero,
-            has_stalled_transfer: false,
-            batch: Streams::ZERO,
-            kv_pieces: KvPieces::ZERO,
-            next_index: cursor.next_index,
-            refused: BTreeSet::new(),
-            excluded: BTreeSet::new(),
-            first_token_ms: None,
-            broken_reads: 0,
-            is_taken_over: true,
-        };
-        self.flows.insert(request, flow);
-        let seat = StreamOnServer { server: cursor.server, stream: cursor.stream };
-        self.claim(seat);
-        self.read_tokens(request);
-    }
-
     pub(super) fn take_first_token(&mut self, request: RequestId, stream: &StreamId) {
         let now_ms = self.now.mono_ms;
         let Some(flow) = self.flows.get_mut(&request).filter(|flow| flow.stream == *stream) else {
@@ -96,8 +43,8 @@
             self.read_tokens(request);
             return;
         }
-        if flow.asked.is_none() {
-            self.finish_with_error(request, ErrorKind::CursorExpired);
+        if flow.is_taken_over {
+            self.recompute(request, is_held);
             return;
         }
         self.suspect(request, |flow| flow.decode.clone());
@@ -141,6 +88,7 @@
             takes_over: flow.is_taken_over && flow.broken_reads == 0,
             from_index: flow.next_index,
             silence_ms: TOKEN_SILENCE_MS,
+            binding: flow.binding.clone(),
         };
         self.actions.push(Action::Read(call));
     }
--- a/crates/core/src/node/learn_path.rs
+++ b/crates/core/src/node/learn_path.rs
@@ -48,7 +48,9 @@
         let (Some(asked), Some(server)) = (&flow.asked, &flow.decode) else {
             return;
         };
-        let Some(first_ms) = flow.first_token_ms.filter(|_| flow.attempt == 1) else {
+        let Some(first_ms) =
+            flow.first_token_ms.filter(|_| flow.attempt == 1 && !flow.is_resumed())
+        else {
             return;
         };
         let tokens = asked.max_tokens.0;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod plain_path;
 mod plain_tries;
 mod queue_path;
+mod resume_path;
 mod seat_path;
 pub mod status;
 mod sync;
@@ -193,7 +194,9 @@
         match event {
             Event::Tick => self.tick(),
             Event::ModelRequest(asked) => self.take_model_request(asked),
-            Event::ResumeRequest { request, cursor } => self.take_resume_request(request, &cursor),
+            Event::ResumeRequest { request, cursor, asked } => {
+                self.take_resume_request(request, &cursor, asked)
+            }
             Event::TicketRequest { request, count } => self.take_ticket_request(request, count),
             Event::PlainRequest(asked) => self.take_plain_request(asked),
             Event::PlainResult(request, server, result) => {
--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -164,10 +164,12 @@
             return;
         };
         let attempt = flow.attempt + 1;
+        let is_untouched = flow.is_resumed() && !flow.has_passed_tokens();
         let fields = vec![("reason", reason.to_owned()), ("attempt", attempt.to_string())];
         self.log("retry", Some(request), fields);
         if attempt > MAX_ATTEMPTS || !self.admission.retries.spend() {
-            self.finish_with_error(request, ErrorKind::StreamBroken);
+            let kind = if is_untouched { ErrorKind::Overloaded } else { ErrorKind::StreamBroken };
+            self.finish_with_error(request, kind);
             return;
         }
         let stream = self.stream_id(request, attempt);
@@ -182,7 +184,7 @@
             flow.is_taken_over = false;
             flow.refused.clear();
             flow.has_stalled_transfer = false;
-            if flow.first_token_ms.is_some() {
+            if flow.has_passed_tokens() || flow.is_resumed() {
                 flow.due_from_ms = now_ms;
             }
         }
@@ -213,7 +215,7 @@
             stream: flow.stream.clone(),
             target,
             model: flow.asked.as_ref()?.model.clone(),
-            version: flow.version.clone()?,
+            version: flow.binding.as_ref()?.version.clone(),
             holder: self.members.own_holder(),
             priority: self.now.wall_ms.0 + left_ms.0,
             timeout_ms,
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -4,7 +4,8 @@
 
 use crate::config::window::Targets;
 use crate::event::ModelRequest;
-use crate::ids::{ModelVersion, ServerId, StreamId};
+use crate::ids::{ServerId, StreamId};
+use crate::request::RequestBinding;
 use crate::units::{KvPieces, Millis, Streams, Tokens};
 
 /// Where a request stands.
@@ -38,10 +39,10 @@
 /// One model request on its way.
 #[derive(Clone, Debug)]
 pub struct Flow {
-    /// What was asked; nothing for an answer that is being continued.
+    /// What was asked; nothing for an answer that is continued by its cursor alone.
     pub asked: Option<ModelRequest>,
-    /// The version that serves it.
-    pub version: Option<ModelVersion>,
+    /// What its cursors are bound to; nothing where they come from an earlier release.
+    pub binding: Option<RequestBinding>,
     /// Targets in force when it arrived.
     pub targets: Targets,
     /// When it arrived.
@@ -74,6 +75,8 @@
     pub batch: Streams,
     /// Memory set aside at the decode engine.
     pub kv_pieces: KvPieces,
+    /// Index of the first token that the caller lacked when it asked here.
+    pub first_index: u64,
     /// Index of the next token that the caller lacks.
     pub next_index: u64,
     /// Prefill engines whose owner refused this request.
@@ -94,6 +97,16 @@
         self.due_from_ms + self.targets.first_token_ms
     }
 
+    /// Whether the caller received the tokens before [`Flow::first_index`] elsewhere.
+    pub fn is_resumed(&self) -> bool {
+        self.first_index > 0
+    }
+
+    /// Whether a token was passed on to the caller here.
+    pub fn has_passed_tokens(&self) -> bool {
+        self.first_token_ms.is_some() || self.next_index > self.first_index
+    }
+
     /// Whether the present try holds, or may hold, memory of its stream at a server.
     pub fn holds_at(&self, server: &ServerId) -> bool {
         let is_at_prefill = self.stage != Stage::Decoding && self.prefill.as_ref() == Some(server);
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -1,10 +1,12 @@
 //! The state of one request on its way through the engines.
 
+pub mod binding;
 pub mod cursor;
 pub mod flow;
 pub mod plain_flow;
 pub mod retry_budget;
 
+pub use binding::RequestBinding;
 pub use cursor::Cursor;
 pub use flow::{Flow, Stage};
 pub use plain_flow::{PlainCaller, PlainFlow};
--- a/crates/core/tests/model_world/mod.rs
+++ b/crates/core/tests/model_world/mod.rs
@@ -86,6 +86,7 @@
         prompt_tokens: Tokens(prompt_tokens),
         max_tokens: Tokens(100),
         prefix_hashes: Vec::new(),
+        fingerprint: 1,
     }
 }
 
--- a/crates/core/tests/sealed_texts.rs
+++ b/crates/core/tests/sealed_texts.rs
@@ -4,7 +4,7 @@
 use turmericrail_core::ids::Incarnation;
 use turmericrail_core::once::{Seal, Ticket};
 use turmericrail_core::report::Holder;
-use turmericrail_core::request::Cursor;
+use turmericrail_core::request::{Cursor, RequestBinding};
 use turmericrail_core::units::Millis;
 
 const KEY: &str = "0123456789abcdef";
@@ -24,8 +24,15 @@
     }
 }
 
-fn cursor(next_index: u64) -> Cursor {
-    Cursor { server: "dc-a-decode-1".parse().unwrap(), stream: "s-1".parse().unwrap(), next_index }
+/// A cursor; an even fingerprint stands for one of an earlier release.
+fn cursor(next_index: u64, fingerprint: u64) -> Cursor {
+    let binding = RequestBinding { version: "v1".parse().unwrap(), fingerprint };
+    Cursor {
+        server: "dc-a-decode-1".parse().unwrap(),
+        stream: "s-1".parse().unwrap(),
+        next_index,
+        binding: Some(binding).filter(|_| !fingerprint.is_multiple_of(2)),
+    }
 }
 
 /// `text` with one byte changed to another printable one.
@@ -50,13 +57,20 @@
 
 #[test]
 fn cursor_bytes() {
-    fn property(next_index: u64, place: usize, by: u8) -> bool {
-        let (seal, cursor) = (Seal::new(KEY), cursor(next_index));
+    fn property(next_index: u64, fingerprint: u64, place: usize, by: u8) -> bool {
+        let (seal, cursor) = (Seal::new(KEY), cursor(next_index, fingerprint));
         let text = cursor.seal(&seal);
         let is_same = Cursor::unseal(&text, &seal).as_ref() == Some(&cursor);
         is_same && Cursor::unseal(&altered(&text, place, by), &seal).is_none()
     }
-    check(22, property as fn(u64, usize, u8) -> bool);
+    check(22, property as fn(u64, u64, usize, u8) -> bool);
+}
+
+#[test]
+fn earlier_cursor() {
+    let seal = Seal::new(KEY);
+    let text = seal.close("cursor", "dc-a-decode-1/s-1/7");
+    assert_eq!(Cursor::unseal(&text, &seal), Some(cursor(7, 0)));
 }
 
 #[test]
@@ -77,7 +91,7 @@
 fn other_purpose() {
     let seal = Seal::new(KEY);
     let sealed_ticket = ticket(1, 2, 3).seal(&seal);
-    let sealed_cursor = cursor(1).seal(&seal);
+    let sealed_cursor = cursor(1, 1).seal(&seal);
     assert!(Ticket::unseal(&sealed_cursor, &seal).is_none());
     assert!(Cursor::unseal(&sealed_ticket, &seal).is_none());
     assert!(Ticket::unseal(&sealed_ticket, &Seal::new("another key of 16")).is_none());
--- a/crates/core/tests/soak_world/actions.rs
+++ b/crates/core/tests/soak_world/actions.rs
@@ -1,6 +1,7 @@
 //! What a daemon's edges do: carry out actions, call engines, and tell the node how it ended.
 
 use turmericrail_core::action::{Action, PrefillCall, ReadCall, TransferCall};
+use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::event::Event;
 use turmericrail_core::ids::{RequestId, ServerId, StreamId};
 use turmericrail_core::report::Holder;
@@ -58,7 +59,12 @@
                 self.call(run, target.server, Call::Cancel(stream, holder))
             }
             Action::Poll(target) => self.call(run, target.server, Call::Poll),
+            Action::Log(decision) if decision.event == "retry" => {
+                let (_, reason) = &decision.fields[0];
+                *self.retries.entry(reason.clone()).or_default() += 1;
+            }
             Action::AnswerError { request, kind, .. } => {
+                self.check_error(run, request, kind);
                 *self.errors.entry(kind.to_string()).or_default() += 1;
                 self.answer(run, request);
             }
@@ -66,6 +72,16 @@
         }
     }
 
+    /// A caller that sends its request along is not told that its stream is gone.
+    fn check_error(&self, run: Run, request: RequestId, kind: ErrorKind) {
+        let Some(caller) = self.caller_of(run, request) else {
+            return;
+        };
+        let is_sent_along = self.callers[caller].brings_request;
+        let is_gone = matches!(kind, ErrorKind::CursorExpired | ErrorKind::BadCursor);
+        assert!(!is_sent_along || !is_gone, "a caller that sent its request was told {kind}");
+    }
+
     /// Notes the final answer of a request; there is only one.
     pub fn answer(&mut self, run: Run, request: RequestId) {
         assert!(self.answered.insert((run, request)), "a request got a second final answer");
--- a/crates/core/tests/soak_world/callers.rs
+++ b/crates/core/tests/soak_world/callers.rs
@@ -27,6 +27,8 @@
     pub next_index: u64,
     /// Cursor behind the last token.
     pub cursor: Option<String>,
+    /// Whether it sends its request along when it resumes.
+    pub brings_request: bool,
     /// Connections that broke.
     pub returns: u64,
     /// Whether it received the whole answer.
@@ -37,12 +39,13 @@
 
 impl Caller {
     /// A caller that just asked.
-    pub fn new(max_tokens: u64) -> Self {
+    pub fn new(max_tokens: u64, brings_request: bool) -> Self {
         Self {
             max_tokens,
             state: CallerState::Done,
             next_index: 0,
             cursor: None,
+            brings_request,
             returns: 0,
             is_whole: false,
             has_left: false,
--- a/crates/core/tests/soak_world/mod.rs
+++ b/crates/core/tests/soak_world/mod.rs
@@ -42,6 +42,8 @@
     pub left: u64,
     /// Final answers that were errors, by kind.
     pub errors: BTreeMap<String, u64>,
+    /// Further tries of requests, by reason.
+    pub retries: BTreeMap<String, u64>,
 }
 
 /// An invariant that did not hold.
@@ -63,14 +65,18 @@
         for (kind, count) in other.errors {
             *self.errors.entry(kind).or_default() += count;
         }
+        for (reason, count) in other.retries {
+            *self.retries.entry(reason).or_default() += count;
+        }
     }
 }
 
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { callers, whole, returns, left, errors } = self;
+        let Self { callers, whole, returns, left, errors, retries } = self;
         write!(f, "callers={callers} whole={whole} left={left} returns={returns}")?;
-        errors.iter().try_for_each(|(kind, count)| write!(f, " {kind}={count}"))
+        errors.iter().try_for_each(|(kind, count)| write!(f, " {kind}={count}"))?;
+        retries.iter().try_for_each(|(reason, count)| write!(f, " retry_{reason}={count}"))
     }
 }
 
@@ -139,7 +145,8 @@
         match step {
             Step::Wait => {}
             Step::Ask { instance, tokens } => {
-                self.callers.push(Caller::new(tokens));
+                let brings_request = self.draw.happens(70);
+                self.callers.push(Caller::new(tokens, brings_request));
                 self.connect(self.callers.len() - 1, instance);
             }
             Step::Leave { caller } if !self.callers.is_empty() => {
@@ -249,6 +256,7 @@
             returns: self.callers.iter().map(|caller| caller.returns).sum(),
             left: self.callers.iter().filter(|caller| caller.has_left).count() as u64,
             errors: self.errors.clone(),
+            retries: self.retries.clone(),
         }
     }
 }
--- a/crates/core/tests/soak_world/readers.rs
+++ b/crates/core/tests/soak_world/readers.rs
@@ -132,6 +132,7 @@
                     server: reader.server.clone(),
                     stream: reader.call.stream.clone(),
                     next_index: index + 1,
+                    binding: reader.call.binding.clone(),
                 };
                 self.callers[caller].cursor = Some(cursor.seal(&Seal::new("0123456789abcdef")));
             }
--- a/crates/core/tests/soak_world/world.rs
+++ b/crates/core/tests/soak_world/world.rs
@@ -127,6 +127,8 @@
     pub platform: Platform,
     /// Final answers that were errors, by kind.
     pub errors: BTreeMap<String, u64>,
+    /// Further tries, by reason.
+    pub retries: BTreeMap<String, u64>,
 }
 
 /// Id of an instance.
@@ -158,6 +160,7 @@
             network: Network::default(),
             platform: Platform { version: 1, stale_version: 1, ..Platform::default() },
             errors: BTreeMap::new(),
+            retries: BTreeMap::new(),
         };
         for index in 0..DATA_CENTRES.len() {
             world.slots.push(Slot {
@@ -289,9 +292,13 @@
         let (run, request) = ((index, slot.incarnation), RequestId(slot.requests));
         self.asked.insert((run, request), caller);
         self.callers[caller].state = CallerState::Asking(run, request);
+        let asked = model_request(request, caller, self.callers[caller].max_tokens);
         let event = match self.callers[caller].cursor.clone() {
-            Some(cursor) => Event::ResumeRequest { request, cursor },
-            None => Event::ModelRequest(model_request(request, self.callers[caller].max_tokens)),
+            Some(cursor) => {
+                let asked = self.callers[caller].brings_request.then_some(asked);
+                Event::ResumeRequest { request, cursor, asked }
+            }
+            None => Event::ModelRequest(asked),
         };
         self.tell(run, event);
     }
@@ -411,7 +418,7 @@
     }
 }
 
-fn model_request(request: RequestId, max_tokens: u64) -> ModelRequest {
+fn model_request(request: RequestId, caller: usize, max_tokens: u64) -> ModelRequest {
     ModelRequest {
         request,
         workspace: "w1".parse().expect("a valid id"),
@@ -421,5 +428,6 @@
         prompt_tokens: Tokens(32),
         max_tokens: Tokens(max_tokens),
         prefix_hashes: Vec::new(),
+        fingerprint: caller as u64,
     }
 }
--- a/crates/fakes/src/caller.rs
+++ b/crates/fakes/src/caller.rs
@@ -7,7 +7,7 @@
 use async_std::io::prelude::*;
 use async_std::net::TcpStream;
 use async_std::task;
-use http_types::{Request, Response, Url};
+use http_types::{Body, Request, Response, Url};
 use serde_json::Value;
 use turmericrail_wire::client::Call;
 
@@ -55,12 +55,14 @@
 
     /// Continues the answer at another instance, behind the last token received.
     pub async fn resume(self, address: SocketAddr) -> Option<Self> {
-        let url = Url::parse(&format!("http://{address}/v1/completions/resume")).ok()?;
-        let mut request = Request::get(url);
-        request.insert_header("last-event-id", self.cursor.as_str());
-        let stream = TcpStream::connect(address).await.ok()?;
-        let answer = async_h1::connect(stream, request);
-        let answer = async_std::future::timeout(EVENT_TIMEOUT, answer).await.ok()?.ok()?;
+        let answer = send_resumption(address, &self.cursor, None).await?;
+        let resumed = Self::reading(Some(answer).filter(|answer| answer.status().is_success())?);
+        Some(Self { cursor: self.cursor, tokens: self.tokens, ..resumed })
+    }
+
+    /// Continues the answer at another instance with the request sent along.
+    pub async fn resume_with(self, address: SocketAddr, body: &Value) -> Option<Self> {
+        let answer = send_resumption(address, &self.cursor, Some(body)).await?;
         let resumed = Self::reading(Some(answer).filter(|answer| answer.status().is_success())?);
         Some(Self { cursor: self.cursor, tokens: self.tokens, ..resumed })
     }
@@ -135,6 +137,24 @@
     }
 }
 
+/// Sends a resumption, with the request where there is a body, and waits for the answer's head.
+pub async fn send_resumption(
+    address: SocketAddr,
+    cursor: &str,
+    body: Option<&Value>,
+) -> Option<Response> {
+    let url = Url::parse(&format!("http://{address}/v1/completions/resume")).ok()?;
+    let mut request = Request::get(url.clone());
+    if let Some(body) = body {
+        request = Request::post(url);
+        request.set_body(Body::from_json(body).ok()?);
+    }
+    request.insert_header("last-event-id", cursor);
+    let stream = TcpStream::connect(address).await.ok()?;
+    let answer = async_h1::connect(stream, request);
+    async_std::future::timeout(EVENT_TIMEOUT, answer).await.ok()?.ok()
+}
+
 /// Waits until a condition holds; returns the time that it took, or nothing past the limit.
 pub async fn wait_until(limit: Duration, mut condition: impl FnMut() -> bool) -> Option<Duration> {
     let started = Instant::now();
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -13,7 +13,7 @@
 mod serve;
 pub mod text;
 
-pub use caller::{AnswerEvent, StreamCaller, wait_until};
+pub use caller::{AnswerEvent, StreamCaller, send_resumption, wait_until};
 pub use engine::{EngineSettings, FakeEngine};
 pub use fleet::{Fleet, FleetInstance, FleetPlan};
 pub use plain::FakePlain;
--- a/crates/turmericrail/src/backend_edge/tokens.rs
+++ b/crates/turmericrail/src/backend_edge/tokens.rs
@@ -129,6 +129,7 @@
             server: call.target.server.clone(),
             stream: call.stream.clone(),
             next_index: index + 1,
+            binding: call.binding.clone(),
         };
         let cursor = cursor.seal(&shared.seal);
         if !send(sender, ToCaller::Token { index, text, cursor }, stall).await {
--- a/crates/turmericrail/src/caller_edge/completions.rs
+++ b/crates/turmericrail/src/caller_edge/completions.rs
@@ -16,7 +16,7 @@
 use super::connection::Connection;
 use super::reply;
 use crate::daemon::Shared;
-use crate::daemon::callers::{Sent, ToCaller};
+use crate::daemon::callers::{Sent, ToCaller, completion_fingerprint};
 
 /// Bytes of prompt that count as one token in estimates.
 const BYTES_PER_TOKEN: u64 = 4;
@@ -37,20 +37,44 @@
         Err(refusal) => return reply::refusal(id, &refusal),
     };
     let asked = to_request(id, &body);
-    let sent = Sent { body: body.prompt.into_bytes(), ..Sent::default() };
+    let is_streamed = body.stream;
+    let sent = to_sent(body.prompt);
     let connection = request.ext::<Connection>().cloned().unwrap_or_default();
     let answers = shared.callers.register(id, sent);
     connection.add(&shared, id);
     shared.tell(Event::ModelRequest(asked));
-    match body.stream {
+    match is_streamed {
         true => stream_answer(id, connection, answers).await,
         false => whole_answer(id, connection, answers).await,
     }
 }
 
 pub async fn resume(request: Request<Arc<Shared>>) -> tide::Result {
-    let shared = Arc::clone(request.state());
-    let id = shared.next_request();
+    let id = request.state().next_request();
+    start_resumption(id, &request, Sent::default(), None).await
+}
+
+pub async fn resume_with_request(mut request: Request<Arc<Shared>>) -> tide::Result {
+    let id = request.state().next_request();
+    let received = match receive_body(&mut request).await {
+        Ok(body) => body,
+        Err(refusal) => return reply::refusal(id, &refusal),
+    };
+    let body: CompletionBody = match decode_body(&received.bytes) {
+        Ok(body) => body,
+        Err(refusal) => return reply::refusal(id, &refusal),
+    };
+    let asked = to_request(id, &body);
+    start_resumption(id, &request, to_sent(body.prompt), Some(asked)).await
+}
+
+async fn start_resumption(
+    id: RequestId,
+    request: &Request<Arc<Shared>>,
+    sent: Sent,
+    asked: Option<ModelRequest>,
+) -> tide::Result {
+    let shared = request.state();
     let Some(cursor) = request.header("last-event-id").map(|values| values.as_str().to_owned())
     else {
         return reply::error(id, ErrorKind::BadCursor, None);
@@ -59,12 +83,17 @@
     if connection.has_ended().await {
         return reply::error(id, ErrorKind::CallerGone, None);
     }
-    let answers = shared.callers.register(id, Sent::default());
-    connection.add(&shared, id);
-    shared.tell(Event::ResumeRequest { request: id, cursor });
+    let answers = shared.callers.register(id, sent);
+    connection.add(shared, id);
+    shared.tell(Event::ResumeRequest { request: id, cursor, asked });
     stream_answer(id, connection, answers).await
 }
 
+/// What the backend edge needs of a model call.
+fn to_sent(prompt: String) -> Sent {
+    Sent { body: prompt.into_bytes(), ..Sent::default() }
+}
+
 fn to_request(request: RequestId, body: &CompletionBody) -> ModelRequest {
     let prompt = body.prompt.as_bytes();
     let ends = (1..=MAX_PREFIX_HASHES).map(|block| block * PREFIX_BLOCK_BYTES);
@@ -80,6 +109,7 @@
         prefix_hashes: prefixes
             .map(|prefix| stable_hash(&String::from_utf8_lossy(prefix)))
             .collect(),
+        fingerprint: completion_fingerprint(body),
     }
 }
 
--- a/crates/turmericrail/src/caller_edge/mod.rs
+++ b/crates/turmericrail/src/caller_edge/mod.rs
@@ -29,7 +29,9 @@
 fn app(shared: &Arc<Shared>) -> App {
     let mut app = Server::with_state(Arc::clone(shared));
     app.at("/v1/completions").post(completions::complete);
-    app.at("/v1/completions/resume").get(completions::resume);
+    app.at("/v1/completions/resume")
+        .get(completions::resume)
+        .post(completions::resume_with_request);
     app.at("/v1/tickets").post(plain::issue_tickets);
     app.at("/health").get(pages::health);
     app.at("/ready").get(pages::ready);
--- a/crates/turmericrail/src/daemon/callers.rs
+++ b/crates/turmericrail/src/daemon/callers.rs
@@ -8,6 +8,7 @@
 use turmericrail_core::event::PlainAnswer;
 use turmericrail_core::ids::RequestId;
 use turmericrail_core::units::Millis;
+use turmericrail_wire::caller::CompletionBody;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Messages to one caller that are held before its reader is waited for.
@@ -64,6 +65,15 @@
     xxh3_64_with_seed(body, xxh3_64_with_seed(head.as_bytes(), 0))
 }
 
+/// Hash by which a cursor is tied to its request: model, version, workspace, caller kind, most
+/// tokens and prompt.
+pub fn completion_fingerprint(body: &CompletionBody) -> u64 {
+    let CompletionBody { model, version, workspace, caller_kind, max_tokens, .. } = body;
+    let version = version.as_ref().map_or("", |version| version.as_str());
+    let head = format!("{model}/{version}/{workspace}/{caller_kind}/{}", max_tokens.0);
+    xxh3_64_with_seed(body.prompt.as_bytes(), xxh3_64_with_seed(head.as_bytes(), 0))
+}
+
 #[derive(Clone)]
 struct Caller {
     sender: Sender<ToCaller>,
