Tie the limit on token silence to the per-token target, apart from that on lost engines

Cause: one limit of 3 s, far longer than any per-token target, served both for reading a stream again, which costs nothing, and for taking its engine for lost, which costs a prefill. Broken readings were counted over the whole life of a stream.

Change: a stream is read again after 5 tokens of silence at its target (0.3 to 3 s); its engine is lost after 120 (6 to 12 s), after four refused connections in a row, or after 3 s where it fell silent first and can't be reached, tried again at the pace of the silence. Counts start anew with each token. The soak gets engines that stand still and go on.

--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -216,6 +216,11 @@
             refused: BTreeSet::new(),
             excluded: BTreeSet::new(),
             first_token_ms: None,
+            reads: 0,
+            read_ms: Millis::ZERO,
+            progress_ms: Millis::ZERO,
+            next_read_ms: None,
+            was_silent: false,
             broken_reads: 0,
             is_taken_over: false,
         })
--- a/crates/core/src/node/decode_path.rs
+++ b/crates/core/src/node/decode_path.rs
@@ -4,11 +4,23 @@
 use crate::error_kind::ErrorKind;
 use crate::ids::{RequestId, StreamId};
 use crate::node::Node;
+use crate::request::Flow;
 use crate::units::Millis;
 
-/// Longest silence of a token stream.
-const TOKEN_SILENCE_MS: Millis = Millis(3_000);
-/// Most broken readings of one stream that its engine still holds.
+/// Silence after which a stream is read again on a new connection, as a multiple of the target for
+/// one token.
+const READ_AGAIN_TOKENS: u64 = 5;
+/// Bounds of that silence; the upper one holds where the target is not known.
+const READ_AGAIN_MS: std::ops::RangeInclusive<u64> = 300..=3_000;
+/// Time without a token after which the engine counts as lost, as a multiple of the target for one
+/// token.
+const ENGINE_LOST_TOKENS: u64 = 120;
+/// Bounds of that time.
+const ENGINE_LOST_MS: std::ops::RangeInclusive<u64> = 6_000..=12_000;
+/// Time without a token after which an engine that fell silent and takes no connection counts as
+/// lost.
+const UNREACHABLE_MS: Millis = Millis(3_000);
+/// Most readings in a row that broke without a silence or a token.
 const MAX_BROKEN_READS: u64 = 3;
 
 impl Node {
@@ -32,15 +44,26 @@
         if !self.is_current(request, stream) {
             return;
         }
+        let now_ms = self.now.mono_ms;
         let Some(flow) = self.flows.get_mut(&request) else {
             return;
         };
         assert!(next_index >= flow.next_index, "token indices went back");
-        flow.next_index = next_index;
-        flow.broken_reads += 1;
-        let can_read_again = is_held && flow.broken_reads <= MAX_BROKEN_READS;
-        if can_read_again {
-            self.read_tokens(request);
+        if next_index > flow.next_index {
+            flow.next_index = next_index;
+            flow.progress_ms = now_ms;
+            flow.broken_reads = 0;
+            flow.was_silent = false;
+        }
+        let is_silent = now_ms - flow.read_ms >= read_again_ms(flow);
+        flow.was_silent |= is_silent;
+        flow.broken_reads += u64::from(!is_silent);
+        if is_held && !is_engine_lost(flow, now_ms) {
+            let is_spaced = flow.was_silent && !is_silent;
+            flow.next_read_ms = is_spaced.then(|| now_ms + read_again_ms(flow));
+            if !is_spaced {
+                self.read_tokens(request);
+            }
             return;
         }
         if flow.is_taken_over {
@@ -70,8 +93,32 @@
         self.advance_waiting();
     }
 
+    /// Reads streams again whose engine fell silent and took no connection.
+    pub(super) fn advance_reads(&mut self) {
+        let now_ms = self.now.mono_ms;
+        let mut due = Vec::new();
+        for (request, flow) in &self.flows {
+            if flow.next_read_ms.is_some_and(|next_read_ms| next_read_ms <= now_ms) {
+                due.push(*request);
+            }
+        }
+        for request in due {
+            self.read_tokens(request);
+        }
+    }
+
     pub(super) fn read_tokens(&mut self, request: RequestId) {
         let holder = self.members.own_holder();
+        let now_ms = self.now.mono_ms;
+        let Some(flow) = self.flows.get_mut(&request) else {
+            return;
+        };
+        if flow.reads == 0 {
+            flow.progress_ms = now_ms;
+        }
+        flow.reads += 1;
+        flow.read_ms = now_ms;
+        flow.next_read_ms = None;
         let Some(flow) = self.flows.get(&request) else {
             return;
         };
@@ -85,11 +132,33 @@
             stream: flow.stream.clone(),
             target,
             holder,
-            takes_over: flow.is_taken_over && flow.broken_reads == 0,
+            takes_over: flow.is_taken_over && flow.reads == 1,
             from_index: flow.next_index,
-            silence_ms: TOKEN_SILENCE_MS,
+            silence_ms: read_again_ms(flow),
             binding: flow.binding.clone(),
         };
         self.actions.push(Action::Read(call));
     }
 }
+
+fn read_again_ms(flow: &Flow) -> Millis {
+    after_tokens(flow, READ_AGAIN_TOKENS, READ_AGAIN_MS)
+}
+
+/// Whether the engine of a broken stream that it may still hold counts as lost. One that refuses
+/// connections without a silence before has died, and its streams with it.
+fn is_engine_lost(flow: &Flow, now_ms: Millis) -> bool {
+    let since_ms = now_ms - flow.progress_ms;
+    let is_refusing = flow.broken_reads > MAX_BROKEN_READS;
+    let is_unreachable = is_refusing && (!flow.was_silent || since_ms >= UNREACHABLE_MS);
+    is_unreachable || since_ms >= after_tokens(flow, ENGINE_LOST_TOKENS, ENGINE_LOST_MS)
+}
+
+/// Time of so many tokens at the target of a request, within bounds.
+fn after_tokens(flow: &Flow, tokens: u64, bounds: std::ops::RangeInclusive<u64>) -> Millis {
+    let per_token_ms = flow.targets.per_token_ms.0;
+    if per_token_ms == 0 {
+        return Millis(*bounds.end());
+    }
+    Millis((per_token_ms * tokens).clamp(*bounds.start(), *bounds.end()))
+}
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -244,6 +244,7 @@
         self.check_leases();
         self.place();
         self.repeat_claims();
+        self.advance_reads();
         self.advance_queues();
         self.advance_waiting();
         self.advance_plain();
--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -180,6 +180,9 @@
             flow.stream = stream;
             flow.decode = None;
             flow.prefill = None;
+            flow.reads = 0;
+            flow.next_read_ms = None;
+            flow.was_silent = false;
             flow.broken_reads = 0;
             flow.is_taken_over = false;
             flow.refused.clear();
--- a/crates/core/src/node/resume_path.rs
+++ b/crates/core/src/node/resume_path.rs
@@ -101,11 +101,16 @@
         let kv_pieces = configuration.zip(asked.as_ref()).map(|(configuration, asked)| {
             configuration.pieces_for(asked.prompt_tokens.0 + asked.max_tokens.0)
         });
+        let kinds = configuration.map(|configuration| &configuration.caller_kinds);
+        let kind =
+            kinds.zip(asked.as_ref()).and_then(|(kinds, asked)| kinds.get(&asked.caller_kind));
+        let targets = kind.and_then(|kind| kind.at(self.now.wall_ms));
+        let unknown = Targets { first_token_ms: zero, per_token_ms: zero };
         Flow {
             work_tokens: asked.as_ref().map_or(Tokens::ZERO, |asked| asked.prompt_tokens),
             asked,
             binding: cursor.binding,
-            targets: Targets { first_token_ms: zero, per_token_ms: zero },
+            targets: targets.unwrap_or(unknown),
             arrived_ms: self.now.mono_ms,
             due_from_ms: self.now.mono_ms,
             stage: Stage::Decoding,
@@ -125,6 +130,11 @@
             refused: BTreeSet::new(),
             excluded: BTreeSet::new(),
             first_token_ms: None,
+            reads: 0,
+            read_ms: zero,
+            progress_ms: zero,
+            next_read_ms: None,
+            was_silent: false,
             broken_reads: 0,
             is_taken_over: true,
         }
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -85,7 +85,17 @@
     pub excluded: BTreeSet<ServerId>,
     /// When the first token arrived.
     pub first_token_ms: Option<Millis>,
-    /// Broken readings of the present stream.
+    /// Readings of the present stream.
+    pub reads: u64,
+    /// When the last one was started.
+    pub read_ms: Millis,
+    /// When the present stream was last known to go on.
+    pub progress_ms: Millis,
+    /// When it is read again, where that waits.
+    pub next_read_ms: Option<Millis>,
+    /// Whether it fell silent since its last token.
+    pub was_silent: bool,
+    /// Readings in a row that broke without a silence or a token.
     pub broken_reads: u64,
     /// Whether the stream was taken over from another holder.
     pub is_taken_over: bool,
--- a/crates/core/tests/soak_world/engines.rs
+++ b/crates/core/tests/soak_world/engines.rs
@@ -6,6 +6,8 @@
 use turmericrail_core::report::{HeldStream, Holder, LoadReport};
 use turmericrail_core::units::{KvPieces, Streams};
 
+use super::world::QUANTUM_MS;
+
 /// Streams of one engine at a time.
 pub const STREAM_LIMIT_STREAMS: u64 = 6;
 /// KV pieces of one engine.
@@ -55,6 +57,8 @@
     pub down_until_ms: u64,
     /// Transfers do not finish until this time.
     pub stalled_until_ms: u64,
+    /// Generates nothing until this time.
+    pub frozen_until_ms: u64,
     /// Readers opened up to this time hear nothing.
     pub mute_until_ms: u64,
     /// A report that is told until a time.
@@ -73,6 +77,7 @@
             ended: BTreeMap::new(),
             down_until_ms: 0,
             stalled_until_ms: 0,
+            frozen_until_ms: 0,
             mute_until_ms: 0,
             stale: None,
             leaving_until_ms: 0,
@@ -93,6 +98,13 @@
 
     /// Moves streams to their end and forgets old ones.
     pub fn advance(&mut self, now_ms: u64) {
+        if now_ms < self.frozen_until_ms {
+            let from_ms =
+                |stream: &mut Stream| stream.decode_from_ms.map(|from_ms| from_ms + QUANTUM_MS);
+            for stream in self.streams.values_mut() {
+                stream.decode_from_ms = from_ms(stream);
+            }
+        }
         let is_over = |stream: &Stream| {
             stream.decode_from_ms.is_some() && stream.generated(now_ms) >= stream.max_tokens
         };
--- a/crates/core/tests/soak_world/mod.rs
+++ b/crates/core/tests/soak_world/mod.rs
@@ -190,6 +190,7 @@
         let now_ms = self.now_ms;
         let (Step::CrashEngine { engine: number, .. }
         | Step::MuteReaders { engine: number }
+        | Step::FreezeEngine { engine: number, .. }
         | Step::Stall { engine: number, .. }
         | Step::StaleReports { engine: number, .. }
         | Step::LeaveServer { engine: number, .. }) = step
@@ -207,6 +208,7 @@
                 engine.down_until_ms = now_ms + down_ms;
             }
             Step::MuteReaders { .. } => engine.mute_until_ms = now_ms + 1,
+            Step::FreezeEngine { for_ms, .. } => engine.frozen_until_ms = now_ms + for_ms,
             Step::Stall { for_ms, .. } => engine.stalled_until_ms = now_ms + for_ms,
             Step::StaleReports { for_ms, .. } => {
                 engine.stale = Some((now_ms + for_ms, engine.report(now_ms)));
@@ -229,6 +231,7 @@
         for engine in self.engines.values_mut() {
             engine.down_until_ms = engine.down_until_ms.min(now_ms);
             engine.stalled_until_ms = now_ms;
+            engine.frozen_until_ms = now_ms;
             engine.leaving_until_ms = now_ms;
             engine.stale = None;
         }
--- a/crates/core/tests/soak_world/step.rs
+++ b/crates/core/tests/soak_world/step.rs
@@ -30,6 +30,8 @@
     CrashEngine { engine: u64, down_ms: u64 },
     /// An engine's present readers hear nothing more.
     MuteReaders { engine: u64 },
+    /// An engine stands still and then goes on with all that it holds.
+    FreezeEngine { engine: u64, for_ms: u64 },
     /// An engine's transfers do not finish.
     Stall { engine: u64, for_ms: u64 },
     /// An engine's reports tell old news.
@@ -91,6 +93,7 @@
         126..=129 => Step::Configure,
         130..=131 => Step::ServiceDown { for_ms },
         132..=133 => Step::ServiceStale { for_ms },
+        134..=136 => Step::FreezeEngine { engine, for_ms },
         _ => Step::Wait,
     }
 }
