Put plain calls into the soak, and split its world

Cause: plain calls were not part of the soak (docs/PROMISES.md), so at-most-once was never run beside resumptions, crashes of data centres and configuration changes.

Change: callers book under tickets, with copies of one call at up to four instances up to 20 s apart, and read stock; servers of plain services die; written calls lose their answer. Violations: two executions of a booking over all its tickets, not_run of what ran (or ran later), completed without execution, the answer of another booking, two final answers, a caller without one at the end. Each run of an instance has a nonce of its own.

Excluded: one-way loss, not begun. Stepping wall clocks and doubled messages were there.

--- a/crates/core/tests/soak_world/actions.rs
+++ b/crates/core/tests/soak_world/actions.rs
@@ -67,6 +67,22 @@
                 self.check_error(run, request, kind);
                 *self.errors.entry(kind.to_string()).or_default() += 1;
                 self.answer(run, request);
+                self.end_plain((run, request), Err(kind));
+            }
+            Action::AnswerPlain(request, answer) => {
+                self.answer(run, request);
+                self.end_plain((run, request), Ok(answer));
+            }
+            Action::AnswerTickets(request, tickets) => {
+                self.answer(run, request);
+                self.take_tickets((run, request), tickets);
+            }
+            Action::CallPlain(call) => {
+                let delay_ms = self.draw.below(4);
+                self.queue_in(delay_ms, Delivery::WritePlain(run, call));
+            }
+            Action::Forward { request, address, .. } => {
+                self.forward_plain((run, request), address.port());
             }
             _ => {}
         }
--- a/crates/core/tests/soak_world/mod.rs
+++ b/crates/core/tests/soak_world/mod.rs
@@ -6,8 +6,10 @@
 
 mod actions;
 mod callers;
+mod connections;
 mod draw;
 mod engines;
+mod plain;
 mod platform;
 mod readers;
 mod step;
@@ -42,6 +44,12 @@
     pub left: u64,
     /// Final answers that were errors, by kind.
     pub errors: BTreeMap<String, u64>,
+    /// Bookings begun.
+    pub bookings: u64,
+    /// Bookings whose caller was told that they were executed.
+    pub completed: u64,
+    /// Reads answered.
+    pub reads: u64,
     /// Further tries of requests, by reason.
     pub retries: BTreeMap<String, u64>,
 }
@@ -62,6 +70,9 @@
         self.whole += other.whole;
         self.returns += other.returns;
         self.left += other.left;
+        self.bookings += other.bookings;
+        self.completed += other.completed;
+        self.reads += other.reads;
         for (kind, count) in other.errors {
             *self.errors.entry(kind).or_default() += count;
         }
@@ -73,8 +84,10 @@
 
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { callers, whole, returns, left, errors, retries } = self;
+        let Self { callers, whole, returns, left, errors, retries, .. } = self;
         write!(f, "callers={callers} whole={whole} left={left} returns={returns}")?;
+        let Self { bookings, completed, reads, .. } = self;
+        write!(f, " bookings={bookings} completed={completed} reads={reads}")?;
         errors.iter().try_for_each(|(kind, count)| write!(f, " {kind}={count}"))?;
         retries.iter().try_for_each(|(reason, count)| write!(f, " retry_{reason}={count}"))
     }
@@ -149,6 +162,14 @@
                 self.callers.push(Caller::new(tokens, brings_request));
                 self.connect(self.callers.len() - 1, instance);
             }
+            Step::Book { instance } => self.book(instance),
+            Step::ReadStock { instance } => self.read_stock(instance),
+            Step::CrashPlain { server, down_ms } => {
+                let (id, _) =
+                    platform::PLAIN_SERVERS[server as usize % platform::PLAIN_SERVERS.len()];
+                let server = id.parse().expect("a valid id");
+                self.plain.down_until_ms.insert(server, now_ms + down_ms);
+            }
             Step::Leave { caller } if !self.callers.is_empty() => {
                 self.leave(caller as usize % self.callers.len());
             }
@@ -222,6 +243,7 @@
         let now_ms = self.now_ms;
         self.network = world::Network { bad_ms: self.network.bad_ms, ..Default::default() };
         self.platform.down_until_ms = now_ms;
+        self.plain.down_until_ms.clear();
         self.platform.stale_until_ms = now_ms;
         for slot in &mut self.slots {
             slot.paused_until_ms = slot.paused_until_ms.min(now_ms);
@@ -250,6 +272,7 @@
             assert_eq!(leases, 0, "{own} still has leases");
             assert_eq!(status.config_version.0, self.platform.version, "{own} lags behind");
         }
+        self.check_plain_end();
         let is_done = |caller: &&Caller| caller.state == CallerState::Done;
         let waiting = self.callers.iter().filter(|caller| !is_done(caller)).count();
         assert_eq!(waiting, 0, "callers still wait for a final answer");
@@ -260,6 +283,10 @@
             left: self.callers.iter().filter(|caller| caller.has_left).count() as u64,
             errors: self.errors.clone(),
             retries: self.retries.clone(),
+            bookings: self.plain.bookings.len() as u64,
+            completed: self.plain.bookings.iter().filter(|booking| booking.is_completed).count()
+                as u64,
+            reads: self.plain.reads,
         }
     }
 }
--- a/crates/core/tests/soak_world/platform.rs
+++ b/crates/core/tests/soak_world/platform.rs
@@ -21,6 +21,9 @@
     ("b-prefill", "dc-b", "prefill"),
     ("b-decode", "dc-b", "decode"),
 ];
+/// Servers of plain services, by data centre.
+pub const PLAIN_SERVERS: [(&str, &str); 3] =
+    [("a-plain-1", "dc-a"), ("a-plain-2", "dc-a"), ("b-plain", "dc-b")];
 
 /// The platform's service.
 #[derive(Clone, Debug, Default)]
@@ -91,7 +94,13 @@
         });
         ((*id).to_owned(), server)
     });
-    let servers: serde_json::Map<_, _> = servers.collect();
+    let mut servers: serde_json::Map<_, _> = servers.collect();
+    for (number, (id, data_centre)) in PLAIN_SERVERS.iter().enumerate() {
+        let address = address(200 + number).to_string();
+        let server = json!({"data_centre": data_centre, "role": "plain", "address": address});
+        servers.insert((*id).to_owned(), server);
+    }
+    let plain: Vec<_> = PLAIN_SERVERS.iter().map(|(id, _)| *id).collect();
     let engines: Vec<_> = ENGINES.iter().map(|(id, _, _)| *id).collect();
     json!({
         "version": version,
@@ -109,6 +118,16 @@
         "models": {"quote": {
             "default_version": "v1", "versions": {"v1": {"servers": engines}},
         }},
+        "routes": {
+            "book": {
+                "method": "POST", "path": "/slots/{slot}/bookings", "idempotent": false,
+                "timeout_ms": 2_000, "servers": plain,
+            },
+            "read": {
+                "method": "GET", "path": "/stock/{board}", "idempotent": true,
+                "timeout_ms": 1_500, "servers": plain,
+            },
+        },
         "servers": servers,
         "limits": {"retry_percent": version % 100},
     })
--- a/crates/core/tests/soak_world/step.rs
+++ b/crates/core/tests/soak_world/step.rs
@@ -10,6 +10,12 @@
     Wait,
     /// A caller asks an instance for an answer of so many tokens.
     Ask { instance: u64, tokens: u64 },
+    /// A caller books under a ticket, which it asks an instance for.
+    Book { instance: u64 },
+    /// A caller reads stock at an instance.
+    ReadStock { instance: u64 },
+    /// A server of plain services dies and comes back.
+    CrashPlain { server: u64, down_ms: u64 },
     /// A caller leaves.
     Leave { caller: u64 },
     /// An instance dies and starts anew with nothing kept.
@@ -49,6 +55,8 @@
 /// Choices of a step, of which those from [`FIRST_FAULT`] on are faults.
 const CHOICES: u64 = 400;
 const FIRST_FAULT: u64 = 95;
+/// Choices from here on are plain calls.
+const FIRST_PLAIN: u64 = 300;
 
 /// Steps drawn from a seed. Each episode has some kinds of faults only, often or seldom, so that
 /// long quiet stretches after a fault are met as well as several faults at once.
@@ -59,7 +67,8 @@
     for _ in 0..count {
         let choice = draw.below(CHOICES);
         let step = draw_step(draw, choice);
-        let is_met = choice < FIRST_FAULT || (kinds[choice as usize] && draw.below(spacing) == 0);
+        let is_met = !(FIRST_FAULT..FIRST_PLAIN).contains(&choice)
+            || (kinds[choice as usize] && draw.below(spacing) == 0);
         steps.push(if is_met { step } else { Step::Wait });
     }
     steps
@@ -93,6 +102,9 @@
         126..=129 => Step::Configure,
         130..=131 => Step::ServiceDown { for_ms },
         132..=133 => Step::ServiceStale { for_ms },
+        137..=138 => Step::CrashPlain { server: engine, down_ms: for_ms },
+        FIRST_PLAIN..=379 => Step::Book { instance },
+        380..=399 => Step::ReadStock { instance },
         134..=136 => Step::FreezeEngine { engine, for_ms },
         _ => Step::Wait,
     }
--- a/crates/core/tests/soak_world/world.rs
+++ b/crates/core/tests/soak_world/world.rs
@@ -2,18 +2,20 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use turmericrail_core::event::{Event, ModelRequest, Now};
+use turmericrail_core::action::PlainCall;
+use turmericrail_core::event::{Event, Now};
 use turmericrail_core::ids::{
     DataCentreId, Incarnation, InstanceId, RequestId, ServerId, StreamId,
 };
 use turmericrail_core::node::{Node, NodeSettings};
 use turmericrail_core::once::Seal;
-use turmericrail_core::units::{Millis, Tokens, WallMillis};
+use turmericrail_core::units::{Millis, WallMillis};
 
 use super::actions::{Call, PendingCall};
 use super::callers::{Caller, CallerState, Run};
 use super::draw::Draw;
 use super::engines::Engine;
+use super::plain::{PlainCalls, RequestKey};
 use super::platform::{ENGINES, Platform, address};
 use super::readers::Reader;
 
@@ -25,14 +27,8 @@
 pub const DATA_CENTRES: [&str; 5] = ["dc-a", "dc-a", "dc-a", "dc-b", "dc-b"];
 /// Engines that keep no record of who reads a stream.
 const UNCHECKING: [&str; 2] = ["a-decode-2", "b-decode"];
-/// Pause after which callers begin to try another instance.
-const DEAF_MS: u64 = 1_000;
 /// Silence that a lease outlasts.
 const HEARD_WITHIN_MS: u64 = 9_000;
-/// Broken connections after which a caller gives up.
-const MAX_RETURNS: u64 = 4;
-/// Time after which a caller whose connection broke asks again.
-const RETURN_MS: u64 = 200;
 
 /// One instance.
 pub struct Slot {
@@ -93,6 +89,14 @@
     ResultEnd(ServerId, StreamId),
     /// A call is given up.
     Timeout(u64),
+    /// A copy of a booking's call reaches an instance.
+    Copy(u64, String),
+    /// A forwarded copy reaches an instance.
+    Forward(usize, RequestKey, String),
+    /// A backend edge writes a plain call.
+    WritePlain(Run, PlainCall),
+    /// A plain call is executed; its answer is given up after so long.
+    Execute(Run, RequestId, ServerId, u64),
 }
 
 /// The world of one episode.
@@ -127,6 +131,8 @@
     pub platform: Platform,
     /// Final answers that were errors, by kind.
     pub errors: BTreeMap<String, u64>,
+    /// Plain calls.
+    pub plain: PlainCalls,
     /// Further tries, by reason.
     pub retries: BTreeMap<String, u64>,
 }
@@ -160,6 +166,7 @@
             network: Network::default(),
             platform: Platform { version: 1, stale_version: 1, ..Platform::default() },
             errors: BTreeMap::new(),
+            plain: PlainCalls::default(),
             retries: BTreeMap::new(),
         };
         for index in 0..DATA_CENTRES.len() {
@@ -277,42 +284,6 @@
         }
     }
 
-    /// A caller asks an instance; it goes on to another where that one is down.
-    pub fn connect(&mut self, caller: usize, instance: u64) {
-        let count = self.slots.len();
-        let is_up = |index: &usize| self.slots[*index].node.is_some();
-        let first = instance as usize % count;
-        let found = (0..count).map(|step| (first + step) % count).find(is_up);
-        let Some(index) = found else {
-            self.callers[caller].state = CallerState::Returning(self.now_ms + RETURN_MS);
-            return;
-        };
-        let slot = &mut self.slots[index];
-        slot.requests += 1;
-        let (run, request) = ((index, slot.incarnation), RequestId(slot.requests));
-        self.asked.insert((run, request), caller);
-        self.callers[caller].state = CallerState::Asking(run, request);
-        let asked = model_request(request, caller, self.callers[caller].max_tokens);
-        let event = match self.callers[caller].cursor.clone() {
-            Some(cursor) => {
-                let asked = self.callers[caller].brings_request.then_some(asked);
-                Event::ResumeRequest { request, cursor, asked }
-            }
-            None => Event::ModelRequest(asked),
-        };
-        self.tell(run, event);
-    }
-
-    /// A caller's connection broke: it returns, or gives up.
-    pub fn cut_caller(&mut self, caller: usize) {
-        let found = &mut self.callers[caller];
-        found.returns += 1;
-        found.state = match found.returns <= MAX_RETURNS {
-            true => CallerState::Returning(self.now_ms + RETURN_MS),
-            false => CallerState::Done,
-        };
-    }
-
     /// An instance dies with all that it knows.
     pub fn crash(&mut self, index: usize, down_ms: u64) {
         let slot = &mut self.slots[index];
@@ -336,12 +307,13 @@
         slot.incarnation += 1;
         slot.started_ms = self.now_ms;
         slot.requests = 0;
+        let run_nonce = slot.incarnation * DATA_CENTRES.len() as u64 + index as u64;
         slot.node = Some(Node::new(NodeSettings {
             instance: instance_id(index),
             incarnation: Incarnation(slot.incarnation),
             data_centre: DATA_CENTRES[index].parse().expect("a valid id"),
             peer_address: address(index),
-            seal: Seal::new("0123456789abcdef"),
+            seal: Seal::for_run("0123456789abcdef", run_nonce),
         }));
     }
 
@@ -380,54 +352,13 @@
                 Delivery::TransferEnd(call) => self.end_transfer(call),
                 Delivery::ResultEnd(server, stream) => self.end_result(&server, &stream),
                 Delivery::Timeout(call) => self.time_out(call),
-            }
-        }
-    }
-
-    fn return_callers(&mut self) {
-        for caller in 0..self.callers.len() {
-            let state = self.callers[caller].state;
-            match state {
-                CallerState::Returning(at_ms) if self.now_ms >= at_ms => {
-                    let instance = self.draw.below(64);
-                    self.connect(caller, instance);
+                Delivery::Copy(instance, ticket) => self.take_copy(instance, ticket),
+                Delivery::Forward(to, origin, ticket) => self.take_forward(to, origin, ticket),
+                Delivery::WritePlain(run, call) => self.write_plain(run, call),
+                Delivery::Execute(run, request, server, lost_ms) => {
+                    self.execute_plain(run, request, server, lost_ms)
                 }
-                CallerState::Asking(run, request) if self.is_deaf(run.0) => {
-                    self.cut_caller(caller);
-                    self.tell(run, Event::CallerGone(request));
-                }
-                _ => {}
             }
         }
     }
-
-    /// Whether the caller of a resumption has closed its connection meanwhile, which the edge sees
-    /// before it passes the resumption on.
-    fn is_stale_resume(&self, run: Run, event: &Event) -> bool {
-        let Event::ResumeRequest { request, .. } = event else {
-            return false;
-        };
-        self.caller_of(run, *request).is_none()
-    }
-
-    /// Whether an instance has been paused for so long that its callers try another one.
-    fn is_deaf(&mut self, index: usize) -> bool {
-        let slot = &self.slots[index];
-        let since_ms = self.now_ms.saturating_sub(slot.heard_ms);
-        slot.node.is_some() && since_ms > DEAF_MS && self.draw.happens(1)
-    }
-}
-
-fn model_request(request: RequestId, caller: usize, max_tokens: u64) -> ModelRequest {
-    ModelRequest {
-        request,
-        workspace: "w1".parse().expect("a valid id"),
-        caller_kind: "printer".parse().expect("a valid id"),
-        model: "quote".parse().expect("a valid id"),
-        version: None,
-        prompt_tokens: Tokens(32),
-        max_tokens: Tokens(max_tokens),
-        prefix_hashes: Vec::new(),
-        fingerprint: caller as u64,
-    }
 }
