Split the engine stand-in into files of one job each

Cause: crates/fakes/src/engine.rs had grown to 484 lines with settings, state, prefill, transfer, tokens, orders and reports in one file. Change: a folder engine/ with one file a job; nothing but moves and visibility inside the folder. Excluded: any change of behaviour.

--- /dev/null
+++ b/crates/fakes/src/engine/prefill.rs
@@ -0,0 +1,71 @@
+//! Computing prompts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use tide::{Request, Response, StatusCode};
+use turmericrail_core::ids::StreamId;
+use turmericrail_core::units::{KvPieces, Tokens};
+use turmericrail_wire::engine::{PrefillAnswer, PrefillBody};
+
+use crate::engine::{EngineStream, Inner, Progress, Shared, admit, gone, json};
+use crate::text;
+
+pub(super) async fn prefill(mut request: Request<Shared>) -> tide::Result {
+    let body: PrefillBody = request.body_json().await?;
+    let inner = Arc::clone(request.state());
+    inner.thaw().await;
+    admit(&inner)?;
+    if !inner.state().orders.serves(&body.model, &body.version) {
+        return Ok(Response::new(StatusCode::Conflict));
+    }
+    let prompt_tokens = text::prompt_tokens(&body.prompt);
+    let kv_pieces = KvPieces(prompt_tokens.div_ceil(16));
+    let stream = EngineStream {
+        holder: body.holder,
+        kv_pieces,
+        prompt: body.prompt,
+        is_computed: false,
+        generated: 0,
+        max_tokens: 0,
+        progress: Progress::default(),
+    };
+    {
+        let mut state = inner.state();
+        state.streams.insert(body.stream.clone(), stream);
+        state.queued_tokens += prompt_tokens;
+    }
+    let is_done = compute(&inner, &body.stream, prompt_tokens).await;
+    inner.state().queued_tokens -= prompt_tokens;
+    if !is_done {
+        return gone();
+    }
+    let life = Duration::from_millis(inner.settings.result_life_ms);
+    task::spawn(async move {
+        task::sleep(life).await;
+        inner.state().waste(&body.stream);
+    });
+    json(&PrefillAnswer { cached_tokens: Tokens::ZERO, kv_pieces })
+}
+
+async fn compute(inner: &Inner, stream: &StreamId, prompt_tokens: u64) -> bool {
+    let _turn = inner.compute.lock().await;
+    let mut left_ms = prompt_tokens * 1_000 / inner.settings.prefill_tokens_per_second.max(1);
+    while left_ms > 0 {
+        let step_ms = left_ms.min(10);
+        task::sleep(Duration::from_millis(step_ms)).await;
+        inner.thaw().await;
+        left_ms -= step_ms;
+        if !inner.state().streams.contains_key(stream) {
+            return false;
+        }
+    }
+    let mut state = inner.state();
+    state.prefill_tokens += prompt_tokens;
+    let Some(stream) = state.streams.get_mut(stream) else {
+        return false;
+    };
+    stream.is_computed = true;
+    true
+}
--- /dev/null
+++ b/crates/fakes/src/engine/tokens.rs
@@ -0,0 +1,115 @@
+//! Generating tokens and reading them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use serde::Deserialize;
+use tide::{Request, Response, StatusCode};
+use turmericrail_core::ids::{Incarnation, InstanceId, StreamId};
+use turmericrail_core::report::Holder;
+use turmericrail_wire::body::channel_body;
+use turmericrail_wire::engine::TokenLine;
+
+use crate::engine::{EngineState, Inner, Shared, admit};
+use crate::text;
+
+/// Longest time between looks of a reader that waits for a token.
+const READ_STEP: Duration = Duration::from_millis(10);
+/// Time for which an ended stream can still be read.
+const ENDED_LIFE: Duration = Duration::from_secs(10);
+
+pub(super) async fn generate(inner: Shared, stream: StreamId) {
+    loop {
+        task::sleep(Duration::from_millis(inner.settings.token_ms)).await;
+        inner.thaw().await;
+        let mut state = inner.state();
+        let Some(generating) = state.streams.get_mut(&stream) else {
+            return;
+        };
+        generating.generated += 1;
+        let _ = generating.progress.sender.try_send(());
+        if generating.generated < generating.max_tokens {
+            continue;
+        }
+        if let Some(ended) = state.streams.remove(&stream) {
+            state.ended.insert(stream.clone(), ended);
+        }
+        break;
+    }
+    task::sleep(ENDED_LIFE).await;
+    inner.state().ended.remove(&stream);
+}
+
+#[derive(Deserialize)]
+struct TokensQuery {
+    stream: StreamId,
+    from: u64,
+    instance: InstanceId,
+    incarnation: Incarnation,
+    takes_over: bool,
+}
+
+/// Makes the reader the holder where it may be; returns the status where it may not.
+fn admit_reader(state: &mut EngineState, query: &TokensQuery) -> Result<u64, StatusCode> {
+    let reader = Holder { instance: query.instance.clone(), incarnation: query.incarnation };
+    let found = match state.streams.get_mut(&query.stream) {
+        Some(stream) => stream,
+        None => state.ended.get_mut(&query.stream).ok_or(StatusCode::Gone)?,
+    };
+    if found.holder != reader && !query.takes_over {
+        return Err(StatusCode::Conflict);
+    }
+    found.holder = reader;
+    state.readers += 1;
+    Ok(state.readers)
+}
+
+pub(super) async fn tokens(request: Request<Shared>) -> tide::Result {
+    let query: TokensQuery = request.query()?;
+    let inner = Arc::clone(request.state());
+    inner.thaw().await;
+    admit(&inner)?;
+    let admitted = admit_reader(&mut inner.state(), &query);
+    let reader = match admitted {
+        Ok(reader) => reader,
+        Err(status) => return Ok(Response::new(status)),
+    };
+    let (sender, receiver) = async_channel::bounded(16);
+    task::spawn(async move {
+        let mut index = query.from;
+        while let Some(line) = next_line(&inner, &query.stream, index, reader).await {
+            let mut piece = serde_json::to_vec(&line).expect("token lines serialise");
+            piece.push(b'\n');
+            let is_end = matches!(line, TokenLine::End { .. });
+            if sender.send(Ok(piece)).await.is_err() || is_end {
+                return;
+            }
+            index += 1;
+        }
+        let cut = std::io::Error::other("stream cancelled");
+        let _ = sender.send(Err(cut)).await;
+    });
+    Ok(Response::builder(200).body(channel_body(receiver)).build())
+}
+
+async fn next_line(inner: &Inner, stream: &StreamId, index: u64, reader: u64) -> Option<TokenLine> {
+    loop {
+        let progress = {
+            let state = inner.state();
+            let found = state.find(stream)?;
+            if reader < state.cut_below {
+                return None;
+            }
+            let is_told = reader >= state.mute_below && !state.is_frozen;
+            if is_told && index < found.generated {
+                return Some(TokenLine::Token { index, text: text::token(&found.prompt, index) });
+            }
+            if is_told && found.generated >= found.max_tokens {
+                return Some(TokenLine::End { count: found.max_tokens });
+            }
+            found.progress.receiver.clone()
+        };
+        let _ = async_std::future::timeout(READ_STEP, progress.recv()).await;
+    }
+}
