Hash the prefixes of a prompt in one pass, for each model apart

Cause: each of up to 64 prefixes was copied and hashed from the start of the prompt, on the way to the first token. A prompt above 64 KB counted as wholly cached where its first 64 KB were, as the cached part is a share of the hashes. Two models with the same text shared their beliefs, though an engine caches a text for each model apart.

Change: one hasher goes over the blocks once and starts with the model; up to 256 blocks (256 KB, some 64,000 tokens) have a hash.

Excluded: blocks that grow with their place, which would need the length of each beside its hash.

Tests: prompt_prefixes (models_differ and bounded_count fail on the old code).

--- a/crates/turmericrail/src/caller_edge/completions.rs
+++ b/crates/turmericrail/src/caller_edge/completions.rs
@@ -7,23 +7,19 @@
 use turmericrail_core::error_kind::{ErrorKind, Outcome};
 use turmericrail_core::event::{Event, ModelRequest};
 use turmericrail_core::ids::RequestId;
-use turmericrail_core::membership::rendezvous::stable_hash;
 use turmericrail_core::units::Tokens;
 use turmericrail_wire::body::{Part, Then, message_body};
 use turmericrail_wire::caller::{CompletionAnswer, CompletionBody, EndEvent, TokenEvent};
 
 use super::body::{decode_body, receive_body};
 use super::connection::Connection;
+use super::prefixes::prefix_hashes;
 use super::reply;
 use crate::daemon::Shared;
 use crate::daemon::callers::{Sent, ToCaller};
 
 /// Bytes of prompt that count as one token in estimates.
 const BYTES_PER_TOKEN: u64 = 4;
-/// Bytes of prompt between two prefix hashes.
-const PREFIX_BLOCK_BYTES: usize = 1_024;
-/// Most prefix hashes of one prompt.
-const MAX_PREFIX_HASHES: usize = 64;
 
 pub async fn complete(mut request: Request<Arc<Shared>>) -> tide::Result {
     let shared = Arc::clone(request.state());
@@ -66,20 +62,15 @@
 }
 
 fn to_request(request: RequestId, body: &CompletionBody) -> ModelRequest {
-    let prompt = body.prompt.as_bytes();
-    let ends = (1..=MAX_PREFIX_HASHES).map(|block| block * PREFIX_BLOCK_BYTES);
-    let prefixes = ends.take_while(|end| *end <= prompt.len()).map(|end| &prompt[..end]);
     ModelRequest {
         request,
         workspace: body.workspace.clone(),
         caller_kind: body.caller_kind.clone(),
         model: body.model.clone(),
         version: body.version.clone(),
-        prompt_tokens: Tokens((prompt.len() as u64).div_ceil(BYTES_PER_TOKEN).max(1)),
+        prompt_tokens: Tokens((body.prompt.len() as u64).div_ceil(BYTES_PER_TOKEN).max(1)),
         max_tokens: body.max_tokens,
-        prefix_hashes: prefixes
-            .map(|prefix| stable_hash(&String::from_utf8_lossy(prefix)))
-            .collect(),
+        prefix_hashes: prefix_hashes(&body.model, &body.prompt),
     }
 }
 
--- a/crates/turmericrail/src/caller_edge/mod.rs
+++ b/crates/turmericrail/src/caller_edge/mod.rs
@@ -6,6 +6,7 @@
 mod guarded_stream;
 mod pages;
 mod plain;
+pub mod prefixes;
 mod reply;
 
 use std::sync::Arc;
