Silence and cut connections between instances and engines of real processes

Cause: no process test cut or silenced connections between instances, or one kind of call to an engine; only the soak did, in memory. Change: a loopback link (crates/fakes/link.rs) with faults picked by the first bytes of a connection; a fleet plan may put it before peer edges, engines and each instance's platform. New optional setting peer_listen_address, since what others dial and what the peer edge binds were one address. Excluded: addresses other than 127.0.0.1 for each instance; telling each instance another list (what a peer says of itself goes before the list).

--- a/crates/fakes/src/caller.rs
+++ b/crates/fakes/src/caller.rs
@@ -49,8 +49,18 @@
 impl StreamCaller {
     /// Sends a completion request and waits for the head of the answer.
     pub async fn open(address: SocketAddr, body: &Value) -> Option<Self> {
+        Self::ask(address, body).await.ok()
+    }
+
+    /// Sends a completion request; an error is the text of the answer that refused it, or why
+    /// there is none.
+    pub async fn ask(address: SocketAddr, body: &Value) -> Result<Self, String> {
         let answer = Call::post(address, "/v1/completions", body, EVENT_TIMEOUT).open().await;
-        Some(Self::reading(answer.ok().filter(|answer| answer.status().is_success())?))
+        let mut answer = answer.map_err(|error| error.to_string())?;
+        if !answer.status().is_success() {
+            return Err(answer.body_string().await.unwrap_or_default());
+        }
+        Ok(Self::reading(answer))
     }
 
     /// Continues the answer at another instance, behind the last token received.
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -16,6 +16,7 @@
 use turmericrail_wire::client::Call;
 
 use crate::engine::{EngineSettings, FakeEngine};
+use crate::fleet_links::FleetLinks;
 use crate::plain::FakePlain;
 use crate::platform::FakePlatform;
 
@@ -84,6 +85,8 @@
     pub engine: EngineSettings,
     /// Further lines of each instance's settings.
     pub extra_settings: String,
+    /// Whether a link stands before each peer edge, each engine and each reader's platform.
+    pub has_links: bool,
 }
 
 impl FleetPlan {
@@ -100,6 +103,7 @@
             plain_services: 2,
             engine: EngineSettings::default(),
             extra_settings: String::new(),
+            has_links: false,
         }
     }
 }
@@ -118,6 +122,8 @@
     pub plain: BTreeMap<String, FakePlain>,
     /// Instances.
     pub instances: Vec<FleetInstance>,
+    /// Links, where the plan has them.
+    pub links: FleetLinks,
 }
 
 /// First port given to instances: below the ports that the kernel gives to connections, so that
@@ -171,6 +177,7 @@
             decode: BTreeMap::new(),
             plain: BTreeMap::new(),
             instances: Vec::new(),
+            links: FleetLinks::default(),
             plan,
         };
         let document = fleet.start_servers().await?;
@@ -184,6 +191,9 @@
                 fleet.add_instance(&data_centre, number)?;
             }
         }
+        if fleet.plan.has_links {
+            fleet.links.add_instances(&fleet.instances, fleet.platform.address).await?;
+        }
         fleet.publish_list();
         for index in 0..fleet.instances.len() {
             fleet.launch(index)?;
@@ -194,13 +204,18 @@
 
     /// Starts the process of an instance.
     pub fn launch(&mut self, index: usize) -> std::io::Result<()> {
-        let platform = self.platform.address;
         let instance = &mut self.instances[index];
-        let extra = &self.plan.extra_settings;
+        let id = instance.id.as_str();
+        let platform = self.links.platform_address(id, self.platform.address);
+        let peer_address = self.links.peer_address(id, instance.peer_address);
+        let is_linked = peer_address != instance.peer_address;
+        let listening = format!("peer_listen_address: {}\n", instance.peer_address);
+        let extra = if is_linked { listening } else { String::new() } + &self.plan.extra_settings;
         let settings = format!(
-            "deployment: test\ninstance: {}\ndata_centre: {}\ncaller_address: {}\n\
-             peer_address: {}\nplatform_address: {platform}\nseal_key: 0123456789abcdef\n{extra}",
-            instance.id, instance.data_centre, instance.caller_address, instance.peer_address
+            "deployment: test\ninstance: {id}\ndata_centre: {}\ncaller_address: {}\n\
+             peer_address: {peer_address}\nplatform_address: {platform}\n\
+             seal_key: 0123456789abcdef\n{extra}",
+            instance.data_centre, instance.caller_address
         );
         let path = self.plan.folder.join(format!("{}.yaml", instance.id));
         std::fs::write(&path, settings)?;
@@ -255,7 +270,7 @@
         let listed = self.instances.iter().map(|instance| {
             let entry = ListedInstance {
                 data_centre: instance.data_centre.parse().expect("plans name valid data centres"),
-                peer_address: instance.peer_address,
+                peer_address: self.links.peer_address(instance.id.as_str(), instance.peer_address),
                 state: ListedState::Live,
             };
             (instance.id.clone(), entry)
@@ -281,18 +296,20 @@
     async fn start_servers(&mut self) -> std::io::Result<Value> {
         let mut servers = serde_json::Map::new();
         let mut engines = Vec::new();
-        for data_centre in self.plan.data_centres.keys() {
+        for data_centre in &self.plan.data_centres.keys().cloned().collect::<Vec<_>>() {
             for number in 1..=self.plan.prefill_engines {
                 let id = format!("{data_centre}-prefill-{number}");
                 let engine = FakeEngine::start(self.plan.engine.clone()).await?;
-                servers.insert(id.clone(), server(data_centre, engine.address, "prefill"));
+                let address = self.engine_address(&id, &engine).await?;
+                servers.insert(id.clone(), server(data_centre, address, "prefill"));
                 engines.push(id.clone());
                 self.prefill.insert(id, engine);
             }
             for number in 1..=self.plan.decode_engines {
                 let id = format!("{data_centre}-decode-{number}");
                 let engine = FakeEngine::start(self.plan.engine.clone()).await?;
-                servers.insert(id.clone(), server(data_centre, engine.address, "decode"));
+                let address = self.engine_address(&id, &engine).await?;
+                servers.insert(id.clone(), server(data_centre, address, "decode"));
                 engines.push(id.clone());
                 self.decode.insert(id, engine);
             }
@@ -308,6 +325,17 @@
         Ok(self.document(servers, &engines))
     }
 
+    async fn engine_address(
+        &mut self,
+        id: &str,
+        engine: &FakeEngine,
+    ) -> std::io::Result<SocketAddr> {
+        if !self.plan.has_links {
+            return Ok(engine.address);
+        }
+        self.links.add_engine(id, engine.address).await
+    }
+
     fn document(&self, servers: serde_json::Map<String, Value>, engines: &[String]) -> Value {
         let plain: Vec<_> = self.plain.keys().collect();
         let route = |method: &str, path: &str, idempotent: bool| {
--- /dev/null
+++ b/crates/fakes/src/fleet_links.rs
@@ -0,0 +1,94 @@
+//! The links of a fleet: one before each peer edge, each engine, and the platform of each instance.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::fleet::FleetInstance;
+use crate::link::{Fault, Link, Reach};
+
+/// Links by the instance or server that they belong to.
+#[derive(Clone, Default)]
+pub struct FleetLinks {
+    /// Links before peer edges.
+    pub peers: BTreeMap<String, Link>,
+    /// Links between an instance and the platform.
+    pub platforms: BTreeMap<String, Link>,
+    /// Links before engines.
+    pub engines: BTreeMap<String, Link>,
+}
+
+impl FleetLinks {
+    /// Adds the links of the instances.
+    pub async fn add_instances(
+        &mut self,
+        instances: &[FleetInstance],
+        platform: SocketAddr,
+    ) -> std::io::Result<()> {
+        for instance in instances {
+            let id = instance.id.to_string();
+            self.peers.insert(id.clone(), Link::start(instance.peer_address).await?);
+            self.platforms.insert(id, Link::start(platform).await?);
+        }
+        Ok(())
+    }
+
+    /// Adds the link of an engine and returns its address.
+    pub async fn add_engine(
+        &mut self,
+        id: &str,
+        address: SocketAddr,
+    ) -> std::io::Result<SocketAddr> {
+        let link = Link::start(address).await?;
+        let address = link.address;
+        self.engines.insert(id.to_owned(), link);
+        Ok(address)
+    }
+
+    /// Where others reach an instance.
+    pub fn peer_address(&self, id: &str, direct: SocketAddr) -> SocketAddr {
+        self.peers.get(id).map_or(direct, |link| link.address)
+    }
+
+    /// Where an instance reaches the platform.
+    pub fn platform_address(&self, id: &str, direct: SocketAddr) -> SocketAddr {
+        self.platforms.get(id).map_or(direct, |link| link.address)
+    }
+
+    /// Adds a fault between one instance and another in both directions.
+    pub fn fail_between(&self, one: &str, other: &str, fault: Fault, reach: Reach) {
+        let ids: Vec<_> = self.peers.keys().cloned().collect();
+        for (receiver, sender) in [(one, other), (other, one)] {
+            let (ids, sender, itself) = (ids.clone(), sender.to_owned(), receiver.to_owned());
+            let is_sender = move |head: &[u8]| {
+                let others = ids.iter().filter(|id| **id != itself);
+                let found = others.filter_map(|id| Some((position(head, id)?, id)));
+                found.min().is_some_and(|(_, first)| *first == sender)
+            };
+            self.peers[receiver].fail(fault, reach, is_sender);
+        }
+    }
+
+    /// Cuts an instance off from others, from its platform, and from engines of other data centres.
+    pub fn isolate(&self, id: &str, from_instances: &[&str], from_engines: &[&str]) {
+        for other in from_instances {
+            self.fail_between(id, other, Fault::Silent, Reach::All);
+        }
+        self.platforms[id].fail(Fault::Silent, Reach::All, |_| true);
+        for engine in from_engines {
+            let name = id.to_owned();
+            let is_sender = move |head: &[u8]| position(head, &name).is_some();
+            self.engines[*engine].fail(Fault::Silent, Reach::All, is_sender);
+        }
+    }
+
+    /// Ends all faults.
+    pub fn heal(&self) {
+        let links = self.peers.values().chain(self.platforms.values());
+        links.chain(self.engines.values()).for_each(Link::heal);
+    }
+}
+
+/// Where a text begins within bytes.
+fn position(bytes: &[u8], text: &str) -> Option<usize> {
+    bytes.windows(text.len()).position(|window| window == text.as_bytes())
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod caller;
 pub mod engine;
 pub mod fleet;
+pub mod fleet_links;
+pub mod link;
 pub mod orders;
 pub mod plain;
 pub mod platform;
@@ -16,5 +18,7 @@
 pub use caller::{AnswerEvent, StreamCaller, wait_until};
 pub use engine::{EngineSettings, FakeEngine};
 pub use fleet::{Fleet, FleetInstance, FleetPlan};
+pub use fleet_links::FleetLinks;
+pub use link::{Fault, Link, Reach};
 pub use plain::FakePlain;
 pub use platform::FakePlatform;
--- a/crates/turmericrail/src/peer_edge/server.rs
+++ b/crates/turmericrail/src/peer_edge/server.rs
@@ -115,7 +115,7 @@
 
 /// Listens for other instances.
 pub async fn listen(shared: &Arc<Shared>) -> Result<(), StartError> {
-    let address = shared.settings.peer_address;
+    let address = shared.settings.peer_listen_address.unwrap_or(shared.settings.peer_address);
     let bound = std::net::TcpListener::bind(address);
     bound.map_err(|source| StartError::Listen { address, source })?;
     let edge = PeerEdge { shared: Arc::clone(shared), logged_second: AtomicU64::new(0) };
--- a/crates/turmericrail/src/settings.rs
+++ b/crates/turmericrail/src/settings.rs
@@ -38,6 +38,10 @@
     /// IP number and port for other instances.
     #[serde_as(as = "IpAndPort")]
     pub peer_address: SocketAddr,
+    /// IP number and port that the peer edge listens on, where others reach it through another.
+    #[serde_as(as = "Option<IpAndPort>")]
+    #[serde(default)]
+    pub peer_listen_address: Option<SocketAddr>,
     /// IP number and port of the platform's services.
     #[serde_as(as = "IpAndPort")]
     pub platform_address: SocketAddr,
@@ -135,11 +139,12 @@
     }
 
     fn check_ports(&self) -> Result<(), ConfigError> {
-        let addresses = [
+        let mut addresses = vec![
             ("caller_address", self.caller_address),
             ("peer_address", self.peer_address),
             ("platform_address", self.platform_address),
         ];
+        addresses.extend(self.peer_listen_address.map(|address| ("peer_listen_address", address)));
         for (index, (field, address)) in addresses.iter().enumerate() {
             let error = |problem: String| Err(ConfigError::at(KeyPath::new(field), problem));
             if address.port() == 0 {
