Bench: transfers share links, time out, and meet narrow links; four more faults

Cause: links served one transfer after the other and transfers never timed out, so that no transfer slowed another; owners' deaths, lost messages and engines that report well and fail calls were missing.

--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -12,10 +12,18 @@
 mod cost;
 #[path = "policy/engine.rs"]
 mod engine;
+#[path = "policy/engine_calls.rs"]
+mod engine_calls;
+#[path = "policy/fault.rs"]
+mod fault;
+#[path = "policy/links.rs"]
+mod links;
 #[path = "policy/outcome.rs"]
 mod outcome;
 #[path = "policy/simple.rs"]
 mod simple;
+#[path = "policy/transfers.rs"]
+mod transfers;
 #[path = "policy/workload.rs"]
 mod workload;
 #[path = "policy/world.rs"]
@@ -35,13 +43,12 @@
 
 use crate::bound::Engines;
 use crate::engine::Engine;
+use crate::fault::{FAULT_MS, Fault, NARROW_SHARE};
 use crate::outcome::Measures;
 use crate::simple::{Choose, Simple, least_loaded, power_of_two, round_robin};
+use crate::transfers::{BYTES_PER_TOKEN, FAR_BYTES_PER_MS, NEAR_BYTES_PER_MS};
 use crate::workload::{Deployment, PIECE_TOKENS, requests};
-use crate::world::{
-    BYTES_PER_TOKEN, FAR_BYTES_PER_MS, FAULT_MS, Fault, Handle, Instance, NEAR_BYTES_PER_MS,
-    SLOW_DECODE, SLOW_PREFILL, World,
-};
+use crate::world::{Handle, Instance, World};
 
 /// Seed of the workload where `--seed=N` names no other.
 const SEED: u64 = 7;
@@ -64,29 +71,14 @@
 
 impl Case {
     fn name(&self) -> String {
-        let fault = match self.fault {
-            Fault::None => "none",
-            Fault::DeadPrefill => "dead_prefill",
-            Fault::DeadDecode => "dead_decode",
-            Fault::SlowPrefill => "slow_prefill",
-            Fault::SlowDecode => "slow_decode",
-            Fault::LateReports => "late_reports",
-            Fault::CutOff => "cut_off",
-            Fault::Flood => "flood",
-        };
+        let fault = self.fault.name();
         format!("{}/load_{:.1}/{fault}", self.deployment.name, self.load)
     }
 
     /// Prefill and decode engines at work at a time; a slow one counts in part.
     fn engines(&self) -> Engines {
         let whole = (self.deployment.prefill_engines(), self.deployment.decode_engines());
-        let lost = match self.fault {
-            Fault::DeadPrefill => (1.0, 0.0),
-            Fault::DeadDecode => (0.0, 1.0),
-            Fault::SlowPrefill => (1.0 - 1.0 / SLOW_PREFILL, 0.0),
-            Fault::SlowDecode => (0.0, 1.0 - 1.0 / SLOW_DECODE),
-            Fault::None | Fault::LateReports | Fault::CutOff | Fault::Flood => (0.0, 0.0),
-        };
+        let lost = self.fault.lost_engines();
         Box::new(
             move |now_ms| {
                 if now_ms < FAULT_MS { whole } else { (whole.0 - lost.0, whole.1 - lost.1) }
@@ -167,9 +159,17 @@
             Fault::SlowDecode,
             Fault::LateReports,
             Fault::CutOff,
+            Fault::DeadInstance,
+            Fault::LostMessages,
+            Fault::FailingPrefill,
+            Fault::FailingDecode,
         ] {
             cases.push(Case { deployment: deployment.clone(), load: 1.0, fault });
         }
+        for load in [1.0, 1.3, 2.0] {
+            let narrow = Deployment { link_share: NARROW_SHARE, ..deployment.clone() };
+            cases.push(Case { deployment: narrow, load, fault: Fault::NarrowLinks });
+        }
         cases.push(Case { deployment, load: 2.0, fault: Fault::Flood });
     }
     cases
@@ -247,6 +247,7 @@
 
 fn build_world(case: &Case, asked: &[workload::Asked], policy: &Policy) -> World {
     let instances = (0..case.deployment.instances).map(|instance| Instance {
+        is_dead: false,
         data_centre: instance % case.deployment.data_centres,
         address: peer_address(instance),
         handle: (policy.build)(&case.deployment, instance),
@@ -254,7 +255,9 @@
     let engines = engine_places(&case.deployment)
         .into_iter()
         .map(|(id, data_centre, _)| (id, Engine::new(data_centre)));
-    World::new(instances.collect(), engines.collect(), asked.to_vec(), case.fault)
+    let mut world = World::new(instances.collect(), engines.collect(), asked.to_vec(), case.fault);
+    world.link_share = case.deployment.link_share;
+    world
 }
 
 fn engine_places(deployment: &Deployment) -> Vec<(ServerId, usize, SocketAddr)> {
@@ -312,7 +315,8 @@
     let mut links = BTreeMap::new();
     for from in 0..deployment.data_centres {
         for to in 0..deployment.data_centres {
-            let rate = if from == to { NEAR_BYTES_PER_MS } else { FAR_BYTES_PER_MS };
+            let usual = if from == to { NEAR_BYTES_PER_MS } else { FAR_BYTES_PER_MS };
+            let rate = (usual as f64 * deployment.link_share) as u64;
             let name = format!("{}.{}", data_centre(from), data_centre(to));
             links.insert(name, json!({"rate_bytes_per_second": rate * 1_000}));
         }
--- a/crates/core/benches/policy/engine.rs
+++ b/crates/core/benches/policy/engine.rs
@@ -45,6 +45,7 @@
 pub struct Engine {
     pub data_centre: usize,
     pub is_dead: bool,
+    pub is_failing: bool,
     pub slowness: f64,
     pub waiting: Vec<Job>,
     pub running: Option<Job>,
--- a/crates/core/benches/policy/workload.rs
+++ b/crates/core/benches/policy/workload.rs
@@ -53,6 +53,8 @@
     pub prompt_median_tokens: f64,
     pub answer_median_tokens: f64,
     pub kinds: Vec<Kind>,
+    /// Rate of all links as a share of the usual one.
+    pub link_share: f64,
 }
 
 /// One model request of the workload.
@@ -82,6 +84,7 @@
             plain: 3,
             prompt_median_tokens: 1_100.0,
             answer_median_tokens: 250.0,
+            link_share: 1.0,
             kinds: vec![
                 Kind {
                     name: "printer",
@@ -112,6 +115,7 @@
             plain: 3,
             prompt_median_tokens: 2_000.0,
             answer_median_tokens: 200.0,
+            link_share: 1.0,
             kinds: vec![
                 Kind {
                     name: "player",
