Name the request in the header of every answer

Cause: docs/INTERFACES.md says that x-request-id names the request, but errors, whole JSON answers and tickets named it in their body alone, and a refused head not in a place that every client logs.

Change: one constant and one function put the header on all answers to requests; pages for operators carry none.

Excluded: a header on the pages, which belong to no request. Conclusion: turmericctl explain has its number in each case.

--- a/crates/turmericrail/src/caller_edge/completions.rs
+++ b/crates/turmericrail/src/caller_edge/completions.rs
@@ -116,7 +116,7 @@
             ToCaller::End { count } => {
                 connection.remove(id);
                 let outcome = Outcome::Completed;
-                return reply::json(&CompletionAnswer { request: id, outcome, text, count });
+                return reply::answer(id, &CompletionAnswer { request: id, outcome, text, count });
             }
             ToCaller::Error { kind, retry_after_ms } => {
                 connection.remove(id);
@@ -146,7 +146,7 @@
     Ok(Response::builder(200)
         .content_type("text/event-stream")
         .header("cache-control", "no-cache")
-        .header("x-request-id", id.to_string())
+        .header(reply::REQUEST_HEADER, id.to_string())
         .body(body)
         .build())
 }
--- a/crates/turmericrail/src/caller_edge/plain.rs
+++ b/crates/turmericrail/src/caller_edge/plain.rs
@@ -31,7 +31,7 @@
     match answers.recv().await {
         Ok(ToCaller::Tickets(tickets)) => {
             let ticket = tickets.first().cloned().unwrap_or_default();
-            reply::json(&TicketAnswer { ticket, tickets, valid_ms: TICKET_LIFE_MS.0 })
+            reply::answer(id, &TicketAnswer { ticket, tickets, valid_ms: TICKET_LIFE_MS.0 })
         }
         Ok(ToCaller::Error { kind, retry_after_ms }) => reply::error(id, kind, retry_after_ms),
         _ => reply::error(id, ErrorKind::NotReady, None),
@@ -81,7 +81,7 @@
     match answer {
         Ok(ToCaller::Plain(answer)) => {
             let mut response = Response::new(answer.status);
-            response.insert_header("x-request-id", id.to_string());
+            response.insert_header(reply::REQUEST_HEADER, id.to_string());
             response.set_body(answer.body);
             if !answer.content_type.is_empty() {
                 response.insert_header("content-type", answer.content_type);
--- a/crates/turmericrail/src/caller_edge/reply.rs
+++ b/crates/turmericrail/src/caller_edge/reply.rs
@@ -6,6 +6,9 @@
 use turmericrail_core::units::Millis;
 use turmericrail_wire::caller::ErrorBody;
 
+/// Header that names the request, for `turmericctl explain`.
+pub const REQUEST_HEADER: &str = "x-request-id";
+
 /// Wait told to callers that the edge turns away.
 const EDGE_RETRY_AFTER_MS: Millis = Millis(1_000);
 
@@ -45,6 +48,7 @@
     retry_after_ms: Option<Millis>,
 ) -> tide::Result {
     let mut response = Response::new(kind.answer().status);
+    response.insert_header(REQUEST_HEADER, body.request.to_string());
     if let Some(wait) = retry_after_ms {
         response.insert_header("retry-after", wait.0.div_ceil(1_000).max(1).to_string());
     }
@@ -91,7 +95,7 @@
     };
     let length = body.len();
     format!(
-        "HTTP/1.1 {} {}\r\n{retry_after}content-type: application/json\r\n\
+        "HTTP/1.1 {} {}\r\n{REQUEST_HEADER}: {request}\r\n{retry_after}content-type: application/json\r\n\
          content-length: {length}\r\nconnection: close\r\n\r\n{body}",
         status as u16,
         status.canonical_reason()
@@ -99,6 +103,13 @@
     .into_bytes()
 }
 
+/// The response of a request that completed.
+pub fn answer(request: RequestId, value: &impl serde::Serialize) -> tide::Result {
+    let mut response = json(value)?;
+    response.insert_header(REQUEST_HEADER, request.to_string());
+    Ok(response)
+}
+
 /// A JSON response.
 pub fn json(value: &impl serde::Serialize) -> tide::Result {
     Ok(Response::builder(200).body(Body::from_json(value)?).build())
--- a/crates/turmericrail/tests/hostile_callers.rs
+++ b/crates/turmericrail/tests/hostile_callers.rs
@@ -30,6 +30,8 @@
 /// Asserts that an answer has a status and holds some texts, and that others are still served.
 async fn assert_refused(fleet: &Fleet, answer: &str, status: u16, texts: &[&str]) {
     assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer:?}");
+    let names_request = answer.contains("x-request-id: ");
+    assert_eq!(names_request, status != 200, "{answer:?}");
     for text in texts {
         assert!(answer.contains(text), "{text:?} is not in {answer:?}");
     }
--- a/crates/turmericrail/tests/whole_path.rs
+++ b/crates/turmericrail/tests/whole_path.rs
@@ -11,9 +11,10 @@
 async fn json_answer() {
     let fleet = start_fleet("json-answer").await;
     for instance in &fleet.instances {
-        let (_, body) =
+        let (response, body) =
             complete(instance.caller_address, &completion("a carton", 12, false)).await.unwrap();
         let answer: Value = serde_json::from_slice(&body).unwrap();
+        assert_eq!(response["x-request-id"], answer["request"].to_string().as_str());
         assert_eq!(answer["text"], text::answer("a carton", 12));
         assert_eq!(answer["count"], 12);
     }
