Answer requests that arrive in the last moments of a shutdown

Cause: the driver ended as soon as the coordinator asked to exit, while the listener went on for 100 ms up to 2 s: requests of that time were registered and never answered, so that their callers saw a connection closed without an answer. Change: the driver runs on and answers them (shutting_down, not run); the listener is closed when the exit is asked for, and the process ends once no caller waited for 100 ms. Excluded: a longer linger for balancers that are slow to notice (connections are refused then, and nothing is lost); handing streams over. Not covered: a connection that the kernel completed in the very moment of the close is still reset.

--- a/crates/turmericrail/src/caller_edge/mod.rs
+++ b/crates/turmericrail/src/caller_edge/mod.rs
@@ -13,7 +13,7 @@
 
 use async_std::net::TcpListener;
 use async_std::stream::StreamExt;
-use async_std::task;
+use async_std::task::{self, JoinHandle};
 use tide::Server;
 
 use crate::daemon::Shared;
@@ -24,6 +24,9 @@
 /// Time between looks while draining.
 const DRAIN_STEP: Duration = Duration::from_millis(20);
 
+/// Looks without a waiting caller after which the last answers count as written.
+const QUIET_STEPS: usize = 5;
+
 type App = Server<Arc<Shared>>;
 
 fn app(shared: &Arc<Shared>) -> App {
@@ -40,14 +43,14 @@
     app
 }
 
-/// Listens for callers.
-pub async fn listen(shared: &Arc<Shared>) -> Result<(), StartError> {
+/// Listens for callers until the task is cancelled.
+pub async fn listen(shared: &Arc<Shared>) -> Result<JoinHandle<()>, StartError> {
     let address = shared.settings.caller_address;
     let listener = TcpListener::bind(address).await;
     let listener = listener.map_err(|source| StartError::Listen { address, source })?;
     let app = app(shared);
     let shared = Arc::clone(shared);
-    task::spawn(async move {
+    let listening = task::spawn(async move {
         let mut incoming = listener.incoming();
         while let Some(stream) = incoming.next().await {
             let Ok(stream) = stream else {
@@ -57,16 +60,17 @@
             connection::start(&shared, &app, stream);
         }
     });
-    Ok(())
+    Ok(listening)
 }
 
-/// Waits for the last answers to be written.
+/// Waits for the last requests to arrive and their answers to be written.
 pub async fn drain(shared: &Arc<Shared>) {
     let waiting = async {
-        while !shared.callers.is_empty() {
+        let mut quiet_steps = 0;
+        while quiet_steps < QUIET_STEPS {
+            quiet_steps = if shared.callers.is_empty() { quiet_steps + 1 } else { 0 };
             task::sleep(DRAIN_STEP).await;
         }
-        task::sleep(DRAIN_STEP * 5).await;
     };
     let _ = async_std::future::timeout(DRAIN_LIMIT, waiting).await;
 }
--- a/crates/turmericrail/src/daemon/driver.rs
+++ b/crates/turmericrail/src/daemon/driver.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use async_std::task;
 use turmericrail_core::action::{Action, Decision};
 use turmericrail_core::error_kind::ErrorKind;
@@ -17,25 +17,24 @@
 /// Time between ticks.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Runs until the coordinator asks to exit.
-pub async fn drive(shared: Arc<Shared>, events: Receiver<Event>) {
+/// Runs for the life of the process; tells where the coordinator asks to exit, and still answers
+/// requests that arrive before the listener is closed.
+pub async fn drive(shared: Arc<Shared>, events: Receiver<Event>, exit: Sender<()>) {
     start_ticks(&shared);
     while let Ok(event) = events.recv().await {
         let actions = shared.node().handle(shared.now(), event);
-        if !perform_all(&shared, actions) {
-            return;
-        }
+        perform_all(&shared, actions, &exit);
     }
 }
 
-/// Carries actions out; decisions are logged last, so that no request waits for the log. Returns
-/// whether the process goes on.
-fn perform_all(shared: &Arc<Shared>, actions: Vec<Action>) -> bool {
-    let mut goes_on = true;
+/// Carries actions out; decisions are logged last, so that no request waits for the log.
+fn perform_all(shared: &Arc<Shared>, actions: Vec<Action>, exit: &Sender<()>) {
     let mut decisions = Vec::new();
     for action in actions {
         match action {
-            Action::Exit => goes_on = false,
+            Action::Exit => {
+                let _ = exit.try_send(());
+            }
             Action::Log(decision) => decisions.push(decision),
             action => perform(shared, action),
         }
@@ -43,7 +42,6 @@
     for decision in decisions {
         log(shared, decision);
     }
-    goes_on
 }
 
 fn start_ticks(shared: &Arc<Shared>) {
--- a/crates/turmericrail/src/daemon/mod.rs
+++ b/crates/turmericrail/src/daemon/mod.rs
@@ -35,7 +35,7 @@
     let (shared, events) = Shared::new(settings);
     let shared = Arc::new(shared);
     watch_signals(&shared)?;
-    caller_edge::listen(&shared).await?;
+    let listening = caller_edge::listen(&shared).await?;
     peer_edge::server::listen(&shared).await?;
     platform_edge::start(&shared);
     spdlog::info!(
@@ -45,7 +45,10 @@
         shared.settings.caller_address,
         shared.settings.peer_address
     );
-    task::spawn(driver::drive(Arc::clone(&shared), events)).await;
+    let (exit, exiting) = async_channel::bounded(1);
+    task::spawn(driver::drive(Arc::clone(&shared), events, exit));
+    let _ = exiting.recv().await;
+    listening.cancel().await;
     caller_edge::drain(&shared).await;
     spdlog::info!("event=ended instance={}", shared.settings.instance);
     Ok(())
--- a/crates/turmericrail/tests/graceful_shutdown.rs
+++ b/crates/turmericrail/tests/graceful_shutdown.rs
@@ -6,8 +6,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use async_std::task;
-use common::{PATIENCE, completion, start_fleet};
+use common::{PATIENCE, complete, completion, start_fleet};
 use turmericrail_fakes::{AnswerEvent, Fleet, StreamCaller, text, wait_until};
+use turmericrail_wire::client::CallError;
 
 const ANSWER_TOKENS: u64 = 200;
 
@@ -84,3 +85,19 @@
     }
     assert!(wait_until(PATIENCE, || fleet.held_streams() == 0).await.is_some(), "memory held");
 }
+
+#[async_std::test]
+async fn late_requests() {
+    let fleet = start_fleet("late-requests").await;
+    let address = fleet.instances[0].caller_address;
+    fleet.instances[0].signal("TERM");
+    let mut told = 0;
+    loop {
+        match complete(address, &completion("late", 4, false)).await {
+            Ok(_) => told += 1,
+            Err(CallError::NotSent { .. }) => break,
+            Err(error) => panic!("a request without an answer after {told}: {error}"),
+        }
+    }
+    assert!(told > 0);
+}
--- a/crates/turmericrail/tests/load_support/mod.rs
+++ b/crates/turmericrail/tests/load_support/mod.rs
@@ -21,6 +21,9 @@
 /// Pause of a caller that was turned away.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for which every second caller keeps a ticket before it books.
+const TICKET_KEPT: Duration = Duration::from_millis(1_000);
+
 /// What the callers saw.
 #[derive(Debug, Default)]
 pub struct Seen {
@@ -176,6 +179,9 @@
             task::sleep(PAUSE).await;
             continue;
         };
+        if number % 2 == 1 {
+            task::sleep(TICKET_KEPT).await;
+        }
         let member = format!("member of {ticket}");
         let mut outcome = "lost".to_owned();
         for address in [other, home] {
