Race two operators' patches; measure recovery from cuts and silence

Cause: no test had two operators patch one number, and recovery.rs had no row for links. Change: FakePlatform::submit takes a patch only against the newest number; patch_trial racing_patches; silent_engines also fails every open connection to every engine once; recovery.rs gets rows for silent peer streams, a data centre cut off and back, no service, silent watches, lost cancellations and silent reports. Its fleets stand behind links now. The rows were not run yet. Conclusion: of two patches against one number one is accepted; turmericctl refuses the other.

--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -43,6 +43,13 @@
 }
 
 impl PlatformState {
+    fn accept(&mut self, patch: Value) -> ConfigVersion {
+        self.version += 1;
+        merge(&mut self.document, &patch);
+        self.changes.push((self.version, patch));
+        ConfigVersion(self.version)
+    }
+
     fn told_version(&self) -> u64 {
         self.stale_at.map_or(self.version, |stale| stale.min(self.version))
     }
@@ -102,14 +109,15 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 
+    /// Accepts a merge patch that was made against the newest version, else nothing.
+    pub fn submit(&self, base_version: ConfigVersion, patch: Value) -> Option<ConfigVersion> {
+        let mut state = self.state();
+        (base_version.0 == state.version).then(|| state.accept(patch))
+    }
+
     /// Accepts a merge patch, which becomes the next version.
     pub fn accept(&self, patch: Value) -> ConfigVersion {
-        let mut state = self.state();
-        state.version += 1;
-        let version = state.version;
-        merge(&mut state.document, &patch);
-        state.changes.push((version, patch));
-        ConfigVersion(version)
+        self.state().accept(patch)
     }
 }
 
--- a/crates/turmericctl/tests/patch_trial.rs
+++ b/crates/turmericctl/tests/patch_trial.rs
@@ -4,6 +4,7 @@
 
 use common::{Folder, Run, example, turmericctl};
 use serde_json::{Value, json};
+use turmericrail_core::ids::ConfigVersion;
 use turmericrail_fakes::FakePlatform;
 
 fn try_patch(name: &str, text: &str, extra: &[&str]) -> Run {
@@ -82,3 +83,42 @@
     assert!(run.stdout.contains("version 3\n  ~ limits.retry_percent: 30 -> 5"), "{}", run.stdout);
     assert_eq!(platform.state().version, 2);
 }
+
+/// Two operators try patches against one number: the service takes one, and the command line tells
+/// the other that it must look again.
+#[async_std::test]
+async fn racing_patches() {
+    let document = json!({"version": 1, "limits": {"retry_percent": 20}});
+    let platform = FakePlatform::start(document).await.unwrap();
+    let folder = Folder::new("racing");
+    let try_all = async |code: i32| {
+        let mut runs = Vec::new();
+        for percent in [5, 10] {
+            let text =
+                format!("base_version: 1\npatch: {{limits: {{retry_percent: {percent}}}}}\n");
+            let patch = folder.write(&format!("{percent}.yaml"), &text);
+            let address = platform.address.to_string();
+            runs.push(async_std::task::spawn_blocking(move || {
+                turmericctl(&["patch", &patch, "--platform", &address])
+            }));
+        }
+        let mut errors = Vec::new();
+        for run in runs {
+            let run = run.await;
+            assert_eq!(run.code, code, "{}", run.stderr);
+            errors.push(run.stderr);
+        }
+        errors
+    };
+    try_all(0).await;
+    let operators = [5, 10].map(|percent| {
+        let platform = platform.clone();
+        let patch = json!({"limits": {"retry_percent": percent}});
+        std::thread::spawn(move || platform.submit(ConfigVersion(1), patch))
+    });
+    let accepted = operators.into_iter().filter_map(|operator| operator.join().unwrap()).count();
+    assert_eq!((accepted, platform.state().version), (1, 2));
+    for error in try_all(1).await {
+        assert!(error.contains("made against version 1, but version 2 is the newest"), "{error}");
+    }
+}
--- a/crates/turmericrail/examples/recovery.rs
+++ b/crates/turmericrail/examples/recovery.rs
@@ -9,7 +9,7 @@
 
 use async_std::task;
 use serde_json::{Value, json};
-use turmericrail_fakes::{Fleet, FleetPlan, StreamCaller, wait_until};
+use turmericrail_fakes::{Fault, Fleet, FleetPlan, Reach, StreamCaller, wait_until};
 
 /// Runs of each fault, side by side.
 const RUNS: usize = 3;
@@ -17,6 +17,8 @@
 const LIMIT: Duration = Duration::from_secs(60);
 /// Time between looks at something that takes a call.
 const LOOK_STEP: Duration = Duration::from_millis(50);
+/// Time for which the last moment of trouble is looked for.
+const LOOK_TIME: Duration = Duration::from_secs(8);
 /// Tokens of an answer that outlasts every run.
 const LONG_ANSWER_TOKENS: u64 = 12_000;
 
@@ -34,6 +36,14 @@
         print_row("instance_killed_next_token_elsewhere", None, resumed).await;
         print_row("decode_engine_died_next_token", None, engine_died).await;
         print_row("token_connection_silent_next_token", None, reader_silent).await;
+        print_row("peer_streams_silent_members_known", Some(5_000), peers_silent).await;
+        print_row("data_centre_cut_off_others_know", Some(5_000), cut_off).await;
+        print_row("data_centre_back_members_known", Some(5_000), back_members).await;
+        print_row("data_centre_back_version_in_force", Some(8_000), back_version).await;
+        print_row("no_service_in_data_centre_version_in_force", Some(8_000), no_service).await;
+        print_row("watches_silent_version_in_force", Some(8_000), watches_silent).await;
+        print_row("cancel_lost_memory_freed_after", None, cancel_lost).await;
+        print_row("holder_killed_reports_silent_memory_freed", Some(10_000), reports_silent).await;
     });
     ExitCode::SUCCESS
 }
@@ -57,6 +67,7 @@
         let executable = std::env::current_exe().expect("an example knows its own path");
         let mut plan = FleetPlan::small(executable, &format!("{fault}-{run}"));
         plan.data_centres = BTreeMap::from([("dc-a".to_owned(), 3), ("dc-b".to_owned(), 1)]);
+        plan.has_links = true;
         let fleet = Fleet::start(plan).await.expect("loopback ports are free");
         running.push(task::spawn(measure(fleet)));
     }
@@ -208,3 +219,117 @@
     fleet.busiest_decode()?.1.state().mute_readers();
     longest_gap(&fleet, caller).await
 }
+
+/// Live members in the view of each instance.
+async fn live_counts(fleet: &Fleet) -> Vec<usize> {
+    let mut counts = Vec::new();
+    for index in 0..fleet.instances.len() {
+        let status = fleet.status(index).await.unwrap_or_default();
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        counts.push(members.iter().filter(|member| member["is_live"] == true).count());
+    }
+    counts
+}
+
+/// Time until each instance counts these live members.
+async fn counted(fleet: &Fleet, wanted: &[usize]) -> Option<Duration> {
+    let started = Instant::now();
+    while live_counts(fleet).await != wanted {
+        if started.elapsed() > LIMIT {
+            return None;
+        }
+        task::sleep(LOOK_STEP).await;
+    }
+    Some(started.elapsed())
+}
+
+/// Time until each instance has a version of the configuration in force.
+async fn in_force(fleet: &Fleet, version: u64) -> Option<Duration> {
+    let started = Instant::now();
+    for index in 0..fleet.instances.len() {
+        while fleet.status(index).await.unwrap_or_default()["config_version"] != version {
+            if started.elapsed() > LIMIT {
+                return None;
+            }
+            task::sleep(LOOK_STEP).await;
+        }
+    }
+    Some(started.elapsed())
+}
+
+fn change(fleet: &Fleet) -> u64 {
+    fleet.platform.accept(json!({"limits": {"queue_limit_requests": 400}})).0
+}
+
+/// The last moment at which an instance did not count all others as live.
+async fn peers_silent(fleet: Fleet) -> Option<Duration> {
+    let ids: Vec<_> = fleet.links.peers.keys().collect();
+    for (index, one) in ids.iter().enumerate() {
+        for other in &ids[index + 1..] {
+            fleet.links.fail_between(one, other, Fault::Silent, Reach::Existing);
+        }
+    }
+    let started = Instant::now();
+    let mut last = Duration::ZERO;
+    while started.elapsed() < LOOK_TIME {
+        if live_counts(&fleet).await != [4, 4, 4, 4] {
+            last = started.elapsed();
+        }
+        task::sleep(LOOK_STEP).await;
+    }
+    (last + LOOK_STEP * 4 < LOOK_TIME).then_some(last)
+}
+
+async fn cut_off(fleet: Fleet) -> Option<Duration> {
+    fleet.links.isolate("dc-b");
+    counted(&fleet, &[3, 3, 3, 1]).await
+}
+
+async fn back_members(fleet: Fleet) -> Option<Duration> {
+    fleet.links.isolate("dc-b");
+    counted(&fleet, &[3, 3, 3, 1]).await?;
+    fleet.links.heal();
+    counted(&fleet, &[4, 4, 4, 4]).await
+}
+
+async fn back_version(fleet: Fleet) -> Option<Duration> {
+    fleet.links.isolate("dc-b");
+    counted(&fleet, &[3, 3, 3, 1]).await?;
+    let version = change(&fleet);
+    task::sleep(LOOK_TIME).await;
+    fleet.links.heal();
+    in_force(&fleet, version).await
+}
+
+async fn no_service(fleet: Fleet) -> Option<Duration> {
+    fleet.links.platforms["dc-b-1"].fail(Fault::Silent, Reach::All, |_| true);
+    in_force(&fleet, change(&fleet)).await
+}
+
+async fn watches_silent(fleet: Fleet) -> Option<Duration> {
+    for link in fleet.links.platforms.values() {
+        link.fail(Fault::Silent, Reach::Existing, |_| true);
+    }
+    in_force(&fleet, change(&fleet)).await
+}
+
+/// Time from the end of the silence.
+async fn cancel_lost(fleet: Fleet) -> Option<Duration> {
+    let caller = begin(&fleet, 0).await;
+    for link in fleet.links.engines.values() {
+        link.fail(Fault::Silent, Reach::All, |head| head.starts_with(b"POST /cancel"));
+    }
+    drop(caller);
+    task::sleep(LOOK_TIME).await;
+    fleet.links.heal();
+    freed(&fleet).await
+}
+
+async fn reports_silent(mut fleet: Fleet) -> Option<Duration> {
+    let _caller = begin(&fleet, 0).await;
+    for link in fleet.links.engines.values() {
+        link.fail(Fault::Silent, Reach::Existing, |head| head.starts_with(b"GET /report"));
+    }
+    fleet.instances[0].kill();
+    freed(&fleet).await
+}
--- a/crates/turmericrail/tests/silent_engines.rs
+++ b/crates/turmericrail/tests/silent_engines.rs
@@ -63,6 +63,19 @@
     check_freed(fleet, &format!("cancel {fault:?}")).await;
 }
 
+/// Every connection to an engine fails once; new ones work.
+async fn fail_existing(fleet: &Fleet, fault: Fault) {
+    let load = Load::start(&caller_addresses(fleet));
+    task::sleep(Duration::from_millis(500)).await;
+    for link in fleet.links.engines.values() {
+        link.fail(fault, Reach::Existing, |_| true);
+    }
+    task::sleep(FAULT_TIME).await;
+    fleet.wait_ready().await;
+    load.end().await.check_all_whole();
+    check_freed(fleet, &format!("all connections {fault:?}")).await;
+}
+
 async fn fail_kinds(name: &str, fault: Fault) {
     let mut plan = linked_plan(name);
     plan.prefill_engines = 2;
@@ -74,6 +87,7 @@
         fail_calls(&fleet, "dc-a-decode-1", path, fault).await;
     }
     fail_cancellations(&fleet, fault).await;
+    fail_existing(&fleet, fault).await;
 }
 
 #[async_std::test]
