Silence and delay the connection between caller and instance

Cause: no test silenced a caller's connection while its instance lives. Change: silent_peers caller_elsewhere: the caller goes on at another instance with its cursor.

--- a/crates/turmericrail/tests/silent_peers.rs
+++ b/crates/turmericrail/tests/silent_peers.rs
@@ -1,5 +1,7 @@
-//! Connections between instances that fall silent or break, while their processes run on.
+//! Connections between instances, and between caller and instance, that fall silent or break while
+//! their processes run on.
 
+mod common;
 mod load_support;
 mod plain_support;
 
@@ -7,11 +9,14 @@
 
 use async_std::task;
 use load_support::{Load, PATIENCE, caller_addresses, linked_plan};
-use turmericrail_fakes::{Fault, Fleet, Reach, wait_until};
+use turmericrail_fakes::{AnswerEvent, Fault, Fleet, Link, Reach, StreamCaller, text, wait_until};
 
 /// Time after which members must know of each other again.
 const MEMBER_BOUND: Duration = Duration::from_secs(5);
 
+/// Tokens of an answer that goes on at another instance.
+const ANSWER_TOKENS: u64 = 300;
+
 /// Whether an instance counts all instances as live.
 async fn sees_all(fleet: &Fleet, index: usize) -> bool {
     let status = fleet.status(index).await.unwrap_or_default();
@@ -45,3 +50,21 @@
 async fn streams_cut() {
     fail_streams("streams-cut", Fault::Cut).await;
 }
+
+#[async_std::test]
+async fn caller_elsewhere() {
+    let fleet = common::start_fleet("caller-elsewhere").await;
+    for fault in [Fault::Silent, Fault::Delayed(Duration::from_millis(200))] {
+        let link = Link::start(fleet.instances[0].caller_address).await.unwrap();
+        let asked = common::completion("a sleeve", ANSWER_TOKENS, true);
+        let mut caller = StreamCaller::open(link.address, &asked).await.unwrap();
+        caller.read_tokens(20).await;
+        link.fail(fault, Reach::All, |_| true);
+        let mut caller = caller.resume(fleet.instances[1].caller_address).await.unwrap();
+        assert_eq!(caller.read_all().await, AnswerEvent::End(ANSWER_TOKENS), "{fault:?}");
+        assert_eq!(caller.text(), text::answer("a sleeve", ANSWER_TOKENS), "{fault:?}");
+        assert!(wait_until(PATIENCE, || fleet.held_streams() == 0).await.is_some(), "{fault:?}");
+    }
+    let computed: u64 = fleet.prefill.values().map(|engine| engine.state().prefill_tokens).sum();
+    assert_eq!(computed, 2 * text::prompt_tokens("a sleeve"), "a stream was computed again");
+}
