Try: own transfers in flight, owner-granted link time, unfinished transfers as samples

Change: (a) an instance counts its own transfers, lined up and under way; (b) the owner of a decode engine grants link time with the seat, by its share of the data centre's decode engines (not on the wire yet); (c) a transfer stopped unfinished teaches twice the time it had.

--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::admission::{Mechanisms, PrefillQueue, Usage};
+use crate::admission::{LinkBook, Mechanisms, PrefillQueue, Usage};
 use crate::estimate::{Estimates, Suspects};
 use crate::ids::{RequestId, ServerId};
 use crate::request::RetryBudget;
@@ -35,6 +35,10 @@
     pub pools: Pools,
     /// Work ahead at prefill engines, as this instance was told or asked for itself.
     pub backlogs: BTreeMap<ServerId, KnownBacklog>,
+    /// Transfers of this instance's own requests.
+    pub transfers: LinkBook,
+    /// Transfers to the decode engines that this instance owns.
+    pub granted_transfers: LinkBook,
     /// Queues of the prefill engines that this instance owns.
     pub queues: BTreeMap<ServerId, PrefillQueue>,
     /// Shortest backlog that the last refused request was told of.
--- a/crates/core/src/estimate/estimates.rs
+++ b/crates/core/src/estimate/estimates.rs
@@ -106,6 +106,11 @@
     1.0 + batch.0 as f64 / BATCH_DOUBLING_STREAMS
 }
 
+/// Time of a transfer that has its link to itself.
+pub fn alone_transfer_ms(rate: Option<BytesPerSecond>, bytes: u64) -> Millis {
+    Millis(nominal_transfer_ms(rate, bytes).ceil() as u64)
+}
+
 fn nominal_transfer_ms(rate: Option<BytesPerSecond>, bytes: u64) -> f64 {
     let rate = rate.unwrap_or(PRIOR_LINK_BYTES_PER_SECOND);
     bytes as f64 * 1_000.0 / rate.0.max(1) as f64
--- a/crates/core/src/estimate/mod.rs
+++ b/crates/core/src/estimate/mod.rs
@@ -8,5 +8,5 @@
 pub mod suspects;
 
 pub use bounded_mean::BoundedMean;
-pub use estimates::Estimates;
+pub use estimates::{Estimates, alone_transfer_ms};
 pub use suspects::Suspects;
--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -49,6 +49,8 @@
         if let Some(configuration) = self.config.in_force() {
             self.admission.pools.refresh(configuration, self.now.wall_ms);
         }
+        self.admission.transfers.expire(self.now.mono_ms);
+        self.admission.granted_transfers.expire(self.now.mono_ms);
         self.advance_asks();
         for request in self.waiting_requests() {
             self.serve_or_give_up(request);
@@ -92,7 +94,7 @@
     }
 
     /// Time of a request's prefill on an average engine.
-    fn work_ms(&self, flow: &Flow) -> Millis {
+    pub(super) fn work_ms(&self, flow: &Flow) -> Millis {
         self.admission.estimates.average_prefill_ms(flow.work_tokens)
     }
 
@@ -227,6 +229,7 @@
         for server in engines {
             self.cancel(&server, &stream);
         }
+        self.admission.transfers.end(&stream);
         self.release_slot(request);
         if let Some(server) = decode {
             self.release_seat(request, server, stream);
--- a/crates/core/src/node/choice.rs
+++ b/crates/core/src/node/choice.rs
@@ -2,8 +2,10 @@
 
 use crate::admission::state::KnownBacklog;
 use crate::config::document::ServerRole;
-use crate::ids::{DataCentreId, ServerId};
+use crate::estimate::alone_transfer_ms;
+use crate::ids::{DataCentreId, RequestId, ServerId, StreamId};
 use crate::membership::rendezvous::stable_hash;
+use crate::message::TransferPlan;
 use crate::node::Node;
 use crate::request::{Flow, Stage};
 use crate::route::{Choice, least};
@@ -100,7 +102,8 @@
         };
         let rate = self.admission.pools.link_rate(source, &known.data_centre);
         let link = (source, &known.data_centre);
-        let transfer_ms = self.admission.estimates.transfer_ms(link, rate, self.kv_bytes(flow));
+        let alone_ms = self.admission.estimates.transfer_ms(link, rate, self.kv_bytes(flow));
+        let transfer_ms = alone_ms + self.link_wait_ms(link, self.ready_ms(flow));
         let lasts_ms = match flow.stage {
             Stage::Reseating { .. } => flow.result_until_ms - self.now.mono_ms,
             _ => RESULT_LIFE_MS,
@@ -109,6 +112,51 @@
         (transfer_ms < lasts_ms).then_some(transfer_ms.0 as f64 + token_ms + far_cost)
     }
 
+    /// When the prompt of a request will be computed, or was.
+    fn ready_ms(&self, flow: &Flow) -> Millis {
+        if matches!(flow.stage, Stage::Reseating { .. } | Stage::Transferring) {
+            return self.now.mono_ms;
+        }
+        let wait_ms = match (&flow.stage, &flow.prefill) {
+            (Stage::Waiting, Some(server)) => self.backlog_ms(server),
+            _ => flow.wait_ms,
+        };
+        self.now.mono_ms + wait_ms + self.work_ms(flow)
+    }
+
+    /// Time for which the transfers known here keep a link busy beyond `ready_ms`.
+    fn link_wait_ms(&self, link: (&DataCentreId, &DataCentreId), ready_ms: Millis) -> Millis {
+        if !self.admission.mechanisms.has_link_book {
+            return Millis::ZERO;
+        }
+        self.admission.transfers.wait_ms(link, ready_ms)
+    }
+
+    /// What the owner of a decode engine is told of the transfer to come.
+    pub(super) fn transfer_plan(&self, request: RequestId) -> Option<TransferPlan> {
+        let flow = self.flows.get(&request)?;
+        let from = self.place_of(flow.prefill.as_ref()?)?.clone();
+        let ready_in_ms = self.ready_ms(flow) - self.now.mono_ms;
+        Some(TransferPlan { from, size_bytes: self.kv_bytes(flow), ready_in_ms })
+    }
+
+    /// Books the transfer of a request whose seat was granted.
+    pub(super) fn book_transfer(&mut self, request: RequestId) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let (Some(from), Some(to)) = (&flow.prefill, &flow.decode) else {
+            return;
+        };
+        let Some((link, rate, bytes)) = self.transfer_over(flow, from, to) else {
+            return;
+        };
+        let link = (link.0.clone(), link.1.clone());
+        let (stream, ready_ms) = (flow.stream.clone(), self.ready_ms(flow));
+        let takes_ms = alone_transfer_ms(rate, bytes);
+        self.admission.transfers.book(&stream, (&link.0, &link.1), ready_ms, takes_ms);
+    }
+
     fn place_of(&self, server: &ServerId) -> Option<&DataCentreId> {
         Some(&self.config.in_force()?.servers.get(server)?.data_centre)
     }
@@ -224,6 +272,30 @@
         flow.asked.as_ref().map_or(0, |asked| asked.prompt_tokens.0 * per_token)
     }
 
+    /// Books link time for a transfer to an engine that this node owns, if it ends while the result
+    /// lasts. Owners share a link by the decode engines that they own.
+    pub(super) fn grant_transfer(
+        &mut self,
+        stream: &StreamId,
+        to: &ServerId,
+        plan: &TransferPlan,
+    ) -> bool {
+        let Some(to) = self.place_of(to).cloned() else {
+            return false;
+        };
+        let link = (&plan.from, &to);
+        let takes_ms =
+            alone_transfer_ms(self.admission.pools.link_rate(link.0, link.1), plan.size_bytes);
+        let ready_ms = self.now.mono_ms + plan.ready_in_ms;
+        let share = self.owned.link_share(&to);
+        let wait_ms = self.admission.granted_transfers.wait_ms(link, ready_ms).0 as f64 / share;
+        if wait_ms + takes_ms.0 as f64 > RESULT_LIFE_MS.0 as f64 {
+            return false;
+        }
+        self.admission.granted_transfers.book(stream, link, ready_ms, takes_ms);
+        true
+    }
+
     fn is_near(&self, server: &ServerId) -> bool {
         let known = self.config.in_force().and_then(|known| known.servers.get(server));
         known.is_some_and(|known| known.data_centre == *self.members.own_data_centre())
--- a/crates/core/src/node/learn_path.rs
+++ b/crates/core/src/node/learn_path.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::RequestId;
 use crate::node::Node;
-use crate::units::{Streams, Tokens};
+use crate::units::{Millis, Streams, Tokens};
 
 /// Shortest answer whose token rate is learned from.
 const MIN_LEARNED_TOKENS: u64 = 8;
@@ -27,13 +27,35 @@
     }
 
     pub(super) fn learn_transfer(&mut self, request: RequestId) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let took_ms = self.now.mono_ms - flow.stage_ms;
+        self.note_transfer(request, took_ms);
+    }
+
+    /// Takes a transfer that was stopped unfinished as one of twice the time it had: estimates that
+    /// learn from finished transfers alone hold a crowded link for a free one.
+    pub(super) fn learn_unfinished_transfer(&mut self, request: RequestId) {
+        let Some(flow) = self.flows.get(&request) else {
+            return;
+        };
+        let (Some(from), Some(to)) = (&flow.prefill, &flow.decode) else {
+            return;
+        };
+        let had_ms = self.now.mono_ms - flow.stage_ms;
+        if had_ms > self.transfer_ms(flow, from, to) {
+            self.note_transfer(request, had_ms + had_ms);
+        }
+    }
+
+    fn note_transfer(&mut self, request: RequestId, took_ms: Millis) {
         let Some(flow) = self.flows.get(&request) else {
             return;
         };
         let (Some(from), Some(to)) = (&flow.prefill, &flow.decode) else {
             return;
         };
-        let took_ms = self.now.mono_ms - flow.stage_ms;
         if let Some((link, rate, bytes)) = self.transfer_over(flow, from, to) {
             let link = (link.0.clone(), link.1.clone());
             let estimates = &mut self.admission.estimates;
--- a/crates/core/src/node/model_path.rs
+++ b/crates/core/src/node/model_path.rs
@@ -87,6 +87,7 @@
             return;
         };
         self.set_stage(request, Stage::Transferring);
+        self.book_transfer(request);
         if let Some(flow) = self.flows.get_mut(&request) {
             flow.transfer_until_ms = self.now.mono_ms + call.timeout_ms;
         }
@@ -113,6 +114,7 @@
             return;
         }
         self.learn_transfer(request);
+        self.admission.transfers.end(stream);
         self.set_stage(request, Stage::Decoding);
         self.read_tokens(request);
     }
@@ -124,6 +126,8 @@
         if !self.is_at(request, stream, Stage::Transferring) {
             return;
         }
+        self.learn_unfinished_transfer(request);
+        self.admission.transfers.end(stream);
         let now_ms = self.now.mono_ms;
         let Some(flow) = self.flows.get_mut(&request) else {
             return;
