Take owner-granted link time out again; keep own transfers and unfinished samples

Change: TransferPlan, link shares and has_link_grants removed; LinkBook and learning from unfinished transfers stay.

--- a/crates/core/src/admission/mechanisms.rs
+++ b/crates/core/src/admission/mechanisms.rs
@@ -15,8 +15,6 @@
     pub has_token_limit: bool,
     /// Transfers under way and lined up count in the time of the next one.
     pub has_link_book: bool,
-    /// Owners of decode engines grant link time with the seat.
-    pub has_link_grants: bool,
     /// Servers that fail are ejected for a while.
     pub has_ejection: bool,
     /// A workspace with more than its share is the first to be given up.
@@ -32,7 +30,6 @@
         has_affinity: true,
         has_token_limit: true,
         has_link_book: true,
-        has_link_grants: true,
         has_ejection: true,
         has_isolation: true,
     };
@@ -45,7 +42,6 @@
         has_affinity: false,
         has_token_limit: false,
         has_link_book: false,
-        has_link_grants: false,
         has_ejection: false,
         has_isolation: false,
     };
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -37,8 +37,6 @@
     pub backlogs: BTreeMap<ServerId, KnownBacklog>,
     /// Transfers of this instance's own requests.
     pub transfers: LinkBook,
-    /// Transfers to the decode engines that this instance owns.
-    pub granted_transfers: LinkBook,
     /// Queues of the prefill engines that this instance owns.
     pub queues: BTreeMap<ServerId, PrefillQueue>,
     /// Shortest backlog that the last refused request was told of.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 
 use crate::config::Change;
-use crate::ids::{ConfigVersion, DataCentreId, RequestId, ServerId, StreamId};
+use crate::ids::{ConfigVersion, RequestId, ServerId, StreamId};
 use crate::membership::{Heartbeat, Members, MembersRequest};
 use crate::report::Holder;
 use crate::units::{KvPieces, Millis};
@@ -63,17 +63,6 @@
     pub stream: StreamId,
 }
 
-/// A KV transfer that will follow a prefill.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct TransferPlan {
-    /// Data centre of the prefill engine.
-    pub from: DataCentreId,
-    /// Size of the KV cache.
-    pub size_bytes: u64,
-    /// Time until the prefill is predicted to end.
-    pub ready_in_ms: Millis,
-}
-
 /// A request for a seat at a decode engine, or for a prompt's turn at a prefill engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SeatRequest {
@@ -85,8 +74,6 @@
     pub kv_pieces: KvPieces,
     /// At a prefill engine, the time in which the prefill must end; zero asks for a decode seat.
     pub latest_in_ms: Millis,
-    /// At a decode engine, the transfer that the seat is for.
-    pub transfer: Option<TransferPlan>,
     /// At a prefill engine, the cost of serving the request for its weight, in thousandths of a
     /// millisecond of engine time.
     pub cost: u64,
--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -50,7 +50,6 @@
             self.admission.pools.refresh(configuration, self.now.wall_ms);
         }
         self.admission.transfers.expire(self.now.mono_ms);
-        self.admission.granted_transfers.expire(self.now.mono_ms);
         self.advance_asks();
         for request in self.waiting_requests() {
             self.serve_or_give_up(request);
--- a/crates/core/src/node/choice.rs
+++ b/crates/core/src/node/choice.rs
@@ -3,9 +3,8 @@
 use crate::admission::state::KnownBacklog;
 use crate::config::document::ServerRole;
 use crate::estimate::alone_transfer_ms;
-use crate::ids::{DataCentreId, RequestId, ServerId, StreamId};
+use crate::ids::{DataCentreId, RequestId, ServerId};
 use crate::membership::rendezvous::stable_hash;
-use crate::message::TransferPlan;
 use crate::node::Node;
 use crate::request::{Flow, Stage};
 use crate::route::{Choice, least};
@@ -132,14 +131,6 @@
         self.admission.transfers.wait_ms(link, ready_ms)
     }
 
-    /// What the owner of a decode engine is told of the transfer to come.
-    pub(super) fn transfer_plan(&self, request: RequestId) -> Option<TransferPlan> {
-        let flow = self.flows.get(&request)?;
-        let from = self.place_of(flow.prefill.as_ref()?)?.clone();
-        let ready_in_ms = self.ready_ms(flow) - self.now.mono_ms;
-        Some(TransferPlan { from, size_bytes: self.kv_bytes(flow), ready_in_ms })
-    }
-
     /// Books the transfer of a request whose seat was granted.
     pub(super) fn book_transfer(&mut self, request: RequestId) {
         let Some(flow) = self.flows.get(&request) else {
@@ -272,30 +263,6 @@
         flow.asked.as_ref().map_or(0, |asked| asked.prompt_tokens.0 * per_token)
     }
 
-    /// Books link time for a transfer to an engine that this node owns, if it ends while the result
-    /// lasts. Owners share a link by the decode engines that they own.
-    pub(super) fn grant_transfer(
-        &mut self,
-        stream: &StreamId,
-        to: &ServerId,
-        plan: &TransferPlan,
-    ) -> bool {
-        let Some(to) = self.place_of(to).cloned() else {
-            return false;
-        };
-        let link = (&plan.from, &to);
-        let takes_ms =
-            alone_transfer_ms(self.admission.pools.link_rate(link.0, link.1), plan.size_bytes);
-        let ready_ms = self.now.mono_ms + plan.ready_in_ms;
-        let share = self.owned.link_share(&to);
-        let wait_ms = self.admission.granted_transfers.wait_ms(link, ready_ms).0 as f64 / share;
-        if wait_ms + takes_ms.0 as f64 > RESULT_LIFE_MS.0 as f64 {
-            return false;
-        }
-        self.admission.granted_transfers.book(stream, link, ready_ms, takes_ms);
-        true
-    }
-
     fn is_near(&self, server: &ServerId) -> bool {
         let known = self.config.in_force().and_then(|known| known.servers.get(server));
         known.is_some_and(|known| known.data_centre == *self.members.own_data_centre())
--- a/crates/core/src/node/ownership.rs
+++ b/crates/core/src/node/ownership.rs
@@ -1,7 +1,7 @@
 //! Which backend servers this instance owns. The answer is kept until the live members or the
 //! configuration change, as it takes a hash for each pair of server and member.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use crate::config::document::ServerRole;
 use crate::ids::{ConfigVersion, DataCentreId, InstanceId, ServerId};
@@ -12,15 +12,9 @@
 pub(super) struct OwnedServers {
     under: Option<(u64, ConfigVersion)>,
     servers: BTreeSet<ServerId>,
-    link_shares: BTreeMap<DataCentreId, f64>,
 }
 
 impl OwnedServers {
-    /// Share of the decode engines of a data centre that are among them.
-    pub(super) fn link_share(&self, data_centre: &DataCentreId) -> f64 {
-        self.link_shares.get(data_centre).copied().unwrap_or(1.0)
-    }
-
     /// Whether a backend server is among them.
     pub(super) fn contains(&self, server: &ServerId) -> bool {
         self.servers.contains(server)
@@ -75,24 +69,15 @@
         let own = self.members.own_holder().instance;
         let own_data_centre = self.members.own_data_centre();
         let mut servers = BTreeSet::new();
-        let mut engines: BTreeMap<DataCentreId, (usize, usize)> = BTreeMap::new();
         for (server, known) in self.config.in_force().into_iter().flat_map(|known| &known.servers) {
             let is_near = known.data_centre == *own_data_centre;
             if !is_near && !self.members.members_of(&known.data_centre).is_empty() {
                 continue;
             }
-            let is_owned = self.owner_in(server, &known.data_centre) == Some(&own);
-            if is_owned {
+            if self.owner_in(server, &known.data_centre) == Some(&own) {
                 servers.insert(server.clone());
             }
-            if known.role == ServerRole::Decode {
-                let (owned, all) = engines.entry(known.data_centre.clone()).or_default();
-                *owned += usize::from(is_owned);
-                *all += 1;
-            }
         }
-        let engines = engines.into_iter().filter(|(_, (owned, _))| *owned > 0);
-        let link_shares = engines.map(|(place, (owned, all))| (place, owned as f64 / all as f64));
-        self.owned = OwnedServers { under, servers, link_shares: link_shares.collect() };
+        self.owned = OwnedServers { under, servers };
     }
 }
--- a/crates/core/src/node/queue_path.rs
+++ b/crates/core/src/node/queue_path.rs
@@ -12,7 +12,7 @@
 
 impl Node {
     pub(super) fn take_slot_request(&mut self, from: &Holder, asked: SeatRequest) {
-        let SeatRequest { request, seat, kv_pieces, latest_in_ms, cost, .. } = asked;
+        let SeatRequest { request, seat, kv_pieces, latest_in_ms, cost } = asked;
         let StreamOnServer { server, stream } = seat;
         let now_ms = self.now.mono_ms;
         let slot = SlotRequest {
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -93,7 +93,6 @@
             ledger.leases().get(&seat.stream).is_some_and(|lease| lease.holder == *from);
         if is_holder {
             ledger.release(now_ms, &seat.stream);
-            self.admission.granted_transfers.end(&seat.stream);
             self.note_free_seats(&seat.server);
         }
     }
@@ -239,23 +238,10 @@
             return false;
         }
         let now_ms = self.now.mono_ms;
-        let stream = &asked.seat.stream;
-        let Some(ledger) = self.ledgers.get(server) else {
-            return false;
-        };
-        let is_new = !ledger.leases().contains_key(stream);
-        let transfer =
-            asked.transfer.as_ref().filter(|_| is_new && self.admission.mechanisms.has_link_grants);
-        if transfer.is_some_and(|plan| !self.grant_transfer(stream, server, plan)) {
-            return false;
-        }
         let Some(ledger) = self.ledgers.get_mut(server) else {
             return false;
         };
-        let is_granted = ledger.grant(now_ms, stream, from, asked.kv_pieces);
-        if is_new && !is_granted {
-            self.admission.granted_transfers.end(stream);
-        }
+        let is_granted = ledger.grant(now_ms, &asked.seat.stream, from, asked.kv_pieces);
         self.note_free_seats(server);
         is_granted
     }
--- a/crates/core/src/node/turn_path.rs
+++ b/crates/core/src/node/turn_path.rs
@@ -73,7 +73,6 @@
             request,
             seat: StreamOnServer { server: server.clone(), stream: flow.stream.clone() },
             kv_pieces: configuration.pieces_for(flow.work_tokens.0),
-            transfer: None,
             latest_in_ms: (self.latest_end_ms(flow) - self.now.mono_ms).max(Millis(1)),
             cost: (self.cost(flow) * COST_SCALE) as u64,
         };
@@ -175,7 +174,6 @@
         let stage =
             if is_reseating { Stage::Reseating { since_ms } } else { Stage::Asking { since_ms } };
         self.set_stage(request, stage);
-        let transfer = self.transfer_plan(request);
         let Some(flow) = self.flows.get_mut(&request) else {
             return;
         };
@@ -185,7 +183,6 @@
             request,
             seat,
             kv_pieces: flow.kv_pieces,
-            transfer,
             latest_in_ms: Millis::ZERO,
             cost: 0,
         };
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -125,7 +125,6 @@
             request: RequestId(asked.request),
             seat: decode_seat(asked.seat)?,
             kv_pieces: KvPieces(asked.kv_pieces),
-            transfer: None,
             latest_in_ms: Millis(asked.latest_in_ms),
             cost: asked.cost,
         }),
--- a/crates/wire/tests/peer_messages.rs
+++ b/crates/wire/tests/peer_messages.rs
@@ -28,7 +28,6 @@
             request,
             seat: seat(),
             kv_pieces: KvPieces(number),
-            transfer: None,
             latest_in_ms: Millis(number),
             cost: number,
         }),
