--- a/crates/core/benches/policy/simple.rs
+++ b/crates/core/benches/policy/simple.rs
@@ -10,6 +10,7 @@
 use turmericrail_core::ids::{RequestId, ServerId, StreamId};
 use turmericrail_core::report::{Holder, LoadReport};
 use turmericrail_core::units::{KvPieces, Millis};
+use turmericrail_core::weights::Weights;
 
 use crate::workload::PIECE_TOKENS;
 
@@ -127,8 +128,7 @@
             request,
             stream: stream.clone(),
             target: self.target(&prefill),
-            model: asked.model.clone(),
-            version: "1".parse().unwrap(),
+            weights: Weights::of_version(asked.model.clone(), "1".parse().unwrap()),
             holder: self.holder.clone(),
             priority: 0,
             timeout_ms: Millis(timeout_ms),
--- a/crates/core/benches/policy/world.rs
+++ b/crates/core/benches/policy/world.rs
@@ -267,6 +267,7 @@
             caller_kind: asked.kind.name.parse().expect("plain id"),
             model: "m".parse().expect("plain id"),
             version: None,
+            adapter: None,
             prompt_tokens: Tokens(asked.prompt_tokens),
             max_tokens: Tokens(asked.max_tokens),
             prefix_hashes: asked.hashes.clone(),
--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -4,11 +4,12 @@
 
 use crate::error_kind::ErrorKind;
 use crate::event::PlainAnswer;
-use crate::ids::{InstanceId, ModelId, ModelVersion, RequestId, ServerId, StreamId};
+use crate::ids::{InstanceId, RequestId, ServerId, StreamId};
 use crate::message::Envelope;
 use crate::placement::EngineOrder;
 use crate::report::Holder;
 use crate::units::{KvPieces, Millis, Tokens};
+use crate::weights::Weights;
 
 /// A backend server and where it is reached.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -28,10 +29,8 @@
     pub stream: StreamId,
     /// The engine.
     pub target: Target,
-    /// The model.
-    pub model: ModelId,
-    /// Its version.
-    pub version: ModelVersion,
+    /// The model, version and adapter.
+    pub weights: Weights,
     /// Who holds the stream.
     pub holder: Holder,
     /// Lower values go first.
--- a/crates/core/src/admission/prefill_queue.rs
+++ b/crates/core/src/admission/prefill_queue.rs
@@ -45,6 +45,8 @@
     Queued(Millis),
     /// Its target can't be met here, where this much work is ahead.
     Refused(Millis),
+    /// The engine lacks the weights; this much work is taken to be ahead.
+    Lacking(Millis),
 }
 
 #[derive(Clone, Debug)]
--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -5,6 +5,7 @@
 
 use serde_json::Value;
 
+use crate::config::check_adapters::check_adapters;
 use crate::config::check_routes::check_routes;
 use crate::config::check_targets::check_targets;
 use crate::config::document::{Configuration, ServerRole};
@@ -76,9 +77,12 @@
             return Err(ConfigError::at(path.then("default_version"), problem));
         }
         for (version, served) in &model.versions {
-            let path = path.then("versions").then(version).then("servers");
+            let path = path.then("versions").then(version);
+            let servers_path = path.then("servers");
             let is_engine = |role| role != ServerRole::Plain;
-            check_servers(configuration, &path, &served.servers, "prefill or decode", is_engine)?;
+            let allowed = "prefill or decode";
+            check_servers(configuration, &servers_path, &served.servers, allowed, is_engine)?;
+            check_adapters(configuration, &path.then("adapters"), served)?;
         }
     }
     Ok(())
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -11,9 +11,10 @@
 use crate::config::role_schedule::RoleSchedule;
 use crate::config::window::Window;
 use crate::ids::{
-    CallerKind, ConfigVersion, DataCentreId, ModelId, ModelVersion, RouteId, ServerId,
+    AdapterId, CallerKind, ConfigVersion, DataCentreId, ModelId, ModelVersion, RouteId, ServerId,
 };
 use crate::units::{Bytes, BytesPerSecond, KvPieces, Millis, Streams, WallMillis};
+use crate::weights::Weights;
 
 /// One version of the configuration.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -94,6 +95,21 @@
     #[serde_as(as = "Quantity")]
     #[serde(default)]
     pub weights_bytes: Bytes,
+    /// Adapters of this version.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub adapters: BTreeMap<AdapterId, ServedAdapter>,
+}
+
+/// An adapter: a small addition to the weights of a version.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServedAdapter {
+    /// Engines that may serve it, each of which serves the version too.
+    pub servers: Vec<ServerId>,
+    /// Its size.
+    #[serde_as(as = "Quantity")]
+    pub weights_bytes: Bytes,
 }
 
 /// What a backend server does.
@@ -200,6 +216,15 @@
     }
 }
 
+/// Where a version or an adapter may be served.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacedWeights<'a> {
+    /// Engines that may serve it.
+    pub servers: &'a [ServerId],
+    /// Its size.
+    pub weights_bytes: Bytes,
+}
+
 impl Configuration {
     /// KV pieces that `tokens` take.
     pub fn pieces_for(&self, tokens: u64) -> KvPieces {
@@ -216,4 +241,30 @@
         let version = version.unwrap_or(&model.default_version);
         model.versions.get(version).map(|served| (version.clone(), served))
     }
+
+    /// Whether weights are loaded by orders: those of adapters and of versions with a size.
+    pub fn is_loaded_by_orders(&self, weights: &Weights) -> bool {
+        let served = self.served_version(&weights.model, Some(&weights.version));
+        let is_sized = served.is_some_and(|(_, served)| served.weights_bytes > Bytes::ZERO);
+        is_sized || weights.adapter.is_some()
+    }
+
+    /// Every version and adapter, in order, with the engines that may serve it.
+    pub fn weights(&self) -> Vec<(Weights, PlacedWeights<'_>)> {
+        let mut all = Vec::new();
+        for (model, known) in &self.models {
+            for (version, served) in &known.versions {
+                let weights = Weights::of_version(model.clone(), version.clone());
+                let placed =
+                    PlacedWeights { servers: &served.servers, weights_bytes: served.weights_bytes };
+                all.push((weights.clone(), placed));
+                for (adapter, served) in &served.adapters {
+                    let weights = Weights { adapter: Some(adapter.clone()), ..weights.clone() };
+                    let weights_bytes = served.weights_bytes;
+                    all.push((weights, PlacedWeights { servers: &served.servers, weights_bytes }));
+                }
+            }
+        }
+        all
+    }
 }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's numbered configuration: its document, checks, time windows and patches.
 
 pub mod check;
+mod check_adapters;
 mod check_routes;
 mod check_targets;
 pub mod document;
--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -87,6 +87,7 @@
     ReceiveTimeout, "receive_timeout", 408, NotRun, false, "The body did not arrive in time.";
     UnknownRoute, "unknown_route", 404, NotRun, false, "No route of the configuration matches the method and path.";
     UnknownModel, "unknown_model", 404, NotRun, false, "The configuration names no such model or version.";
+    UnknownAdapter, "unknown_adapter", 404, NotRun, false, "The configuration names no such adapter of the version.";
     UnknownCallerKind, "unknown_caller_kind", 400, NotRun, false, "The configuration names no such caller kind.";
     TicketRequired, "ticket_required", 428, NotRun, false, "The route is not idempotent and the call carries no ticket.";
     BadTicket, "bad_ticket", 400, Unknown, false, "The ticket was altered, or sealed with a key that this instance does not have.";
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -7,8 +7,8 @@
 use crate::config::Change;
 use crate::error_kind::ErrorKind;
 use crate::ids::{
-    CallerKind, ConfigVersion, InstanceId, ModelId, ModelVersion, RequestId, ServerId, StreamId,
-    WorkspaceId,
+    AdapterId, CallerKind, ConfigVersion, InstanceId, ModelId, ModelVersion, RequestId, ServerId,
+    StreamId, WorkspaceId,
 };
 use crate::membership::ListedInstance;
 use crate::message::Envelope;
@@ -37,6 +37,8 @@
     pub model: ModelId,
     /// The version asked for.
     pub version: Option<ModelVersion>,
+    /// The adapter asked for.
+    pub adapter: Option<AdapterId>,
     /// Estimated length of the prompt.
     pub prompt_tokens: Tokens,
     /// Most tokens of the answer.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -107,6 +107,7 @@
 text_id!(WorkspaceId, "workspace");
 text_id!(ModelId, "model");
 text_id!(ModelVersion, "model version");
+text_id!(AdapterId, "adapter");
 text_id!(StreamId, "stream");
 text_id!(RouteId, "route");
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod seats;
 pub mod token_order;
 pub mod units;
+pub mod weights;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -10,6 +10,7 @@
 use crate::membership::{Heartbeat, Members, MembersRequest};
 use crate::report::Holder;
 use crate::units::{KvPieces, Millis};
+use crate::weights::Weights;
 
 /// Scale of the cost in a [`SeatRequest`].
 pub const COST_SCALE: f64 = 1_000.0;
@@ -77,6 +78,8 @@
     /// At a prefill engine, the cost of serving the request for its weight, in thousandths of a
     /// millisecond of engine time.
     pub cost: u64,
+    /// The weights that serve the request; older releases don't tell.
+    pub weights: Option<Weights>,
 }
 
 /// The answer to a request for a seat.
@@ -92,4 +95,6 @@
     pub is_queued: bool,
     /// At a prefill engine, the work that is ahead.
     pub wait_ms: Millis,
+    /// Whether it was refused because the engine lacks the weights.
+    pub is_lacking: bool,
 }
--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -9,6 +9,7 @@
 use crate::node::Node;
 use crate::request::{Flow, Stage};
 use crate::units::{Millis, Streams};
+use crate::weights::Weights;
 
 /// Least and greatest wait told to callers that are turned away.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=60_000;
@@ -181,14 +182,18 @@
         let kind = kind.ok_or(ErrorKind::UnknownCallerKind)?;
         let targets = kind.at(self.now.wall_ms).ok_or(ErrorKind::NotReady)?;
         let served = configuration.served_version(&asked.model, asked.version.as_ref());
-        let (version, _) = served.ok_or(ErrorKind::UnknownModel)?;
+        let (version, served) = served.ok_or(ErrorKind::UnknownModel)?;
+        if asked.adapter.as_ref().is_some_and(|adapter| !served.adapters.contains_key(adapter)) {
+            return Err(ErrorKind::UnknownAdapter);
+        }
+        let (model, adapter) = (asked.model.clone(), asked.adapter.clone());
         let kv_pieces = configuration.pieces_for(asked.prompt_tokens.0 + asked.max_tokens.0);
         let now_ms = self.now.mono_ms;
         Ok(Flow {
             stream: self.stream_id(asked.request, 1),
             work_tokens: asked.prompt_tokens,
             asked: Some(asked),
-            version: Some(version),
+            weights: Some(Weights { model, version, adapter }),
             targets,
             arrived_ms: now_ms,
             due_from_ms: now_ms,
--- a/crates/core/src/node/choice.rs
+++ b/crates/core/src/node/choice.rs
@@ -123,15 +123,18 @@
 
     /// Engines that may serve a request: fresh load, not leaving, not ejected.
     pub(super) fn usable_engines(&self, flow: &Flow, role: ServerRole) -> Vec<&ServerId> {
-        let (Some(asked), Some(version)) = (&flow.asked, &flow.version) else {
+        let (Some(asked), Some(weights)) = (&flow.asked, &flow.weights) else {
             return Vec::new();
         };
-        let Some(pool) = self.admission.pools.pool(&asked.model, version, role) else {
+        let Some(pool) = self.admission.pools.pool(weights, role) else {
             return Vec::new();
         };
         let seed = asked.prefix_hashes.first().copied().unwrap_or(asked.request.0) >> 1;
-        let is_usable =
-            |server: &ServerId| !flow.excluded.contains(server) && self.is_usable(server);
+        let is_usable = |server: &ServerId| {
+            !flow.excluded.contains(server)
+                && self.is_usable(server)
+                && !self.placement.lacking.is_lacking(self.now.mono_ms, server, weights)
+        };
         pool.sample(self.members.own_data_centre(), seed + flow.attempt - 1, is_usable)
     }
 
--- a/crates/core/src/node/decode_path.rs
+++ b/crates/core/src/node/decode_path.rs
@@ -35,7 +35,7 @@
         let zero = Millis::ZERO;
         let flow = Flow {
             asked: None,
-            version: None,
+            weights: None,
             targets: Targets { first_token_ms: zero, per_token_ms: zero },
             arrived_ms: self.now.mono_ms,
             due_from_ms: self.now.mono_ms,
--- a/crates/core/src/node/placement_path.rs
+++ b/crates/core/src/node/placement_path.rs
@@ -7,6 +7,7 @@
 use crate::placement::{EngineOrder, Look, OrderKind, Terms, desired_state};
 use crate::report::LoadReport;
 use crate::units::{BytesPerSecond, Millis};
+use crate::weights::Weights;
 
 /// Time between looks for orders to give.
 const PLACEMENT_MS: Millis = Millis(500);
@@ -22,7 +23,7 @@
         let look = Look {
             learned_ms: self.now.mono_ms,
             role: report.role,
-            loaded: report.loaded.clone(),
+            loaded: report.loaded_weights(),
             fencing_number: report.fencing_number,
             is_holding: !report.held.is_empty(),
         };
@@ -40,12 +41,22 @@
         is_right && !self.placement.orders.is_draining(server, self.now.mono_ms)
     }
 
+    /// Whether an owned engine was reported without weights that are loaded by orders.
+    pub(super) fn is_without(&self, server: &ServerId, weights: Option<&Weights>) -> bool {
+        let (Some(weights), Some(configuration)) = (weights, self.config.in_force()) else {
+            return false;
+        };
+        let is_placed = configuration.is_loaded_by_orders(weights);
+        is_placed && self.placement.orders.is_loaded(server, weights) == Some(false)
+    }
+
     /// Gives the orders that are due.
     pub(super) fn place(&mut self) {
         if self.is_leaving || self.now.mono_ms < self.placement.next_ms {
             return;
         }
         self.placement.next_ms = self.now.mono_ms + PLACEMENT_MS;
+        self.placement.lacking.expire(self.now.mono_ms);
         let servers: Vec<_> = self.ledgers.keys().cloned().collect();
         for server in servers {
             if !self.owns(&server) {
--- a/crates/core/src/node/queue_path.rs
+++ b/crates/core/src/node/queue_path.rs
@@ -12,7 +12,7 @@
 
 impl Node {
     pub(super) fn take_slot_request(&mut self, from: &Holder, asked: SeatRequest) {
-        let SeatRequest { request, seat, kv_pieces, latest_in_ms, cost } = asked;
+        let SeatRequest { request, seat, kv_pieces, latest_in_ms, cost, weights } = asked;
         let StreamOnServer { server, stream } = seat;
         let now_ms = self.now.mono_ms;
         let slot = SlotRequest {
@@ -28,6 +28,10 @@
             && !self.leaving_servers.contains(&server)
             && self.is_prefill(&server)
             && self.is_in_role(&server);
+        if self.is_without(&server, weights.as_ref()) {
+            self.answer_slot(&server, &slot, SlotAnswer::Lacking(UNUSABLE_MS));
+            return;
+        }
         if !is_usable {
             self.answer_slot(&server, &slot, SlotAnswer::Refused(UNUSABLE_MS));
             return;
@@ -88,6 +92,7 @@
             SlotAnswer::Granted(wait_ms) => ("granted", wait_ms),
             SlotAnswer::Queued(wait_ms) => ("queued", wait_ms),
             SlotAnswer::Refused(wait_ms) => ("refused", wait_ms),
+            SlotAnswer::Lacking(wait_ms) => ("lacking_weights", wait_ms),
         };
         let fields = vec![
             ("server", server.to_string()),
@@ -105,6 +110,7 @@
             is_granted: matches!(answer, SlotAnswer::Granted(_)),
             is_queued: matches!(answer, SlotAnswer::Queued(_)),
             wait_ms,
+            is_lacking: matches!(answer, SlotAnswer::Lacking(_)),
         };
         self.reply(&slot.holder, reply);
     }
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -70,9 +70,10 @@
             ("granted", is_granted.to_string()),
         ];
         self.log("seat", None, fields);
+        let is_lacking = self.is_without(&asked.seat.server, asked.weights.as_ref());
         let (request, seat) = (asked.request, asked.seat);
         let (is_queued, wait_ms) = (false, Millis::ZERO);
-        self.reply(from, SeatReply { request, seat, is_granted, is_queued, wait_ms });
+        self.reply(from, SeatReply { request, seat, is_granted, is_queued, wait_ms, is_lacking });
     }
 
     pub(super) fn reply(&mut self, to: &Holder, reply: SeatReply) {
@@ -233,7 +234,9 @@
 
     fn grant(&mut self, from: &Holder, asked: &SeatRequest) -> bool {
         let server = &asked.seat.server;
-        let is_usable = !self.leaving_servers.contains(server) && self.is_in_role(server);
+        let is_usable = !self.leaving_servers.contains(server)
+            && self.is_in_role(server)
+            && !self.is_without(server, asked.weights.as_ref());
         if !self.sync.is_done() || !self.owns(server) || !is_usable {
             return false;
         }
--- a/crates/core/src/node/turn_path.rs
+++ b/crates/core/src/node/turn_path.rs
@@ -75,13 +75,17 @@
             kv_pieces: configuration.pieces_for(flow.work_tokens.0),
             latest_in_ms: (self.latest_end_ms(flow) - self.now.mono_ms).max(Millis(1)),
             cost: (self.cost(flow) * COST_SCALE) as u64,
+            weights: flow.weights.clone(),
         };
         self.tell_owner(&server, PeerMessage::SeatRequest(asked));
     }
 
     pub(super) fn take_seat_reply(&mut self, reply: SeatReply) {
-        let SeatReply { request, seat, is_granted, is_queued, wait_ms } = reply;
+        let SeatReply { request, seat, is_granted, is_queued, wait_ms, is_lacking } = reply;
         let flow = self.flows.get(&request).filter(|flow| flow.stream == seat.stream);
+        if let Some(weights) = flow.and_then(|flow| flow.weights.as_ref()).filter(|_| is_lacking) {
+            self.placement.lacking.learn(self.now.mono_ms, &seat.server, weights);
+        }
         let stage = flow.map(|flow| flow.stage);
         let is_prefill = flow.is_some_and(|flow| flow.prefill.as_ref() == Some(&seat.server));
         let is_decode = flow.is_some_and(|flow| flow.decode.as_ref() == Some(&seat.server));
@@ -106,7 +110,11 @@
                 self.start_transfer(request);
             }
             Some(Stage::Asking { .. } | Stage::Reseating { .. }) if is_decode => {
-                self.note_full(request, &seat.server);
+                if is_lacking {
+                    self.forget_decode(request);
+                } else {
+                    self.note_full(request, &seat.server);
+                }
                 self.ask_seat(request);
             }
             _ if is_granted && !is_prefill && !is_decode => {
@@ -184,6 +192,7 @@
             kv_pieces: flow.kv_pieces,
             latest_in_ms: Millis::ZERO,
             cost: 0,
+            weights: flow.weights.clone(),
         };
         self.tell_owner(&server, PeerMessage::SeatRequest(asked));
     }
@@ -205,6 +214,12 @@
         }
     }
 
+    fn forget_decode(&mut self, request: RequestId) {
+        if let Some(flow) = self.flows.get_mut(&request) {
+            flow.decode = None;
+        }
+    }
+
     /// Counts a decode engine as too full for requests of this size until its owner tells more.
     fn note_full(&mut self, request: RequestId, server: &ServerId) {
         let Some(flow) = self.flows.get_mut(&request) else {
--- a/crates/core/src/placement/desired.rs
+++ b/crates/core/src/placement/desired.rs
@@ -4,16 +4,17 @@
 
 use crate::config::Configuration;
 use crate::config::document::ServerRole;
-use crate::ids::{ModelId, ModelVersion, ServerId};
+use crate::ids::ServerId;
 use crate::units::{Bytes, WallMillis};
+use crate::weights::Weights;
 
 /// What an engine should hold and do.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Desired {
     /// Its role.
     pub role: ServerRole,
-    /// Versions to hold, with the size of their weights.
-    pub versions: BTreeMap<(ModelId, ModelVersion), Bytes>,
+    /// Versions and adapters to hold, with their sizes.
+    pub weights: BTreeMap<Weights, Bytes>,
 }
 
 /// The desired state of a server, or nothing where the configuration does not name it.
@@ -25,15 +26,13 @@
     wall_ms: WallMillis,
 ) -> Option<Desired> {
     let role = configuration.servers.get(server)?.role_at(wall_ms);
-    let mut versions = BTreeMap::new();
-    for (model, known) in &configuration.models {
-        for (version, served) in &known.versions {
-            let is_placed = served.weights_bytes > Bytes::ZERO && served.servers.contains(server);
-            if !is_placed {
-                continue;
-            }
-            versions.insert((model.clone(), version.clone()), served.weights_bytes);
+    let mut weights = BTreeMap::new();
+    for (placing, placed) in configuration.weights() {
+        let is_placed = placed.weights_bytes > Bytes::ZERO && placed.servers.contains(server);
+        if !is_placed {
+            continue;
         }
+        weights.insert(placing, placed.weights_bytes);
     }
-    Some(Desired { role, versions })
+    Some(Desired { role, weights })
 }
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -7,11 +7,13 @@
 //! the configuration lists for it: such an order can be repeated or late and does no harm.
 
 pub mod desired;
+pub mod lacking;
 pub mod order;
 pub mod order_book;
 pub mod state;
 
 pub use desired::{Desired, desired_state};
+pub use lacking::LackingWeights;
 pub use order::{EngineOrder, OrderKind};
 pub use order_book::{Look, OrderBook, Terms};
 pub use state::PlacementState;
--- a/crates/core/src/placement/order.rs
+++ b/crates/core/src/placement/order.rs
@@ -5,19 +5,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::document::ServerRole;
-use crate::ids::{FencingNumber, ModelId, ModelVersion};
+use crate::ids::FencingNumber;
+use crate::weights::Weights;
 
 /// What an engine is told to do.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderKind {
-    /// Load a version of a model; without effect where it is loaded.
-    Load {
-        /// The model.
-        model: ModelId,
-        /// The version.
-        version: ModelVersion,
-    },
+    /// Load a version or an adapter; without effect where it is loaded.
+    Load(Weights),
     /// Take another role.
     ChangeRole {
         /// The new role.
@@ -28,7 +24,7 @@
 impl fmt::Display for OrderKind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            OrderKind::Load { model, version } => write!(f, "load:{model}:{version}"),
+            OrderKind::Load(weights) => write!(f, "load:{weights}"),
             OrderKind::ChangeRole { role } => write!(f, "role:{role}"),
         }
     }
--- a/crates/core/src/placement/order_book.rs
+++ b/crates/core/src/placement/order_book.rs
@@ -5,13 +5,14 @@
 //! of the rate. A role changes only after the wish for it has stood for a while and the engine
 //! holds no stream.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::config::document::ServerRole;
-use crate::ids::{FencingNumber, ModelId, ModelVersion, ServerId};
+use crate::ids::{FencingNumber, ServerId};
 use crate::placement::desired::Desired;
 use crate::placement::order::{EngineOrder, OrderKind};
 use crate::units::{Bytes, BytesPerSecond, Millis};
+use crate::weights::Weights;
 
 /// Age at which a report no longer serves as ground for an order.
 const REPORT_LIFE_MS: Millis = Millis(1_500);
@@ -29,8 +30,8 @@
     pub learned_ms: Millis,
     /// Its role, where it tells one.
     pub role: Option<ServerRole>,
-    /// Versions loaded.
-    pub loaded: Vec<(ModelId, ModelVersion)>,
+    /// Versions and adapters loaded.
+    pub loaded: BTreeSet<Weights>,
     /// Highest fencing number accepted.
     pub fencing_number: FencingNumber,
     /// Whether it holds any stream.
@@ -79,9 +80,9 @@
         wish.is_some_and(|(_, since_ms)| now_ms - *since_ms >= ROLE_HYSTERESIS_MS)
     }
 
-    /// Whether a version is reported as loaded, or nothing where there is no report.
-    pub fn is_loaded(&self, server: &ServerId, version: &(ModelId, ModelVersion)) -> Option<bool> {
-        self.looks.get(server).map(|look| look.loaded.contains(version))
+    /// Whether weights are reported as loaded, or nothing where there is no report.
+    pub fn is_loaded(&self, server: &ServerId, weights: &Weights) -> Option<bool> {
+        self.looks.get(server).map(|look| look.loaded.contains(weights))
     }
 
     /// The role that an engine reported.
@@ -108,7 +109,7 @@
             .role_order(now_ms, server, &look)
             .or_else(|| self.load_order(now_ms, &look, desired, terms))?;
         assert!(
-            terms.checks_fencing || matches!(kind, OrderKind::Load { .. }),
+            terms.checks_fencing || matches!(kind, OrderKind::Load(_)),
             "ordered more than a load at an engine that ignores fencing numbers"
         );
         self.next_order_ms.insert(server.clone(), now_ms + ORDER_PAUSE_MS);
@@ -152,10 +153,10 @@
             return None;
         }
         let mut missing =
-            desired.versions.iter().filter(|(version, _)| !look.loaded.contains(version));
-        let ((model, version), weights_bytes) = missing.next()?;
+            desired.weights.iter().filter(|(weights, _)| !look.loaded.contains(weights));
+        let (weights, weights_bytes) = missing.next()?;
         self.next_load_ms = now_ms + load_time(*weights_bytes, terms.share_bytes_per_second);
-        Some(OrderKind::Load { model: model.clone(), version: version.clone() })
+        Some(OrderKind::Load(weights.clone()))
     }
 }
 
--- a/crates/core/src/placement/state.rs
+++ b/crates/core/src/placement/state.rs
@@ -1,5 +1,6 @@
 //! What a node keeps to place models and roles.
 
+use crate::placement::lacking::LackingWeights;
 use crate::placement::order_book::OrderBook;
 use crate::units::{BytesPerSecond, Millis};
 
@@ -8,6 +9,8 @@
 pub struct PlacementState {
     /// Orders to the engines that the node owns.
     pub orders: OrderBook,
+    /// What engines lack, as their owners told.
+    pub lacking: LackingWeights,
     /// Rate of the weight store for the whole deployment; zero until it is known.
     pub weight_rate_bytes_per_second: BytesPerSecond,
     /// When to look for orders next.
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -3,13 +3,16 @@
 //! Reports lag: they tell what was true some time ago. Callers of this module pair them with what
 //! this system itself has in flight.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
 use crate::config::document::ServerRole;
-use crate::ids::{FencingNumber, Incarnation, InstanceId, ModelId, ModelVersion, StreamId};
+use crate::ids::{
+    AdapterId, FencingNumber, Incarnation, InstanceId, ModelId, ModelVersion, StreamId,
+};
 use crate::units::{KvPieces, Streams, Tokens};
+use crate::weights::Weights;
 
 /// The process that holds a lease or a request: one run of one instance.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -47,6 +50,24 @@
     pub role: Option<ServerRole>,
     /// Models and versions loaded.
     pub loaded: Vec<(ModelId, ModelVersion)>,
+    /// Adapters loaded.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loaded_adapters: Vec<(ModelId, ModelVersion, AdapterId)>,
     /// Highest fencing number accepted.
     pub fencing_number: FencingNumber,
 }
+
+impl LoadReport {
+    /// Everything that is loaded.
+    pub fn loaded_weights(&self) -> BTreeSet<Weights> {
+        let mut weights = BTreeSet::new();
+        for (model, version) in &self.loaded {
+            weights.insert(Weights::of_version(model.clone(), version.clone()));
+        }
+        for (model, version, adapter) in &self.loaded_adapters {
+            let base = Weights::of_version(model.clone(), version.clone());
+            weights.insert(Weights { adapter: Some(adapter.clone()), ..base });
+        }
+        weights
+    }
+}
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -4,8 +4,9 @@
 
 use crate::config::window::Targets;
 use crate::event::ModelRequest;
-use crate::ids::{ModelVersion, ServerId, StreamId};
+use crate::ids::{ServerId, StreamId};
 use crate::units::{KvPieces, Millis, Streams, Tokens};
+use crate::weights::Weights;
 
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -40,8 +41,8 @@
 pub struct Flow {
     /// What was asked; nothing for an answer that is being continued.
     pub asked: Option<ModelRequest>,
-    /// The version that serves it.
-    pub version: Option<ModelVersion>,
+    /// The weights that serve it; nothing for an answer that is being continued.
+    pub weights: Option<Weights>,
     /// Targets in force when it arrived.
     pub targets: Targets,
     /// When it arrived.
--- a/crates/core/src/route/pools.rs
+++ b/crates/core/src/route/pools.rs
@@ -4,8 +4,9 @@
 
 use crate::config::Configuration;
 use crate::config::document::ServerRole;
-use crate::ids::{ConfigVersion, DataCentreId, ModelId, ModelVersion, ServerId};
+use crate::ids::{ConfigVersion, DataCentreId, ServerId};
 use crate::units::{BytesPerSecond, WallMillis};
+use crate::weights::Weights;
 
 /// Milliseconds in a minute.
 const MS_PER_MINUTE: u64 = 60_000;
@@ -14,7 +15,7 @@
 /// Engines looked at to find those that can be used.
 const MAX_LOOKED_AT: usize = 64;
 
-/// Engines of one role that serve one version of a model.
+/// Engines of one role that serve one version of a model, or one adapter.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     by_place: BTreeMap<DataCentreId, Vec<ServerId>>,
@@ -26,7 +27,7 @@
 pub struct Pools {
     version: Option<ConfigVersion>,
     minute: Option<u64>,
-    by_model: BTreeMap<(ModelId, ModelVersion), BTreeMap<ServerRole, Pool>>,
+    by_weights: BTreeMap<Weights, BTreeMap<ServerRole, Pool>>,
     link_rates: BTreeMap<DataCentreId, BTreeMap<DataCentreId, BytesPerSecond>>,
 }
 
@@ -44,18 +45,16 @@
         self.minute = minute.filter(|_| has_schedule);
         self.version = Some(configuration.version);
         self.refresh_links(configuration);
-        self.by_model.clear();
-        for (model, known) in &configuration.models {
-            for (version, served) in &known.versions {
-                let pools = self.by_model.entry((model.clone(), version.clone())).or_default();
-                for id in &served.servers {
-                    let Some(server) = configuration.servers.get(id) else {
-                        continue;
-                    };
-                    let pool = pools.entry(server.role_at(wall_ms)).or_default();
-                    pool.by_place.entry(server.data_centre.clone()).or_default().push(id.clone());
-                    pool.len += 1;
-                }
+        self.by_weights.clear();
+        for (weights, placed) in configuration.weights() {
+            let pools = self.by_weights.entry(weights).or_default();
+            for id in placed.servers {
+                let Some(server) = configuration.servers.get(id) else {
+                    continue;
+                };
+                let pool = pools.entry(server.role_at(wall_ms)).or_default();
+                pool.by_place.entry(server.data_centre.clone()).or_default().push(id.clone());
+                pool.len += 1;
             }
         }
     }
@@ -79,9 +78,9 @@
         self.link_rates.get(from)?.get(to).copied()
     }
 
-    /// The engines of one role that serve a version.
-    pub fn pool(&self, model: &ModelId, version: &ModelVersion, role: ServerRole) -> Option<&Pool> {
-        self.by_model.get(&(model.clone(), version.clone()))?.get(&role)
+    /// The engines of one role that serve a version or an adapter.
+    pub fn pool(&self, weights: &Weights, role: ServerRole) -> Option<&Pool> {
+        self.by_weights.get(weights)?.get(&role)
     }
 }
 
--- a/crates/core/tests/engine_orders.rs
+++ b/crates/core/tests/engine_orders.rs
@@ -1,12 +1,13 @@
 //! Orders to engines: fencing, drain, hysteresis and the share of the weight store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use quickcheck::{Arbitrary, Gen};
 use turmericrail_core::config::document::ServerRole;
-use turmericrail_core::ids::{FencingNumber, ModelId, ModelVersion, ServerId};
+use turmericrail_core::ids::{FencingNumber, ServerId};
 use turmericrail_core::placement::{Desired, EngineOrder, Look, OrderBook, OrderKind, Terms};
 use turmericrail_core::units::{Bytes, BytesPerSecond, Millis};
+use turmericrail_core::weights::Weights;
 
 /// Randomised cases.
 const CASES: u64 = 300;
@@ -19,13 +20,17 @@
     "engine-1".parse().unwrap()
 }
 
-fn version(name: &str) -> (ModelId, ModelVersion) {
-    ("quote".parse().unwrap(), name.parse().unwrap())
+fn version(name: &str) -> Weights {
+    Weights::of_version("quote".parse().unwrap(), name.parse().unwrap())
+}
+
+fn adapter(name: &str) -> Weights {
+    Weights { adapter: Some(name.parse().unwrap()), ..version("v1") }
 }
 
 fn desired(role: ServerRole, versions: &[&str]) -> Desired {
     let sized = versions.iter().map(|name| (version(name), Bytes(10_000)));
-    Desired { role, versions: sized.collect() }
+    Desired { role, weights: sized.collect() }
 }
 
 fn terms(checks_fencing: bool) -> Terms {
@@ -36,7 +41,7 @@
     Look {
         learned_ms: Millis(learned_ms),
         role: Some(role),
-        loaded: Vec::new(),
+        loaded: BTreeSet::new(),
         fencing_number: FencingNumber(4),
         is_holding,
     }
@@ -94,16 +99,16 @@
     let mut book = OrderBook::default();
     let desired = desired(ServerRole::Decode, &["v1", "v2", "v3"]);
     let mut loads_ms = Vec::new();
-    let mut loaded = Vec::new();
+    let mut loaded = BTreeSet::new();
     for step in 0..400 {
         let now_ms = step * STEP_MS;
         let seen = Look { loaded: loaded.clone(), ..look(now_ms, ServerRole::Decode, true) };
         book.look(server(), seen);
         let order = book.next_order(Millis(now_ms), &server(), &desired, terms(false));
-        let Some(OrderKind::Load { model, version }) = order.map(|order| order.kind) else {
+        let Some(OrderKind::Load(weights)) = order.map(|order| order.kind) else {
             continue;
         };
-        loaded.push((model, version));
+        loaded.insert(weights);
         loads_ms.push(now_ms);
     }
     assert_eq!(loads_ms, [0, 10_000, 20_000], "10,000 bytes at 1,000 bytes a second each");
@@ -179,7 +184,8 @@
                 Look { is_holding: engine.is_holding, ..look(now_ms.0, engine.role, false) };
             let report = Look { fencing_number: engine.fencing_number, ..report };
             owner.look(server(), report);
-            let desired = desired(wanted, &["v1"]);
+            let mut desired = desired(wanted, &["v1"]);
+            desired.weights.insert(adapter("kaolack"), Bytes(1_000));
             late_orders.extend(owner.next_order(
                 now_ms,
                 &server(),
--- a/crates/core/tests/model_world/mod.rs
+++ b/crates/core/tests/model_world/mod.rs
@@ -7,7 +7,9 @@
 use turmericrail_core::action::Action;
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::event::{Event, ModelRequest, Now};
-use turmericrail_core::ids::{ConfigVersion, Incarnation, RequestId, ServerId, StreamId};
+use turmericrail_core::ids::{
+    AdapterId, ConfigVersion, Incarnation, RequestId, ServerId, StreamId,
+};
 use turmericrail_core::node::{Node, NodeSettings};
 use turmericrail_core::once::Seal;
 use turmericrail_core::report::{HeldStream, Holder, LoadReport};
@@ -23,6 +25,8 @@
     /// Streams that engines report besides what they were given.
     pub held: BTreeMap<ServerId, Vec<(StreamId, u64)>>,
     pub silent: BTreeSet<ServerId>,
+    /// Adapters of version `1` of model `m` that engines report as loaded.
+    pub adapters: BTreeMap<ServerId, AdapterId>,
 }
 
 /// A server of the configuration.
@@ -83,6 +87,7 @@
         caller_kind: "printer".parse().unwrap(),
         model: "m".parse().unwrap(),
         version: None,
+        adapter: None,
         prompt_tokens: Tokens(prompt_tokens),
         max_tokens: Tokens(100),
         prefix_hashes: Vec::new(),
@@ -100,8 +105,8 @@
             seal: Seal::new("a key for tests, long enough to be used"),
         };
         let node = Node::new(settings);
-        let (held, silent) = (BTreeMap::new(), BTreeSet::new());
-        let mut world = Self { node, now_ms: 0, held, silent };
+        let (held, silent, adapters) = (BTreeMap::new(), BTreeSet::new(), BTreeMap::new());
+        let mut world = Self { node, now_ms: 0, held, silent, adapters };
         world.give(Event::ConfigDocument(ConfigVersion(1), document));
         world.pass(WARM_UP_MS);
         world
@@ -145,7 +150,11 @@
             let kv_pieces = KvPieces(*pieces);
             (stream.clone(), HeldStream { holder: holder.clone(), kv_pieces })
         });
+        let (model, version) = ("m".parse().unwrap(), "1".parse().unwrap());
+        let adapter = self.adapters.get(server).cloned();
+        let loaded_adapters = adapter.map(|adapter| (model, version, adapter));
         let report = LoadReport {
+            loaded_adapters: loaded_adapters.into_iter().collect(),
             held: held.collect(),
             stream_limit_streams: Streams(20),
             kv_total_pieces: KvPieces(2_000),
--- a/crates/core/tests/role_pools.rs
+++ b/crates/core/tests/role_pools.rs
@@ -5,6 +5,7 @@
 use turmericrail_core::config::parse_value;
 use turmericrail_core::route::Pools;
 use turmericrail_core::units::WallMillis;
+use turmericrail_core::weights::Weights;
 
 /// Noon and midnight of one day in UTC.
 const NOON: WallMillis = WallMillis(1_764_763_200_000);
@@ -25,12 +26,12 @@
         }},
     });
     let configuration = parse_value(&document).unwrap();
-    let (model, version) = ("quote".parse().unwrap(), "v1".parse().unwrap());
+    let weights = Weights::of_version("quote".parse().unwrap(), "v1".parse().unwrap());
     let mut pools = Pools::default();
     let mut roles = Vec::new();
     for wall_ms in [NOON, MIDNIGHT, NOON] {
         pools.refresh(&configuration, wall_ms);
-        let has = |role| pools.pool(&model, &version, role).is_some_and(|pool| pool.len() == 1);
+        let has = |role| pools.pool(&weights, role).is_some_and(|pool| pool.len() == 1);
         roles.push((has(ServerRole::Prefill), has(ServerRole::Decode)));
     }
     assert_eq!(roles, [(true, false), (false, true), (true, false)]);
--- a/crates/core/tests/soak_world/world.rs
+++ b/crates/core/tests/soak_world/world.rs
@@ -418,6 +418,7 @@
         caller_kind: "printer".parse().expect("a valid id"),
         model: "quote".parse().expect("a valid id"),
         version: None,
+        adapter: None,
         prompt_tokens: Tokens(32),
         max_tokens: Tokens(max_tokens),
         prefix_hashes: Vec::new(),
--- a/crates/fakes/src/engine/prefill.rs
+++ b/crates/fakes/src/engine/prefill.rs
@@ -7,6 +7,7 @@
 use tide::{Request, Response, StatusCode};
 use turmericrail_core::ids::StreamId;
 use turmericrail_core::units::{KvPieces, Tokens};
+use turmericrail_core::weights::Weights;
 use turmericrail_wire::engine::{PrefillAnswer, PrefillBody};
 
 use crate::engine::{EngineStream, Inner, Progress, Shared, admit, gone, json};
@@ -17,7 +18,9 @@
     let inner = Arc::clone(request.state());
     inner.thaw().await;
     admit(&inner)?;
-    if !inner.state().orders.serves(&body.model, &body.version) {
+    let weights = Weights { model: body.model, version: body.version, adapter: body.adapter };
+    if !inner.state().orders.serves(&weights) {
+        inner.state().orders.refused_prompts += 1;
         return Ok(Response::new(StatusCode::Conflict));
     }
     let prompt_tokens = text::prompt_tokens(&body.prompt);
@@ -25,6 +28,7 @@
     let stream = EngineStream {
         holder: body.holder,
         kv_pieces,
+        weights: Some(weights),
         prompt: body.prompt,
         is_computed: false,
         generated: 0,
--- a/crates/fakes/src/engine/report.rs
+++ b/crates/fakes/src/engine/report.rs
@@ -30,7 +30,8 @@
         kv_free_pieces: KvPieces(inner.settings.kv_total_pieces.saturating_sub(used)),
         queued_tokens: Tokens(state.queued_tokens),
         role: state.orders.role,
-        loaded: state.orders.loaded.clone(),
+        loaded: state.orders.loaded_versions(),
+        loaded_adapters: state.orders.loaded_adapters(),
         fencing_number: state.orders.fencing_number,
     })
 }
--- a/crates/fakes/src/engine/stream.rs
+++ b/crates/fakes/src/engine/stream.rs
@@ -3,6 +3,7 @@
 use async_channel::{Receiver, Sender};
 use turmericrail_core::report::Holder;
 use turmericrail_core::units::KvPieces;
+use turmericrail_core::weights::Weights;
 
 /// Wakes the reader of a stream when a token is there.
 #[derive(Clone, Debug)]
@@ -25,6 +26,8 @@
     pub holder: Holder,
     /// Its memory.
     pub kv_pieces: KvPieces,
+    /// What its KV cache was computed with, once known.
+    pub weights: Option<Weights>,
     /// The prompt.
     pub prompt: String,
     /// Whether its prefill is done.
--- a/crates/fakes/src/engine/transfer.rs
+++ b/crates/fakes/src/engine/transfer.rs
@@ -21,7 +21,10 @@
     let Some(exported) = exported.filter(|stream| stream.is_computed) else {
         return gone();
     };
-    json(&ExportAnswer { prompt: exported.prompt })
+    let Some(weights) = exported.weights else {
+        return gone();
+    };
+    json(&ExportAnswer { prompt: exported.prompt, weights })
 }
 
 pub(super) async fn import(mut request: Request<Shared>) -> tide::Result {
@@ -35,6 +38,7 @@
     let placeholder = EngineStream {
         holder: body.holder.clone(),
         kv_pieces: body.kv_pieces,
+        weights: None,
         prompt: String::new(),
         is_computed: false,
         generated: 0,
@@ -48,13 +52,20 @@
         inner.state().streams.remove(&body.stream);
         return gone();
     };
+    if !inner.state().orders.serves(&exported.weights) {
+        inner.state().streams.remove(&body.stream);
+        return Ok(Response::new(StatusCode::Conflict));
+    }
     task::sleep(Duration::from_millis(inner.settings.transfer_ms)).await;
     inner.thaw().await;
     while inner.state().is_stalled {
         task::sleep(STEP).await;
     }
     match inner.state().streams.get_mut(&body.stream) {
-        Some(stream) => stream.prompt = exported.prompt,
+        Some(stream) => {
+            stream.prompt = exported.prompt;
+            stream.weights = Some(exported.weights);
+        }
         None => return gone(),
     }
     task::spawn(generate(inner, body.stream));
--- a/crates/turmericrail/src/backend_edge/engine.rs
+++ b/crates/turmericrail/src/backend_edge/engine.rs
@@ -28,8 +28,9 @@
     let body = PrefillBody {
         stream: call.stream.clone(),
         holder: call.holder,
-        model: call.model,
-        version: call.version,
+        model: call.weights.model,
+        version: call.weights.version,
+        adapter: call.weights.adapter,
         prompt: String::from_utf8_lossy(&sent.body).into_owned(),
         priority: call.priority,
     };
--- a/crates/turmericrail/src/caller_edge/completions.rs
+++ b/crates/turmericrail/src/caller_edge/completions.rs
@@ -75,11 +75,19 @@
         caller_kind: body.caller_kind.clone(),
         model: body.model.clone(),
         version: body.version.clone(),
+        adapter: body.adapter.clone(),
         prompt_tokens: Tokens((prompt.len() as u64).div_ceil(BYTES_PER_TOKEN).max(1)),
         max_tokens: body.max_tokens,
-        prefix_hashes: prefixes
-            .map(|prefix| stable_hash(&String::from_utf8_lossy(prefix)))
-            .collect(),
+        prefix_hashes: prefixes.map(|prefix| prefix_hash(body, prefix)).collect(),
+    }
+}
+
+/// Hash of a prefix: its KV cache differs with the adapter.
+fn prefix_hash(body: &CompletionBody, prefix: &[u8]) -> u64 {
+    let prefix = String::from_utf8_lossy(prefix);
+    match &body.adapter {
+        Some(adapter) => stable_hash(&format!("{adapter}\n{prefix}")),
+        None => stable_hash(&prefix),
     }
 }
 
--- a/crates/turmericrail/tests/engine_orders.rs
+++ b/crates/turmericrail/tests/engine_orders.rs
@@ -4,19 +4,25 @@
 
 use std::time::Duration;
 
-use common::start_fleet;
+use common::{complete, completion, start_fleet};
 use serde_json::json;
 use turmericrail_core::config::document::ServerRole;
 use turmericrail_core::ids::FencingNumber;
 use turmericrail_core::placement::OrderKind;
 use turmericrail_core::units::BytesPerSecond;
+use turmericrail_core::weights::Weights;
 use turmericrail_fakes::{FakeEngine, wait_until};
 
 /// Longest wait for orders; no test asserts a time.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Tries of a call that is repeated.
+const TRIES: usize = 300;
+/// Time between tries.
+const STEP: Duration = Duration::from_millis(100);
+
 fn is_loaded(engine: &FakeEngine) -> bool {
-    engine.state().orders.loaded.iter().any(|(_, version)| version.as_str() == "v2")
+    engine.state().orders.loaded.iter().any(|weights| weights.version.as_str() == "v2")
 }
 
 #[async_std::test]
@@ -60,3 +66,62 @@
     let numbers: Vec<_> = state.orders.accepted.iter().map(|order| order.fencing_number).collect();
     assert_eq!(numbers, [FencingNumber(8)]);
 }
+
+#[async_std::test]
+async fn adapter() {
+    let fleet = start_fleet("adapter").await;
+    let base = Weights::of_version("quote".parse().unwrap(), "v1".parse().unwrap());
+    for engine in fleet.prefill.values().chain(fleet.decode.values()) {
+        let mut state = engine.state();
+        state.orders.requires_loaded = true;
+        state.orders.loaded.insert(base.clone());
+    }
+    let (prefill_id, prefill) = fleet.prefill.first_key_value().unwrap();
+    let (decode_id, decode) = fleet.decode.first_key_value().unwrap();
+    let served = json!({"servers": [prefill_id, decode_id], "weights_bytes": "1MB"});
+    fleet.platform.accept(json!({
+        "models": {"quote": {"versions": {"v1": {"adapters": {"kaolack": served}}}}},
+    }));
+    let mut body = completion("a quote", 5, false);
+    body["adapter"] = json!("kaolack");
+    let is_known = async || {
+        let (answer, text) = complete(fleet.instances[0].caller_address, &body).await.unwrap();
+        let is_unknown = String::from_utf8_lossy(&text).contains("unknown_adapter");
+        (!is_unknown).then_some(answer.status() as u16)
+    };
+    let status = repeat(&is_known).await;
+    assert_eq!(status, 503, "no engine has the adapter as long as the weight store's rate is 0");
+    let prefill_tokens =
+        || -> u64 { fleet.prefill.values().map(|engine| engine.state().prefill_tokens).sum() };
+    let refused = prefill.state().orders.refused_prompts;
+    assert_eq!(refused, 0, "a prompt went to an engine without the adapter");
+    fleet.platform.state().weight_rate = BytesPerSecond(100_000_000);
+    let adapter = Weights { adapter: Some("kaolack".parse().unwrap()), ..base };
+    let is_loaded =
+        || [prefill, decode].iter().all(|engine| engine.state().orders.loaded.contains(&adapter));
+    assert!(wait_until(PATIENCE, is_loaded).await.is_some(), "the adapter was not loaded");
+    let is_completed = async || {
+        let (answer, text) = complete(fleet.instances[0].caller_address, &body).await.unwrap();
+        answer.status().is_success().then_some(text)
+    };
+    let text = repeat(&is_completed).await;
+    assert!(String::from_utf8_lossy(&text).contains("\"count\":5"));
+    assert!(prefill.state().prefill_tokens > 0);
+    assert_eq!(prefill_tokens(), prefill.state().prefill_tokens);
+    let is_other = |(id, _): &(&String, &FakeEngine)| *id != prefill_id && *id != decode_id;
+    let others = fleet.prefill.iter().chain(&fleet.decode).filter(is_other);
+    for (id, engine) in others {
+        assert!(engine.state().orders.accepted.is_empty(), "{id} was told to load it");
+    }
+}
+
+/// Repeats a call until it gives a value.
+async fn repeat<T>(call: &impl AsyncFn() -> Option<T>) -> T {
+    for _ in 0..TRIES {
+        if let Some(value) = call().await {
+            return value;
+        }
+        async_std::task::sleep(STEP).await;
+    }
+    panic!("no value after {TRIES} tries");
+}
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -2,7 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 use turmericrail_core::error_kind::{ErrorKind, Outcome};
-use turmericrail_core::ids::{CallerKind, ModelId, ModelVersion, RequestId, WorkspaceId};
+use turmericrail_core::ids::{
+    AdapterId, CallerKind, ModelId, ModelVersion, RequestId, WorkspaceId,
+};
 use turmericrail_core::units::Tokens;
 
 /// Body of `POST /v1/completions`.
@@ -14,6 +16,9 @@
     /// Its version; the configuration's default where it is missing.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<ModelVersion>,
+    /// An adapter of that version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<AdapterId>,
     /// The prompt.
     pub prompt: String,
     /// Most tokens of the answer.
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -10,6 +10,7 @@
 use turmericrail_core::message::{Envelope, PeerMessage, SeatReply, SeatRequest, StreamOnServer};
 use turmericrail_core::report::Holder;
 use turmericrail_core::units::{KvPieces, Millis};
+use turmericrail_core::weights::Weights;
 
 use crate::convert_members::{
     decode_heartbeat, decode_members, decode_members_request, encode_heartbeat, encode_members,
@@ -86,6 +87,7 @@
             kv_pieces: asked.kv_pieces.0,
             latest_in_ms: asked.latest_in_ms.0,
             cost: asked.cost,
+            weights: asked.weights.as_ref().map(encode_weights),
         }),
         PeerMessage::SeatReply(reply) => Message::SeatReply(peer::SeatReply {
             request: reply.request.0,
@@ -93,6 +95,7 @@
             is_granted: reply.is_granted,
             wait_ms: reply.wait_ms.0,
             is_queued: reply.is_queued,
+            is_lacking: reply.is_lacking,
         }),
         PeerMessage::Release(seat) => Message::Release(encode_seat(seat)),
         PeerMessage::Claim(seat) => Message::Claim(encode_seat(seat)),
@@ -127,6 +130,7 @@
             kv_pieces: KvPieces(asked.kv_pieces),
             latest_in_ms: Millis(asked.latest_in_ms),
             cost: asked.cost,
+            weights: asked.weights.map(decode_weights).transpose()?,
         }),
         Message::SeatReply(reply) => PeerMessage::SeatReply(SeatReply {
             request: RequestId(reply.request),
@@ -134,6 +138,7 @@
             is_granted: reply.is_granted,
             wait_ms: Millis(reply.wait_ms),
             is_queued: reply.is_queued,
+            is_lacking: reply.is_lacking,
         }),
         Message::Release(seat) => PeerMessage::Release(decode_seat(Some(seat))?),
         Message::Claim(seat) => PeerMessage::Claim(decode_seat(Some(seat))?),
@@ -165,6 +170,24 @@
     Ok(StreamOnServer { server, stream })
 }
 
+fn encode_weights(weights: &Weights) -> peer::Weights {
+    peer::Weights {
+        model: weights.model.to_string(),
+        version: weights.version.to_string(),
+        adapter: weights.adapter.as_ref().map(ToString::to_string).unwrap_or_default(),
+    }
+}
+
+fn decode_weights(weights: peer::Weights) -> Result<Weights, ConvertError> {
+    let model = parse("model", &weights.model)?;
+    let version = parse("version", &weights.version)?;
+    let adapter = match weights.adapter.as_str() {
+        "" => None,
+        adapter => Some(parse("adapter", adapter)?),
+    };
+    Ok(Weights { model, version, adapter })
+}
+
 fn encode_change(change: &Change) -> peer::Change {
     peer::Change { version: change.version.0, patch: change.patch.to_string() }
 }
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -1,9 +1,10 @@
 //! What engines take and give over HTTP and JSON.
 
 use serde::{Deserialize, Serialize};
-use turmericrail_core::ids::{ModelId, ModelVersion, StreamId};
+use turmericrail_core::ids::{AdapterId, ModelId, ModelVersion, StreamId};
 use turmericrail_core::report::Holder;
 use turmericrail_core::units::{KvPieces, Tokens};
+use turmericrail_core::weights::Weights;
 
 /// Body of `POST /prefill`; the answer comes when the prompt is computed.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -16,6 +17,9 @@
     pub model: ModelId,
     /// Its version.
     pub version: ModelVersion,
+    /// The adapter of that version, where one is to be used.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<AdapterId>,
     /// The prompt.
     pub prompt: String,
     /// Lower values go first.
@@ -87,4 +91,6 @@
 pub struct ExportAnswer {
     /// The prompt, which stands for the KV cache.
     pub prompt: String,
+    /// What it was computed with.
+    pub weights: Weights,
 }
--- a/crates/wire/tests/peer_messages.rs
+++ b/crates/wire/tests/peer_messages.rs
@@ -8,6 +8,7 @@
 use turmericrail_core::message::{Envelope, PeerMessage, SeatReply, SeatRequest, StreamOnServer};
 use turmericrail_core::report::Holder;
 use turmericrail_core::units::{KvPieces, Millis};
+use turmericrail_core::weights::Weights;
 use turmericrail_wire::convert::{decode, encode};
 use turmericrail_wire::peer;
 
@@ -20,6 +21,12 @@
     StreamOnServer { server: "decode-1".parse().unwrap(), stream: "a_1_2_3".parse().unwrap() }
 }
 
+fn any_weights(source: &mut Gen) -> Option<Weights> {
+    let base = Weights::of_version("quote".parse().unwrap(), "v1".parse().unwrap());
+    let adapter = bool::arbitrary(source).then(|| "kaolack".parse().unwrap());
+    bool::arbitrary(source).then_some(Weights { adapter, ..base })
+}
+
 fn any_message(source: &mut Gen) -> PeerMessage {
     let number = u64::arbitrary(source);
     let request = RequestId(number);
@@ -30,6 +37,7 @@
             kv_pieces: KvPieces(number),
             latest_in_ms: Millis(number),
             cost: number,
+            weights: any_weights(source),
         }),
         1 => PeerMessage::SeatReply(SeatReply {
             request,
@@ -37,6 +45,7 @@
             is_granted: bool::arbitrary(source),
             wait_ms: Millis(number),
             is_queued: bool::arbitrary(source),
+            is_lacking: bool::arbitrary(source),
         }),
         2 => PeerMessage::Release(seat()),
         3 => PeerMessage::ChangesRequest(ConfigVersion(number)),
