Unload what is no longer listed or asked for, where memory for weights is configured

Cause: every listed engine loaded every listed version, and what was no longer listed stayed. Change: servers.<s>.weights_memory_bytes (checked: each version, and each adapter with its version, must fit alone). With it the owner holds what fits, by requests that it hears (half-life 60 s, each counted once; loaded weights count double), and orders unload of the rest: after the wish has stood for 30 s, from when on no work for these weights is granted, once no stream that the owner granted for them is held or leased, none is of unknown weights, and adapters before their version. Only at engines that check fencing numbers; what an engine that ignores them has loaded counts as fixed. Versions without a size are left to whoever loads them. Excluded: draining the whole engine before an unload (it would idle seats that other weights use); unloading without a configured size (nothing to run short of). Tests: unload, fit_by_demand and two_owners (now with a listed version that changes, an adapter and unloads) in core; unload as processes, with an engine that ignores fencing numbers beside.

--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 
 use crate::config::check_adapters::check_adapters;
+use crate::config::check_memory::check_memory;
 use crate::config::check_routes::check_routes;
 use crate::config::check_targets::check_targets;
 use crate::config::document::{Configuration, ServerRole};
@@ -38,6 +39,7 @@
     }
     check_routes(configuration)?;
     check_models(configuration)?;
+    check_memory(configuration)?;
     check_links(configuration)?;
     if configuration.limits.tokens_per_piece == 0 {
         let path = KeyPath::new("limits").then("tokens_per_piece");
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -153,6 +153,10 @@
     /// Whether it refuses orders with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
+    /// Memory for weights; without it, all that is listed is loaded and nothing is unloaded.
+    #[serde_as(as = "Option<Quantity>")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weights_memory_bytes: Option<Bytes>,
     /// Most streams at a time.
     #[serde_as(as = "Quantity")]
     #[serde(default = "default_stream_limit")]
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 mod check_adapters;
+mod check_memory;
 mod check_routes;
 mod check_targets;
 pub mod document;
--- a/crates/core/src/node/placement_path.rs
+++ b/crates/core/src/node/placement_path.rs
@@ -1,12 +1,16 @@
 //! Orders to the engines that this node owns.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use crate::action::Action;
 use crate::config::document::ServerRole;
 use crate::ids::ServerId;
+use crate::message::StreamOnServer;
 use crate::node::Node;
-use crate::placement::{EngineOrder, Look, OrderKind, Terms, desired_state};
+use crate::placement::{Desired, EngineOrder, Look, OrderKind, Terms, desired_state, fit};
 use crate::report::LoadReport;
-use crate::units::{BytesPerSecond, Millis};
+use crate::seats::SeatLedger;
+use crate::units::{Bytes, BytesPerSecond, Millis};
 use crate::weights::Weights;
 
 /// Time between looks for orders to give.
@@ -20,8 +24,16 @@
 
     /// Takes the part of a report that orders depend on.
     pub(super) fn note_look(&mut self, server: &ServerId, report: &LoadReport) {
+        let now_ms = self.now.mono_ms;
+        let streams = self.placement.streams.entry(server.clone()).or_default();
+        let leases = self.ledgers.get(server).map(SeatLedger::leases);
+        let leased = leases.into_iter().flat_map(|leases| leases.keys());
+        let streams_held: BTreeSet<_> = report.held.keys().chain(leased).collect();
+        streams.retain(now_ms, |stream| streams_held.contains(stream));
         let look = Look {
-            learned_ms: self.now.mono_ms,
+            in_use: streams.in_use(),
+            has_unknown: streams_held.into_iter().any(|stream| !streams.knows(stream)),
+            learned_ms: now_ms,
             role: report.role,
             loaded: report.loaded_weights(),
             fencing_number: report.fencing_number,
@@ -46,8 +58,10 @@
         let (Some(weights), Some(configuration)) = (weights, self.config.in_force()) else {
             return false;
         };
-        let is_placed = configuration.is_loaded_by_orders(weights);
-        is_placed && self.placement.orders.is_loaded(server, weights) == Some(false)
+        let orders = &self.placement.orders;
+        let is_missing = configuration.is_loaded_by_orders(weights)
+            && orders.is_loaded(server, weights) == Some(false);
+        is_missing || orders.is_unloading(server, self.now.mono_ms, weights)
     }
 
     /// Gives the orders that are due.
@@ -61,6 +75,8 @@
         for server in servers {
             if !self.owns(&server) {
                 self.placement.orders.forget(&server);
+                self.placement.demand.remove(&server);
+                self.placement.streams.remove(&server);
                 continue;
             }
             if let Some(order) = self.next_order(&server) {
@@ -75,17 +91,60 @@
         if known.role == ServerRole::Plain {
             return None;
         }
-        let desired = desired_state(configuration, server, self.now.wall_ms)?;
+        let mut desired = desired_state(configuration, server, self.now.wall_ms)?;
+        let memory_bytes = known.weights_memory_bytes;
+        if let Some(memory_bytes) = memory_bytes {
+            desired.weights = self.fitting(server, &desired, memory_bytes, known.checks_fencing);
+        }
         let members = self.members.live_members(self.now.mono_ms).max(1) as u64;
         let share = BytesPerSecond(self.placement.weight_rate_bytes_per_second.0 / members);
         let checks_fencing = known.checks_fencing;
-        let terms = Terms { checks_fencing, share_bytes_per_second: share };
+        let terms = Terms { checks_fencing, memory_bytes, share_bytes_per_second: share };
         let order = self.placement.orders.next_order(self.now.mono_ms, server, &desired, terms)?;
         let changes_role = matches!(order.kind, OrderKind::ChangeRole { .. });
         let has_leases = self.ledgers.get(server).is_some_and(|held| !held.leases().is_empty());
         (!changes_role || !has_leases).then_some(order)
     }
 
+    /// What fits, by demand; what an engine that ignores fencing numbers has loaded stays.
+    fn fitting(
+        &self,
+        server: &ServerId,
+        desired: &Desired,
+        memory_bytes: Bytes,
+        checks_fencing: bool,
+    ) -> BTreeMap<Weights, Bytes> {
+        let demand = self.placement.demand.get(server);
+        let nothing = BTreeSet::new();
+        let loaded = self.placement.orders.loaded(server).unwrap_or(&nothing);
+        let count = |weights: &Weights| {
+            if !checks_fencing && loaded.contains(weights) {
+                return f64::INFINITY;
+            }
+            demand.map_or(0.0, |demand| demand.count(weights))
+        };
+        fit(&desired.weights, memory_bytes, loaded, count)
+    }
+
+    /// Counts a request for weights at an owned engine whose memory for them is configured, and
+    /// the stream that may use them.
+    pub(super) fn note_weights(&mut self, seat: &StreamOnServer, weights: Option<&Weights>) {
+        let StreamOnServer { server, stream } = seat;
+        let known = self.config.in_force().and_then(|known| known.servers.get(server));
+        let has_memory = known.is_some_and(|known| known.weights_memory_bytes.is_some());
+        let Some(weights) = weights.filter(|_| has_memory && self.owns(server)) else {
+            return;
+        };
+        let now_ms = self.now.mono_ms;
+        let demand = self.placement.demand.entry(server.clone()).or_default();
+        demand.note(now_ms, stream, weights);
+        if self.is_without(server, Some(weights)) {
+            return;
+        }
+        let streams = self.placement.streams.entry(server.clone()).or_default();
+        streams.grant(now_ms, stream, weights);
+    }
+
     fn give_order(&mut self, server: &ServerId, order: EngineOrder) {
         let fields = vec![
             ("server", server.to_string()),
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -58,6 +58,7 @@
     }
 
     pub(super) fn take_seat_request(&mut self, from: &Holder, asked: SeatRequest) {
+        self.note_weights(&asked.seat, asked.weights.as_ref());
         if asked.latest_in_ms > Millis::ZERO {
             self.take_slot_request(from, asked);
             return;
--- a/crates/core/src/placement/desired.rs
+++ b/crates/core/src/placement/desired.rs
@@ -1,6 +1,6 @@
 //! The desired state of an engine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::config::Configuration;
 use crate::config::document::ServerRole;
@@ -15,6 +15,8 @@
     pub role: ServerRole,
     /// Versions and adapters to hold, with their sizes.
     pub weights: BTreeMap<Weights, Bytes>,
+    /// Versions without a size, which others load and unload.
+    pub left_alone: BTreeSet<Weights>,
 }
 
 /// The desired state of a server, or nothing where the configuration does not name it.
@@ -27,12 +29,16 @@
 ) -> Option<Desired> {
     let role = configuration.servers.get(server)?.role_at(wall_ms);
     let mut weights = BTreeMap::new();
+    let mut left_alone = BTreeSet::new();
     for (placing, placed) in configuration.weights() {
-        let is_placed = placed.weights_bytes > Bytes::ZERO && placed.servers.contains(server);
-        if !is_placed {
+        if !placed.servers.contains(server) {
+            continue;
+        }
+        if placed.weights_bytes == Bytes::ZERO {
+            left_alone.insert(placing);
             continue;
         }
         weights.insert(placing, placed.weights_bytes);
     }
-    Some(Desired { role, weights })
+    Some(Desired { role, weights, left_alone })
 }
--- a/crates/core/src/placement/order.rs
+++ b/crates/core/src/placement/order.rs
@@ -14,6 +14,8 @@
 pub enum OrderKind {
     /// Load a version or an adapter; without effect where it is loaded.
     Load(Weights),
+    /// Unload a version or an adapter; without effect where it is not loaded.
+    Unload(Weights),
     /// Take another role.
     ChangeRole {
         /// The new role.
@@ -25,6 +27,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             OrderKind::Load(weights) => write!(f, "load:{weights}"),
+            OrderKind::Unload(weights) => write!(f, "unload:{weights}"),
             OrderKind::ChangeRole { role } => write!(f, "role:{role}"),
         }
     }
--- a/crates/core/src/placement/order_book.rs
+++ b/crates/core/src/placement/order_book.rs
@@ -20,6 +20,8 @@
 const ORDER_PAUSE_MS: Millis = Millis(2_000);
 /// Time for which the wish for a role must stand.
 const ROLE_HYSTERESIS_MS: Millis = Millis(10_000);
+/// Time for which the wish to unload must stand.
+const UNLOAD_HYSTERESIS_MS: Millis = Millis(30_000);
 /// Milliseconds in a second.
 const MS_PER_S: u64 = 1_000;
 
@@ -36,6 +38,10 @@
     pub fencing_number: FencingNumber,
     /// Whether it holds any stream.
     pub is_holding: bool,
+    /// Weights that its streams use.
+    pub in_use: BTreeSet<Weights>,
+    /// Whether it holds streams whose weights are not known.
+    pub has_unknown: bool,
 }
 
 /// What holds for the engine by configuration and membership.
@@ -43,6 +49,8 @@
 pub struct Terms {
     /// Whether it refuses orders with an old fencing number.
     pub checks_fencing: bool,
+    /// Its memory for weights, where the configuration names one.
+    pub memory_bytes: Option<Bytes>,
     /// This owner's share of the weight store's rate.
     pub share_bytes_per_second: BytesPerSecond,
 }
@@ -53,6 +61,7 @@
     looks: BTreeMap<ServerId, Look>,
     next_order_ms: BTreeMap<ServerId, Millis>,
     role_wish_since_ms: BTreeMap<ServerId, (ServerRole, Millis)>,
+    unload_wish_since_ms: BTreeMap<ServerId, BTreeMap<Weights, Millis>>,
     next_load_ms: Millis,
 }
 
@@ -66,12 +75,14 @@
     pub fn forget(&mut self, server: &ServerId) {
         self.looks.remove(server);
         self.role_wish_since_ms.remove(server);
+        self.unload_wish_since_ms.remove(server);
     }
 
     /// Forgets every report, as after a pause: no order is given before a fresh one.
     pub fn forget_looks(&mut self) {
         self.looks.clear();
         self.role_wish_since_ms.clear();
+        self.unload_wish_since_ms.clear();
     }
 
     /// Whether an engine is to lose its streams before its role changes.
@@ -85,6 +96,18 @@
         self.looks.get(server).map(|look| look.loaded.contains(weights))
     }
 
+    /// Whether weights take no new work, as they are to be unloaded.
+    pub fn is_unloading(&self, server: &ServerId, now_ms: Millis, weights: &Weights) -> bool {
+        let wishes = self.unload_wish_since_ms.get(server);
+        let since_ms = wishes.and_then(|wishes| wishes.get(weights));
+        since_ms.is_some_and(|since_ms| now_ms - *since_ms >= UNLOAD_HYSTERESIS_MS)
+    }
+
+    /// What an engine reported as loaded.
+    pub fn loaded(&self, server: &ServerId) -> Option<&BTreeSet<Weights>> {
+        self.looks.get(server).map(|look| &look.loaded)
+    }
+
     /// The role that an engine reported.
     pub fn reported_role(&self, server: &ServerId) -> Option<ServerRole> {
         self.looks.get(server)?.role
@@ -102,11 +125,13 @@
         let is_fresh = now_ms - look.learned_ms < REPORT_LIFE_MS;
         let is_spaced = self.next_order_ms.get(server).is_none_or(|next_ms| now_ms >= *next_ms);
         self.note_role_wish(now_ms, server, &look, desired, terms);
+        self.note_unload_wishes(now_ms, server, &look, desired, terms);
         if !is_fresh || !is_spaced {
             return None;
         }
         let kind = self
             .role_order(now_ms, server, &look)
+            .or_else(|| self.unload_order(now_ms, server, &look))
             .or_else(|| self.load_order(now_ms, &look, desired, terms))?;
         assert!(
             terms.checks_fencing || matches!(kind, OrderKind::Load(_)),
@@ -142,6 +167,48 @@
         is_drained.then_some(OrderKind::ChangeRole { role })
     }
 
+    /// Only engines that check fencing numbers and whose memory is configured are unloaded.
+    fn note_unload_wishes(
+        &mut self,
+        now_ms: Millis,
+        server: &ServerId,
+        look: &Look,
+        desired: &Desired,
+        terms: Terms,
+    ) {
+        if terms.memory_bytes.is_none() || !terms.checks_fencing {
+            self.unload_wish_since_ms.remove(server);
+            return;
+        }
+        let is_surplus = |weights: &Weights| {
+            !desired.weights.contains_key(weights) && !desired.left_alone.contains(weights)
+        };
+        let wishes = self.unload_wish_since_ms.entry(server.clone()).or_default();
+        wishes.retain(|weights, _| look.loaded.contains(weights) && is_surplus(weights));
+        for weights in look.loaded.iter().filter(|weights| is_surplus(weights)) {
+            wishes.entry(weights.clone()).or_insert(now_ms);
+        }
+    }
+
+    /// Unloads adapters before their version, and nothing that a stream may use.
+    fn unload_order(&self, now_ms: Millis, server: &ServerId, look: &Look) -> Option<OrderKind> {
+        if look.has_unknown {
+            return None;
+        }
+        for weights in self.unload_wish_since_ms.get(server)?.keys().rev() {
+            let has_adapters = look.loaded.iter().any(|other| {
+                other.adapter.is_some() && weights.adapter.is_none() && other.base() == *weights
+            });
+            let is_drained = self.is_unloading(server, now_ms, weights)
+                && !look.in_use.contains(weights)
+                && !has_adapters;
+            if is_drained {
+                return Some(OrderKind::Unload(weights.clone()));
+            }
+        }
+        None
+    }
+
     fn load_order(
         &mut self,
         now_ms: Millis,
@@ -155,11 +222,31 @@
         let mut missing =
             desired.weights.iter().filter(|(weights, _)| !look.loaded.contains(weights));
         let (weights, weights_bytes) = missing.next()?;
+        if !has_room(look, desired, terms, *weights_bytes) {
+            return None;
+        }
         self.next_load_ms = now_ms + load_time(*weights_bytes, terms.share_bytes_per_second);
         Some(OrderKind::Load(weights.clone()))
     }
 }
 
+/// Whether more weights fit. What is to be unloaded first has no known size: it is waited for.
+fn has_room(look: &Look, desired: &Desired, terms: Terms, weights_bytes: Bytes) -> bool {
+    let Some(memory_bytes) = terms.memory_bytes else {
+        return true;
+    };
+    let mut used_bytes = weights_bytes;
+    for weights in &look.loaded {
+        let size = desired.weights.get(weights);
+        let is_known = size.is_some() || desired.left_alone.contains(weights);
+        if !is_known && terms.checks_fencing {
+            return false;
+        }
+        used_bytes = used_bytes + size.copied().unwrap_or_default();
+    }
+    used_bytes <= memory_bytes
+}
+
 fn load_time(weights_bytes: Bytes, rate: BytesPerSecond) -> Millis {
     Millis(weights_bytes.0.saturating_mul(MS_PER_S) / rate.0.max(1))
 }
--- a/crates/core/src/placement/state.rs
+++ b/crates/core/src/placement/state.rs
@@ -1,7 +1,12 @@
 //! What a node keeps to place models and roles.
 
+use std::collections::BTreeMap;
+
+use crate::ids::ServerId;
+use crate::placement::demand::WeightDemand;
 use crate::placement::lacking::LackingWeights;
 use crate::placement::order_book::OrderBook;
+use crate::placement::streams::StreamWeights;
 use crate::units::{BytesPerSecond, Millis};
 
 /// What a node keeps to place models and roles.
@@ -11,6 +16,10 @@
     pub orders: OrderBook,
     /// What engines lack, as their owners told.
     pub lacking: LackingWeights,
+    /// Demand for weights at owned engines whose memory for weights is configured.
+    pub demand: BTreeMap<ServerId, WeightDemand>,
+    /// Weights used by the streams of these engines.
+    pub streams: BTreeMap<ServerId, StreamWeights>,
     /// Rate of the weight store for the whole deployment; zero until it is known.
     pub weight_rate_bytes_per_second: BytesPerSecond,
     /// When to look for orders next.
--- /dev/null
+++ b/crates/core/src/placement/streams.rs
@@ -0,0 +1,45 @@
+//! Which weights the streams of an engine use, as far as its owner granted them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::StreamId;
+use crate::units::Millis;
+use crate::weights::Weights;
+
+/// Time for which a granted stream counts as using its weights though no report tells of it.
+const GRANT_LIFE_MS: Millis = Millis(30_000);
+
+/// Weights used by the streams of one engine.
+#[derive(Clone, Debug, Default)]
+pub struct StreamWeights {
+    granted: BTreeMap<StreamId, (Weights, Millis)>,
+}
+
+impl StreamWeights {
+    /// Takes note of a stream that may start.
+    pub fn grant(&mut self, now_ms: Millis, stream: &StreamId, weights: &Weights) {
+        self.granted.insert(stream.clone(), (weights.clone(), now_ms));
+    }
+
+    /// Forgets streams that are neither held nor lately granted.
+    pub fn retain(&mut self, now_ms: Millis, is_held: impl Fn(&StreamId) -> bool) {
+        self.granted.retain(|stream, (_, granted_ms)| {
+            is_held(stream) || now_ms - *granted_ms < GRANT_LIFE_MS
+        });
+    }
+
+    /// Whether the weights of a stream are known.
+    pub fn knows(&self, stream: &StreamId) -> bool {
+        self.granted.contains_key(stream)
+    }
+
+    /// Weights in use, the versions of adapters included.
+    pub fn in_use(&self) -> BTreeSet<Weights> {
+        let mut in_use = BTreeSet::new();
+        for (weights, _) in self.granted.values() {
+            in_use.insert(weights.base());
+            in_use.insert(weights.clone());
+        }
+        in_use
+    }
+}
--- a/crates/core/tests/adapters.rs
+++ b/crates/core/tests/adapters.rs
@@ -142,6 +142,10 @@
         assert!(problem.contains(expected) && problem.contains(adapters), "{problem}");
     }
     let mut document = with_adapter(json!(["p1"]), json!("2GB"));
+    document["servers"]["p1"]["weights_memory_bytes"] = json!("1GB");
+    let problem = parse_value(&document).unwrap_err().to_string();
+    assert!(problem.contains("servers.p1.weights_memory_bytes"), "{problem}");
+    assert!(problem.contains("m:1:kaolack needs 2000000000 bytes"), "{problem}");
     document["models"]["m"]["versions"]["1"]["weights_bytes"] = json!("1GB");
     let problem = parse_value(&document).unwrap_err().to_string();
     assert!(problem.contains("is larger than the 1000000000 bytes"), "{problem}");
--- a/crates/core/tests/engine_orders.rs
+++ b/crates/core/tests/engine_orders.rs
@@ -5,7 +5,7 @@
 use quickcheck::{Arbitrary, Gen};
 use turmericrail_core::config::document::ServerRole;
 use turmericrail_core::ids::{FencingNumber, ServerId};
-use turmericrail_core::placement::{Desired, EngineOrder, Look, OrderBook, OrderKind, Terms};
+use turmericrail_core::placement::{Desired, EngineOrder, Look, OrderBook, OrderKind, Terms, fit};
 use turmericrail_core::units::{Bytes, BytesPerSecond, Millis};
 use turmericrail_core::weights::Weights;
 
@@ -30,11 +30,11 @@
 
 fn desired(role: ServerRole, versions: &[&str]) -> Desired {
     let sized = versions.iter().map(|name| (version(name), Bytes(10_000)));
-    Desired { role, weights: sized.collect() }
+    Desired { role, weights: sized.collect(), left_alone: BTreeSet::new() }
 }
 
 fn terms(checks_fencing: bool) -> Terms {
-    Terms { checks_fencing, share_bytes_per_second: BytesPerSecond(1_000) }
+    Terms { checks_fencing, memory_bytes: None, share_bytes_per_second: BytesPerSecond(1_000) }
 }
 
 fn look(learned_ms: u64, role: ServerRole, is_holding: bool) -> Look {
@@ -44,6 +44,8 @@
         loaded: BTreeSet::new(),
         fencing_number: FencingNumber(4),
         is_holding,
+        in_use: BTreeSet::new(),
+        has_unknown: false,
     }
 }
 
@@ -114,6 +116,67 @@
     assert_eq!(loads_ms, [0, 10_000, 20_000], "10,000 bytes at 1,000 bytes a second each");
 }
 
+/// What is no longer wanted is unloaded after 30 s, adapters first, and never while it is in use.
+#[test]
+fn unload() {
+    let mut book = OrderBook::default();
+    let desired = desired(ServerRole::Decode, &["v2"]);
+    let terms = Terms { memory_bytes: Some(Bytes(30_000)), ..terms(true) };
+    let mut loaded = BTreeSet::from([version("v1"), adapter("kaolack")]);
+    let mut orders = Vec::new();
+    for step in 0..600 {
+        let now_ms = step * STEP_MS;
+        let in_use = if now_ms < 60_000 { loaded.clone() } else { BTreeSet::new() };
+        let has_unknown = now_ms < 90_000;
+        let seen = Look {
+            loaded: loaded.clone(),
+            in_use,
+            has_unknown,
+            ..look(now_ms, ServerRole::Decode, true)
+        };
+        book.look(server(), seen);
+        let is_closed = book.is_unloading(&server(), Millis(now_ms), &version("v1"));
+        assert!(!loaded.contains(&version("v1")) || is_closed == (now_ms >= 30_000), "{now_ms}");
+        let Some(order) = book.next_order(Millis(now_ms), &server(), &desired, terms) else {
+            continue;
+        };
+        match &order.kind {
+            OrderKind::Load(weights) => loaded.insert(weights.clone()),
+            OrderKind::Unload(weights) => loaded.remove(weights),
+            OrderKind::ChangeRole { .. } => panic!("no role was to change"),
+        };
+        orders.push((now_ms, order.kind.to_string()));
+    }
+    let expected = [
+        (90_000, "unload:quote:v1:kaolack".to_owned()),
+        (92_000, "unload:quote:v1".to_owned()),
+        (94_000, "load:quote:v2".to_owned()),
+    ];
+    assert_eq!(orders, expected);
+}
+
+/// Weights that are asked for twice as often as loaded ones take their place, others don't.
+#[test]
+fn fit_by_demand() {
+    let mut listed = desired(ServerRole::Decode, &["v1", "v2"]).weights;
+    listed.insert(adapter("kaolack"), Bytes(1_000));
+    let loaded = BTreeSet::from([version("v1")]);
+    for (v1, v2, kaolack, expected) in [
+        (0.0, 0.0, 0.0, vec![version("v1"), adapter("kaolack")]),
+        (10.0, 19.0, 0.0, vec![version("v1"), adapter("kaolack")]),
+        (10.0, 21.0, 0.0, vec![version("v2")]),
+        (10.0, 21.0, 22.0, vec![version("v1"), adapter("kaolack")]),
+    ] {
+        let demand = |weights: &Weights| match (&weights.adapter, weights.version.as_str()) {
+            (Some(_), _) => kaolack,
+            (None, "v1") => v1,
+            _ => v2,
+        };
+        let held = fit(&listed, Bytes(12_000), &loaded, demand);
+        assert_eq!(held.into_keys().collect::<Vec<_>>(), expected, "{v1} {v2} {kaolack}");
+    }
+}
+
 /// An engine that may check fencing numbers, and what was done to it.
 struct Engine {
     checks_fencing: bool,
@@ -121,7 +184,8 @@
     fencing_number: FencingNumber,
     is_holding: bool,
     role_changes: BTreeMap<FencingNumber, u64>,
-    loads: u64,
+    loaded: BTreeSet<Weights>,
+    unloads: BTreeMap<FencingNumber, u64>,
 }
 
 impl Engine {
@@ -131,10 +195,16 @@
             return;
         }
         self.fencing_number = self.fencing_number.max(order.fencing_number);
-        match order.kind {
-            OrderKind::Load { .. } => self.loads += 1,
+        match &order.kind {
+            OrderKind::Load(weights) => {
+                self.loaded.insert(weights.clone());
+            }
+            OrderKind::Unload(weights) => {
+                self.loaded.remove(weights);
+                *self.unloads.entry(order.fencing_number).or_default() += 1;
+            }
             OrderKind::ChangeRole { role } => {
-                self.role = role;
+                self.role = *role;
                 *self.role_changes.entry(order.fencing_number).or_default() += 1;
             }
         }
@@ -142,18 +212,22 @@
 }
 
 /// Two owners at once, late reports, late orders, pauses: an engine that checks fencing numbers
-/// changes its role once for each number, one that does not is never told to.
+/// changes its role or unloads once for each number, one that does not is never told to.
 #[test]
 fn two_owners() {
-    let mut changes = 0;
+    let (mut changes, mut unloads) = (0, 0);
     for seed in 0..CASES {
         let mut source = Gen::from_size_and_seed(64, seed);
         let checks_fencing = seed % 2 == 0;
         let engine = run_two_owners(&mut source, checks_fencing);
         assert!(engine.role_changes.values().all(|count| *count == 1), "seed {seed}");
         assert!(checks_fencing || engine.role_changes.is_empty(), "seed {seed}");
+        assert!(engine.unloads.values().all(|count| *count == 1), "seed {seed}");
+        assert!(checks_fencing || engine.unloads.is_empty(), "seed {seed}");
         changes += engine.role_changes.len();
+        unloads += engine.unloads.len();
     }
+    assert!(unloads > 100, "the cases hardly unloaded anything: {unloads}");
     assert!(changes > 100, "the cases hardly changed a role: {changes}");
 }
 
@@ -165,16 +239,22 @@
         fencing_number: FencingNumber(0),
         is_holding: false,
         role_changes: BTreeMap::new(),
-        loads: 0,
+        loaded: BTreeSet::new(),
+        unloads: BTreeMap::new(),
     };
     let mut late_orders: Vec<EngineOrder> = Vec::new();
     let mut wanted = ServerRole::Decode;
+    let mut listed = "v1";
+    let terms = Terms { memory_bytes: Some(Bytes(25_000)), ..terms(checks_fencing) };
     for step in 0..STEPS {
         let now_ms = Millis(step as u64 * STEP_MS);
         if step % 80 == 0 {
             wanted =
                 [ServerRole::Prefill, ServerRole::Decode][usize::from(u8::arbitrary(source) % 2)];
         }
+        if step % 160 == 0 {
+            listed = ["v1", "v2"][usize::from(u8::arbitrary(source) % 2)];
+        }
         engine.is_holding = u8::arbitrary(source) < 40;
         for owner in &mut owners {
             if u8::arbitrary(source) < 60 {
@@ -182,16 +262,14 @@
             }
             let report =
                 Look { is_holding: engine.is_holding, ..look(now_ms.0, engine.role, false) };
-            let report = Look { fencing_number: engine.fencing_number, ..report };
+            let loaded = engine.loaded.clone();
+            let report = Look { fencing_number: engine.fencing_number, loaded, ..report };
             owner.look(server(), report);
-            let mut desired = desired(wanted, &["v1"]);
-            desired.weights.insert(adapter("kaolack"), Bytes(1_000));
-            late_orders.extend(owner.next_order(
-                now_ms,
-                &server(),
-                &desired,
-                terms(checks_fencing),
-            ));
+            let mut desired = desired(wanted, &[listed]);
+            if listed == "v1" {
+                desired.weights.insert(adapter("kaolack"), Bytes(1_000));
+            }
+            late_orders.extend(owner.next_order(now_ms, &server(), &desired, terms));
         }
         let mut kept = Vec::new();
         for order in late_orders.drain(..) {
--- a/crates/fakes/src/orders.rs
+++ b/crates/fakes/src/orders.rs
@@ -38,6 +38,9 @@
         self.fencing_number = self.fencing_number.max(order.fencing_number);
         match &order.kind {
             OrderKind::ChangeRole { role } => self.role = Some(*role),
+            OrderKind::Unload(weights) => {
+                self.loaded.remove(weights);
+            }
             OrderKind::Load(weights) => {
                 self.loaded.insert(weights.clone());
             }
--- a/crates/turmericrail/tests/engine_orders.rs
+++ b/crates/turmericrail/tests/engine_orders.rs
@@ -115,6 +115,37 @@
     }
 }
 
+#[async_std::test]
+async fn unload() {
+    let fleet = start_fleet("unload").await;
+    fleet.platform.state().weight_rate = BytesPerSecond(100_000_000);
+    let base = Weights::of_version("quote".parse().unwrap(), "v1".parse().unwrap());
+    let (checking_id, checking) = fleet.decode.first_key_value().unwrap();
+    let (ignoring_id, ignoring) = fleet.decode.last_key_value().unwrap();
+    for engine in [checking, ignoring] {
+        engine.state().orders.loaded.insert(base.clone());
+    }
+    checking.state().orders.checks_fencing = true;
+    let v2 = json!({"servers": [checking_id, ignoring_id], "weights_bytes": "1MB"});
+    fleet.platform.accept(json!({
+        "models": {"quote": {"versions": {"v2": v2}}},
+        "servers": {
+            checking_id: {"checks_fencing": true, "weights_memory_bytes": "10MB"},
+            ignoring_id: {"weights_memory_bytes": "10MB"},
+        },
+    }));
+    let is_everywhere = || is_loaded(checking) && is_loaded(ignoring);
+    assert!(wait_until(PATIENCE, is_everywhere).await.is_some(), "v2 was not loaded");
+    fleet.platform.accept(json!({"models": {"quote": {"versions": {"v2": null}}}}));
+    let found = wait_until(2 * PATIENCE, || !is_loaded(checking)).await;
+    assert!(found.is_some(), "v2 was not unloaded");
+    assert!(checking.state().orders.loaded.contains(&base), "unloaded what others load");
+    assert!(is_loaded(ignoring));
+    let state = ignoring.state();
+    let is_load = |kind: &OrderKind| matches!(kind, OrderKind::Load(_));
+    assert!(state.orders.accepted.iter().all(|order| is_load(&order.kind)));
+}
+
 /// Repeats a call until it gives a value.
 async fn repeat<T>(call: &impl AsyncFn() -> Option<T>) -> T {
     for _ in 0..TRIES {
