Give each engine its part of the weight store's rate, whoever owns it

Cause: each owner counted on the rate divided by the members that it sees: in a partition each side took all of it. Change: an owner's share is the rate times its engines over all engines of the configuration, worked out once a pass. MemberView::live_members, used by nothing else, is gone.

--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -149,11 +149,6 @@
         })
     }
 
-    /// Number of live members of all data centres, this one included.
-    pub fn live_members(&self, now_ms: Millis) -> usize {
-        self.heard.values().filter(|heard| heard.is_fresh(now_ms)).count() + 1
-    }
-
     /// Whether this run of an instance was replaced by a newer one.
     pub fn is_replaced(&self, holder: &Holder) -> bool {
         if holder.instance == self.own.instance {
--- a/crates/core/src/node/placement_path.rs
+++ b/crates/core/src/node/placement_path.rs
@@ -71,6 +71,7 @@
         }
         self.placement.next_ms = self.now.mono_ms + PLACEMENT_MS;
         self.placement.lacking.expire(self.now.mono_ms);
+        let share = self.weight_share();
         let servers: Vec<_> = self.ledgers.keys().cloned().collect();
         for server in servers {
             if !self.owns(&server) {
@@ -79,13 +80,13 @@
                 self.placement.streams.remove(&server);
                 continue;
             }
-            if let Some(order) = self.next_order(&server) {
+            if let Some(order) = self.next_order(&server, share) {
                 self.give_order(&server, order);
             }
         }
     }
 
-    fn next_order(&mut self, server: &ServerId) -> Option<EngineOrder> {
+    fn next_order(&mut self, server: &ServerId, share: BytesPerSecond) -> Option<EngineOrder> {
         let configuration = self.config.in_force()?;
         let known = configuration.servers.get(server)?;
         if known.role == ServerRole::Plain {
@@ -96,8 +97,6 @@
         if let Some(memory_bytes) = memory_bytes {
             desired.weights = self.fitting(server, &desired, memory_bytes, known.checks_fencing);
         }
-        let members = self.members.live_members(self.now.mono_ms).max(1) as u64;
-        let share = BytesPerSecond(self.placement.weight_rate_bytes_per_second.0 / members);
         let checks_fencing = known.checks_fencing;
         let terms = Terms { checks_fencing, memory_bytes, share_bytes_per_second: share };
         let order = self.placement.orders.next_order(self.now.mono_ms, server, &desired, terms)?;
@@ -106,6 +105,18 @@
         (!changes_role || !has_leases).then_some(order)
     }
 
+    /// The share of the weight store's rate of this owner's engines: the same for each engine of
+    /// the configuration, whoever is its owner, so that those who are cut off from each other
+    /// don't count on the same part.
+    fn weight_share(&self) -> BytesPerSecond {
+        let servers = self.config.in_force().into_iter().flat_map(|known| known.servers.values());
+        let all = servers.filter(|known| known.role != ServerRole::Plain).count() as u64;
+        let own = self.owned_engines().len() as u64;
+        let rate = u128::from(self.placement.weight_rate_bytes_per_second.0);
+        let share = rate * u128::from(own) / u128::from(all.max(1));
+        BytesPerSecond(u64::try_from(share).unwrap_or(u64::MAX))
+    }
+
     /// What fits, by demand; what an engine that ignores fencing numbers has loaded stays.
     fn fitting(
         &self,
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -19,6 +19,7 @@
 use turmericrail_core::node::status::NodeStatus;
 use turmericrail_core::node::{Node, NodeSettings};
 use turmericrail_core::once::Seal;
+use turmericrail_core::placement::EngineOrder;
 use turmericrail_core::report::LoadReport;
 use turmericrail_core::units::{KvPieces, Millis, Streams, WallMillis};
 
@@ -114,6 +115,8 @@
     pub on_send: OnSend,
     /// What every backend server reports.
     pub reports: LoadReport,
+    /// Orders given, with their times.
+    pub orders: Vec<(u64, ServerId, EngineOrder)>,
     is_listing: bool,
     by_address: BTreeMap<std::net::SocketAddr, usize>,
     queue: BTreeMap<(u64, u64), Item>,
@@ -179,6 +182,7 @@
             now_ms: 1_000_000,
             on_send: Box::new(|_, _| {}),
             reports,
+            orders: Vec::new(),
             is_listing: true,
             by_address,
             queue: BTreeMap::new(),
@@ -425,6 +429,9 @@
                 let report = Item::Report(index, run, target.server.clone());
                 self.push(self.now_ms + 1, report);
             }
+            Action::Order { target, order } => {
+                self.orders.push((self.now_ms, target.server.clone(), order.clone()));
+            }
             Action::FetchDocument if self.can_read(index) => {
                 let told = self.service.told();
                 let document = self.service.document_at(told);
