--- a/crates/core/benches/placement.rs
+++ b/crates/core/benches/placement.rs
@@ -18,11 +18,14 @@
 /// Lengths of the irregular swing, in minutes, in turns.
 const IRREGULAR_MIN: [u64; 10] = [25, 70, 15, 45, 20, 60, 35, 10, 50, 30];
 
+/// The mix of each moment.
+type MixAt = fn(u64) -> Mix;
+
 const LONG_PROMPTS: Mix = Mix { prompt_tokens: 3_000.0, answer_tokens: 150.0 };
 const LONG_ANSWERS: Mix = Mix { prompt_tokens: 800.0, answer_tokens: 600.0 };
 
 fn regular(now_ms: u64) -> Mix {
-    if (now_ms / HALF_MS) % 2 == 0 { LONG_PROMPTS } else { LONG_ANSWERS }
+    if (now_ms / HALF_MS).is_multiple_of(2) { LONG_PROMPTS } else { LONG_ANSWERS }
 }
 
 fn irregular(now_ms: u64) -> Mix {
@@ -37,7 +40,7 @@
 }
 
 fn main() {
-    let swings: [(&str, fn(u64) -> Mix); 4] = [
+    let swings: [(&str, MixAt); 4] = [
         ("steady", |_| LONG_PROMPTS),
         ("regular", regular),
         ("shifted", |now_ms| regular(now_ms + HALF_MS / 2)),
@@ -48,7 +51,7 @@
     {
         let middle = (long_prompts + long_answers) / 2;
         let schedule = move |now_ms: u64| {
-            if (now_ms / HALF_MS) % 2 == 0 { long_prompts } else { long_answers }
+            if (now_ms / HALF_MS).is_multiple_of(2) { long_prompts } else { long_answers }
         };
         let policies = [
             ("fixed", Policy::Fixed(middle)),
@@ -69,7 +72,7 @@
     fleet: &str,
     count: usize,
     swing: &str,
-    mix_at: fn(u64) -> Mix,
+    mix_at: MixAt,
     load: f64,
     policy: &str,
     how: &Policy,
--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -8,6 +8,7 @@
 use crate::message::Envelope;
 use crate::placement::EngineOrder;
 use crate::report::Holder;
+use crate::request::RequestBinding;
 use crate::units::{KvPieces, Millis, Tokens};
 use crate::weights::Weights;
 
@@ -77,6 +78,8 @@
     pub from_index: u64,
     /// Longest silence before the stream counts as broken.
     pub silence_ms: Millis,
+    /// What the cursors of its tokens are bound to.
+    pub binding: Option<RequestBinding>,
 }
 
 /// One try of a plain call.
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -6,6 +6,7 @@
 mod check_routes;
 mod check_targets;
 pub mod document;
+pub mod entry_patch;
 pub mod error;
 pub mod history;
 pub mod key_path;
--- a/crates/core/tests/model_world/mod.rs
+++ b/crates/core/tests/model_world/mod.rs
@@ -91,6 +91,7 @@
         prompt_tokens: Tokens(prompt_tokens),
         max_tokens: Tokens(100),
         prefix_hashes: Vec::new(),
+        fingerprint: 1,
     }
 }
 
--- a/crates/turmericrail/src/caller_edge/completions.rs
+++ b/crates/turmericrail/src/caller_edge/completions.rs
@@ -7,23 +7,19 @@
 use turmericrail_core::error_kind::{ErrorKind, Outcome};
 use turmericrail_core::event::{Event, ModelRequest};
 use turmericrail_core::ids::RequestId;
-use turmericrail_core::membership::rendezvous::stable_hash;
 use turmericrail_core::units::Tokens;
 use turmericrail_wire::body::{Part, Then, message_body};
 use turmericrail_wire::caller::{CompletionAnswer, CompletionBody, EndEvent, TokenEvent};
 
 use super::body::{decode_body, receive_body};
 use super::connection::Connection;
+use super::prefixes::prefix_hashes;
 use super::reply;
 use crate::daemon::Shared;
-use crate::daemon::callers::{Sent, ToCaller};
+use crate::daemon::callers::{Sent, ToCaller, completion_fingerprint};
 
 /// Bytes of prompt that count as one token in estimates.
 const BYTES_PER_TOKEN: u64 = 4;
-/// Bytes of prompt between two prefix hashes.
-const PREFIX_BLOCK_BYTES: usize = 1_024;
-/// Most prefix hashes of one prompt.
-const MAX_PREFIX_HASHES: usize = 64;
 
 pub async fn complete(mut request: Request<Arc<Shared>>) -> tide::Result {
     let shared = Arc::clone(request.state());
@@ -37,20 +33,44 @@
         Err(refusal) => return reply::refusal(id, &refusal),
     };
     let asked = to_request(id, &body);
-    let sent = Sent { body: body.prompt.into_bytes(), ..Sent::default() };
+    let is_streamed = body.stream;
+    let sent = to_sent(body.prompt);
     let connection = request.ext::<Connection>().cloned().unwrap_or_default();
     let answers = shared.callers.register(id, sent);
     connection.add(&shared, id);
     shared.tell(Event::ModelRequest(asked));
-    match body.stream {
+    match is_streamed {
         true => stream_answer(id, connection, answers).await,
         false => whole_answer(id, connection, answers).await,
     }
 }
 
 pub async fn resume(request: Request<Arc<Shared>>) -> tide::Result {
-    let shared = Arc::clone(request.state());
-    let id = shared.next_request();
+    let id = request.state().next_request();
+    start_resumption(id, &request, Sent::default(), None).await
+}
+
+pub async fn resume_with_request(mut request: Request<Arc<Shared>>) -> tide::Result {
+    let id = request.state().next_request();
+    let received = match receive_body(&mut request).await {
+        Ok(body) => body,
+        Err(refusal) => return reply::refusal(id, &refusal),
+    };
+    let body: CompletionBody = match decode_body(&received.bytes) {
+        Ok(body) => body,
+        Err(refusal) => return reply::refusal(id, &refusal),
+    };
+    let asked = to_request(id, &body);
+    start_resumption(id, &request, to_sent(body.prompt), Some(asked)).await
+}
+
+async fn start_resumption(
+    id: RequestId,
+    request: &Request<Arc<Shared>>,
+    sent: Sent,
+    asked: Option<ModelRequest>,
+) -> tide::Result {
+    let shared = request.state();
     let Some(cursor) = request.header("last-event-id").map(|values| values.as_str().to_owned())
     else {
         return reply::error(id, ErrorKind::BadCursor, None);
@@ -59,16 +79,18 @@
     if connection.has_ended().await {
         return reply::error(id, ErrorKind::CallerGone, None);
     }
-    let answers = shared.callers.register(id, Sent::default());
-    connection.add(&shared, id);
-    shared.tell(Event::ResumeRequest { request: id, cursor });
+    let answers = shared.callers.register(id, sent);
+    connection.add(shared, id);
+    shared.tell(Event::ResumeRequest { request: id, cursor, asked });
     stream_answer(id, connection, answers).await
 }
 
+/// What the backend edge needs of a model call.
+fn to_sent(prompt: String) -> Sent {
+    Sent { body: prompt.into_bytes(), ..Sent::default() }
+}
+
 fn to_request(request: RequestId, body: &CompletionBody) -> ModelRequest {
-    let prompt = body.prompt.as_bytes();
-    let ends = (1..=MAX_PREFIX_HASHES).map(|block| block * PREFIX_BLOCK_BYTES);
-    let prefixes = ends.take_while(|end| *end <= prompt.len()).map(|end| &prompt[..end]);
     ModelRequest {
         request,
         workspace: body.workspace.clone(),
@@ -76,18 +98,10 @@
         model: body.model.clone(),
         version: body.version.clone(),
         adapter: body.adapter.clone(),
-        prompt_tokens: Tokens((prompt.len() as u64).div_ceil(BYTES_PER_TOKEN).max(1)),
+        prompt_tokens: Tokens((body.prompt.len() as u64).div_ceil(BYTES_PER_TOKEN).max(1)),
         max_tokens: body.max_tokens,
-        prefix_hashes: prefixes.map(|prefix| prefix_hash(body, prefix)).collect(),
-    }
-}
-
-/// Hash of a prefix: its KV cache differs with the adapter.
-fn prefix_hash(body: &CompletionBody, prefix: &[u8]) -> u64 {
-    let prefix = String::from_utf8_lossy(prefix);
-    match &body.adapter {
-        Some(adapter) => stable_hash(&format!("{adapter}\n{prefix}")),
-        None => stable_hash(&prefix),
+        prefix_hashes: prefix_hashes(&body.model, body.adapter.as_ref(), &body.prompt),
+        fingerprint: completion_fingerprint(body),
     }
 }
 
