--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -51,6 +51,7 @@
         if let Some(configuration) = self.config.in_force() {
             self.admission.pools.refresh(configuration, self.now.wall_ms);
         }
+        self.admission.transfers.expire(self.now.mono_ms);
         self.advance_asks();
         for request in self.waiting_requests() {
             self.serve_or_give_up(request);
@@ -94,7 +95,7 @@
     }
 
     /// Time of a request's prefill on an average engine.
-    fn work_ms(&self, flow: &Flow) -> Millis {
+    pub(super) fn work_ms(&self, flow: &Flow) -> Millis {
         self.admission.estimates.average_prefill_ms(flow.work_tokens)
     }
 
@@ -226,6 +227,11 @@
             refused: BTreeSet::new(),
             excluded: BTreeSet::new(),
             first_token_ms: None,
+            reads: 0,
+            read_ms: Millis::ZERO,
+            progress_ms: Millis::ZERO,
+            next_read_ms: None,
+            was_silent: false,
             broken_reads: 0,
             is_taken_over: false,
         })
@@ -246,6 +252,7 @@
         for server in engines {
             self.cancel(&server, &stream);
         }
+        self.admission.transfers.end(&stream);
         self.release_slot(request);
         if let Some(server) = decode {
             self.release_seat(request, server, stream);
