Check the memory for weights of servers that a patch adds

Cause: found by the widened entry_patches: a patch that adds a server with weights_memory_bytes was applied by entry without the check of that memory (a plain server). Changed test: entry_patches draws memory for weights, adapters and their sizes as well; nothing of it was eased.

--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -70,7 +70,9 @@
         };
         check_model(configuration, id, model)?;
     }
-    if !before.models.is_empty() {
+    let mut changed = before.servers.keys().filter_map(|id| configuration.servers.get(id));
+    let has_memory = changed.any(|server| server.weights_memory_bytes.is_some());
+    if has_memory || !before.models.is_empty() {
         check_memory(configuration)?;
     }
     if !before.links.is_empty() {
--- a/crates/core/src/config/entry_patch.rs
+++ b/crates/core/src/config/entry_patch.rs
@@ -112,9 +112,7 @@
                 continue;
             };
             let is_same = |server: &Server| {
-                server.role == before.role
-                    && server.data_centre == before.data_centre
-                    && server.weights_memory_bytes == before.weights_memory_bytes
+                server.role == before.role && server.data_centre == before.data_centre
             };
             if !configuration.servers.get(id).is_some_and(is_same) {
                 return true;
--- a/crates/core/tests/entry_patches.rs
+++ b/crates/core/tests/entry_patches.rs
@@ -44,6 +44,9 @@
     if rng.u8(..4) == 0 {
         server["kv_pieces"] = json!(rng.u32(..9_000));
     }
+    if rng.u8(..4) == 0 {
+        server["weights_memory_bytes"] = json!(rng.u32(6..10));
+    }
     server
 }
 
@@ -58,6 +61,16 @@
     (0..rng.usize(..3)).map(|_| server_id(rng)).collect()
 }
 
+fn model(rng: &mut Rng) -> Value {
+    let servers = some_servers(rng);
+    let mut version = json!({"servers": servers, "weights_bytes": 7});
+    if rng.bool() {
+        let servers = if rng.u8(..6) == 0 { some_servers(rng) } else { servers };
+        version["adapters"] = json!({"x": {"servers": servers, "weights_bytes": rng.u8(..3)}});
+    }
+    json!({"default_version": pick(rng, &["v1", "v2"]), "versions": {"v1": version}})
+}
+
 fn entry(rng: &mut Rng, section: &str) -> Value {
     match section {
         "servers" => server(rng),
@@ -65,8 +78,7 @@
         "routes" => json!({"method": pick(rng, &["GET", "POST", "TAKE"]), "idempotent": true,
             "path": pick(rng, &["/stock/{board}", "/book", "/stock/{other}", "stock"]),
             "timeout_ms": "2s", "servers": some_servers(rng)}),
-        "models" => json!({"default_version": pick(rng, &["v1", "v2"]),
-            "versions": {"v1": {"servers": some_servers(rng), "weights_bytes": 7}}}),
+        "models" => model(rng),
         _ => json!({"rate_bytes_per_second": rng.u32(..9)}),
     }
 }
@@ -89,7 +101,7 @@
             0..=4 => entry(rng, section),
             5..=7 => Value::Null,
             8 => json!({"role": pick(rng, &["prefill", "plain"])}),
-            9 => json!({"kv_pieces": rng.u32(..9_000)}),
+            9 => json!({"kv_pieces": rng.u32(..9_000), "weights_memory_bytes": rng.u32(6..10)}),
             10 => json!({"unknown": 1}),
             _ => json!("text"),
         };
