--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -5,6 +5,8 @@
 
 use serde_json::Value;
 
+use crate::config::check_adapters::check_adapters;
+use crate::config::check_memory::check_memory;
 use crate::config::check_routes::check_routes;
 use crate::config::check_targets::check_targets;
 use crate::config::document::{Configuration, Model, ServerRole};
@@ -68,6 +70,11 @@
         };
         check_model(configuration, id, model)?;
     }
+    let mut changed = before.servers.keys().filter_map(|id| configuration.servers.get(id));
+    let has_memory = changed.any(|server| server.weights_memory_bytes.is_some());
+    if has_memory || !before.models.is_empty() {
+        check_memory(configuration)?;
+    }
     if !before.links.is_empty() {
         check_links(configuration)?;
     }
@@ -80,6 +87,7 @@
     for (id, model) in &configuration.models {
         check_model(configuration, id, model)?;
     }
+    check_memory(configuration)?;
     check_links(configuration)
 }
 
@@ -156,9 +164,12 @@
         return Err(ConfigError::at(path.then("default_version"), problem));
     }
     for (version, served) in &model.versions {
-        let path = path.then("versions").then(version).then("servers");
+        let path = path.then("versions").then(version);
+        let servers_path = path.then("servers");
         let is_engine = |role| role != ServerRole::Plain;
-        check_servers(configuration, &path, &served.servers, "prefill or decode", is_engine)?;
+        let allowed = "prefill or decode";
+        check_servers(configuration, &servers_path, &served.servers, allowed, is_engine)?;
+        check_adapters(configuration, &path.then("adapters"), served)?;
     }
     Ok(())
 }
--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -10,6 +10,7 @@
 use crate::node::Node;
 use crate::request::{Flow, RequestBinding, Stage};
 use crate::units::{Millis, Streams};
+use crate::weights::Weights;
 
 /// Least and greatest wait told to callers that are turned away.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=60_000;
@@ -184,7 +185,10 @@
         let kind = kind.ok_or(ErrorKind::UnknownCallerKind)?;
         let targets = kind.at(self.now.wall_ms).ok_or(ErrorKind::NotReady)?;
         let served = configuration.served_version(&asked.model, asked.version.as_ref());
-        let (version, _) = served.ok_or(ErrorKind::UnknownModel)?;
+        let (version, served) = served.ok_or(ErrorKind::UnknownModel)?;
+        if asked.adapter.as_ref().is_some_and(|adapter| !served.adapters.contains_key(adapter)) {
+            return Err(ErrorKind::UnknownAdapter);
+        }
         Ok((targets, version))
     }
 
@@ -192,12 +196,18 @@
         let (targets, version) = self.admit(&asked)?;
         let configuration = self.config.in_force().ok_or(ErrorKind::NotReady)?;
         let kv_pieces = configuration.pieces_for(asked.prompt_tokens.0 + asked.max_tokens.0);
+        let weights = Weights {
+            model: asked.model.clone(),
+            version: version.clone(),
+            adapter: asked.adapter.clone(),
+        };
         let now_ms = self.now.mono_ms;
         Ok(Flow {
             stream: self.stream_id(asked.request, 1),
             work_tokens: asked.prompt_tokens,
             binding: Some(RequestBinding { version, fingerprint: asked.fingerprint }),
             asked: Some(asked),
+            weights: Some(weights),
             targets,
             arrived_ms: now_ms,
             due_from_ms: now_ms,
--- a/crates/core/src/node/resume_path.rs
+++ b/crates/core/src/node/resume_path.rs
@@ -15,6 +15,7 @@
 use crate::node::Node;
 use crate::request::{Cursor, Flow, Stage};
 use crate::units::{KvPieces, Millis, Streams, Tokens};
+use crate::weights::Weights;
 
 /// Wait told to callers that resume at an instance without a configuration.
 const NOT_READY_MS: Millis = Millis(2_000);
@@ -76,7 +77,9 @@
             Ok((targets, _)) => targets,
             Err(kind) => {
                 let kind = match kind {
-                    ErrorKind::UnknownModel => ErrorKind::VersionRemoved,
+                    ErrorKind::UnknownModel | ErrorKind::UnknownAdapter => {
+                        ErrorKind::VersionRemoved
+                    }
                     _ if has_passed_tokens => ErrorKind::StreamBroken,
                     kind => kind,
                 };
@@ -108,6 +111,7 @@
         let unknown = Targets { first_token_ms: zero, per_token_ms: zero };
         Flow {
             work_tokens: asked.as_ref().map_or(Tokens::ZERO, |asked| asked.prompt_tokens),
+            weights: asked.as_ref().and_then(bound_weights),
             asked,
             binding: cursor.binding,
             targets: targets.unwrap_or(unknown),
@@ -141,6 +145,11 @@
     }
 }
 
+fn bound_weights(asked: &ModelRequest) -> Option<Weights> {
+    let version = asked.version.clone()?;
+    Some(Weights { model: asked.model.clone(), version, adapter: asked.adapter.clone() })
+}
+
 /// The request that a cursor is bound to, with the model version that began its answer. A cursor
 /// of an earlier release is bound to none; any other request than its own is refused.
 fn bound_request(
--- a/crates/turmericrail/src/caller_edge/completions.rs
+++ b/crates/turmericrail/src/caller_edge/completions.rs
@@ -97,9 +97,10 @@
         caller_kind: body.caller_kind.clone(),
         model: body.model.clone(),
         version: body.version.clone(),
+        adapter: body.adapter.clone(),
         prompt_tokens: Tokens((body.prompt.len() as u64).div_ceil(BYTES_PER_TOKEN).max(1)),
         max_tokens: body.max_tokens,
-        prefix_hashes: prefix_hashes(&body.model, &body.prompt),
+        prefix_hashes: prefix_hashes(&body.model, body.adapter.as_ref(), &body.prompt),
         fingerprint: completion_fingerprint(body),
     }
 }
--- a/crates/turmericrail/src/daemon/callers.rs
+++ b/crates/turmericrail/src/daemon/callers.rs
@@ -65,12 +65,15 @@
     xxh3_64_with_seed(body, xxh3_64_with_seed(head.as_bytes(), 0))
 }
 
-/// Hash by which a cursor is tied to its request: model, version, workspace, caller kind, most
+/// Hash by which a cursor is tied to its request: model, version, adapter, workspace, caller kind, most
 /// tokens and prompt.
 pub fn completion_fingerprint(body: &CompletionBody) -> u64 {
-    let CompletionBody { model, version, workspace, caller_kind, max_tokens, .. } = body;
+    let CompletionBody { model, version, adapter, workspace, caller_kind, max_tokens, .. } = body;
     let version = version.as_ref().map_or("", |version| version.as_str());
-    let head = format!("{model}/{version}/{workspace}/{caller_kind}/{}", max_tokens.0);
+    let mut head = format!("{model}/{version}/{workspace}/{caller_kind}/{}", max_tokens.0);
+    if let Some(adapter) = adapter {
+        head.push_str(&format!("/{adapter}"));
+    }
     xxh3_64_with_seed(body.prompt.as_bytes(), xxh3_64_with_seed(head.as_bytes(), 0))
 }
 
--- a/crates/turmericrail/tests/prompt_prefixes.rs
+++ b/crates/turmericrail/tests/prompt_prefixes.rs
@@ -17,8 +17,8 @@
 
 #[test]
 fn shared_blocks() {
-    let one = prefix_hashes(&model("quote"), &prompt(3, &"a".repeat(PREFIX_BLOCK_BYTES)));
-    let other = prefix_hashes(&model("quote"), &prompt(3, &"b".repeat(PREFIX_BLOCK_BYTES)));
+    let one = prefix_hashes(&model("quote"), None, &prompt(3, &"a".repeat(PREFIX_BLOCK_BYTES)));
+    let other = prefix_hashes(&model("quote"), None, &prompt(3, &"b".repeat(PREFIX_BLOCK_BYTES)));
     assert_eq!(one.len(), 4);
     assert_eq!(one[..3], other[..3]);
     assert_ne!(one[3], other[3]);
@@ -26,19 +26,22 @@
 
 #[test]
 fn unfinished_block() {
-    let hashes = prefix_hashes(&model("quote"), &prompt(2, "a short tail"));
-    assert_eq!(hashes, prefix_hashes(&model("quote"), &prompt(2, "")));
-    assert!(prefix_hashes(&model("quote"), "short").is_empty());
+    let hashes = prefix_hashes(&model("quote"), None, &prompt(2, "a short tail"));
+    assert_eq!(hashes, prefix_hashes(&model("quote"), None, &prompt(2, "")));
+    assert!(prefix_hashes(&model("quote"), None, "short").is_empty());
 }
 
 #[test]
 fn models_differ() {
-    let one = prefix_hashes(&model("quote"), &prompt(1, ""));
-    assert_ne!(one, prefix_hashes(&model("review"), &prompt(1, "")));
+    let one = prefix_hashes(&model("quote"), None, &prompt(1, ""));
+    assert_ne!(one, prefix_hashes(&model("review"), None, &prompt(1, "")));
+    let adapter = "kaolack".parse().unwrap();
+    assert_ne!(one, prefix_hashes(&model("quote"), Some(&adapter), &prompt(1, "")));
 }
 
 #[test]
 fn bounded_count() {
-    let hashes = prefix_hashes(&model("quote"), &prompt(MAX_PREFIX_HASHES - 1, &"a".repeat(9_999)));
+    let hashes =
+        prefix_hashes(&model("quote"), None, &prompt(MAX_PREFIX_HASHES - 1, &"a".repeat(9_999)));
     assert_eq!(hashes.len(), MAX_PREFIX_HASHES);
 }
