Plan the requests that wait for a decode seat

Cause: at load 2.0 association is short of decode seats; requests that found none waited at their instance until their latest start, as the plan covered prefill alone. Change: an instance counts the answer tokens of the seats granted to it lately and plans those that wait for a seat by that pace with the plan of the prefill queues; who does not fit is given up at once, told the whole backlog of seats.

--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -196,6 +196,7 @@
         with_mechanisms("without_affinity", Mechanisms { has_affinity: false, ..all }),
         with_mechanisms("without_token_limit", Mechanisms { has_token_limit: false, ..all }),
         with_mechanisms("without_link_book", Mechanisms { has_link_book: false, ..all }),
+        with_mechanisms("without_seat_plan", Mechanisms { has_seat_plan: false, ..all }),
         with_mechanisms("without_ejection", Mechanisms { has_ejection: false, ..all }),
         with_mechanisms("without_isolation", Mechanisms { has_isolation: false, ..all }),
     ]
--- a/crates/core/src/admission/mechanisms.rs
+++ b/crates/core/src/admission/mechanisms.rs
@@ -15,6 +15,8 @@
     pub has_token_limit: bool,
     /// Transfers under way and lined up count in the time of the next one.
     pub has_link_book: bool,
+    /// Requests that wait for a decode seat are planned too.
+    pub has_seat_plan: bool,
     /// Servers that fail are ejected for a while.
     pub has_ejection: bool,
     /// A workspace with more than its share is the first to be given up.
@@ -30,6 +32,7 @@
         has_affinity: true,
         has_token_limit: true,
         has_link_book: true,
+        has_seat_plan: true,
         has_ejection: true,
         has_isolation: true,
     };
@@ -42,6 +45,7 @@
         has_affinity: false,
         has_token_limit: false,
         has_link_book: false,
+        has_seat_plan: false,
         has_ejection: false,
         has_isolation: false,
     };
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -4,6 +4,7 @@
 pub mod mechanisms;
 pub mod plan;
 pub mod prefill_queue;
+pub mod seat_pace;
 pub mod state;
 pub mod usage;
 
@@ -11,5 +12,6 @@
 pub use mechanisms::Mechanisms;
 pub use plan::{Plan, WaitingRequest, keep_all, plan};
 pub use prefill_queue::{PrefillQueue, SlotAnswer, SlotRequest};
+pub use seat_pace::SeatPace;
 pub use state::AdmissionState;
 pub use usage::Usage;
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::admission::{LinkBook, Mechanisms, PrefillQueue, Usage};
+use crate::admission::{LinkBook, Mechanisms, PrefillQueue, SeatPace, Usage};
 use crate::estimate::{Estimates, Suspects};
 use crate::ids::{RequestId, ServerId};
 use crate::request::RetryBudget;
@@ -37,6 +37,8 @@
     pub backlogs: BTreeMap<ServerId, KnownBacklog>,
     /// Transfers of this instance's own requests.
     pub transfers: LinkBook,
+    /// How fast decode seats came to this instance.
+    pub seat_pace: SeatPace,
     /// Queues of the prefill engines that this instance owns.
     pub queues: BTreeMap<ServerId, PrefillQueue>,
     /// Shortest backlog that the last refused request was told of.
--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -54,6 +54,7 @@
         for request in self.waiting_requests() {
             self.serve_or_give_up(request);
         }
+        self.plan_seats();
     }
 
     fn serve_or_give_up(&mut self, request: RequestId) {
@@ -84,7 +85,7 @@
     }
 
     /// Latest start of a request's prefill that meets its target.
-    fn latest_start_ms(&self, flow: &Flow) -> Millis {
+    pub(super) fn latest_start_ms(&self, flow: &Flow) -> Millis {
         if self.admission.mechanisms.has_plan {
             self.latest_end_ms(flow) - self.work_ms(flow)
         } else {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -18,6 +18,7 @@
 mod plain_tries;
 mod queue_path;
 mod seat_path;
+mod seat_plan;
 pub mod status;
 mod sync;
 mod turn_path;
--- a/crates/core/src/node/turn_path.rs
+++ b/crates/core/src/node/turn_path.rs
@@ -196,6 +196,9 @@
             return;
         };
         flow.batch = batch + Streams(1);
+        if let Some(asked) = &flow.asked {
+            self.admission.seat_pace.add(self.now.mono_ms, asked.max_tokens);
+        }
         let kv_pieces = flow.kv_pieces;
         if self.owns(server) {
             return;
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -4,11 +4,11 @@
 
 use model_world::{World, errors, near_document, prefills, printer};
 use quickcheck::{Arbitrary, Gen};
-use turmericrail_core::admission::{WaitingRequest, plan};
+use turmericrail_core::admission::{LinkBook, SeatPace, WaitingRequest, plan};
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::event::Event;
-use turmericrail_core::ids::RequestId;
-use turmericrail_core::units::Millis;
+use turmericrail_core::ids::{DataCentreId, RequestId};
+use turmericrail_core::units::{Millis, Tokens};
 
 const CASES: u64 = 2_000;
 
@@ -164,3 +164,32 @@
     }
     most
 }
+
+#[test]
+fn links_are_shared() {
+    let [near, far]: [DataCentreId; 2] = ["a", "b"].map(|id| id.parse().unwrap());
+    let mut book = LinkBook::default();
+    let stream = |number: u64| format!("i_1_{number}_1").parse().unwrap();
+    book.book(&stream(1), (&near, &far), Millis(100), Millis(300));
+    book.book(&stream(2), (&near, &far), Millis(200), Millis(300));
+    assert_eq!(book.wait_ms((&near, &far), Millis(300)), Millis(400), "both are ahead");
+    assert_eq!(book.wait_ms((&near, &far), Millis(150)), Millis(250), "one is ahead");
+    assert_eq!(book.wait_ms((&far, &near), Millis(300)), Millis::ZERO, "another link");
+    book.end(&stream(1));
+    assert_eq!(book.wait_ms((&near, &far), Millis(300)), Millis(200));
+    book.expire(Millis(5_000));
+    assert_eq!(book.wait_ms((&near, &far), Millis(300)), Millis::ZERO, "a lost end blocks nothing");
+}
+
+#[test]
+fn seat_pace_fades() {
+    let mut pace = SeatPace::default();
+    assert_eq!(pace.wait_ms(Millis(0), Tokens(100)), None, "nothing is known");
+    for second in 0..60 {
+        pace.add(Millis(second * 1_000), Tokens(500));
+    }
+    let wait_ms = pace.wait_ms(Millis(60_000), Tokens(500)).unwrap();
+    assert!((800..1_200).contains(&wait_ms.0), "{wait_ms} for one seat a second");
+    assert!(pace.wait_ms(Millis(65_000), Tokens(500)).unwrap() > wait_ms);
+    assert_eq!(pace.wait_ms(Millis(200_000), Tokens(500)), None, "it is long ago");
+}
