--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod plain_path;
 mod plain_tries;
 mod queue_path;
+mod resume_path;
 mod seat_path;
 mod seat_plan;
 pub mod status;
@@ -194,7 +195,9 @@
         match event {
             Event::Tick => self.tick(),
             Event::ModelRequest(asked) => self.take_model_request(asked),
-            Event::ResumeRequest { request, cursor } => self.take_resume_request(request, &cursor),
+            Event::ResumeRequest { request, cursor, asked } => {
+                self.take_resume_request(request, &cursor, asked)
+            }
             Event::TicketRequest { request, count } => self.take_ticket_request(request, count),
             Event::PlainRequest(asked) => self.take_plain_request(asked),
             Event::PlainResult(request, server, result) => {
@@ -242,6 +245,7 @@
         self.check_leases();
         self.place();
         self.repeat_claims();
+        self.advance_reads();
         self.advance_queues();
         self.advance_waiting();
         self.advance_plain();
