--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -19,6 +19,7 @@
 mod queue_path;
 mod resume_path;
 mod seat_path;
+mod seat_plan;
 pub mod status;
 mod sync;
 mod turn_path;
