--- a/crates/core/src/node/turn_path.rs
+++ b/crates/core/src/node/turn_path.rs
@@ -99,6 +99,7 @@
             }
             Some(Stage::Asking { .. }) if is_decode && is_granted => {
                 self.take_seat(request, &seat.server);
+                self.book_transfer(request);
                 self.start_prefill(request);
             }
             Some(Stage::Reseating { .. }) if is_decode && is_granted => {
