Wait for the list of instances before an instance counts as alone

Cause: an instance that knew no peer counted as alone, and so as up to date, from its first tick. Where the tick came before the first reading of the list, it took work with whatever version the service told: with a stale service an older one than its peers had in force. Change: nobody known counts only once the list was read; without a list and without a peer the instance goes on alone after 3 s, as before. Excluded: waiting for the list without limit (a deployment of one whose list is down would not start). Not run: the whole of turmericrail-core after this change (the disk was full while linking).

--- a/crates/core/src/node/sync.rs
+++ b/crates/core/src/node/sync.rs
@@ -14,6 +14,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct SyncState {
     since_ms: Millis,
+    has_list: bool,
     has_heard_peer: bool,
     is_done: bool,
     /// Highest configuration version that a peer named.
@@ -23,8 +24,13 @@
 impl SyncState {
     /// Starts again after a pause.
     pub(super) fn restart(&mut self, now_ms: Millis) {
-        let peer_version = self.peer_version;
-        *self = Self { since_ms: now_ms, peer_version, ..Self::default() };
+        let (has_list, peer_version) = (self.has_list, self.peer_version);
+        *self = Self { since_ms: now_ms, has_list, peer_version, ..Self::default() };
+    }
+
+    /// Notes that the list of instances was read: before that, nobody known means nothing.
+    pub(super) fn note_list(&mut self) {
+        self.has_list = true;
     }
 
     /// Notes the version that a peer named.
@@ -36,7 +42,7 @@
     /// Checks whether enough is known by now.
     pub(super) fn advance(&mut self, now_ms: Millis, has_peers: bool, known: ConfigVersion) {
         let is_late = now_ms - self.since_ms >= ALONE_AFTER_MS;
-        let has_heard = self.has_heard_peer || !has_peers;
+        let has_heard = self.has_heard_peer || (self.has_list && !has_peers);
         let is_current = known >= self.peer_version;
         self.is_done |= (has_heard && is_current) || is_late;
     }
