Count an instance as alone only once it knows a configuration

Change: nobody known counts from the first configuration on; the daemon reads the list before it. Tests are unchanged. Soak and the other process tests were not run after this change.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -224,10 +224,7 @@
             Event::ConfigDocument(version, document) => self.take_document(version, document),
             Event::ConfigChanges(changes) => self.take_changes(changes, None),
             Event::ConfigService { is_answered } => self.take_service_result(is_answered),
-            Event::InstanceList(listed) => {
-                self.sync.note_list();
-                self.take_list(listed);
-            }
+            Event::InstanceList(listed) => self.take_list(listed),
             Event::LeavingServers(servers) => {
                 self.leaving.take_list(self.now.mono_ms, servers);
                 self.leaving_servers = self.leaving.servers();
--- a/crates/core/src/node/sync.rs
+++ b/crates/core/src/node/sync.rs
@@ -14,7 +14,6 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct SyncState {
     since_ms: Millis,
-    has_list: bool,
     has_heard_peer: bool,
     is_done: bool,
     /// Highest configuration version that a peer named.
@@ -24,13 +23,8 @@
 impl SyncState {
     /// Starts again after a pause.
     pub(super) fn restart(&mut self, now_ms: Millis) {
-        let (has_list, peer_version) = (self.has_list, self.peer_version);
-        *self = Self { since_ms: now_ms, has_list, peer_version, ..Self::default() };
-    }
-
-    /// Notes that the list of instances was read: before that, nobody known means nothing.
-    pub(super) fn note_list(&mut self) {
-        self.has_list = true;
+        let peer_version = self.peer_version;
+        *self = Self { since_ms: now_ms, peer_version, ..Self::default() };
     }
 
     /// Notes the version that a peer named.
@@ -39,10 +33,12 @@
         self.peer_version = self.peer_version.max(version);
     }
 
-    /// Checks whether enough is known by now.
+    /// Checks whether enough is known by now. Nobody known means nothing before a configuration is,
+    /// as the list of instances is read first.
     pub(super) fn advance(&mut self, now_ms: Millis, has_peers: bool, known: ConfigVersion) {
         let is_late = now_ms - self.since_ms >= ALONE_AFTER_MS;
-        let has_heard = self.has_heard_peer || (self.has_list && !has_peers);
+        let is_alone = !has_peers && known > ConfigVersion(0);
+        let has_heard = self.has_heard_peer || is_alone;
         let is_current = known >= self.peer_version;
         self.is_done |= (has_heard && is_current) || is_late;
     }
