--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,6 +1,8 @@
 //! The platform's numbered configuration: its document, checks, time windows and patches.
 
 pub mod check;
+mod check_adapters;
+mod check_memory;
 mod check_routes;
 mod check_targets;
 pub mod document;
--- a/crates/core/src/node/seat_path.rs
+++ b/crates/core/src/node/seat_path.rs
@@ -58,6 +58,7 @@
     }
 
     pub(super) fn take_seat_request(&mut self, from: &Holder, asked: SeatRequest) {
+        self.note_weights(&asked.seat, asked.weights.as_ref());
         if asked.latest_in_ms > Millis::ZERO {
             self.take_slot_request(from, asked);
             return;
@@ -70,9 +71,10 @@
             ("granted", is_granted.to_string()),
         ];
         self.log("seat", None, fields);
+        let is_lacking = self.is_without(&asked.seat.server, asked.weights.as_ref());
         let (request, seat) = (asked.request, asked.seat);
         let (is_queued, wait_ms) = (false, Millis::ZERO);
-        self.reply(from, SeatReply { request, seat, is_granted, is_queued, wait_ms });
+        self.reply(from, SeatReply { request, seat, is_granted, is_queued, wait_ms, is_lacking });
     }
 
     pub(super) fn reply(&mut self, to: &Holder, reply: SeatReply) {
@@ -233,7 +235,9 @@
 
     fn grant(&mut self, from: &Holder, asked: &SeatRequest) -> bool {
         let server = &asked.seat.server;
-        let is_usable = !self.leaving_servers.contains(server) && self.is_in_role(server);
+        let is_usable = !self.leaving_servers.contains(server)
+            && self.is_in_role(server)
+            && !self.is_without(server, asked.weights.as_ref());
         if !self.sync.is_done() || !self.owns(server) || !is_usable {
             return false;
         }
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -7,6 +7,7 @@
 use crate::ids::{ServerId, StreamId};
 use crate::request::RequestBinding;
 use crate::units::{KvPieces, Millis, Streams, Tokens};
+use crate::weights::Weights;
 
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,6 +42,8 @@
 pub struct Flow {
     /// What was asked; nothing for an answer that is continued by its cursor alone.
     pub asked: Option<ModelRequest>,
+    /// The weights that serve it; nothing for an answer that is continued by its cursor alone.
+    pub weights: Option<Weights>,
     /// What its cursors are bound to; nothing where they come from an earlier release.
     pub binding: Option<RequestBinding>,
     /// Targets in force when it arrived.
--- a/crates/core/tests/resumption.rs
+++ b/crates/core/tests/resumption.rs
@@ -114,7 +114,7 @@
     resume(&mut world, cursor(bound()), Some(printer(1, 500)));
     let actions = broken(&mut world, NEXT_INDEX, false);
     let versions = actions.iter().filter_map(|action| match action {
-        Action::Prefill(call) => Some(call.version.as_str()),
+        Action::Prefill(call) => Some(call.weights.version.as_str()),
         _ => None,
     });
     assert_eq!(versions.collect::<Vec<_>>(), ["1"]);
--- a/crates/turmericrail/src/caller_edge/prefixes.rs
+++ b/crates/turmericrail/src/caller_edge/prefixes.rs
@@ -1,9 +1,9 @@
 //! Hashes of the prefixes of a prompt, by which engines are told that may have them cached.
 //!
 //! The prompt is cut into blocks of one size. Each hash covers all blocks up to its own and the
-//! model, as an engine that serves several models caches a text for each of them.
+//! model and adapter, as an engine that serves several caches a text for each of them.
 
-use turmericrail_core::ids::ModelId;
+use turmericrail_core::ids::{AdapterId, ModelId};
 use xxhash_rust::xxh3::Xxh3;
 
 /// Bytes of prompt between two prefix hashes.
@@ -12,9 +12,13 @@
 pub const MAX_PREFIX_HASHES: usize = 256;
 
 /// The hash of each whole block and all before it, shortest prefix first.
-pub fn prefix_hashes(model: &ModelId, prompt: &str) -> Vec<u64> {
+pub fn prefix_hashes(model: &ModelId, adapter: Option<&AdapterId>, prompt: &str) -> Vec<u64> {
     let mut hasher = Xxh3::new();
     hasher.update(model.as_str().as_bytes());
+    if let Some(adapter) = adapter {
+        hasher.update(b"/");
+        hasher.update(adapter.as_str().as_bytes());
+    }
     let blocks = prompt.as_bytes().chunks_exact(PREFIX_BLOCK_BYTES).take(MAX_PREFIX_HASHES);
     let mut hashes = Vec::new();
     for block in blocks {
--- a/crates/turmericrail/tests/request_resumed.rs
+++ b/crates/turmericrail/tests/request_resumed.rs
@@ -67,10 +67,13 @@
     let fleet = start_fleet("request-other-prompt").await;
     let caller = begin(&fleet).await;
     let address = fleet.instances[1].caller_address;
-    let asked = completion("another prompt", ANSWER_TOKENS, true);
-    let mut answer = send_resumption(address, &caller.cursor, Some(&asked)).await.unwrap();
-    assert_eq!(answer.status() as u16, 400);
-    let body = answer.body_string().await.unwrap();
-    assert!(body.contains("bad_cursor"), "{body}");
+    let mut other_adapter = completion(PROMPT, ANSWER_TOKENS, true);
+    other_adapter["adapter"] = serde_json::json!("kaolack");
+    for asked in [completion("another prompt", ANSWER_TOKENS, true), other_adapter] {
+        let mut answer = send_resumption(address, &caller.cursor, Some(&asked)).await.unwrap();
+        assert_eq!(answer.status() as u16, 400);
+        let body = answer.body_string().await.unwrap();
+        assert!(body.contains("bad_cursor"), "{body}");
+    }
     check_whole(&fleet, caller, 1).await;
 }
