--- a/crates/core/src/node/admit_path.rs
+++ b/crates/core/src/node/admit_path.rs
@@ -221,6 +221,7 @@
             result_until_ms: Millis::ZERO,
             transfer_until_ms: Millis::ZERO,
             has_stalled_transfer: false,
+            failed_source: None,
             batch: Streams::ZERO,
             kv_pieces,
             first_index: 0,
--- a/crates/core/src/node/resume_path.rs
+++ b/crates/core/src/node/resume_path.rs
@@ -127,6 +127,7 @@
             result_until_ms: zero,
             transfer_until_ms: zero,
             has_stalled_transfer: false,
+            failed_source: None,
             batch: Streams::ZERO,
             kv_pieces: kv_pieces.unwrap_or(KvPieces::ZERO),
             first_index: cursor.next_index,
