--- a/crates/turmericrail/benches/slopes/main.rs
+++ b/crates/turmericrail/benches/slopes/main.rs
@@ -1,10 +1,11 @@
 //! How the cost of control grows: `cargo bench --bench slopes`.
 //!
-//! Parts are chosen by name: `framing`, `core`, `documents`, `processes`, `restarts`. Each prints
-//! rows of measured figures and, where it tells something, the exponent with which a figure grows
+//! Parts are chosen by name: `framing`, `core`, `deaths`, `documents`, `processes`, `engines`,
+//! `large`, `restarts`. Each prints rows of measured figures and, where it tells something, the exponent with which a figure grows
 //! between the first and the last row. Nothing here is a test: no figure is asserted.
 
 mod core_alone;
+mod deaths;
 mod documents;
 #[path = "../../../core/tests/fleet/mod.rs"]
 mod fleet;
@@ -24,11 +25,19 @@
         if is_wanted("core") {
             core_alone::print();
         }
+        if is_wanted("deaths") {
+            deaths::print();
+        }
         if is_wanted("documents") {
             documents::print();
         }
         if is_wanted("processes") {
             processes::print().await;
+        }
+        if is_wanted("engines") {
+            processes::print_engines().await;
+        }
+        if is_wanted("large") {
             large_documents::print().await;
         }
         if is_wanted("restarts") {
--- a/crates/turmericrail/benches/slopes/processes.rs
+++ b/crates/turmericrail/benches/slopes/processes.rs
@@ -14,7 +14,7 @@
 /// Instances of each row, in three data centres.
 const SIZES: [usize; 5] = [3, 6, 12, 24, 48];
 /// Engines of each data centre, all owned by its one instance.
-const ENGINES: [usize; 3] = [2, 20, 40];
+const ENGINES: [usize; 3] = [2, 40, 80];
 /// Time before the measurement.
 const SETTLE: Duration = Duration::from_secs(4);
 /// Time of the measurement.
@@ -44,6 +44,10 @@
         rows.push((size as f64, figures.bytes + figures.messages * FRAMING_BYTES as f64));
     }
     println!("exponent of framed bytes {:.2}\n", exponent(rows[0], rows[rows.len() - 1]));
+}
+
+/// Prints the rows of engines.
+pub async fn print_engines() {
     println!("3 processes, each: engines owned, processor time a second");
     println!("engines  processor_ms");
     for engines in ENGINES {
--- a/crates/turmericrail/src/backend_edge/engine.rs
+++ b/crates/turmericrail/src/backend_edge/engine.rs
@@ -85,7 +85,8 @@
 
 /// Asks for a load report.
 pub async fn poll(shared: Arc<Shared>, target: Target) {
-    let report = Call::get(target.address, "/report", POLL_TIMEOUT).send_json::<LoadReport>().await;
+    let call = Call::get(target.address, "/report", POLL_TIMEOUT);
+    let report = shared.polls.send_json::<LoadReport>(call).await;
     shared.tell(match report {
         Ok(report) => Event::Report(target.server, report),
         Err(_) => Event::ReportFailed(target.server),
--- a/crates/turmericrail/src/daemon/shared.rs
+++ b/crates/turmericrail/src/daemon/shared.rs
@@ -11,6 +11,7 @@
 use turmericrail_core::node::{Node, NodeSettings};
 use turmericrail_core::once::Seal;
 use turmericrail_core::units::{Millis, WallMillis};
+use turmericrail_wire::kept_connections::KeptConnections;
 
 use crate::caller_edge::body::BodyBudget;
 use crate::daemon::callers::Callers;
@@ -36,6 +37,8 @@
     pub metrics: Metrics,
     /// Connections to peers.
     pub peers: crate::peer_edge::client::Peers,
+    /// Connections to engines for polls.
+    pub polls: KeptConnections,
     events: Sender<Event>,
     node: Mutex<Node>,
     started: Instant,
@@ -63,6 +66,7 @@
             bodies: BodyBudget::default(),
             metrics: Metrics::default(),
             peers: crate::peer_edge::client::Peers::default(),
+            polls: KeptConnections::default(),
             events: sender,
             node: Mutex::new(node),
             started: Instant::now(),
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,5 +1,5 @@
 //! A small HTTP client: one fresh connection for each call, so that a call is written once and
-//! never repeated behind the caller's back.
+//! never repeated behind the caller's back. Idempotent calls may go over kept connections.
 
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
@@ -88,70 +88,109 @@
 
     /// Writes the call and returns the answer's head; its body is read by the receiver.
     pub async fn open(self) -> Result<Response, CallError> {
-        let (address, timeout) = (self.address, self.timeout);
-        let not_sent = |reason: String| CallError::NotSent { address, reason };
-        let request = self.into_request().map_err(not_sent)?;
-        let stream =
-            async_std::io::timeout(CONNECT_TIMEOUT.min(timeout), TcpStream::connect(address))
-                .await
-                .map_err(|error| not_sent(error.to_string()))?;
-        let _ = stream.set_nodelay(true);
-        let connecting = unpanicked(async_h1::connect(stream, request));
-        let answer = async_std::future::timeout(timeout, connecting).await;
-        let lost = |reason: String| CallError::Lost { address, reason };
-        let answer = answer.map_err(|_| lost("no answer in time".to_owned()))?;
-        let answer = answer.ok_or_else(|| lost("malformed answer".to_owned()))?;
-        answer.map_err(|error| lost(error.to_string()))
+        let request = self.request("close")?;
+        let stream = self.connect().await?;
+        self.open_on(stream, request).await
     }
 
     /// Writes the call and reads the whole answer.
     pub async fn send(self) -> Result<(Response, Vec<u8>), CallError> {
         let (address, timeout) = (self.address, self.timeout);
-        let mut answer = self.open().await?;
-        let lost = |reason: String| CallError::Lost { address, reason };
-        let mut body = Vec::new();
-        let mut limited = (&mut answer).take(MAX_ANSWER_BYTES + 1);
-        let reading = unpanicked(limited.read_to_end(&mut body));
-        let reading = async_std::future::timeout(timeout, reading).await;
-        let result = reading.map_err(|_| lost("no whole answer in time".to_owned()))?;
-        let result = result.ok_or_else(|| lost("malformed trailers".to_owned()))?;
-        result.map_err(|error| lost(error.to_string()))?;
-        if body.len() as u64 > MAX_ANSWER_BYTES {
-            return Err(lost(format!("the answer is longer than {MAX_ANSWER_BYTES} bytes")));
-        }
-        if !has_known_length(&answer) {
-            return Err(lost("the answer names no length, so its end can't be told".to_owned()));
-        }
-        if let Some(expected) = answer.len().filter(|expected| *expected != body.len()) {
-            return Err(lost(format!("{} of {expected} bytes came", body.len())));
-        }
-        Ok((answer, body))
+        read_whole(address, timeout, self.open().await?).await
     }
 
     /// Writes the call and decodes a JSON answer.
     pub async fn send_json<T: DeserializeOwned>(self) -> Result<T, CallError> {
         let address = self.address;
         let (answer, body) = self.send().await?;
-        if !answer.status().is_success() {
-            return Err(CallError::Status { address, status: answer.status() as u16 });
-        }
+        decode_json(address, &answer, &body)
+    }
+
+    /// A fresh connection to the receiver.
+    pub(crate) async fn connect(&self) -> Result<TcpStream, CallError> {
+        let timeout = CONNECT_TIMEOUT.min(self.timeout);
+        let connecting = async_std::io::timeout(timeout, TcpStream::connect(self.address));
+        let stream = connecting.await.map_err(|error| self.not_sent(error.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        Ok(stream)
+    }
+
+    /// Writes the call on a connection that stays open and reads the whole answer.
+    pub(crate) async fn send_keeping(
+        self,
+        stream: TcpStream,
+    ) -> Result<(Response, Vec<u8>), CallError> {
+        let (address, timeout) = (self.address, self.timeout);
+        let request = self.request("keep-alive")?;
+        let answer = self.open_on(stream, request).await?;
+        read_whole(address, timeout, answer).await
+    }
+
+    async fn open_on(self, stream: TcpStream, request: Request) -> Result<Response, CallError> {
+        let address = self.address;
+        let connecting = unpanicked(async_h1::connect(stream, request));
+        let answer = async_std::future::timeout(self.timeout, connecting).await;
         let lost = |reason: String| CallError::Lost { address, reason };
-        serde_json::from_slice(&body).map_err(|error| lost(error.to_string()))
+        let answer = answer.map_err(|_| lost("no answer in time".to_owned()))?;
+        let answer = answer.ok_or_else(|| lost("malformed answer".to_owned()))?;
+        answer.map_err(|error| lost(error.to_string()))
+    }
+
+    fn not_sent(&self, reason: String) -> CallError {
+        CallError::NotSent { address: self.address, reason }
     }
 
-    fn into_request(self) -> Result<Request, String> {
+    fn request(&self, connection: &str) -> Result<Request, CallError> {
         let url = format!("http://{}{}", self.address, self.path);
-        let url = Url::parse(&url).map_err(|error| error.to_string())?;
+        let url = Url::parse(&url).map_err(|error| self.not_sent(error.to_string()))?;
         let mut request = Request::new(self.method, url);
-        request.insert_header("connection", "close");
-        request.set_body(self.body);
+        request.insert_header("connection", connection);
+        request.set_body(self.body.clone());
         if !self.content_type.is_empty() {
-            request.insert_header("content-type", self.content_type);
+            request.insert_header("content-type", self.content_type.as_str());
         }
         Ok(request)
     }
 }
 
+async fn read_whole(
+    address: SocketAddr,
+    timeout: Duration,
+    mut answer: Response,
+) -> Result<(Response, Vec<u8>), CallError> {
+    let lost = |reason: String| CallError::Lost { address, reason };
+    let mut body = Vec::new();
+    let mut limited = (&mut answer).take(MAX_ANSWER_BYTES + 1);
+    let reading = unpanicked(limited.read_to_end(&mut body));
+    let reading = async_std::future::timeout(timeout, reading).await;
+    let result = reading.map_err(|_| lost("no whole answer in time".to_owned()))?;
+    let result = result.ok_or_else(|| lost("malformed trailers".to_owned()))?;
+    result.map_err(|error| lost(error.to_string()))?;
+    if body.len() as u64 > MAX_ANSWER_BYTES {
+        return Err(lost(format!("the answer is longer than {MAX_ANSWER_BYTES} bytes")));
+    }
+    if !has_known_length(&answer) {
+        return Err(lost("the answer names no length, so its end can't be told".to_owned()));
+    }
+    if let Some(expected) = answer.len().filter(|expected| *expected != body.len()) {
+        return Err(lost(format!("{} of {expected} bytes came", body.len())));
+    }
+    Ok((answer, body))
+}
+
+/// Decodes a JSON answer whose status is a success.
+pub(crate) fn decode_json<T: DeserializeOwned>(
+    address: SocketAddr,
+    answer: &Response,
+    body: &[u8],
+) -> Result<T, CallError> {
+    if !answer.status().is_success() {
+        return Err(CallError::Status { address, status: answer.status() as u16 });
+    }
+    let lost = |error: serde_json::Error| CallError::Lost { address, reason: error.to_string() };
+    serde_json::from_slice(body).map_err(lost)
+}
+
 /// The result of a future of the HTTP library, or nothing where it panicked: it does so on headers
 /// and trailers outside ASCII.
 fn unpanicked<F: Future>(future: F) -> impl Future<Output = Option<F::Output>> {
