--- a/crates/core/src/membership/learn.rs
+++ b/crates/core/src/membership/learn.rs
@@ -124,12 +124,15 @@
             self.remote.insert(data_centre, RemoteDataCentre::new(nameless, now_ms));
             return true;
         };
-        if head.clock <= known.head.clock {
+        if head.clock < known.head.clock {
             return false;
         }
         if head.hash != known.head.hash {
             return true;
         }
+        if head.clock == known.head.clock {
+            return false;
+        }
         known.head.clock = head.clock;
         known.heard_ms = now_ms;
         known.sends = 0;
@@ -145,7 +148,7 @@
             return Vec::new();
         }
         let known = self.remote.get(&head.data_centre);
-        if known.is_some_and(|known| known.head.clock >= head.clock) {
+        if known.is_some_and(|known| known.rank() >= summary.rank()) {
             return Vec::new();
         }
         let data_centre = head.data_centre.clone();
--- a/crates/core/src/membership/summary.rs
+++ b/crates/core/src/membership/summary.rs
@@ -1,9 +1,13 @@
 //! Summaries of a data centre, by which other data centres know its members.
 //!
 //! A summary carries a logical clock that every member of the data centre may advance above the
-//! highest value it knows, so that the newest summary wins whichever member made it. A head names
+//! highest value it knows, so that the newest summary wins whichever member made it. Two members
+//! may reach one clock value at the same time: then the summary with fewer members wins, so that a
+//! member that has not noticed a death yet does not hide it until the clock rises. A head names
 //! a summary by its clock and the hash of its members; it is enough to renew what is known.
 
+use std::cmp::Reverse;
+
 use crate::ids::{DataCentreId, MemberKey};
 use crate::membership::rendezvous::stable_hash;
 use crate::units::Millis;
@@ -11,6 +15,9 @@
 /// Bits of a summary's hash, which travels as four bytes.
 const HASH_BITS: u64 = 0xffff_ffff;
 
+/// Order of the summaries of one data centre; the highest wins.
+type Rank = (u64, Reverse<usize>, u64);
+
 /// Name of a summary.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SummaryHead {
@@ -40,6 +47,11 @@
         let hash = stable_hash(&keys.join("/")) & HASH_BITS;
         SummaryHead { data_centre: self.data_centre.clone(), clock: self.clock, hash }
     }
+
+    /// Its place in the order of summaries.
+    pub(super) fn rank(&self) -> Rank {
+        (self.clock, Reverse(self.members.len()), self.head().hash)
+    }
 }
 
 /// What is known of another data centre.
@@ -56,6 +68,11 @@
 }
 
 impl RemoteDataCentre {
+    /// The place of the newest summary in the order of summaries.
+    pub fn rank(&self) -> Rank {
+        (self.head.clock, Reverse(self.members.len()), self.head.hash)
+    }
+
     /// A data centre just heard of.
     pub fn new(head: SummaryHead, now_ms: Millis) -> Self {
         Self { head, members: Vec::new(), heard_ms: now_ms, sends: 0 }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -5,8 +5,8 @@
 use fleet::{Faults, Fleet};
 use turmericrail_core::action::Action;
 use turmericrail_core::event::Event;
-use turmericrail_core::ids::{ConfigVersion, Incarnation, ServerId};
-use turmericrail_core::membership::{MemberDigest, Members};
+use turmericrail_core::ids::{ConfigVersion, DataCentreId, Incarnation, ServerId};
+use turmericrail_core::membership::{MemberDigest, Members, Summary};
 use turmericrail_core::message::{Envelope, PeerMessage};
 
 /// Time within which members and leaving servers are known.
@@ -140,6 +140,26 @@
     assert!(fleet.status(1).unwrap().is_leaving, "the older run ends when it hears of a newer");
 }
 
+#[test]
+fn summaries_of_one_clock() {
+    let mut fleet = settled(3, &[3, 3], 0);
+    let from = fleet.status(1).unwrap().own;
+    fleet.faults.loss_percent = 100;
+    fleet.run(3_000);
+    let dead = fleet.members[5].id.clone();
+    let key = |index| fleet.status(index).unwrap().members[0].digest.key();
+    let data_centre: DataCentreId = "dc1".parse().unwrap();
+    let summary = |members| Summary { data_centre: data_centre.clone(), clock: 1_000, members };
+    let (more, fewer) = (summary(vec![key(3), key(4), key(5)]), summary(vec![key(3), key(4)]));
+    for (summary, is_live) in [(more.clone(), true), (fewer, false), (more, false)] {
+        let members = Members { records: Vec::new(), summaries: vec![summary] };
+        let message = PeerMessage::Members(members);
+        let envelope = Envelope { from: from.clone(), config_version: ConfigVersion(1), message };
+        fleet.tell(0, Event::Peer(envelope));
+        assert_eq!(fleet.live(0).contains(&dead), is_live, "one clock, the fewer members win");
+    }
+}
+
 #[test]
 fn leaving_instance() {
     for seed in 1..=5 {
