--- a/crates/fakes/src/fleet_links.rs
+++ b/crates/fakes/src/fleet_links.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use crate::fleet::FleetInstance;
+use crate::fleet_instance::FleetInstance;
 use crate::link::{Fault, Link, Reach};
 
 /// Links by the instance or server that they belong to.
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,18 +7,23 @@
 pub mod caller;
 pub mod engine;
 pub mod fleet;
+pub mod fleet_instance;
 pub mod fleet_links;
+pub mod fleet_plan;
 pub mod link;
 pub mod orders;
 pub mod plain;
 pub mod platform;
+pub mod ports;
 mod serve;
 pub mod text;
 
 pub use caller::{AnswerEvent, StreamCaller, send_resumption, wait_until};
 pub use engine::{EngineSettings, FakeEngine};
-pub use fleet::{Fleet, FleetInstance, FleetPlan};
+pub use fleet::Fleet;
+pub use fleet_instance::FleetInstance;
 pub use fleet_links::FleetLinks;
+pub use fleet_plan::FleetPlan;
 pub use link::{Fault, Link, Reach};
 pub use plain::FakePlain;
 pub use platform::FakePlatform;
--- /dev/null
+++ b/crates/fakes/src/ports.rs
@@ -0,0 +1,39 @@
+//! Free loopback ports for processes that are started later.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use turmericrail_core::membership::rendezvous::stable_hash;
+
+/// First port given to instances: below the ports that the kernel gives to connections, so that
+/// none takes it between this choice and the start of the instance.
+const FIRST_PORT: u16 = 10_000;
+/// Ports given to instances.
+const PORT_COUNT: u64 = 20_000;
+
+/// Ports given out by this process, each kept from other processes by a UDP socket.
+static RESERVED: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
+
+/// A free loopback address, never the same twice, which no other fleet on this machine is given.
+pub fn free_address() -> std::io::Result<SocketAddr> {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let first = stable_hash(&std::process::id().to_string()) % PORT_COUNT;
+    loop {
+        let number = first + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (number % PORT_COUNT) as u16;
+        let is_in_use = |error: &std::io::Error| error.kind() == std::io::ErrorKind::AddrInUse;
+        let reservation = UdpSocket::bind(("127.0.0.1", port));
+        if reservation.as_ref().is_err_and(is_in_use) {
+            continue;
+        }
+        match TcpListener::bind(("127.0.0.1", port)) {
+            Ok(listener) => {
+                RESERVED.lock().expect("no holder of the lock panics").extend(reservation);
+                return listener.local_addr();
+            }
+            Err(error) if is_in_use(&error) => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
--- a/crates/fakes/tests/free_ports.rs
+++ b/crates/fakes/tests/free_ports.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use turmericrail_fakes::fleet::free_address;
+use turmericrail_fakes::ports::free_address;
 
 /// Addresses asked for.
 const COUNT: usize = 2_000;
--- a/crates/turmericctl/tests/live_instance.rs
+++ b/crates/turmericctl/tests/live_instance.rs
@@ -9,7 +9,7 @@
 use common::{Run, turmericctl};
 use serde_json::{Value, json};
 use turmericrail::settings::Settings;
-use turmericrail_fakes::fleet::free_address;
+use turmericrail_fakes::ports::free_address;
 use turmericrail_fakes::{FakePlain, FakePlatform};
 use turmericrail_wire::client::Call;
 
--- a/crates/turmericrail/benches/overhead/main.rs
+++ b/crates/turmericrail/benches/overhead/main.rs
@@ -12,6 +12,8 @@
 use std::time::Duration;
 
 use async_std::task;
+use serde_json::json;
+use turmericrail_core::ids::ConfigVersion;
 use turmericrail_fakes::{EngineSettings, Fleet, FleetPlan};
 
 use crate::process::ProcessUse;
@@ -33,12 +35,20 @@
 /// Requests of each stream in a phase, at least.
 const MIN_REQUESTS_A_STREAM: u64 = 3;
 
+/// Size of the KV cache of one token: so small that the configured link is never short, as the
+/// stand-ins' transfers take no time that depends on a link.
+const KV_BYTES_PER_TOKEN: u64 = 1;
+/// Time between looks at the version in force.
+const LOOK_STEP: Duration = Duration::from_millis(20);
+
 fn main() {
     task::block_on(run());
 }
 
 async fn run() {
     let fleet = Fleet::start(plan()).await.expect("loopback ports are free");
+    let limits = json!({"limits": {"kv_bytes_per_token": KV_BYTES_PER_TOKEN}});
+    wait_version(&fleet, fleet.platform.accept(limits)).await;
     let process = fleet.instances[0].process.as_ref().expect("the instance runs").id();
     let world = Arc::new(World::new(&fleet));
     print_memory(&world, process).await;
@@ -55,6 +65,12 @@
     let _ = std::fs::remove_dir_all(&fleet.plan.folder);
 }
 
+async fn wait_version(fleet: &Fleet, version: ConfigVersion) {
+    while fleet.status(0).await.unwrap_or_default()["config_version"] != version.0 {
+        task::sleep(LOOK_STEP).await;
+    }
+}
+
 fn plan() -> FleetPlan {
     let engine = EngineSettings {
         prefill_tokens_per_second: 1_000_000,
--- a/crates/turmericrail/benches/slopes/framing.rs
+++ b/crates/turmericrail/benches/slopes/framing.rs
@@ -10,7 +10,7 @@
 use prost::Message;
 use tonic::transport::{Endpoint, Server};
 use tonic::{Request, Response, Status};
-use turmericrail_fakes::fleet::free_address;
+use turmericrail_fakes::ports::free_address;
 use turmericrail_wire::peer::peer_client::PeerClient;
 use turmericrail_wire::peer::peer_server::{Peer, PeerServer};
 use turmericrail_wire::peer::{Delivered, Envelope, ForwardReply, ForwardRequest};
--- a/crates/turmericrail/src/caller_edge/completions.rs
+++ b/crates/turmericrail/src/caller_edge/completions.rs
@@ -11,10 +11,10 @@
 use turmericrail_wire::body::{Part, Then, message_body};
 use turmericrail_wire::caller::{CompletionAnswer, CompletionBody, EndEvent, TokenEvent};
 
-use super::body::{decode_body, receive_body};
+use super::body::{BodyPermit, decode_body, receive_body};
 use super::connection::Connection;
 use super::prefixes::prefix_hashes;
-use super::reply;
+use super::reply::{self, Refusal};
 use crate::daemon::Shared;
 use crate::daemon::callers::{Sent, ToCaller, completion_fingerprint};
 
@@ -24,12 +24,8 @@
 pub async fn complete(mut request: Request<Arc<Shared>>) -> tide::Result {
     let shared = Arc::clone(request.state());
     let id = shared.next_request();
-    let received = match receive_body(&mut request).await {
-        Ok(body) => body,
-        Err(refusal) => return reply::refusal(id, &refusal),
-    };
-    let body: CompletionBody = match decode_body(&received.bytes) {
-        Ok(body) => body,
+    let (body, _permit) = match receive_completion(&mut request).await {
+        Ok(received) => received,
         Err(refusal) => return reply::refusal(id, &refusal),
     };
     let asked = to_request(id, &body);
@@ -52,12 +48,8 @@
 
 pub async fn resume_with_request(mut request: Request<Arc<Shared>>) -> tide::Result {
     let id = request.state().next_request();
-    let received = match receive_body(&mut request).await {
-        Ok(body) => body,
-        Err(refusal) => return reply::refusal(id, &refusal),
-    };
-    let body: CompletionBody = match decode_body(&received.bytes) {
-        Ok(body) => body,
+    let (body, _permit) = match receive_completion(&mut request).await {
+        Ok(received) => received,
         Err(refusal) => return reply::refusal(id, &refusal),
     };
     let asked = to_request(id, &body);
@@ -85,6 +77,15 @@
     stream_answer(id, connection, answers).await
 }
 
+/// The request and its part of the memory for bodies, kept while the request is answered.
+async fn receive_completion(
+    request: &mut Request<Arc<Shared>>,
+) -> Result<(CompletionBody, BodyPermit), Refusal> {
+    let received = receive_body(request).await?;
+    let body = decode_body(&received.bytes)?;
+    Ok((body, received.permit))
+}
+
 /// What the backend edge needs of a model call.
 fn to_sent(prompt: String) -> Sent {
     Sent { body: prompt.into_bytes(), ..Sent::default() }
