--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -16,7 +16,7 @@
 pub mod window;
 
 pub use check::{parse_document, parse_value};
-pub use document::Configuration;
+pub use document::{Configuration, ServerRole};
 pub use error::ConfigError;
 pub use history::{Change, ConfigHistory};
 pub use key_path::KeyPath;
--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -84,6 +84,7 @@
 error_kinds! {
     BadRequest, "bad_request", 400, NotRun, false, "The request can't be parsed or lacks a field.";
     TooLarge, "too_large", 413, NotRun, false, "The request is larger than the settings allow.";
+    HeadTooLarge, "head_too_large", 431, NotRun, false, "The head of the request is larger than the configuration allows.";
     ReceiveTimeout, "receive_timeout", 408, NotRun, false, "The body did not arrive in time.";
     UnknownRoute, "unknown_route", 404, NotRun, false, "No route of the configuration matches the method and path.";
     UnknownModel, "unknown_model", 404, NotRun, false, "The configuration names no such model or version.";
--- /dev/null
+++ b/crates/core/src/forward/load.rs
@@ -0,0 +1,96 @@
+//! Load and health of one run of a server, from this instance's calls and the server's answers.
+
+use super::pace::Pace;
+use super::{CallEnd, FailureScore};
+use crate::units::{Millis, Tokens};
+
+/// Time after which a server's own word on its load counts nothing any more; calls last a few
+/// hundred milliseconds at the most.
+const REPORT_FADE_MS: f64 = 1_000.0;
+
+/// A server's own word on its load.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ReportedLoad {
+    /// Calls that run.
+    pub running: u32,
+    /// Calls that wait.
+    pub waiting: u32,
+    /// Calls that can run at a time.
+    pub slots: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    others: f64,
+    at_ms: Millis,
+}
+
+/// Load and health of one run of a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServerLoad {
+    calls: u32,
+    tokens: u64,
+    report: Option<Report>,
+    pace: Pace,
+    failures: FailureScore,
+}
+
+impl ServerLoad {
+    /// Counts a call that starts.
+    pub fn start(&mut self, tokens: Tokens) {
+        self.calls += 1;
+        self.tokens += tokens.0;
+    }
+
+    /// Counts a call that ended.
+    pub fn end(&mut self, now_ms: Millis, tokens: Tokens, end: CallEnd) {
+        self.calls = self.calls.saturating_sub(1);
+        self.tokens = self.tokens.saturating_sub(tokens.0);
+        if end == CallEnd::Answered {
+            self.failures.answer(now_ms);
+        }
+        if let Some(weight) = end.failure_weight() {
+            self.failures.fail(now_ms, weight);
+        }
+    }
+
+    /// Takes the time to an answer or first event and what was predicted at normal pace.
+    pub fn note_pace(&mut self, now_ms: Millis, measured_ms: Millis, predicted_ms: Millis) {
+        self.pace.note(now_ms, measured_ms, predicted_ms);
+    }
+
+    /// Takes the server's own word on its load.
+    pub fn report(&mut self, now_ms: Millis, reported: ReportedLoad) {
+        let all = f64::from(reported.running) + f64::from(reported.waiting);
+        let others = (all - f64::from(self.calls)).max(0.0);
+        self.report = Some(Report { others, at_ms: now_ms });
+    }
+
+    /// Calls of this instance that have not ended.
+    pub fn calls(&self) -> u32 {
+        self.calls
+    }
+
+    /// Tokens of this instance's calls that have not ended.
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Estimated calls of other instances that have not ended.
+    pub fn others(&self, now_ms: Millis) -> f64 {
+        self.report.map_or(0.0, |report| {
+            let age_ms = now_ms.saturating_sub(report.at_ms).0 as f64;
+            report.others * (1.0 - age_ms / REPORT_FADE_MS).max(0.0)
+        })
+    }
+
+    /// How slow it is compared with what was predicted.
+    pub fn pace(&self, now_ms: Millis) -> f64 {
+        self.pace.value(now_ms)
+    }
+
+    /// How often it failed of late.
+    pub fn failure_score(&self, now_ms: Millis) -> f64 {
+        self.failures.value(now_ms)
+    }
+}
--- /dev/null
+++ b/crates/core/src/forward/mod.rs
@@ -0,0 +1,36 @@
+//! Forwarding of calls to backend servers that register themselves and come and go.
+//!
+//! A call finds its [`Route`] by host and longest path prefix in the [`RouteTable`] in force, and a
+//! server among those of the [`Registry`]. [`Forwarder`] joins both with what this instance's own
+//! calls and the servers' answers tell of load and health. Time and random draws come in as
+//! arguments; calls are made elsewhere.
+
+mod call_end;
+mod choice;
+mod entry;
+mod failure_score;
+mod forwarder;
+mod load;
+mod pace;
+mod plan;
+mod prompt;
+mod registry;
+mod retry_window;
+mod route;
+mod service;
+mod service_pace;
+mod table;
+
+pub use call_end::CallEnd;
+pub use choice::{Choice, ServerRun};
+pub use entry::{ServerEntry, ServerNews, ServerState};
+pub use failure_score::FailureScore;
+pub use forwarder::{Forwarder, ForwarderSettings};
+pub use load::{ReportedLoad, ServerLoad};
+pub use plan::{ModelPlan, PlanRefusal};
+pub use prompt::Prompt;
+pub use registry::Registry;
+pub use retry_window::{RetryBounds, RetryWindow};
+pub use route::{Route, RouteKind, WeightedService};
+pub use service::{EngineLimits, Service};
+pub use table::{RequestLimits, RouteTable, TableError};
--- /dev/null
+++ b/crates/core/src/forward/pace.rs
@@ -0,0 +1,40 @@
+//! How slow a server is compared with what was predicted for it.
+
+use crate::units::Millis;
+
+/// Weight of a new sample.
+const SAMPLE_WEIGHT: f64 = 0.3;
+/// Time in which the distance to the normal pace halves, so that a server that was slow is tried
+/// again; some times the time for which a call lasts.
+const HALF_LIFE_MS: f64 = 4_000.0;
+/// Bounds on one sample, so that a single late answer doesn't shut a server out.
+const SAMPLE_BOUNDS: (f64, f64) = (0.5, 10.0);
+
+/// Ratio of measured to predicted times of a server; fades to one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    ratio: f64,
+    at_ms: Millis,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self { ratio: 1.0, at_ms: Millis::ZERO }
+    }
+}
+
+impl Pace {
+    /// The present ratio.
+    pub fn value(&self, now_ms: Millis) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.at_ms).0 as f64;
+        1.0 + (self.ratio - 1.0) * (-age_ms / HALF_LIFE_MS).exp2()
+    }
+
+    /// Takes a measured time and what was predicted for a server of normal pace.
+    pub fn note(&mut self, now_ms: Millis, measured_ms: Millis, predicted_ms: Millis) {
+        let (low, high) = SAMPLE_BOUNDS;
+        let sample = (measured_ms.0.max(1) as f64 / predicted_ms.0.max(1) as f64).clamp(low, high);
+        let mean = self.value(now_ms);
+        *self = Self { ratio: mean + SAMPLE_WEIGHT * (sample - mean), at_ms: now_ms };
+    }
+}
--- /dev/null
+++ b/crates/core/src/forward/plan.rs
@@ -0,0 +1,25 @@
+//! Where a model call goes.
+
+use super::Choice;
+use crate::units::Millis;
+
+/// Where a model call goes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ModelPlan {
+    /// The engine that reads the prompt; nothing where the decode engine reads it itself.
+    pub prefill: Option<Choice>,
+    /// The engine that generates the answer.
+    pub decode: Choice,
+}
+
+/// Why a call has no place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PlanRefusal {
+    /// No server serves it.
+    NoServer,
+    /// The first event would come after the deadline.
+    DeadlineUnreachable {
+        /// When the backlog will have shrunk enough.
+        retry_after_ms: Millis,
+    },
+}
--- /dev/null
+++ b/crates/core/src/forward/prompt.rs
@@ -0,0 +1,29 @@
+//! The size of a model call.
+
+use crate::units::Tokens;
+
+/// Tokens that stand in for the sizes of a call that does not tell them.
+const UNKNOWN_TOKENS: u64 = 1_000;
+
+/// The size of a model call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Prompt {
+    /// Length of the prompt.
+    pub prompt_tokens: Tokens,
+    /// Most tokens of the answer.
+    pub max_output_tokens: Tokens,
+}
+
+impl Default for Prompt {
+    fn default() -> Self {
+        let tokens = Tokens(UNKNOWN_TOKENS);
+        Self { prompt_tokens: tokens, max_output_tokens: tokens }
+    }
+}
+
+impl Prompt {
+    /// Engine memory that the call may need.
+    pub fn kv_tokens(&self) -> Tokens {
+        self.prompt_tokens + self.max_output_tokens
+    }
+}
--- /dev/null
+++ b/crates/core/src/forward/registry.rs
@@ -0,0 +1,126 @@
+//! The backend servers that are registered, as far as this instance knows.
+//!
+//! News comes from the platform and from other instances in any order; for each server the highest
+//! revision counts. A removal is remembered for a while, so that late news does not bring a server
+//! back. Entries that lapsed while the platform could not be reached stay in use for a moment after
+//! its return, in which a living server registers anew.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{ServerEntry, ServerNews, ServerState};
+use crate::ids::ServerId;
+use crate::units::Millis;
+
+/// Time for which a removal is remembered; longer than any news is on its way.
+const REMOVAL_KEPT_MS: Millis = Millis(60_000);
+/// Time after the platform's return for which removed servers stay in use: living ones are back
+/// within two seconds, and it stays below the shortest bound on work for removed servers.
+const LAPSE_GRACE_MS: Millis = Millis(1_500);
+
+/// What is known of one server.
+#[derive(Clone, Debug)]
+struct Known {
+    revision: u64,
+    entry: Option<ServerEntry>,
+    /// When a removal takes effect, or took effect.
+    removed_ms: Option<Millis>,
+}
+
+impl Known {
+    fn is_removed(&self, now_ms: Millis) -> bool {
+        self.removed_ms.is_some_and(|at_ms| now_ms >= at_ms)
+    }
+}
+
+/// The backend servers that are registered.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    known: BTreeMap<ServerId, Known>,
+    revision: u64,
+    grace_until_ms: Millis,
+}
+
+impl Registry {
+    /// Takes one change; tells whether it was new.
+    pub fn take(&mut self, now_ms: Millis, news: ServerNews) -> bool {
+        self.revision = self.revision.max(news.revision);
+        let known = self.known.get(&news.server);
+        if known.is_some_and(|known| known.revision >= news.revision) {
+            return false;
+        }
+        let was_ready = known
+            .and_then(|known| known.entry.as_ref())
+            .is_some_and(|entry| entry.state == ServerState::Ready);
+        let last = self.known.remove(&news.server).and_then(|known| known.entry);
+        let known = match news.entry {
+            Some(entry) => Known { revision: news.revision, entry: Some(entry), removed_ms: None },
+            None => {
+                let is_lapse = was_ready && now_ms < self.grace_until_ms;
+                let removed_ms = if is_lapse { self.grace_until_ms } else { now_ms };
+                Known { revision: news.revision, entry: last, removed_ms: Some(removed_ms) }
+            }
+        };
+        self.known.insert(news.server, known);
+        true
+    }
+
+    /// Takes the whole list as it stood at `revision` or later; servers that it lacks are removed.
+    /// Returns the servers that changed.
+    pub fn take_list(
+        &mut self,
+        now_ms: Millis,
+        revision: u64,
+        list: Vec<ServerNews>,
+    ) -> Vec<ServerId> {
+        let listed: BTreeSet<_> = list.iter().map(|news| news.server.clone()).collect();
+        let is_missing = |(server, known): &(&ServerId, &Known)| {
+            known.removed_ms.is_none() && known.revision < revision && !listed.contains(*server)
+        };
+        let missing: Vec<_> =
+            self.known.iter().filter(is_missing).map(|(server, _)| server.clone()).collect();
+        let mut changed = Vec::new();
+        for server in missing {
+            let news = ServerNews { server: server.clone(), revision, entry: None };
+            if self.take(now_ms, news) {
+                changed.push(server);
+            }
+        }
+        for news in list {
+            let server = news.server.clone();
+            if self.take(now_ms, news) {
+                changed.push(server);
+            }
+        }
+        self.revision = self.revision.max(revision);
+        changed
+    }
+
+    /// Notes that the platform answers again after it could not be reached.
+    pub fn note_return(&mut self, now_ms: Millis) {
+        self.grace_until_ms = now_ms + LAPSE_GRACE_MS;
+    }
+
+    /// Forgets removals that are old.
+    pub fn expire(&mut self, now_ms: Millis) {
+        let is_kept =
+            |known: &Known| known.removed_ms.is_none_or(|at| now_ms < at + REMOVAL_KEPT_MS);
+        self.known.retain(|_, known| is_kept(known));
+    }
+
+    /// Every server that is registered, those that drain too.
+    pub fn servers(&self, now_ms: Millis) -> impl Iterator<Item = (&ServerId, &ServerEntry)> {
+        let registered = self.known.iter().filter(move |(_, known)| !known.is_removed(now_ms));
+        registered.filter_map(|(server, known)| known.entry.as_ref().map(|entry| (server, entry)))
+    }
+
+    /// The entry of a server, where it is registered.
+    pub fn entry(&self, now_ms: Millis, server: &ServerId) -> Option<&ServerEntry> {
+        let known = self.known.get(server)?;
+        if known.is_removed(now_ms) { None } else { known.entry.as_ref() }
+    }
+
+    /// The highest revision that was heard of.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+}
--- a/crates/turmericrail/src/cli.rs
+++ b/crates/turmericrail/src/cli.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 
 use crate::error::StartError;
+use crate::forward::settings::ForwardSettings;
 use crate::settings::Settings;
 
 /// Routes requests to prefill and decode engines and to plain services.
@@ -14,15 +15,22 @@
     #[argh(option)]
     settings: Option<PathBuf>,
 
+    /// path of the settings file (YAML) of an instance that forwards calls to servers that
+    /// register themselves
+    #[argh(option)]
+    forward: Option<PathBuf>,
+
     /// print the version
     #[argh(switch)]
     version: bool,
 }
 
 /// The checked command line.
-pub struct Options {
-    /// The settings.
-    pub settings: Settings,
+pub enum Options {
+    /// Route by the product's own interface.
+    Route(Box<Settings>),
+    /// Forward calls to servers that register themselves.
+    Forward(Box<ForwardSettings>),
 }
 
 /// Parses and checks the command line; prints help or version and exits where asked to.
@@ -32,7 +40,10 @@
         println!("turmericrail {}", env!("CARGO_PKG_VERSION"));
         std::process::exit(0);
     }
-    let path = arguments.settings.ok_or(StartError::NoSettings)?;
-    let settings = Settings::read(&path)?;
-    Ok(Options { settings })
+    match (arguments.settings, arguments.forward) {
+        (Some(path), None) => Ok(Options::Route(Box::new(Settings::read(&path)?))),
+        (None, Some(path)) => Ok(Options::Forward(Box::new(ForwardSettings::read(&path)?))),
+        (None, None) => Err(StartError::NoSettings),
+        (Some(_), Some(_)) => Err(StartError::TwoSettings),
+    }
 }
--- a/crates/turmericrail/src/error.rs
+++ b/crates/turmericrail/src/error.rs
@@ -12,6 +12,9 @@
     /// No settings file was named.
     #[error("no settings: pass --settings <file>")]
     NoSettings,
+    /// Two settings files were named.
+    #[error("two settings files: pass either --settings <file> or --forward <file>")]
+    TwoSettings,
     /// The settings file can't be read.
     #[error("can't read settings {}: {source}", path.display())]
     ReadSettings {
--- /dev/null
+++ b/crates/turmericrail/src/forward/answer_writer.rs
@@ -0,0 +1,87 @@
+//! Answers to callers as bytes.
+
+use turmericrail_core::error_kind::ErrorKind;
+use turmericrail_core::units::Millis;
+use turmericrail_platform::answer;
+use turmericrail_wire::http1::{Header, Headers, ResponseHead};
+
+/// Wait named where the backlog tells none: about the time of one answer.
+const DEFAULT_RETRY_AFTER_MS: Millis = Millis(300);
+
+/// A final answer of the router's own: the request failed.
+pub fn error(
+    kind: ErrorKind,
+    retry_after_ms: Option<Millis>,
+    request_id: Option<&str>,
+    is_kept_alive: bool,
+) -> Vec<u8> {
+    let row = kind.answer();
+    let body = serde_json::json!({
+        "error": row.text,
+        "outcome": row.outcome.as_str(),
+        "message": row.meaning,
+    })
+    .to_string();
+    let mut fields = vec![Header::new("Content-Type", "application/json")];
+    fields.extend(request_id.map(answer::request_id_header));
+    if row.has_retry_after {
+        let wait_ms = retry_after_ms.unwrap_or(DEFAULT_RETRY_AFTER_MS);
+        fields.push(Header::new("Retry-After", format!("{:.3}", wait_ms.0 as f64 / 1_000.0)));
+    }
+    whole(row.status, reason(row.status), fields, body.as_bytes(), is_kept_alive)
+}
+
+/// A server's whole answer.
+pub fn server_answer(
+    head: &ResponseHead,
+    body: &[u8],
+    is_head_call: bool,
+    is_kept_alive: bool,
+) -> Vec<u8> {
+    let mut fields = answer::client_headers(head);
+    if is_head_call {
+        // The length of the body that a GET would bring.
+        fields.extend(head.headers.0.iter().filter(|field| field.is("content-length")).cloned());
+        return begin(head.status, &head.reason, fields, is_kept_alive);
+    }
+    whole(head.status, &head.reason, fields, body, is_kept_alive)
+}
+
+/// The head of a server's answer whose body follows in chunks, or up to the connection's end where
+/// the caller knows no chunks.
+pub fn stream_head(head: &ResponseHead, is_chunked: bool, is_kept_alive: bool) -> Vec<u8> {
+    let mut fields = answer::client_headers(head);
+    if is_chunked {
+        fields.push(Header::new("Transfer-Encoding", "chunked"));
+    }
+    begin(head.status, &head.reason, fields, is_kept_alive)
+}
+
+fn whole(
+    status: u16,
+    reason: &str,
+    mut fields: Vec<Header>,
+    body: &[u8],
+    is_kept_alive: bool,
+) -> Vec<u8> {
+    let has_body = status >= 200 && status != 204 && status != 304;
+    if has_body {
+        fields.push(Header::new("Content-Length", body.len().to_string()));
+    }
+    let mut bytes = begin(status, reason, fields, is_kept_alive);
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+fn begin(status: u16, reason: &str, mut fields: Vec<Header>, is_kept_alive: bool) -> Vec<u8> {
+    if !is_kept_alive {
+        fields.push(Header::new("Connection", "close"));
+    }
+    let mut bytes = format!("HTTP/1.1 {status} {reason}\r\n").into_bytes();
+    Headers(fields).write_to(&mut bytes);
+    bytes
+}
+
+fn reason(status: u16) -> &'static str {
+    http_types::StatusCode::try_from(status).map_or("", |status| status.canonical_reason())
+}
--- /dev/null
+++ b/crates/turmericrail/src/forward/call_guard.rs
@@ -0,0 +1,54 @@
+//! The account of one call at a server.
+
+use std::sync::Arc;
+
+use turmericrail_core::forward::{CallEnd, Choice};
+use turmericrail_core::units::Millis;
+
+use super::clock;
+use super::shared::Shared;
+
+/// Counts a call at a server until it ends; one that is dropped counts as cancelled.
+pub struct CallGuard {
+    shared: Arc<Shared>,
+    choice: Choice,
+    started_ms: Millis,
+    is_ended: bool,
+}
+
+impl CallGuard {
+    /// Counts a call that starts.
+    pub fn start(shared: &Arc<Shared>, choice: &Choice) -> Self {
+        shared.forwarder().start(choice);
+        let started_ms = clock::now_ms();
+        Self { shared: Arc::clone(shared), choice: choice.clone(), started_ms, is_ended: false }
+    }
+
+    /// The chosen server.
+    pub fn choice(&self) -> &Choice {
+        &self.choice
+    }
+
+    /// Time since the call started.
+    pub fn elapsed_ms(&self) -> Millis {
+        clock::now_ms().saturating_sub(self.started_ms)
+    }
+
+    /// Counts the end of the call.
+    pub fn end(mut self, end: CallEnd) {
+        self.finish(end);
+    }
+
+    fn finish(&mut self, end: CallEnd) {
+        if !std::mem::replace(&mut self.is_ended, true) {
+            self.shared.forwarder().end(clock::now_ms(), &self.choice, end);
+            self.shared.metrics.server_calls.with_label_values(&[end.as_str()]).inc();
+        }
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.finish(CallEnd::Cancelled);
+    }
+}
--- /dev/null
+++ b/crates/turmericrail/src/forward/caller_edge.rs
@@ -0,0 +1,67 @@
+//! The listener for callers and the loop over the requests of each connection.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::stream::StreamExt;
+use async_std::task::{self, JoinHandle};
+
+use super::answer_writer;
+use super::caller_connection::{CallerConnection, Received};
+use super::dispatch;
+use super::server_connection::set_liveness;
+use super::shared::Shared;
+use crate::error::StartError;
+
+/// Pause after a connection could not be accepted, for descriptors to become free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Listens for callers until the task is cancelled.
+pub async fn listen(shared: &Arc<Shared>) -> Result<JoinHandle<()>, StartError> {
+    let address = shared.settings.caller_address;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.map_err(|source| StartError::Listen { address, source })?;
+    let shared = Arc::clone(shared);
+    Ok(task::spawn(async move {
+        let mut incoming = listener.incoming();
+        while let Some(accepted) = incoming.next().await {
+            match accepted {
+                Ok(stream) => {
+                    task::spawn(serve(Arc::clone(&shared), stream));
+                }
+                Err(error) => {
+                    spdlog::warn!("event=accept_failed error={:?}", error.to_string());
+                    task::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }))
+}
+
+async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    let _counted = shared.count_connection();
+    set_liveness(&stream);
+    let mut connection = CallerConnection::new(stream);
+    loop {
+        let request = match connection.receive(&shared).await {
+            Received::Request(request) => request,
+            Received::Refused(kind, request_id) => {
+                let request_id = request_id.as_deref();
+                dispatch::log_answer(&shared, request_id, kind.answer().text, 0);
+                let answer = answer_writer::error(kind, None, request_id, false);
+                let _ = connection.write(&answer).await;
+                break;
+            }
+            Received::Closed => break,
+        };
+        let _counted = shared.count_call();
+        match dispatch::serve(&shared, &mut connection, &request).await {
+            dispatch::Served::Kept => {}
+            dispatch::Served::Closing => break,
+            // Dropped at once, so that what the caller got looks as incomplete as it is.
+            dispatch::Served::Broken => return,
+        }
+    }
+    connection.close().await;
+}
--- /dev/null
+++ b/crates/turmericrail/src/forward/dispatch.rs
@@ -0,0 +1,129 @@
+//! From a request to its route and to its final answer.
+
+use std::sync::Arc;
+
+use futures_lite::FutureExt;
+use turmericrail_core::error_kind::ErrorKind;
+use turmericrail_core::forward::{Route, RouteKind};
+use turmericrail_core::units::Millis;
+
+use super::answer_writer;
+use super::call_context::CallContext;
+use super::caller_connection::{CallerConnection, Request};
+use super::clock;
+use super::event_relay::CallerStream;
+use super::model_call;
+use super::plain_call;
+use super::shared::Shared;
+
+/// Length from which on requests are told apart in logs; longer ids are cut.
+const MAX_LOGGED_ID: usize = 64;
+
+/// What becomes of the caller's connection after an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Served {
+    /// It can carry another request.
+    Kept,
+    /// It ends in order.
+    Closing,
+    /// The answer broke off, or the caller left.
+    Broken,
+}
+
+/// Why a request has no answer of a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// The kind.
+    pub kind: ErrorKind,
+    /// When the caller may come back.
+    pub retry_after_ms: Option<Millis>,
+}
+
+impl From<ErrorKind> for Refusal {
+    fn from(kind: ErrorKind) -> Self {
+        Self { kind, retry_after_ms: None }
+    }
+}
+
+/// Serves one request.
+pub async fn serve(
+    shared: &Arc<Shared>,
+    connection: &mut CallerConnection,
+    request: &Request,
+) -> Served {
+    let writer = connection.stream.clone();
+    let caller = CallerStream::new(shared, writer, request);
+    let serving = async {
+        match route(shared, request, &caller).await {
+            Ok(served) => served,
+            Err(refusal) => refuse(shared, request, &caller, refusal).await,
+        }
+    };
+    let leaving = async {
+        connection.closed().await;
+        log_answer(shared, request.facts.request_id.as_deref(), "caller_gone", 0);
+        Served::Broken
+    };
+    serving.or(leaving).await
+}
+
+async fn route(
+    shared: &Arc<Shared>,
+    request: &Request,
+    caller: &CallerStream,
+) -> Result<Served, Refusal> {
+    let table = shared.forwarder().table().cloned().ok_or(ErrorKind::NotReady)?;
+    let request_id = request.facts.request_id.as_deref().ok_or(ErrorKind::BadRequest)?;
+    let route = table.find(&request.head.host, request.head.path());
+    let route = Arc::clone(route.ok_or(ErrorKind::UnknownRoute)?);
+    let service = route.service(fastrand::u64(..)).ok_or(ErrorKind::NoServer)?;
+    shared.forwarder().note_call(clock::now_ms(), service);
+    let context = CallContext {
+        shared,
+        request,
+        request_id,
+        table: &table,
+        route: &route,
+        service,
+        deadline_ms: request.arrived_ms + patience_ms(request, &route),
+    };
+    let is_stream = matches!(route.kind, RouteKind::Stream { .. });
+    if is_stream || context.is_model_call() {
+        return model_call::serve(&context, caller).await;
+    }
+    let (head, body) = plain_call::serve(&context).await?;
+    let is_head_call = request.head.method == "HEAD";
+    let is_kept = caller.is_kept_alive();
+    let bytes = answer_writer::server_answer(&head, &body, is_head_call, is_kept);
+    log_answer(shared, Some(request_id), "completed", head.status);
+    Ok(caller.finish(&bytes).await)
+}
+
+/// How long the caller may be kept waiting.
+fn patience_ms(request: &Request, route: &Route) -> Millis {
+    request.facts.deadline_ms.map_or(route.timeout_ms, |asked| asked.min(route.timeout_ms))
+}
+
+async fn refuse(
+    shared: &Shared,
+    request: &Request,
+    caller: &CallerStream,
+    refusal: Refusal,
+) -> Served {
+    let request_id = request.facts.request_id.as_deref();
+    log_answer(shared, request_id, refusal.kind.answer().text, refusal.kind.answer().status);
+    if caller.has_begun() {
+        return Served::Broken;
+    }
+    let is_kept = caller.is_kept_alive();
+    let bytes = answer_writer::error(refusal.kind, refusal.retry_after_ms, request_id, is_kept);
+    caller.finish(&bytes).await
+}
+
+/// Logs and counts a final answer.
+pub fn log_answer(shared: &Shared, request_id: Option<&str>, outcome: &str, status: u16) {
+    shared.metrics.answers.with_label_values(&[outcome]).inc();
+    let request_id = request_id.unwrap_or("none");
+    let request_id = request_id.get(..MAX_LOGGED_ID).unwrap_or(request_id);
+    spdlog::info!("event=answer request={request_id} outcome={outcome} status={status}");
+}
--- /dev/null
+++ b/crates/turmericrail/src/forward/held_kv.rs
@@ -0,0 +1,81 @@
+//! A KV cache that waits at a prefill engine.
+
+use std::sync::Arc;
+
+use async_std::task;
+use turmericrail_core::forward::ServerRun;
+use turmericrail_core::units::Millis;
+use turmericrail_platform::call::{self, KvSource};
+
+use super::clock;
+use super::exchange;
+use super::server_connection::ServerConnection;
+use super::shared::Shared;
+
+/// A KV cache that waits at a prefill engine; freed there if nobody takes it.
+pub struct HeldKv {
+    shared: Arc<Shared>,
+    source: KvSource,
+    run: ServerRun,
+    made_ms: Millis,
+    is_done: bool,
+}
+
+impl HeldKv {
+    /// The result of a prefill that has just ended.
+    pub fn new(shared: &Arc<Shared>, source: KvSource, run: ServerRun) -> Self {
+        let made_ms = clock::now_ms();
+        Self { shared: Arc::clone(shared), source, run, made_ms, is_done: false }
+    }
+
+    /// Where it is.
+    pub fn source(&self) -> &KvSource {
+        &self.source
+    }
+
+    /// The engine that holds it.
+    pub fn run(&self) -> &ServerRun {
+        &self.run
+    }
+
+    /// Time since it was made.
+    pub fn age_ms(&self) -> Millis {
+        clock::now_ms().saturating_sub(self.made_ms)
+    }
+
+    /// Notes that an engine has taken it, or that it is gone.
+    pub fn forget(&mut self) {
+        self.is_done = true;
+    }
+}
+
+impl Drop for HeldKv {
+    fn drop(&mut self) {
+        if !self.is_done {
+            let (shared, source) = (Arc::clone(&self.shared), self.source.clone());
+            task::spawn(release(shared, source, self.run.clone()));
+        }
+    }
+}
+
+/// Frees a KV cache. It expires within a second in any case, so that a failure is only logged.
+async fn release(shared: Arc<Shared>, source: KvSource, run: ServerRun) {
+    let mut bytes = Vec::new();
+    call::write_release(&source, &run.server, &mut bytes);
+    let releasing = async {
+        let mut connection = match shared.pool.take(source.address).await {
+            Some(connection) => connection,
+            None => ServerConnection::open(source.address).await.ok()?,
+        };
+        connection.write(&bytes).await.ok()?;
+        let head = exchange::read_head(&mut connection, "DELETE").await.ok()?;
+        connection.read_body(head.framing, exchange::MAX_BODY_BYTES).await.ok()?;
+        if head.is_kept_alive && connection.buffer.is_empty() {
+            shared.pool.put(source.address, connection);
+        }
+        Some(head.status)
+    };
+    let status = async_std::future::timeout(exchange::SIDE_CALL_TIMEOUT, releasing).await;
+    let status = status.ok().flatten().unwrap_or_default();
+    spdlog::info!("event=kv_released server={} status={status}", run.server);
+}
--- /dev/null
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -0,0 +1,438 @@
+//! Model calls: a prefill at one engine, then the answer in events from another.
+//!
+//! An engine is asked for the answer once the prompt's KV cache is made. Where that path fails, a
+//! decode engine reads the prompt itself. An answer that can be resumed goes on at another engine
+//! after its last whole event.
+
+use std::time::Duration;
+
+use turmericrail_core::error_kind::ErrorKind;
+use turmericrail_core::forward::{CallEnd, Choice, PlanRefusal, Prompt, ServerRun};
+use turmericrail_core::units::Millis;
+use turmericrail_platform::call::{self, KvSource, Step};
+use turmericrail_platform::prefill;
+use turmericrail_wire::http1::{BodyDecoder, EventSplitter, ResponseHead};
+
+use super::answer_writer;
+use super::call_context::CallContext;
+use super::call_guard::CallGuard;
+use super::clock;
+use super::dispatch::{self, Refusal, Served};
+use super::event_relay::CallerStream;
+use super::exchange::{Exchange, OutgoingCall};
+use super::failure::CallFailure;
+use super::held_kv::HeldKv;
+use super::plain_call::is_genuine;
+
+/// How much longer than predicted a prefill or first event may take before the engine counts as
+/// silent.
+const SILENCE_FACTOR: u64 = 3;
+/// Added to that, for what other instances have queued there.
+const SILENCE_SLACK_MS: Millis = Millis(250);
+/// Pauses between events, as a multiple of the wanted one, before an engine counts as silent.
+const GAP_FACTOR: u64 = 2;
+/// Wait named to a caller whose engine refused: the next plan avoids that engine.
+const REFUSED_RETRY_AFTER_MS: Millis = Millis(100);
+
+/// An engine and the KV cache that it starts from.
+struct Leg {
+    choice: Choice,
+    kv: Option<HeldKv>,
+}
+
+/// How a leg ended.
+enum LegEnd {
+    /// The whole answer went to the caller.
+    Complete(Served),
+    /// The engine ran the call and answered that it failed.
+    Answered(ResponseHead, Vec<u8>),
+    /// The engine did not run the call.
+    NotRun,
+    /// The answer did not come, or broke off.
+    Failed(CallFailure),
+    /// The caller takes no more.
+    CallerLost,
+}
+
+/// Sends a model call until its answer is whole.
+pub async fn serve(context: &CallContext<'_>, caller: &CallerStream) -> Result<Served, Refusal> {
+    let mut tried: Vec<ServerRun> = Vec::new();
+    let mut events = EventSplitter::default();
+    let mut sent = 0;
+    let mut leg = first_leg(context).await?;
+    loop {
+        tried.push(leg.choice.run.clone());
+        let end = run_leg(context, caller, &mut leg, &mut events, &tried, sent).await;
+        if !matches!(end, LegEnd::Failed(CallFailure::NotSent)) {
+            sent += 1;
+        }
+        let (kind, may_move) = match end {
+            LegEnd::Complete(served) => return Ok(served),
+            LegEnd::CallerLost => return Ok(Served::Broken),
+            LegEnd::Answered(head, body) => {
+                if caller.has_begun() {
+                    return Ok(Served::Broken);
+                }
+                let bytes =
+                    answer_writer::server_answer(&head, &body, false, caller.is_kept_alive());
+                dispatch::log_answer(
+                    context.shared,
+                    Some(context.request_id),
+                    "completed",
+                    head.status,
+                );
+                return Ok(caller.finish(&bytes).await);
+            }
+            LegEnd::NotRun => (ErrorKind::Overloaded, true),
+            LegEnd::Failed(CallFailure::NotSent) => (ErrorKind::NoServer, true),
+            LegEnd::Failed(_) if context.left_ms() == Millis::ZERO => {
+                (ErrorKind::PlainTimeout, false)
+            }
+            LegEnd::Failed(_) => (ErrorKind::ServerLost, context.route.kind.is_repeatable()),
+        };
+        let refusal = || {
+            if caller.has_begun() {
+                return ErrorKind::StreamBroken.into();
+            }
+            Refusal { kind, retry_after_ms: Some(REFUSED_RETRY_AFTER_MS) }
+        };
+        if !may_move || context.left_ms() == Millis::ZERO {
+            return Err(refusal());
+        }
+        let Some(choice) = choose_alone(context, &tried) else {
+            return Err(refusal());
+        };
+        if !may_send_again(context, sent) {
+            return Err(refusal());
+        }
+        leg = Leg { choice, kv: None };
+    }
+}
+
+fn prompt(context: &CallContext<'_>) -> Prompt {
+    context.request.facts.prompt.unwrap_or_default()
+}
+
+/// Whether the route and the bound on retries let the call go to one more engine.
+fn may_send_again(context: &CallContext<'_>, sent: u32) -> bool {
+    if sent == 0 {
+        return true;
+    }
+    let is_allowed = sent < context.route.max_attempts
+        && context.shared.forwarder().take_repeat(clock::now_ms(), context.service);
+    spdlog::info!(
+        "event=send_again request={} sent={sent} max_attempts={} outcome={}",
+        context.request_id,
+        context.route.max_attempts,
+        if is_allowed { "allowed" } else { "refused" }
+    );
+    is_allowed
+}
+
+/// An engine that runs the whole call.
+fn choose_alone(context: &CallContext<'_>, tried: &[ServerRun]) -> Option<Choice> {
+    let (now_ms, draw) = (clock::now_ms(), fastrand::u64(..));
+    let forwarder = context.shared.forwarder();
+    if !context.is_model_call() {
+        let is_repeatable = context.route.kind.is_repeatable();
+        return forwarder.choose_plain(now_ms, context.service, is_repeatable, tried, draw);
+    }
+    forwarder.choose_alone(now_ms, context.service, prompt(context), tried, draw)
+}
+
+/// Plans the call and makes its KV cache where the plan says so.
+async fn first_leg(context: &CallContext<'_>) -> Result<Leg, Refusal> {
+    if !context.is_model_call() {
+        let choice = choose_alone(context, &[]).ok_or(ErrorKind::NoServer)?;
+        return Ok(Leg { choice, kv: None });
+    }
+    let (now_ms, draw) = (clock::now_ms(), fastrand::u64(..));
+    let planned = context.shared.forwarder().plan_model(
+        now_ms,
+        context.service,
+        prompt(context),
+        context.left_ms(),
+        &[],
+        draw,
+    );
+    let plan = planned.map_err(|refusal| match refusal {
+        PlanRefusal::NoServer => ErrorKind::NoServer.into(),
+        PlanRefusal::DeadlineUnreachable { retry_after_ms } => {
+            Refusal { kind: ErrorKind::DeadlineUnreachable, retry_after_ms: Some(retry_after_ms) }
+        }
+    })?;
+    let Some(engine) = plan.prefill else {
+        return Ok(Leg { choice: plan.decode, kv: None });
+    };
+    let Some(kv) = make_kv(context, &engine).await else {
+        let choice = choose_alone(context, &[]).ok_or(ErrorKind::NoServer)?;
+        return Ok(Leg { choice, kv: None });
+    };
+    // Loads have changed while the prompt was read.
+    let choice = context.shared.forwarder().choose_decode(
+        clock::now_ms(),
+        context.service,
+        prompt(context),
+        Some(&engine.data_centre),
+        &[],
+        draw,
+    );
+    Ok(Leg { choice: choice.ok_or(ErrorKind::NoServer)?, kv: Some(kv) })
+}
+
+/// Time after which an engine counts as silent.
+fn silence_ms(choice: &Choice) -> Millis {
+    Millis(choice.predicted_ms.0 * SILENCE_FACTOR) + SILENCE_SLACK_MS
+}
+
+/// Has an engine read the prompt; nothing where it did not. A prefill is no run of the call, so
+/// that a lost one does no harm.
+async fn make_kv(context: &CallContext<'_>, engine: &Choice) -> Option<HeldKv> {
+    let guard = CallGuard::start(context.shared, engine);
+    let limit_ms = silence_ms(engine).min(context.left_ms());
+    let prefilled = call_prefill(context, engine, limit_ms).await;
+    let elapsed_ms = guard.elapsed_ms();
+    let end = match &prefilled {
+        Ok(Some(_)) => CallEnd::Answered,
+        Ok(None) => CallEnd::Refused,
+        Err(failure) => failure.call_end(),
+    };
+    log_call(context, "prefill_call", engine, end, elapsed_ms);
+    if end == CallEnd::Answered {
+        context.shared.forwarder().note_prefill(clock::now_ms(), engine, elapsed_ms);
+    }
+    guard.end(end);
+    let handle = prefilled.ok().flatten()?;
+    let source = KvSource { address: engine.address, handle };
+    Some(HeldKv::new(context.shared, source, engine.run.clone()))
+}
+
+async fn call_prefill(
+    context: &CallContext<'_>,
+    engine: &Choice,
+    limit_ms: Millis,
+) -> Result<Option<String>, CallFailure> {
+    let started_ms = clock::now_ms();
+    let bytes = call_bytes(context, engine, &Step::Prefill);
+    let exchange = begin(context, engine, &bytes, limit_ms).await?;
+    let facts = exchange.facts.clone();
+    let left_ms = (started_ms + limit_ms).saturating_sub(clock::now_ms());
+    let (head, body) = exchange.read_body(&context.shared.pool, engine.address, left_ms).await?;
+    if facts.is_not_run || !head.is_success() {
+        return Ok(None);
+    }
+    match prefill::decode(&body) {
+        Ok(prefilled) => Ok(Some(prefilled.handle)),
+        Err(error) => {
+            spdlog::warn!(
+                "event=prefill_malformed request={} server={} error={:?}",
+                context.request_id,
+                engine.run.server,
+                error.to_string()
+            );
+            Err(CallFailure::Lost)
+        }
+    }
+}
+
+fn call_bytes(context: &CallContext<'_>, choice: &Choice, step: &Step<'_>) -> Vec<u8> {
+    let request = context.request;
+    let mut bytes = Vec::new();
+    let left_ms = context.left_ms();
+    let length = request.body.len();
+    call::write_head(&request.head, length, &choice.run.server, left_ms, step, &mut bytes);
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
+
+async fn begin(
+    context: &CallContext<'_>,
+    choice: &Choice,
+    bytes: &[u8],
+    limit_ms: Millis,
+) -> Result<Exchange, CallFailure> {
+    let outgoing = OutgoingCall {
+        address: choice.address,
+        bytes,
+        method: &context.request.head.method,
+        request_id: context.request_id,
+    };
+    let exchange = Exchange::begin(&context.shared.pool, &outgoing, limit_ms).await?;
+    if let Some(load) = exchange.facts.load {
+        context.shared.forwarder().report(clock::now_ms(), &choice.run, load);
+    }
+    Ok(exchange)
+}
+
+fn log_call(
+    context: &CallContext<'_>,
+    event: &str,
+    choice: &Choice,
+    end: CallEnd,
+    elapsed_ms: Millis,
+) {
+    spdlog::info!(
+        "event={event} request={} server={} predicted_ms={} looked_at={} registry_revision={} \
+         config_version={} outcome={} elapsed_ms={}",
+        context.request_id,
+        choice.run.server,
+        choice.predicted_ms.0,
+        choice.looked_at,
+        choice.registry_revision,
+        context.table.version(),
+        end.as_str(),
+        elapsed_ms.0
+    );
+}
+
+/// Runs the call, or what is left of it, at one engine.
+async fn run_leg(
+    context: &CallContext<'_>,
+    caller: &CallerStream,
+    leg: &mut Leg,
+    events: &mut EventSplitter,
+    tried: &[ServerRun],
+    sent: u32,
+) -> LegEnd {
+    let guard = CallGuard::start(context.shared, &leg.choice);
+    let is_movable = context.route.kind.is_repeatable()
+        && sent + 1 < context.route.max_attempts
+        && choose_alone(context, tried).is_some();
+    let end = relay(context, caller, leg, events, &guard, is_movable).await;
+    let call_end = match &end {
+        LegEnd::Complete(_) => CallEnd::Answered,
+        LegEnd::Answered(head, _) if head.status >= 500 => CallEnd::Failed,
+        LegEnd::Answered(..) => CallEnd::Answered,
+        LegEnd::NotRun => CallEnd::Refused,
+        LegEnd::Failed(failure) => failure.call_end(),
+        LegEnd::CallerLost => CallEnd::Cancelled,
+    };
+    log_call(context, "server_call", &leg.choice, call_end, guard.elapsed_ms());
+    guard.end(call_end);
+    end
+}
+
+async fn relay(
+    context: &CallContext<'_>,
+    caller: &CallerStream,
+    leg: &mut Leg,
+    events: &mut EventSplitter,
+    guard: &CallGuard,
+    is_movable: bool,
+) -> LegEnd {
+    let limit_ms = |silence_ms: Millis| {
+        let left_ms = context.left_ms();
+        if is_movable { left_ms.min(silence_ms) } else { left_ms }
+    };
+    let bytes = {
+        let last_event_id = events.last_id();
+        let step = match &leg.kv {
+            Some(kv) => Step::Decode { source: kv.source(), last_event_id },
+            None => Step::Run { last_event_id },
+        };
+        call_bytes(context, &leg.choice, &step)
+    };
+    let first_event_ms = silence_ms(&leg.choice).max(context.route.target_ms);
+    let begun = begin(context, &leg.choice, &bytes, limit_ms(first_event_ms)).await;
+    let mut exchange = match begun {
+        Ok(exchange) => exchange,
+        Err(failure) => return LegEnd::Failed(failure),
+    };
+    if exchange.facts.is_not_run {
+        refuse_kv(context, leg);
+        let left_ms = context.left_ms();
+        let _ = exchange.read_body(&context.shared.pool, leg.choice.address, left_ms).await;
+        return LegEnd::NotRun;
+    }
+    if let Some(kv) = &mut leg.kv {
+        kv.forget();
+    }
+    if !is_genuine(&exchange.head, &exchange.facts) {
+        return LegEnd::Failed(CallFailure::Lost);
+    }
+    if !exchange.head.is_success() {
+        let left_ms = context.left_ms();
+        let pool = &context.shared.pool;
+        return match exchange.read_body(pool, leg.choice.address, left_ms).await {
+            Ok((head, body)) => LegEnd::Answered(head, body),
+            Err(failure) => LegEnd::Failed(failure),
+        };
+    }
+    let mut decoder = BodyDecoder::new(exchange.head.framing);
+    let mut is_first = true;
+    loop {
+        let mut data = Vec::new();
+        let Ok(used) = decoder.decode(&exchange.connection.buffer, &mut data) else {
+            events.take_partial();
+            return LegEnd::Failed(CallFailure::Lost);
+        };
+        exchange.connection.buffer.drain(..used);
+        let Some(whole) = events.push(&data) else {
+            events.take_partial();
+            return LegEnd::Failed(CallFailure::Lost);
+        };
+        if is_first && !whole.is_empty() {
+            is_first = false;
+            note_first_event(context, leg, guard);
+        }
+        if !caller.write_events(&exchange.head, &whole).await {
+            return LegEnd::CallerLost;
+        }
+        if decoder.is_done() {
+            break;
+        }
+        let gap_ms = Millis(context.route.gap_target_ms.0 * GAP_FACTOR);
+        let silence_ms = if is_first { first_event_ms } else { gap_ms };
+        let timeout = Duration::from_millis(limit_ms(silence_ms).0);
+        let filling = async_std::future::timeout(timeout, exchange.connection.fill());
+        let failure = match filling.await {
+            Ok(Ok(0)) if decoder.end_of_input().is_ok() => None,
+            Ok(Ok(read)) if read > 0 => None,
+            Ok(_) => Some(CallFailure::Lost),
+            Err(_) => Some(CallFailure::Silent),
+        };
+        if let Some(failure) = failure {
+            events.take_partial();
+            return LegEnd::Failed(failure);
+        }
+    }
+    let rest = events.take_partial();
+    if !caller.write_events(&exchange.head, &rest).await {
+        return LegEnd::CallerLost;
+    }
+    let served = caller.end_events(&exchange.head).await;
+    let request_id = Some(context.request_id);
+    dispatch::log_answer(context.shared, request_id, "completed", exchange.head.status);
+    exchange.keep(&context.shared.pool, leg.choice.address);
+    LegEnd::Complete(served)
+}
+
+fn note_first_event(context: &CallContext<'_>, leg: &Leg, guard: &CallGuard) {
+    let elapsed_ms = guard.elapsed_ms();
+    if leg.kv.is_some() {
+        let choice = guard.choice();
+        context.shared.forwarder().note_first_event(clock::now_ms(), choice, elapsed_ms);
+    }
+    spdlog::info!(
+        "event=first_event request={} server={} after_ms={} since_arrival_ms={}",
+        context.request_id,
+        leg.choice.run.server,
+        elapsed_ms.0,
+        context.elapsed_ms().0
+    );
+}
+
+/// An engine that has room and refuses a KV cache could not fetch it: that counts against the
+/// engine that should have kept it.
+fn refuse_kv(context: &CallContext<'_>, leg: &mut Leg) {
+    let Some(kv) = &mut leg.kv else {
+        return;
+    };
+    spdlog::info!(
+        "event=kv_refused request={} server={} source={} age_ms={}",
+        context.request_id,
+        leg.choice.run.server,
+        kv.run().server,
+        kv.age_ms().0
+    );
+}
--- /dev/null
+++ b/crates/turmericrail/src/forward/operator_edge.rs
@@ -0,0 +1,76 @@
+//! Pages for the balancer and for operators: readiness, health, metrics and status.
+
+use std::sync::Arc;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use tide::{Request, Response, Server, StatusCode};
+
+use super::clock;
+use super::shared::Shared;
+use crate::error::StartError;
+
+type Asked = Request<Arc<Shared>>;
+
+/// Listens on the addresses for the balancer and for operators.
+pub async fn listen(shared: &Arc<Shared>) -> Result<(), StartError> {
+    let mut app = Server::with_state(Arc::clone(shared));
+    app.at("/ready").get(ready);
+    app.at("/health").get(|_: Asked| async { Ok(Response::new(StatusCode::Ok)) });
+    app.at("/metrics").get(metrics);
+    app.at("/status").get(status);
+    for address in [shared.settings.ready_address, shared.settings.operator_address] {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.map_err(|source| StartError::Listen { address, source })?;
+        let app = app.clone();
+        task::spawn(async move {
+            if let Err(error) = app.listen(listener).await {
+                spdlog::error!("event=operator_edge_error error={:?}", error.to_string());
+            }
+        });
+    }
+    Ok(())
+}
+
+async fn ready(request: Asked) -> tide::Result {
+    let status = match request.state().is_ready() {
+        true => StatusCode::Ok,
+        false => StatusCode::ServiceUnavailable,
+    };
+    Ok(Response::new(status))
+}
+
+async fn metrics(request: Asked) -> tide::Result {
+    let body = request.state().metrics.render();
+    Ok(Response::builder(200).content_type("text/plain; version=0.0.4").body(body).build())
+}
+
+async fn status(request: Asked) -> tide::Result {
+    let shared = request.state();
+    let forwarder = shared.forwarder();
+    let servers: Vec<_> = forwarder
+        .registry()
+        .servers(clock::now_ms())
+        .map(|(server, entry)| {
+            serde_json::json!({
+                "server": server,
+                "service": entry.service,
+                "address": entry.address,
+                "data_centre": entry.data_centre,
+                "role": entry.role,
+                "state": format!("{:?}", entry.state).to_lowercase(),
+            })
+        })
+        .collect();
+    let body = serde_json::json!({
+        "instance": shared.settings.instance,
+        "is_ready": !shared.is_leaving() && forwarder.table().is_some(),
+        "is_leaving": shared.is_leaving(),
+        "config_version": forwarder.table().map(|table| table.version()),
+        "registry_revision": forwarder.registry().revision(),
+        "calls": shared.calls(),
+        "connections": shared.connections(),
+        "servers": servers,
+    });
+    Ok(Response::builder(200).body(body).build())
+}
--- /dev/null
+++ b/crates/turmericrail/src/forward/plain_call.rs
@@ -0,0 +1,213 @@
+//! Calls whose whole answer is held before it goes to the caller.
+//!
+//! Since nothing of an answer reaches the caller before all of it has come, an idempotent call can
+//! be sent to another server whenever the first one fails. A call that runs once at the most is
+//! sent again only where the server says that it did not run it.
+
+use std::time::Duration;
+
+use async_std::task;
+use futures_lite::FutureExt;
+use turmericrail_core::error_kind::ErrorKind;
+use turmericrail_core::forward::{CallEnd, Choice, ServerRun};
+use turmericrail_core::units::Millis;
+use turmericrail_platform::answer::AnswerFacts;
+use turmericrail_platform::call::{self, Step};
+use turmericrail_wire::http1::ResponseHead;
+
+use super::call_context::CallContext;
+use super::call_guard::CallGuard;
+use super::clock;
+use super::dispatch::Refusal;
+use super::exchange::{Exchange, OutgoingCall};
+use super::failure::CallFailure;
+
+/// Part of the target after which an idempotent call that got no answer goes to another server;
+/// what is left of the target suffices for a second try at the usual pace.
+const HEDGE_PART: f64 = 0.6;
+/// Servers in a row that can't be reached before the caller is told so.
+const MAX_UNREACHED: usize = 3;
+
+/// Statuses that tell a caller that the call did not run.
+const PROMISES_NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// How one try ended.
+enum TryEnd {
+    /// The server ran the call and answered.
+    Answered(ResponseHead, Vec<u8>),
+    /// The server did not run the call.
+    NotRun,
+    /// No answer.
+    Failed(CallFailure),
+    /// No answer so far; the call goes to this server instead.
+    MovedTo(Choice),
+}
+
+/// Sends a call until a server has answered it.
+pub async fn serve(context: &CallContext<'_>) -> Result<(ResponseHead, Vec<u8>), Refusal> {
+    let mut tried: Vec<ServerRun> = Vec::new();
+    let mut sent = 0;
+    let mut unreached = 0;
+    let mut next = choose(context, &tried).ok_or(ErrorKind::NoServer)?;
+    loop {
+        tried.push(next.run.clone());
+        let end = try_server(context, &next, &tried, sent + 1).await;
+        if let TryEnd::MovedTo(choice) = end {
+            sent += 1;
+            next = choice;
+            continue;
+        }
+        let is_reached = !matches!(end, TryEnd::Failed(CallFailure::NotSent));
+        if is_reached {
+            sent += 1;
+        } else {
+            unreached += 1;
+        }
+        let outcome = match end {
+            TryEnd::Answered(head, body) if is_final(context, &head) => return Ok((head, body)),
+            TryEnd::Answered(head, body) => Ok((head, body)),
+            TryEnd::NotRun => Err(ErrorKind::Overloaded),
+            TryEnd::Failed(CallFailure::NotSent) => Err(ErrorKind::NoServer),
+            TryEnd::Failed(failure) if !context.route.kind.is_repeatable() => {
+                return Err(lost(failure).into());
+            }
+            TryEnd::Failed(failure) => Err(lost(failure)),
+            TryEnd::MovedTo(_) => unreachable!("a moved call was dealt with above"),
+        };
+        if context.left_ms() == Millis::ZERO || unreached > MAX_UNREACHED {
+            return outcome.map_err(Refusal::from);
+        }
+        match choose(context, &tried) {
+            Some(choice) if may_send_again(context, sent) => next = choice,
+            _ => return outcome.map_err(Refusal::from),
+        }
+    }
+}
+
+/// Whether the caller gets this answer even if another server could be asked.
+fn is_final(context: &CallContext<'_>, head: &ResponseHead) -> bool {
+    head.status < 500 || !context.route.kind.is_repeatable()
+}
+
+fn lost(failure: CallFailure) -> ErrorKind {
+    match failure {
+        CallFailure::Silent => ErrorKind::PlainTimeout,
+        CallFailure::NotSent | CallFailure::Lost => ErrorKind::ServerLost,
+    }
+}
+
+/// Whether the route and the bound on retries let the call go to one more server.
+fn may_send_again(context: &CallContext<'_>, sent: u32) -> bool {
+    if sent == 0 {
+        return true;
+    }
+    let is_allowed = sent < context.route.max_attempts
+        && context.shared.forwarder().take_repeat(clock::now_ms(), context.service);
+    let outcome = if is_allowed { "allowed" } else { "refused" };
+    spdlog::info!(
+        "event=send_again request={} sent={sent} max_attempts={} outcome={outcome}",
+        context.request_id,
+        context.route.max_attempts
+    );
+    is_allowed
+}
+
+fn choose(context: &CallContext<'_>, tried: &[ServerRun]) -> Option<Choice> {
+    let is_repeatable = context.route.kind.is_repeatable();
+    let (now_ms, draw) = (clock::now_ms(), fastrand::u64(..));
+    let forwarder = context.shared.forwarder();
+    forwarder.choose_plain(now_ms, context.service, is_repeatable, tried, draw)
+}
+
+/// Sends the call to one server; gives up on it before the deadline only for another one.
+async fn try_server(
+    context: &CallContext<'_>,
+    choice: &Choice,
+    tried: &[ServerRun],
+    sent: u32,
+) -> TryEnd {
+    let guard = CallGuard::start(context.shared, choice);
+    let end = {
+        let mut calling = Box::pin(call_server(context, choice));
+        if context.route.kind.is_repeatable() {
+            let hedge_ms = (context.route.target_ms.0 as f64 * HEDGE_PART) as u64;
+            let pause = async {
+                task::sleep(Duration::from_millis(hedge_ms)).await;
+                None
+            };
+            let first = async { Some(calling.as_mut().await) }.or(pause).await;
+            match (first, choose(context, tried)) {
+                (Some(end), _) => end,
+                (None, Some(other)) if may_send_again(context, sent) => TryEnd::MovedTo(other),
+                (None, _) => calling.await,
+            }
+        } else {
+            calling.await
+        }
+    };
+    let elapsed_ms = guard.elapsed_ms();
+    let call_end = match &end {
+        TryEnd::Answered(head, _) if head.status >= 500 => CallEnd::Failed,
+        TryEnd::Answered(..) => CallEnd::Answered,
+        TryEnd::NotRun => CallEnd::Refused,
+        TryEnd::Failed(failure) => failure.call_end(),
+        TryEnd::MovedTo(_) => CallEnd::Silent,
+    };
+    spdlog::info!(
+        "event=server_call request={} server={} predicted_ms={} looked_at={} \
+         registry_revision={} config_version={} outcome={} elapsed_ms={}",
+        context.request_id,
+        choice.run.server,
+        choice.predicted_ms.0,
+        choice.looked_at,
+        choice.registry_revision,
+        context.table.version(),
+        call_end.as_str(),
+        elapsed_ms.0
+    );
+    if call_end == CallEnd::Answered {
+        context.shared.forwarder().note_answer(clock::now_ms(), choice, elapsed_ms);
+    }
+    guard.end(call_end);
+    end
+}
+
+async fn call_server(context: &CallContext<'_>, choice: &Choice) -> TryEnd {
+    let request = context.request;
+    let left_ms = context.left_ms();
+    let mut bytes = Vec::new();
+    let step = Step::Run { last_event_id: None };
+    let body = &request.body;
+    call::write_head(&request.head, body.len(), &choice.run.server, left_ms, &step, &mut bytes);
+    bytes.extend_from_slice(body);
+    let outgoing = OutgoingCall {
+        address: choice.address,
+        bytes: &bytes,
+        method: &request.head.method,
+        request_id: context.request_id,
+    };
+    let pool = &context.shared.pool;
+    let exchange = match Exchange::begin(pool, &outgoing, left_ms).await {
+        Ok(exchange) => exchange,
+        Err(failure) => return TryEnd::Failed(failure),
+    };
+    let facts = exchange.facts.clone();
+    if let Some(load) = facts.load {
+        context.shared.forwarder().report(clock::now_ms(), &choice.run, load);
+    }
+    match exchange.read_body(pool, choice.address, context.left_ms()).await {
+        _ if facts.is_not_run => TryEnd::NotRun,
+        Ok((head, body)) if is_genuine(&head, &facts) => TryEnd::Answered(head, body),
+        Ok(_) => TryEnd::Failed(CallFailure::Lost),
+        Err(failure) => TryEnd::Failed(failure),
+    }
+}
+
+/// Whether an answer may be passed on as it is: a success needs the server's proof, and a status
+/// that promises that nothing ran needs the server's word for it.
+pub fn is_genuine(head: &ResponseHead, facts: &AnswerFacts) -> bool {
+    if head.is_success() {
+        return facts.is_signed && !facts.is_encoded;
+    }
+    !PROMISES_NOT_RUN.contains(&head.status)
+}
--- /dev/null
+++ b/crates/turmericrail/src/forward/settings.rs
@@ -0,0 +1,95 @@
+//! Settings of an instance that forwards calls.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+use turmericrail_core::adapters::{IpAndPort, Quantity};
+use turmericrail_core::config::error::decode_text;
+use turmericrail_core::config::{ConfigError, KeyPath};
+use turmericrail_core::forward::RetryBounds;
+use turmericrail_core::ids::{DataCentreId, InstanceId};
+use turmericrail_core::units::Millis;
+
+use crate::error::StartError;
+use crate::log_level::LogLevel;
+
+/// Settings of an instance that forwards calls.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ForwardSettings {
+    /// This instance.
+    pub instance: InstanceId,
+    /// Where it stands.
+    pub data_centre: DataCentreId,
+    /// IP number and port for callers; every path belongs to them.
+    #[serde_as(as = "IpAndPort")]
+    pub caller_address: SocketAddr,
+    /// IP number and port for the balancer's question whether callers may come.
+    #[serde_as(as = "IpAndPort")]
+    pub ready_address: SocketAddr,
+    /// IP number and port for operators: health, metrics, status.
+    #[serde_as(as = "IpAndPort")]
+    pub operator_address: SocketAddr,
+    /// IP number and port of the store that configuration and servers are read from.
+    #[serde_as(as = "IpAndPort")]
+    pub store_address: SocketAddr,
+    /// Time from the order to end until the process is killed.
+    #[serde_as(as = "Quantity")]
+    pub grace_ms: Millis,
+    /// Calls sent again for each call, at the most.
+    pub retry_ratio: f64,
+    /// Calls sent again in each window in addition, by all instances together.
+    pub retry_slack: u64,
+    /// Length of the window in which calls sent again are counted.
+    #[serde_as(as = "Quantity")]
+    pub retry_window_ms: Millis,
+    /// Least severe level that is logged.
+    #[serde(default)]
+    pub log_level: LogLevel,
+}
+
+impl ForwardSettings {
+    /// Reads and checks a settings file.
+    pub fn read(path: &Path) -> Result<Self, StartError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| StartError::ReadSettings { path: path.to_owned(), source })?;
+        Self::parse(&text)
+            .map_err(|problem| StartError::BadSettings { path: path.to_owned(), problem })
+    }
+
+    /// Parses and checks the text of a settings file.
+    pub fn parse(text: &str) -> Result<Self, ConfigError> {
+        let settings: Self = decode_text(text)?;
+        settings.check().map_err(|error| error.in_text(text))?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), ConfigError> {
+        let error = |field: &str, problem: &str| Err(ConfigError::at(KeyPath::new(field), problem));
+        if !self.retry_ratio.is_finite() || self.retry_ratio < 0.0 {
+            return error("retry_ratio", "must be zero or more");
+        }
+        if self.retry_window_ms == Millis::ZERO {
+            return error("retry_window_ms", "must be more than zero");
+        }
+        if self.grace_ms == Millis::ZERO {
+            return error("grace_ms", "must be more than zero");
+        }
+        if self.store_address.ip().is_unspecified() {
+            return error("store_address", "name the IP number of the store");
+        }
+        Ok(())
+    }
+
+    /// The bound on calls sent again.
+    pub fn retry_bounds(&self) -> RetryBounds {
+        RetryBounds {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+            window_ms: self.retry_window_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -0,0 +1,114 @@
+//! One prefix of the store: read whole, then watched.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use turmericrail_core::units::Millis;
+use turmericrail_platform::store::{self, StoreItem};
+
+use super::clock;
+use super::shared::Shared;
+use super::store_client::{StoreClient, StoreError};
+
+/// Time for which the store holds a watch without changes.
+const WATCH_MS: Millis = Millis(10_000);
+/// Time in addition for the answer of a watch to arrive.
+const WATCH_MARGIN: Duration = Duration::from_millis(1_500);
+/// Longest wait for the answer of a read.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pauses after failed calls, doubling between these; each call is paid for, and what the store
+/// has to say must arrive within a second or two of its return.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause.
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+
+/// What a prefix told.
+pub enum Told {
+    /// Every item of the prefix, as they stood at the revision or later.
+    All(u64, Vec<StoreItem>),
+    /// Items that changed.
+    Changed(Vec<StoreItem>),
+    /// Calls are answered again after some were not.
+    Returned,
+}
+
+/// Reads and watches a prefix for ever, handing on what it tells.
+pub async fn run(shared: Arc<Shared>, prefix: &'static str, take: impl Fn(Told)) {
+    let mut client = StoreClient::new(shared.settings.store_address);
+    let mut revision = None;
+    let mut pause = FIRST_PAUSE;
+    let mut lost_ms: Option<Millis> = None;
+    loop {
+        let result = match revision {
+            None => read_all(&shared, &mut client, prefix).await,
+            Some(after) => watch(&shared, &mut client, prefix, after).await,
+        };
+        match result {
+            Ok((at, told)) => {
+                if let Some(since_ms) = lost_ms.take() {
+                    let lost_for_ms = clock::now_ms().saturating_sub(since_ms);
+                    spdlog::info!(
+                        "event=store_regained prefix={prefix} revision={at} lost_for_ms={}",
+                        lost_for_ms.0
+                    );
+                    take(Told::Returned);
+                }
+                pause = FIRST_PAUSE;
+                revision = Some(at);
+                take(told);
+            }
+            Err(StoreError::Status(store::HISTORY_GONE)) => {
+                spdlog::info!("event=store_history_gone prefix={prefix}");
+                revision = None;
+            }
+            Err(error) => {
+                if lost_ms.is_none() {
+                    lost_ms = Some(clock::now_ms());
+                    spdlog::warn!(
+                        "event=store_lost prefix={prefix} revision={} error={:?}",
+                        revision.unwrap_or_default(),
+                        error.to_string()
+                    );
+                }
+                task::sleep(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+                pause = (pause * 2).min(MAX_PAUSE);
+            }
+        }
+    }
+}
+
+async fn read_all(
+    shared: &Shared,
+    client: &mut StoreClient,
+    prefix: &str,
+) -> Result<(u64, Told), StoreError> {
+    let mut items: Vec<StoreItem> = Vec::new();
+    let mut first_revision = None;
+    loop {
+        let last_key = items.last().map(|item| item.key.as_str());
+        let target = store::list_target(prefix, last_key);
+        shared.metrics.store_calls.with_label_values(&["list"]).inc();
+        let page = store::decode_page(&client.get(&target, READ_TIMEOUT).await?)?;
+        // Pages are no snapshot: what changed after the first one is told by the watch.
+        let revision = *first_revision.get_or_insert(page.revision);
+        let is_last = !page.has_more || page.items.is_empty();
+        items.extend(page.items);
+        if is_last {
+            return Ok((revision, Told::All(revision, items)));
+        }
+    }
+}
+
+async fn watch(
+    shared: &Shared,
+    client: &mut StoreClient,
+    prefix: &str,
+    after: u64,
+) -> Result<(u64, Told), StoreError> {
+    let target = store::watch_target(prefix, after, WATCH_MS);
+    let timeout = Duration::from_millis(WATCH_MS.0) + WATCH_MARGIN;
+    shared.metrics.store_calls.with_label_values(&["watch"]).inc();
+    let changes = store::decode_changes(&client.get(&target, timeout).await?)?;
+    Ok((changes.revision.max(after), Told::Changed(changes.items)))
+}
--- a/crates/turmericrail/src/lib.rs
+++ b/crates/turmericrail/src/lib.rs
@@ -5,10 +5,12 @@
 //! no decisions: they turn what they see into events and carry out actions.
 
 pub mod backend_edge;
+pub mod bounded_log;
 pub mod caller_edge;
 pub mod cli;
 pub mod daemon;
 pub mod error;
+pub mod forward;
 pub mod log_level;
 pub mod logs;
 pub mod metrics;
--- a/crates/turmericrail/src/logs.rs
+++ b/crates/turmericrail/src/logs.rs
@@ -1,22 +1,40 @@
-//! The log: one line of key=value pairs for each event, on standard error.
+//! The log: one line of key=value pairs for each event.
 
 use std::sync::Arc;
 
-use spdlog::formatter::{PatternFormatter, pattern};
-use spdlog::sink::StdStreamSink;
+use spdlog::formatter::{Formatter, PatternFormatter, pattern};
+use spdlog::sink::{Sink, StdStreamSink, WriteSink};
 use spdlog::{LevelFilter, Logger};
 use turmericrail_core::action::Decision;
 
+use crate::bounded_log::BoundedLog;
 use crate::error::StartError;
 use crate::log_level::LogLevel;
 
-/// Sets the log up for the whole process.
-pub fn set_up(level: LogLevel) -> Result<(), StartError> {
-    let formatter = PatternFormatter::new(pattern!(
+/// The formatter of every line.
+fn formatter() -> impl Formatter + Clone + 'static {
+    PatternFormatter::new(pattern!(
         "time={year}-{month}-{day}T{hour}:{minute}:{second}.{millisecond} level={level} {payload}{eol}"
-    ));
-    let sink = StdStreamSink::builder().stderr().formatter(formatter).build_arc();
+    ))
+}
+
+/// Sets the log up for the whole process, on standard error.
+pub fn set_up(level: LogLevel) -> Result<(), StartError> {
+    let sink = StdStreamSink::builder().stderr().formatter(formatter()).build_arc();
     let sink = sink.map_err(|error| StartError::Log(error.to_string()))?;
+    install(sink, level)
+}
+
+/// Sets the log up on standard output, where a reader that falls behind costs lines and no time.
+pub fn set_up_bounded(level: LogLevel) -> Result<BoundedLog, StartError> {
+    let log = BoundedLog::start();
+    let sink = WriteSink::builder().target(log.clone()).formatter(formatter()).build_arc();
+    let sink = sink.map_err(|error| StartError::Log(error.to_string()))?;
+    install(sink, level)?;
+    Ok(log)
+}
+
+fn install(sink: Arc<dyn Sink>, level: LogLevel) -> Result<(), StartError> {
     let logger = Logger::builder()
         .sink(sink)
         .level_filter(LevelFilter::MoreSevereEqual(level.into()))
--- a/crates/turmericrail/src/main.rs
+++ b/crates/turmericrail/src/main.rs
@@ -2,11 +2,15 @@
 
 use std::process::ExitCode;
 
-use turmericrail::{cli, daemon, error::StartError};
+use turmericrail::cli::{self, Options};
+use turmericrail::error::StartError;
+use turmericrail::{daemon, forward};
 
 fn run() -> Result<(), StartError> {
-    let options = cli::parse()?;
-    daemon::start(options.settings)
+    match cli::parse()? {
+        Options::Route(settings) => daemon::start(*settings),
+        Options::Forward(settings) => forward::start(*settings),
+    }
 }
 
 fn main() -> ExitCode {
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -87,9 +87,60 @@
 impl Metrics {
     /// The text form for a scrape.
     pub fn render(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        encoded.expect("writing to memory does not fail");
-        text
+        render(&self.registry)
     }
 }
+
+/// Metrics of an instance that forwards calls.
+pub struct ForwardMetrics {
+    registry: Registry,
+    /// Final answers by outcome.
+    pub answers: IntCounterVec,
+    /// Calls to backend servers by their end.
+    pub server_calls: IntCounterVec,
+    /// Calls of the store by kind.
+    pub store_calls: IntCounterVec,
+    /// Configuration version in force.
+    pub config_version: IntGauge,
+}
+
+impl Default for ForwardMetrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        Self {
+            answers: counter(&registry, "turmericrail_answers_total", "Final answers.", "outcome"),
+            server_calls: counter(
+                &registry,
+                "turmericrail_server_calls_total",
+                "Calls to backend servers.",
+                "end",
+            ),
+            store_calls: counter(
+                &registry,
+                "turmericrail_store_calls_total",
+                "Calls of the store.",
+                "call",
+            ),
+            config_version: gauge(
+                &registry,
+                "turmericrail_config_version",
+                "Configuration version in force.",
+            ),
+            registry,
+        }
+    }
+}
+
+impl ForwardMetrics {
+    /// The text form for a scrape.
+    pub fn render(&self) -> Vec<u8> {
+        render(&self.registry)
+    }
+}
+
+fn render(registry: &Registry) -> Vec<u8> {
+    let mut text = Vec::new();
+    let encoded = TextEncoder::new().encode(&registry.gather(), &mut text);
+    encoded.expect("writing to memory does not fail");
+    text
+}
--- /dev/null
+++ b/crates/wire/src/http1/chunk_decoder.rs
@@ -0,0 +1,106 @@
+//! The chunked transfer coding.
+
+use super::BodyError;
+
+/// Longest line of a chunk's size, with its extensions, or of a trailer field.
+const MAX_LINE_BYTES: usize = 4 * 1024;
+/// Most hexadecimal digits of a chunk's size.
+const MAX_SIZE_DIGITS: usize = 15;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    Size,
+    Data(u64),
+    DataEnd,
+    Trailer,
+    Done,
+}
+
+/// Decodes chunks as they arrive.
+#[derive(Clone, Debug)]
+pub struct ChunkDecoder {
+    state: State,
+    line: Vec<u8>,
+}
+
+impl Default for ChunkDecoder {
+    fn default() -> Self {
+        Self { state: State::Size, line: Vec::new() }
+    }
+}
+
+impl ChunkDecoder {
+    /// Whether the last chunk and its trailer were read.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// Appends what `input` holds of the body to `out`; returns how much of it was used.
+    pub fn decode(&mut self, input: &[u8], out: &mut Vec<u8>) -> Result<usize, BodyError> {
+        let mut used = 0;
+        while used < input.len() && !self.is_done() {
+            let rest = &input[used..];
+            if let State::Data(left) = self.state {
+                let taken = usize::try_from(left).unwrap_or(usize::MAX).min(rest.len());
+                out.extend_from_slice(&rest[..taken]);
+                used += taken;
+                let left = left - taken as u64;
+                self.state = if left == 0 { State::DataEnd } else { State::Data(left) };
+                continue;
+            }
+            let taken = rest.iter().position(|byte| *byte == b'\n').map_or(rest.len(), |at| at + 1);
+            self.line.extend_from_slice(&rest[..taken]);
+            used += taken;
+            if self.line.len() > MAX_LINE_BYTES {
+                return Err(BodyError::Malformed);
+            }
+            if self.line.ends_with(b"\n") {
+                self.end_line()?;
+            }
+        }
+        Ok(used)
+    }
+
+    fn end_line(&mut self) -> Result<(), BodyError> {
+        let line = std::mem::take(&mut self.line);
+        let line = line.strip_suffix(b"\r\n").ok_or(BodyError::Malformed)?;
+        self.state = match self.state {
+            State::Size => match parse_size(line)? {
+                0 => State::Trailer,
+                size => State::Data(size),
+            },
+            State::DataEnd if line.is_empty() => State::Size,
+            State::Trailer if line.is_empty() => State::Done,
+            State::Trailer => State::Trailer,
+            _ => return Err(BodyError::Malformed),
+        };
+        Ok(())
+    }
+}
+
+fn parse_size(line: &[u8]) -> Result<u64, BodyError> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let digits = digits.trim_ascii_end();
+    let is_number = (1..=MAX_SIZE_DIGITS).contains(&digits.len())
+        && digits.iter().all(|digit| digit.is_ascii_hexdigit());
+    if !is_number || line.contains(&b'\r') {
+        return Err(BodyError::Malformed);
+    }
+    let text = std::str::from_utf8(digits).map_err(|_| BodyError::Malformed)?;
+    u64::from_str_radix(text, 16).map_err(|_| BodyError::Malformed)
+}
+
+/// Appends `data` as one chunk; nothing where there is no data, since that would end the body.
+pub fn write_chunk(data: &[u8], out: &mut Vec<u8>) {
+    if data.is_empty() {
+        return;
+    }
+    out.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    out.extend_from_slice(data);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends the chunk that ends a body.
+pub fn write_last_chunk(out: &mut Vec<u8>) {
+    out.extend_from_slice(b"0\r\n\r\n");
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod convert;
 mod convert_members;
 pub mod engine;
+pub mod http1;
 pub mod kept_connections;
 #[allow(missing_docs)]
 #[allow(clippy::all)]
