Reserve a place at a decode engine before the prompt is read

Change: a reservation of memory at the decode engine comes first, then the prefill, then the run with both; calls wait for a place while all engines are full, those within their target ask more often. Excluded: guessing the fill from own calls and reported loads, which are seconds old with eight instances.

--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -180,6 +180,16 @@
         self.loads.entry(run.clone()).or_default().report(now_ms, reported);
     }
 
+    /// Notes that a server had no room for a call.
+    pub fn note_full(&mut self, now_ms: Millis, choice: &Choice) {
+        self.loads.entry(choice.run.clone()).or_default().note_full(now_ms);
+    }
+
+    /// Notes that an engine did not keep a KV cache that it had made.
+    pub fn note_kv_lost(&mut self, now_ms: Millis, run: &ServerRun) {
+        self.loads.entry(run.clone()).or_default().fail(now_ms);
+    }
+
     /// Takes the time to the answer of a plain call.
     pub fn note_answer(&mut self, now_ms: Millis, choice: &Choice, measured_ms: Millis) {
         self.paces.entry(choice.service.clone()).or_default().note_answer(measured_ms);
@@ -416,7 +426,9 @@
     let batch = f64::from(candidate.load.calls()) + others;
     let filled = candidate.load.tokens() as f64 + others * USUAL_TOKENS + needed.0 as f64;
     let memory = kv_tokens.map_or(f64::INFINITY, |tokens| tokens.0 as f64 * MEMORY_FILL);
-    let waits = if filled > memory { FULL_ENGINE_MS * (filled / memory) } else { 0.0 };
+    let is_full = candidate.load.is_full(now_ms);
+    let waits =
+        if is_full || filled > memory { FULL_ENGINE_MS * (filled / memory).max(1.0) } else { 0.0 };
     batch * BATCH_MS + waits
 }
 
--- a/crates/core/src/forward/load.rs
+++ b/crates/core/src/forward/load.rs
@@ -8,6 +8,9 @@
 /// hundred milliseconds at the most.
 const REPORT_FADE_MS: f64 = 1_000.0;
 
+/// Time for which a server counts as full after it had no room; some answers end in it.
+const FULL_MS: Millis = Millis(150);
+
 /// A server's own word on its load.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ReportedLoad {
@@ -33,6 +36,7 @@
     report: Option<Report>,
     pace: Pace,
     failures: FailureScore,
+    full_ms: Option<Millis>,
 }
 
 impl ServerLoad {
@@ -54,6 +58,11 @@
         }
     }
 
+    /// Counts a failure that is no end of a call.
+    pub fn fail(&mut self, now_ms: Millis) {
+        self.failures.fail(now_ms, 1.0);
+    }
+
     /// Takes the time to an answer or first event and what was predicted at normal pace.
     pub fn note_pace(&mut self, now_ms: Millis, measured_ms: Millis, predicted_ms: Millis) {
         self.pace.note(now_ms, measured_ms, predicted_ms);
@@ -66,6 +75,16 @@
         self.report = Some(Report { others, at_ms: now_ms });
     }
 
+    /// Notes that the server had no room for a call.
+    pub fn note_full(&mut self, now_ms: Millis) {
+        self.full_ms = Some(now_ms);
+    }
+
+    /// Whether the server had no room for a call a moment ago.
+    pub fn is_full(&self, now_ms: Millis) -> bool {
+        self.full_ms.is_some_and(|at_ms| now_ms < at_ms + FULL_MS)
+    }
+
     /// Calls of this instance that have not ended.
     pub fn calls(&self) -> u32 {
         self.calls
--- a/crates/core/src/forward/service.rs
+++ b/crates/core/src/forward/service.rs
@@ -12,6 +12,8 @@
     pub kv_tokens: Tokens,
     /// Time for which the result of a prefill is kept.
     pub handle_ttl_ms: Millis,
+    /// Longest time of a reservation; zero where its engines take none.
+    pub reservation_ms: Millis,
 }
 
 /// A service that calls are forwarded to.
--- a/crates/turmericrail/src/forward/exchange.rs
+++ b/crates/turmericrail/src/forward/exchange.rs
@@ -19,8 +19,6 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Largest body that is held in memory.
 pub const MAX_BODY_BYTES: usize = 8 << 20;
-/// Longest wait for a call that no caller waits for.
-pub const SIDE_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Answers to other requests that are passed over on one connection.
 const MAX_FOREIGN_ANSWERS: usize = 4;
 
@@ -88,13 +86,17 @@
     /// Keeps the connection after the whole body was read, where it can be used again.
     pub fn keep(mut self, pool: &ConnectionPool, address: SocketAddr) {
         if self.is_reusable && self.head.is_kept_alive && self.connection.buffer.is_empty() {
-            self.connection.keep_alive_ms =
-                self.head.headers.keep_alive_s().map(|seconds| Millis(seconds * 1_000));
+            self.connection.keep_alive_ms = keep_alive_ms(&self.head);
             pool.put(address, self.connection);
         }
     }
 }
 
+/// Time for which the server keeps an idle connection, where it says so.
+pub fn keep_alive_ms(head: &ResponseHead) -> Option<Millis> {
+    head.headers.keep_alive_s().map(|seconds| Millis(seconds * 1_000))
+}
+
 async fn send(
     mut connection: ServerConnection,
     call: &OutgoingCall<'_>,
--- a/crates/turmericrail/src/forward/held_kv.rs
+++ b/crates/turmericrail/src/forward/held_kv.rs
@@ -8,9 +8,8 @@
 use turmericrail_platform::call::{self, KvSource};
 
 use super::clock;
-use super::exchange;
-use super::server_connection::ServerConnection;
 use super::shared::Shared;
+use super::side_call;
 
 /// A KV cache that waits at a prefill engine; freed there if nobody takes it.
 pub struct HeldKv {
@@ -62,20 +61,7 @@
 async fn release(shared: Arc<Shared>, source: KvSource, run: ServerRun) {
     let mut bytes = Vec::new();
     call::write_release(&source, &run.server, &mut bytes);
-    let releasing = async {
-        let mut connection = match shared.pool.take(source.address).await {
-            Some(connection) => connection,
-            None => ServerConnection::open(source.address).await.ok()?,
-        };
-        connection.write(&bytes).await.ok()?;
-        let head = exchange::read_head(&mut connection, "DELETE").await.ok()?;
-        connection.read_body(head.framing, exchange::MAX_BODY_BYTES).await.ok()?;
-        if head.is_kept_alive && connection.buffer.is_empty() {
-            shared.pool.put(source.address, connection);
-        }
-        Some(head.status)
-    };
-    let status = async_std::future::timeout(exchange::SIDE_CALL_TIMEOUT, releasing).await;
-    let status = status.ok().flatten().unwrap_or_default();
+    let answer = side_call::call(&shared, source.address, "DELETE", &bytes).await;
+    let status = answer.map(|(status, _)| status).unwrap_or_default();
     spdlog::info!("event=kv_released server={} status={status}", run.server);
 }
--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -6,10 +6,12 @@
 
 use std::time::Duration;
 
+use async_std::task;
 use turmericrail_core::error_kind::ErrorKind;
-use turmericrail_core::forward::{CallEnd, Choice, PlanRefusal, Prompt, ServerRun};
+use turmericrail_core::forward::{CallEnd, Choice, ModelPlan, PlanRefusal, Prompt, ServerRun};
+use turmericrail_core::ids::DataCentreId;
 use turmericrail_core::units::Millis;
-use turmericrail_platform::call::{self, KvSource, Step};
+use turmericrail_platform::call::{self, KvSource, Start, Step};
 use turmericrail_platform::prefill;
 use turmericrail_wire::http1::{BodyDecoder, EventSplitter, ResponseHead};
 
@@ -23,6 +25,7 @@
 use super::failure::CallFailure;
 use super::held_kv::HeldKv;
 use super::plain_call::is_genuine;
+use super::reservation::{Asked, Reservation};
 
 /// How much longer than predicted a prefill or first event may take before the engine counts as
 /// silent.
@@ -33,13 +36,30 @@
 const GAP_FACTOR: u64 = 2;
 /// Wait named to a caller whose engine refused: the next plan avoids that engine.
 const REFUSED_RETRY_AFTER_MS: Millis = Millis(100);
+/// Engines asked for a place in one round.
+const MAX_ENGINES_ASKED: usize = 4;
+/// Longest wait for a place, as a multiple of the target.
+const MAX_WAIT_FACTOR: u64 = 2;
+/// Mean time between rounds while the target can be met: places become free several times in it.
+const PAUSE_MS: Millis = Millis(60);
+/// Mean time between rounds once it can't.
+const LATE_PAUSE_MS: Millis = Millis(300);
+/// Wait named to a caller who found every engine full: about that of one answer.
+const FULL_RETRY_AFTER_MS: Millis = Millis(1_500);
 
-/// An engine and the KV cache that it starts from.
+/// A run of the call at one engine, before it begins.
 struct Leg {
-    choice: Choice,
+    guard: CallGuard,
+    place: Option<Reservation>,
     kv: Option<HeldKv>,
 }
 
+impl Leg {
+    fn choice(&self) -> &Choice {
+        self.guard.choice()
+    }
+}
+
 /// How a leg ended.
 enum LegEnd {
     /// The whole answer went to the caller.
@@ -61,8 +81,8 @@
     let mut sent = 0;
     let mut leg = first_leg(context).await?;
     loop {
-        tried.push(leg.choice.run.clone());
-        let end = run_leg(context, caller, &mut leg, &mut events, &tried, sent).await;
+        tried.push(leg.choice().run.clone());
+        let end = run_leg(context, caller, leg, &mut events, &tried, sent).await;
         if !matches!(end, LegEnd::Failed(CallFailure::NotSent)) {
             sent += 1;
         }
@@ -99,13 +119,14 @@
         if !may_move || context.left_ms() == Millis::ZERO {
             return Err(refusal());
         }
-        let Some(choice) = choose_alone(context, &tried) else {
-            return Err(refusal());
-        };
-        if !may_send_again(context, sent) {
+        if choose_alone(context, &tried).is_none() || !may_send_again(context, sent) {
             return Err(refusal());
         }
-        leg = Leg { choice, kv: None };
+        let choose = |full: &[ServerRun]| choose_alone(context, &[&tried, full].concat());
+        leg = match reserve(context, &choose).await {
+            Some(leg) => leg,
+            None => return Err(refusal()),
+        };
     }
 }
 
@@ -140,44 +161,107 @@
     forwarder.choose_alone(now_ms, context.service, prompt(context), tried, draw)
 }
 
-/// Plans the call and makes its KV cache where the plan says so.
+/// Finds a place for the call and makes its KV cache where the plan says so.
 async fn first_leg(context: &CallContext<'_>) -> Result<Leg, Refusal> {
     if !context.is_model_call() {
         let choice = choose_alone(context, &[]).ok_or(ErrorKind::NoServer)?;
-        return Ok(Leg { choice, kv: None });
+        return Ok(unreserved(context, &choice));
     }
-    let (now_ms, draw) = (clock::now_ms(), fastrand::u64(..));
+    loop {
+        let plan = plan(context)?;
+        let near = plan.prefill.as_ref().map(|engine| engine.data_centre.clone());
+        let choose = |full: &[ServerRun]| match &near {
+            Some(near) => choose_decode(context, near, full),
+            None => choose_alone(context, full),
+        };
+        let Some(mut leg) = reserve(context, &choose).await else {
+            wait_for_place(context).await?;
+            continue;
+        };
+        if let Some(engine) = &plan.prefill {
+            leg.kv = make_kv(context, engine).await;
+        }
+        return Ok(leg);
+    }
+}
+
+fn plan(context: &CallContext<'_>) -> Result<ModelPlan, Refusal> {
     let planned = context.shared.forwarder().plan_model(
-        now_ms,
+        clock::now_ms(),
         context.service,
         prompt(context),
         context.left_ms(),
         &[],
-        draw,
+        fastrand::u64(..),
     );
-    let plan = planned.map_err(|refusal| match refusal {
+    planned.map_err(|refusal| match refusal {
         PlanRefusal::NoServer => ErrorKind::NoServer.into(),
         PlanRefusal::DeadlineUnreachable { retry_after_ms } => {
             Refusal { kind: ErrorKind::DeadlineUnreachable, retry_after_ms: Some(retry_after_ms) }
         }
-    })?;
-    let Some(engine) = plan.prefill else {
-        return Ok(Leg { choice: plan.decode, kv: None });
-    };
-    let Some(kv) = make_kv(context, &engine).await else {
-        let choice = choose_alone(context, &[]).ok_or(ErrorKind::NoServer)?;
-        return Ok(Leg { choice, kv: None });
-    };
-    // Loads have changed while the prompt was read.
-    let choice = context.shared.forwarder().choose_decode(
-        clock::now_ms(),
-        context.service,
-        prompt(context),
-        Some(&engine.data_centre),
-        &[],
-        draw,
-    );
-    Ok(Leg { choice: choice.ok_or(ErrorKind::NoServer)?, kv: Some(kv) })
+    })
+}
+
+/// An engine that goes on from a KV cache made in the data centre `near`.
+fn choose_decode(
+    context: &CallContext<'_>,
+    near: &DataCentreId,
+    full: &[ServerRun],
+) -> Option<Choice> {
+    let (now_ms, draw) = (clock::now_ms(), fastrand::u64(..));
+    let forwarder = context.shared.forwarder();
+    forwarder.choose_decode(now_ms, context.service, prompt(context), Some(near), full, draw)
+}
+
+fn unreserved(context: &CallContext<'_>, choice: &Choice) -> Leg {
+    Leg { guard: CallGuard::start(context.shared, choice), place: None, kv: None }
+}
+
+/// Reserves a place at the best engine that has one; nothing where all that were asked are full.
+async fn reserve(
+    context: &CallContext<'_>,
+    choose: &impl Fn(&[ServerRun]) -> Option<Choice>,
+) -> Option<Leg> {
+    let engine = context.table.service(context.service).and_then(|service| service.engine);
+    let ttl_ms = engine.map_or(Millis::ZERO, |engine| engine.reservation_ms);
+    if ttl_ms == Millis::ZERO {
+        return choose(&[]).map(|choice| unreserved(context, &choice));
+    }
+    let mut full = Vec::new();
+    while full.len() < MAX_ENGINES_ASKED {
+        let choice = choose(&full)?;
+        let mut leg = unreserved(context, &choice);
+        let asked =
+            Reservation::ask(context.shared, &choice, prompt(context).kv_tokens(), ttl_ms).await;
+        match asked {
+            Asked::Reserved(place) => {
+                leg.place = Some(place);
+                return Some(leg);
+            }
+            Asked::Full => context.shared.forwarder().note_full(clock::now_ms(), &choice),
+            Asked::Failed => leg.guard.end(CallEnd::Silent),
+        }
+        full.push(choice.run);
+    }
+    None
+}
+
+/// Waits a moment while every engine is full. Calls that can still meet their target ask more often
+/// than those that can't, so that places go to answers that are worth most to their callers.
+async fn wait_for_place(context: &CallContext<'_>) -> Result<(), Refusal> {
+    let elapsed_ms = context.elapsed_ms();
+    let target_ms = context.route.target_ms;
+    let is_late = elapsed_ms > target_ms;
+    let longest_ms = Millis(target_ms.0 * MAX_WAIT_FACTOR).min(Millis(context.deadline_ms.0 / 2));
+    if elapsed_ms > longest_ms {
+        let refusal =
+            Refusal { kind: ErrorKind::Overloaded, retry_after_ms: Some(FULL_RETRY_AFTER_MS) };
+        return Err(refusal);
+    }
+    let pause_ms = if is_late { LATE_PAUSE_MS } else { PAUSE_MS };
+    let pause = Duration::from_millis(pause_ms.0).mul_f64(0.5 + fastrand::f64());
+    task::sleep(pause).await;
+    Ok(())
 }
 
 /// Time after which an engine counts as silent.
@@ -289,16 +373,16 @@
 async fn run_leg(
     context: &CallContext<'_>,
     caller: &CallerStream,
-    leg: &mut Leg,
+    mut leg: Leg,
     events: &mut EventSplitter,
     tried: &[ServerRun],
     sent: u32,
 ) -> LegEnd {
-    let guard = CallGuard::start(context.shared, &leg.choice);
     let is_movable = context.route.kind.is_repeatable()
         && sent + 1 < context.route.max_attempts
         && choose_alone(context, tried).is_some();
-    let end = relay(context, caller, leg, events, &guard, is_movable).await;
+    let started_ms = clock::now_ms();
+    let end = relay(context, caller, &mut leg, events, is_movable).await;
     let call_end = match &end {
         LegEnd::Complete(_) => CallEnd::Answered,
         LegEnd::Answered(head, _) if head.status >= 500 => CallEnd::Failed,
@@ -307,8 +391,9 @@
         LegEnd::Failed(failure) => failure.call_end(),
         LegEnd::CallerLost => CallEnd::Cancelled,
     };
-    log_call(context, "server_call", &leg.choice, call_end, guard.elapsed_ms());
-    guard.end(call_end);
+    let elapsed_ms = clock::now_ms().saturating_sub(started_ms);
+    log_call(context, "server_call", leg.choice(), call_end, elapsed_ms);
+    leg.guard.end(call_end);
     end
 }
 
@@ -317,7 +402,6 @@
     caller: &CallerStream,
     leg: &mut Leg,
     events: &mut EventSplitter,
-    guard: &CallGuard,
     is_movable: bool,
 ) -> LegEnd {
     let limit_ms = |silence_ms: Millis| {
@@ -325,15 +409,16 @@
         if is_movable { left_ms.min(silence_ms) } else { left_ms }
     };
     let bytes = {
-        let last_event_id = events.last_id();
-        let step = match &leg.kv {
-            Some(kv) => Step::Decode { source: kv.source(), last_event_id },
-            None => Step::Run { last_event_id },
+        let start = Start {
+            source: leg.kv.as_ref().map(HeldKv::source),
+            reservation: leg.place.as_ref().and_then(Reservation::id),
+            last_event_id: events.last_id(),
         };
-        call_bytes(context, &leg.choice, &step)
+        call_bytes(context, leg.choice(), &Step::Run(start))
     };
-    let first_event_ms = silence_ms(&leg.choice).max(context.route.target_ms);
-    let begun = begin(context, &leg.choice, &bytes, limit_ms(first_event_ms)).await;
+    let sent_ms = clock::now_ms();
+    let first_event_ms = silence_ms(leg.choice()).max(context.route.target_ms);
+    let begun = begin(context, leg.choice(), &bytes, limit_ms(first_event_ms)).await;
     let mut exchange = match begun {
         Ok(exchange) => exchange,
         Err(failure) => return LegEnd::Failed(failure),
@@ -341,19 +426,22 @@
     if exchange.facts.is_not_run {
         refuse_kv(context, leg);
         let left_ms = context.left_ms();
-        let _ = exchange.read_body(&context.shared.pool, leg.choice.address, left_ms).await;
+        let _ = exchange.read_body(&context.shared.pool, leg.choice().address, left_ms).await;
         return LegEnd::NotRun;
     }
     if let Some(kv) = &mut leg.kv {
         kv.forget();
     }
+    if let Some(place) = &mut leg.place {
+        place.note_used();
+    }
     if !is_genuine(&exchange.head, &exchange.facts) {
         return LegEnd::Failed(CallFailure::Lost);
     }
     if !exchange.head.is_success() {
         let left_ms = context.left_ms();
         let pool = &context.shared.pool;
-        return match exchange.read_body(pool, leg.choice.address, left_ms).await {
+        return match exchange.read_body(pool, leg.choice().address, left_ms).await {
             Ok((head, body)) => LegEnd::Answered(head, body),
             Err(failure) => LegEnd::Failed(failure),
         };
@@ -373,7 +461,7 @@
         };
         if is_first && !whole.is_empty() {
             is_first = false;
-            note_first_event(context, leg, guard);
+            note_first_event(context, leg, sent_ms);
         }
         if !caller.write_events(&exchange.head, &whole).await {
             return LegEnd::CallerLost;
@@ -403,36 +491,39 @@
     let served = caller.end_events(&exchange.head).await;
     let request_id = Some(context.request_id);
     dispatch::log_answer(context.shared, request_id, "completed", exchange.head.status);
-    exchange.keep(&context.shared.pool, leg.choice.address);
+    exchange.keep(&context.shared.pool, leg.choice().address);
     LegEnd::Complete(served)
 }
 
-fn note_first_event(context: &CallContext<'_>, leg: &Leg, guard: &CallGuard) {
-    let elapsed_ms = guard.elapsed_ms();
+fn note_first_event(context: &CallContext<'_>, leg: &Leg, sent_ms: Millis) {
+    let elapsed_ms = clock::now_ms().saturating_sub(sent_ms);
     if leg.kv.is_some() {
-        let choice = guard.choice();
-        context.shared.forwarder().note_first_event(clock::now_ms(), choice, elapsed_ms);
+        let now_ms = clock::now_ms();
+        context.shared.forwarder().note_first_event(now_ms, leg.choice(), elapsed_ms);
     }
     spdlog::info!(
         "event=first_event request={} server={} after_ms={} since_arrival_ms={}",
         context.request_id,
-        leg.choice.run.server,
+        leg.choice().run.server,
         elapsed_ms.0,
         context.elapsed_ms().0
     );
 }
 
-/// An engine that has room and refuses a KV cache could not fetch it: that counts against the
-/// engine that should have kept it.
-fn refuse_kv(context: &CallContext<'_>, leg: &mut Leg) {
-    let Some(kv) = &mut leg.kv else {
+/// An engine that had reserved a place and refuses a KV cache could not fetch it: that counts
+/// against the engine that should have kept it.
+fn refuse_kv(context: &CallContext<'_>, leg: &Leg) {
+    let Some(kv) = &leg.kv else {
         return;
     };
     spdlog::info!(
         "event=kv_refused request={} server={} source={} age_ms={}",
         context.request_id,
-        leg.choice.run.server,
+        leg.choice().run.server,
         kv.run().server,
         kv.age_ms().0
     );
+    if leg.place.is_some() {
+        context.shared.forwarder().note_kv_lost(clock::now_ms(), kv.run());
+    }
 }
--- a/crates/turmericrail/src/forward/plain_call.rs
+++ b/crates/turmericrail/src/forward/plain_call.rs
@@ -12,7 +12,7 @@
 use turmericrail_core::forward::{CallEnd, Choice, ServerRun};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::answer::AnswerFacts;
-use turmericrail_platform::call::{self, Step};
+use turmericrail_platform::call::{self, Start, Step};
 use turmericrail_wire::http1::ResponseHead;
 
 use super::call_context::CallContext;
@@ -176,7 +176,7 @@
     let request = context.request;
     let left_ms = context.left_ms();
     let mut bytes = Vec::new();
-    let step = Step::Run { last_event_id: None };
+    let step = Step::Run(Start::default());
     let body = &request.body;
     call::write_head(&request.head, body.len(), &choice.run.server, left_ms, &step, &mut bytes);
     bytes.extend_from_slice(body);
