--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -134,6 +134,11 @@
         self.registry.note_return(now_ms);
     }
 
+    /// Sets the bound on calls sent again.
+    pub fn set_retry_bounds(&mut self, bounds: RetryBounds) {
+        self.settings.retry_bounds = bounds;
+    }
+
     /// Sets the number of instances that share the bound on calls sent again.
     pub fn set_instances(&mut self, instances: usize) {
         self.instances = instances.max(1);
--- a/crates/turmericrail/src/cli.rs
+++ b/crates/turmericrail/src/cli.rs
@@ -29,8 +29,8 @@
 pub enum Options {
     /// Route by the product's own interface.
     Route(Box<Settings>),
-    /// Forward calls to servers that register themselves.
-    Forward(Box<ForwardSettings>),
+    /// Forward calls to servers that register themselves, by the settings of this file.
+    Forward(PathBuf, Box<ForwardSettings>),
 }
 
 /// Parses and checks the command line; prints help or version and exits where asked to.
@@ -42,7 +42,10 @@
     }
     match (arguments.settings, arguments.forward) {
         (Some(path), None) => Ok(Options::Route(Box::new(Settings::read(&path)?))),
-        (None, Some(path)) => Ok(Options::Forward(Box::new(ForwardSettings::read(&path)?))),
+        (None, Some(path)) => {
+            let settings = ForwardSettings::read(&path)?;
+            Ok(Options::Forward(path, Box::new(settings)))
+        }
         (None, None) => Err(StartError::NoSettings),
         (Some(_), Some(_)) => Err(StartError::TwoSettings),
     }
--- a/crates/turmericrail/src/forward/caller_edge.rs
+++ b/crates/turmericrail/src/forward/caller_edge.rs
@@ -19,7 +19,7 @@
 
 /// Listens for callers until the task is cancelled.
 pub async fn listen(shared: &Arc<Shared>) -> Result<JoinHandle<()>, StartError> {
-    let address = shared.settings.caller_address;
+    let address = shared.settings().caller_address;
     let listener = TcpListener::bind(address).await;
     let listener = listener.map_err(|source| StartError::Listen { address, source })?;
     let shared = Arc::clone(shared);
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -22,28 +22,33 @@
 mod model_call;
 mod operator_edge;
 mod plain_call;
+mod reload;
 mod reservation;
 mod server_connection;
 pub mod settings;
 mod shared;
 mod shutdown;
 mod side_call;
+mod signals;
 mod store_client;
 mod store_sync;
 mod store_watch;
 
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use async_global_executor::GlobalExecutorConfig;
 use async_std::task;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::error::StartError;
 use crate::logs;
 use settings::ForwardSettings;
 use shared::Shared;
+use signals::Signal;
 
 /// Starts the executor with one thread and runs the daemon until it was told to end.
-pub fn start(settings: ForwardSettings) -> Result<(), StartError> {
+pub fn start(path: PathBuf, settings: ForwardSettings) -> Result<(), StartError> {
     let executor = GlobalExecutorConfig::default()
         .with_min_threads(1)
         .with_max_threads(1)
@@ -53,21 +58,23 @@
     let (ended, end) = async_channel::bounded(1);
     // The main thread only waits for the end, so that the worker alone polls the sockets.
     task::spawn(async move {
-        let _ = ended.send(run(settings).await).await;
+        let _ = ended.send(run(path, settings).await).await;
     });
     let result = end.recv_blocking().unwrap_or(Ok(()));
     log.flush();
     result
 }
 
-async fn run(settings: ForwardSettings) -> Result<(), StartError> {
+async fn run(path: PathBuf, settings: ForwardSettings) -> Result<(), StartError> {
     let shared = Arc::new(Shared::new(settings));
-    let signals = shutdown::watch_signals()?;
+    let ordered_to_end = Signal::watch(&[SIGTERM, SIGINT])?;
+    let hangup = Signal::watch(&[SIGHUP])?;
     let listening = caller_edge::listen(&shared).await?;
     operator_edge::listen(&shared).await?;
     store_sync::start(&shared);
     task::spawn(shared::expire(Arc::clone(&shared)));
-    let settings = &shared.settings;
+    task::spawn(reload::run(Arc::clone(&shared), path, hangup));
+    let settings = shared.settings();
     spdlog::info!(
         "event=started instance={} data_centre={} caller_address={} store_address={}",
         settings.instance,
@@ -75,7 +82,7 @@
         settings.caller_address,
         settings.store_address
     );
-    shutdown::run(&shared, signals, listening).await;
+    shutdown::run(&shared, ordered_to_end, listening).await;
     spdlog::info!("event=ended instance={}", settings.instance);
     Ok(())
 }
--- a/crates/turmericrail/src/forward/operator_edge.rs
+++ b/crates/turmericrail/src/forward/operator_edge.rs
@@ -19,7 +19,7 @@
     app.at("/health").get(|_: Asked| async { Ok(Response::new(StatusCode::Ok)) });
     app.at("/metrics").get(metrics);
     app.at("/status").get(status);
-    for address in [shared.settings.ready_address, shared.settings.operator_address] {
+    for address in [shared.settings().ready_address, shared.settings().operator_address] {
         let listener = TcpListener::bind(address).await;
         let listener = listener.map_err(|source| StartError::Listen { address, source })?;
         let app = app.clone();
@@ -63,7 +63,7 @@
         })
         .collect();
     let body = serde_json::json!({
-        "instance": shared.settings.instance,
+        "instance": shared.settings().instance,
         "is_ready": !shared.is_leaving() && forwarder.table().is_some(),
         "is_leaving": shared.is_leaving(),
         "config_version": forwarder.table().map(|table| table.version()),
--- a/crates/turmericrail/src/forward/reservation.rs
+++ b/crates/turmericrail/src/forward/reservation.rs
@@ -66,7 +66,6 @@
         }
     }
 
-
     /// Its id, which a run of the call names; nothing where it has expired.
     pub fn id(&self) -> Option<&str> {
         (clock::now_ms() < self.expires_ms).then_some(self.id.as_str())
--- a/crates/turmericrail/src/forward/settings.rs
+++ b/crates/turmericrail/src/forward/settings.rs
@@ -17,7 +17,7 @@
 
 /// Settings of an instance that forwards calls.
 #[serde_as]
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ForwardSettings {
     /// This instance.
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -29,12 +29,11 @@
 
 /// What the edges share.
 pub struct Shared {
-    /// The settings.
-    pub settings: ForwardSettings,
     /// Kept connections to backend servers.
     pub pool: ConnectionPool,
     /// Metrics.
     pub metrics: ForwardMetrics,
+    settings: Mutex<Arc<ForwardSettings>>,
     forwarder: Mutex<Forwarder>,
     is_leaving: AtomicBool,
     calls: AtomicU64,
@@ -54,7 +53,6 @@
         });
         let (idle_open, idle_closing) = async_channel::bounded(1);
         Self {
-            settings,
             pool: ConnectionPool::default(),
             metrics: ForwardMetrics::default(),
             forwarder: Mutex::new(forwarder),
@@ -63,9 +61,21 @@
             connections: AtomicU64::new(0),
             idle_open: Mutex::new(Some(idle_open)),
             idle_closing,
+            settings: Mutex::new(Arc::new(settings)),
         }
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<ForwardSettings> {
+        Arc::clone(&self.settings.lock().unwrap_or_else(|_| std::process::abort()))
+    }
+
+    /// Puts changed settings in force; addresses that are listened on stay as they were.
+    pub fn take_settings(&self, settings: ForwardSettings) {
+        self.forwarder().set_retry_bounds(settings.retry_bounds());
+        *self.settings.lock().unwrap_or_else(|_| std::process::abort()) = Arc::new(settings);
+    }
+
     /// The forwarder; held for one decision.
     pub fn forwarder(&self) -> MutexGuard<'_, Forwarder> {
         self.forwarder.lock().unwrap_or_else(|_| std::process::abort())
--- a/crates/turmericrail/src/forward/shutdown.rs
+++ b/crates/turmericrail/src/forward/shutdown.rs
@@ -4,17 +4,15 @@
 //! has forwarded meanwhile are still served. Then the listener closes, idle connections close, and
 //! the process ends with its last answer, or when its grace is nearly over.
 
-use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_std::io::ReadExt;
 use async_std::task::{self, JoinHandle};
 use turmericrail_core::units::Millis;
 
 use super::clock;
 use super::shared::Shared;
-use crate::error::StartError;
+use super::signals::Signal;
 
 /// Time in which the balancer notices: two questions, one a second, and one more for the way.
 const BALANCER_NOTICES_MS: Millis = Millis(3_200);
@@ -23,34 +21,16 @@
 /// Time between looks at what is left.
 const STEP: Duration = Duration::from_millis(50);
 
-/// Receives the signals that end the process and those that only tell of changed settings.
-pub struct Signals {
-    end: async_std::os::unix::net::UnixStream,
-}
-
-/// Begins to watch the signals.
-pub fn watch_signals() -> Result<Signals, StartError> {
-    let (reader, writer) = UnixStream::pair().map_err(StartError::Signals)?;
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        let writer = writer.try_clone().map_err(StartError::Signals)?;
-        signal_hook::low_level::pipe::register(signal, writer).map_err(StartError::Signals)?;
-    }
-    Ok(Signals { end: reader.into() })
-}
-
 /// Waits for the order to end and ends in order.
-pub async fn run(shared: &Arc<Shared>, mut signals: Signals, listening: JoinHandle<()>) {
-    let mut byte = [0];
-    if let Err(error) = signals.end.read_exact(&mut byte).await {
-        spdlog::error!("event=signals_lost error={:?}", error.to_string());
-    }
+pub async fn run(shared: &Arc<Shared>, mut ordered: Signal, listening: JoinHandle<()>) {
+    ordered.wait().await;
     let ordered_ms = clock::now_ms();
     shared.leave();
     spdlog::info!("event=shutdown calls={} connections={}", shared.calls(), shared.connections());
     task::sleep(Duration::from_millis(BALANCER_NOTICES_MS.0)).await;
     listening.cancel().await;
     shared.close_idle();
-    let last_ms = ordered_ms + shared.settings.grace_ms.saturating_sub(END_MARGIN_MS);
+    let last_ms = ordered_ms + shared.settings().grace_ms.saturating_sub(END_MARGIN_MS);
     while shared.connections() > 0 && clock::now_ms() < last_ms {
         task::sleep(STEP).await;
     }
--- /dev/null
+++ b/crates/turmericrail/src/forward/signals.rs
@@ -0,0 +1,34 @@
+//! Signals of the operating system.
+
+use std::os::unix::net::UnixStream;
+
+use async_std::io::ReadExt;
+
+use crate::error::StartError;
+
+/// One or more signals that mean the same.
+pub struct Signal {
+    reader: async_std::os::unix::net::UnixStream,
+}
+
+impl Signal {
+    /// Begins to catch signals.
+    pub fn watch(signals: &[i32]) -> Result<Self, StartError> {
+        let (reader, writer) = UnixStream::pair().map_err(StartError::Signals)?;
+        for signal in signals {
+            let writer = writer.try_clone().map_err(StartError::Signals)?;
+            signal_hook::low_level::pipe::register(*signal, writer).map_err(StartError::Signals)?;
+        }
+        Ok(Self { reader: reader.into() })
+    }
+
+    /// Waits for the next one; tells whether it came, not only that signals can't be read.
+    pub async fn wait(&mut self) -> bool {
+        let mut byte = [0];
+        let read = self.reader.read_exact(&mut byte).await;
+        if let Err(error) = &read {
+            spdlog::error!("event=signals_lost error={:?}", error.to_string());
+        }
+        read.is_ok()
+    }
+}
--- a/crates/turmericrail/src/forward/store_client.rs
+++ b/crates/turmericrail/src/forward/store_client.rs
@@ -29,22 +29,22 @@
 }
 
 /// The store, as one task reads it.
+#[derive(Default)]
 pub struct StoreClient {
-    address: SocketAddr,
     connection: Option<ServerConnection>,
 }
 
 impl StoreClient {
-    /// A client without a connection.
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address, connection: None }
-    }
-
     /// Gets a target; the body of a 200.
-    pub async fn get(&mut self, target: &str, timeout: Duration) -> Result<Vec<u8>, StoreError> {
+    pub async fn get(
+        &mut self,
+        address: SocketAddr,
+        target: &str,
+        timeout: Duration,
+    ) -> Result<Vec<u8>, StoreError> {
         // A call that is given up leaves its connection behind: its answer may still come.
         let connection = self.connection.take();
-        let calling = call(connection, self.address, target);
+        let calling = call(connection, address, target);
         let called = async_std::future::timeout(timeout, calling).await;
         let (connection, status, body) =
             called.unwrap_or(Err(CallFailure::Silent)).map_err(StoreError::Unreachable)?;
--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -35,7 +35,7 @@
 
 /// Reads and watches a prefix for ever, handing on what it tells.
 pub async fn run(shared: Arc<Shared>, prefix: &'static str, take: impl Fn(Told)) {
-    let mut client = StoreClient::new(shared.settings.store_address);
+    let mut client = StoreClient::default();
     let mut revision = None;
     let mut pause = FIRST_PAUSE;
     let mut lost_ms: Option<Millis> = None;
@@ -73,6 +73,9 @@
                 }
                 task::sleep(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
                 pause = (pause * 2).min(MAX_PAUSE);
+                // A watch may have been deaf to changes before it was cut, and one that goes on
+                // from an old revision then waits for the next change.
+                revision = None;
             }
         }
     }
@@ -83,13 +86,14 @@
     client: &mut StoreClient,
     prefix: &str,
 ) -> Result<(u64, Told), StoreError> {
+    let address = shared.settings().store_address;
     let mut items: Vec<StoreItem> = Vec::new();
     let mut first_revision = None;
     loop {
         let last_key = items.last().map(|item| item.key.as_str());
         let target = store::list_target(prefix, last_key);
         shared.metrics.store_calls.with_label_values(&["list"]).inc();
-        let page = store::decode_page(&client.get(&target, READ_TIMEOUT).await?)?;
+        let page = store::decode_page(&client.get(address, &target, READ_TIMEOUT).await?)?;
         // Pages are no snapshot: what changed after the first one is told by the watch.
         let revision = *first_revision.get_or_insert(page.revision);
         let is_last = !page.has_more || page.items.is_empty();
@@ -106,9 +110,10 @@
     prefix: &str,
     after: u64,
 ) -> Result<(u64, Told), StoreError> {
+    let address = shared.settings().store_address;
     let target = store::watch_target(prefix, after, WATCH_MS);
     let timeout = Duration::from_millis(WATCH_MS.0) + WATCH_MARGIN;
     shared.metrics.store_calls.with_label_values(&["watch"]).inc();
-    let changes = store::decode_changes(&client.get(&target, timeout).await?)?;
+    let changes = store::decode_changes(&client.get(address, &target, timeout).await?)?;
     Ok((changes.revision.max(after), Told::Changed(changes.items)))
 }
--- a/crates/turmericrail/src/main.rs
+++ b/crates/turmericrail/src/main.rs
@@ -9,7 +9,7 @@
 fn run() -> Result<(), StartError> {
     match cli::parse()? {
         Options::Route(settings) => daemon::start(*settings),
-        Options::Forward(settings) => forward::start(*settings),
+        Options::Forward(path, settings) => forward::start(path, *settings),
     }
 }
 
