Exchange members and what the platform published between instances

Cause: an instance that the store turns away for longer than the bound on configurations (up to 9 s against 7) knows nothing newer; the bound on retries needs the number of instances. Change: a tonic call between instances, seldom while the store answers and every 0.4 s while it does not, that returns only what the asking instance lacks; members by gossip from the seeds. Excluded: relaying all news at once to all (costs grow with the square of the instances).

--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -119,16 +119,6 @@
         self.registry.take(now_ms, news)
     }
 
-    /// Takes the whole list of servers; returns those that changed.
-    pub fn take_list(
-        &mut self,
-        now_ms: Millis,
-        revision: u64,
-        list: Vec<ServerNews>,
-    ) -> Vec<ServerId> {
-        self.registry.take_list(now_ms, revision, list)
-    }
-
     /// Notes that the registry can be read again after it could not.
     pub fn note_registry_return(&mut self, now_ms: Millis) {
         self.registry.note_return(now_ms);
@@ -141,7 +131,7 @@
 
     /// Sets the number of instances that share the bound on calls sent again.
     pub fn set_instances(&mut self, instances: usize) {
-        self.instances = instances.max(1);
+        self.instances = instances.max(self.settings.assumed_instances);
     }
 
     /// Forgets what is old.
--- a/crates/core/src/forward/prompt.rs
+++ b/crates/core/src/forward/prompt.rs
@@ -12,18 +12,21 @@
     pub prompt_tokens: Tokens,
     /// Most tokens of the answer.
     pub max_output_tokens: Tokens,
+    /// The caller's estimate of the length of the answer.
+    pub expected_output_tokens: Tokens,
 }
 
 impl Default for Prompt {
     fn default() -> Self {
         let tokens = Tokens(UNKNOWN_TOKENS);
-        Self { prompt_tokens: tokens, max_output_tokens: tokens }
+        Self { prompt_tokens: tokens, max_output_tokens: tokens, expected_output_tokens: tokens }
     }
 }
 
 impl Prompt {
-    /// Engine memory that the call may need.
+    /// Engine memory that the call will need, as far as its caller can tell.
     pub fn kv_tokens(&self) -> Tokens {
-        self.prompt_tokens + self.max_output_tokens
+        let expected = self.expected_output_tokens.min(self.max_output_tokens);
+        self.prompt_tokens + expected
     }
 }
--- a/crates/core/src/forward/registry.rs
+++ b/crates/core/src/forward/registry.rs
@@ -5,7 +5,7 @@
 //! back. Entries that lapsed while the platform could not be reached stay in use for a moment after
 //! its return, in which a living server registers anew.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use super::{ServerEntry, ServerNews, ServerState};
 use crate::ids::ServerId;
@@ -64,37 +64,6 @@
         true
     }
 
-    /// Takes the whole list as it stood at `revision` or later; servers that it lacks are removed.
-    /// Returns the servers that changed.
-    pub fn take_list(
-        &mut self,
-        now_ms: Millis,
-        revision: u64,
-        list: Vec<ServerNews>,
-    ) -> Vec<ServerId> {
-        let listed: BTreeSet<_> = list.iter().map(|news| news.server.clone()).collect();
-        let is_missing = |(server, known): &(&ServerId, &Known)| {
-            known.removed_ms.is_none() && known.revision < revision && !listed.contains(*server)
-        };
-        let missing: Vec<_> =
-            self.known.iter().filter(is_missing).map(|(server, _)| server.clone()).collect();
-        let mut changed = Vec::new();
-        for server in missing {
-            let news = ServerNews { server: server.clone(), revision, entry: None };
-            if self.take(now_ms, news) {
-                changed.push(server);
-            }
-        }
-        for news in list {
-            let server = news.server.clone();
-            if self.take(now_ms, news) {
-                changed.push(server);
-            }
-        }
-        self.revision = self.revision.max(revision);
-        changed
-    }
-
     /// Notes that the platform answers again after it could not be reached.
     pub fn note_return(&mut self, now_ms: Millis) {
         self.grace_until_ms = now_ms + LAPSE_GRACE_MS;
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -22,6 +22,7 @@
 mod model_call;
 mod operator_edge;
 mod plain_call;
+mod relay;
 mod reload;
 mod reservation;
 mod server_connection;
@@ -71,7 +72,9 @@
     let hangup = Signal::watch(&[SIGHUP])?;
     let listening = caller_edge::listen(&shared).await?;
     operator_edge::listen(&shared).await?;
+    relay::listen(&shared).await?;
     store_sync::start(&shared);
+    task::spawn(relay::run(Arc::clone(&shared)));
     task::spawn(shared::expire(Arc::clone(&shared)));
     task::spawn(reload::run(Arc::clone(&shared), path, hangup));
     let settings = shared.settings();
--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -178,6 +178,7 @@
             wait_for_place(context).await?;
             continue;
         };
+        log_plan(context, &plan, &leg);
         if let Some(engine) = &plan.prefill {
             leg.kv = make_kv(context, engine).await;
         }
@@ -202,6 +203,21 @@
     })
 }
 
+fn log_plan(context: &CallContext<'_>, plan: &ModelPlan, leg: &Leg) {
+    let prefill = plan.prefill.as_ref().map_or("none", |engine| engine.run.server.as_str());
+    let prompt = prompt(context);
+    spdlog::info!(
+        "event=plan request={} prefill={prefill} decode={} is_reserved={} prompt_tokens={} \
+         expected_output_tokens={} since_arrival_ms={}",
+        context.request_id,
+        leg.choice().run.server,
+        leg.place.is_some(),
+        prompt.prompt_tokens.0,
+        prompt.expected_output_tokens.0,
+        context.elapsed_ms().0
+    );
+}
+
 /// An engine that goes on from a KV cache made in the data centre `near`.
 fn choose_decode(
     context: &CallContext<'_>,
--- /dev/null
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -0,0 +1,236 @@
+//! Exchanges with other instances: members, and what the platform published.
+//!
+//! Each instance asks one other at a time, seldom while it reads the platform itself, and often
+//! while it can't: then others tell it what they have read. The answer holds only what the asking
+//! instance lacks.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use async_std::task;
+use tonic::transport::{Endpoint, Server};
+use tonic::{Request, Response, Status};
+use turmericrail_core::forward::{Member, Members, Published, PublishedItem};
+use turmericrail_core::units::Millis;
+use turmericrail_wire::relay::relay_client::RelayClient;
+use turmericrail_wire::relay::relay_server::{Relay, RelayServer};
+use turmericrail_wire::relay::{self as wire, ExchangeReply, ExchangeRequest};
+
+use super::clock;
+use super::shared::Shared;
+use super::store_sync;
+use crate::error::StartError;
+
+/// Time between exchanges while the platform answers; each costs bytes and processor time.
+const CALM_STEP: Duration = Duration::from_millis(3_000);
+/// Time between exchanges while it doesn't: some of them must fit into the time within which a
+/// configuration has to be in force.
+const LOST_STEP: Duration = Duration::from_millis(400);
+/// Time between exchanges until the first one succeeded.
+const FIRST_STEP: Duration = Duration::from_millis(500);
+/// Longest time of one exchange.
+const TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest message: a megabyte for the configuration and some for the servers.
+const MAX_MESSAGE_BYTES: usize = 8 << 20;
+
+/// What is exchanged.
+pub struct RelayState {
+    members: Mutex<Members>,
+    sets: Mutex<Vec<(&'static str, Published)>>,
+    has_exchanged: Mutex<bool>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|_| std::process::abort())
+}
+
+impl RelayState {
+    /// State of an instance that has heard nothing yet.
+    pub fn new(members: Members, prefixes: &[&'static str]) -> Self {
+        let sets = prefixes.iter().map(|prefix| (*prefix, Published::default())).collect();
+        let has_exchanged = Mutex::new(false);
+        Self { members: Mutex::new(members), sets: Mutex::new(sets), has_exchanged }
+    }
+
+    /// The members.
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        lock(&self.members)
+    }
+
+    /// Lets one set take something; nothing where there is no such set.
+    pub fn with_set<T>(&self, prefix: &str, take: impl FnOnce(&mut Published) -> T) -> Option<T> {
+        let mut sets = lock(&self.sets);
+        sets.iter_mut().find(|(known, _)| *known == prefix).map(|(_, set)| take(set))
+    }
+
+    fn known(&self) -> Vec<wire::KnownSet> {
+        let tell = |(prefix, set): &(&'static str, Published)| wire::KnownSet {
+            prefix: (*prefix).to_owned(),
+            revision: set.revision(),
+        };
+        lock(&self.sets).iter().map(tell).collect()
+    }
+
+    fn newer_than(&self, known: &wire::KnownSet) -> Option<wire::ItemSet> {
+        self.with_set(&known.prefix, |set| {
+            let to_wire = |item: PublishedItem| wire::Item {
+                key: item.key,
+                revision: item.revision,
+                value: item.value,
+            };
+            (set.revision() > known.revision).then(|| wire::ItemSet {
+                prefix: known.prefix.clone(),
+                revision: set.revision(),
+                items: set.since(known.revision).into_iter().map(to_wire).collect(),
+            })
+        })
+        .flatten()
+    }
+}
+
+struct RelayEdge {
+    shared: Arc<Shared>,
+}
+
+#[tonic::async_trait]
+impl Relay for RelayEdge {
+    async fn exchange(
+        &self,
+        request: Request<ExchangeRequest>,
+    ) -> Result<Response<ExchangeReply>, Status> {
+        let asked = request.into_inner();
+        let relay = &self.shared.relay;
+        let reply = ExchangeReply {
+            members: list_members(&self.shared),
+            newer: asked.known.iter().filter_map(|known| relay.newer_than(known)).collect(),
+        };
+        take_members(&self.shared, asked.sender.iter().chain(&asked.members));
+        Ok(Response::new(reply))
+    }
+}
+
+/// Every member with its age, this instance first.
+fn list_members(shared: &Shared) -> Vec<wire::Member> {
+    let settings = shared.settings();
+    let own = wire::Member {
+        instance: settings.instance.to_string(),
+        peer_address: settings.peer_address.to_string(),
+        age_ms: 0,
+    };
+    let to_wire = |member: Member| wire::Member {
+        instance: member.instance.to_string(),
+        peer_address: member.address.to_string(),
+        age_ms: member.age_ms.0,
+    };
+    let others = shared.relay.members().list(clock::now_ms());
+    std::iter::once(own).chain(others.into_iter().map(to_wire)).collect()
+}
+
+fn take_members<'a>(shared: &Shared, members: impl Iterator<Item = &'a wire::Member>) {
+    let now_ms = clock::now_ms();
+    let mut known = shared.relay.members();
+    let before = known.count();
+    for member in members {
+        let (Ok(instance), Ok(address)) = (member.instance.parse(), member.peer_address.parse())
+        else {
+            spdlog::warn!("event=member_malformed instance={:?}", member.instance);
+            continue;
+        };
+        known.take(now_ms, &Member { instance, address, age_ms: Millis(member.age_ms) });
+    }
+    known.expire(now_ms);
+    let count = known.count();
+    drop(known);
+    if count != before {
+        spdlog::info!("event=members_changed count={count} before={before}");
+    }
+}
+
+/// Listens for other instances.
+pub async fn listen(shared: &Arc<Shared>) -> Result<(), StartError> {
+    let address = shared.settings().peer_address;
+    let bound = std::net::TcpListener::bind(address);
+    bound.map_err(|source| StartError::Listen { address, source })?;
+    let service = RelayServer::new(RelayEdge { shared: Arc::clone(shared) })
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES);
+    task::spawn(async move {
+        let serving = Server::builder().add_service(service).serve(address);
+        if let Err(error) = serving.await {
+            spdlog::error!(
+                "event=relay_edge_error address={address} error={:?}",
+                error.to_string()
+            );
+            std::process::exit(1);
+        }
+    });
+    Ok(())
+}
+
+/// Exchanges with others for ever.
+pub async fn run(shared: Arc<Shared>) {
+    loop {
+        let has_exchanged = *lock(&shared.relay.has_exchanged);
+        let step = match (has_exchanged, shared.is_store_lost()) {
+            (false, _) => FIRST_STEP,
+            (true, true) => LOST_STEP,
+            (true, false) => CALM_STEP,
+        };
+        task::sleep(step.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+        let Some(address) = draw_peer(&shared) else {
+            continue;
+        };
+        match async_std::future::timeout(TIMEOUT, exchange(&shared, address)).await {
+            Ok(Ok(())) => *lock(&shared.relay.has_exchanged) = true,
+            Ok(Err(status)) => {
+                let problem = status.message();
+                spdlog::debug!("event=exchange_failed peer={address} problem={problem:?}");
+            }
+            Err(_) => spdlog::debug!("event=exchange_failed peer={address} problem=timeout"),
+        }
+    }
+}
+
+/// A member, or now and then a seed: members that lost each other find together again there.
+fn draw_peer(shared: &Shared) -> Option<SocketAddr> {
+    let settings = shared.settings();
+    let is_other = |address: &&SocketAddr| **address != settings.peer_address;
+    let seeds: Vec<_> = settings.seeds.iter().filter(is_other).collect();
+    let member = shared.relay.members().draw(fastrand::u64(..));
+    let seed = seeds.get(fastrand::usize(..seeds.len().max(1))).map(|address| **address);
+    if fastrand::u8(..) < 32 { seed.or(member) } else { member.or(seed) }
+}
+
+async fn exchange(shared: &Arc<Shared>, address: SocketAddr) -> Result<(), Status> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|error| Status::invalid_argument(error.to_string()))?;
+    let endpoint = endpoint.connect_timeout(TIMEOUT).tcp_nodelay(true);
+    let channel =
+        endpoint.connect().await.map_err(|error| Status::unavailable(error.to_string()))?;
+    let mut client = RelayClient::new(channel)
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES);
+    let mut members = list_members(shared);
+    let sender = members.remove(0);
+    let known = shared.relay.known();
+    let request = ExchangeRequest { sender: Some(sender), members, known };
+    let reply = client.exchange(Request::new(request)).await?.into_inner();
+    take_members(shared, reply.members.iter());
+    for set in reply.newer {
+        let to_item = |item: wire::Item| PublishedItem {
+            key: item.key,
+            revision: item.revision,
+            value: item.value,
+        };
+        let items: Vec<_> = set.items.into_iter().map(to_item).collect();
+        spdlog::info!(
+            "event=relayed peer={address} prefix={} revision={} items={}",
+            set.prefix,
+            set.revision,
+            items.len()
+        );
+        store_sync::take_relayed(shared, &set.prefix, set.revision, items);
+    }
+    Ok(())
+}
--- a/crates/turmericrail/src/forward/settings.rs
+++ b/crates/turmericrail/src/forward/settings.rs
@@ -33,6 +33,14 @@
     /// IP number and port for operators: health, metrics, status.
     #[serde_as(as = "IpAndPort")]
     pub operator_address: SocketAddr,
+    /// IP number and port for other instances, as they reach it.
+    #[serde_as(as = "IpAndPort")]
+    pub peer_address: SocketAddr,
+    /// Some other instances, which may be stale or down; their ports are replaced by that of
+    /// `peer_address`.
+    #[serde_as(as = "Vec<IpAndPort>")]
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// IP number and port of the store that configuration and servers are read from.
     #[serde_as(as = "IpAndPort")]
     pub store_address: SocketAddr,
@@ -62,7 +70,10 @@
 
     /// Parses and checks the text of a settings file.
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
-        let settings: Self = decode_text(text)?;
+        let mut settings: Self = decode_text(text)?;
+        for seed in &mut settings.seeds {
+            seed.set_port(settings.peer_address.port());
+        }
         settings.check().map_err(|error| error.in_text(text))?;
         Ok(settings)
     }
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -1,23 +1,26 @@
 //! What the edges of an instance share.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use async_std::task;
-use turmericrail_core::forward::{Forwarder, ForwarderSettings, RequestLimits};
+use turmericrail_core::forward::{Forwarder, ForwarderSettings, Members, RequestLimits};
 use turmericrail_core::units::{Bytes, Millis};
 
 use super::clock;
 use super::connection_pool::ConnectionPool;
+use super::relay::RelayState;
 use super::settings::ForwardSettings;
+use super::store_sync::PREFIXES;
 use crate::metrics::ForwardMetrics;
 
 /// Time between two rounds in which what is old is forgotten.
 const EXPIRE_STEP: Duration = Duration::from_millis(1_000);
-/// Instances that share the bound on retries until others are known: a little above the largest
-/// deployment of today with few instances.
+/// Instances that share the bound on retries while fewer are known: a little above the size of
+/// today's deployments. After a restart the first exchanges bring the true number.
 const ASSUMED_INSTANCES: usize = 10;
 /// Limits while no configuration is known; those of usual HTTP servers.
 const DEFAULT_LIMITS: RequestLimits = RequestLimits {
@@ -31,10 +34,14 @@
 pub struct Shared {
     /// Kept connections to backend servers.
     pub pool: ConnectionPool,
+    /// What is exchanged with other instances.
+    pub relay: RelayState,
     /// Metrics.
     pub metrics: ForwardMetrics,
     settings: Mutex<Arc<ForwardSettings>>,
     forwarder: Mutex<Forwarder>,
+    /// Sets of items that the store does not tell at present.
+    lost_prefixes: Mutex<BTreeSet<String>>,
     is_leaving: AtomicBool,
     calls: AtomicU64,
     connections: AtomicU64,
@@ -54,7 +61,9 @@
         let (idle_open, idle_closing) = async_channel::bounded(1);
         Self {
             pool: ConnectionPool::default(),
+            relay: RelayState::new(Members::new(settings.instance.clone()), &PREFIXES),
             metrics: ForwardMetrics::default(),
+            lost_prefixes: Mutex::new(BTreeSet::new()),
             forwarder: Mutex::new(forwarder),
             is_leaving: AtomicBool::new(false),
             calls: AtomicU64::new(0),
@@ -91,6 +100,21 @@
         !self.is_leaving() && self.forwarder().table().is_some()
     }
 
+    /// Notes whether the store tells a set of items.
+    pub fn set_store_lost(&self, prefix: &str, is_lost: bool) {
+        let mut lost = self.lost_prefixes.lock().unwrap_or_else(|_| std::process::abort());
+        if is_lost {
+            lost.insert(prefix.to_owned());
+        } else {
+            lost.remove(prefix);
+        }
+    }
+
+    /// Whether the store does not answer.
+    pub fn is_store_lost(&self) -> bool {
+        !self.lost_prefixes.lock().unwrap_or_else(|_| std::process::abort()).is_empty()
+    }
+
     /// Whether a shutdown is under way.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Relaxed)
@@ -157,5 +181,7 @@
         task::sleep(EXPIRE_STEP).await;
         shared.forwarder().expire(clock::now_ms());
         shared.pool.expire();
+        let instances = shared.relay.members().count();
+        shared.forwarder().set_instances(instances);
     }
 }
--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use async_std::task;
+use turmericrail_core::forward::PublishedItem;
 use turmericrail_core::units::Millis;
-use turmericrail_platform::store::{self, StoreItem};
+use turmericrail_platform::store;
 
 use super::clock;
 use super::shared::Shared;
@@ -26,9 +27,11 @@
 /// What a prefix told.
 pub enum Told {
     /// Every item of the prefix, as they stood at the revision or later.
-    All(u64, Vec<StoreItem>),
-    /// Items that changed.
-    Changed(Vec<StoreItem>),
+    All(u64, Vec<PublishedItem>),
+    /// Items that changed up to the revision.
+    Changed(u64, Vec<PublishedItem>),
+    /// Calls are not answered.
+    Lost,
     /// Calls are answered again after some were not.
     Returned,
 }
@@ -70,6 +73,7 @@
                         revision.unwrap_or_default(),
                         error.to_string()
                     );
+                    take(Told::Lost);
                 }
                 task::sleep(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
                 pause = (pause * 2).min(MAX_PAUSE);
@@ -87,7 +91,7 @@
     prefix: &str,
 ) -> Result<(u64, Told), StoreError> {
     let address = shared.settings().store_address;
-    let mut items: Vec<StoreItem> = Vec::new();
+    let mut items: Vec<PublishedItem> = Vec::new();
     let mut first_revision = None;
     loop {
         let last_key = items.last().map(|item| item.key.as_str());
@@ -115,5 +119,6 @@
     let timeout = Duration::from_millis(WATCH_MS.0) + WATCH_MARGIN;
     shared.metrics.store_calls.with_label_values(&["watch"]).inc();
     let changes = store::decode_changes(&client.get(address, &target, timeout).await?)?;
-    Ok((changes.revision.max(after), Told::Changed(changes.items)))
+    let revision = changes.revision.max(after);
+    Ok((revision, Told::Changed(revision, changes.items)))
 }
--- a/crates/wire/examples/generate.rs
+++ b/crates/wire/examples/generate.rs
@@ -1,4 +1,4 @@
-//! Writes the generated code of the peer protocol: `cargo run -p turmericrail-wire --example
+//! Writes the generated code of the peer protocols: `cargo run -p turmericrail-wire --example
 //! generate -- <folder>`. The build itself needs no generator.
 
 use std::error::Error;
@@ -7,7 +7,7 @@
 fn main() -> Result<(), Box<dyn Error>> {
     let folder = std::env::args().nth(1).ok_or("usage: generate <folder>")?;
     let manifest = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let files = protox::compile(["peer.proto"], [manifest.join("proto")])?;
+    let files = protox::compile(["peer.proto", "relay.proto"], [manifest.join("proto")])?;
     tonic_prost_build::configure().out_dir(folder).compile_fds(files)?;
     Ok(())
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,3 +16,8 @@
 #[path = "generated/turmericrail.peer.rs"]
 pub mod peer;
 pub mod platform;
+#[allow(missing_docs)]
+#[allow(clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/turmericrail.relay.rs"]
+pub mod relay;
--- a/crates/wire/tests/generated_code.rs
+++ b/crates/wire/tests/generated_code.rs
@@ -8,11 +8,12 @@
     let folder =
         std::env::temp_dir().join(format!("turmericrail-generated-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
-    let files = protox::compile(["peer.proto"], [manifest.join("proto")]).unwrap();
+    let files = protox::compile(["peer.proto", "relay.proto"], [manifest.join("proto")]).unwrap();
     tonic_prost_build::configure().out_dir(&folder).compile_fds(files).unwrap();
-    let name = "turmericrail.peer.rs";
-    let made = std::fs::read_to_string(folder.join(name)).unwrap();
-    let committed = std::fs::read_to_string(manifest.join("src/generated").join(name)).unwrap();
+    for name in ["turmericrail.peer.rs", "turmericrail.relay.rs"] {
+        let made = std::fs::read_to_string(folder.join(name)).unwrap();
+        let committed = std::fs::read_to_string(manifest.join("src/generated").join(name)).unwrap();
+        assert!(made == committed, "{name}: run the generate example and commit its output");
+    }
     std::fs::remove_dir_all(&folder).unwrap();
-    assert!(made == committed, "run the generate example and commit its output");
 }
