Watch the store less often under change; let late calls ask for places seldom

Change: a pause of 0.4 s after each change, waits of 25 s; late calls ask once a second and leave after three times their target, since their callers leave at four times. Excluded: fewer watching instances (staleness would rest on relays).

--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -38,12 +38,15 @@
 const REFUSED_RETRY_AFTER_MS: Millis = Millis(100);
 /// Engines asked for a place in one round.
 const MAX_ENGINES_ASKED: usize = 4;
-/// Longest wait for a place, as a multiple of the target.
-const MAX_WAIT_FACTOR: u64 = 2;
+/// Longest wait for a place, as a multiple of the target: callers leave after four times it without
+/// an event. Also at most a third of the patience,
+/// so that the answer itself still fits in.
+const MAX_WAIT_FACTOR: u64 = 3;
 /// Mean time between rounds while the target can be met: places become free several times in it.
 const PAUSE_MS: Millis = Millis(60);
-/// Mean time between rounds once it can't.
-const LATE_PAUSE_MS: Millis = Millis(300);
+/// Mean time between rounds once it can't: so long that even many late calls leave most places to
+/// those that can still be in time.
+const LATE_PAUSE_MS: Millis = Millis(1_000);
 /// Wait named to a caller who found every engine full: about that of one answer.
 const FULL_RETRY_AFTER_MS: Millis = Millis(1_500);
 
@@ -268,7 +271,8 @@
     let elapsed_ms = context.elapsed_ms();
     let target_ms = context.route.target_ms;
     let is_late = elapsed_ms > target_ms;
-    let longest_ms = Millis(target_ms.0 * MAX_WAIT_FACTOR).min(Millis(context.deadline_ms.0 / 2));
+    let patience_ms = context.deadline_ms.saturating_sub(context.request.arrived_ms);
+    let longest_ms = Millis(target_ms.0 * MAX_WAIT_FACTOR).min(Millis(patience_ms.0 / 3));
     if elapsed_ms > longest_ms {
         let refusal =
             Refusal { kind: ErrorKind::Overloaded, retry_after_ms: Some(FULL_RETRY_AFTER_MS) };
--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -13,7 +13,10 @@
 use super::store_client::{StoreClient, StoreError};
 
 /// Time for which the store holds a watch without changes.
-const WATCH_MS: Millis = Millis(10_000);
+const WATCH_MS: Millis = Millis(25_000);
+/// Pause after a watch that told of changes, so that changes in quick succession cost one call;
+/// well below the bounds on leaving servers and new configurations.
+const CHANGE_PAUSE: Duration = Duration::from_millis(400);
 /// Time in addition for the answer of a watch to arrive.
 const WATCH_MARGIN: Duration = Duration::from_millis(1_500);
 /// Longest wait for the answer of a read.
@@ -60,6 +63,7 @@
                 pause = FIRST_PAUSE;
                 revision = Some(at);
                 take(told);
+                task::sleep(CHANGE_PAUSE).await;
             }
             Err(StoreError::Status(store::HISTORY_GONE)) => {
                 spdlog::info!("event=store_history_gone prefix={prefix}");
