--- /dev/null
+++ b/crates/core/tests/forward_choice.rs
@@ -0,0 +1,148 @@
+//! Where forwarded calls go, by load pattern.
+
+mod forward_support;
+
+use std::collections::BTreeMap;
+
+use forward_support::{entry, forwarder, news, number, service_id};
+use turmericrail_core::config::ServerRole::{Decode, Plain, Prefill};
+use turmericrail_core::forward::{CallEnd, Forwarder, PlanRefusal, Prompt, ServerState};
+use turmericrail_core::units::{Millis, Tokens};
+
+fn prompt(tokens: u64) -> Prompt {
+    let output = Tokens(500);
+    Prompt {
+        prompt_tokens: Tokens(tokens),
+        max_output_tokens: output,
+        expected_output_tokens: output,
+    }
+}
+
+/// Plain calls in a row, none of which ends; how many went to each server.
+fn spread(forwarder: &mut Forwarder, now_ms: u64, calls: u64) -> BTreeMap<u16, usize> {
+    let mut counts = BTreeMap::new();
+    for draw in 0..calls {
+        let choice =
+            forwarder.choose_plain(Millis(now_ms), &service_id(), true, &[], draw).unwrap();
+        forwarder.start(&choice);
+        *counts.entry(number(&choice)).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn burst_spreads() {
+    // A burst of calls that arrive before any ends: no server gets much more than its part.
+    let mut forwarder = forwarder(&[(Plain, "dc-a"), (Plain, "dc-b"), (Plain, "dc-c")]);
+    let counts = spread(&mut forwarder, 0, 18);
+    assert!(counts.values().all(|count| (5..=7).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn failing_server() {
+    // A server that answers its health check and fails a call is left out for a while, and tried
+    // again later.
+    let mut forwarder = forwarder(&[(Plain, "dc-a"), (Plain, "dc-b")]);
+    let service = service_id();
+    let tried_at = |forwarder: &Forwarder, now_ms| {
+        let choose = |draw| forwarder.choose_plain(Millis(now_ms), &service, true, &[], draw);
+        (0..32).filter(|draw| number(&choose(*draw).unwrap()) == 1).count()
+    };
+    let choose = |draw| forwarder.choose_plain(Millis(0), &service, true, &[], draw);
+    let choice = (0..32).filter_map(choose).find(|choice| number(choice) == 1).unwrap();
+    forwarder.start(&choice);
+    forwarder.end(Millis(0), &choice, CallEnd::Failed);
+    assert_eq!(tried_at(&forwarder, 100), 0);
+    assert!(tried_at(&forwarder, 40_000) > 0);
+}
+
+#[test]
+fn leaving_server() {
+    let mut forwarder = forwarder(&[(Plain, "dc-a"), (Plain, "dc-b")]);
+    let mut leaving = entry(1, Plain, "dc-a");
+    leaving.state = ServerState::Draining;
+    forwarder.take_news(Millis(0), news(1, 50, Some(leaving)));
+    let counts = spread(&mut forwarder, 0, 20);
+    assert_eq!(counts.keys().copied().collect::<Vec<_>>(), [2]);
+}
+
+#[test]
+fn restarted_server() {
+    // The same id at another start is another server: nothing of the first run counts for it.
+    let mut forwarder = forwarder(&[(Plain, "dc-a"), (Plain, "dc-a")]);
+    let choice = forwarder.choose_plain(Millis(0), &service_id(), true, &[], 1).unwrap();
+    for _ in 0..8 {
+        forwarder.start(&choice);
+        forwarder.end(Millis(0), &choice, CallEnd::Silent);
+    }
+    let first = number(&choice);
+    let again = |forwarder: &Forwarder| {
+        let choose = |draw| forwarder.choose_plain(Millis(10), &service_id(), true, &[], draw);
+        (0..32).any(|draw| number(&choose(draw).unwrap()) == first)
+    };
+    assert!(!again(&forwarder));
+    let mut restarted = entry(first, Plain, "dc-a");
+    restarted.started_ms.0 += 1;
+    forwarder.take_news(Millis(5), news(first, 60, Some(restarted)));
+    assert!(again(&forwarder));
+}
+
+#[test]
+fn near_decode() {
+    // Calm: the KV cache stays in the data centre of its prefill.
+    let forwarder = forwarder(&[(Prefill, "dc-a"), (Decode, "dc-a"), (Decode, "dc-b")]);
+    for draw in 0..32 {
+        let plan = forwarder
+            .plan_model(Millis(0), &service_id(), prompt(5_000), Millis(14_000), &[], draw)
+            .unwrap();
+        assert_eq!(plan.prefill.as_ref().map(number), Some(1));
+        assert_eq!(number(&plan.decode), 2);
+    }
+}
+
+#[test]
+fn full_engine() {
+    // A decode engine whose memory is taken, or that said so, is left for one farther away.
+    let mut forwarder = forwarder(&[(Prefill, "dc-a"), (Decode, "dc-a"), (Decode, "dc-b")]);
+    let service = service_id();
+    let near = "dc-a".parse().unwrap();
+    let choose = |forwarder: &Forwarder, now_ms| {
+        let prompt = prompt(5_000);
+        forwarder.choose_decode(Millis(now_ms), &service, prompt, Some(&near), &[], 3).unwrap()
+    };
+    let first = choose(&forwarder, 0);
+    assert_eq!(number(&first), 2);
+    forwarder.note_full(Millis(0), &first);
+    assert_eq!(number(&choose(&forwarder, 10)), 3);
+    assert_eq!(number(&choose(&forwarder, 1_000)), 2);
+    for _ in 0..10 {
+        forwarder.start(&first);
+    }
+    assert_eq!(number(&choose(&forwarder, 1_000)), 3);
+}
+
+#[test]
+fn prefill_backlog() {
+    // Long prompts pile up at the only prefill engine: a decode engine reads the next one itself.
+    let mut forwarder = forwarder(&[(Prefill, "dc-a"), (Decode, "dc-a")]);
+    let service = service_id();
+    let plan = |forwarder: &Forwarder| {
+        forwarder.plan_model(Millis(0), &service, prompt(5_000), Millis(14_000), &[], 1).unwrap()
+    };
+    let prefill = plan(&forwarder).prefill.unwrap();
+    for _ in 0..8 {
+        forwarder.start(&prefill);
+    }
+    assert!(plan(&forwarder).prefill.is_none());
+}
+
+#[test]
+fn hopeless_call() {
+    let forwarder = forwarder(&[(Prefill, "dc-a"), (Decode, "dc-a")]);
+    let service = service_id();
+    let refused = forwarder.plan_model(Millis(0), &service, prompt(50_000), Millis(100), &[], 1);
+    assert!(matches!(refused, Err(PlanRefusal::DeadlineUnreachable { .. })));
+    let empty = forward_support::forwarder(&[]);
+    let refused = empty.plan_model(Millis(0), &service, prompt(5_000), Millis(9_000), &[], 1);
+    assert_eq!(refused, Err(PlanRefusal::NoServer));
+}
--- /dev/null
+++ b/crates/core/tests/forward_support/mod.rs
@@ -0,0 +1,94 @@
+//! A small fleet for tests of the forwarder.
+#![allow(dead_code)]
+
+use turmericrail_core::config::ServerRole;
+use turmericrail_core::forward::{
+    Choice, EngineLimits, Forwarder, ForwarderSettings, RequestLimits, RetryBounds, Route,
+    RouteKind, RouteTable, ServerEntry, ServerNews, ServerState, Service, WeightedService,
+};
+use turmericrail_core::ids::{ConfigVersion, ServiceId};
+use turmericrail_core::units::{Bytes, Millis, Tokens, WallMillis};
+
+/// Bounds of a usual deployment.
+pub const BOUNDS: RetryBounds = RetryBounds { ratio: 0.2, slack: 56, window_ms: Millis(10_000) };
+
+pub const LIMITS: RequestLimits = RequestLimits {
+    max_header_bytes: Bytes(16_384),
+    max_body_bytes: Bytes(1 << 20),
+    header_timeout_ms: Millis(3_000),
+    idle_timeout_ms: Millis(15_000),
+};
+
+pub fn service_id() -> ServiceId {
+    "desk".parse().unwrap()
+}
+
+pub fn route(name: &str, host: &str, path_prefix: &str) -> Route {
+    Route {
+        name: name.parse().unwrap(),
+        host: host.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        max_attempts: 2,
+        timeout_ms: Millis(1_000),
+        target_ms: Millis(100),
+        gap_target_ms: Millis(300),
+        priority: 1,
+        services: vec![WeightedService { service: service_id(), weight: 1 }],
+    }
+}
+
+pub fn service() -> Service {
+    Service {
+        name: service_id(),
+        max_connections: 100,
+        engine: Some(EngineLimits {
+            slots: 64,
+            kv_tokens: Tokens(60_000),
+            handle_ttl_ms: Millis(500),
+            reservation_ms: Millis(2_000),
+        }),
+    }
+}
+
+pub fn table(version: u64, routes: Vec<Route>) -> RouteTable {
+    RouteTable::new(ConfigVersion(version), LIMITS, vec![service()], routes).unwrap()
+}
+
+/// An entry whose address is the server's number.
+pub fn entry(number: u16, role: ServerRole, data_centre: &str) -> ServerEntry {
+    ServerEntry {
+        started_ms: WallMillis(1),
+        service: service_id(),
+        address: ([127, 0, 0, 1], number).into(),
+        data_centre: data_centre.parse().unwrap(),
+        slots: 6,
+        state: ServerState::Ready,
+        role,
+    }
+}
+
+pub fn news(number: u16, revision: u64, entry: Option<ServerEntry>) -> ServerNews {
+    ServerNews { server: format!("s{number}").parse().unwrap(), revision, entry }
+}
+
+/// A forwarder in `dc-a` that knows servers with these roles and data centres, numbered from 1.
+pub fn forwarder(servers: &[(ServerRole, &str)]) -> Forwarder {
+    let mut forwarder = Forwarder::new(ForwarderSettings {
+        data_centre: "dc-a".parse().unwrap(),
+        retry_bounds: BOUNDS,
+        assumed_instances: 1,
+    });
+    forwarder.take_table(table(1, vec![route("r", "a.example", "/")]));
+    for (index, (role, data_centre)) in servers.iter().enumerate() {
+        let number = index as u16 + 1;
+        let entry = entry(number, *role, data_centre);
+        forwarder.take_news(Millis(0), news(number, u64::from(number), Some(entry)));
+    }
+    forwarder
+}
+
+/// Number of the chosen server.
+pub fn number(choice: &Choice) -> u16 {
+    choice.address.port()
+}
--- /dev/null
+++ b/crates/core/tests/retry_bound.rs
@@ -0,0 +1,38 @@
+//! The bound on calls sent again holds over every window, summed over the instances.
+
+mod forward_support;
+
+use forward_support::BOUNDS;
+use turmericrail_core::forward::RetryWindow;
+use turmericrail_core::units::Millis;
+
+#[test]
+fn outage_of_all() {
+    // Every call fails and wants to be sent again: ten instances, 100 calls a second each, 30 s.
+    let mut windows = vec![RetryWindow::default(); 10];
+    let mut repeats: Vec<u64> = Vec::new();
+    for now_ms in (0..30_000).step_by(10) {
+        for window in &mut windows {
+            window.note_call(Millis(now_ms), &BOUNDS);
+            if window.take_repeat(Millis(now_ms), &BOUNDS, 10) {
+                repeats.push(now_ms);
+            }
+        }
+    }
+    for start_ms in (0..20_000).step_by(250) {
+        let in_window = |at_ms: &&u64| (start_ms..start_ms + 10_000).contains(*at_ms);
+        let repeated = repeats.iter().filter(in_window).count() as f64;
+        let called = 10.0 * 1_000.0;
+        assert!(repeated <= BOUNDS.ratio * called + BOUNDS.slack as f64, "from {start_ms} ms");
+    }
+    assert!(repeats.len() > 5_000, "the bound is used: {}", repeats.len());
+}
+
+#[test]
+fn few_calls() {
+    let mut window = RetryWindow::default();
+    let taken = (0..100).filter(|_| window.take_repeat(Millis(5), &BOUNDS, 8)).count();
+    assert_eq!(taken, 7);
+    assert!(!window.take_repeat(Millis(9_000), &BOUNDS, 8));
+    assert!(window.take_repeat(Millis(11_000), &BOUNDS, 8));
+}
--- /dev/null
+++ b/crates/core/tests/route_table.rs
@@ -0,0 +1,58 @@
+//! Routes by host and longest prefix, and versions that never go back.
+
+mod forward_support;
+
+use forward_support::{LIMITS, forwarder, route, service, table};
+use turmericrail_core::forward::{RouteTable, TableError, WeightedService};
+use turmericrail_core::ids::ConfigVersion;
+
+#[test]
+fn longest_prefix() {
+    let routes = vec![
+        route("all", "a.example", "/"),
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/y/z/"),
+    ];
+    let table = table(1, routes);
+    let find = |host, path| table.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(find("a.example", "/x/y/z/1"), Some("long"));
+    assert_eq!(find("a.example", "/x/y"), Some("short"));
+    assert_eq!(find("a.example", "/x"), Some("all"));
+    assert_eq!(find("b.example", "/x/y/"), None);
+    assert_eq!(find("c.example", "/"), None);
+}
+
+#[test]
+fn weights() {
+    let mut shared = route("r", "a", "/");
+    let share = |name: &str, weight| WeightedService { service: name.parse().unwrap(), weight };
+    shared.services = vec![share("one", 90), share("none", 0), share("two", 10)];
+    let count = |name: &str| {
+        (0..1_000).filter(|draw| shared.service(*draw).unwrap().as_str() == name).count()
+    };
+    assert_eq!((count("one"), count("none"), count("two")), (900, 0, 100));
+}
+
+#[test]
+fn versions_rise() {
+    let mut forwarder = forwarder(&[]);
+    let routes = |name: &str| vec![route(name, "a.example", "/")];
+    assert!(forwarder.take_table(table(7, routes("seven"))));
+    assert!(!forwarder.take_table(table(5, routes("five"))));
+    assert!(!forwarder.take_table(table(7, routes("again"))));
+    let found = forwarder.table().unwrap().find("a.example", "/").unwrap().name.to_string();
+    assert_eq!(found, "seven");
+}
+
+#[test]
+fn bad_routes() {
+    let build = |services| {
+        let mut bad = route("r", "a", "/");
+        bad.services = services;
+        RouteTable::new(ConfigVersion(1), LIMITS, vec![service()], vec![bad]).map(|_| ())
+    };
+    let unknown = WeightedService { service: "none".parse().unwrap(), weight: 1 };
+    assert!(matches!(build(vec![unknown]), Err(TableError::UnknownService { .. })));
+    assert!(matches!(build(vec![]), Err(TableError::NoService { .. })));
+}
