--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -10,7 +10,7 @@
 
 use super::service_pace::ServicePace;
 use super::{
-    CallEnd, Choice, ModelPlan, PlanRefusal, Prompt, Registry, ReportedLoad, RetryBounds,
+    CallEnd, Choice, ModelPlan, PlanRefusal, Pressure, Prompt, Registry, ReportedLoad, RetryBounds,
     RetryWindow, RouteTable, ServerEntry, ServerLoad, ServerNews, ServerRun, ServerState,
 };
 use crate::config::ServerRole;
@@ -65,6 +65,7 @@
     loads: BTreeMap<ServerRun, ServerLoad>,
     paces: BTreeMap<ServiceId, ServicePace>,
     windows: BTreeMap<ServiceId, RetryWindow>,
+    pressures: BTreeMap<ServiceId, Pressure>,
     instances: usize,
 }
 
@@ -92,6 +93,7 @@
             loads: BTreeMap::new(),
             paces: BTreeMap::new(),
             windows: BTreeMap::new(),
+            pressures: BTreeMap::new(),
         }
     }
 
@@ -147,6 +149,16 @@
         });
     }
 
+    /// Notes whether a new call found a place at the engines of a service.
+    pub fn note_place(&mut self, now_ms: Millis, service: &ServiceId, has_place: bool) {
+        self.pressures.entry(service.clone()).or_default().note(now_ms, has_place);
+    }
+
+    /// Whether places at the engines of a service are scarce.
+    pub fn is_scarce(&self, now_ms: Millis, service: &ServiceId) -> bool {
+        self.pressures.get(service).is_some_and(|pressure| pressure.is_scarce(now_ms))
+    }
+
     /// Counts a caller's call to a service.
     pub fn note_call(&mut self, now_ms: Millis, service: &ServiceId) {
         let bounds = self.settings.retry_bounds;
@@ -288,8 +300,7 @@
             }
             _ => ModelPlan { prefill: None, decode: alone.expect("one path has a server") },
         };
-        let prefill_ms = plan.prefill.as_ref().map_or(Millis::ZERO, |choice| choice.predicted_ms);
-        let predicted_ms = prefill_ms + plan.decode.predicted_ms;
+        let predicted_ms = plan.predicted_ms();
         if predicted_ms > left_ms {
             let retry_after_ms = predicted_ms.saturating_sub(left_ms);
             let retry_after_ms = retry_after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
--- a/crates/core/src/forward/plan.rs
+++ b/crates/core/src/forward/plan.rs
@@ -12,6 +12,14 @@
     pub decode: Choice,
 }
 
+impl ModelPlan {
+    /// Expected time to the first event.
+    pub fn predicted_ms(&self) -> Millis {
+        let prefill_ms = self.prefill.as_ref().map_or(Millis::ZERO, |choice| choice.predicted_ms);
+        prefill_ms + self.decode.predicted_ms
+    }
+}
+
 /// Why a call has no place.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PlanRefusal {
--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -41,14 +41,14 @@
 /// Longest wait for a place, as a multiple of the target: callers leave after four times it without
 /// an event. Also at most a third of the patience,
 /// so that the answer itself still fits in.
-const MAX_WAIT_FACTOR: u64 = 3;
+const MAX_WAIT_FACTOR: u64 = 2;
 /// Mean time between rounds while the target can be met: places become free several times in it.
 const PAUSE_MS: Millis = Millis(60);
 /// Mean time between rounds once it can't: so long that even many late calls leave most places to
 /// those that can still be in time.
-const LATE_PAUSE_MS: Millis = Millis(1_000);
-/// Wait named to a caller who found every engine full: about that of one answer.
-const FULL_RETRY_AFTER_MS: Millis = Millis(1_500);
+const LATE_PAUSE_MS: Millis = Millis(400);
+/// Wait named to a caller who found every engine full for long: most bursts have passed by then.
+const FULL_RETRY_AFTER_MS: Millis = Millis(4_000);
 
 /// A run of the call at one engine, before it begins.
 struct Leg {
@@ -170,6 +170,7 @@
         let choice = choose_alone(context, &[]).ok_or(ErrorKind::NoServer)?;
         return Ok(unreserved(context, &choice));
     }
+    let mut is_new = true;
     loop {
         let plan = plan(context)?;
         let near = plan.prefill.as_ref().map(|engine| engine.data_centre.clone());
@@ -177,8 +178,18 @@
             Some(near) => choose_decode(context, near, full),
             None => choose_alone(context, full),
         };
-        let Some(mut leg) = reserve(context, &choose).await else {
-            wait_for_place(context).await?;
+        let is_late = context.elapsed_ms() + plan.predicted_ms() > context.route.target_ms;
+        if is_late && context.shared.forwarder().is_scarce(clock::now_ms(), context.service) {
+            wait_for_place(context, is_late).await?;
+            continue;
+        }
+        let reserved = reserve(context, &choose).await;
+        if std::mem::take(&mut is_new) {
+            let has_place = reserved.is_some();
+            context.shared.forwarder().note_place(clock::now_ms(), context.service, has_place);
+        }
+        let Some(mut leg) = reserved else {
+            wait_for_place(context, is_late).await?;
             continue;
         };
         log_plan(context, &plan, &leg);
@@ -265,22 +276,21 @@
     None
 }
 
-/// Waits a moment while every engine is full. Calls that can still meet their target ask more often
-/// than those that can't, so that places go to answers that are worth most to their callers.
-async fn wait_for_place(context: &CallContext<'_>) -> Result<(), Refusal> {
+/// Waits a moment while every engine is full. Calls that can still meet their target ask often;
+/// those that can't ask seldom, and not at all while new calls find no place either, so that places
+/// go to answers that are worth most to their callers.
+async fn wait_for_place(context: &CallContext<'_>, is_late: bool) -> Result<(), Refusal> {
     let elapsed_ms = context.elapsed_ms();
-    let target_ms = context.route.target_ms;
-    let is_late = elapsed_ms > target_ms;
     let patience_ms = context.deadline_ms.saturating_sub(context.request.arrived_ms);
-    let longest_ms = Millis(target_ms.0 * MAX_WAIT_FACTOR).min(Millis(patience_ms.0 / 3));
+    let longest_ms =
+        Millis(context.route.target_ms.0 * MAX_WAIT_FACTOR).min(Millis(patience_ms.0 / 3));
     if elapsed_ms > longest_ms {
         let refusal =
             Refusal { kind: ErrorKind::Overloaded, retry_after_ms: Some(FULL_RETRY_AFTER_MS) };
         return Err(refusal);
     }
     let pause_ms = if is_late { LATE_PAUSE_MS } else { PAUSE_MS };
-    let pause = Duration::from_millis(pause_ms.0).mul_f64(0.5 + fastrand::f64());
-    task::sleep(pause).await;
+    task::sleep(Duration::from_millis(pause_ms.0).mul_f64(0.5 + fastrand::f64())).await;
     Ok(())
 }
 
