--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -11,8 +11,7 @@
 use super::service_pace::ServicePace;
 use super::{
     CallEnd, Choice, ModelPlan, PlanRefusal, Pressure, Prompt, Registry, ReportedLoad, RetryBounds,
-    RetryWindow, RoleChange, RouteTable, ServerEntry, ServerLoad, ServerNews, ServerRun,
-    ServerState, surplus_prefill,
+    RetryWindow, RouteTable, ServerEntry, ServerLoad, ServerNews, ServerRun, ServerState,
 };
 use crate::config::ServerRole;
 use crate::ids::{DataCentreId, ServerId, ServiceId};
@@ -210,63 +209,11 @@
         self.note_pace(now_ms, choice, measured_ms);
     }
 
-    /// Takes the time of a whole answer at a decode engine.
-    pub fn note_stream(&mut self, service: &ServiceId, prompt: Prompt, measured_ms: Millis) {
-        let pace = self.paces.entry(service.clone()).or_default();
-        pace.note_prompt(prompt);
-        pace.note_stream(measured_ms);
-    }
-
-    /// The engines of a service that should change their role, but for those in `skipped`. In each
-    /// data centre one engine of either role stays.
-    pub fn role_changes(
-        &self,
-        now_ms: Millis,
-        service: &ServiceId,
-        skipped: &[ServerRun],
-    ) -> Vec<RoleChange> {
-        let Some(kv_tokens) = self.kv_tokens(service) else {
-            return Vec::new();
-        };
-        let engines = |role| self.candidates(now_ms, service, role, skipped);
-        let (prefill, decode) = (engines(ServerRole::Prefill), engines(ServerRole::Decode));
-        let work = self.pace(service).work(kv_tokens);
-        let surplus = surplus_prefill(prefill.len(), decode.len(), work);
-        let (from, role) = match surplus {
-            0.. => (&prefill, ServerRole::Decode),
-            _ => (&decode, ServerRole::Prefill),
-        };
-        let mut left: BTreeMap<&DataCentreId, usize> = BTreeMap::new();
-        for candidate in from {
-            *left.entry(&candidate.entry.data_centre).or_default() += 1;
-        }
-        let mut changes = Vec::new();
-        for candidate in from {
-            let stays = left.get_mut(&candidate.entry.data_centre).expect("it was counted");
-            if changes.len() as u64 >= surplus.unsigned_abs() || *stays < 2 {
-                continue;
-            }
-            *stays -= 1;
-            let started_ms = candidate.entry.started_ms;
-            changes.push(RoleChange {
-                run: ServerRun { server: candidate.server.clone(), started_ms },
-                address: candidate.entry.address,
-                role,
-                prefill: prefill.len(),
-                decode: decode.len(),
-                surplus,
-            });
-        }
-        changes
-    }
-
     /// Takes the time of a prefill.
     pub fn note_prefill(&mut self, now_ms: Millis, choice: &Choice, measured_ms: Millis) {
         let load = self.loads.get(&choice.run).copied().unwrap_or_default();
-        if load.calls() <= 1 {
-            let pace = self.paces.entry(choice.service.clone()).or_default();
-            pace.note_prefill(measured_ms, choice.tokens);
-        }
+        let queued = Tokens(load.tokens().max(choice.tokens.0));
+        self.paces.entry(choice.service.clone()).or_default().note_prefill(measured_ms, queued);
         self.note_pace(now_ms, choice, measured_ms);
     }
 
@@ -371,14 +318,14 @@
         tried: &[ServerRun],
         draw: u64,
     ) -> Option<Choice> {
-        let pace = self.pace(service);
+        let token_ms = self.pace(service).prompt_token_ms;
         let candidates = self.candidates(now_ms, service, ServerRole::Prefill, tried);
         let looked_at = candidates.len();
         let tokens = prompt.prompt_tokens;
         let best = self.best(now_ms, candidates, 1.0, draw, |candidate| {
             let others = candidate.load.others(now_ms) * USUAL_TOKENS;
-            let queued = candidate.load.tokens() as f64 + others;
-            (pace.prefill_ms(tokens.0 as f64, queued), 0.0)
+            let queued = candidate.load.tokens() as f64 + others + tokens.0 as f64;
+            (queued * token_ms, 0.0)
         })?;
         Some(self.choice(best, tokens, looked_at))
     }
@@ -416,7 +363,7 @@
         draw: u64,
     ) -> Option<Choice> {
         let pace = self.pace(service);
-        let read_ms = pace.prefill_ms(prompt.prompt_tokens.0 as f64, 0.0) * DECODE_READS_SLOWER;
+        let read_ms = prompt.prompt_tokens.0 as f64 * pace.prompt_token_ms * DECODE_READS_SLOWER;
         let kv_tokens = self.kv_tokens(service);
         let candidates = self.candidates(now_ms, service, ServerRole::Decode, tried);
         let looked_at = candidates.len();
--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -423,9 +423,6 @@
     };
     let elapsed_ms = clock::now_ms().saturating_sub(started_ms);
     log_call(context, "server_call", leg.choice(), call_end, elapsed_ms);
-    if call_end == CallEnd::Answered && leg.kv.is_some() {
-        context.shared.forwarder().note_stream(context.service, prompt(context), elapsed_ms);
-    }
     leg.guard.end(call_end);
     end
 }
