Avoid silent data centres and unreached servers; let large calls ask more often

Change: silences count for the whole data centre of a server; a server that could not be reached is left out for 0.4 s; calls ask as often and as many engines as their size tells. Excluded: a probe of its own for each server (priced, and no news where a call fails anyway).

--- a/crates/core/src/forward/call_end.rs
+++ b/crates/core/src/forward/call_end.rs
@@ -11,7 +11,9 @@
     Refused,
     /// The connection broke, or what came was no answer.
     Lost,
-    /// It could not be reached, or nothing came in time.
+    /// It could not be reached.
+    Unreached,
+    /// Nothing came in time.
     Silent,
     /// The call was given up for a reason that is not the server's.
     Cancelled,
@@ -24,7 +26,7 @@
             CallEnd::Answered | CallEnd::Cancelled => None,
             CallEnd::Failed | CallEnd::Lost => Some(1.0),
             CallEnd::Refused => Some(0.5),
-            CallEnd::Silent => Some(3.0),
+            CallEnd::Unreached | CallEnd::Silent => Some(3.0),
         }
     }
 
@@ -35,6 +37,7 @@
             CallEnd::Failed => "failed",
             CallEnd::Refused => "refused",
             CallEnd::Lost => "lost",
+            CallEnd::Unreached => "unreached",
             CallEnd::Silent => "silent",
             CallEnd::Cancelled => "cancelled",
         }
--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -10,8 +10,9 @@
 
 use super::service_pace::ServicePace;
 use super::{
-    CallEnd, Choice, ModelPlan, PlanRefusal, Pressure, Prompt, Registry, ReportedLoad, RetryBounds,
-    RetryWindow, RouteTable, ServerEntry, ServerLoad, ServerNews, ServerRun, ServerState,
+    CallEnd, Choice, FailureScore, ModelPlan, PlanRefusal, Pressure, Prompt, Registry,
+    ReportedLoad, RetryBounds, RetryWindow, RouteTable, ServerEntry, ServerLoad, ServerNews,
+    ServerRun, ServerState,
 };
 use crate::config::ServerRole;
 use crate::ids::{DataCentreId, ServerId, ServiceId};
@@ -20,6 +21,13 @@
 /// Time that one recent failure counts for in the choice of a server: about that of a call sent
 /// again.
 const FAILURE_MS: f64 = 250.0;
+/// Time that one recent silence of any server counts for at the others of its data centre: several
+/// in a row mean that the data centre is cut off.
+const SILENT_DATA_CENTRE_MS: f64 = 60.0;
+/// Bounds on the size of a call relative to the mean.
+const RELATIVE_SIZE: (f64, f64) = (0.5, 3.0);
+/// Weight of a new call in the mean size.
+const SIZE_WEIGHT: f64 = 0.05;
 /// Factor on failures for calls that can't be sent again.
 const AT_MOST_ONCE_FACTOR: f64 = 4.0;
 /// Time that another data centre counts for: two ways, and bytes that are paid for.
@@ -66,6 +74,8 @@
     paces: BTreeMap<ServiceId, ServicePace>,
     windows: BTreeMap<ServiceId, RetryWindow>,
     pressures: BTreeMap<ServiceId, Pressure>,
+    mean_kv_tokens: BTreeMap<ServiceId, f64>,
+    data_centre_failures: BTreeMap<DataCentreId, FailureScore>,
     instances: usize,
 }
 
@@ -94,6 +104,8 @@
             paces: BTreeMap::new(),
             windows: BTreeMap::new(),
             pressures: BTreeMap::new(),
+            mean_kv_tokens: BTreeMap::new(),
+            data_centre_failures: BTreeMap::new(),
         }
     }
 
@@ -159,6 +171,15 @@
         self.pressures.get(service).is_some_and(|pressure| pressure.is_scarce(now_ms))
     }
 
+    /// How much memory a call needs, relative to the mean of the calls so far.
+    pub fn relative_size(&mut self, service: &ServiceId, prompt: Prompt) -> f64 {
+        let tokens = prompt.kv_tokens().0.max(1) as f64;
+        let mean = self.mean_kv_tokens.entry(service.clone()).or_insert(tokens);
+        *mean += SIZE_WEIGHT * (tokens - *mean);
+        let (least, most) = RELATIVE_SIZE;
+        (tokens / *mean).clamp(least, most)
+    }
+
     /// Counts a caller's call to a service.
     pub fn note_call(&mut self, now_ms: Millis, service: &ServiceId) {
         let bounds = self.settings.retry_bounds;
@@ -180,6 +201,12 @@
     /// Counts a call that ended.
     pub fn end(&mut self, now_ms: Millis, choice: &Choice, end: CallEnd) {
         self.loads.entry(choice.run.clone()).or_default().end(now_ms, choice.tokens, end);
+        let failures = self.data_centre_failures.entry(choice.data_centre.clone()).or_default();
+        match end {
+            CallEnd::Answered => failures.answer(now_ms),
+            CallEnd::Unreached | CallEnd::Silent => failures.fail(now_ms, 1.0),
+            _ => {}
+        }
     }
 
     /// Takes a server's own word on its load.
@@ -245,6 +272,9 @@
                 continue;
             }
             let load = self.loads.get(&run).copied().unwrap_or_default();
+            if load.is_unreached(now_ms) {
+                continue;
+            }
             candidates.push(Candidate { server, entry, load });
         }
         candidates
@@ -397,7 +427,11 @@
             let failed_ms = candidate.load.failure_score(now_ms) * FAILURE_MS * failure_factor;
             let is_far = candidate.entry.data_centre != self.settings.data_centre;
             let far_ms = if is_far { OTHER_DATA_CENTRE_MS } else { 0.0 };
-            let cost_ms = predicted_ms + extra_ms + failed_ms + far_ms + drawn_ms(draw, index);
+            let place = &candidate.entry.data_centre;
+            let failures = self.data_centre_failures.get(place);
+            let silent_ms = failures.map_or(0.0, |it| it.value(now_ms)) * SILENT_DATA_CENTRE_MS;
+            let cost_ms =
+                predicted_ms + extra_ms + failed_ms + far_ms + silent_ms + drawn_ms(draw, index);
             if best.as_ref().is_none_or(|best| cost_ms < best.cost_ms) {
                 best = Some(Rated { candidate, normal_ms, predicted_ms, cost_ms });
             }
--- a/crates/core/src/forward/load.rs
+++ b/crates/core/src/forward/load.rs
@@ -11,6 +11,10 @@
 /// Time for which a server counts as full after it had no room; some answers end in it.
 const FULL_MS: Millis = Millis(150);
 
+/// Time for which a server that could not be reached is left out: about two round trips of a
+/// connection that is given up, so that one call at a time pays for looking.
+const UNREACHED_MS: Millis = Millis(400);
+
 /// A server's own word on its load.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ReportedLoad {
@@ -37,6 +41,7 @@
     pace: Pace,
     failures: FailureScore,
     full_ms: Option<Millis>,
+    unreached_ms: Option<Millis>,
 }
 
 impl ServerLoad {
@@ -50,8 +55,13 @@
     pub fn end(&mut self, now_ms: Millis, tokens: Tokens, end: CallEnd) {
         self.calls = self.calls.saturating_sub(1);
         self.tokens = self.tokens.saturating_sub(tokens.0);
-        if end == CallEnd::Answered {
-            self.failures.answer(now_ms);
+        match end {
+            CallEnd::Answered => {
+                self.failures.answer(now_ms);
+                self.unreached_ms = None;
+            }
+            CallEnd::Unreached => self.unreached_ms = Some(now_ms),
+            _ => {}
         }
         if let Some(weight) = end.failure_weight() {
             self.failures.fail(now_ms, weight);
@@ -85,6 +95,11 @@
         self.full_ms.is_some_and(|at_ms| now_ms < at_ms + FULL_MS)
     }
 
+    /// Whether it could not be reached a moment ago, so that a call there would only wait.
+    pub fn is_unreached(&self, now_ms: Millis) -> bool {
+        self.unreached_ms.is_some_and(|at_ms| now_ms < at_ms + UNREACHED_MS)
+    }
+
     /// Calls of this instance that have not ended.
     pub fn calls(&self) -> u32 {
         self.calls
--- a/crates/core/tests/forward_choice.rs
+++ b/crates/core/tests/forward_choice.rs
@@ -146,3 +146,49 @@
     let refused = empty.plan_model(Millis(0), &service, prompt(5_000), Millis(9_000), &[], 1);
     assert_eq!(refused, Err(PlanRefusal::NoServer));
 }
+
+#[test]
+fn cut_data_centre() {
+    // Two servers of a data centre fall silent one after the other: a third one there is left for
+    // one elsewhere, though it has not failed itself.
+    let servers = [(Plain, "dc-b"), (Plain, "dc-b"), (Plain, "dc-b"), (Plain, "dc-c")];
+    let mut forwarder = forwarder(&servers);
+    let service = service_id();
+    let choose = |forwarder: &Forwarder, now_ms: u64, wanted: u16| {
+        let choose = |draw| forwarder.choose_plain(Millis(now_ms), &service, true, &[], draw);
+        (0..64).filter_map(choose).find(|choice| number(choice) == wanted)
+    };
+    for choice in [1, 2].map(|wanted| choose(&forwarder, 0, wanted).unwrap()) {
+        forwarder.start(&choice);
+        forwarder.end(Millis(0), &choice, CallEnd::Silent);
+    }
+    assert!(choose(&forwarder, 100, 3).is_none());
+    assert!(choose(&forwarder, 100, 4).is_some());
+    assert!(choose(&forwarder, 30_000, 3).is_some());
+}
+
+#[test]
+fn unreached_server() {
+    // The only server can't be reached: one call finds out, those after it are refused at once.
+    let mut forwarder = forwarder(&[(Plain, "dc-b")]);
+    let service = service_id();
+    let choose = |forwarder: &Forwarder, now_ms| {
+        forwarder.choose_plain(Millis(now_ms), &service, true, &[], 1)
+    };
+    let choice = choose(&forwarder, 0).unwrap();
+    forwarder.start(&choice);
+    forwarder.end(Millis(200), &choice, CallEnd::Unreached);
+    assert!(choose(&forwarder, 300).is_none());
+    assert!(choose(&forwarder, 700).is_some());
+}
+
+#[test]
+fn sizes() {
+    let mut forwarder = forwarder(&[]);
+    for _ in 0..50 {
+        forwarder.relative_size(&service_id(), prompt(5_000));
+    }
+    assert!((0.9..1.1).contains(&forwarder.relative_size(&service_id(), prompt(5_000))));
+    assert!(forwarder.relative_size(&service_id(), prompt(11_000)) > 1.8);
+    assert!(forwarder.relative_size(&service_id(), prompt(200_000)) <= 3.0);
+}
--- a/crates/turmericrail/src/forward/failure.rs
+++ b/crates/turmericrail/src/forward/failure.rs
@@ -17,7 +17,8 @@
     /// How it counts for the server's health.
     pub fn call_end(self) -> CallEnd {
         match self {
-            CallFailure::NotSent | CallFailure::Silent => CallEnd::Silent,
+            CallFailure::NotSent => CallEnd::Unreached,
+            CallFailure::Silent => CallEnd::Silent,
             CallFailure::Lost => CallEnd::Lost,
         }
     }
--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -126,7 +126,7 @@
             return Err(refusal());
         }
         let choose = |full: &[ServerRun]| choose_alone(context, &[&tried, full].concat());
-        leg = match reserve(context, &choose).await {
+        leg = match reserve(context, 1.0, &choose).await {
             Some(leg) => leg,
             None => return Err(refusal()),
         };
@@ -171,6 +171,7 @@
         return Ok(unreserved(context, &choice));
     }
     let mut is_new = true;
+    let size = context.shared.forwarder().relative_size(context.service, prompt(context));
     loop {
         let plan = plan(context)?;
         let near = plan.prefill.as_ref().map(|engine| engine.data_centre.clone());
@@ -180,16 +181,16 @@
         };
         let is_late = context.elapsed_ms() + plan.predicted_ms() > context.route.target_ms;
         if is_late && context.shared.forwarder().is_scarce(clock::now_ms(), context.service) {
-            wait_for_place(context, is_late).await?;
+            wait_for_place(context, is_late, size).await?;
             continue;
         }
-        let reserved = reserve(context, &choose).await;
+        let reserved = reserve(context, size, &choose).await;
         if std::mem::take(&mut is_new) {
             let has_place = reserved.is_some();
             context.shared.forwarder().note_place(clock::now_ms(), context.service, has_place);
         }
         let Some(mut leg) = reserved else {
-            wait_for_place(context, is_late).await?;
+            wait_for_place(context, is_late, size).await?;
             continue;
         };
         log_plan(context, &plan, &leg);
@@ -250,6 +251,7 @@
 /// Reserves a place at the best engine that has one; nothing where all that were asked are full.
 async fn reserve(
     context: &CallContext<'_>,
+    size: f64,
     choose: &impl Fn(&[ServerRun]) -> Option<Choice>,
 ) -> Option<Leg> {
     let engine = context.table.service(context.service).and_then(|service| service.engine);
@@ -258,7 +260,8 @@
         return choose(&[]).map(|choice| unreserved(context, &choice));
     }
     let mut full = Vec::new();
-    while full.len() < MAX_ENGINES_ASKED {
+    let most_asked = (MAX_ENGINES_ASKED as f64 * size).ceil() as usize;
+    while full.len() < most_asked {
         let choice = choose(&full)?;
         let mut leg = unreserved(context, &choice);
         let asked =
@@ -278,8 +281,13 @@
 
 /// Waits a moment while every engine is full. Calls that can still meet their target ask often;
 /// those that can't ask seldom, and not at all while new calls find no place either, so that places
-/// go to answers that are worth most to their callers.
-async fn wait_for_place(context: &CallContext<'_>, is_late: bool) -> Result<(), Refusal> {
+/// go to answers that are worth most to their callers. Large calls ask more often and more engines
+/// than small ones, since a place that suits them is free less often.
+async fn wait_for_place(
+    context: &CallContext<'_>,
+    is_late: bool,
+    size: f64,
+) -> Result<(), Refusal> {
     let elapsed_ms = context.elapsed_ms();
     let patience_ms = context.deadline_ms.saturating_sub(context.request.arrived_ms);
     let longest_ms =
@@ -290,7 +298,8 @@
         return Err(refusal);
     }
     let pause_ms = if is_late { LATE_PAUSE_MS } else { PAUSE_MS };
-    task::sleep(Duration::from_millis(pause_ms.0).mul_f64(0.5 + fastrand::f64())).await;
+    let pause = Duration::from_millis(pause_ms.0).mul_f64((0.5 + fastrand::f64()) / size);
+    task::sleep(pause).await;
     Ok(())
 }
 
--- a/crates/turmericrail/src/forward/server_connection.rs
+++ b/crates/turmericrail/src/forward/server_connection.rs
@@ -16,7 +16,7 @@
 /// Bytes read at a time.
 pub const READ_BYTES: usize = 8 * 1024;
 /// Longest wait for a connection; some round trips, and below any patience worth a retry.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Idle time before the first keepalive probe, and between probes.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Time after which unacknowledged bytes or probes close the connection.
