Bound the log by event; metrics of steps; explain and summary from log files

Cause: an on-call engineer has only logs and metrics; one frequent event could crowd out the rest. Excluded: a blocking sink (a stuffed pipe would stop the process).

--- a/crates/turmericctl/src/cli.rs
+++ b/crates/turmericctl/src/cli.rs
@@ -30,6 +30,7 @@
     Patch(PatchArguments),
     Status(StatusArguments),
     Explain(ExplainArguments),
+    Summary(SummaryArguments),
 }
 
 /// Checks a settings file or a configuration.
@@ -40,6 +41,10 @@
     #[argh(option)]
     pub settings: Option<PathBuf>,
 
+    /// settings file of an instance that forwards calls (YAML)
+    #[argh(option)]
+    pub forward: Option<PathBuf>,
+
     /// configuration (YAML)
     #[argh(option)]
     pub configuration: Option<PathBuf>,
@@ -83,17 +88,31 @@
     pub json: bool,
 }
 
-/// Shows the decisions that an instance took for a request.
+/// Shows the way of a request: from an instance that took it, or from logs.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct ExplainArguments {
-    /// caller address of the instance that took the request (IP number and port)
+    /// caller address of the instance that took the request (IP number and port), unless logs are
+    /// named; then the request, as its answer names it
     #[argh(positional)]
-    pub instance: SocketAddr,
+    pub targets: Vec<String>,
 
-    /// number of the request, as its answer names it
-    #[argh(positional)]
-    pub request: u64,
+    /// log file of an instance; may be named several times
+    #[argh(option)]
+    pub logs: Vec<PathBuf>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Counts answers by outcome and second, from logs.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "summary")]
+pub struct SummaryArguments {
+    /// log file of an instance; may be named several times
+    #[argh(option)]
+    pub logs: Vec<PathBuf>,
 
     /// print JSON
     #[argh(switch)]
--- a/crates/turmericctl/src/commands/check.rs
+++ b/crates/turmericctl/src/commands/check.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use serde::Serialize;
+use turmericrail::forward::settings::ForwardSettings;
 use turmericrail::settings::Settings;
 use turmericrail_core::config::{ConfigError, parse_document};
 
@@ -24,6 +25,7 @@
     for file in files {
         let (path, summary) = match file {
             Checked::Settings(path) => (path, check_file(path, summarise_settings)?),
+            Checked::Forward(path) => (path, check_file(path, summarise_forward)?),
             Checked::Configuration(path) => (path, check_file(path, summarise_configuration)?),
         };
         summaries.push(format!("{}: {summary}", path.display()));
@@ -52,6 +54,14 @@
     ))
 }
 
+fn summarise_forward(text: &str) -> Result<String, ConfigError> {
+    let settings = ForwardSettings::parse(text)?;
+    Ok(format!(
+        "good settings of forwarding instance {} in data centre {}",
+        settings.instance, settings.data_centre
+    ))
+}
+
 fn summarise_configuration(text: &str) -> Result<String, ConfigError> {
     let configuration = parse_document(text)?;
     Ok(format!(
--- a/crates/turmericctl/src/commands/mod.rs
+++ b/crates/turmericctl/src/commands/mod.rs
@@ -3,8 +3,11 @@
 mod check;
 mod diff;
 mod explain;
+mod log_line;
 mod patch;
 mod status;
+mod summary;
+mod trace;
 
 use std::path::Path;
 
@@ -20,6 +23,8 @@
         Command::Explain { instance, request } => {
             explain::explain(*instance, *request, format).await
         }
+        Command::Trace { logs, request } => trace::trace(logs, request, format),
+        Command::Summary(logs) => summary::summary(logs, format),
     }
 }
 
--- a/crates/turmericctl/src/error.rs
+++ b/crates/turmericctl/src/error.rs
@@ -21,10 +21,10 @@
 #[derive(Debug, Error)]
 pub enum UsageError {
     /// No command.
-    #[error("no command: use check, patch, status or explain; --help shows them")]
+    #[error("no command: use check, patch, status, explain or summary; --help shows them")]
     NoCommand,
     /// Nothing to check.
-    #[error("nothing to check: pass --settings <file> or --configuration <file>")]
+    #[error("nothing to check: pass --settings, --forward or --configuration with a file")]
     NothingToCheck,
     /// No present configuration.
     #[error("no configuration to patch: pass --configuration <file> or --platform <address>")]
@@ -35,6 +35,18 @@
     /// No instance.
     #[error("no instance: name at least one by its caller address")]
     NoInstance,
+    /// What to explain is not clear.
+    #[error("name an instance and a request number, or --logs <file> and a request")]
+    BadExplain,
+    /// No address.
+    #[error("{0:?} is no address of an instance: write an IP number and port")]
+    BadInstance(String),
+    /// No number of a request.
+    #[error("{0:?} is no request number: an instance knows requests by their numbers")]
+    BadRequest(String),
+    /// No log file.
+    #[error("no logs: pass --logs <file>, once for each instance")]
+    NoLogs,
 }
 
 /// Why a command failed.
@@ -72,6 +84,12 @@
         /// The request.
         request: RequestId,
     },
+    /// The logs hold nothing of the request.
+    #[error("no line of these logs names request {request}: name the log of every instance")]
+    NotInLogs {
+        /// The request.
+        request: String,
+    },
     /// Some instances did not answer.
     #[error("{shown}\n{missing} of {asked} instances did not answer")]
     Unreachable {
@@ -92,7 +110,7 @@
             ControlError::ReadFile { .. }
             | ControlError::Call(_)
             | ControlError::Unreachable { .. } => EXIT_UNREADABLE,
-            ControlError::NotKnown { .. } => EXIT_NOT_KNOWN,
+            ControlError::NotKnown { .. } | ControlError::NotInLogs { .. } => EXIT_NOT_KNOWN,
         }
     }
 }
--- a/crates/turmericctl/src/options.rs
+++ b/crates/turmericctl/src/options.rs
@@ -5,7 +5,7 @@
 
 use turmericrail_core::ids::RequestId;
 
-use crate::cli::{Arguments, CheckArguments, CommandArguments, PatchArguments};
+use crate::cli::{Arguments, CheckArguments, CommandArguments, ExplainArguments, PatchArguments};
 use crate::error::UsageError;
 
 /// Form of what is printed.
@@ -22,6 +22,8 @@
 pub enum Checked {
     /// A settings file.
     Settings(PathBuf),
+    /// A settings file of an instance that forwards calls.
+    Forward(PathBuf),
     /// A configuration.
     Configuration(PathBuf),
 }
@@ -46,6 +48,10 @@
     Status(Vec<SocketAddr>),
     /// Show the decisions of a request.
     Explain { instance: SocketAddr, request: RequestId },
+    /// Show the way of a request by logs.
+    Trace { logs: Vec<PathBuf>, request: String },
+    /// Count the answers in logs.
+    Summary(Vec<PathBuf>),
 }
 
 /// The checked command line.
@@ -75,9 +81,13 @@
             }
             CommandArguments::Status(status) => (Command::Status(status.instances), status.json),
             CommandArguments::Explain(explain) => {
-                let request = RequestId(explain.request);
-                (Command::Explain { instance: explain.instance, request }, explain.json)
+                let is_json = explain.json;
+                (explained(explain)?, is_json)
             }
+            CommandArguments::Summary(summary) if summary.logs.is_empty() => {
+                return Err(UsageError::NoLogs);
+            }
+            CommandArguments::Summary(summary) => (Command::Summary(summary.logs), summary.json),
         };
         let format = if is_json { Format::Json } else { Format::Text };
         Ok(Self { command, format })
@@ -87,13 +97,29 @@
 fn checked(check: CheckArguments) -> Result<Command, UsageError> {
     let settings = check.settings.map(Checked::Settings);
     let configuration = check.configuration.map(Checked::Configuration);
-    let files: Vec<_> = settings.into_iter().chain(configuration).collect();
+    let forward = check.forward.map(Checked::Forward);
+    let files: Vec<_> = settings.into_iter().chain(forward).chain(configuration).collect();
     if files.is_empty() {
         return Err(UsageError::NothingToCheck);
     }
     Ok(Command::Check(files))
 }
 
+fn explained(explain: ExplainArguments) -> Result<Command, UsageError> {
+    match &*explain.targets {
+        [request] if !explain.logs.is_empty() => {
+            Ok(Command::Trace { logs: explain.logs, request: request.clone() })
+        }
+        [instance, request] if explain.logs.is_empty() => {
+            let instance =
+                instance.parse().map_err(|_| UsageError::BadInstance(instance.clone()))?;
+            let request = request.parse().map_err(|_| UsageError::BadRequest(request.clone()))?;
+            Ok(Command::Explain { instance, request })
+        }
+        _ => Err(UsageError::BadExplain),
+    }
+}
+
 fn patched(patch: PatchArguments) -> Result<Command, UsageError> {
     let base = match (patch.configuration, patch.platform) {
         (Some(file), None) => Base::File(file),
--- a/crates/turmericrail/examples/local_fleet/main.rs
+++ b/crates/turmericrail/examples/local_fleet/main.rs
@@ -40,9 +40,7 @@
 }
 
 fn run_daemon() -> ExitCode {
-    let started = turmericrail::cli::parse()
-        .and_then(|options| turmericrail::daemon::start(options.settings));
-    match started {
+    match turmericrail::run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("turmericrail: {error}");
--- a/crates/turmericrail/examples/recovery.rs
+++ b/crates/turmericrail/examples/recovery.rs
@@ -49,9 +49,7 @@
 }
 
 fn run_daemon() -> ExitCode {
-    let started = turmericrail::cli::parse()
-        .and_then(|options| task::block_on(turmericrail::daemon::run(options.settings)));
-    if let Err(error) = started {
+    if let Err(error) = turmericrail::run() {
         eprintln!("turmericrail: {error}");
         return ExitCode::FAILURE;
     }
--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/call_context.rs
@@ -39,6 +39,43 @@
         clock::now_ms().saturating_sub(self.request.arrived_ms)
     }
 
+    /// Whether the route and the bound on retries let the call go to one more server.
+    pub fn may_send_again(&self, sent: u32) -> bool {
+        if sent == 0 {
+            return true;
+        }
+        let has_attempts = sent < self.route.max_attempts;
+        let is_within_bound =
+            has_attempts && self.shared.forwarder().take_repeat(clock::now_ms(), self.service);
+        if has_attempts && !is_within_bound {
+            self.shared.metrics.retries_refused.inc();
+        }
+        let outcome = match (has_attempts, is_within_bound) {
+            (false, _) => "no_attempts_left",
+            (true, false) => "bound_reached",
+            (true, true) => "allowed",
+        };
+        spdlog::info!(
+            "event=send_again request={} sent={sent} max_attempts={} outcome={outcome}",
+            self.request_id,
+            self.route.max_attempts
+        );
+        is_within_bound
+    }
+
+    /// Notes the time of a step for the metrics.
+    pub fn observe_step(&self, step: &str, elapsed_ms: Millis) {
+        let steps = &self.shared.metrics.step_seconds;
+        steps.with_label_values(&[step]).observe(elapsed_ms.0 as f64 / 1_000.0);
+    }
+
+    /// Notes the time to the answer or its first event for the metrics.
+    pub fn observe_answer(&self) {
+        let answers = &self.shared.metrics.answer_seconds;
+        let kind = self.route.kind.as_str();
+        answers.with_label_values(&[kind]).observe(self.elapsed_ms().0 as f64 / 1_000.0);
+    }
+
     /// Whether the service runs model engines.
     pub fn is_model_call(&self) -> bool {
         self.table.service(self.service).is_some_and(|service| service.engine.is_some())
--- a/crates/turmericrail/src/forward/dispatch.rs
+++ b/crates/turmericrail/src/forward/dispatch.rs
@@ -95,6 +95,7 @@
     let is_head_call = request.head.method == "HEAD";
     let is_kept = caller.is_kept_alive();
     let bytes = answer_writer::server_answer(&head, &body, is_head_call, is_kept);
+    context.observe_answer();
     log_answer(shared, Some(request_id), "completed", head.status);
     Ok(caller.finish(&bytes).await)
 }
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -37,6 +37,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_global_executor::GlobalExecutorConfig;
 use async_std::task;
@@ -48,6 +49,9 @@
 use shared::Shared;
 use signals::Signal;
 
+/// Longest wait for the log's reader at the end.
+const LAST_LINES_LIMIT: Duration = Duration::from_millis(300);
+
 /// Starts the executor with one thread and runs the daemon until it was told to end.
 pub fn start(path: PathBuf, settings: ForwardSettings) -> Result<(), StartError> {
     let executor = GlobalExecutorConfig::default()
@@ -62,7 +66,7 @@
         let _ = ended.send(run(path, settings).await).await;
     });
     let result = end.recv_blocking().unwrap_or(Ok(()));
-    log.flush();
+    log.flush_within(LAST_LINES_LIMIT);
     result
 }
 
--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -122,7 +122,7 @@
         if !may_move || context.left_ms() == Millis::ZERO {
             return Err(refusal());
         }
-        if choose_alone(context, &tried).is_none() || !may_send_again(context, sent) {
+        if choose_alone(context, &tried).is_none() || !context.may_send_again(sent) {
             return Err(refusal());
         }
         let choose = |full: &[ServerRun]| choose_alone(context, &[&tried, full].concat());
@@ -137,22 +137,6 @@
     context.request.facts.prompt.unwrap_or_default()
 }
 
-/// Whether the route and the bound on retries let the call go to one more engine.
-fn may_send_again(context: &CallContext<'_>, sent: u32) -> bool {
-    if sent == 0 {
-        return true;
-    }
-    let is_allowed = sent < context.route.max_attempts
-        && context.shared.forwarder().take_repeat(clock::now_ms(), context.service);
-    spdlog::info!(
-        "event=send_again request={} sent={sent} max_attempts={} outcome={}",
-        context.request_id,
-        context.route.max_attempts,
-        if is_allowed { "allowed" } else { "refused" }
-    );
-    is_allowed
-}
-
 /// An engine that runs the whole call.
 fn choose_alone(context: &CallContext<'_>, tried: &[ServerRun]) -> Option<Choice> {
     let (now_ms, draw) = (clock::now_ms(), fastrand::u64(..));
@@ -219,6 +203,7 @@
 }
 
 fn log_plan(context: &CallContext<'_>, plan: &ModelPlan, leg: &Leg) {
+    context.observe_step("place", context.elapsed_ms());
     let prefill = plan.prefill.as_ref().map_or("none", |engine| engine.run.server.as_str());
     let prompt = prompt(context);
     spdlog::info!(
@@ -389,11 +374,12 @@
 
 fn log_call(
     context: &CallContext<'_>,
-    event: &str,
+    event: &'static str,
     choice: &Choice,
     end: CallEnd,
     elapsed_ms: Millis,
 ) {
+    context.observe_step(event, elapsed_ms);
     spdlog::info!(
         "event={event} request={} server={} predicted_ms={} looked_at={} registry_revision={} \
          config_version={} outcome={} elapsed_ms={}",
@@ -536,6 +522,8 @@
 
 fn note_first_event(context: &CallContext<'_>, leg: &Leg, sent_ms: Millis) {
     let elapsed_ms = clock::now_ms().saturating_sub(sent_ms);
+    context.observe_step("first_event", elapsed_ms);
+    context.observe_answer();
     if leg.kv.is_some() {
         let now_ms = clock::now_ms();
         context.shared.forwarder().note_first_event(now_ms, leg.choice(), elapsed_ms);
--- a/crates/turmericrail/src/forward/operator_edge.rs
+++ b/crates/turmericrail/src/forward/operator_edge.rs
@@ -5,6 +5,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use tide::{Request, Response, Server, StatusCode};
+use turmericrail_core::forward::ServerState;
 
 use super::clock;
 use super::shared::Shared;
@@ -41,7 +42,18 @@
 }
 
 async fn metrics(request: Asked) -> tide::Result {
-    let body = request.state().metrics.render();
+    let shared = request.state();
+    let count = |wanted| {
+        let forwarder = shared.forwarder();
+        let servers = forwarder.registry().servers(clock::now_ms());
+        servers.filter(|(_, entry)| entry.state == wanted).count() as i64
+    };
+    let metrics = &shared.metrics;
+    metrics.servers.with_label_values(&["ready"]).set(count(ServerState::Ready));
+    metrics.servers.with_label_values(&["draining"]).set(count(ServerState::Draining));
+    metrics.instances.set(shared.relay.members().count() as i64);
+    metrics.store_lost.set(i64::from(shared.is_store_lost()));
+    let body = metrics.render();
     Ok(Response::builder(200).content_type("text/plain; version=0.0.4").body(body).build())
 }
 
--- a/crates/turmericrail/src/forward/plain_call.rs
+++ b/crates/turmericrail/src/forward/plain_call.rs
@@ -78,7 +78,7 @@
             return outcome.map_err(Refusal::from);
         }
         match choose(context, &tried) {
-            Some(choice) if may_send_again(context, sent) => next = choice,
+            Some(choice) if context.may_send_again(sent) => next = choice,
             _ => return outcome.map_err(Refusal::from),
         }
     }
@@ -96,22 +96,6 @@
     }
 }
 
-/// Whether the route and the bound on retries let the call go to one more server.
-fn may_send_again(context: &CallContext<'_>, sent: u32) -> bool {
-    if sent == 0 {
-        return true;
-    }
-    let is_allowed = sent < context.route.max_attempts
-        && context.shared.forwarder().take_repeat(clock::now_ms(), context.service);
-    let outcome = if is_allowed { "allowed" } else { "refused" };
-    spdlog::info!(
-        "event=send_again request={} sent={sent} max_attempts={} outcome={outcome}",
-        context.request_id,
-        context.route.max_attempts
-    );
-    is_allowed
-}
-
 fn choose(context: &CallContext<'_>, tried: &[ServerRun]) -> Option<Choice> {
     let is_repeatable = context.route.kind.is_repeatable();
     let (now_ms, draw) = (clock::now_ms(), fastrand::u64(..));
@@ -138,7 +122,7 @@
             let first = async { Some(calling.as_mut().await) }.or(pause).await;
             match (first, choose(context, tried)) {
                 (Some(end), _) => end,
-                (None, Some(other)) if may_send_again(context, sent) => TryEnd::MovedTo(other),
+                (None, Some(other)) if context.may_send_again(sent) => TryEnd::MovedTo(other),
                 (None, _) => calling.await,
             }
         } else {
@@ -153,6 +137,7 @@
         TryEnd::Failed(failure) => failure.call_end(),
         TryEnd::MovedTo(_) => CallEnd::Silent,
     };
+    context.observe_step("server_call", elapsed_ms);
     spdlog::info!(
         "event=server_call request={} server={} predicted_ms={} looked_at={} \
          registry_revision={} config_version={} outcome={} elapsed_ms={}",
--- a/crates/turmericrail/src/lib.rs
+++ b/crates/turmericrail/src/lib.rs
@@ -17,3 +17,11 @@
 pub mod peer_edge;
 pub mod platform_edge;
 pub mod settings;
+
+/// Parses the command line and runs the daemon that it asks for, until its end.
+pub fn run() -> Result<(), error::StartError> {
+    match cli::parse()? {
+        cli::Options::Route(settings) => daemon::start(*settings),
+        cli::Options::Forward(path, settings) => forward::start(path, *settings),
+    }
+}
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Metrics for `/metrics`.
 
-use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
 
 /// Every metric of the process.
 #[derive(Clone)]
@@ -32,6 +35,16 @@
     counter
 }
 
+/// Bounds of the buckets, in seconds: from a call of a plain service to the longest patience.
+const BUCKETS_S: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 2.0, 5.0, 14.0];
+
+fn histogram(registry: &Registry, name: &str, help: &str, label: &str) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(BUCKETS_S.to_vec());
+    let histogram = HistogramVec::new(options, &[label]).expect("the names are valid");
+    registry.register(Box::new(histogram.clone())).expect("each name is registered once");
+    histogram
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let gauge = IntGauge::new(name, help).expect("the names are valid");
     registry.register(Box::new(gauge.clone())).expect("each name is registered once");
@@ -100,8 +113,20 @@
     pub server_calls: IntCounterVec,
     /// Calls of the store by kind.
     pub store_calls: IntCounterVec,
+    /// Time from a request's arrival to its answer or first event, by kind of route.
+    pub answer_seconds: HistogramVec,
+    /// Time of each step of a request, by step.
+    pub step_seconds: HistogramVec,
+    /// Refusals of a retry by the bound on calls sent again.
+    pub retries_refused: IntCounter,
     /// Configuration version in force.
     pub config_version: IntGauge,
+    /// Backend servers by state.
+    pub servers: IntGaugeVec,
+    /// Instances that are known, this one among them.
+    pub instances: IntGauge,
+    /// Whether the store does not answer.
+    pub store_lost: IntGauge,
 }
 
 impl Default for ForwardMetrics {
@@ -121,6 +146,33 @@
                 "Calls of the store.",
                 "call",
             ),
+            answer_seconds: histogram(
+                &registry,
+                "turmericrail_answer_seconds",
+                "Time from arrival to the answer or its first event.",
+                "route_kind",
+            ),
+            step_seconds: histogram(
+                &registry,
+                "turmericrail_step_seconds",
+                "Time of a step of a request.",
+                "step",
+            ),
+            retries_refused: {
+                let name = "turmericrail_retries_refused_total";
+                let refused = IntCounter::new(name, "Retries refused by their bound.")
+                    .expect("the names are valid");
+                registry.register(Box::new(refused.clone())).expect("each name is registered once");
+                refused
+            },
+            servers: {
+                let options = Opts::new("turmericrail_servers", "Backend servers by state.");
+                let servers = IntGaugeVec::new(options, &["state"]).expect("the names are valid");
+                registry.register(Box::new(servers.clone())).expect("each name is registered once");
+                servers
+            },
+            instances: gauge(&registry, "turmericrail_instances", "Instances that are known."),
+            store_lost: gauge(&registry, "turmericrail_store_lost", "Whether the store is lost."),
             config_version: gauge(
                 &registry,
                 "turmericrail_config_version",
--- /dev/null
+++ b/crates/turmericrail/tests/bounded_logs.rs
@@ -0,0 +1,80 @@
+//! The log is bounded by event and by memory, and a reader that stops costs lines, not time.
+
+mod forward_support;
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+use forward_support::World;
+use turmericrail::bounded_log::BoundedLog;
+
+/// What a pipe holds before a writer waits.
+const PIPE_BYTES: usize = 64 * 1024;
+
+#[test]
+fn frequent_event() {
+    let mut log = BoundedLog::default();
+    for number in 0..1_000 {
+        log.write_all(format!("event=often number={number}\n").as_bytes()).unwrap();
+    }
+    log.write_all(b"event=seldom\n").unwrap();
+    std::thread::sleep(Duration::from_millis(1_050));
+    let text = String::from_utf8(log.take()).unwrap();
+    assert_eq!(text.matches("event=often").count(), 200);
+    assert!(text.contains("event=seldom"));
+    assert!(text.contains("event=log_left_out of=often lines=800"), "{text}");
+}
+
+#[test]
+fn full_memory() {
+    let mut log = BoundedLog::default();
+    let padding = "x".repeat(100_000);
+    for number in 0..10 {
+        log.write_all(format!("event=e{number} text={padding}\n").as_bytes()).unwrap();
+    }
+    assert!(log.take().len() <= 512 * 1024);
+}
+
+#[test]
+fn stuffed_pipe() {
+    // The log's reader never reads and the pipe is full from the start: calls are answered all the
+    // same.
+    let world = World::start("stuffed");
+    let settings = std::fs::read_to_string(&world.settings_path).unwrap();
+    let moved = settings.lines().map(|line| match line.split_once(": ") {
+        Some((key, _)) if key.ends_with("_address") && key != "store_address" => {
+            format!("{key}: {}\n", turmericrail_fakes::ports::free_address().unwrap())
+        }
+        _ => format!("{line}\n"),
+    });
+    let moved: String = moved.collect();
+    let path = world.settings_path.with_file_name("stuffed.yaml");
+    std::fs::write(&path, &moved).unwrap();
+    let address = |key: &str| {
+        let line = moved.lines().find_map(|line| line.strip_prefix(key)).unwrap();
+        line.parse::<std::net::SocketAddr>().unwrap()
+    };
+    let (_reader, mut writer) = std::io::pipe().unwrap();
+    writer.write_all(&[b'x'; PIPE_BYTES]).unwrap();
+    let mut process = Command::new(env!("CARGO_BIN_EXE_turmericrail"))
+        .arg("--forward")
+        .arg(&path)
+        .stdout(Stdio::from(writer))
+        .spawn()
+        .unwrap();
+    let ready = address("ready_address: ");
+    forward_support::wait_for("readiness", || {
+        world.page(ready, "/ready").is_some_and(|reply| reply.status() == 200)
+    });
+    let caller = address("caller_address: ");
+    let started = Instant::now();
+    for _ in 0..1_500 {
+        // Without a server each call is refused at once, which is logged.
+        assert!(world.page(caller, "/read/x").is_some());
+    }
+    let elapsed = started.elapsed();
+    process.kill().unwrap();
+    process.wait().unwrap();
+    assert!(elapsed < Duration::from_secs(15), "{elapsed:?}");
+}
