--- a/crates/core/src/forward/plan.rs
+++ b/crates/core/src/forward/plan.rs
@@ -31,3 +31,13 @@
         retry_after_ms: Millis,
     },
 }
+
+impl PlanRefusal {
+    /// The reason as it stands in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            PlanRefusal::NoServer => "no_server",
+            PlanRefusal::DeadlineUnreachable { .. } => "deadline_unreachable",
+        }
+    }
+}
--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -194,6 +194,18 @@
         &[],
         fastrand::u64(..),
     );
+    if let Err(refusal) = &planned {
+        let revision = context.shared.forwarder().registry().revision();
+        spdlog::info!(
+            "event=plan_refused request={} service={} reason={} left_ms={} registry_revision={revision} \
+             config_version={}",
+            context.request_id,
+            context.service,
+            refusal.as_str(),
+            context.left_ms().0,
+            context.table.version()
+        );
+    }
     planned.map_err(|refusal| match refusal {
         PlanRefusal::NoServer => ErrorKind::NoServer.into(),
         PlanRefusal::DeadlineUnreachable { retry_after_ms } => {
@@ -275,9 +287,20 @@
 ) -> Result<(), Refusal> {
     let elapsed_ms = context.elapsed_ms();
     let patience_ms = context.deadline_ms.saturating_sub(context.request.arrived_ms);
-    let longest_ms =
-        Millis(context.route.target_ms.0 * MAX_WAIT_FACTOR).min(Millis(patience_ms.0 / 3));
+    let target_ms = context.route.target_ms;
+    let longest_ms = Millis(target_ms.0 * MAX_WAIT_FACTOR).min(Millis(patience_ms.0 / 3));
     if elapsed_ms > longest_ms {
+        let is_scarce = context.shared.forwarder().is_scarce(clock::now_ms(), context.service);
+        spdlog::info!(
+            "event=place_refused request={} service={} waited_ms={} longest_ms={} target_ms={} \
+             is_scarce={is_scarce} size={size:.2} config_version={}",
+            context.request_id,
+            context.service,
+            elapsed_ms.0,
+            longest_ms.0,
+            target_ms.0,
+            context.table.version()
+        );
         let refusal =
             Refusal { kind: ErrorKind::Overloaded, retry_after_ms: Some(FULL_RETRY_AFTER_MS) };
         return Err(refusal);
@@ -418,6 +441,18 @@
     };
     let elapsed_ms = clock::now_ms().saturating_sub(started_ms);
     log_call(context, "server_call", leg.choice(), call_end, elapsed_ms);
+    if let LegEnd::Failed(failure) = &end {
+        spdlog::info!(
+            "event=answer_cut request={} server={} failure={} events={} last_event_id={} \
+             is_movable={is_movable} left_ms={}",
+            context.request_id,
+            leg.choice().run.server,
+            failure.as_str(),
+            events.events(),
+            events.last_id().unwrap_or("none"),
+            context.left_ms().0
+        );
+    }
     leg.guard.end(call_end);
     end
 }
--- a/crates/turmericrail/tests/pages.rs
+++ b/crates/turmericrail/tests/pages.rs
@@ -1,4 +1,4 @@
-//! docs/OPERATING.md names every setting, configuration key, metric, log event, error kind and
+//! docs/OPERATIONS.md names every setting, configuration key, metric, log event, error kind and
 //! command line word of the code, and none that the code lacks.
 
 use std::collections::BTreeSet;
@@ -6,7 +6,7 @@
 
 use turmericrail_core::error_kind::ErrorKind;
 
-const PAGE: &str = "docs/OPERATING.md";
+const PAGE: &str = "docs/OPERATIONS.md";
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
