--- a/crates/turmericrail/tests/pages.rs
+++ b/crates/turmericrail/tests/pages.rs
@@ -90,6 +90,12 @@
     compare("Settings", &fields(&read("crates/turmericrail/src/settings.rs")));
 }
 
+#[test]
+fn forwarding_settings() {
+    let in_code = fields(&read("crates/turmericrail/src/forward/settings.rs"));
+    compare("Forwarding settings", &in_code);
+}
+
 #[test]
 fn configuration_keys() {
     let mut keys = BTreeSet::new();
@@ -114,6 +120,8 @@
     let mut events = BTreeSet::new();
     for text in sources("crates/turmericrail/src") {
         events.extend(names_after(&text, "event="));
+        let squeezed: String = text.split_whitespace().collect();
+        events.extend(names_after(&squeezed, "log_call(context,\""));
     }
     for text in sources("crates/core/src") {
         let squeezed: String = text.split_whitespace().collect();
