--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -12,7 +12,7 @@
 use super::{
     CallEnd, Choice, FailureScore, ModelPlan, PlanRefusal, Pressure, Prompt, Registry,
     ReportedLoad, RetryBounds, RetryWindow, RouteTable, ServerEntry, ServerLoad, ServerNews,
-    ServerRun, ServerState, should_shift,
+    ServerRun, ServerState,
 };
 use crate::config::ServerRole;
 use crate::ids::{DataCentreId, ServerId, ServiceId};
@@ -26,8 +26,6 @@
 const SILENT_DATA_CENTRE_MS: f64 = 60.0;
 /// Bounds on the size of a call relative to the mean.
 const RELATIVE_SIZE: (f64, f64) = (0.5, 3.0);
-/// Weight of one prefill in the mean load of prefill engines.
-const PREFILL_LOAD_WEIGHT: f64 = 0.1;
 /// Weight of a new call in the mean size.
 const SIZE_WEIGHT: f64 = 0.05;
 /// Factor on failures for calls that can't be sent again.
@@ -77,7 +75,6 @@
     windows: BTreeMap<ServiceId, RetryWindow>,
     pressures: BTreeMap<ServiceId, Pressure>,
     mean_kv_tokens: BTreeMap<ServiceId, f64>,
-    prefill_requests: BTreeMap<ServiceId, f64>,
     data_centre_failures: BTreeMap<DataCentreId, FailureScore>,
     instances: usize,
 }
@@ -108,7 +105,6 @@
             windows: BTreeMap::new(),
             pressures: BTreeMap::new(),
             mean_kv_tokens: BTreeMap::new(),
-            prefill_requests: BTreeMap::new(),
             data_centre_failures: BTreeMap::new(),
         }
     }
@@ -240,39 +236,6 @@
         self.note_pace(now_ms, choice, measured_ms);
     }
 
-    /// Takes the load that a prefill engine told with its answer.
-    pub fn note_prefill_load(&mut self, service: &ServiceId, reported: ReportedLoad) {
-        let requests = f64::from(reported.running) + f64::from(reported.waiting);
-        let mean = self.prefill_requests.entry(service.clone()).or_insert(requests);
-        *mean += PREFILL_LOAD_WEIGHT * (requests - *mean);
-    }
-
-    /// The prefill engine of a service that should become a decode engine next, but for those in
-    /// `skipped`. One stays in each data centre.
-    pub fn engine_to_shift(
-        &self,
-        now_ms: Millis,
-        service: &ServiceId,
-        skipped: &[ServerRun],
-    ) -> Option<Choice> {
-        let prefill = self.candidates(now_ms, service, ServerRole::Prefill, skipped);
-        let decode = self.candidates(now_ms, service, ServerRole::Decode, skipped);
-        let requests = self.prefill_requests.get(service).copied();
-        let is_scarce = self.is_scarce(now_ms, service);
-        if !should_shift(prefill.len(), decode.len() + skipped.len(), requests, is_scarce) {
-            return None;
-        }
-        let looked_at = prefill.len();
-        let mut engines: BTreeMap<&DataCentreId, Vec<Candidate<'_>>> = BTreeMap::new();
-        for candidate in prefill {
-            engines.entry(&candidate.entry.data_centre).or_default().push(candidate);
-        }
-        let largest = engines.into_values().max_by_key(Vec::len).filter(|it| it.len() > 1)?;
-        let idlest = largest.into_iter().min_by_key(|candidate| candidate.load.calls())?;
-        let rated = Rated { candidate: idlest, normal_ms: 0.0, predicted_ms: 0.0, cost_ms: 0.0 };
-        Some(self.choice(rated, Tokens::ZERO, looked_at))
-    }
-
     /// Takes the time of a prefill.
     pub fn note_prefill(&mut self, now_ms: Millis, choice: &Choice, measured_ms: Millis) {
         let load = self.loads.get(&choice.run).copied().unwrap_or_default();
--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -347,9 +347,6 @@
     let bytes = call_bytes(context, engine, &Step::Prefill);
     let exchange = begin(context, engine, &bytes, limit_ms).await?;
     let facts = exchange.facts.clone();
-    if let Some(load) = facts.load {
-        context.shared.forwarder().note_prefill_load(context.service, load);
-    }
     let left_ms = (started_ms + limit_ms).saturating_sub(clock::now_ms());
     let (head, body) = exchange.read_body(&context.shared.pool, engine.address, left_ms).await?;
     if facts.is_not_run || !head.is_success() {
