--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -1,58 +1,20 @@
-//! Choice of servers for calls that are forwarded.
-//!
-//! The expected time of a call at each server is compared: what the server's queue takes at the
-//! pace of its service, times how slow this server has been, and an allowance for recent failures.
-//! Reports of servers are late and other instances choose at the same time, so small differences
-//! are decided by a random draw.
+//! What a forwarder knows: the configuration in force, the servers, their load and their health.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::service_pace::ServicePace;
 use super::{
-    CallEnd, Choice, FailureScore, ModelPlan, PlanRefusal, Pressure, Prompt, Registry,
-    ReportedLoad, RetryBounds, RetryWindow, RouteTable, ServerEntry, ServerLoad, ServerNews,
-    ServerRun, ServerState,
+    CallEnd, Choice, FailureScore, Pressure, Prompt, Registry, ReportedLoad, RetryBounds,
+    RetryWindow, RouteTable, ServerEntry, ServerLoad, ServerNews, ServerRun,
 };
-use crate::config::ServerRole;
-use crate::ids::{DataCentreId, ServerId, ServiceId};
+use crate::ids::{DataCentreId, ServiceId};
 use crate::units::{Millis, Tokens};
 
-/// Time that one recent failure counts for in the choice of a server: about that of a call sent
-/// again.
-const FAILURE_MS: f64 = 250.0;
-/// Time that one recent silence of any server counts for at the others of its data centre: several
-/// in a row mean that the data centre is cut off.
-const SILENT_DATA_CENTRE_MS: f64 = 60.0;
 /// Bounds on the size of a call relative to the mean.
 const RELATIVE_SIZE: (f64, f64) = (0.5, 3.0);
 /// Weight of a new call in the mean size.
 const SIZE_WEIGHT: f64 = 0.05;
-/// Factor on failures for calls that can't be sent again.
-const AT_MOST_ONCE_FACTOR: f64 = 4.0;
-/// Time that another data centre counts for: two ways, and bytes that are paid for.
-const OTHER_DATA_CENTRE_MS: f64 = 4.0;
-/// Time that a decode engine in another data centre than the prefill engine counts for: KV caches
-/// take twice as long there and are paid for.
-const OTHER_KV_DATA_CENTRE_MS: f64 = 40.0;
-/// Range of the random draw that is added to the expected time.
-const DRAW_RANGE_MS: f64 = 4.0;
-/// Time that one more request in a batch adds to the first events and gaps of an engine.
-const BATCH_MS: f64 = 3.0;
-/// Tokens of a request of which only its count is known.
-const USUAL_TOKENS: f64 = 4_000.0;
-/// Part of an engine's memory that is filled before it counts as full; the rest is for requests
-/// that other instances have just sent.
-const MEMORY_FILL: f64 = 0.9;
-/// Time that a request waits for memory on a full engine: about that of one answer.
-const FULL_ENGINE_MS: f64 = 600.0;
-/// How much slower a decode engine reads a prompt than a prefill engine: half the speed, and its
-/// steps are shared with running answers.
-const DECODE_READS_SLOWER: f64 = 2.5;
-/// Shortest time named to a caller that is to come back.
-const MIN_RETRY_AFTER_MS: Millis = Millis(200);
-/// Longest time named to a caller that is to come back, so that it stays within its patience.
-const MAX_RETRY_AFTER_MS: Millis = Millis(3_000);
 
 /// What a forwarder is told at its start.
 #[derive(Clone, Debug)]
@@ -67,31 +29,18 @@
 
 /// Where calls go: the configuration in force, the servers that are registered and their load.
 pub struct Forwarder {
-    settings: ForwarderSettings,
-    table: Option<Arc<RouteTable>>,
-    registry: Registry,
-    loads: BTreeMap<ServerRun, ServerLoad>,
+    pub(super) settings: ForwarderSettings,
+    pub(super) table: Option<Arc<RouteTable>>,
+    pub(super) registry: Registry,
+    pub(super) loads: BTreeMap<ServerRun, ServerLoad>,
     paces: BTreeMap<ServiceId, ServicePace>,
     windows: BTreeMap<ServiceId, RetryWindow>,
     pressures: BTreeMap<ServiceId, Pressure>,
     mean_kv_tokens: BTreeMap<ServiceId, f64>,
-    data_centre_failures: BTreeMap<DataCentreId, FailureScore>,
+    pub(super) data_centre_failures: BTreeMap<DataCentreId, FailureScore>,
     instances: usize,
 }
 
-struct Candidate<'a> {
-    server: &'a ServerId,
-    entry: &'a ServerEntry,
-    load: ServerLoad,
-}
-
-struct Rated<'a> {
-    candidate: Candidate<'a>,
-    normal_ms: f64,
-    predicted_ms: f64,
-    cost_ms: f64,
-}
-
 impl Forwarder {
     /// A forwarder that knows no configuration and no servers.
     pub fn new(settings: ForwarderSettings) -> Self {
@@ -249,233 +198,7 @@
         load.note_pace(now_ms, measured_ms, choice.normal_ms);
     }
 
-    fn pace(&self, service: &ServiceId) -> ServicePace {
+    pub(super) fn pace(&self, service: &ServiceId) -> ServicePace {
         self.paces.get(service).copied().unwrap_or_default()
     }
-
-    /// Every server of a service and role that takes new work, but for those in `tried`.
-    fn candidates(
-        &self,
-        now_ms: Millis,
-        service: &ServiceId,
-        role: ServerRole,
-        tried: &[ServerRun],
-    ) -> Vec<Candidate<'_>> {
-        let mut candidates = Vec::new();
-        for (server, entry) in self.registry.servers(now_ms) {
-            let is_match = entry.service == *service && entry.role == role;
-            if !is_match || entry.state != ServerState::Ready {
-                continue;
-            }
-            let run = ServerRun { server: server.clone(), started_ms: entry.started_ms };
-            if tried.contains(&run) {
-                continue;
-            }
-            let load = self.loads.get(&run).copied().unwrap_or_default();
-            if load.is_unreached(now_ms) {
-                continue;
-            }
-            candidates.push(Candidate { server, entry, load });
-        }
-        candidates
-    }
-
-    /// The server for a plain call.
-    pub fn choose_plain(
-        &self,
-        now_ms: Millis,
-        service: &ServiceId,
-        is_repeatable: bool,
-        tried: &[ServerRun],
-        draw: u64,
-    ) -> Option<Choice> {
-        let answer_ms = self.pace(service).answer_ms;
-        let factor = if is_repeatable { 1.0 } else { AT_MOST_ONCE_FACTOR };
-        let candidates = self.candidates(now_ms, service, ServerRole::Plain, tried);
-        let looked_at = candidates.len();
-        let best = self.best(now_ms, candidates, factor, draw, |candidate| {
-            let calls = f64::from(candidate.load.calls()) + candidate.load.others(now_ms);
-            let slots = f64::from(candidate.entry.slots.max(1));
-            let waiting = (calls + 1.0 - slots).max(0.0) / slots;
-            // Servers slow down while they fill up, so that the emptier one is preferred.
-            let crowding = calls / slots;
-            (answer_ms * (1.0 + waiting + crowding), 0.0)
-        })?;
-        Some(self.choice(best, Tokens::ZERO, looked_at))
-    }
-
-    /// Where a model call goes, so that its first event comes within `left_ms`.
-    pub fn plan_model(
-        &self,
-        now_ms: Millis,
-        service: &ServiceId,
-        prompt: Prompt,
-        left_ms: Millis,
-        tried: &[ServerRun],
-        draw: u64,
-    ) -> Result<ModelPlan, PlanRefusal> {
-        let prefill = self.choose_prefill(now_ms, service, prompt, tried, draw);
-        let near = prefill.as_ref().map(|choice| choice.data_centre.clone());
-        let decode = self.choose_decode(now_ms, service, prompt, near.as_ref(), tried, draw);
-        let alone = self.choose_alone(now_ms, service, prompt, tried, draw);
-        let split_ms = match (&prefill, &decode) {
-            (Some(prefill), Some(decode)) => Some(prefill.predicted_ms + decode.predicted_ms),
-            _ => None,
-        };
-        let alone_ms = alone.as_ref().map(|choice| choice.predicted_ms);
-        let plan = match (split_ms, alone_ms) {
-            (None, None) => return Err(PlanRefusal::NoServer),
-            (Some(split_ms), alone_ms) if alone_ms.is_none_or(|alone_ms| split_ms <= alone_ms) => {
-                ModelPlan { prefill, decode: decode.expect("the split path has a decode engine") }
-            }
-            _ => ModelPlan { prefill: None, decode: alone.expect("one path has a server") },
-        };
-        let predicted_ms = plan.predicted_ms();
-        if predicted_ms > left_ms {
-            let retry_after_ms = predicted_ms.saturating_sub(left_ms);
-            let retry_after_ms = retry_after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
-            return Err(PlanRefusal::DeadlineUnreachable { retry_after_ms });
-        }
-        Ok(plan)
-    }
-
-    /// The prefill engine for a prompt.
-    pub fn choose_prefill(
-        &self,
-        now_ms: Millis,
-        service: &ServiceId,
-        prompt: Prompt,
-        tried: &[ServerRun],
-        draw: u64,
-    ) -> Option<Choice> {
-        let token_ms = self.pace(service).prompt_token_ms;
-        let candidates = self.candidates(now_ms, service, ServerRole::Prefill, tried);
-        let looked_at = candidates.len();
-        let tokens = prompt.prompt_tokens;
-        let best = self.best(now_ms, candidates, 1.0, draw, |candidate| {
-            let others = candidate.load.others(now_ms) * USUAL_TOKENS;
-            let queued = candidate.load.tokens() as f64 + others + tokens.0 as f64;
-            (queued * token_ms, 0.0)
-        })?;
-        Some(self.choice(best, tokens, looked_at))
-    }
-
-    /// The decode engine for a prompt that is read elsewhere, best near `near`.
-    pub fn choose_decode(
-        &self,
-        now_ms: Millis,
-        service: &ServiceId,
-        prompt: Prompt,
-        near: Option<&DataCentreId>,
-        tried: &[ServerRun],
-        draw: u64,
-    ) -> Option<Choice> {
-        let first_event_ms = self.pace(service).first_event_ms;
-        let kv_tokens = self.kv_tokens(service);
-        let candidates = self.candidates(now_ms, service, ServerRole::Decode, tried);
-        let looked_at = candidates.len();
-        let needed = prompt.kv_tokens();
-        let best = self.best(now_ms, candidates, 1.0, draw, |candidate| {
-            let is_far = near.is_some_and(|near| candidate.entry.data_centre != *near);
-            let far_ms = if is_far { OTHER_KV_DATA_CENTRE_MS } else { 0.0 };
-            (first_event_ms + crowding_ms(now_ms, candidate, needed, kv_tokens), far_ms)
-        })?;
-        Some(self.choice(best, needed, looked_at))
-    }
-
-    /// The decode engine for a prompt that it reads itself.
-    pub fn choose_alone(
-        &self,
-        now_ms: Millis,
-        service: &ServiceId,
-        prompt: Prompt,
-        tried: &[ServerRun],
-        draw: u64,
-    ) -> Option<Choice> {
-        let pace = self.pace(service);
-        let read_ms = prompt.prompt_tokens.0 as f64 * pace.prompt_token_ms * DECODE_READS_SLOWER;
-        let kv_tokens = self.kv_tokens(service);
-        let candidates = self.candidates(now_ms, service, ServerRole::Decode, tried);
-        let looked_at = candidates.len();
-        let needed = prompt.kv_tokens();
-        let best = self.best(now_ms, candidates, 1.0, draw, |candidate| {
-            let crowding = crowding_ms(now_ms, candidate, needed, kv_tokens);
-            (pace.first_event_ms + read_ms + crowding, 0.0)
-        })?;
-        Some(self.choice(best, needed, looked_at))
-    }
-
-    fn kv_tokens(&self, service: &ServiceId) -> Option<Tokens> {
-        let engine = self.table.as_ref()?.service(service)?.engine?;
-        Some(engine.kv_tokens)
-    }
-
-    /// The candidate of least cost; `rate` tells the expected time at normal pace and what counts
-    /// in addition.
-    fn best<'a>(
-        &self,
-        now_ms: Millis,
-        candidates: Vec<Candidate<'a>>,
-        failure_factor: f64,
-        draw: u64,
-        rate: impl Fn(&Candidate<'a>) -> (f64, f64),
-    ) -> Option<Rated<'a>> {
-        let mut best: Option<Rated<'a>> = None;
-        for (index, candidate) in candidates.into_iter().enumerate() {
-            let (normal_ms, extra_ms) = rate(&candidate);
-            let predicted_ms = normal_ms * candidate.load.pace(now_ms);
-            let failed_ms = candidate.load.failure_score(now_ms) * FAILURE_MS * failure_factor;
-            let is_far = candidate.entry.data_centre != self.settings.data_centre;
-            let far_ms = if is_far { OTHER_DATA_CENTRE_MS } else { 0.0 };
-            let place = &candidate.entry.data_centre;
-            let failures = self.data_centre_failures.get(place);
-            let silent_ms = failures.map_or(0.0, |it| it.value(now_ms)) * SILENT_DATA_CENTRE_MS;
-            let cost_ms =
-                predicted_ms + extra_ms + failed_ms + far_ms + silent_ms + drawn_ms(draw, index);
-            if best.as_ref().is_none_or(|best| cost_ms < best.cost_ms) {
-                best = Some(Rated { candidate, normal_ms, predicted_ms, cost_ms });
-            }
-        }
-        best
-    }
-
-    fn choice(&self, rated: Rated<'_>, tokens: Tokens, looked_at: usize) -> Choice {
-        let Candidate { server, entry, .. } = rated.candidate;
-        Choice {
-            run: ServerRun { server: server.clone(), started_ms: entry.started_ms },
-            service: entry.service.clone(),
-            address: entry.address,
-            data_centre: entry.data_centre.clone(),
-            tokens,
-            normal_ms: Millis(rated.normal_ms as u64),
-            predicted_ms: Millis(rated.predicted_ms as u64),
-            looked_at,
-            registry_revision: self.registry.revision(),
-        }
-    }
-}
-
-/// Time that the other requests of a decode engine add.
-fn crowding_ms(
-    now_ms: Millis,
-    candidate: &Candidate<'_>,
-    needed: Tokens,
-    kv_tokens: Option<Tokens>,
-) -> f64 {
-    let others = candidate.load.others(now_ms);
-    let batch = f64::from(candidate.load.calls()) + others;
-    let filled = candidate.load.tokens() as f64 + others * USUAL_TOKENS + needed.0 as f64;
-    let memory = kv_tokens.map_or(f64::INFINITY, |tokens| tokens.0 as f64 * MEMORY_FILL);
-    let is_full = candidate.load.is_full(now_ms);
-    let waits =
-        if is_full || filled > memory { FULL_ENGINE_MS * (filled / memory).max(1.0) } else { 0.0 };
-    batch * BATCH_MS + waits
-}
-
-/// The random part of a candidate's cost, another for each candidate of a draw.
-fn drawn_ms(draw: u64, index: usize) -> f64 {
-    let mixed = draw.wrapping_add(index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let mixed = (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let part = (mixed >> 40) as f64 / (1u64 << 24) as f64;
-    part * DRAW_RANGE_MS
 }
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -7,6 +7,7 @@
 
 mod call_end;
 mod choice;
+mod choosing;
 mod entry;
 mod failure_score;
 mod forwarder;
--- /dev/null
+++ b/crates/turmericrail/src/forward/engine_calls.rs
@@ -0,0 +1,133 @@
+//! Calls to the engines of a model call, and the prefill among them.
+
+use turmericrail_core::forward::{CallEnd, Choice, Prompt};
+use turmericrail_core::units::Millis;
+use turmericrail_platform::call::{self, KvSource, Step};
+use turmericrail_platform::prefill;
+
+use super::call_context::CallContext;
+use super::call_guard::CallGuard;
+use super::clock;
+use super::exchange::{Exchange, OutgoingCall};
+use super::failure::CallFailure;
+use super::held_kv::HeldKv;
+
+/// How much longer than predicted a prefill or first event may take before the engine counts as
+/// silent.
+const SILENCE_FACTOR: u64 = 3;
+/// Added to that, for what other instances have queued there.
+const SILENCE_SLACK_MS: Millis = Millis(250);
+
+/// The size of the call.
+pub fn prompt(context: &CallContext<'_>) -> Prompt {
+    context.request.facts.prompt.unwrap_or_default()
+}
+
+/// Time after which an engine counts as silent.
+pub fn silence_ms(choice: &Choice) -> Millis {
+    Millis(choice.predicted_ms.0 * SILENCE_FACTOR) + SILENCE_SLACK_MS
+}
+
+/// Has an engine read the prompt; nothing where it did not. A prefill is no run of the call, so
+/// that a lost one does no harm.
+pub async fn make_kv(context: &CallContext<'_>, engine: &Choice) -> Option<HeldKv> {
+    let guard = CallGuard::start(context.shared, engine);
+    let limit_ms = silence_ms(engine).min(context.left_ms());
+    let prefilled = call_prefill(context, engine, limit_ms).await;
+    let elapsed_ms = guard.elapsed_ms();
+    let end = match &prefilled {
+        Ok(Some(_)) => CallEnd::Answered,
+        Ok(None) => CallEnd::Refused,
+        Err(failure) => failure.call_end(),
+    };
+    log_call(context, "prefill_call", engine, end, elapsed_ms);
+    if end == CallEnd::Answered {
+        context.shared.forwarder().note_prefill(clock::now_ms(), engine, elapsed_ms);
+    }
+    guard.end(end);
+    let handle = prefilled.ok().flatten()?;
+    let source = KvSource { address: engine.address, handle };
+    Some(HeldKv::new(context.shared, source, engine.run.clone()))
+}
+
+async fn call_prefill(
+    context: &CallContext<'_>,
+    engine: &Choice,
+    limit_ms: Millis,
+) -> Result<Option<String>, CallFailure> {
+    let started_ms = clock::now_ms();
+    let bytes = call_bytes(context, engine, &Step::Prefill);
+    let exchange = begin(context, engine, &bytes, limit_ms).await?;
+    let facts = exchange.facts.clone();
+    let left_ms = (started_ms + limit_ms).saturating_sub(clock::now_ms());
+    let (head, body) = exchange.read_body(&context.shared.pool, engine.address, left_ms).await?;
+    if facts.is_not_run || !head.is_success() {
+        return Ok(None);
+    }
+    match prefill::decode(&body) {
+        Ok(prefilled) => Ok(Some(prefilled.handle)),
+        Err(error) => {
+            spdlog::warn!(
+                "event=prefill_malformed request={} server={} error={:?}",
+                context.request_id,
+                engine.run.server,
+                error.to_string()
+            );
+            Err(CallFailure::Lost)
+        }
+    }
+}
+
+/// Head and body of a call to an engine.
+pub fn call_bytes(context: &CallContext<'_>, choice: &Choice, step: &Step<'_>) -> Vec<u8> {
+    let request = context.request;
+    let mut bytes = Vec::new();
+    let left_ms = context.left_ms();
+    let length = request.body.len();
+    call::write_head(&request.head, length, &choice.run.server, left_ms, step, &mut bytes);
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
+
+/// Sends a call and waits for the head of its answer.
+pub async fn begin(
+    context: &CallContext<'_>,
+    choice: &Choice,
+    bytes: &[u8],
+    limit_ms: Millis,
+) -> Result<Exchange, CallFailure> {
+    let outgoing = OutgoingCall {
+        address: choice.address,
+        bytes,
+        method: &context.request.head.method,
+        request_id: context.request_id,
+    };
+    let exchange = Exchange::begin(&context.shared.pool, &outgoing, limit_ms).await?;
+    if let Some(load) = exchange.facts.load {
+        context.shared.forwarder().report(clock::now_ms(), &choice.run, load);
+    }
+    Ok(exchange)
+}
+
+/// Logs the end of a call.
+pub fn log_call(
+    context: &CallContext<'_>,
+    event: &'static str,
+    choice: &Choice,
+    end: CallEnd,
+    elapsed_ms: Millis,
+) {
+    context.observe_step(event, elapsed_ms);
+    spdlog::info!(
+        "event={event} request={} server={} predicted_ms={} looked_at={} registry_revision={} \
+         config_version={} outcome={} elapsed_ms={}",
+        context.request_id,
+        choice.run.server,
+        choice.predicted_ms.0,
+        choice.looked_at,
+        choice.registry_revision,
+        context.table.version(),
+        end.as_str(),
+        elapsed_ms.0
+    );
+}
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! [`Forwarder`]: turmericrail_core::forward::Forwarder
 
+mod answer_leg;
 mod answer_writer;
 mod call_context;
 mod call_guard;
@@ -15,6 +16,8 @@
 mod clock;
 mod connection_pool;
 mod dispatch;
+mod engine_calls;
+mod engine_place;
 mod event_relay;
 mod exchange;
 mod failure;
--- a/crates/turmericrail/src/forward/settings.rs
+++ b/crates/turmericrail/src/forward/settings.rs
@@ -14,6 +14,7 @@
 
 use crate::error::StartError;
 use crate::log_level::LogLevel;
+use crate::settings::read_with;
 
 /// Settings of an instance that forwards calls.
 #[serde_as]
@@ -62,10 +63,7 @@
 impl ForwardSettings {
     /// Reads and checks a settings file.
     pub fn read(path: &Path) -> Result<Self, StartError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| StartError::ReadSettings { path: path.to_owned(), source })?;
-        Self::parse(&text)
-            .map_err(|problem| StartError::BadSettings { path: path.to_owned(), problem })
+        read_with(path, Self::parse)
     }
 
     /// Parses and checks the text of a settings file.
--- a/crates/turmericrail/src/settings.rs
+++ b/crates/turmericrail/src/settings.rs
@@ -98,10 +98,7 @@
 impl Settings {
     /// Reads and checks a settings file.
     pub fn read(path: &Path) -> Result<Self, StartError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| StartError::ReadSettings { path: path.to_owned(), source })?;
-        Self::parse(&text)
-            .map_err(|problem| StartError::BadSettings { path: path.to_owned(), problem })
+        read_with(path, Self::parse)
     }
 
     /// Parses and checks the text of a settings file.
@@ -183,6 +180,16 @@
     }
 }
 
+/// Reads a settings file and parses it.
+pub fn read_with<T>(
+    path: &Path,
+    parse: impl Fn(&str) -> Result<T, ConfigError>,
+) -> Result<T, StartError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| StartError::ReadSettings { path: path.to_owned(), source })?;
+    parse(&text).map_err(|problem| StartError::BadSettings { path: path.to_owned(), problem })
+}
+
 /// Whether two sockets can't be told apart; an unspecified IP number stands for all of them.
 fn is_same(one: SocketAddr, other: SocketAddr) -> bool {
     let is_any = one.ip().is_unspecified() || other.ip().is_unspecified();
