Refuse new work late in a shutdown, when its answer might not fit into the grace

Change: from 2.8 s after the order on, new requests are told to come back elsewhere (503, not run); the listener closes a second later. Excluded: a longer stay (the grace is 8 s and the stream needed more).

--- a/crates/turmericrail/src/forward/dispatch.rs
+++ b/crates/turmericrail/src/forward/dispatch.rs
@@ -72,6 +72,9 @@
     request: &Request,
     caller: &CallerStream,
 ) -> Result<Served, Refusal> {
+    if shared.has_stopped_work() {
+        return Err(ErrorKind::ShuttingDown.into());
+    }
     let table = shared.forwarder().table().cloned().ok_or(ErrorKind::NotReady)?;
     let request_id = request.facts.request_id.as_deref().ok_or(ErrorKind::BadRequest)?;
     let route = table.find(&request.head.host, request.head.path());
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -43,6 +43,7 @@
     /// Sets of items that the store does not tell at present.
     lost_prefixes: Mutex<BTreeSet<String>>,
     is_leaving: AtomicBool,
+    has_stopped_work: AtomicBool,
     calls: AtomicU64,
     connections: AtomicU64,
     /// Dropped to tell idle connections to close.
@@ -66,6 +67,7 @@
             lost_prefixes: Mutex::new(BTreeSet::new()),
             forwarder: Mutex::new(forwarder),
             is_leaving: AtomicBool::new(false),
+            has_stopped_work: AtomicBool::new(false),
             calls: AtomicU64::new(0),
             connections: AtomicU64::new(0),
             idle_open: Mutex::new(Some(idle_open)),
@@ -125,6 +127,16 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Takes no new requests any more.
+    pub fn stop_work(&self) {
+        self.has_stopped_work.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether new requests are refused.
+    pub fn has_stopped_work(&self) -> bool {
+        self.has_stopped_work.load(Ordering::Relaxed)
+    }
+
     /// Tells connections that wait for a request to close.
     pub fn close_idle(&self) {
         self.idle_open.lock().unwrap_or_else(|_| std::process::abort()).take();
--- a/crates/turmericrail/src/forward/shutdown.rs
+++ b/crates/turmericrail/src/forward/shutdown.rs
@@ -14,8 +14,11 @@
 use super::shared::Shared;
 use super::signals::Signal;
 
-/// Time in which the balancer notices: two questions, one a second, and one more for the way.
-const BALANCER_NOTICES_MS: Millis = Millis(3_200);
+/// Time in which the balancer notices: two questions, one a second, and some for the way. What
+/// comes later is refused, since its answer might not fit into the grace.
+const BALANCER_NOTICES_MS: Millis = Millis(2_800);
+/// Time after that in which connections that are on their way are still told to go elsewhere.
+const REFUSING_MS: Millis = Millis(1_000);
 /// Part of the grace that is kept for the last bytes to leave.
 const END_MARGIN_MS: Millis = Millis(500);
 /// Time between looks at what is left.
@@ -28,6 +31,8 @@
     shared.leave();
     spdlog::info!("event=shutdown calls={} connections={}", shared.calls(), shared.connections());
     task::sleep(Duration::from_millis(BALANCER_NOTICES_MS.0)).await;
+    shared.stop_work();
+    task::sleep(Duration::from_millis(REFUSING_MS.0)).await;
     listening.cancel().await;
     shared.close_idle();
     let last_ms = ordered_ms + shared.settings().grace_ms.saturating_sub(END_MARGIN_MS);
--- a/crates/turmericrail/tests/forwarding_changes.rs
+++ b/crates/turmericrail/tests/forwarding_changes.rs
@@ -102,6 +102,7 @@
     assert_eq!(read_reply(&mut kept, &mut buffer).unwrap().status(), 200);
     let mut stream = world.connect();
     stream.write_all(request_text("stream", "r2").as_bytes()).unwrap();
+    let ordered = Instant::now();
     world.signal("TERM");
     world.wait_for_log("event=shutdown");
     assert!(!world.is_ready());
@@ -111,6 +112,10 @@
     let last = read_reply(&mut kept, &mut buffer).unwrap();
     assert_eq!((last.status(), last.head.is_kept_alive), (200, false));
     assert!(read_reply(&mut stream, &mut Vec::new()).unwrap().is_whole);
+    // Late work is refused, since its answer might not fit into the grace.
+    std::thread::sleep(Duration::from_millis(3_000).saturating_sub(ordered.elapsed()));
+    let late = world.request("order", "r5");
+    assert_eq!((late.status(), late.head.headers.text("Retry-After").is_some()), (503, true));
     let end = Instant::now() + Duration::from_secs(8);
     while !world.has_ended() {
         assert!(Instant::now() < end, "the process has not ended");
