Refuse ambiguous heads and dot segments at the product's own edge

Cause: the HTTP library takes an unknown transfer coding as "no body", the last of two lengths and a length of "+0", so that the bytes of a body were answered as a second request; it also resolves `..`, so that `/stock/x/../../health` was answered as `/health`.

Change: the guarded stream passes each whole head through the check that forwarded calls pass (`RequestHead::parse`), and refuses dot segments, before the library sees the end of the head.

Excluded: replacing the library, since only heads are at issue; normalising paths, since two readers then still see two routes.

Before: tests smuggled_requests and dot_segments failed (two answers; 200).

--- a/crates/turmericrail/src/caller_edge/connection.rs
+++ b/crates/turmericrail/src/caller_edge/connection.rs
@@ -19,6 +19,7 @@
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::event::Event;
 use turmericrail_core::ids::RequestId;
+use turmericrail_wire::http1::HeadError;
 
 use super::guarded_stream::{GuardedStream, MAX_HEAD_BYTES};
 use super::{App, reply};
@@ -185,10 +186,13 @@
         HeadProblem::Malformed if guarded.head_bytes() >= MAX_HEAD_BYTES => {
             format!("it is longer than {MAX_HEAD_BYTES} bytes: shorten the path or the headers")
         }
-        HeadProblem::Malformed => {
-            "it is no HTTP/1.1 head: send method, path, HTTP/1.1 and a host header, all in ASCII"
-                .to_owned()
-        }
+        HeadProblem::Malformed => match guarded.problem() {
+            Some(problem) if problem != HeadError::Malformed && problem != HeadError::BadHost => {
+                format!("{problem}: send one body length or chunks, and a plain path")
+            }
+            _ => "it is no HTTP/1.1 head: send method, path, HTTP/1.1 and a host header, all in ASCII"
+                .to_owned(),
+        },
     };
     let kind = ErrorKind::HeadRefused;
     shared.metrics.answers.with_label_values(&[kind.answer().text]).inc();
--- a/crates/turmericrail/src/caller_edge/guarded_stream.rs
+++ b/crates/turmericrail/src/caller_edge/guarded_stream.rs
@@ -1,17 +1,20 @@
-//! A caller's stream with a bound on the head of each request.
+//! A caller's stream with a check of the head of each request.
 //!
 //! The HTTP library loses what it has read beyond a request, so this stream hands out a request's
-//! bytes alone and keeps those of the next. The library also reads a head line of any length into memory, panics on bytes outside ASCII in a
-//! header, and after an answer reads an unread body to its end however slowly that comes. This
-//! stream fails the first two while the head arrives and the last at once.
+//! bytes alone and keeps those of the next. The library also reads a head line of any length into
+//! memory, panics on bytes outside ASCII in a header, takes a transfer coding that it does not know
+//! as no body, resolves dot segments into other routes, and after an answer reads an unread body to
+//! its end however slowly that comes. This stream fails the last at once and the others before the
+//! library sees the end of the head, by the same check that forwarded calls pass.
 
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
 
-use async_std::io::{Error, ErrorKind, Read, Result, Write};
+use async_std::io::{Error, ErrorKind, Read, Result as IoResult, Write};
 use async_std::net::TcpStream;
+use turmericrail_wire::http1::{HeadError, RequestHead};
 
 /// Longest head of a request, in bytes; the HTTP library's own limit.
 pub const MAX_HEAD_BYTES: u64 = 8 * 1024;
@@ -34,12 +37,15 @@
     head_bytes: AtomicU64,
     end_bytes: AtomicUsize,
     body_bytes: AtomicU64,
+    /// The head as far as it has come.
+    head: Mutex<Vec<u8>>,
+    problem: Mutex<Option<HeadError>>,
     next: Mutex<Vec<u8>>,
 }
 
 impl Guard {
     /// Checks the next bytes up to the end of the head and returns how many belong to it.
-    fn check_head(&self, bytes: &[u8]) -> Result<usize> {
+    fn check_head(&self, bytes: &[u8]) -> IoResult<usize> {
         let refusal = |problem| Err(Error::new(ErrorKind::InvalidData, problem));
         let mut matched = self.end_bytes.load(Ordering::SeqCst);
         let mut count = 0;
@@ -63,12 +69,24 @@
         if !is_ascii {
             return refusal("the head holds a byte outside ASCII");
         }
-        Ok(count)
+        let mut head = lock(&self.head);
+        head.extend_from_slice(&bytes[..count]);
+        if matched < HEAD_END.len() {
+            return Ok(count);
+        }
+        let parsed = std::mem::take(&mut *head);
+        match strict_head(&parsed) {
+            Ok(_) => Ok(count),
+            Err(problem) => {
+                *lock(&self.problem) = Some(problem);
+                Err(Error::new(ErrorKind::InvalidData, problem))
+            }
+        }
     }
 
     /// Takes bytes that were read before.
     fn take_next(&self, buffer: &mut [u8]) -> usize {
-        let mut next = self.next();
+        let mut next = lock(&self.next);
         let count = buffer.len().min(next.len());
         buffer[..count].copy_from_slice(&next[..count]);
         next.drain(..count);
@@ -77,12 +95,18 @@
 
     /// Keeps bytes that belong to what follows.
     fn put_back(&self, bytes: &[u8]) {
-        self.next().splice(..0, bytes.iter().copied());
+        lock(&self.next).splice(..0, bytes.iter().copied());
     }
+}
 
-    fn next(&self) -> MutexGuard<'_, Vec<u8>> {
-        self.next.lock().unwrap_or_else(|_| std::process::abort())
-    }
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|_| std::process::abort())
+}
+
+/// Checks a whole head.
+fn strict_head(bytes: &[u8]) -> Result<RequestHead, HeadError> {
+    let (head, _) = RequestHead::parse(bytes)?.ok_or(HeadError::Malformed)?;
+    if head.has_dot_segments() { Err(HeadError::DotSegments) } else { Ok(head) }
 }
 
 /// The stream.
@@ -102,6 +126,7 @@
     pub fn expect_head(&self) {
         self.guard.head_bytes.store(0, Ordering::SeqCst);
         self.guard.end_bytes.store(0, Ordering::SeqCst);
+        lock(&self.guard.head).clear();
         self.guard.phase.store(HEAD, Ordering::SeqCst);
     }
 
@@ -121,6 +146,11 @@
         self.guard.phase.load(Ordering::SeqCst) == HEAD
     }
 
+    /// What the check of the whole head found.
+    pub fn problem(&self) -> Option<HeadError> {
+        *lock(&self.guard.problem)
+    }
+
     /// Bytes of the head that have come.
     pub fn head_bytes(&self) -> u64 {
         self.guard.head_bytes.load(Ordering::SeqCst)
@@ -132,7 +162,7 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut [u8],
-    ) -> Poll<Result<usize>> {
+    ) -> Poll<IoResult<usize>> {
         let phase = self.guard.phase.load(Ordering::SeqCst);
         if phase == ANSWER {
             return Poll::Ready(Err(Error::other("the request was not read to its end")));
@@ -162,15 +192,15 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &[u8],
-    ) -> Poll<Result<usize>> {
+    ) -> Poll<IoResult<usize>> {
         Pin::new(&mut self.stream).poll_write(context, buffer)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<IoResult<()>> {
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
-    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<IoResult<()>> {
         Pin::new(&mut self.stream).poll_close(context)
     }
 }
--- a/crates/turmericrail/tests/hostile_callers.rs
+++ b/crates/turmericrail/tests/hostile_callers.rs
@@ -264,6 +264,35 @@
     assert_refused(&fleet, &answer, 400, &["bad_request", "malformed trailers"]).await;
 }
 
+#[async_std::test]
+async fn smuggled_requests() {
+    let fleet = start_tight("smuggled").await;
+    let hidden = "GET /health HTTP/1.1\r\nhost: h\r\n\r\n";
+    let fields = [
+        "transfer-encoding: xchunked",
+        "transfer-encoding: gzip, chunked",
+        "content-length: 0\r\ncontent-length: 40",
+        "content-length: +0",
+        "content-length: 4\r\ntransfer-encoding: chunked",
+    ];
+    for field in fields {
+        let request = format!("POST /v1/tickets HTTP/1.1\r\nhost: h\r\n{field}\r\n\r\n{hidden}");
+        let answer = send_raw(address(&fleet), request.as_bytes(), false).await;
+        assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{field}: {answer:?}");
+        assert_refused(&fleet, &answer, 400, &["head_refused"]).await;
+    }
+}
+
+#[async_std::test]
+async fn dot_segments() {
+    let fleet = start_tight("dot-segments").await;
+    for path in ["/stock/x/../../health", "/./health", "/stock/%2E%2e/health", "/health/.."] {
+        let request = format!("GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+        let answer = send_raw(address(&fleet), request.as_bytes(), false).await;
+        assert_refused(&fleet, &answer, 400, &["head_refused", "dot segments"]).await;
+    }
+}
+
 #[async_std::test]
 async fn pipelined_requests() {
     let fleet = start_tight("pipelined").await;
--- a/crates/wire/src/http1/head_error.rs
+++ b/crates/wire/src/http1/head_error.rs
@@ -26,4 +26,7 @@
     /// The request's target is no path.
     #[error("the request target must be a path")]
     BadTarget,
+    /// The path holds `.` or `..` as a segment, which readers resolve differently.
+    #[error("the path must not hold dot segments")]
+    DotSegments,
 }
--- a/crates/wire/src/http1/request_head.rs
+++ b/crates/wire/src/http1/request_head.rs
@@ -61,6 +61,16 @@
         self.target.split(['?', '#']).next().unwrap_or_default()
     }
 
+    /// Whether a segment of the path is `.` or `..`, percent-encoded or not: readers that resolve
+    /// them see another path.
+    pub fn has_dot_segments(&self) -> bool {
+        let is_dots = |segment: &str| {
+            let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+            plain == "." || plain == ".."
+        };
+        self.path().split('/').any(is_dots)
+    }
+
     /// Whether the caller waits for a word before it sends the body.
     pub fn expects_continue(&self) -> bool {
         self.headers.has_token("expect", "100-continue")
--- a/crates/wire/tests/request_heads.rs
+++ b/crates/wire/tests/request_heads.rs
@@ -19,6 +19,19 @@
     }
 }
 
+#[test]
+fn dot_segments() {
+    let has = |target: &str| {
+        head(&format!("GET {target} HTTP/1.1\r\nHost: a\r\n\r\n")).has_dot_segments()
+    };
+    for target in ["/a/../b", "/.", "/a/%2E%2e/b", "/.%2e", "/a/..?x=1"] {
+        assert!(has(target), "{target}");
+    }
+    for target in ["/a..b/", "/...", "/a?b=/../c", "/a/.b/", "/"] {
+        assert!(!has(target), "{target}");
+    }
+}
+
 #[test]
 fn host_names() {
     for (host, name) in
