Turn idle prefill engines into decode engines by what engines report

Change: the first seed, 8 s after its start, asks a dozen engines of each role for a report each second. While half of the decode memory is used and fewer prefill engines would do with 1.5 requests each, it orders up to a tenth of the engines to generate; a fifth goes on reading prompts, and one in each data centre. An engine refuses prefills for 6 s while it changes: refusals count against the bound on repeats, the engine is left out for as long, another one is asked at once, and most prefills leave alone the engines that change first, which all instances name alike. A prefill is waited for until the target.

--- a/crates/core/src/forward/choosing.rs
+++ b/crates/core/src/forward/choosing.rs
@@ -40,15 +40,28 @@
 /// How much slower a decode engine reads a prompt than a prefill engine: half the speed, and its
 /// steps are shared with running answers.
 const DECODE_READS_SLOWER: f64 = 2.5;
+/// Part of the prefills that leave engines alone which change their role first.
+const SPARING_PART: f64 = 0.75;
+/// Time that such an engine counts for then: about that of a usual prefill, so that it is used
+/// once the others are known to be busy.
+const SPARE_ENGINE_MS: f64 = 200.0;
 /// Shortest time named to a caller that is to come back.
 const MIN_RETRY_AFTER_MS: Millis = Millis(200);
 /// Longest time named to a caller that is to come back, so that it stays within its patience.
 const MAX_RETRY_AFTER_MS: Millis = Millis(3_000);
 
-struct Candidate<'a> {
-    server: &'a ServerId,
-    entry: &'a ServerEntry,
-    load: ServerLoad,
+/// A server that takes new work.
+#[derive(Clone)]
+pub(super) struct Candidate<'a> {
+    pub(super) server: &'a ServerId,
+    pub(super) entry: &'a ServerEntry,
+    pub(super) load: ServerLoad,
+}
+
+impl Candidate<'_> {
+    pub(super) fn run(&self) -> ServerRun {
+        ServerRun { server: self.server.clone(), started_ms: self.entry.started_ms }
+    }
 }
 
 struct Rated<'a> {
@@ -60,7 +73,7 @@
 
 impl Forwarder {
     /// Every server of a service and role that takes new work, but for those in `tried`.
-    fn candidates(
+    pub(super) fn candidates(
         &self,
         now_ms: Millis,
         service: &ServiceId,
@@ -78,7 +91,8 @@
                 continue;
             }
             let load = self.loads.get(&run).copied().unwrap_or_default();
-            if load.is_unreached(now_ms) {
+            let is_refusing = role == ServerRole::Prefill && load.refuses_prefills(now_ms);
+            if load.is_unreached(now_ms) || is_refusing {
                 continue;
             }
             candidates.push(Candidate { server, entry, load });
@@ -158,10 +172,12 @@
         let candidates = self.candidates(now_ms, service, ServerRole::Prefill, tried);
         let looked_at = candidates.len();
         let tokens = prompt.prompt_tokens;
+        let is_sparing = (draw as f64) < SPARING_PART * u64::MAX as f64;
         let best = self.best(now_ms, candidates, 1.0, draw, |candidate| {
             let others = candidate.load.others(now_ms) * USUAL_TOKENS;
             let queued = candidate.load.tokens() as f64 + others + tokens.0 as f64;
-            (queued * token_ms, 0.0)
+            let is_spared = is_sparing && candidate.load.is_spare();
+            (queued * token_ms, if is_spared { SPARE_ENGINE_MS } else { 0.0 })
         })?;
         Some(self.choice(best, tokens, looked_at))
     }
@@ -245,10 +261,17 @@
         best
     }
 
+    /// A choice without a prediction.
+    pub(super) fn bare_choice(&self, candidate: Candidate<'_>) -> Choice {
+        let rated = Rated { candidate, normal_ms: 0.0, predicted_ms: 0.0, cost_ms: 0.0 };
+        self.choice(rated, Tokens::ZERO, 1)
+    }
+
     fn choice(&self, rated: Rated<'_>, tokens: Tokens, looked_at: usize) -> Choice {
-        let Candidate { server, entry, .. } = rated.candidate;
+        let run = rated.candidate.run();
+        let entry = rated.candidate.entry;
         Choice {
-            run: ServerRun { server: server.clone(), started_ms: entry.started_ms },
+            run,
             service: entry.service.clone(),
             address: entry.address,
             data_centre: entry.data_centre.clone(),
--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -25,6 +25,8 @@
     pub retry_bounds: RetryBounds,
     /// Instances that share the bound until others are known.
     pub assumed_instances: usize,
+    /// Whether engines may be ordered to change their role.
+    pub gives_orders: bool,
 }
 
 /// Where calls go: the configuration in force, the servers that are registered and their load.
@@ -108,6 +110,9 @@
         self.windows.retain(|service, _| {
             self.table.as_ref().is_some_and(|table| table.service(service).is_some())
         });
+        if self.settings.gives_orders {
+            self.mark_spare_engines(now_ms);
+        }
     }
 
     /// Notes whether a new call found a place at the engines of a service.
@@ -142,6 +147,12 @@
         window.take_repeat(now_ms, &bounds, self.instances)
     }
 
+    /// Counts a call that was sent without asking the bound first.
+    pub fn note_repeat(&mut self, now_ms: Millis, service: &ServiceId) {
+        let bounds = self.settings.retry_bounds;
+        self.windows.entry(service.clone()).or_default().note_repeat(now_ms, &bounds);
+    }
+
     /// Counts a call that starts.
     pub fn start(&mut self, choice: &Choice) {
         self.loads.entry(choice.run.clone()).or_default().start(choice.tokens);
@@ -168,6 +179,11 @@
         self.loads.entry(choice.run.clone()).or_default().note_full(now_ms);
     }
 
+    /// Notes that an engine refused a prefill.
+    pub fn note_prefill_refused(&mut self, now_ms: Millis, run: &ServerRun) {
+        self.loads.entry(run.clone()).or_default().note_prefill_refused(now_ms);
+    }
+
     /// Notes that an engine did not keep a KV cache that it had made.
     pub fn note_kv_lost(&mut self, now_ms: Millis, run: &ServerRun) {
         self.loads.entry(run.clone()).or_default().fail(now_ms);
--- a/crates/core/src/forward/load.rs
+++ b/crates/core/src/forward/load.rs
@@ -15,6 +15,10 @@
 /// connection that is given up, so that one call at a time pays for looking.
 const UNREACHED_MS: Millis = Millis(400);
 
+/// Time for which an engine that refused a prefill gets no other: it is changing its role, which
+/// takes about as long, or overrun.
+const PREFILL_REFUSED_MS: Millis = Millis(6_000);
+
 /// A server's own word on its load.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ReportedLoad {
@@ -42,6 +46,8 @@
     failures: FailureScore,
     full_ms: Option<Millis>,
     unreached_ms: Option<Millis>,
+    prefill_refused_ms: Option<Millis>,
+    is_spare: bool,
 }
 
 impl ServerLoad {
@@ -95,6 +101,26 @@
         self.full_ms.is_some_and(|at_ms| now_ms < at_ms + FULL_MS)
     }
 
+    /// Notes that the engine refused a prefill.
+    pub fn note_prefill_refused(&mut self, now_ms: Millis) {
+        self.prefill_refused_ms = Some(now_ms);
+    }
+
+    /// Whether the engine refused a prefill of late.
+    pub fn refuses_prefills(&self, now_ms: Millis) -> bool {
+        self.prefill_refused_ms.is_some_and(|at_ms| now_ms < at_ms + PREFILL_REFUSED_MS)
+    }
+
+    /// Notes whether the engine is among those that change their role first.
+    pub fn set_spare(&mut self, is_spare: bool) {
+        self.is_spare = is_spare;
+    }
+
+    /// Whether the engine is among those that change their role first.
+    pub fn is_spare(&self) -> bool {
+        self.is_spare
+    }
+
     /// Whether it could not be reached a moment ago, so that a call there would only wait.
     pub fn is_unreached(&self, now_ms: Millis) -> bool {
         self.unreached_ms.is_some_and(|at_ms| now_ms < at_ms + UNREACHED_MS)
--- a/crates/core/src/forward/retry_window.rs
+++ b/crates/core/src/forward/retry_window.rs
@@ -40,6 +40,11 @@
         self.step(now_ms, bounds).calls += 1;
     }
 
+    /// Counts a call sent again.
+    pub fn note_repeat(&mut self, now_ms: Millis, bounds: &RetryBounds) {
+        self.step(now_ms, bounds).repeats += 1;
+    }
+
     /// Counts a call sent again, if the bound leaves room for it.
     pub fn take_repeat(&mut self, now_ms: Millis, bounds: &RetryBounds, instances: usize) -> bool {
         self.step(now_ms, bounds);
@@ -49,7 +54,7 @@
         if (repeats + 1) as f64 > bounds.ratio * calls as f64 + own_slack {
             return false;
         }
-        self.step(now_ms, bounds).repeats += 1;
+        self.note_repeat(now_ms, bounds);
         true
     }
 
--- a/crates/core/src/forward/table.rs
+++ b/crates/core/src/forward/table.rs
@@ -100,6 +100,11 @@
         self.services.get(name)
     }
 
+    /// Every service.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -78,6 +78,7 @@
         data_centre: "dc-a".parse().unwrap(),
         retry_bounds: BOUNDS,
         assumed_instances: 1,
+        gives_orders: true,
     });
     forwarder.take_table(table(1, vec![route("r", "a.example", "/")]));
     for (index, (role, data_centre)) in servers.iter().enumerate() {
--- a/crates/core/tests/retry_bound.rs
+++ b/crates/core/tests/retry_bound.rs
@@ -3,7 +3,7 @@
 mod forward_support;
 
 use forward_support::BOUNDS;
-use turmericrail_core::forward::RetryWindow;
+use turmericrail_core::forward::{RetryBounds, RetryWindow};
 use turmericrail_core::units::Millis;
 
 #[test]
@@ -36,3 +36,14 @@
     assert!(!window.take_repeat(Millis(9_000), &BOUNDS, 8));
     assert!(window.take_repeat(Millis(11_000), &BOUNDS, 8));
 }
+
+#[test]
+fn refused_without_asking() {
+    // Calls that a server refused count as well, though nobody asked the bound before.
+    let bounds = RetryBounds { ratio: 0.0, slack: 3, window_ms: Millis(10_000) };
+    let mut window = RetryWindow::default();
+    window.note_repeat(Millis(0), &bounds);
+    window.note_repeat(Millis(10), &bounds);
+    assert!(window.take_repeat(Millis(20), &bounds, 1));
+    assert!(!window.take_repeat(Millis(30), &bounds, 1));
+}
--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -46,17 +46,21 @@
     next: Vec<Behaviour>,
     released: u64,
     is_full: bool,
+    /// The role as entries tell it; nothing at a plain server.
+    stage: Option<&'static str>,
+    orders: Vec<serde_json::Value>,
 }
 
 /// A backend server.
 pub struct RegisteredServer {
     /// Its id.
     pub id: String,
-    stage: Option<&'static str>,
     state: Arc<Mutex<State>>,
     server: RawServer,
 }
 
+/// Memory of an engine.
+const KV_TOKENS: u64 = 60_000;
 /// Events of one whole answer.
 const EVENTS: u64 = 5;
 /// A pause beyond what any route of the tests wants.
@@ -71,25 +75,25 @@
         id: &str,
         stage: Option<&'static str>,
     ) -> std::io::Result<Self> {
-        let state = Arc::new(Mutex::new(State::default()));
+        let state = Arc::new(Mutex::new(State { stage, ..State::default() }));
         let (serving, own_id) = (Arc::clone(&state), id.to_owned());
-        let server = RawServer::start(move |head, body| {
-            answer(&mut lock(&serving), &own_id, stage, head, body)
-        })?;
-        let started = Self { id: id.to_owned(), stage, state, server };
+        let server =
+            RawServer::start(move |head, body| answer(&mut lock(&serving), &own_id, head, body))?;
+        let started = Self { id: id.to_owned(), state, server };
         started.register(store, "ready");
         Ok(started)
     }
 
     /// Writes its entry.
     pub fn register(&self, store: &FakeStore, state: &str) {
-        let service = if self.stage.is_some() { "llm" } else { "desk" };
+        let stage = lock(&self.state).stage;
+        let service = if stage.is_some() { "llm" } else { "desk" };
         let mut entry = json!({
             "service": service, "address": self.address().to_string(), "zone": "dc-a",
             "version": "v1", "slots": 6, "state": state, "coldRemainingMs": 0, "sequence": 1,
             "born": 1,
         });
-        if let Some(stage) = self.stage {
+        if let Some(stage) = stage {
             entry["stage"] = json!(stage);
         }
         store.put(&format!("servers/{}", self.id), &entry);
@@ -115,6 +119,11 @@
         lock(&self.state).is_full = is_full;
     }
 
+    /// The orders that it took.
+    pub fn orders(&self) -> Vec<serde_json::Value> {
+        lock(&self.state).orders.clone()
+    }
+
     /// KV caches and reservations that were given back.
     pub fn released(&self) -> u64 {
         lock(&self.state).released
@@ -125,13 +134,7 @@
     state.lock().expect("no holder of the lock panics")
 }
 
-fn answer(
-    state: &mut State,
-    id: &str,
-    stage: Option<&str>,
-    head: &RequestHead,
-    body: &[u8],
-) -> RawAnswer {
+fn answer(state: &mut State, id: &str, head: &RequestHead, body: &[u8]) -> RawAnswer {
     let request_id = head.headers.text("X-Request-Id").unwrap_or_default().to_owned();
     let with_id = |status: &str, fields: &str, body: &str| {
         let length = body.len();
@@ -151,6 +154,20 @@
         ("POST", "/hold-take") => {
             return RawAnswer::Bytes(with_id("200 OK", "", r#"{"hold":"h1"}"#));
         }
+        ("GET", "/report") => {
+            let used = if state.is_full { KV_TOKENS } else { 0 };
+            let report = json!({
+                "stage": state.stage, "busy": false, "waiting": 0, "running": 0, "kvUsed": used,
+                "kvTotal": KV_TOKENS,
+            });
+            return RawAnswer::Bytes(with_id("200 OK", "", &report.to_string()));
+        }
+        ("POST", "/order") => {
+            let order: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+            state.stage = if order["stage"] == "decode" { Some("decode") } else { Some("prefill") };
+            state.orders.push(order);
+            return RawAnswer::Bytes(with_id("202 Accepted", "", ""));
+        }
         ("DELETE", _) => {
             state.released += 1;
             return RawAnswer::Bytes(with_id("200 OK", "", ""));
@@ -158,6 +175,7 @@
         _ => {}
     }
     let is_prefill = head.headers.text("X-Serving-Stage") == Some("prefill");
+    let stage = state.stage;
     if stage.is_some_and(|stage| (stage == "prefill") != is_prefill) {
         return RawAnswer::Bytes(with_id("421 Misdirected Request", "", ""));
     }
--- a/crates/turmericrail/src/forward/engine_calls.rs
+++ b/crates/turmericrail/src/forward/engine_calls.rs
@@ -18,6 +18,10 @@
 /// Added to that, for what other instances have queued there.
 const SILENCE_SLACK_MS: Millis = Millis(250);
 
+/// Engines that may refuse a prefill before the decode engine reads the prompt itself; asking each
+/// takes a few milliseconds.
+const MAX_REFUSING_ENGINES: usize = 3;
+
 /// The size of the call.
 pub fn prompt(context: &CallContext<'_>) -> Prompt {
     context.request.facts.prompt.unwrap_or_default()
@@ -28,11 +32,48 @@
     Millis(choice.predicted_ms.0 * SILENCE_FACTOR) + SILENCE_SLACK_MS
 }
 
-/// Has an engine read the prompt; nothing where it did not. A prefill is no run of the call, so
-/// that a lost one does no harm.
+/// Has an engine read the prompt; nothing where none did. A prefill is no run of the call, so that
+/// a lost one does no harm. An engine that refuses, mostly since it is changing its role, is passed
+/// over for another one; its refusal counts as a call sent again.
 pub async fn make_kv(context: &CallContext<'_>, engine: &Choice) -> Option<HeldKv> {
+    let mut refused = Vec::new();
+    let mut engine = engine.clone();
+    loop {
+        match prefill_at(context, &engine).await {
+            Prefilling::Made(kv) => return Some(kv),
+            Prefilling::Lost => return None,
+            Prefilling::Refused => {}
+        }
+        let now_ms = clock::now_ms();
+        {
+            let mut forwarder = context.shared.forwarder();
+            forwarder.note_prefill_refused(now_ms, &engine.run);
+            forwarder.note_repeat(now_ms, context.service);
+        }
+        refused.push(engine.run);
+        if refused.len() >= MAX_REFUSING_ENGINES {
+            return None;
+        }
+        let draw = fastrand::u64(..);
+        let forwarder = context.shared.forwarder();
+        engine =
+            forwarder.choose_prefill(now_ms, context.service, prompt(context), &refused, draw)?;
+    }
+}
+
+/// What came of a prefill.
+enum Prefilling {
+    /// The engine holds the KV cache.
+    Made(HeldKv),
+    /// The engine did not take it.
+    Refused,
+    /// No answer, or none that can be used.
+    Lost,
+}
+
+async fn prefill_at(context: &CallContext<'_>, engine: &Choice) -> Prefilling {
     let guard = CallGuard::start(context.shared, engine);
-    let limit_ms = silence_ms(engine).min(context.left_ms());
+    let limit_ms = silence_ms(engine).max(context.route.target_ms).min(context.left_ms());
     let prefilled = call_prefill(context, engine, limit_ms).await;
     let elapsed_ms = guard.elapsed_ms();
     let end = match &prefilled {
@@ -45,9 +86,14 @@
         context.shared.forwarder().note_prefill(clock::now_ms(), engine, elapsed_ms);
     }
     guard.end(end);
-    let handle = prefilled.ok().flatten()?;
-    let source = KvSource { address: engine.address, handle };
-    Some(HeldKv::new(context.shared, source, engine.run.clone()))
+    match prefilled {
+        Ok(Some(handle)) => {
+            let source = KvSource { address: engine.address, handle };
+            Prefilling::Made(HeldKv::new(context.shared, source, engine.run.clone()))
+        }
+        Ok(None) => Prefilling::Refused,
+        Err(_) => Prefilling::Lost,
+    }
 }
 
 async fn call_prefill(
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -28,6 +28,7 @@
 mod relay;
 mod reload;
 mod reservation;
+mod role_orders;
 mod server_connection;
 pub mod settings;
 mod shared;
@@ -82,6 +83,7 @@
     relay::listen(&shared).await?;
     store_sync::start(&shared);
     task::spawn(relay::run(Arc::clone(&shared)));
+    task::spawn(role_orders::run(Arc::clone(&shared)));
     task::spawn(shared::expire(Arc::clone(&shared)));
     task::spawn(reload::run(Arc::clone(&shared), path, hangup));
     let settings = shared.settings();
--- a/crates/turmericrail/src/forward/settings.rs
+++ b/crates/turmericrail/src/forward/settings.rs
@@ -55,6 +55,9 @@
     /// Length of the window in which calls sent again are counted.
     #[serde_as(as = "Quantity")]
     pub retry_window_ms: Millis,
+    /// Whether engines may be ordered to change their role; only where they check fencing numbers.
+    #[serde(default)]
+    pub gives_orders: bool,
     /// Least severe level that is logged.
     #[serde(default)]
     pub log_level: LogLevel,
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -58,6 +58,7 @@
             data_centre: settings.data_centre.clone(),
             retry_bounds: settings.retry_bounds(),
             assumed_instances: ASSUMED_INSTANCES,
+            gives_orders: settings.gives_orders,
         });
         let (idle_open, idle_closing) = async_channel::bounded(1);
         Self {
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -77,6 +77,17 @@
     }
 
     pub fn start_with(name: &str, store: FakeStore) -> Self {
+        Self::start_settings(name, store, "")
+    }
+
+    /// Starts an instance that is the first seed, so that it gives orders.
+    pub fn start_ordering(name: &str) -> Self {
+        let store = FakeStore::start().unwrap();
+        store.put("op/config", &configuration(1));
+        Self::start_settings(name, store, "gives_orders: true\nseeds: [\"127.0.0.1:1\"]\n")
+    }
+
+    fn start_settings(name: &str, store: FakeStore, extra: &str) -> Self {
         let [caller_address, ready_address, operator_address, peer_address] =
             std::array::from_fn(|_| free_address().unwrap());
         let folder = std::env::temp_dir().join(format!("forward-{name}-{}", std::process::id()));
@@ -86,7 +97,7 @@
             "instance: {name}\ndata_centre: dc-a\ncaller_address: {caller_address}\n\
              ready_address: {ready_address}\noperator_address: {operator_address}\n\
              peer_address: {peer_address}\nstore_address: {}\ngrace_ms: 8s\nretry_ratio: 0.2\n\
-             retry_slack: 56\nretry_window_ms: 10s\n",
+             retry_slack: 56\nretry_window_ms: 10s\n{extra}",
             store.address()
         );
         std::fs::write(&settings_path, settings).unwrap();
--- a/crates/turmericrail/tests/forwarded_streams.rs
+++ b/crates/turmericrail/tests/forwarded_streams.rs
@@ -37,6 +37,22 @@
     assert_eq!(decode.seen()[0].head.headers.text("X-Kv-Source"), None);
 }
 
+#[test]
+fn refused_prefill() {
+    // An engine that refuses is passed over for another one before a decode engine reads prompts.
+    let world = World::start("refused-prefill");
+    let prefill = [world.engine("p1", "prefill"), world.engine("p2", "prefill")];
+    let decode = world.engine("d1", "decode");
+    prefill[0].next(&[Behaviour::Refuse; 8]);
+    for number in 0..8 {
+        let reply = world.request("stream", &format!("r{number}"));
+        assert_eq!((reply.status(), reply.body), (200, whole_stream()));
+    }
+    assert_eq!(prefill[1].seen().len(), 8);
+    assert!(decode.seen().iter().all(|seen| seen.head.headers.text("X-Kv-Source").is_some()));
+    assert!(world.log().matches("outcome=refused").count() <= 1);
+}
+
 #[test]
 fn resumed_stream() {
     let world = World::start("resumed");
