Draw the answers of logs; take log files one after the other

Cause: `summary` only printed a table, and `--logs` had to be repeated for each file. Tests several_files and drawn_answers (failed before: unknown arguments).

--- a/crates/turmericctl/src/cli.rs
+++ b/crates/turmericctl/src/cli.rs
@@ -92,12 +92,12 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct ExplainArguments {
-    /// caller address of the instance that took the request (IP number and port), unless logs are
-    /// named; then the request, as its answer names it
+    /// caller address of the instance that took the request (IP number and port), or more log files;
+    /// then the request, as its answer names it
     #[argh(positional)]
     pub targets: Vec<String>,
 
-    /// log file of an instance; may be named several times
+    /// log file of an instance; others may follow it
     #[argh(option)]
     pub logs: Vec<PathBuf>,
 
@@ -110,10 +110,18 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "summary")]
 pub struct SummaryArguments {
-    /// log file of an instance; may be named several times
+    /// more log files
+    #[argh(positional)]
+    pub more_logs: Vec<String>,
+
+    /// log file of an instance; others may follow it
     #[argh(option)]
     pub logs: Vec<PathBuf>,
 
+    /// draw the answers by outcome and second into this SVG file
+    #[argh(option)]
+    pub plot: Option<PathBuf>,
+
     /// print JSON
     #[argh(switch)]
     pub json: bool,
--- a/crates/turmericctl/src/commands/mod.rs
+++ b/crates/turmericctl/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one a file; each returns what is to be printed.
 
+mod answer_plot;
 mod check;
 mod diff;
 mod explain;
@@ -24,7 +25,7 @@
             explain::explain(*instance, *request, format).await
         }
         Command::Trace { logs, request } => trace::trace(logs, request, format),
-        Command::Summary(logs) => summary::summary(logs, format),
+        Command::Summary { logs, plot } => summary::summary(logs, plot.as_deref(), format),
     }
 }
 
--- a/crates/turmericctl/src/commands/summary.rs
+++ b/crates/turmericctl/src/commands/summary.rs
@@ -1,8 +1,9 @@
-//! `summary`: answers by outcome and second.
+//! `summary`: answers by outcome and second, as a table or a picture.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
+use super::answer_plot;
 use super::log_line::read_logs;
 use crate::error::ControlError;
 use crate::options::Format;
@@ -11,9 +12,16 @@
 /// Length of a time down to its seconds.
 const SECONDS_LENGTH: usize = "2026-12-03T21:04:38".len();
 
+/// Answers by second and outcome.
+pub type AnswerCounts = BTreeMap<String, BTreeMap<String, u64>>;
+
 /// Counts the answers in logs.
-pub fn summary(files: &[PathBuf], format: Format) -> Result<String, ControlError> {
-    let mut seconds: BTreeMap<String, BTreeMap<String, u64>> = BTreeMap::new();
+pub fn summary(
+    files: &[PathBuf],
+    plot: Option<&Path>,
+    format: Format,
+) -> Result<String, ControlError> {
+    let mut seconds = AnswerCounts::new();
     for line in read_logs(files)? {
         if line.get("event") != Some("answer") {
             continue;
@@ -23,13 +31,16 @@
         let outcome = line.get("outcome").unwrap_or("unknown").to_owned();
         *seconds.entry(second).or_default().entry(outcome).or_default() += 1;
     }
+    if let Some(path) = plot {
+        answer_plot::draw(path, &seconds)?;
+    }
     Ok(match format {
         Format::Json => to_json(&seconds),
         Format::Text => to_text(&seconds),
     })
 }
 
-fn to_text(seconds: &BTreeMap<String, BTreeMap<String, u64>>) -> String {
+fn to_text(seconds: &AnswerCounts) -> String {
     let outcomes: BTreeSet<_> = seconds.values().flat_map(BTreeMap::keys).collect();
     let count = |counts: &BTreeMap<String, u64>, outcome: &str| {
         counts.get(outcome).copied().unwrap_or_default()
--- a/crates/turmericctl/src/error.rs
+++ b/crates/turmericctl/src/error.rs
@@ -60,6 +60,14 @@
         /// Why.
         source: std::io::Error,
     },
+    /// A picture can't be written.
+    #[error("can't draw {}: {problem}", path.display())]
+    Draw {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        problem: String,
+    },
     /// An instance or service can't be read.
     #[error("{0}")]
     Call(#[from] CallError),
@@ -108,6 +116,7 @@
         match self {
             ControlError::Wrong { .. } | ControlError::Patch(_) => EXIT_REFUSED,
             ControlError::ReadFile { .. }
+            | ControlError::Draw { .. }
             | ControlError::Call(_)
             | ControlError::Unreachable { .. } => EXIT_UNREADABLE,
             ControlError::NotKnown { .. } | ControlError::NotInLogs { .. } => EXIT_NOT_KNOWN,
--- a/crates/turmericctl/src/options.rs
+++ b/crates/turmericctl/src/options.rs
@@ -50,8 +50,8 @@
     Explain { instance: SocketAddr, request: RequestId },
     /// Show the way of a request by logs.
     Trace { logs: Vec<PathBuf>, request: String },
-    /// Count the answers in logs.
-    Summary(Vec<PathBuf>),
+    /// Count the answers in logs, and draw them where a picture is named.
+    Summary { logs: Vec<PathBuf>, plot: Option<PathBuf> },
 }
 
 /// The checked command line.
@@ -87,7 +87,11 @@
             CommandArguments::Summary(summary) if summary.logs.is_empty() => {
                 return Err(UsageError::NoLogs);
             }
-            CommandArguments::Summary(summary) => (Command::Summary(summary.logs), summary.json),
+            CommandArguments::Summary(summary) => {
+                let more = summary.more_logs.iter().map(PathBuf::from);
+                let logs = summary.logs.into_iter().chain(more).collect();
+                (Command::Summary { logs, plot: summary.plot }, summary.json)
+            }
         };
         let format = if is_json { Format::Json } else { Format::Text };
         Ok(Self { command, format })
@@ -107,8 +111,10 @@
 
 fn explained(explain: ExplainArguments) -> Result<Command, UsageError> {
     match &*explain.targets {
-        [request] if !explain.logs.is_empty() => {
-            Ok(Command::Trace { logs: explain.logs, request: request.clone() })
+        [more_logs @ .., request] if !explain.logs.is_empty() => {
+            let more = more_logs.iter().map(PathBuf::from);
+            let logs = explain.logs.into_iter().chain(more).collect();
+            Ok(Command::Trace { logs, request: request.clone() })
         }
         [instance, request] if explain.logs.is_empty() => {
             let instance =
--- a/crates/turmericctl/tests/log_files.rs
+++ b/crates/turmericctl/tests/log_files.rs
@@ -57,3 +57,30 @@
     assert_eq!(rows[3], ["all", "2", "1"]);
     assert_eq!(turmericctl(&["summary"]).code, 2);
 }
+
+#[test]
+fn several_files() {
+    let (_folder, [one, two]) = logs("several");
+    let run = turmericctl(&["explain", "--logs", &one, &two, "r1"]);
+    assert!(run.stdout.contains("front-1") && run.stdout.contains("front-2"), "{}", run.stdout);
+    let run = turmericctl(&["summary", "--logs", &one, &two]);
+    assert!(run.stdout.contains("completed"), "{}", run.stdout);
+}
+
+#[test]
+fn drawn_answers() {
+    let (folder, [one, two]) = logs("drawn");
+    let picture = folder.write("answers.svg", "");
+    let run = turmericctl(&["summary", "--logs", &one, "--logs", &two, "--plot", &picture]);
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    let svg = std::fs::read_to_string(&picture).unwrap();
+    for text in ["<svg", "Answers a second from 2026-12-03T21:04:38", "completed", "server_lost"] {
+        assert!(svg.contains(text), "{text}");
+    }
+    let empty = folder.write("empty.log", "");
+    let run = turmericctl(&["summary", "--logs", &empty, "--plot", &picture]);
+    assert_eq!(run.code, 0, "{}", run.stderr);
+    let nowhere = format!("{picture}/none/a.svg");
+    let run = turmericctl(&["summary", "--logs", &one, "--plot", &nowhere]);
+    assert!(run.code == 3 && run.stderr.contains("can't draw"), "{} {}", run.code, run.stderr);
+}
