Serve callers who were refused before after new ones while places are scarce

Change: `Patience` keeps the longest patience seen on a route; a caller who waits for less than three quarters of it counts as late from the start: it asks seldom, and not while places are scarce. Logs `plan` and `place_refused` name the patience.

Excluded: the route's timeout as measure (a configuration changes it for all at once); longer waits (a caller's gap without an event ends at four times its target).

--- a/crates/core/src/admission/seat_pace.rs
+++ b/crates/core/src/admission/seat_pace.rs
@@ -3,6 +3,7 @@
 //!
 //! A seat is taken for as long as its answer takes, so the pace is counted in tokens of answers.
 
+use crate::fading::Fading;
 use crate::units::{Millis, Tokens};
 
 /// Time in which the count of past grants halves.
@@ -13,15 +14,13 @@
 /// Tokens of the answers whose seats were granted, fading with time.
 #[derive(Clone, Debug, Default)]
 pub struct SeatPace {
-    tokens: f64,
-    faded_ms: Millis,
+    tokens: Fading,
 }
 
 impl SeatPace {
     /// Takes note of a granted seat.
     pub fn add(&mut self, now_ms: Millis, answer: Tokens) {
-        self.tokens = self.faded(now_ms) + answer.0 as f64;
-        self.faded_ms = now_ms;
+        self.tokens.set(now_ms, self.faded(now_ms) + answer.0 as f64);
     }
 
     /// Time in which seats for an answer of this length come, or nothing where none came lately.
@@ -32,6 +31,6 @@
     }
 
     fn faded(&self, now_ms: Millis) -> f64 {
-        self.tokens * 0.5_f64.powf((now_ms - self.faded_ms).0 as f64 / HALF_LIFE_MS)
+        self.tokens.value(now_ms, HALF_LIFE_MS)
     }
 }
--- a/crates/core/src/admission/usage.rs
+++ b/crates/core/src/admission/usage.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::fading::part_left;
 use crate::ids::WorkspaceId;
 use crate::units::Millis;
 
@@ -40,9 +41,8 @@
     }
 
     fn fade(&mut self, now_ms: Millis) {
-        let passed_ms = (now_ms - self.faded_ms).0 as f64;
+        let kept = part_left(now_ms - self.faded_ms, HALF_LIFE_MS);
         self.faded_ms = now_ms;
-        let kept = 0.5_f64.powf(passed_ms / HALF_LIFE_MS);
         for work_ms in self.work_ms.values_mut() {
             *work_ms *= kept;
         }
--- a/crates/core/src/forward/choosing.rs
+++ b/crates/core/src/forward/choosing.rs
@@ -50,6 +50,15 @@
 /// Longest time named to a caller that is to come back, so that it stays within its patience.
 const MAX_RETRY_AFTER_MS: Millis = Millis(3_000);
 
+/// Where a decode engine has the KV cache of a prompt from.
+#[derive(Clone, Copy, Debug)]
+pub enum KvOrigin<'a> {
+    /// From a prefill engine in this data centre.
+    At(&'a DataCentreId),
+    /// It reads the prompt itself.
+    Own,
+}
+
 /// A server that takes new work.
 #[derive(Clone)]
 pub(super) struct Candidate<'a> {
@@ -131,25 +140,17 @@
         service: &ServiceId,
         prompt: Prompt,
         left_ms: Millis,
-        tried: &[ServerRun],
         draw: u64,
     ) -> Result<ModelPlan, PlanRefusal> {
-        let prefill = self.choose_prefill(now_ms, service, prompt, tried, draw);
-        let near = prefill.as_ref().map(|choice| choice.data_centre.clone());
-        let decode = self.choose_decode(now_ms, service, prompt, near.as_ref(), tried, draw);
-        let alone = self.choose_alone(now_ms, service, prompt, tried, draw);
-        let split_ms = match (&prefill, &decode) {
-            (Some(prefill), Some(decode)) => Some(prefill.predicted_ms + decode.predicted_ms),
-            _ => None,
-        };
-        let alone_ms = alone.as_ref().map(|choice| choice.predicted_ms);
-        let plan = match (split_ms, alone_ms) {
-            (None, None) => return Err(PlanRefusal::NoServer),
-            (Some(split_ms), alone_ms) if alone_ms.is_none_or(|alone_ms| split_ms <= alone_ms) => {
-                ModelPlan { prefill, decode: decode.expect("the split path has a decode engine") }
-            }
-            _ => ModelPlan { prefill: None, decode: alone.expect("one path has a server") },
-        };
+        let own_read_ms = Millis(self.own_read_ms(service, prompt) as u64);
+        let prefill = self
+            .choose_prefill(now_ms, service, prompt, &[], draw)
+            .filter(|prefill| prefill.predicted_ms <= own_read_ms);
+        let origin = prefill.as_ref().map_or(KvOrigin::Own, |it| KvOrigin::At(&it.data_centre));
+        let decode = self
+            .choose_decode(now_ms, service, prompt, origin, &[], draw)
+            .ok_or(PlanRefusal::NoServer)?;
+        let plan = ModelPlan { prefill, decode };
         let predicted_ms = plan.predicted_ms();
         if predicted_ms > left_ms {
             let retry_after_ms = predicted_ms.saturating_sub(left_ms);
@@ -182,49 +183,38 @@
         Some(self.choice(best, tokens, looked_at))
     }
 
-    /// The decode engine for a prompt that is read elsewhere, best near `near`.
+    /// The decode engine for a prompt, best near its KV cache.
     pub fn choose_decode(
         &self,
         now_ms: Millis,
         service: &ServiceId,
         prompt: Prompt,
-        near: Option<&DataCentreId>,
+        origin: KvOrigin<'_>,
         tried: &[ServerRun],
         draw: u64,
     ) -> Option<Choice> {
-        let first_event_ms = self.pace(service).first_event_ms;
+        let read_ms = match origin {
+            KvOrigin::At(_) => 0.0,
+            KvOrigin::Own => self.own_read_ms(service, prompt),
+        };
+        let first_event_ms = self.pace(service).first_event_ms + read_ms;
         let kv_tokens = self.kv_tokens(service);
         let candidates = self.candidates(now_ms, service, ServerRole::Decode, tried);
         let looked_at = candidates.len();
         let needed = prompt.kv_tokens();
         let best = self.best(now_ms, candidates, 1.0, draw, |candidate| {
-            let is_far = near.is_some_and(|near| candidate.entry.data_centre != *near);
+            let is_far =
+                matches!(origin, KvOrigin::At(near) if candidate.entry.data_centre != *near);
             let far_ms = if is_far { OTHER_KV_DATA_CENTRE_MS } else { 0.0 };
             (first_event_ms + crowding_ms(now_ms, candidate, needed, kv_tokens), far_ms)
         })?;
         Some(self.choice(best, needed, looked_at))
     }
 
-    /// The decode engine for a prompt that it reads itself.
-    pub fn choose_alone(
-        &self,
-        now_ms: Millis,
-        service: &ServiceId,
-        prompt: Prompt,
-        tried: &[ServerRun],
-        draw: u64,
-    ) -> Option<Choice> {
-        let pace = self.pace(service);
-        let read_ms = prompt.prompt_tokens.0 as f64 * pace.prompt_token_ms * DECODE_READS_SLOWER;
-        let kv_tokens = self.kv_tokens(service);
-        let candidates = self.candidates(now_ms, service, ServerRole::Decode, tried);
-        let looked_at = candidates.len();
-        let needed = prompt.kv_tokens();
-        let best = self.best(now_ms, candidates, 1.0, draw, |candidate| {
-            let crowding = crowding_ms(now_ms, candidate, needed, kv_tokens);
-            (pace.first_event_ms + read_ms + crowding, 0.0)
-        })?;
-        Some(self.choice(best, needed, looked_at))
+    /// Time in which a decode engine reads a prompt itself.
+    fn own_read_ms(&self, service: &ServiceId, prompt: Prompt) -> f64 {
+        let token_ms = self.pace(service).prompt_token_ms;
+        prompt.prompt_tokens.0 as f64 * token_ms * DECODE_READS_SLOWER
     }
 
     fn kv_tokens(&self, service: &ServiceId) -> Option<Tokens> {
--- a/crates/core/src/forward/failure_score.rs
+++ b/crates/core/src/forward/failure_score.rs
@@ -1,5 +1,6 @@
 //! How often a server failed of late.
 
+use crate::fading::Fading;
 use crate::units::Millis;
 
 /// Time in which a failure loses half of its weight; a few times the time between two calls of one
@@ -13,24 +14,22 @@
 /// Failures of a server, each fading with time and with answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct FailureScore {
-    score: f64,
-    at_ms: Millis,
+    score: Fading,
 }
 
 impl FailureScore {
     /// The present score; one failure just now counts as its weight.
     pub fn value(&self, now_ms: Millis) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.at_ms).0 as f64;
-        self.score * (-age_ms / HALF_LIFE_MS).exp2()
+        self.score.value(now_ms, HALF_LIFE_MS)
     }
 
     /// Counts a failure.
     pub fn fail(&mut self, now_ms: Millis, weight: f64) {
-        *self = Self { score: (self.value(now_ms) + weight).min(MAX_SCORE), at_ms: now_ms };
+        self.score.set(now_ms, (self.value(now_ms) + weight).min(MAX_SCORE));
     }
 
     /// Counts an answer.
     pub fn answer(&mut self, now_ms: Millis) {
-        *self = Self { score: self.value(now_ms) * LEFT_BY_ANSWER, at_ms: now_ms };
+        self.score.set(now_ms, self.value(now_ms) * LEFT_BY_ANSWER);
     }
 }
--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -5,10 +5,10 @@
 
 use super::service_pace::ServicePace;
 use super::{
-    CallEnd, Choice, FailureScore, Pressure, Prompt, Registry, ReportedLoad, RetryBounds,
+    CallEnd, Choice, FailureScore, Patience, Pressure, Prompt, Registry, ReportedLoad, RetryBounds,
     RetryWindow, RouteTable, ServerEntry, ServerLoad, ServerNews, ServerRun,
 };
-use crate::ids::{DataCentreId, ServiceId};
+use crate::ids::{DataCentreId, RouteId, ServiceId};
 use crate::units::{Millis, Tokens};
 
 /// Bounds on the size of a call relative to the mean.
@@ -38,6 +38,7 @@
     paces: BTreeMap<ServiceId, ServicePace>,
     windows: BTreeMap<ServiceId, RetryWindow>,
     pressures: BTreeMap<ServiceId, Pressure>,
+    patience: BTreeMap<RouteId, Patience>,
     mean_kv_tokens: BTreeMap<ServiceId, f64>,
     pub(super) data_centre_failures: BTreeMap<DataCentreId, FailureScore>,
     instances: usize,
@@ -55,6 +56,7 @@
             paces: BTreeMap::new(),
             windows: BTreeMap::new(),
             pressures: BTreeMap::new(),
+            patience: BTreeMap::new(),
             mean_kv_tokens: BTreeMap::new(),
             data_centre_failures: BTreeMap::new(),
         }
@@ -110,6 +112,8 @@
         self.windows.retain(|service, _| {
             self.table.as_ref().is_some_and(|table| table.service(service).is_some())
         });
+        self.patience
+            .retain(|route, _| self.table.as_ref().is_some_and(|table| table.has_route(route)));
         if self.settings.gives_orders {
             self.mark_spare_engines(now_ms);
         }
@@ -120,6 +124,11 @@
         self.pressures.entry(service.clone()).or_default().note(now_ms, has_place);
     }
 
+    /// Whether a caller who waits for so long has most likely asked before.
+    pub fn is_returning(&mut self, now_ms: Millis, route: &RouteId, patience_ms: Millis) -> bool {
+        self.patience.entry(route.clone()).or_default().is_returning(now_ms, patience_ms)
+    }
+
     /// Whether places at the engines of a service are scarce.
     pub fn is_scarce(&self, now_ms: Millis, service: &ServiceId) -> bool {
         self.pressures.get(service).is_some_and(|pressure| pressure.is_scarce(now_ms))
--- a/crates/core/src/forward/pace.rs
+++ b/crates/core/src/forward/pace.rs
@@ -1,5 +1,6 @@
 //! How slow a server is compared with what was predicted for it.
 
+use crate::fading::Fading;
 use crate::units::Millis;
 
 /// Weight of a new sample.
@@ -11,23 +12,16 @@
 const SAMPLE_BOUNDS: (f64, f64) = (0.5, 10.0);
 
 /// Ratio of measured to predicted times of a server; fades to one.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Pace {
-    ratio: f64,
-    at_ms: Millis,
-}
-
-impl Default for Pace {
-    fn default() -> Self {
-        Self { ratio: 1.0, at_ms: Millis::ZERO }
-    }
+    /// Distance of the ratio to one.
+    excess: Fading,
 }
 
 impl Pace {
     /// The present ratio.
     pub fn value(&self, now_ms: Millis) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.at_ms).0 as f64;
-        1.0 + (self.ratio - 1.0) * (-age_ms / HALF_LIFE_MS).exp2()
+        1.0 + self.excess.value(now_ms, HALF_LIFE_MS)
     }
 
     /// Takes a measured time and what was predicted for a server of normal pace.
@@ -35,6 +29,6 @@
         let (low, high) = SAMPLE_BOUNDS;
         let sample = (measured_ms.0.max(1) as f64 / predicted_ms.0.max(1) as f64).clamp(low, high);
         let mean = self.value(now_ms);
-        *self = Self { ratio: mean + SAMPLE_WEIGHT * (sample - mean), at_ms: now_ms };
+        self.excess.set(now_ms, mean + SAMPLE_WEIGHT * (sample - mean) - 1.0);
     }
 }
--- a/crates/core/src/forward/pressure.rs
+++ b/crates/core/src/forward/pressure.rs
@@ -1,5 +1,6 @@
 //! How hard it is to find a place at the engines of a service.
 
+use crate::fading::Fading;
 use crate::units::Millis;
 
 /// Weight of one new call in the share; some calls arrive in a second at a small instance.
@@ -12,21 +13,19 @@
 /// Share of new calls that found no place at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Pressure {
-    share: f64,
-    at_ms: Millis,
+    share: Fading,
 }
 
 impl Pressure {
     fn value(&self, now_ms: Millis) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.at_ms).0 as f64;
-        self.share * (-age_ms / HALF_LIFE_MS).exp2()
+        self.share.value(now_ms, HALF_LIFE_MS)
     }
 
     /// Counts a new call.
     pub fn note(&mut self, now_ms: Millis, has_place: bool) {
         let sample = if has_place { 0.0 } else { 1.0 };
         let share = self.value(now_ms);
-        *self = Self { share: share + SAMPLE_WEIGHT * (sample - share), at_ms: now_ms };
+        self.share.set(now_ms, share + SAMPLE_WEIGHT * (sample - share));
     }
 
     /// Whether places are scarce: then they go to calls that can still be in time.
--- a/crates/core/src/forward/table.rs
+++ b/crates/core/src/forward/table.rs
@@ -105,6 +105,11 @@
         self.services.values()
     }
 
+    /// Whether there is a route of this name.
+    pub fn has_route(&self, name: &RouteId) -> bool {
+        self.routes.values().flatten().any(|route| route.name == *name)
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod error_kind;
 pub mod estimate;
 pub mod event;
+pub mod fading;
 pub mod forward;
 pub mod ids;
 pub mod membership;
--- a/crates/core/src/placement/demand.rs
+++ b/crates/core/src/placement/demand.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::fading::part_left;
 use crate::ids::StreamId;
 use crate::units::Millis;
 use crate::weights::Weights;
@@ -41,8 +42,7 @@
 
     /// Lets earlier requests count less.
     pub fn decay(&mut self, now_ms: Millis) {
-        let passed_ms = (now_ms - self.counted_ms).0 as f64;
-        let factor = 0.5_f64.powf(passed_ms / HALF_LIFE_MS);
+        let factor = part_left(now_ms - self.counted_ms, HALF_LIFE_MS);
         self.counted_ms = now_ms;
         for count in self.counts.values_mut() {
             *count *= factor;
--- a/crates/core/tests/forward_choice.rs
+++ b/crates/core/tests/forward_choice.rs
@@ -6,7 +6,7 @@
 
 use forward_support::{entry, forwarder, news, number, service_id};
 use turmericrail_core::config::ServerRole::{Decode, Plain, Prefill};
-use turmericrail_core::forward::{CallEnd, Forwarder, PlanRefusal, Prompt, ServerState};
+use turmericrail_core::forward::{CallEnd, Forwarder, KvOrigin, PlanRefusal, Prompt, ServerState};
 use turmericrail_core::units::{Millis, Tokens};
 
 fn prompt(tokens: u64) -> Prompt {
@@ -93,7 +93,7 @@
     let forwarder = forwarder(&[(Prefill, "dc-a"), (Decode, "dc-a"), (Decode, "dc-b")]);
     for draw in 0..32 {
         let plan = forwarder
-            .plan_model(Millis(0), &service_id(), prompt(5_000), Millis(14_000), &[], draw)
+            .plan_model(Millis(0), &service_id(), prompt(5_000), Millis(14_000), draw)
             .unwrap();
         assert_eq!(plan.prefill.as_ref().map(number), Some(1));
         assert_eq!(number(&plan.decode), 2);
@@ -108,7 +108,9 @@
     let near = "dc-a".parse().unwrap();
     let choose = |forwarder: &Forwarder, now_ms| {
         let prompt = prompt(5_000);
-        forwarder.choose_decode(Millis(now_ms), &service, prompt, Some(&near), &[], 3).unwrap()
+        forwarder
+            .choose_decode(Millis(now_ms), &service, prompt, KvOrigin::At(&near), &[], 3)
+            .unwrap()
     };
     let first = choose(&forwarder, 0);
     assert_eq!(number(&first), 2);
@@ -127,7 +129,7 @@
     let mut forwarder = forwarder(&[(Prefill, "dc-a"), (Decode, "dc-a")]);
     let service = service_id();
     let plan = |forwarder: &Forwarder| {
-        forwarder.plan_model(Millis(0), &service, prompt(5_000), Millis(14_000), &[], 1).unwrap()
+        forwarder.plan_model(Millis(0), &service, prompt(5_000), Millis(14_000), 1).unwrap()
     };
     let prefill = plan(&forwarder).prefill.unwrap();
     for _ in 0..8 {
@@ -140,10 +142,10 @@
 fn hopeless_call() {
     let forwarder = forwarder(&[(Prefill, "dc-a"), (Decode, "dc-a")]);
     let service = service_id();
-    let refused = forwarder.plan_model(Millis(0), &service, prompt(50_000), Millis(100), &[], 1);
+    let refused = forwarder.plan_model(Millis(0), &service, prompt(50_000), Millis(100), 1);
     assert!(matches!(refused, Err(PlanRefusal::DeadlineUnreachable { .. })));
     let empty = forward_support::forwarder(&[]);
-    let refused = empty.plan_model(Millis(0), &service, prompt(5_000), Millis(9_000), &[], 1);
+    let refused = empty.plan_model(Millis(0), &service, prompt(5_000), Millis(9_000), 1);
     assert_eq!(refused, Err(PlanRefusal::NoServer));
 }
 
--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/call_context.rs
@@ -34,6 +34,11 @@
         self.deadline_ms.saturating_sub(clock::now_ms())
     }
 
+    /// Time for which the caller waits in all, from the arrival on.
+    pub fn patience_ms(&self) -> Millis {
+        self.deadline_ms.saturating_sub(self.request.arrived_ms)
+    }
+
     /// Time since its arrival.
     pub fn elapsed_ms(&self) -> Millis {
         clock::now_ms().saturating_sub(self.request.arrived_ms)
--- a/crates/turmericrail/src/forward/engine_place.rs
+++ b/crates/turmericrail/src/forward/engine_place.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use turmericrail_core::error_kind::ErrorKind;
-use turmericrail_core::forward::{CallEnd, Choice, ModelPlan, PlanRefusal, ServerRun};
+use turmericrail_core::forward::{CallEnd, Choice, KvOrigin, ModelPlan, PlanRefusal, ServerRun};
 use turmericrail_core::ids::DataCentreId;
 use turmericrail_core::units::Millis;
 
@@ -54,7 +54,8 @@
         let is_repeatable = context.route.kind.is_repeatable();
         return forwarder.choose_plain(now_ms, context.service, is_repeatable, tried, draw);
     }
-    forwarder.choose_alone(now_ms, context.service, prompt(context), tried, draw)
+    let (service, prompt) = (context.service, prompt(context));
+    forwarder.choose_decode(now_ms, service, prompt, KvOrigin::Own, tried, draw)
 }
 
 /// Finds a place for the call and makes its KV cache where the plan says so.
@@ -64,15 +65,24 @@
         return Ok(unreserved(context, &choice));
     }
     let mut is_new = true;
-    let size = context.shared.forwarder().relative_size(context.service, prompt(context));
+    let (size, is_returning) = {
+        let mut forwarder = context.shared.forwarder();
+        let size = forwarder.relative_size(context.service, prompt(context));
+        // The caller's own word, which a change of the route's timeout leaves as it was.
+        let is_returning = context.request.facts.deadline_ms.is_some_and(|patience_ms| {
+            forwarder.is_returning(clock::now_ms(), &context.route.name, patience_ms)
+        });
+        (size, is_returning)
+    };
     loop {
         let plan = plan(context)?;
-        let near = plan.prefill.as_ref().map(|engine| engine.data_centre.clone());
-        let choose = |full: &[ServerRun]| match &near {
-            Some(near) => choose_decode(context, near, full),
+        let choose = |full: &[ServerRun]| match &plan.prefill {
+            _ if full.is_empty() => Some(plan.decode.clone()),
+            Some(engine) => choose_decode(context, &engine.data_centre, full),
             None => choose_alone(context, full),
         };
-        let is_late = context.elapsed_ms() + plan.predicted_ms() > context.route.target_ms;
+        let is_late =
+            is_returning || context.elapsed_ms() + plan.predicted_ms() > context.route.target_ms;
         if is_late && context.shared.forwarder().is_scarce(clock::now_ms(), context.service) {
             wait_for_place(context, is_late, size).await?;
             continue;
@@ -100,7 +110,6 @@
         context.service,
         prompt(context),
         context.left_ms(),
-        &[],
         fastrand::u64(..),
     );
     if let Err(refusal) = &planned {
@@ -129,12 +138,13 @@
     let prompt = prompt(context);
     spdlog::info!(
         "event=plan request={} prefill={prefill} decode={} is_reserved={} prompt_tokens={} \
-         expected_output_tokens={} since_arrival_ms={}",
+         expected_output_tokens={} patience_ms={} since_arrival_ms={}",
         context.request_id,
         leg.choice().run.server,
         leg.place.is_some(),
         prompt.prompt_tokens.0,
         prompt.expected_output_tokens.0,
+        context.patience_ms().0,
         context.elapsed_ms().0
     );
 }
@@ -147,7 +157,8 @@
 ) -> Option<Choice> {
     let (now_ms, draw) = (clock::now_ms(), fastrand::u64(..));
     let forwarder = context.shared.forwarder();
-    forwarder.choose_decode(now_ms, context.service, prompt(context), Some(near), full, draw)
+    let origin = KvOrigin::At(near);
+    forwarder.choose_decode(now_ms, context.service, prompt(context), origin, full, draw)
 }
 
 fn unreserved(context: &CallContext<'_>, choice: &Choice) -> Leg {
@@ -195,19 +206,20 @@
     size: f64,
 ) -> Result<(), Refusal> {
     let elapsed_ms = context.elapsed_ms();
-    let patience_ms = context.deadline_ms.saturating_sub(context.request.arrived_ms);
+    let patience_ms = context.patience_ms();
     let target_ms = context.route.target_ms;
     let longest_ms = Millis(target_ms.0 * MAX_WAIT_FACTOR).min(Millis(patience_ms.0 / 3));
     if elapsed_ms > longest_ms {
         let is_scarce = context.shared.forwarder().is_scarce(clock::now_ms(), context.service);
         spdlog::info!(
-            "event=place_refused request={} service={} waited_ms={} longest_ms={} target_ms={} \
+            "event=place_refused request={} service={} waited_ms={} longest_ms={} target_ms={} patience_ms={} \
              is_scarce={is_scarce} size={size:.2} config_version={}",
             context.request_id,
             context.service,
             elapsed_ms.0,
             longest_ms.0,
             target_ms.0,
+            patience_ms.0,
             context.table.version()
         );
         let refusal =
--- a/crates/turmericrail/src/forward/plain_call.rs
+++ b/crates/turmericrail/src/forward/plain_call.rs
@@ -120,10 +120,12 @@
                 None
             };
             let first = async { Some(calling.as_mut().await) }.or(pause).await;
-            match (first, choose(context, tried)) {
-                (Some(end), _) => end,
-                (None, Some(other)) if context.may_send_again(sent) => TryEnd::MovedTo(other),
-                (None, _) => calling.await,
+            match first {
+                Some(end) => end,
+                None => match choose(context, tried) {
+                    Some(other) if context.may_send_again(sent) => TryEnd::MovedTo(other),
+                    _ => calling.await,
+                },
             }
         } else {
             calling.await
