--- a/crates/core/src/forward/pressure.rs
+++ b/crates/core/src/forward/pressure.rs
@@ -8,7 +8,7 @@
 /// Time in which the share halves where no calls come.
 const HALF_LIFE_MS: f64 = 2_000.0;
 /// Share of new calls without a place from which on places are scarce.
-const SCARCE_SHARE: f64 = 0.25;
+const SCARCE_SHARE: f64 = 0.1;
 
 /// Share of new calls that found no place at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -5,6 +5,7 @@
 //! instance lacks.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -38,7 +39,7 @@
 pub struct RelayState {
     members: Mutex<Members>,
     sets: Mutex<Vec<(&'static str, Published)>>,
-    has_exchanged: Mutex<bool>,
+    has_exchanged: AtomicBool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -49,8 +50,11 @@
     /// State of an instance that has heard nothing yet.
     pub fn new(members: Members, prefixes: &[&'static str]) -> Self {
         let sets = prefixes.iter().map(|prefix| (*prefix, Published::default())).collect();
-        let has_exchanged = Mutex::new(false);
-        Self { members: Mutex::new(members), sets: Mutex::new(sets), has_exchanged }
+        Self {
+            members: Mutex::new(members),
+            sets: Mutex::new(sets),
+            has_exchanged: AtomicBool::new(false),
+        }
     }
 
     /// The members.
@@ -171,7 +175,7 @@
 /// Exchanges with others for ever.
 pub async fn run(shared: Arc<Shared>) {
     loop {
-        let has_exchanged = *lock(&shared.relay.has_exchanged);
+        let has_exchanged = shared.relay.has_exchanged.load(Ordering::Relaxed);
         let step = match (has_exchanged, shared.is_store_lost()) {
             (false, _) => FIRST_STEP,
             (true, true) => LOST_STEP,
@@ -182,7 +186,7 @@
             continue;
         };
         match async_std::future::timeout(TIMEOUT, exchange(&shared, address)).await {
-            Ok(Ok(())) => *lock(&shared.relay.has_exchanged) = true,
+            Ok(Ok(())) => shared.relay.has_exchanged.store(true, Ordering::Relaxed),
             Ok(Err(status)) => {
                 let problem = status.message();
                 spdlog::debug!("event=exchange_failed peer={address} problem={problem:?}");
