Read the store anew once another instance knows what the own watch did not tell

After bytes of a store connection vanished, the connection stays silent without an error; the watch on it ends only after 26.5 s, and until then each change comes by exchanges alone, up to 4 s late.

Change: a revision that another instance told, and that the own watch does not tell within 300 ms, ends the watch: its connection is dropped and the set is read whole (log event watch_silent).

Excluded: shorter watches (each call is paid for; 25 s was measured), probes on idle connections (the store answers one call at a time).

Before: silent_watch fails on the old code (13 s without a sign). After: it passes.

--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use async_std::task;
 use tonic::transport::{Endpoint, Server};
 use tonic::{Request, Response, Status};
@@ -35,11 +36,16 @@
 /// Longest message: a megabyte for the configuration and some for the servers.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
+/// Revisions told by others that wait to be looked at.
+const TOLD_KEPT: usize = 16;
+
 /// What is exchanged.
 pub struct RelayState {
     members: Mutex<Members>,
     sets: Mutex<Vec<(&'static str, Published)>>,
     has_exchanged: AtomicBool,
+    /// Revisions that others told before the store did, by set.
+    told: Vec<(&'static str, Sender<u64>, Receiver<u64>)>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -50,10 +56,16 @@
     /// State of an instance that has heard nothing yet.
     pub fn new(members: Members, prefixes: &[&'static str]) -> Self {
         let sets = prefixes.iter().map(|prefix| (*prefix, Published::default())).collect();
+        let channel = |prefix: &&'static str| {
+            let (told, hears) = async_channel::bounded(TOLD_KEPT);
+            (*prefix, told, hears)
+        };
+        let told = prefixes.iter().map(channel).collect();
         Self {
             members: Mutex::new(members),
             sets: Mutex::new(sets),
             has_exchanged: AtomicBool::new(false),
+            told,
         }
     }
 
@@ -68,6 +80,26 @@
         sets.iter_mut().find(|(known, _)| *known == prefix).map(|(_, set)| take(set))
     }
 
+    /// Notes that another instance told of a revision that the store had not told of.
+    pub fn note_told(&self, prefix: &str, revision: u64) {
+        let told = self.told.iter().find(|(known, ..)| *known == prefix);
+        // A full channel already holds a revision to look at.
+        let _ = told.map(|(_, told, _)| told.try_send(revision));
+    }
+
+    /// Returns once another instance has told of a revision above this one.
+    pub async fn told_above(&self, prefix: &str, revision: u64) -> u64 {
+        let told = self.told.iter().find(|(known, ..)| *known == prefix);
+        while let Some((_, _, hears)) = told {
+            match hears.recv().await {
+                Ok(told) if told > revision => return told,
+                Ok(_) => {}
+                Err(_) => break,
+            }
+        }
+        std::future::pending().await
+    }
+
     fn known(&self) -> Vec<wire::KnownSet> {
         let tell = |(prefix, set): &(&'static str, Published)| wire::KnownSet {
             prefix: (*prefix).to_owned(),
--- a/crates/turmericrail/src/forward/store_client.rs
+++ b/crates/turmericrail/src/forward/store_client.rs
@@ -23,6 +23,9 @@
     /// It refused the call.
     #[error("status {0}")]
     Status(u16),
+    /// Others were told of this revision, and this instance was not.
+    #[error("behind revision {0}")]
+    Behind(u64),
     /// Its answer can't be decoded.
     #[error(transparent)]
     Decode(#[from] DecodeError),
--- a/crates/turmericrail/src/forward/store_sync.rs
+++ b/crates/turmericrail/src/forward/store_sync.rs
@@ -51,7 +51,11 @@
 /// Takes what another instance has read.
 pub fn take_relayed(shared: &Shared, prefix: &str, revision: u64, items: Vec<PublishedItem>) {
     let fresh = shared.relay.with_set(prefix, |set| set.take(revision, items));
-    apply(shared, prefix, fresh.unwrap_or_default(), "peer");
+    let fresh = fresh.unwrap_or_default();
+    if !fresh.is_empty() {
+        shared.relay.note_told(prefix, revision);
+    }
+    apply(shared, prefix, fresh, "peer");
 }
 
 fn apply(shared: &Shared, prefix: &str, fresh: Vec<PublishedItem>, source: &str) {
--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_std::task;
+use futures_lite::FutureExt;
 use turmericrail_core::forward::PublishedItem;
 use turmericrail_core::units::Millis;
 use turmericrail_platform::store;
@@ -27,6 +28,9 @@
 /// Longest pause.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
+/// Time for which a watch may lag behind what other instances tell: some answer times of the store.
+const OVERTAKEN_WAIT: Duration = Duration::from_millis(300);
+
 /// What a prefix told.
 pub enum Told {
     /// Every item of the prefix, as they stood at the revision or later.
@@ -48,7 +52,10 @@
     loop {
         let result = match revision {
             None => read_all(&shared, &mut client, prefix).await,
-            Some(after) => watch(&shared, &mut client, prefix, after).await,
+            Some(after) => {
+                let watching = watch(&shared, &mut client, prefix, after);
+                watching.or(overtaken(&shared, prefix, after)).await
+            }
         };
         match result {
             Ok((at, told)) => {
@@ -69,6 +76,13 @@
                 spdlog::info!("event=store_history_gone prefix={prefix}");
                 revision = None;
             }
+            Err(StoreError::Behind(told)) => {
+                let revision_before = revision.unwrap_or_default();
+                spdlog::warn!(
+                    "event=watch_silent prefix={prefix} revision={revision_before} told={told}"
+                );
+                revision = None;
+            }
             Err(error) => {
                 if lost_ms.is_none() {
                     lost_ms = Some(clock::now_ms());
@@ -112,6 +126,14 @@
     }
 }
 
+/// Ends with an error once another instance knows more and the watch still tells nothing: its
+/// connection may be dead without a sign, as after a lost answer.
+async fn overtaken(shared: &Shared, prefix: &str, after: u64) -> Result<(u64, Told), StoreError> {
+    let told = shared.relay.told_above(prefix, after).await;
+    task::sleep(OVERTAKEN_WAIT).await;
+    Err(StoreError::Behind(told))
+}
+
 async fn watch(
     shared: &Shared,
     client: &mut StoreClient,
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -21,6 +21,7 @@
     pub caller_address: SocketAddr,
     pub ready_address: SocketAddr,
     pub operator_address: SocketAddr,
+    pub peer_address: SocketAddr,
     pub settings_path: PathBuf,
     pub log_path: PathBuf,
     process: Child,
@@ -77,19 +78,37 @@
     }
 
     pub fn start_with(name: &str, store: FakeStore) -> Self {
-        Self::start_settings(name, store, "")
+        let address = store.address();
+        Self::start_settings(name, store, address, "127.0.0.1", "")
     }
 
     /// Starts an instance that is the first seed, so that it gives orders.
     pub fn start_ordering(name: &str) -> Self {
         let store = FakeStore::start().unwrap();
         store.put("op/config", &configuration(1));
-        Self::start_settings(name, store, "gives_orders: true\nseeds: [\"127.0.0.1:1\"]\n")
+        let address = store.address();
+        let orders = "gives_orders: true\nseeds: [\"127.0.0.1:1\"]\n";
+        Self::start_settings(name, store, address, "127.0.0.1", orders)
     }
 
-    fn start_settings(name: &str, store: FakeStore, extra: &str) -> Self {
-        let [caller_address, ready_address, operator_address, peer_address] =
+    /// Starts an instance that another one knows as a seed, and that reads the store elsewhere.
+    pub fn start_peer(&self, name: &str, store: FakeStore, store_address: SocketAddr) -> Self {
+        let seeds = format!("seeds: [\"{}\"]\n", self.peer_address);
+        let port = self.peer_address.port();
+        Self::start_settings(name, store, store_address, &format!("127.0.0.2:{port}"), &seeds)
+    }
+
+    /// `peer` is an IP number, or one with the port of another instance.
+    fn start_settings(
+        name: &str,
+        store: FakeStore,
+        store_address: SocketAddr,
+        peer: &str,
+        extra: &str,
+    ) -> Self {
+        let [caller_address, ready_address, operator_address, free] =
             std::array::from_fn(|_| free_address().unwrap());
+        let peer_address: SocketAddr = peer.parse().unwrap_or(free);
         let folder = std::env::temp_dir().join(format!("forward-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let settings_path = folder.join("settings.yaml");
@@ -98,7 +117,7 @@
              ready_address: {ready_address}\noperator_address: {operator_address}\n\
              peer_address: {peer_address}\nstore_address: {}\ngrace_ms: 8s\nretry_ratio: 0.2\n\
              retry_slack: 56\nretry_window_ms: 10s\n{extra}",
-            store.address()
+            store_address
         );
         std::fs::write(&settings_path, settings).unwrap();
         let log_path = folder.join("log");
@@ -114,6 +133,7 @@
             caller_address,
             ready_address,
             operator_address,
+            peer_address,
             settings_path,
             log_path,
             process,
--- a/crates/turmericrail/tests/forwarding_changes.rs
+++ b/crates/turmericrail/tests/forwarding_changes.rs
@@ -8,6 +8,7 @@
 use forward_support::{World, configuration, read_reply, request_text, wait_for};
 use serde_json::json;
 use turmericrail_fakes::registered::{Behaviour, FakeStore};
+use turmericrail_fakes::{Fault, Link, Reach};
 
 #[test]
 fn new_configuration() {
@@ -38,6 +39,26 @@
     assert!(cut.elapsed() < Duration::from_secs(2));
 }
 
+#[test]
+fn silent_watch() {
+    // An instance's connections to the store die without a sign. Once another instance has told it
+    // of a change, it reads the store anew and hears of the next one in time.
+    let first = World::start("silent-watch-1");
+    let link = async_std::task::block_on(Link::start(first.store.address())).unwrap();
+    let second = first.start_peer("silent-watch-2", FakeStore::start().unwrap(), link.address);
+    second.wait_for_log("event=members_changed count=2");
+    link.fail(Fault::Silent, Reach::Existing, |_| true);
+    std::thread::sleep(Duration::from_millis(100));
+    first.store.put("op/config", &configuration(2));
+    second.wait_for_log("event=config version=2 ");
+    assert!(second.log().contains("source=peer"));
+    second.wait_for_log("event=watch_silent prefix=op/config ");
+    std::thread::sleep(Duration::from_millis(600));
+    first.store.put("op/config", &configuration(3));
+    std::thread::sleep(Duration::from_millis(900));
+    assert!(second.log().contains("event=config version=3 "), "{}", second.log());
+}
+
 #[test]
 fn late_configuration() {
     // Without a configuration the instance is not ready and refuses what comes.
