Soak of forwarding instances as processes, with faults from outside

Callers keep connections. Checked: no second run and no run after "not run", own whole answers, configurations that never go back, no work at a server that has left, nothing cut by an ordered end, nothing held, all routes served again within 12 s.

--- a/crates/fakes/src/link.rs
+++ b/crates/fakes/src/link.rs
@@ -31,6 +31,8 @@
     Cut,
     /// Lets bytes vanish without an error.
     Silent,
+    /// Lets bytes from the dialler vanish; those to it pass.
+    Unheard,
     /// Passes bytes on later.
     Delayed(Duration),
 }
@@ -127,9 +129,13 @@
         let state = self.link.state();
         let holds = |rule: &&Rule| self.number < rule.below && (rule.picks)(&head);
         let fault = state.rules.iter().find(holds).map(|rule| rule.fault);
-        let mut is_lost = self.is_lost.lock().expect("no holder of the lock panics");
-        *is_lost |= fault == Some(Fault::Silent);
-        if *is_lost && fault != Some(Fault::Cut) { Some(Fault::Silent) } else { fault }
+        let is_lost = *self.is_lost.lock().expect("no holder of the lock panics");
+        if is_lost && fault != Some(Fault::Cut) { Some(Fault::Silent) } else { fault }
+    }
+
+    /// Notes that bytes vanished.
+    fn lose(&self) {
+        *self.is_lost.lock().expect("no holder of the lock panics") = true;
     }
 
     fn note_sent(&self, bytes: &[u8]) {
@@ -161,7 +167,9 @@
         match (connection.fault(), count) {
             (Some(Fault::Cut), _) => break,
             (Some(Fault::Silent), Some(0)) => task::sleep(LOOK_STEP).await,
-            (Some(Fault::Silent), _) | (_, None) => {}
+            (Some(Fault::Silent), Some(_)) => connection.lose(),
+            (_, None) => {}
+            (Some(Fault::Unheard), Some(count)) if is_forth && count > 0 => connection.lose(),
             (_, Some(0)) => {
                 let _ = to.shutdown(Shutdown::Write);
                 return;
--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 use turmericrail_wire::http1::RequestHead;
@@ -38,6 +38,8 @@
     pub head: RequestHead,
     /// The body.
     pub body: Vec<u8>,
+    /// When it arrived.
+    pub at: Instant,
 }
 
 #[derive(Default)]
@@ -86,10 +88,15 @@
 
     /// Writes its entry.
     pub fn register(&self, store: &FakeStore, state: &str) {
+        self.register_at(store, state, self.address());
+    }
+
+    /// Writes its entry with another address, such as that of a link before it.
+    pub fn register_at(&self, store: &FakeStore, state: &str, address: SocketAddr) {
         let stage = lock(&self.state).stage;
         let service = if stage.is_some() { "llm" } else { "desk" };
         let mut entry = json!({
-            "service": service, "address": self.address().to_string(), "zone": "dc-a",
+            "service": service, "address": address.to_string(), "zone": "dc-a",
             "version": "v1", "slots": 6, "state": state, "coldRemainingMs": 0, "sequence": 1,
             "born": 1,
         });
@@ -184,7 +191,7 @@
         let refused = with_id("503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
         return RawAnswer::Bytes(refused);
     }
-    state.seen.push(Seen { head: head.clone(), body: body.to_vec() });
+    state.seen.push(Seen { head: head.clone(), body: body.to_vec(), at: Instant::now() });
     let signature = format!("X-Response-Signature: {id}\r\nX-Instance-Load: 1,0,6\r\n");
     match behaviour {
         Behaviour::LoseAnswer => return RawAnswer::BytesThenClose(Vec::new()),
--- a/crates/fakes/src/registered/store.rs
+++ b/crates/fakes/src/registered/store.rs
@@ -73,6 +73,12 @@
         self.change(|state| state.is_deaf = true);
     }
 
+    /// Lets watches hear again; those that were deaf are cut.
+    pub fn hear_again(&self) {
+        self.change(|state| state.is_deaf = false);
+        self.cut_watches();
+    }
+
     /// Cuts every watch; those that come again from an old revision stay deaf.
     pub fn cut_watches(&self) {
         self.change(|state| state.is_cutting = true);
@@ -80,6 +86,12 @@
         self.change(|state| state.is_cutting = false);
     }
 
+    /// Drops the history: watches from older revisions are refused, and are cut now.
+    pub fn forget_history(&self) {
+        self.change(|state| state.oldest_revision = state.revision);
+        self.cut_watches();
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> u64 {
         self.state.0.lock().expect("no holder of the lock panics").calls
--- /dev/null
+++ b/crates/turmericrail/examples/fault_soak/callers.rs
@@ -0,0 +1,181 @@
+//! Callers: threads that send requests of each kind to instances of their choice.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use turmericrail_wire::http1::{BodyDecoder, ResponseHead};
+
+/// Callers at a time.
+const CALLERS: usize = 12;
+/// Pause between two requests of a caller.
+const PAUSE: Duration = Duration::from_millis(25);
+/// Longest wait for bytes of an answer; above the patience that requests name.
+const LIMIT: Duration = Duration::from_millis(3_500);
+/// Routes of the configuration of the soak.
+const ROUTES: [&str; 4] = ["read", "order", "stream", "resumable"];
+
+/// An answer as it was read.
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The id that it names.
+    pub request_id: Option<String>,
+    /// The body.
+    pub body: String,
+    /// Whether the body came to its proper end.
+    pub is_whole: bool,
+}
+
+/// One request and what came of it.
+pub struct Record {
+    /// Its id.
+    pub id: String,
+    /// Its route.
+    pub route: &'static str,
+    /// The instance that took it.
+    pub instance: usize,
+    /// When it was sent.
+    pub sent: Instant,
+    /// The answer; nothing where none came.
+    pub answer: Option<Answer>,
+}
+
+/// The callers.
+pub struct Callers {
+    is_over: Arc<AtomicBool>,
+    records: Arc<Mutex<Vec<Record>>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Callers {
+    /// Starts callers of instances at these addresses.
+    pub fn start(addresses: Vec<SocketAddr>, seed: u64) -> Self {
+        let (is_over, records) = (Arc::new(AtomicBool::new(false)), Arc::default());
+        let threads = (0..CALLERS)
+            .map(|number| {
+                let (is_over, records) = (Arc::clone(&is_over), Arc::clone(&records));
+                let addresses = addresses.clone();
+                let dice = fastrand::Rng::with_seed(seed.wrapping_mul(1_000) + number as u64);
+                thread::spawn(move || call_on(number, &addresses, dice, &is_over, &records))
+            })
+            .collect();
+        Self { is_over, records, threads }
+    }
+
+    /// The requests that ended since the last look.
+    pub fn take_records(&self) -> Vec<Record> {
+        std::mem::take(&mut self.records.lock().expect("no holder of the lock panics"))
+    }
+
+    /// Ends the callers once their last requests have ended.
+    pub fn end(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            thread.join().expect("a caller does not panic");
+        }
+    }
+}
+
+fn call_on(
+    number: usize,
+    addresses: &[SocketAddr],
+    mut dice: fastrand::Rng,
+    is_over: &AtomicBool,
+    records: &Mutex<Vec<Record>>,
+) {
+    let mut kept: Option<(usize, TcpStream)> = None;
+    let mut count = 0;
+    while !is_over.load(Ordering::Relaxed) {
+        thread::sleep(PAUSE);
+        let instance = match &kept {
+            Some((instance, _)) if dice.u8(..) < 192 => *instance,
+            _ => dice.usize(..addresses.len()),
+        };
+        let stream = match kept.take() {
+            Some((known, stream)) if known == instance => Some(stream),
+            _ => connect(addresses[instance]),
+        };
+        let Some(mut stream) = stream else {
+            continue;
+        };
+        count += 1;
+        let (id, route) = (format!("c{number}-{count}"), ROUTES[dice.usize(..ROUTES.len())]);
+        let sent = Instant::now();
+        let answer = ask(&mut stream, &request(route, &id));
+        if answer.as_ref().is_some_and(|answer| answer.is_whole && answer.status == 200) {
+            kept = Some((instance, stream));
+        }
+        let record = Record { id, route, instance, sent, answer };
+        records.lock().expect("no holder of the lock panics").push(record);
+    }
+}
+
+/// The bytes of a request.
+pub fn request(route: &str, id: &str) -> String {
+    let (method, body) = if route == "read" { ("GET", "") } else { ("POST", "body of the call") };
+    format!(
+        "{method} /{route}/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {id}\r\n\
+         X-Deadline-Ms: 3000\r\nX-Token-Usage: 100,50\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Sends a request on a connection of its own.
+pub fn exchange(address: SocketAddr, text: &str) -> Option<Answer> {
+    ask(&mut connect(address)?, text)
+}
+
+fn connect(address: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect_timeout(&address, LIMIT).ok()?;
+    stream.set_read_timeout(Some(LIMIT)).ok()?;
+    Some(stream)
+}
+
+fn ask(stream: &mut TcpStream, text: &str) -> Option<Answer> {
+    stream.write_all(text.as_bytes()).ok()?;
+    let mut buffer = Vec::new();
+    let (head, length) = loop {
+        if let Some(parsed) = ResponseHead::parse(&buffer, "GET").ok()? {
+            break parsed;
+        }
+        if !fill(stream, &mut buffer) {
+            return None;
+        }
+    };
+    buffer.drain(..length);
+    let mut decoder = BodyDecoder::new(head.framing);
+    let mut body = Vec::new();
+    let is_whole = loop {
+        let Ok(used) = decoder.decode(&buffer, &mut body) else {
+            break false;
+        };
+        buffer.drain(..used);
+        if decoder.is_done() {
+            break true;
+        }
+        if !fill(stream, &mut buffer) {
+            break decoder.end_of_input().is_ok();
+        }
+    };
+    Some(Answer {
+        status: head.status,
+        request_id: head.headers.text("X-Request-Id").map(str::to_owned),
+        body: String::from_utf8_lossy(&body).into_owned(),
+        is_whole,
+    })
+}
+
+fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
+    let mut bytes = [0; 4096];
+    match stream.read(&mut bytes) {
+        Ok(read) if read > 0 => {
+            buffer.extend_from_slice(&bytes[..read]);
+            true
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/turmericrail/tests/fault_soak.rs
@@ -0,0 +1,31 @@
+//! A short soak with faults and a fixed seed; see the example of the same name for long ones.
+
+#[path = "../examples/fault_soak/callers.rs"]
+mod callers;
+#[path = "../examples/fault_soak/checks.rs"]
+mod checks;
+#[path = "../examples/fault_soak/fault.rs"]
+mod fault;
+#[path = "../examples/fault_soak/instance.rs"]
+mod instance;
+#[path = "../examples/fault_soak/world.rs"]
+mod world;
+
+use std::time::{Duration, Instant};
+
+/// Time after which no new episode begins.
+const LENGTH: Duration = Duration::from_secs(8);
+
+fn soak(seed: u64) {
+    let program = env!("CARGO_BIN_EXE_turmericrail").into();
+    let sums = world::run(program, seed, 3, Instant::now() + LENGTH);
+    assert!(sums.requests > 0 && sums.faults > 0);
+    assert!(sums.violations.is_empty(), "{:?}", sums.violations);
+}
+
+/// Three instances had watches that were dead without a sign, and a server that had left went on
+/// getting calls until others told them of it.
+#[test]
+fn silent_watches() {
+    soak(3);
+}
