Watch the store for short times after a loss, so that a dead connection is found

The link to the store was cut and then lost bytes one way: the list was read, the watch after it was never heard, and three of four instances waited up to 26.5 s for its answer, so that exchanges had little to tell either.

Change: the first watch after a loss ends after 2 s, the next after 8 s, then after 25 s as before.

Excluded: short watches at all times (calls are paid for: two more after each loss, none otherwise).

Before: test silent_return fails (no new configuration in 10 s). After: it passes.

--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -15,6 +15,11 @@
 
 /// Time for which the store holds a watch without changes.
 const WATCH_MS: Millis = Millis(25_000);
+/// Time for which the store holds the first watch after a loss: a connection that is dead without a
+/// sign is found after it, within the time in which an instance has to catch up.
+const FIRST_WATCH_MS: Millis = Millis(2_000);
+/// Factor from one such watch to the next: each that is answered shows that the connection works.
+const WATCH_GROWTH: u64 = 4;
 /// Pause after a watch that told of changes, so that changes in quick succession cost one call;
 /// well below the bounds on leaving servers and new configurations.
 const CHANGE_PAUSE: Duration = Duration::from_millis(400);
@@ -49,11 +54,13 @@
     let mut revision = None;
     let mut pause = FIRST_PAUSE;
     let mut lost_ms: Option<Millis> = None;
+    let mut watch_ms = WATCH_MS;
     loop {
         let result = match revision {
             None => read_all(&shared, &mut client, prefix).await,
             Some(after) => {
-                let watching = watch(&shared, &mut client, prefix, after);
+                let watching = watch(&shared, &mut client, prefix, after, watch_ms);
+                watch_ms = Millis(watch_ms.0 * WATCH_GROWTH).min(WATCH_MS);
                 watching.or(overtaken(&shared, prefix, after)).await
             }
         };
@@ -82,6 +89,7 @@
                     "event=watch_silent prefix={prefix} revision={revision_before} told={told}"
                 );
                 revision = None;
+                watch_ms = FIRST_WATCH_MS;
             }
             Err(error) => {
                 if lost_ms.is_none() {
@@ -98,6 +106,7 @@
                 // A watch may have been deaf to changes before it was cut, and one that goes on
                 // from an old revision then waits for the next change.
                 revision = None;
+                watch_ms = FIRST_WATCH_MS;
             }
         }
     }
@@ -139,10 +148,11 @@
     client: &mut StoreClient,
     prefix: &str,
     after: u64,
+    wait_ms: Millis,
 ) -> Result<(u64, Told), StoreError> {
     let address = shared.settings().store_address;
-    let target = store::watch_target(prefix, after, WATCH_MS);
-    let timeout = Duration::from_millis(WATCH_MS.0) + WATCH_MARGIN;
+    let target = store::watch_target(prefix, after, wait_ms);
+    let timeout = Duration::from_millis(wait_ms.0) + WATCH_MARGIN;
     shared.metrics.store_calls.with_label_values(&["watch"]).inc();
     let changes = store::decode_changes(&client.get(address, &target, timeout).await?)?;
     let revision = changes.revision.max(after);
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -91,6 +91,11 @@
         Self::start_settings(name, store, address, "127.0.0.1", orders)
     }
 
+    /// Starts an instance that reaches the store at another address, such as that of a link.
+    pub fn start_behind(name: &str, store: FakeStore, store_address: SocketAddr) -> Self {
+        Self::start_settings(name, store, store_address, "127.0.0.1", "")
+    }
+
     /// Starts an instance that another one knows as a seed, and that reads the store elsewhere.
     pub fn start_peer(&self, name: &str, store: FakeStore, store_address: SocketAddr) -> Self {
         let seeds = format!("seeds: [\"{}\"]\n", self.peer_address);
--- a/crates/turmericrail/tests/forwarding_changes.rs
+++ b/crates/turmericrail/tests/forwarding_changes.rs
@@ -10,6 +10,9 @@
 use turmericrail_fakes::registered::{Behaviour, FakeStore};
 use turmericrail_fakes::{Fault, Link, Reach};
 
+/// Time after a reading in which a watch has begun.
+const WATCH_PAUSE: Duration = Duration::from_millis(600);
+
 #[test]
 fn new_configuration() {
     let world = World::start("new-config");
@@ -59,6 +62,26 @@
     assert!(second.log().contains("event=config version=3 "), "{}", second.log());
 }
 
+#[test]
+fn silent_return() {
+    // After a loss, the watch of the next connection gets no answer and no error: it is given up
+    // within the time in which an instance has to catch up.
+    let store = FakeStore::start().unwrap();
+    store.put("op/config", &configuration(1));
+    let link = async_std::task::block_on(Link::start(store.address())).unwrap();
+    let world = World::start_behind("silent-return", store, link.address);
+    std::thread::sleep(WATCH_PAUSE);
+    link.fail(Fault::Cut, Reach::Existing, |_| true);
+    world.wait_for_log("event=store_regained prefix=op/config ");
+    std::thread::sleep(WATCH_PAUSE);
+    link.heal();
+    link.fail(Fault::Silent, Reach::Existing, |_| true);
+    world.store.put("op/config", &configuration(2));
+    std::thread::sleep(Duration::from_millis(500));
+    link.heal();
+    wait_for("the new configuration", || world.log().contains("event=config version=2 "));
+}
+
 #[test]
 fn late_configuration() {
     // Without a configuration the instance is not ready and refuses what comes.
