Let an instance that is asked learn that the asking one knows more of the store

The watches of three of four instances were dead without a sign; the fourth knew the newest revision, but an exchange only told the one that asked, and each asks one other in 3 s.

Change: an exchange names the revisions that the asking instance knows; one that knows less reads the store anew, as where it was told the items.

Excluded: exchanges more often (bytes and processor time at all times).

--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -80,6 +80,14 @@
         sets.iter_mut().find(|(known, _)| *known == prefix).map(|(_, set)| take(set))
     }
 
+    /// Notes what another instance knows of a set, where that is more than is known here.
+    fn note_known(&self, known: &wire::KnownSet) {
+        let own = self.with_set(&known.prefix, |set| set.revision());
+        if own.is_some_and(|own| own < known.revision) {
+            self.note_told(&known.prefix, known.revision);
+        }
+    }
+
     /// Notes that another instance told of a revision that the store had not told of.
     pub fn note_told(&self, prefix: &str, revision: u64) {
         let told = self.told.iter().find(|(known, ..)| *known == prefix);
@@ -141,6 +149,7 @@
             members: list_members(&self.shared),
             newer: asked.known.iter().filter_map(|known| relay.newer_than(known)).collect(),
         };
+        asked.known.iter().for_each(|known| relay.note_known(known));
         take_members(&self.shared, asked.sender.iter().chain(&asked.members));
         Ok(Response::new(reply))
     }
