Let servers do more calls wrong in the soak

Cause: with mechanisms broken on purpose (trials) the soak found neither an unsafe call sent again, nor a foreign answer taken, nor "lost" told as "not run" within a minute: few wrong calls hit plain servers.

Change: up to 30 wrong calls in a row (6 before), half of them at plain servers.

--- a/crates/turmericrail/examples/fault_soak/fault.rs
+++ b/crates/turmericrail/examples/fault_soak/fault.rs
@@ -5,7 +5,7 @@
 use turmericrail_fakes::registered::Behaviour;
 use turmericrail_fakes::{Fault as LinkFault, Link, Reach};
 
-use crate::world::World;
+use crate::world::{PLAIN_SERVERS, World};
 
 /// What servers do wrong with single calls.
 const BEHAVIOURS: [Behaviour; 7] = [
@@ -17,8 +17,8 @@
     Behaviour::Fail,
     Behaviour::ForeignFirst,
 ];
-/// Most calls in a row that one server does wrong.
-const MAX_WRONG_CALLS: usize = 6;
+/// Most calls in a row that one server does wrong: what it gets in a second.
+const MAX_WRONG_CALLS: usize = 30;
 
 /// A fault; the number names the instance or server that it strikes.
 #[derive(Clone, Copy, Debug)]
@@ -68,7 +68,11 @@
             8 => Fault::History,
             9 => Fault::DeafWatches,
             10 | 11 => Fault::ServerLink(server, link_fault, dice.bool()),
-            12..=17 => Fault::WrongCalls(server, behaviour, dice.usize(1..=MAX_WRONG_CALLS)),
+            12..=14 => Fault::WrongCalls(server, behaviour, dice.usize(1..=MAX_WRONG_CALLS)),
+            15..=17 => {
+                let plain = dice.usize(..PLAIN_SERVERS);
+                Fault::WrongCalls(plain, behaviour, dice.usize(1..=MAX_WRONG_CALLS))
+            }
             18 => Fault::Entry(server),
             _ => Fault::Configuration,
         }
--- a/crates/turmericrail/examples/fault_soak/world.rs
+++ b/crates/turmericrail/examples/fault_soak/world.rs
@@ -34,6 +34,8 @@
 const LOOK_STEP: Duration = Duration::from_millis(50);
 /// Servers that a call may be sent to, also one that runs once at the most.
 const ATTEMPTS: u64 = 2;
+/// Plain servers, which come first among the servers.
+pub const PLAIN_SERVERS: usize = 3;
 /// Servers by id and role.
 const SERVERS: [(&str, Option<&str>); 7] = [
     ("s1", None),
