Use one piece for what both edges wrote: calls, signals, liveness and the gentle close

A plain call built its bytes, began its exchange and logged its end as model calls do; the daemon of the product's own interface caught signals itself; both edges set keepalive and closed gently with code of their own.

Change: `server_calls` (bytes, beginning, log line) for plain and model calls; `signals` for both daemons; `Liveness` and `close_gently` with each edge's own figures.

Excluded: one type for callers' connections of both edges (one is read by the HTTP library).

--- a/crates/turmericrail/src/caller_edge/connection.rs
+++ b/crates/turmericrail/src/caller_edge/connection.rs
@@ -23,21 +23,24 @@
 
 use super::guarded_stream::{GuardedStream, MAX_HEAD_BYTES};
 use super::{App, reply};
+use crate::closing::close_gently;
 use crate::daemon::Shared;
+use crate::liveness::Liveness;
 
 /// Time between looks for end of file.
 const WATCH_STEP: Duration = Duration::from_millis(20);
 /// Time of a fresh look for end of file.
 const FRESH_LOOK: Duration = Duration::from_millis(5);
-/// Time after which unacknowledged bytes close the connection.
-const USER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Idle time before keepalive probes.
-const KEEPALIVE: Duration = Duration::from_secs(5);
-
-/// Longest time to write a refusal and to wait for the caller's close.
-const CLOSE_LIMIT: Duration = Duration::from_millis(1_000);
-/// Bytes read at a time while waiting for the caller's close.
-const CLOSE_BUFFER_BYTES: usize = 4 * 1024;
+/// Callers may be far away: connections end after some lost probes, or ten seconds without an
+/// acknowledgement.
+const LIVENESS: Liveness = Liveness {
+    keepalive: Duration::from_secs(5),
+    probes: None,
+    user_timeout: Duration::from_secs(10),
+};
+
+/// Longest time to write a refusal.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(1_000);
 /// Most reads while waiting for the caller's close.
 const CLOSE_READS: usize = 64;
 /// Most connections over the limit that are told so at a time.
@@ -99,7 +102,7 @@
 
 /// Serves one connection until it closes.
 pub fn start(shared: &Arc<Shared>, app: &App, stream: TcpStream) {
-    set_liveness(&stream);
+    LIVENESS.apply(&stream);
     let connections = &shared.metrics.connections;
     if connections.get() as u64 >= shared.settings.limits.max_connections {
         refuse(shared, stream);
@@ -114,7 +117,7 @@
         let watch = task::spawn(watch(Arc::clone(shared), connection.clone(), stream.clone()));
         serve(shared, &app, connection, stream).await;
         watch.cancel().await;
-        close_gently(stream).await;
+        close_gently(stream, CLOSE_READS).await;
     });
 }
 
@@ -197,7 +200,7 @@
     let kind = ErrorKind::HeadRefused;
     shared.metrics.answers.with_label_values(&[kind.answer().text]).inc();
     let answer = reply::raw_error(shared.next_request(), kind, &detail);
-    let _ = async_std::io::timeout(CLOSE_LIMIT, (&*stream).write_all(&answer)).await;
+    let _ = async_std::io::timeout(REFUSAL_LIMIT, (&*stream).write_all(&answer)).await;
 }
 
 /// Tells a caller that there are too many connections; past a bound, closes without a word.
@@ -210,28 +213,12 @@
     }
     let answer = reply::raw_error(shared.next_request(), kind, "");
     task::spawn(async move {
-        let _ = async_std::io::timeout(CLOSE_LIMIT, (&stream).write_all(&answer)).await;
-        close_gently(&stream).await;
+        let _ = async_std::io::timeout(REFUSAL_LIMIT, (&stream).write_all(&answer)).await;
+        close_gently(&stream, CLOSE_READS).await;
         REFUSING.fetch_sub(1, Ordering::SeqCst);
     });
 }
 
-/// Closes so that the last answer is not lost to bytes that nobody read.
-async fn close_gently(stream: &TcpStream) {
-    let _ = stream.shutdown(Shutdown::Write);
-    let mut buffer = vec![0; CLOSE_BUFFER_BYTES];
-    let draining = async {
-        for _ in 0..CLOSE_READS {
-            match (&*stream).read(&mut buffer).await {
-                Ok(0) | Err(_) => return,
-                Ok(_) => {}
-            }
-        }
-    };
-    let _ = async_std::future::timeout(CLOSE_LIMIT, draining).await;
-    let _ = stream.shutdown(Shutdown::Both);
-}
-
 async fn watch(shared: Arc<Shared>, connection: Connection, stream: TcpStream) {
     let mut byte = [0];
     loop {
@@ -243,11 +230,3 @@
     connection.close(&shared);
     let _ = stream.shutdown(Shutdown::Both);
 }
-
-fn set_liveness(stream: &TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let socket = socket2::SockRef::from(stream);
-    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
-    let keepalive = socket2::TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-}
--- a/crates/turmericrail/src/daemon/mod.rs
+++ b/crates/turmericrail/src/daemon/mod.rs
@@ -5,16 +5,16 @@
 pub mod driver;
 pub mod shared;
 
-use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 
 use async_global_executor::GlobalExecutorConfig;
-use async_std::io::ReadExt;
 use async_std::task;
+use signal_hook::consts::{SIGINT, SIGTERM};
 use turmericrail_core::event::Event;
 
 use crate::error::StartError;
 use crate::settings::Settings;
+use crate::signals::Signal;
 use crate::{caller_edge, logs, peer_edge, platform_edge};
 
 pub use shared::Shared;
@@ -55,16 +55,10 @@
 }
 
 fn watch_signals(shared: &Arc<Shared>) -> Result<(), StartError> {
-    let (reader, writer) = UnixStream::pair().map_err(StartError::Signals)?;
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        let writer = writer.try_clone().map_err(StartError::Signals)?;
-        signal_hook::low_level::pipe::register(signal, writer).map_err(StartError::Signals)?;
-    }
+    let mut ordered_to_end = Signal::watch(&[SIGTERM, SIGINT])?;
     let shared = Arc::clone(shared);
     task::spawn(async move {
-        let mut reader = async_std::os::unix::net::UnixStream::from(reader);
-        let mut byte = [0];
-        if reader.read_exact(&mut byte).await.is_ok() {
+        if ordered_to_end.wait().await {
             shared.tell(Event::Shutdown);
         }
     });
--- a/crates/turmericrail/src/forward/answer_leg.rs
+++ b/crates/turmericrail/src/forward/answer_leg.rs
@@ -10,7 +10,7 @@
 use super::call_context::CallContext;
 use super::clock;
 use super::dispatch::{self, Served};
-use super::engine_calls::{begin, call_bytes, log_call, silence_ms};
+use super::engine_calls::silence_ms;
 use super::engine_place::{Leg, choose_alone, reserve};
 use super::event_relay::CallerStream;
 use super::exchange::Exchange;
@@ -18,6 +18,7 @@
 use super::held_kv::HeldKv;
 use super::plain_call::is_genuine;
 use super::reservation::Reservation;
+use super::server_calls::{begin, call_bytes, log_call};
 
 /// Pauses between events, as a multiple of the wanted one, before an engine counts as silent.
 const GAP_FACTOR: u64 = 2;
--- a/crates/turmericrail/src/forward/caller_connection.rs
+++ b/crates/turmericrail/src/forward/caller_connection.rs
@@ -1,7 +1,6 @@
 //! One caller's connection: reading of requests within the limits, and the watch for its close.
 
 use std::io;
-use std::net::Shutdown;
 use std::time::Duration;
 
 use async_std::io::prelude::*;
@@ -17,13 +16,12 @@
 use super::clock;
 use super::server_connection::READ_BYTES;
 use super::shared::Shared;
+use crate::closing::close_gently;
 
 /// Most bytes of a next request that are held while an answer is under way.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
-/// Longest wait for the caller's close after the last answer.
-const LINGER: Duration = Duration::from_millis(1_000);
-/// Most reads while waiting for the caller's close.
-const LINGER_READS: usize = 256;
+/// Most reads while waiting for the caller's close: those of the largest bodies that are refused.
+const CLOSE_READS: usize = 512;
 /// Longest time for a body to arrive where the request names no deadline.
 const BODY_TIMEOUT_MS: Millis = Millis(10_000);
 /// Tells a caller that waits for it to send the body.
@@ -177,19 +175,8 @@
 
     /// Closes the connection in order: unread bytes would reset it before the caller has read the
     /// last answer.
-    pub async fn close(mut self) {
-        if self.stream.shutdown(Shutdown::Write).is_err() {
-            return;
-        }
-        let draining = async {
-            for _ in 0..LINGER_READS {
-                self.buffer.clear();
-                if !matches!(self.fill().await, Ok(read) if read > 0) {
-                    return;
-                }
-            }
-        };
-        let _ = async_std::future::timeout(LINGER, draining).await;
+    pub async fn close(self) {
+        close_gently(&self.stream, CLOSE_READS).await;
     }
 }
 
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -29,12 +29,12 @@
 mod reload;
 mod reservation;
 mod role_orders;
+mod server_calls;
 mod server_connection;
 pub mod settings;
 mod shared;
 mod shutdown;
 mod side_call;
-mod signals;
 mod store_client;
 mod store_sync;
 mod store_watch;
@@ -49,9 +49,9 @@
 
 use crate::error::StartError;
 use crate::logs;
+use crate::signals::Signal;
 use settings::ForwardSettings;
 use shared::Shared;
-use signals::Signal;
 
 /// Longest wait for the log's reader at the end.
 const LAST_LINES_LIMIT: Duration = Duration::from_millis(300);
--- a/crates/turmericrail/src/forward/plain_call.rs
+++ b/crates/turmericrail/src/forward/plain_call.rs
@@ -12,15 +12,15 @@
 use turmericrail_core::forward::{CallEnd, Choice, ServerRun};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::answer::AnswerFacts;
-use turmericrail_platform::call::{self, Start, Step};
+use turmericrail_platform::call::{Start, Step};
 use turmericrail_wire::http1::ResponseHead;
 
 use super::call_context::CallContext;
 use super::call_guard::CallGuard;
 use super::clock;
 use super::dispatch::Refusal;
-use super::exchange::{Exchange, OutgoingCall};
 use super::failure::CallFailure;
+use super::server_calls::{begin, call_bytes, log_call};
 
 /// Part of the target after which an idempotent call that got no answer goes to another server;
 /// what is left of the target suffices for a second try at the usual pace.
@@ -139,19 +139,7 @@
         TryEnd::Failed(failure) => failure.call_end(),
         TryEnd::MovedTo(_) => CallEnd::Silent,
     };
-    context.observe_step("server_call", elapsed_ms);
-    spdlog::info!(
-        "event=server_call request={} server={} predicted_ms={} looked_at={} \
-         registry_revision={} config_version={} outcome={} elapsed_ms={}",
-        context.request_id,
-        choice.run.server,
-        choice.predicted_ms.0,
-        choice.looked_at,
-        choice.registry_revision,
-        context.table.version(),
-        call_end.as_str(),
-        elapsed_ms.0
-    );
+    log_call(context, "server_call", choice, call_end, elapsed_ms);
     if call_end == CallEnd::Answered {
         context.shared.forwarder().note_answer(clock::now_ms(), choice, elapsed_ms);
     }
@@ -160,28 +148,13 @@
 }
 
 async fn call_server(context: &CallContext<'_>, choice: &Choice) -> TryEnd {
-    let request = context.request;
-    let left_ms = context.left_ms();
-    let mut bytes = Vec::new();
-    let step = Step::Run(Start::default());
-    let body = &request.body;
-    call::write_head(&request.head, body.len(), &choice.run.server, left_ms, &step, &mut bytes);
-    bytes.extend_from_slice(body);
-    let outgoing = OutgoingCall {
-        address: choice.address,
-        bytes: &bytes,
-        method: &request.head.method,
-        request_id: context.request_id,
-    };
-    let pool = &context.shared.pool;
-    let exchange = match Exchange::begin(pool, &outgoing, left_ms).await {
+    let bytes = call_bytes(context, choice, &Step::Run(Start::default()));
+    let exchange = match begin(context, choice, &bytes, context.left_ms()).await {
         Ok(exchange) => exchange,
         Err(failure) => return TryEnd::Failed(failure),
     };
     let facts = exchange.facts.clone();
-    if let Some(load) = facts.load {
-        context.shared.forwarder().report(clock::now_ms(), &choice.run, load);
-    }
+    let pool = &context.shared.pool;
     match exchange.read_body(pool, choice.address, context.left_ms()).await {
         _ if facts.is_not_run => TryEnd::NotRun,
         Ok((head, body)) if is_genuine(&head, &facts) => TryEnd::Answered(head, body),
--- a/crates/turmericrail/src/forward/reload.rs
+++ b/crates/turmericrail/src/forward/reload.rs
@@ -9,7 +9,7 @@
 
 use super::settings::ForwardSettings;
 use super::shared::Shared;
-use super::signals::Signal;
+use crate::signals::Signal;
 
 /// Time between looks at the file, which may also change without a signal.
 const LOOK_STEP: Duration = Duration::from_secs(2);
--- /dev/null
+++ b/crates/turmericrail/src/forward/server_calls.rs
@@ -0,0 +1,64 @@
+//! Calls of a request to backend servers: bytes, beginning and log line.
+
+use turmericrail_core::forward::{CallEnd, Choice};
+use turmericrail_core::units::Millis;
+use turmericrail_platform::call::{self, Step};
+
+use super::call_context::CallContext;
+use super::clock;
+use super::exchange::{Exchange, OutgoingCall};
+use super::failure::CallFailure;
+
+/// Head and body of a call.
+pub fn call_bytes(context: &CallContext<'_>, choice: &Choice, step: &Step<'_>) -> Vec<u8> {
+    let request = context.request;
+    let mut bytes = Vec::new();
+    let left_ms = context.left_ms();
+    let length = request.body.len();
+    call::write_head(&request.head, length, &choice.run.server, left_ms, step, &mut bytes);
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
+
+/// Sends a call and waits for the head of its answer.
+pub async fn begin(
+    context: &CallContext<'_>,
+    choice: &Choice,
+    bytes: &[u8],
+    limit_ms: Millis,
+) -> Result<Exchange, CallFailure> {
+    let outgoing = OutgoingCall {
+        address: choice.address,
+        bytes,
+        method: &context.request.head.method,
+        request_id: context.request_id,
+    };
+    let exchange = Exchange::begin(&context.shared.pool, &outgoing, limit_ms).await?;
+    if let Some(load) = exchange.facts.load {
+        context.shared.forwarder().report(clock::now_ms(), &choice.run, load);
+    }
+    Ok(exchange)
+}
+
+/// Logs the end of a call.
+pub fn log_call(
+    context: &CallContext<'_>,
+    event: &'static str,
+    choice: &Choice,
+    end: CallEnd,
+    elapsed_ms: Millis,
+) {
+    context.observe_step(event, elapsed_ms);
+    spdlog::info!(
+        "event={event} request={} server={} predicted_ms={} looked_at={} registry_revision={} \
+         config_version={} outcome={} elapsed_ms={}",
+        context.request_id,
+        choice.run.server,
+        choice.predicted_ms.0,
+        choice.looked_at,
+        choice.registry_revision,
+        context.table.version(),
+        end.as_str(),
+        elapsed_ms.0
+    );
+}
--- a/crates/turmericrail/src/forward/server_connection.rs
+++ b/crates/turmericrail/src/forward/server_connection.rs
@@ -6,21 +6,23 @@
 
 use async_std::io::prelude::*;
 use async_std::net::TcpStream;
-use socket2::{SockRef, TcpKeepalive};
 use turmericrail_core::units::Millis;
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming};
 
 use super::clock;
 use super::failure::CallFailure;
+use crate::liveness::Liveness;
 
 /// Bytes read at a time.
 pub const READ_BYTES: usize = 8 * 1024;
 /// Longest wait for a connection; some round trips, and below any patience worth a retry.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Idle time before the first keepalive probe, and between probes.
-const KEEPALIVE: Duration = Duration::from_secs(1);
-/// Time after which unacknowledged bytes or probes close the connection.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Connections to servers, to the store and of callers end within about three seconds of silence.
+pub const LIVENESS: Liveness = Liveness {
+    keepalive: Duration::from_secs(1),
+    probes: Some(2),
+    user_timeout: Duration::from_millis(2_500),
+};
 
 /// One connection, and what was read from it and not used yet.
 pub struct ServerConnection {
@@ -42,7 +44,7 @@
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) | Err(_) => return Err(CallFailure::NotSent),
         };
-        set_liveness(&stream);
+        LIVENESS.apply(&stream);
         let used_ms = clock::now_ms();
         Ok(Self { stream, buffer: Vec::new(), used_ms, keep_alive_ms: None })
     }
@@ -91,17 +93,3 @@
         }
     }
 }
-
-/// Lets a connection that fell silent end by itself.
-pub fn set_liveness(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let keepalive =
-        TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE).with_retries(2);
-    let set = socket
-        .set_tcp_keepalive(&keepalive)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(USER_TIMEOUT)))
-        .and_then(|()| stream.set_nodelay(true));
-    if let Err(error) = set {
-        spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
-    }
-}
--- a/crates/turmericrail/src/forward/shutdown.rs
+++ b/crates/turmericrail/src/forward/shutdown.rs
@@ -12,7 +12,7 @@
 
 use super::clock;
 use super::shared::Shared;
-use super::signals::Signal;
+use crate::signals::Signal;
 
 /// Time in which the balancer notices: two questions, one a second, and some for the way. What
 /// comes later is refused, since its answer might not fit into the grace.
--- a/crates/turmericrail/src/lib.rs
+++ b/crates/turmericrail/src/lib.rs
@@ -8,15 +8,18 @@
 pub mod bounded_log;
 pub mod caller_edge;
 pub mod cli;
+mod closing;
 pub mod daemon;
 pub mod error;
 pub mod forward;
+mod liveness;
 pub mod log_level;
 pub mod logs;
 pub mod metrics;
 pub mod peer_edge;
 pub mod platform_edge;
 pub mod settings;
+mod signals;
 
 /// Parses the command line and runs the daemon that it asks for, until its end.
 pub fn run() -> Result<(), error::StartError> {
