Share what tests, soak and bench wrote again; read answers as strictly as before

Cause: the soak wrote requests, keys and ids of the platform itself, though its folder is no stand-in; three places sent signals by hand, the bench built the fleet that the tests build, and two readers of a body stood side by side.

Change: `call_text`, `request_id`, `publish`, `unregister`, `send_signal` and one `read_body` in the stand-ins; `prompt` and the bench's fleet from `forward_support`. `Reply::read` returns what is malformed: tests fail on it as before, the soak counts it as a violation, which it did not.

--- a/crates/core/benches/forward_choice.rs
+++ b/crates/core/benches/forward_choice.rs
@@ -2,15 +2,16 @@
 //! forward_choice`. Rows give the median and the 95th percentile, and the ratio to the smallest
 //! fleet of the same run.
 
+#[path = "../tests/forward_support/mod.rs"]
+mod forward_support;
+
 use std::time::Instant;
 
+use forward_support::{BOUNDS, entry, prompt, service_id, table};
 use turmericrail_core::config::ServerRole::{self, Decode, Plain, Prefill};
-use turmericrail_core::forward::{
-    EngineLimits, Forwarder, ForwarderSettings, Prompt, RequestLimits, RetryBounds, RouteTable,
-    ServerEntry, ServerNews, ServerState, Service,
-};
-use turmericrail_core::ids::{ConfigVersion, ServiceId};
-use turmericrail_core::units::{Bytes, Millis, Tokens, WallMillis};
+use turmericrail_core::forward::{Forwarder, ForwarderSettings, ServerEntry, ServerNews};
+use turmericrail_core::ids::ServiceId;
+use turmericrail_core::units::Millis;
 
 /// Servers that a forwarder knows: a site, a grown one, and a data centre of the size aimed at.
 const FLEETS: [usize; 3] = [12, 140, 1_200];
@@ -30,7 +31,7 @@
     );
     let role = |number| if number % PREFILL_EVERY == 0 { Prefill } else { Decode };
     print_rows("model", role, |forwarder, service, draw| {
-        forwarder.plan_model(Millis(draw), service, prompt(), Millis(14_000), draw).is_ok()
+        forwarder.plan_model(Millis(draw), service, prompt(5_000), Millis(14_000), draw).is_ok()
     });
 }
 
@@ -39,7 +40,7 @@
     role: impl Fn(usize) -> ServerRole,
     decide: impl Fn(&Forwarder, &ServiceId, u64) -> bool,
 ) {
-    let service: ServiceId = "desk".parse().expect("the name is valid");
+    let service = service_id();
     let mut smallest = None;
     for servers in FLEETS {
         let forwarder = forwarder(&service, servers, &role);
@@ -58,15 +59,6 @@
     }
 }
 
-fn prompt() -> Prompt {
-    let output = Tokens(500);
-    Prompt {
-        prompt_tokens: Tokens(5_000),
-        max_output_tokens: output,
-        expected_output_tokens: output,
-    }
-}
-
 fn forwarder(
     service: &ServiceId,
     servers: usize,
@@ -74,34 +66,18 @@
 ) -> Forwarder {
     let mut forwarder = Forwarder::new(ForwarderSettings {
         data_centre: "dc-0".parse().expect("the name is valid"),
-        retry_bounds: RetryBounds { ratio: 0.2, slack: 56, window_ms: Millis(10_000) },
+        retry_bounds: BOUNDS,
         assumed_instances: 32,
         gives_orders: false,
     });
-    let limits = RequestLimits {
-        max_header_bytes: Bytes(16_384),
-        max_body_bytes: Bytes(1 << 20),
-        header_timeout_ms: Millis(3_000),
-        idle_timeout_ms: Millis(15_000),
-    };
-    let engine = EngineLimits {
-        slots: 64,
-        kv_tokens: Tokens(60_000),
-        handle_ttl_ms: Millis(500),
-        reservation_ms: Millis(2_000),
-    };
-    let known = Service { name: service.clone(), max_connections: 100, engine: Some(engine) };
-    let table = RouteTable::new(ConfigVersion(1), limits, vec![known], Vec::new());
-    forwarder.take_table(table.expect("the table is valid"));
+    forwarder.take_table(table(1, Vec::new()));
     for number in 0..servers {
+        let place = format!("dc-{}", number % 3);
         let entry = ServerEntry {
-            started_ms: WallMillis(1),
-            service: service.clone(),
             address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 80).into(),
-            data_centre: format!("dc-{}", number % 3).parse().expect("the name is valid"),
             slots: 64,
-            state: ServerState::Ready,
-            role: role(number),
+            service: service.clone(),
+            ..entry(0, role(number), &place)
         };
         let server = format!("i-{:010x}", (number as u64).wrapping_mul(0x9e37_79b9_7f4a));
         let server = server.parse().expect("the name is valid");
--- a/crates/core/tests/forward_choice.rs
+++ b/crates/core/tests/forward_choice.rs
@@ -4,19 +4,10 @@
 
 use std::collections::BTreeMap;
 
-use forward_support::{entry, forwarder, news, number, service_id};
+use forward_support::{entry, forwarder, news, number, prompt, service_id};
 use turmericrail_core::config::ServerRole::{Decode, Plain, Prefill};
-use turmericrail_core::forward::{CallEnd, Forwarder, KvOrigin, PlanRefusal, Prompt, ServerState};
-use turmericrail_core::units::{Millis, Tokens};
-
-fn prompt(tokens: u64) -> Prompt {
-    let output = Tokens(500);
-    Prompt {
-        prompt_tokens: Tokens(tokens),
-        max_output_tokens: output,
-        expected_output_tokens: output,
-    }
-}
+use turmericrail_core::forward::{CallEnd, Forwarder, KvOrigin, PlanRefusal, ServerState};
+use turmericrail_core::units::Millis;
 
 /// Plain calls in a row, none of which ends; how many went to each server.
 fn spread(forwarder: &mut Forwarder, now_ms: u64, calls: u64) -> BTreeMap<u16, usize> {
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -3,7 +3,7 @@
 
 use turmericrail_core::config::ServerRole;
 use turmericrail_core::forward::{
-    Choice, EngineLimits, Forwarder, ForwarderSettings, RequestLimits, RetryBounds, Route,
+    Choice, EngineLimits, Forwarder, ForwarderSettings, Prompt, RequestLimits, RetryBounds, Route,
     RouteKind, RouteTable, ServerEntry, ServerNews, ServerState, Service, WeightedService,
 };
 use turmericrail_core::ids::{ConfigVersion, ServiceId};
@@ -51,6 +51,16 @@
     }
 }
 
+/// A prompt of so many tokens, with an answer of usual length.
+pub fn prompt(tokens: u64) -> Prompt {
+    let output = Tokens(500);
+    Prompt {
+        prompt_tokens: Tokens(tokens),
+        max_output_tokens: output,
+        expected_output_tokens: output,
+    }
+}
+
 pub fn table(version: u64, routes: Vec<Route>) -> RouteTable {
     RouteTable::new(ConfigVersion(version), LIMITS, vec![service()], routes).unwrap()
 }
--- a/crates/fakes/src/fleet_instance.rs
+++ b/crates/fakes/src/fleet_instance.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command};
+use std::process::Child;
 
 use turmericrail_core::ids::InstanceId;
 
+use crate::signal::send_signal;
+
 /// One instance as a process.
 pub struct FleetInstance {
     /// Its id.
@@ -28,8 +30,7 @@
         let Some(process) = &self.process else {
             return;
         };
-        let id = process.id().to_string();
-        let _ = Command::new("kill").args([&format!("-{signal}"), &id]).status();
+        send_signal(process, signal);
     }
 
     /// Kills the process and waits for its end.
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ports;
 pub mod registered;
 mod serve;
+pub mod signal;
 pub mod text;
 
 pub use caller::{AnswerEvent, StreamCaller, send_resumption, wait_until};
--- a/crates/fakes/src/registered/raw_server.rs
+++ b/crates/fakes/src/registered/raw_server.rs
@@ -6,9 +6,9 @@
 use std::thread;
 use std::time::Duration;
 
-use turmericrail_wire::http1::{BodyDecoder, RequestHead};
+use turmericrail_wire::http1::RequestHead;
 
-use super::reply::fill;
+use super::reply::{fill, read_body};
 
 /// What a server does with a request.
 #[derive(Clone, Debug)]
@@ -85,16 +85,6 @@
         }
     };
     buffer.drain(..length);
-    let mut decoder = BodyDecoder::new(head.framing);
-    let mut body = Vec::new();
-    loop {
-        let used = decoder.decode(buffer, &mut body).ok()?;
-        buffer.drain(..used);
-        if decoder.is_done() {
-            return Some((head, body));
-        }
-        if !fill(stream, buffer) {
-            return None;
-        }
-    }
+    let (body, is_whole) = read_body(stream, buffer, head.framing).ok()?;
+    is_whole.then_some((head, body))
 }
--- a/crates/fakes/src/registered/reply.rs
+++ b/crates/fakes/src/registered/reply.rs
@@ -2,8 +2,9 @@
 
 use std::io::Read;
 use std::net::TcpStream;
+use std::string::FromUtf8Error;
 
-use turmericrail_wire::http1::{BodyDecoder, ResponseHead};
+use turmericrail_wire::http1::{BodyDecoder, BodyError, BodyFraming, HeadError, ResponseHead};
 
 /// An answer as a caller reads it.
 #[derive(Debug)]
@@ -16,38 +17,67 @@
     pub is_whole: bool,
 }
 
+/// What a caller read is no answer.
+#[derive(Debug)]
+pub enum MalformedReply {
+    /// The head is malformed.
+    Head(HeadError),
+    /// The framing of the body is malformed.
+    Body(BodyError),
+    /// The body is no text.
+    Text(FromUtf8Error),
+}
+
 impl Reply {
     /// The status.
     pub fn status(&self) -> u16 {
         self.head.status
     }
 
-    /// Reads one answer; nothing where the connection ends before its head, or sends none.
-    pub fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Self> {
+    /// The request that it names.
+    pub fn request_id(&self) -> Option<&str> {
+        self.head.headers.text("X-Request-Id")
+    }
+
+    /// Reads one answer; nothing where the connection ends before its head.
+    pub fn read(
+        stream: &mut TcpStream,
+        buffer: &mut Vec<u8>,
+    ) -> Result<Option<Self>, MalformedReply> {
         let (head, length) = loop {
-            if let Some(parsed) = ResponseHead::parse(buffer, "GET").ok()? {
+            let parsed = ResponseHead::parse(buffer, "GET").map_err(MalformedReply::Head)?;
+            if let Some(parsed) = parsed {
                 break parsed;
             }
             if !fill(stream, buffer) {
-                return None;
+                return Ok(None);
             }
         };
         buffer.drain(..length);
-        let mut decoder = BodyDecoder::new(head.framing);
-        let mut body = Vec::new();
-        let is_whole = loop {
-            let Ok(used) = decoder.decode(buffer, &mut body) else {
-                break false;
-            };
-            buffer.drain(..used);
-            if decoder.is_done() {
-                break true;
-            }
-            if !fill(stream, buffer) {
-                break decoder.end_of_input().is_ok();
-            }
-        };
-        Some(Self { head, body: String::from_utf8_lossy(&body).into_owned(), is_whole })
+        let read = read_body(stream, buffer, head.framing);
+        let (body, is_whole) = read.map_err(MalformedReply::Body)?;
+        let body = String::from_utf8(body).map_err(MalformedReply::Text)?;
+        Ok(Some(Self { head, body, is_whole }))
+    }
+}
+
+/// Reads a body; tells whether it came to its proper end.
+pub(super) fn read_body(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    framing: BodyFraming,
+) -> Result<(Vec<u8>, bool), BodyError> {
+    let mut decoder = BodyDecoder::new(framing);
+    let mut body = Vec::new();
+    loop {
+        let used = decoder.decode(buffer, &mut body)?;
+        buffer.drain(..used);
+        if decoder.is_done() {
+            return Ok((body, true));
+        }
+        if !fill(stream, buffer) {
+            return Ok((body, decoder.end_of_input().is_ok()));
+        }
     }
 }
 
--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -42,6 +42,13 @@
     pub at: Instant,
 }
 
+impl Seen {
+    /// The request that it was.
+    pub fn request_id(&self) -> Option<&str> {
+        self.head.headers.text("X-Request-Id")
+    }
+}
+
 #[derive(Default)]
 struct State {
     seen: Vec<Seen>,
@@ -103,7 +110,16 @@
         if let Some(stage) = stage {
             entry["stage"] = json!(stage);
         }
-        store.put(&format!("servers/{}", self.id), &entry);
+        store.put(&self.key(), &entry);
+    }
+
+    /// Removes its entry.
+    pub fn unregister(&self, store: &FakeStore) {
+        store.remove(&self.key());
+    }
+
+    fn key(&self) -> String {
+        format!("servers/{}", self.id)
     }
 
     /// Where it listens.
--- a/crates/fakes/src/registered/store.rs
+++ b/crates/fakes/src/registered/store.rs
@@ -58,6 +58,11 @@
         self.put_bytes(key, value.to_string().as_bytes());
     }
 
+    /// Publishes a configuration.
+    pub fn publish(&self, configuration: &Value) {
+        self.put("op/config", configuration);
+    }
+
     /// Writes an item of any bytes.
     pub fn put_bytes(&self, key: &str, value: &[u8]) {
         self.change(|state| state.write(key, Some(value.to_vec())));
--- a/crates/turmericrail/examples/fault_soak/callers.rs
+++ b/crates/turmericrail/examples/fault_soak/callers.rs
@@ -7,12 +7,14 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use turmericrail_fakes::registered::Reply;
+use turmericrail_fakes::registered::{MalformedReply, Reply, call_text};
 
 /// Callers at a time.
 const CALLERS: usize = 12;
 /// Pause between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(25);
+/// Patience that requests name: the longest that the routes allow.
+const PATIENCE_MS: u64 = 3_000;
 /// Longest wait for bytes of an answer; above the patience that requests name.
 const LIMIT: Duration = Duration::from_millis(3_500);
 /// Routes of the configuration of the soak.
@@ -29,7 +31,7 @@
     /// When it was sent.
     pub sent: Instant,
     /// The answer; nothing where none came.
-    pub answer: Option<Reply>,
+    pub answer: Result<Option<Reply>, MalformedReply>,
 }
 
 /// The callers.
@@ -94,7 +96,8 @@
         let (id, route) = (format!("c{number}-{count}"), ROUTES[dice.usize(..ROUTES.len())]);
         let sent = Instant::now();
         let answer = ask(&mut stream, &request(route, &id));
-        if answer.as_ref().is_some_and(|answer| answer.is_whole && answer.status() == 200) {
+        let is_served = |answer: &Reply| answer.is_whole && answer.status() == 200;
+        if answer.as_ref().is_ok_and(|answer| answer.as_ref().is_some_and(is_served)) {
             kept = Some((instance, stream));
         }
         let record = Record { id, route, instance, sent, answer };
@@ -104,17 +107,12 @@
 
 /// The bytes of a request.
 pub fn request(route: &str, id: &str) -> String {
-    let (method, body) = if route == "read" { ("GET", "") } else { ("POST", "body of the call") };
-    format!(
-        "{method} /{route}/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {id}\r\n\
-         X-Deadline-Ms: 3000\r\nX-Token-Usage: 100,50\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
+    call_text(route, "x", id, PATIENCE_MS)
 }
 
 /// Sends a request on a connection of its own.
 pub fn exchange(address: SocketAddr, text: &str) -> Option<Reply> {
-    ask(&mut connect(address)?, text)
+    ask(&mut connect(address)?, text).ok().flatten()
 }
 
 fn connect(address: SocketAddr) -> Option<TcpStream> {
@@ -123,7 +121,9 @@
     Some(stream)
 }
 
-fn ask(stream: &mut TcpStream, text: &str) -> Option<Reply> {
-    stream.write_all(text.as_bytes()).ok()?;
+fn ask(stream: &mut TcpStream, text: &str) -> Result<Option<Reply>, MalformedReply> {
+    if stream.write_all(text.as_bytes()).is_err() {
+        return Ok(None);
+    }
     Reply::read(stream, &mut Vec::new())
 }
--- a/crates/turmericrail/examples/fault_soak/checks.rs
+++ b/crates/turmericrail/examples/fault_soak/checks.rs
@@ -21,7 +21,10 @@
     if is_once && ran > 1 {
         return Some(format!("ran_twice request={} route={} runs={ran}", record.id, record.route));
     }
-    let answer = record.answer.as_ref()?;
+    let answer = match &record.answer {
+        Ok(answer) => answer.as_ref()?,
+        Err(problem) => return Some(format!("malformed request={} {problem:?}", record.id)),
+    };
     if is_once && ran > 0 && PROMISES.contains(&answer.status()) {
         return Some(format!("ran_all_the_same request={} status={}", record.id, answer.status()));
     }
@@ -39,7 +42,7 @@
 
 /// Whether an answer is the request's own: whole, or cut in a way that shows.
 fn is_own(record: &Record, answer: &Reply) -> bool {
-    if answer.head.headers.text("X-Request-Id") != Some(record.id.as_str()) {
+    if answer.request_id() != Some(record.id.as_str()) {
         return false;
     }
     let is_stream = !matches!(record.route, "read" | "order");
--- a/crates/turmericrail/examples/fault_soak/instance.rs
+++ b/crates/turmericrail/examples/fault_soak/instance.rs
@@ -7,6 +7,7 @@
 
 use serde_json::Value;
 use turmericrail_fakes::ports::free_address;
+use turmericrail_fakes::signal::send_signal;
 use turmericrail_fakes::{Link, registered::FakeStore};
 
 use crate::callers;
@@ -95,8 +96,7 @@
         let Some(process) = &self.process else {
             return;
         };
-        let id = process.id().to_string();
-        let _ = Command::new("kill").args([&format!("-{signal}"), &id]).status();
+        send_signal(process, signal);
     }
 
     /// Ends the process in order; tells whether it ended in time.
--- a/crates/turmericrail/examples/fault_soak/world.rs
+++ b/crates/turmericrail/examples/fault_soak/world.rs
@@ -71,7 +71,7 @@
 
     /// Removes its entry.
     pub fn remove(&self, store: &FakeStore) {
-        store.remove(&format!("servers/{}", self.server.id));
+        self.server.unregister(store);
     }
 }
 
@@ -110,7 +110,7 @@
         let folder = std::env::temp_dir().join(format!("fault-soak-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("the folder can be written");
         let store = FakeStore::start().expect("loopback ports are free");
-        store.put("op/config", &configuration(1, ATTEMPTS));
+        store.publish(&configuration(1, ATTEMPTS));
         let servers =
             SERVERS.iter().map(|(id, role)| LinkedServer::start(&store, id, *role)).collect();
         let peer_port = free_address().expect("loopback ports are free").port();
@@ -122,7 +122,7 @@
     /// Publishes the next configuration.
     pub fn publish(&mut self) {
         self.version += 1;
-        self.store.put("op/config", &configuration(self.version, ATTEMPTS));
+        self.store.publish(&configuration(self.version, ATTEMPTS));
     }
 
     /// Executions at the servers that run requests.
@@ -130,7 +130,7 @@
         let mut executions = Executions::new();
         let running = self.servers.iter().filter(|it| !it.server.id.starts_with('p'));
         for seen in running.flat_map(|it| it.server.seen()) {
-            let id = seen.head.headers.text("X-Request-Id").unwrap_or_default().to_owned();
+            let id = seen.request_id().unwrap_or_default().to_owned();
             *executions.entry(id).or_default() += 1;
         }
         executions
@@ -270,7 +270,8 @@
     // A request that crosses the close may be lost unread; one of which a server knows was read.
     let executions = world.executions();
     let is_cut = |record: &&Record| {
-        let has_answer = record.answer.as_ref().is_some_and(|answer| answer.is_whole);
+        let answer = record.answer.as_ref().ok().and_then(Option::as_ref);
+        let has_answer = answer.is_some_and(|answer| answer.is_whole);
         let is_concerned = record.instance == number && record.sent < begin;
         is_concerned && !has_answer && executions.contains_key(&record.id)
     };
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 use turmericrail_fakes::ports::free_address;
 use turmericrail_fakes::registered::{self, FakeStore, RegisteredServer, Reply};
+use turmericrail_fakes::signal::send_signal;
 
 /// Longest wait for something that is to happen.
 const LIMIT: Duration = Duration::from_secs(10);
@@ -35,7 +36,7 @@
     /// Starts an instance and waits until it is ready.
     pub fn start(name: &str) -> Self {
         let store = FakeStore::start().unwrap();
-        store.put("op/config", &configuration(1));
+        store.publish(&configuration(1));
         Self::start_with(name, store)
     }
 
@@ -47,7 +48,7 @@
     /// Starts an instance that is the first seed, so that it gives orders.
     pub fn start_ordering(name: &str) -> Self {
         let store = FakeStore::start().unwrap();
-        store.put("op/config", &configuration(1));
+        store.publish(&configuration(1));
         let address = store.address();
         let orders = "gives_orders: true\nseeds: [\"127.0.0.1:1\"]\n";
         Self::start_settings(name, store, address, "127.0.0.1", orders)
@@ -162,8 +163,7 @@
     }
 
     pub fn signal(&self, signal: &str) {
-        let id = self.process.id().to_string();
-        let _ = Command::new("kill").args([&format!("-{signal}"), &id]).status();
+        send_signal(&self.process, signal);
     }
 
     /// Whether the process has ended in order.
@@ -180,12 +180,7 @@
 }
 
 pub fn request_text(route: &str, id: &str) -> String {
-    let (method, body) = if route == "read" { ("GET", "") } else { ("POST", "body of the call") };
-    format!(
-        "{method} /{route}/x/../y?q=%2f HTTP/1.1\r\nHost: A.example:80\r\nX-Request-Id: {id}\r\n\
-         X-Deadline-Ms: 2000\r\nX-Token-Usage: 100,50\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
+    registered::call_text(route, "x/../y?q=%2f", id, 2_000)
 }
 
 pub fn wait_for(what: &str, is_so: impl Fn() -> bool) {
@@ -198,5 +193,5 @@
 
 /// Reads one answer; nothing where the connection ends before its head.
 pub fn read_reply(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Reply> {
-    Reply::read(stream, buffer)
+    Reply::read(stream, buffer).expect("the answer is well formed")
 }
--- a/crates/turmericrail/tests/forwarded_streams.rs
+++ b/crates/turmericrail/tests/forwarded_streams.rs
@@ -62,7 +62,7 @@
     };
     let is_refused = |id: Option<&str>| id == Some(refused.as_str());
     let runs = decode.seen();
-    let run = runs.iter().find(|seen| is_refused(seen.head.headers.text("X-Request-Id"))).unwrap();
+    let run = runs.iter().find(|seen| is_refused(seen.request_id())).unwrap();
     let source = format!("{}/kv1", prefill[1].address());
     assert_eq!(run.head.headers.text("X-Kv-Source"), Some(source.as_str()));
     for _ in 0..8 {
--- a/crates/turmericrail/tests/forwarding_changes.rs
+++ b/crates/turmericrail/tests/forwarding_changes.rs
@@ -19,9 +19,9 @@
     world.plain("s1");
     let mut next = configuration(5);
     next["routes"][0]["pathPrefix"] = json!("/moved/");
-    world.store.put("op/config", &next);
+    world.store.publish(&next);
     wait_for("the new route", || world.request("moved", "r1").status() == 200);
-    world.store.put("op/config", &configuration(3));
+    world.store.publish(&configuration(3));
     world.wait_for_log("version=3 revision=4 routes=4 source=store outcome=not_newer");
     assert_eq!(world.request("moved", "r2").status(), 200);
     assert_eq!(world.request("read", "r3").status(), 404);
@@ -35,7 +35,7 @@
     world.store.go_deaf();
     let mut next = configuration(5);
     next["routes"][0]["pathPrefix"] = json!("/moved/");
-    world.store.put("op/config", &next);
+    world.store.publish(&next);
     world.store.cut_watches();
     let cut = Instant::now();
     wait_for("the new route", || world.request("moved", "r1").status() == 200);
@@ -52,11 +52,11 @@
     second.wait_for_log("event=members_changed count=2");
     link.fail(Fault::Silent, Reach::Existing, |_| true);
     std::thread::sleep(Duration::from_millis(100));
-    first.store.put("op/config", &configuration(2));
+    first.store.publish(&configuration(2));
     second.wait_for_log("event=config version=2 ");
     second.wait_for_log("event=watch_silent prefix=op/config ");
     std::thread::sleep(Duration::from_millis(600));
-    first.store.put("op/config", &configuration(3));
+    first.store.publish(&configuration(3));
     std::thread::sleep(Duration::from_millis(900));
     assert!(second.log().contains("event=config version=3 "), "{}", second.log());
 }
@@ -66,7 +66,7 @@
     // After a loss, the watch of the next connection gets no answer and no error: it is given up
     // within the time in which an instance has to catch up.
     let store = FakeStore::start().unwrap();
-    store.put("op/config", &configuration(1));
+    store.publish(&configuration(1));
     let link = async_std::task::block_on(Link::start(store.address())).unwrap();
     let world = World::start_behind("silent-return", store, link.address);
     std::thread::sleep(WATCH_PAUSE);
@@ -75,7 +75,7 @@
     std::thread::sleep(WATCH_PAUSE);
     link.heal();
     link.fail(Fault::Silent, Reach::Existing, |_| true);
-    world.store.put("op/config", &configuration(2));
+    world.store.publish(&configuration(2));
     std::thread::sleep(Duration::from_millis(500));
     link.heal();
     wait_for("the new configuration", || world.log().contains("event=config version=2 "));
@@ -85,7 +85,7 @@
 fn late_configuration() {
     // Without a configuration the instance is not ready and refuses what comes.
     let store = FakeStore::start().unwrap();
-    store.put("op/config", &json!({"version": 1, "routes": "none"}));
+    store.publish(&json!({"version": 1, "routes": "none"}));
     let address = store.address();
     assert_ne!(address.port(), 0);
     let world = std::thread::spawn(move || {
