Look for engines with room for an answer to grow

An engine grants a reservation from what is free at that moment, and answers grow there by as much as their prompt. Each instance sees its own calls alone, so engines filled unevenly.

Change: a round asks engines for room for three calls, then two, then for the call and its growth; what was granted too much is given back before the prefill. Load reports are 0.9 s old; the engines' grants are exact.

--- a/crates/core/src/forward/model_call_size.rs
+++ b/crates/core/src/forward/model_call_size.rs
@@ -26,7 +26,11 @@
 impl ModelCallSize {
     /// KV memory that the call will need, from the prompt and the expected output.
     pub fn expected_kv_tokens(&self) -> Tokens {
-        let expected = self.expected_output_tokens.min(self.max_output_tokens);
-        self.prompt_tokens + expected
+        self.prompt_tokens + self.output_tokens()
+    }
+
+    /// Expected length of the answer.
+    pub fn output_tokens(&self) -> Tokens {
+        self.expected_output_tokens.min(self.max_output_tokens)
     }
 }
--- a/crates/turmericrail/src/forward/engine_selection.rs
+++ b/crates/turmericrail/src/forward/engine_selection.rs
@@ -5,7 +5,7 @@
 use async_std::task;
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{
-    CallEnd, ChosenServer, KvOrigin, ModelPlan, PlanRefusal, ServerRun,
+    CallEnd, ChosenServer, KvOrigin, ModelPlan, PlanRefusal, ReservationRound, ServerRun,
 };
 use turmericrail_core::ids::DataCentreId;
 use turmericrail_core::units::Millis;
@@ -18,8 +18,9 @@
 use super::held_kv::HeldKv;
 use super::reservation::{Reservation, ReservationResult};
 
-/// Most engines from which a reservation is requested in one round, for a call of average size.
-const MAX_ENGINES_PER_ROUND: usize = 4;
+/// Most engines from which a reservation is requested in one step of a round, for a call of average
+/// size.
+const MAX_ENGINES_PER_STEP: usize = 4;
 /// Longest wait for a reservation, as a multiple of the route's target. Callers give up after four
 /// times the target without an event, and the prefill is still to come. The wait also takes no more
 /// than a third of the caller's timeout, so that the answer fits in.
@@ -62,7 +63,7 @@
 /// Reserves an engine for the call and runs the prefill if the plan has one.
 pub async fn reserve_first_attempt(context: &CallContext<'_>) -> Result<EngineAttempt, Refusal> {
     if !context.is_model_call() {
-        let choice = choose_engine(context, &[]).ok_or(ErrorKind::NoServer)?;
+        let choice = choose_engine(context, &[]).ok_or_else(|| context.no_server_refusal())?;
         return Ok(start_unreserved(context, &choice));
     }
     let mut is_first_round = true;
@@ -132,7 +133,7 @@
         );
     }
     planned.map_err(|refusal| match refusal {
-        PlanRefusal::NoServer => ErrorKind::NoServer.into(),
+        PlanRefusal::NoServer => context.no_server_refusal(),
         PlanRefusal::DeadlineUnreachable { retry_after_ms } => {
             Refusal { kind: ErrorKind::DeadlineUnreachable, retry_after_ms: Some(retry_after_ms) }
         }
@@ -179,7 +180,8 @@
     EngineAttempt { guard: CallGuard::start(context.shared, choice), reservation: None, kv: None }
 }
 
-/// Reserves the best engine that has room; `None` if no engine of the round grants a reservation.
+/// Reserves an engine with much room for the answer to grow, or else one with enough; `None` if no
+/// engine of the round grants a reservation.
 /// If the service uses no reservations, the best engine is taken without one.
 pub async fn reserve(
     context: &CallContext<'_>,
@@ -191,15 +193,21 @@
     if ttl_ms == Millis::ZERO {
         return choose(&[]).map(|choice| start_unreserved(context, &choice));
     }
-    let mut full_engines = Vec::new();
-    let max_engines = (MAX_ENGINES_PER_ROUND as f64 * relative_size).ceil() as usize;
-    while full_engines.len() < max_engines {
-        let choice = choose(&full_engines)?;
+    let call_size = model_call_size(context);
+    let needed_tokens = call_size.expected_kv_tokens();
+    let max_engines = (MAX_ENGINES_PER_STEP as f64 * relative_size).ceil() as usize;
+    let mut round = ReservationRound::new(call_size, max_engines);
+    while let Some(free_tokens) = round.free_tokens() {
+        let Some(choice) = choose(&round.excluded_engines()) else {
+            round.end_step();
+            continue;
+        };
         let mut attempt = start_unreserved(context, &choice);
-        let result = Reservation::request(
+        let result = Reservation::request_with_room(
             context.shared,
             &choice,
-            model_call_size(context).expected_kv_tokens(),
+            needed_tokens,
+            free_tokens,
             ttl_ms,
         )
         .await;
@@ -209,11 +217,16 @@
                 return Some(attempt);
             }
             ReservationResult::Full => {
-                context.shared.forwarder().record_full(clock::now_ms(), &choice)
+                if round.is_last_step() {
+                    context.shared.forwarder().record_full(clock::now_ms(), &choice);
+                }
+                round.record_refusal(choice.run);
+            }
+            ReservationResult::Failed => {
+                attempt.guard.end(CallEnd::TimedOut);
+                round.record_failure(choice.run);
             }
-            ReservationResult::Failed => attempt.guard.end(CallEnd::TimedOut),
         }
-        full_engines.push(choice.run);
     }
     None
 }
--- a/crates/turmericrail/src/forward/reservation.rs
+++ b/crates/turmericrail/src/forward/reservation.rs
@@ -41,7 +41,7 @@
         let server = &choice.run.server;
         reservation::write_request(choice.address, server, tokens, ttl_ms, &mut bytes);
         let requested_ms = clock::now_ms();
-        let answer = control_call::call(shared, choice.address, "POST", &bytes).await;
+        let answer = control_call::call(shared, &choice.run, choice.address, "POST", &bytes).await;
         let (status, body) = answer.unwrap_or_default();
         spdlog::debug!("event=reservation server={server} tokens={} status={status}", tokens.0);
         match status {
@@ -65,6 +65,28 @@
         }
     }
 
+    /// Requests a reservation for `tokens` from an engine that has `free_tokens` of free memory.
+    /// The engine tells its free memory only by granting or refusing, so the larger reservation is
+    /// made first and replaced by the smaller one.
+    pub async fn request_with_room(
+        shared: &Arc<Shared>,
+        choice: &ChosenServer,
+        tokens: Tokens,
+        free_tokens: Tokens,
+        ttl_ms: Millis,
+    ) -> ReservationResult {
+        let result = Self::request(shared, choice, free_tokens, ttl_ms).await;
+        let ReservationResult::Reserved(mut roomy) = result else {
+            return result;
+        };
+        if free_tokens <= tokens {
+            return ReservationResult::Reserved(roomy);
+        }
+        roomy.is_used = true;
+        release(shared, choice, &roomy.id).await;
+        Self::request(shared, choice, tokens, ttl_ms).await
+    }
+
     /// The id that a run of the call names; `None` once the reservation has expired.
     pub fn id(&self) -> Option<&str> {
         (clock::now_ms() < self.expires_ms).then_some(self.id.as_str())
@@ -84,12 +106,17 @@
         let (shared, choice) = (Arc::clone(&self.shared), self.choice.clone());
         let id = std::mem::take(&mut self.id);
         task::spawn(async move {
-            let mut bytes = Vec::new();
+            let status = release(&shared, &choice, &id).await;
             let server = &choice.run.server;
-            reservation::write_release(choice.address, server, &id, &mut bytes);
-            let answer = control_call::call(&shared, choice.address, "DELETE", &bytes).await;
-            let status = answer.map(|(status, _)| status).unwrap_or_default();
             spdlog::info!("event=reservation_dropped server={server} status={status}");
         });
     }
 }
+
+/// Releases a reservation; returns the status of the answer, zero if none came.
+async fn release(shared: &Shared, choice: &ChosenServer, id: &str) -> u16 {
+    let mut bytes = Vec::new();
+    reservation::write_release(choice.address, &choice.run.server, id, &mut bytes);
+    let answer = control_call::call(shared, &choice.run, choice.address, "DELETE", &bytes).await;
+    answer.map(|(status, _)| status).unwrap_or_default()
+}
