Order roles where engines ignore fencing numbers

Cause: orders were off there, and only the first seed gave them anywhere. At Fényfolt 35 % of the engines process prompts, which take 94 ms, while decode memory is full.

Change: the right to order a run of an engine never passes between instances: a hash of the run names one seed. Fencing numbers come from the engine's start and its count of accepted orders, with a part of the instance's name, so that they rise without a clock of ours; an order names that count, and a delayed one is refused. Two data centres keep a prefill engine, not every one.

Excluded: ownership by membership with takeover (views differ after a cut; two holders), orders to prefill (decode engines process prompts themselves).

--- a/crates/core/src/forward/engine_report.rs
+++ b/crates/core/src/forward/engine_report.rs
@@ -7,6 +7,8 @@
 pub struct EngineReport {
     /// Whether the engine is carrying out an order, such as a role change.
     pub is_changing: bool,
+    /// Number of orders that it has accepted since its start.
+    pub accepted_orders: u64,
     /// Running and waiting requests.
     pub requests: u32,
     /// KV memory in use that cannot be evicted.
--- a/crates/core/src/forward/role_conversion.rs
+++ b/crates/core/src/forward/role_conversion.rs
@@ -11,6 +11,9 @@
 /// Limit on the engines of each role that are asked for a load report in one round: the mean of a
 /// dozen reports is enough to tell a full pool from a half idle one.
 const MAX_POLLED_PER_ROLE: usize = 12;
+/// Data centres that keep a prefill engine, so that prompts are still processed after the loss of
+/// one.
+const MIN_PREFILL_DATA_CENTRES: usize = 2;
 
 impl Forwarder {
     /// Engines to ask for a load report before a conversion; empty if no engine could be converted.
@@ -66,16 +69,23 @@
         })
     }
 
-    /// The prefill engine to convert next; `None` if no further one may be converted.
-    pub fn next_engine_to_convert(
+    /// The prefill engines that may be converted to decode engines, whatever the load; the first
+    /// ones first. Instances with the same registry get the same engines.
+    pub fn convertible_engines(
         &self,
         now_ms: Millis,
         service: &ServiceId,
         changing: &[ServerRun],
-    ) -> Option<ChosenServer> {
+    ) -> Vec<ChosenServer> {
         let prefill = self.candidates(now_ms, service, ServerRole::Prefill, changing);
-        take_next_to_convert(&mut by_data_centre(prefill))
+        let decode_count = self.candidates(now_ms, service, ServerRole::Decode, changing).len();
+        let engine_count = prefill.len() + decode_count + changing.len();
+        let count = RoleLoad::max_convertible_engines(prefill.len(), engine_count);
+        let mut engines_by_data_centre = by_data_centre(prefill);
+        (0..count)
+            .map_while(|_| take_next_to_convert(&mut engines_by_data_centre))
             .map(|engine| self.chosen_server_without_prediction(engine))
+            .collect()
     }
 
     /// Marks the engines that would be converted first, so that most prefills avoid them: an engine
@@ -88,8 +98,9 @@
         self.conversion_candidates_revision = Some(revision);
         let services = self.table.iter().flat_map(|table| table.services());
         let models = services.filter(|service| service.engine.is_some());
-        let convertible: BTreeSet<_> =
-            models.flat_map(|service| self.conversion_candidates(now_ms, &service.name)).collect();
+        let convertible =
+            models.flat_map(|service| self.convertible_engines(now_ms, &service.name, &[]));
+        let convertible: BTreeSet<_> = convertible.map(|engine| engine.run).collect();
         for (run, load) in &mut self.loads {
             load.set_conversion_candidate(convertible.contains(run));
         }
@@ -97,18 +108,6 @@
             self.loads.entry(run).or_default().set_conversion_candidate(true);
         }
     }
-
-    /// The prefill engines of a service that may be converted to decode engines, whatever the load.
-    fn conversion_candidates(&self, now_ms: Millis, service: &ServiceId) -> Vec<ServerRun> {
-        let prefill = self.candidates(now_ms, service, ServerRole::Prefill, &[]);
-        let decode = self.candidates(now_ms, service, ServerRole::Decode, &[]).len();
-        let count = RoleLoad::max_convertible_engines(prefill.len(), prefill.len() + decode);
-        let mut engines_by_data_centre = by_data_centre(prefill);
-        (0..count)
-            .map_while(|_| take_next_to_convert(&mut engines_by_data_centre))
-            .map(|engine| engine.run())
-            .collect()
-    }
 }
 
 /// Engines of each data centre, ordered by name.
@@ -123,13 +122,15 @@
 }
 
 /// Removes and returns the engine to convert first: one of the data centre that has the most
-/// prefill engines. The last engine of a data centre is never taken. Instances with the same
-/// registry take the same engine.
+/// prefill engines. The last engine of a data centre is taken only if enough others have one.
+/// Instances with the same registry take the same engine.
 fn take_next_to_convert<'a>(
     engines_by_data_centre: &mut EnginesByDataCentre<'a>,
 ) -> Option<Candidate<'a>> {
+    let data_centre_count = engines_by_data_centre.values().filter(|it| !it.is_empty()).count();
     let largest = engines_by_data_centre.values_mut().max_by_key(|engines| engines.len())?;
-    if largest.len() > 1 { largest.pop_front() } else { None }
+    let may_take_last = data_centre_count > MIN_PREFILL_DATA_CENTRES;
+    if largest.len() > 1 || may_take_last { largest.pop_front() } else { None }
 }
 
 /// At most [`MAX_POLLED_PER_ROLE`] consecutive engines, from a random position on.
--- a/crates/core/tests/role_conversion.rs
+++ b/crates/core/tests/role_conversion.rs
@@ -21,7 +21,13 @@
 }
 
 fn engine_report(requests: u32, used: u64) -> EngineReport {
-    EngineReport { is_changing: false, requests, kv_used: Tokens(used), kv_total: Tokens(40_000) }
+    EngineReport {
+        is_changing: false,
+        accepted_orders: 0,
+        requests,
+        kv_used: Tokens(used),
+        kv_total: Tokens(40_000),
+    }
 }
 
 /// A forwarder that knows so many prefill and decode engines in each of two data centres.
@@ -72,11 +78,9 @@
     let load = forwarder.role_load(NOW_MS, &service, &[], &reports).unwrap();
     assert_eq!((load.prefill_engine_count, load.engine_count), (7, 13));
     assert!((load.decode_fill - 0.9).abs() < 1e-9, "{load:?}");
-    let mut candidates = Vec::new();
-    for _ in 0..load.engines_to_convert() {
-        candidates
-            .push(forwarder.next_engine_to_convert(NOW_MS, &service, &candidates).unwrap().run);
-    }
+    let convertible = forwarder.convertible_engines(NOW_MS, &service, &[]);
+    let candidates: Vec<_> =
+        convertible.into_iter().take(load.engines_to_convert()).map(|it| it.run).collect();
     assert_eq!(candidates.len(), 2);
     let load = forwarder.role_load(NOW_MS, &service, &candidates, &reports).unwrap();
     assert_eq!(
@@ -100,11 +104,24 @@
 #[test]
 fn last_prefill_engine() {
     let forwarder = forwarder_with_engines([1, 1], [20, 20]);
-    assert!(forwarder.next_engine_to_convert(NOW_MS, &service_id(), &[]).is_none());
+    assert!(forwarder.convertible_engines(NOW_MS, &service_id(), &[]).is_empty());
     let small = forwarder_with_engines([1, 1], [2, 2]);
     assert!(small.engines_to_poll(NOW_MS, &service_id(), &[], 1).is_empty(), "no engine is polled");
 }
 
+#[test]
+fn idle_data_centre() {
+    // One idle prefill engine in each of four data centres: two of them keep theirs, so that
+    // prompts are still processed after the loss of one.
+    let servers: Vec<_> = ["dc-a", "dc-b", "dc-c", "dc-d"]
+        .into_iter()
+        .flat_map(|data_centre| [(Prefill, data_centre), (Decode, data_centre)])
+        .collect();
+    let forwarder = forwarder(&servers);
+    let convertible = forwarder.convertible_engines(NOW_MS, &service_id(), &[]);
+    assert_eq!(convertible.len(), 2);
+}
+
 #[test]
 fn avoided_candidates() {
     // Most prefills avoid the engines that are converted first, since an engine refuses prefills
@@ -112,11 +129,9 @@
     let mut forwarder = forwarder_with_engines([5, 5], [5, 5]);
     forwarder.apply_table(table(2, Vec::new()));
     let service = service_id();
-    let mut candidates = Vec::new();
-    for _ in 0..6 {
-        candidates
-            .push(forwarder.next_engine_to_convert(NOW_MS, &service, &candidates).unwrap().run);
-    }
+    let convertible = forwarder.convertible_engines(NOW_MS, &service, &[]);
+    let candidates: Vec<_> = convertible.into_iter().map(|engine| engine.run).collect();
+    assert_eq!(candidates.len(), 6);
     let candidate_share = |forwarder: &Forwarder| {
         let randoms = (0..400u64).map(|index| index.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let choose = |random| {
--- a/crates/turmericrail/src/forward/role_orders.rs
+++ b/crates/turmericrail/src/forward/role_orders.rs
@@ -1,19 +1,18 @@
 //! Orders that turn idle prefill engines into decode engines when decode memory runs out.
 //!
-//! Only one instance gives orders: the first seed, and only once it has been the first for longer
-//! than an engine takes to change its role, so that two instances never order the same engine in
-//! turn. If it is down, the roles stay as they are. Engines that don't check fencing numbers get no
-//! orders.
+//! Only seeds give orders, each to its own part of the engines ([`order_right`]), and only once
+//! they have run for longer than an engine takes to change its role. An order names the number of
+//! orders that the engine has accepted, so that a delayed one is refused. Where a seed is down, its
+//! engines keep their roles.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use async_std::task;
 use turmericrail_core::config::ServerRole;
-use turmericrail_core::forward::{ChosenServer, EngineReport, ServerRun};
-use turmericrail_core::ids::{FencingNumber, ServiceId};
-use turmericrail_core::membership::rendezvous::stable_hash;
+use turmericrail_core::forward::{ChosenServer, EngineReport, ServerRun, order_right};
+use turmericrail_core::ids::ServiceId;
 use turmericrail_core::units::Millis;
 use turmericrail_platform::{order, report};
 
@@ -23,22 +22,20 @@
 
 /// Status with which an engine answers if it has seen a higher fencing number.
 const STALE_FENCING_NUMBER_STATUS: u16 = 412;
-/// Fencing numbers available per second; more than there are instances.
-const FENCING_NUMBERS_PER_SECOND: u64 = 1_000_000;
 /// Time between two rounds; the reports are about as old.
 const ROUND_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Time for which an instance must be the first seed before it gives orders: longer than a lease on
-/// orders and the role change that an order starts.
+/// Time for which an instance must be a seed before it gives orders: longer than a lease on orders
+/// and the role change that an order starts.
 const SETTLE_TIME_MS: Millis = Millis(8_000);
 /// Time after an order for which its engine gets no other one: longer than a role change takes and
 /// the registry needs to show it.
 const ORDER_COOLDOWN_MS: Millis = Millis(20_000);
 
-/// What this instance has ordered, and the fencing number that it uses.
+/// What this instance may order and has ordered.
 #[derive(Default)]
 struct OrderState {
-    first_seed_since_ms: Option<Millis>,
-    fencing_number: Option<FencingNumber>,
+    /// Position among the seeds, and since when.
+    seed: Option<(Seed, Millis)>,
     last_order_ms: BTreeMap<ServerRun, Millis>,
     refusing_engines: BTreeSet<ServerRun>,
 }
@@ -48,26 +45,37 @@
     let mut state = OrderState::default();
     loop {
         task::sleep(ROUND_INTERVAL).await;
-        if !may_order(&shared, &mut state.first_seed_since_ms) {
+        let Some(seed) = settled_seed(&shared, &mut state.seed) else {
             continue;
-        }
+        };
         for service in model_services(&shared) {
-            balance_roles(&shared, &service, &mut state).await;
+            balance_roles(&shared, &service, seed, &mut state).await;
         }
     }
 }
 
-/// Whether this instance is the one that gives orders, and has been for long enough.
-fn may_order(shared: &Shared, first_seed_since_ms: &mut Option<Millis>) -> bool {
+/// The position of this instance among the seeds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Seed {
+    position: usize,
+    seed_count: usize,
+}
+
+/// This instance's position among the seeds if it has had that for long enough to give orders.
+fn settled_seed(shared: &Shared, known: &mut Option<(Seed, Millis)>) -> Option<Seed> {
     let settings = shared.settings();
-    let first_seed = settings.seeds.first().map(|seed| seed.ip());
-    let is_first = settings.gives_orders && first_seed == Some(settings.peer_address.ip());
-    if !is_first || shared.is_shutting_down() || shared.is_store_lost() {
-        *first_seed_since_ms = None;
-        return false;
-    }
+    let own_ip = settings.peer_address.ip();
+    let position = settings.seeds.iter().position(|seed| seed.ip() == own_ip);
+    let seed = position.map(|position| Seed { position, seed_count: settings.seeds.len() });
+    let may_order = settings.gives_orders && !shared.is_shutting_down() && !shared.is_store_lost();
+    let Some(seed) = seed.filter(|_| may_order) else {
+        *known = None;
+        return None;
+    };
     let now_ms = clock::now_ms();
-    now_ms >= *first_seed_since_ms.get_or_insert(now_ms) + SETTLE_TIME_MS
+    let (_, since_ms) = known.filter(|(known, _)| *known == seed).unwrap_or((seed, now_ms));
+    *known = Some((seed, since_ms));
+    (now_ms >= since_ms + SETTLE_TIME_MS).then_some(seed)
 }
 
 fn model_services(shared: &Shared) -> Vec<ServiceId> {
@@ -79,10 +87,15 @@
 
 /// Asks some engines of a service for reports, and orders others to change their role if the load
 /// calls for it.
-async fn balance_roles(shared: &Arc<Shared>, service: &ServiceId, state: &mut OrderState) {
+async fn balance_roles(
+    shared: &Arc<Shared>,
+    service: &ServiceId,
+    seed: Seed,
+    state: &mut OrderState,
+) {
     let now_ms = clock::now_ms();
     state.last_order_ms.retain(|_, at_ms| now_ms < *at_ms + ORDER_COOLDOWN_MS);
-    let mut changing: Vec<_> =
+    let changing: Vec<_> =
         state.last_order_ms.keys().chain(&state.refusing_engines).cloned().collect();
     let polled_engines =
         shared.forwarder().engines_to_poll(now_ms, service, &changing, fastrand::u64(..));
@@ -105,15 +118,15 @@
         reports.len(),
         changing.len()
     );
-    let fencing_number = *state.fencing_number.get_or_insert_with(|| new_fencing_number(shared));
-    for _ in 0..count {
-        let engine = shared.forwarder().next_engine_to_convert(clock::now_ms(), service, &changing);
-        let Some(engine) = engine else {
-            return;
-        };
-        changing.push(engine.run.clone());
+    // The other seeds order their own engines at the same time.
+    let own_count = count.div_ceil(seed.seed_count);
+    let convertible = shared.forwarder().convertible_engines(now_ms, service, &changing);
+    let is_own = |engine: &ChosenServer| {
+        order_right::orderer_position(&engine.run, seed.seed_count) == Some(seed.position)
+    };
+    for engine in convertible.into_iter().filter(is_own).take(own_count) {
         state.last_order_ms.insert(engine.run.clone(), clock::now_ms());
-        if send_order(shared, &engine, fencing_number).await == Some(STALE_FENCING_NUMBER_STATUS) {
+        if send_order(shared, &engine).await == Some(STALE_FENCING_NUMBER_STATUS) {
             state.refusing_engines.insert(engine.run);
         }
     }
@@ -142,7 +155,9 @@
     let server = &engine.run.server;
     let mut bytes = Vec::new();
     report::write_request(engine.address, server, &mut bytes);
-    let Some((200, body)) = control_call::call(&shared, engine.address, "GET", &bytes).await else {
+    let Some((200, body)) =
+        control_call::call(&shared, &engine.run, engine.address, "GET", &bytes).await
+    else {
         spdlog::debug!("event=report_missing server={server}");
         return None;
     };
@@ -156,30 +171,33 @@
     }
 }
 
-/// A number above those of earlier orders. Its offset is a hash of the instance's name, so that two
-/// instances hardly ever use the same number.
-fn new_fencing_number(shared: &Shared) -> FencingNumber {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let instance_offset =
-        stable_hash(shared.settings().instance.as_str()) % FENCING_NUMBERS_PER_SECOND;
-    FencingNumber(since_epoch.as_secs() * FENCING_NUMBERS_PER_SECOND + instance_offset)
-}
-
-/// Orders an engine to take the decode role; returns the status of its answer.
-async fn send_order(
-    shared: &Shared,
-    engine: &ChosenServer,
-    fencing_number: FencingNumber,
-) -> Option<u16> {
+/// Orders a prefill engine to take the decode role; returns the status of its answer, `None` if none
+/// came or no order could be sent.
+async fn send_order(shared: &Arc<Shared>, engine: &ChosenServer) -> Option<u16> {
+    let (_, report) = fetch_report(Arc::clone(shared), engine.clone()).await?;
+    if report.is_changing {
+        return None;
+    }
     let holder = shared.settings().instance.clone();
     let server = &engine.run.server;
+    let accepted_orders = report.accepted_orders;
+    let fencing_number = order_right::fencing_number(&engine.run, accepted_orders, &holder)?;
     let role = ServerRole::Decode;
     let mut bytes = Vec::new();
-    order::write_role_change(engine.address, server, role, &holder, fencing_number, &mut bytes);
-    let answer = control_call::call(shared, engine.address, "POST", &bytes).await;
+    order::write_role_change(
+        engine.address,
+        server,
+        role,
+        &holder,
+        fencing_number,
+        accepted_orders,
+        &mut bytes,
+    );
+    let answer = control_call::call(shared, &engine.run, engine.address, "POST", &bytes).await;
     let status = answer.map(|(status, _)| status);
     spdlog::info!(
-        "event=role_order server={server} role={role} fence={fencing_number} status={}",
+        "event=role_order server={server} role={role} fence={fencing_number} \
+         accepted_orders={accepted_orders} status={} reason=decode_memory_scarce",
         status.unwrap_or_default()
     );
     status
--- a/crates/turmericrail/src/forward/settings.rs
+++ b/crates/turmericrail/src/forward/settings.rs
@@ -55,8 +55,7 @@
     /// Length of the window in which retries are counted.
     #[serde_as(as = "Quantity")]
     pub retry_window_ms: Millis,
-    /// Whether engines may be ordered to change their role; only for engines that check fencing
-    /// numbers.
+    /// Whether engines may be ordered to change their role.
     #[serde(default)]
     pub gives_orders: bool,
     /// Least severe level that is logged.
