Heed servers that leave or close, and restores of the store

A server says in any answer that it is leaving, or with 503 that it wants no calls for a while; the store may come back from an older copy with a higher era.

Change: both are taken from answers of every kind, also of reservations, reports and orders. A leaving run is never chosen again, whatever the registry says, and peers are told. A closed server gets nothing until its time is over; a caller whom nobody else can serve is told when the first one opens. Revisions are ordered by era and number; an answer of another era than the watch's makes the instance list anew, one of an earlier era is dropped, and one watch tells the other. A run that was seen draining stays so; one that was seen removed and is listed after a restore is held back for as long as an abandoned entry takes to expire; missing ones get the grace time of an outage. Unusable values are counted, logged and passed over.

--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -6,9 +6,9 @@
 
 use super::service_latency::ServiceLatency;
 use super::{
-    CallEnd, CallerRetryDetector, ChosenServer, FailureScore, ModelCallSize, ReportedLoad,
-    ReservationPressure, RetryBounds, RetryWindow, RouteTable, ServerEntry, ServerLoad,
-    ServerRegistry, ServerRun, ServerUpdate,
+    CallEnd, CallerRetryDetector, ChosenServer, FailureScore, LeavingRuns, ModelCallSize,
+    ReportedLoad, ReservationPressure, RetryBounds, RetryWindow, RouteTable, ServerEntry,
+    ServerLoad, ServerRegistry, ServerRun, ServerUpdate,
 };
 use crate::ids::{DataCentreId, RouteId, ServiceId};
 use crate::units::{Millis, Tokens};
@@ -44,6 +44,7 @@
     caller_retry_detectors: BTreeMap<RouteId, CallerRetryDetector>,
     mean_kv_tokens: BTreeMap<ServiceId, f64>,
     pub(super) data_centre_failures: BTreeMap<DataCentreId, FailureScore>,
+    leaving_runs: LeavingRuns,
     instance_count: usize,
     /// Registry revision for which the conversion candidates are marked.
     pub(super) conversion_candidates_revision: Option<u64>,
@@ -64,6 +65,7 @@
             caller_retry_detectors: BTreeMap::new(),
             mean_kv_tokens: BTreeMap::new(),
             data_centre_failures: BTreeMap::new(),
+            leaving_runs: LeavingRuns::default(),
             conversion_candidates_revision: None,
         }
     }
@@ -97,6 +99,50 @@
         self.registry.record_reconnection(now_ms);
     }
 
+    /// Records that the registry was restored from an older copy.
+    pub fn record_registry_restore(&mut self, now_ms: Millis) {
+        self.registry.record_restore(now_ms);
+    }
+
+    /// Records that a run of a server is leaving, whatever its registry entry says; returns whether
+    /// that is new.
+    pub fn record_leaving(&mut self, now_ms: Millis, run: &ServerRun) -> bool {
+        self.leaving_runs.record(now_ms, run)
+    }
+
+    /// Records a leaving run that another instance told of, if it is registered here; instances
+    /// would else go on to remind each other of runs that are long gone. Returns whether it is new.
+    pub fn record_told_leaving(&mut self, now_ms: Millis, run: &ServerRun) -> bool {
+        let entry = self.registry.entry(now_ms, &run.server);
+        let is_registered = entry.is_some_and(|entry| entry.started_ms == run.started_ms);
+        is_registered && self.leaving_runs.record(now_ms, run)
+    }
+
+    /// The runs that were told to be leaving by their servers or by other instances.
+    pub fn leaving_runs(&self) -> &LeavingRuns {
+        &self.leaving_runs
+    }
+
+    /// Records that a server wants no calls from this instance for some time.
+    pub fn record_closed(&mut self, now_ms: Millis, run: &ServerRun, closed_ms: Millis) {
+        self.loads.entry(run.clone()).or_default().record_closed(now_ms + closed_ms);
+    }
+
+    /// Time until a server takes calls again; `None` if it takes them now.
+    pub fn closed_for_ms(&self, now_ms: Millis, run: &ServerRun) -> Option<Millis> {
+        self.loads.get(run)?.closed_for_ms(now_ms)
+    }
+
+    /// Shortest time until one of the closed servers of a service takes calls again.
+    pub fn reopens_in_ms(&self, now_ms: Millis, service: &ServiceId) -> Option<Millis> {
+        let servers = self.registry.servers(now_ms).filter(|(_, entry)| entry.service == *service);
+        let runs = servers.map(|(server, entry)| ServerRun {
+            server: server.clone(),
+            started_ms: entry.started_ms,
+        });
+        runs.filter_map(|run| self.closed_for_ms(now_ms, &run)).min()
+    }
+
     /// Replaces the limits on retries, for instance after new settings.
     pub fn set_retry_bounds(&mut self, bounds: RetryBounds) {
         self.settings.retry_bounds = bounds;
@@ -112,6 +158,7 @@
     /// conversion candidates.
     pub fn expire(&mut self, now_ms: Millis) {
         self.registry.expire(now_ms);
+        self.leaving_runs.expire(now_ms, &self.registry);
         let registry = &self.registry;
         self.loads.retain(|run, load| {
             let is_current = |entry: &ServerEntry| entry.started_ms == run.started_ms;
--- a/crates/core/src/forward/server_load.rs
+++ b/crates/core/src/forward/server_load.rs
@@ -47,6 +47,7 @@
     last_full_ms: Option<Millis>,
     last_unreachable_ms: Option<Millis>,
     last_prefill_refusal_ms: Option<Millis>,
+    closed_until_ms: Option<Millis>,
     is_conversion_candidate: bool,
 }
 
@@ -133,6 +134,16 @@
         self.last_unreachable_ms.is_some_and(|at_ms| now_ms < at_ms + UNREACHABLE_HOLD_OFF_MS)
     }
 
+    /// Records that the server wants no calls until then.
+    pub fn record_closed(&mut self, until_ms: Millis) {
+        self.closed_until_ms = self.closed_until_ms.max(Some(until_ms));
+    }
+
+    /// Time until the server takes calls again; `None` if it takes them now.
+    pub fn closed_for_ms(&self, now_ms: Millis) -> Option<Millis> {
+        self.closed_until_ms.filter(|until_ms| now_ms < *until_ms).map(|until_ms| until_ms - now_ms)
+    }
+
     /// Number of running calls of this instance.
     pub fn running_calls(&self) -> u32 {
         self.running_calls
--- a/crates/core/src/forward/server_registry.rs
+++ b/crates/core/src/forward/server_registry.rs
@@ -4,7 +4,9 @@
 //! each server wins. A removal is kept as a tombstone for a while, so that a late update does not
 //! bring a server back. If the platform was unreachable, entries may have expired only because
 //! their servers could not renew them; they stay in use for a short grace period, in which a live
-//! server registers again.
+//! server registers again. A platform that was restored from an older copy also lists servers that
+//! have left since; a run that was seen leaving stays so, and one that was seen removed is used
+//! again only if its entry outlasts the time in which an abandoned one expires.
 
 use std::collections::BTreeMap;
 
@@ -17,6 +19,10 @@
 /// Grace period after the platform's return: live servers register again within two seconds, and
 /// the period is below the shortest limit on sending work to removed servers.
 const RECONNECT_GRACE_MS: Millis = Millis(1_500);
+/// Time in which an entry that nobody renews expires, with a margin.
+const ABANDONED_ENTRY_TTL_MS: Millis = Millis(5_000);
+/// Time after a restore in which updates may come from the older copy.
+const RESTORE_PERIOD_MS: Millis = Millis(2_000);
 
 #[derive(Clone, Debug)]
 struct KnownServer {
@@ -24,11 +30,13 @@
     entry: Option<ServerEntry>,
     /// When the removal takes effect; may lie in the future during the grace period.
     removed_at_ms: Option<Millis>,
+    /// Until when the entry is not used, because it may be that of a server that has left.
+    held_back_until_ms: Millis,
 }
 
 impl KnownServer {
     fn is_removed(&self, now_ms: Millis) -> bool {
-        self.removed_at_ms.is_some_and(|at_ms| now_ms >= at_ms)
+        now_ms < self.held_back_until_ms || self.removed_at_ms.is_some_and(|at_ms| now_ms >= at_ms)
     }
 }
 
@@ -38,6 +46,7 @@
     known_servers: BTreeMap<ServerId, KnownServer>,
     revision: u64,
     grace_until_ms: Millis,
+    restored_until_ms: Millis,
 }
 
 impl ServerRegistry {
@@ -51,10 +60,24 @@
         let was_ready = known
             .and_then(|known| known.entry.as_ref())
             .is_some_and(|entry| entry.state == ServerState::Ready);
+        let was_removed = known.is_some_and(|known| known.is_removed(now_ms));
         let last_entry = self.known_servers.remove(&update.server).and_then(|known| known.entry);
         let known = match update.entry {
-            Some(entry) => {
-                KnownServer { revision: update.revision, entry: Some(entry), removed_at_ms: None }
+            Some(mut entry) => {
+                let last_of_run = last_entry.filter(|last| last.started_ms == entry.started_ms);
+                if last_of_run.as_ref().is_some_and(|last| last.state == ServerState::Draining) {
+                    entry.state = ServerState::Draining;
+                }
+                let is_doubtful =
+                    was_removed && last_of_run.is_some() && now_ms < self.restored_until_ms;
+                let held_back_until_ms =
+                    if is_doubtful { now_ms + ABANDONED_ENTRY_TTL_MS } else { Millis::ZERO };
+                KnownServer {
+                    revision: update.revision,
+                    entry: Some(entry),
+                    removed_at_ms: None,
+                    held_back_until_ms,
+                }
             }
             None => {
                 let is_in_grace = was_ready && now_ms < self.grace_until_ms;
@@ -63,6 +86,7 @@
                     revision: update.revision,
                     entry: last_entry,
                     removed_at_ms: Some(removed_at_ms),
+                    held_back_until_ms: Millis::ZERO,
                 }
             }
         };
@@ -75,6 +99,13 @@
         self.grace_until_ms = now_ms + RECONNECT_GRACE_MS;
     }
 
+    /// Records that the platform was restored from an older copy. Entries that are missing from it
+    /// get the grace period too.
+    pub fn record_restore(&mut self, now_ms: Millis) {
+        self.restored_until_ms = now_ms + RESTORE_PERIOD_MS;
+        self.record_reconnection(now_ms);
+    }
+
     /// Drops the tombstones that are no longer needed.
     pub fn expire(&mut self, now_ms: Millis) {
         let is_kept = |known: &KnownServer| {
--- a/crates/core/src/forward/server_selection.rs
+++ b/crates/core/src/forward/server_selection.rs
@@ -96,12 +96,13 @@
                 continue;
             }
             let run = ServerRun { server: server.clone(), started_ms: entry.started_ms };
-            if excluded.contains(&run) {
+            if excluded.contains(&run) || self.leaving_runs().contains(&run) {
                 continue;
             }
             let load = self.loads.get(&run).copied().unwrap_or_default();
             let is_refusing = role == ServerRole::Prefill && load.is_refusing_prefills(now_ms);
-            if load.is_unreachable(now_ms) || is_refusing {
+            let is_closed = load.closed_for_ms(now_ms).is_some();
+            if load.is_unreachable(now_ms) || is_refusing || is_closed {
                 continue;
             }
             candidates.push(Candidate { server, entry, load });
--- a/crates/core/tests/server_registry.rs
+++ b/crates/core/tests/server_registry.rs
@@ -4,8 +4,8 @@
 
 use forward_support::{server_entry, server_update};
 use turmericrail_core::config::ServerRole;
-use turmericrail_core::forward::{ServerRegistry, ServerState};
-use turmericrail_core::units::Millis;
+use turmericrail_core::forward::{ServerEntry, ServerRegistry, ServerState};
+use turmericrail_core::units::{Millis, WallMillis};
 
 fn server_count(registry: &ServerRegistry, now_ms: u64) -> usize {
     registry.servers(Millis(now_ms)).count()
@@ -27,6 +27,43 @@
     assert_eq!(server_count(&registry, 0), 0);
 }
 
+#[test]
+fn restored_registry() {
+    // An older copy calls servers ready that were seen leaving or gone. The one that is gone may be
+    // used once its entry has outlasted the time in which an abandoned one expires.
+    let mut registry = ServerRegistry::default();
+    let ready = server_entry(1, ServerRole::Plain, "dc-a");
+    let mut draining = ready.clone();
+    draining.state = ServerState::Draining;
+    registry.apply(Millis(0), server_update(1, 5, Some(draining)));
+    registry.apply(Millis(0), server_update(2, 6, Some(ready.clone())));
+    registry.apply(Millis(0), server_update(2, 7, None));
+    registry.record_restore(Millis(100));
+    registry.apply(Millis(200), server_update(1, 11, Some(ready.clone())));
+    registry.apply(Millis(200), server_update(2, 12, Some(ready.clone())));
+    let (first, second) = ("s1".parse().unwrap(), "s2".parse().unwrap());
+    let state = registry.entry(Millis(20_000), &first).map(|entry| entry.state);
+    assert_eq!(state, Some(ServerState::Draining));
+    assert!(registry.entry(Millis(5_100), &second).is_none());
+    assert!(registry.entry(Millis(5_200), &second).is_some());
+    let restarted = ServerEntry { started_ms: WallMillis(2), ..ready };
+    registry.apply(Millis(300), server_update(1, 13, Some(restarted)));
+    let state = registry.entry(Millis(300), &first).map(|entry| entry.state);
+    assert_eq!(state, Some(ServerState::Ready), "a new run is not meant");
+}
+
+#[test]
+fn missing_after_restore() {
+    // Entries that are missing from an older copy stay in use until their servers write them again.
+    let mut registry = ServerRegistry::default();
+    let ready = server_entry(1, ServerRole::Plain, "dc-a");
+    registry.apply(Millis(0), server_update(1, 5, Some(ready)));
+    registry.record_restore(Millis(100));
+    registry.apply(Millis(100), server_update(1, 11, None));
+    assert_eq!(server_count(&registry, 1_500), 1);
+    assert_eq!(server_count(&registry, 1_600), 0);
+}
+
 #[test]
 fn removed_entry() {
     let mut registry = ServerRegistry::default();
--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -55,6 +55,12 @@
     next_behaviours: Vec<Behaviour>,
     release_count: u64,
     is_full: bool,
+    /// Header lines in every answer.
+    notices: String,
+    /// Value of `Retry-After` of the 503 with which every call is answered.
+    closed_text: Option<&'static str>,
+    /// Calls of any kind that arrived.
+    call_count: usize,
     /// Role in the server's entry; none at a plain server.
     stage: Option<&'static str>,
     orders: Vec<serde_json::Value>,
@@ -98,14 +104,23 @@
         self.register_at(store, state, self.address());
     }
 
+    /// Writes the entry of another start of the server.
+    pub fn register_start(&self, store: &FakeStore, started_ms: u64) {
+        self.write_entry(store, "ready", self.address(), started_ms);
+    }
+
     /// Writes the server's entry with another address, such as that of a proxy.
     pub fn register_at(&self, store: &FakeStore, state: &str, address: SocketAddr) {
+        self.write_entry(store, state, address, 1);
+    }
+
+    fn write_entry(&self, store: &FakeStore, state: &str, address: SocketAddr, started_ms: u64) {
         let stage = lock(&self.state).stage;
         let service = if stage.is_some() { "llm" } else { "desk" };
         let mut entry = json!({
             "service": service, "address": address.to_string(), "zone": "dc-a",
             "version": "v1", "slots": 6, "state": state, "coldRemainingMs": 0, "sequence": 1,
-            "born": 1,
+            "born": started_ms,
         });
         if let Some(stage) = stage {
             entry["stage"] = json!(stage);
@@ -142,6 +157,21 @@
         lock(&self.state).is_full = is_full;
     }
 
+    /// Adds header lines, each with its line end, to every answer.
+    pub fn set_notices(&self, notices: &str) {
+        lock(&self.state).notices = notices.to_owned();
+    }
+
+    /// Answers every call with 503 and this `Retry-After`; `None` ends that.
+    pub fn set_closed(&self, retry_after: Option<&'static str>) {
+        lock(&self.state).closed_text = retry_after;
+    }
+
+    /// Number of calls of any kind that arrived.
+    pub fn call_count(&self) -> usize {
+        lock(&self.state).call_count
+    }
+
     /// Bodies of the orders received, in their order.
     pub fn orders(&self) -> Vec<serde_json::Value> {
         lock(&self.state).orders.clone()
@@ -159,10 +189,11 @@
 
 fn answer(state: &mut State, id: &str, head: &RequestHead, body: &[u8]) -> RawAnswer {
     let request_id = head.headers.text("X-Request-Id").unwrap_or_default().to_owned();
+    let notices = state.notices.clone();
     let with_id = |status: &str, fields: &str, body: &str| {
         let length = body.len();
         format!(
-            "HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\n{fields}Content-Length: {length}\r\n\
+            "HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\n{notices}{fields}Content-Length: {length}\r\n\
              \r\n{body}"
         )
         .into_bytes()
@@ -170,6 +201,11 @@
     if head.headers.text("X-Expect-Instance") != Some(id) {
         return RawAnswer::Bytes(with_id("421 Misdirected Request", "", ""));
     }
+    state.call_count += 1;
+    if let Some(seconds) = state.closed_text {
+        let fields = format!("X-Not-Executed: 1\r\nRetry-After: {seconds}\r\n");
+        return RawAnswer::Bytes(with_id("503 Service Unavailable", &fields, ""));
+    }
     match (head.method.as_str(), head.path()) {
         ("POST", "/hold-take") if state.is_full => {
             return RawAnswer::Bytes(with_id("503 Service Unavailable", "", ""));
@@ -180,13 +216,16 @@
         ("GET", "/report") => {
             let used_tokens = if state.is_full { KV_CAPACITY_TOKENS } else { 0 };
             let report = json!({
-                "stage": state.stage, "busy": false, "waiting": 0, "running": 0, "kvUsed": used_tokens,
+                "stage": state.stage, "busy": false, "sequence": state.orders.len(), "waiting": 0, "running": 0, "kvUsed": used_tokens,
                 "kvTotal": KV_CAPACITY_TOKENS,
             });
             return RawAnswer::Bytes(with_id("200 OK", "", &report.to_string()));
         }
         ("POST", "/order") => {
             let order: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+            if order["expect"].as_u64().is_some_and(|count| count != state.orders.len() as u64) {
+                return RawAnswer::Bytes(with_id("409 Conflict", "", ""));
+            }
             state.stage = if order["stage"] == "decode" { Some("decode") } else { Some("prefill") };
             state.orders.push(order);
             return RawAnswer::Bytes(with_id("202 Accepted", "", ""));
--- a/crates/fakes/src/registered/store.rs
+++ b/crates/fakes/src/registered/store.rs
@@ -24,11 +24,18 @@
     items: BTreeMap<String, Item>,
     revision: u64,
     oldest_revision: u64,
+    era: u64,
     is_withholding_events: bool,
     is_closing_watches: bool,
     calls: u64,
 }
 
+/// What the store held at one moment.
+pub struct StoreCopy {
+    items: BTreeMap<String, Item>,
+    revision: u64,
+}
+
 /// Fake store on a loopback port, with switches that withhold its events or end its watches.
 pub struct FakeStore {
     state: Arc<(Mutex<State>, Condvar)>,
@@ -99,6 +106,22 @@
         self.close_watches();
     }
 
+    /// A copy of the store as it is now.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.0.lock().expect("no holder of the lock panics");
+        StoreCopy { items: state.items.clone(), revision: state.revision }
+    }
+
+    /// Goes back to a copy: later changes are lost, their revisions are given out again, and the era
+    /// rises. Open watches stay open.
+    pub fn restore(&self, copy: StoreCopy) {
+        self.update(|state| {
+            state.items = copy.items;
+            state.revision = copy.revision;
+            state.era += 1;
+        });
+    }
+
     /// Number of requests received.
     pub fn calls(&self) -> u64 {
         self.state.0.lock().expect("no holder of the lock panics").calls
@@ -141,10 +164,11 @@
             .into_iter()
             .filter(|item| item["value"].is_string())
             .collect();
-        return ok(&json!({"items": items, "truncated": false, "at": state.revision}));
+        let body = json!({"items": items, "truncated": false, "at": state.revision});
+        return ok(state.era, &body);
     }
     let after: u64 = number("after");
-    if after < state.oldest_revision {
+    if after < state.oldest_revision || after > state.revision {
         return RawAnswer::Bytes(b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n".to_vec());
     }
     let end = Instant::now() + Duration::from_millis(number("waitMs"));
@@ -159,14 +183,15 @@
         };
         let remaining = end.saturating_duration_since(Instant::now());
         if !events.is_empty() || remaining.is_zero() {
-            return ok(&json!({"events": events, "at": state.revision}));
+            return ok(state.era, &json!({"events": events, "at": state.revision}));
         }
         state = changed.wait_timeout(state, remaining).expect("no holder of the lock panics").0;
     }
 }
 
-fn ok(body: &Value) -> RawAnswer {
+fn ok(era: u64, body: &Value) -> RawAnswer {
     let body = body.to_string();
-    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    let length = body.len();
+    let head = format!("HTTP/1.1 200 OK\r\nStore-Era: {era}\r\nContent-Length: {length}\r\n\r\n");
     RawAnswer::Bytes((head + &body).into_bytes())
 }
--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/call_context.rs
@@ -2,12 +2,14 @@
 
 use std::sync::Arc;
 
+use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{Route, RouteTable};
 use turmericrail_core::ids::ServiceId;
 use turmericrail_core::units::Millis;
 
 use super::caller_connection::Request;
 use super::clock;
+use super::dispatch::Refusal;
 use super::shared::Shared;
 
 /// A request with the route and service chosen for it.
@@ -64,6 +66,13 @@
         is_within_retry_bound
     }
 
+    /// The refusal of a call that no server takes. If servers only want no calls for a while, the
+    /// caller is told when the first of them takes calls again.
+    pub fn no_server_refusal(&self) -> Refusal {
+        let retry_after_ms = self.shared.forwarder().reopens_in_ms(clock::now_ms(), self.service);
+        Refusal { kind: ErrorKind::NoServer, retry_after_ms }
+    }
+
     /// Records the duration of a step in the metrics.
     pub fn observe_step(&self, step: &str, elapsed_ms: Millis) {
         let steps = &self.shared.metrics.step_seconds;
--- a/crates/turmericrail/src/forward/control_call.rs
+++ b/crates/turmericrail/src/forward/control_call.rs
@@ -3,20 +3,32 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use turmericrail_core::forward::ServerRun;
+use turmericrail_platform::answer;
+
+use super::clock;
 use super::exchange;
 use super::server_connection::ServerConnection;
+use super::server_notices;
 use super::shared::Shared;
 
 /// Longest wait for the answer. Engines answer these calls at once, without queueing them.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Makes a call; returns status and body of the answer, or `None` if none came.
+/// Makes a call; returns status and body of the answer, or `None` if none came or the engine wants
+/// no calls at present.
 pub async fn call(
     shared: &Shared,
+    engine: &ServerRun,
     address: SocketAddr,
     method: &str,
     bytes: &[u8],
 ) -> Option<(u16, Vec<u8>)> {
+    if let Some(closed_ms) = shared.forwarder().closed_for_ms(clock::now_ms(), engine) {
+        let server = &engine.server;
+        spdlog::info!("event=call_withheld server={server} closed_ms={}", closed_ms.0);
+        return None;
+    }
     let calling = async {
         let mut connection = match shared.pool.take(address).await {
             Some(connection) => connection,
@@ -24,6 +36,7 @@
         };
         connection.write(bytes).await.ok()?;
         let head = exchange::read_head(&mut connection, method).await.ok()?;
+        server_notices::record(shared, engine, &answer::parse(&head));
         let body = connection.read_body(head.framing, exchange::MAX_BODY_BYTES).await.ok()?;
         if head.is_kept_alive && connection.buffer.is_empty() {
             connection.keep_alive_ms = exchange::keep_alive_ms(&head);
--- a/crates/turmericrail/src/forward/held_kv.rs
+++ b/crates/turmericrail/src/forward/held_kv.rs
@@ -62,7 +62,7 @@
 async fn release(shared: Arc<Shared>, source: KvSource, run: ServerRun) {
     let mut bytes = Vec::new();
     call::write_release(&source, &run.server, &mut bytes);
-    let answer = control_call::call(&shared, source.address, "DELETE", &bytes).await;
+    let answer = control_call::call(&shared, &run, source.address, "DELETE", &bytes).await;
     let status = answer.map(|(status, _)| status).unwrap_or_default();
     spdlog::info!("event=kv_released server={} status={status}", run.server);
 }
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -33,6 +33,7 @@
 mod role_orders;
 mod server_calls;
 mod server_connection;
+mod server_notices;
 pub mod settings;
 mod shared;
 mod shutdown;
--- a/crates/turmericrail/src/forward/plain_call.rs
+++ b/crates/turmericrail/src/forward/plain_call.rs
@@ -47,7 +47,7 @@
     let mut tried: Vec<ServerRun> = Vec::new();
     let mut calls_sent = 0;
     let mut unreached_servers = 0;
-    let mut next = choose(context, &tried).ok_or(ErrorKind::NoServer)?;
+    let mut next = choose(context, &tried).ok_or_else(|| context.no_server_refusal())?;
     loop {
         tried.push(next.run.clone());
         let end = run_attempt(context, &next, &tried, calls_sent + 1).await;
--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -13,13 +13,14 @@
 use async_std::task;
 use tonic::transport::{Endpoint, Server};
 use tonic::{Request, Response, Status};
-use turmericrail_core::forward::{Member, Members, PublishedItem, PublishedSet};
-use turmericrail_core::units::Millis;
+use turmericrail_core::forward::{Member, Members, PublishedItem, PublishedSet, ServerRun};
+use turmericrail_core::units::{Millis, WallMillis};
 use turmericrail_wire::relay::relay_client::RelayClient;
 use turmericrail_wire::relay::relay_server::{Relay, RelayServer};
 use turmericrail_wire::relay::{self as wire, ExchangeReply, ExchangeRequest};
 
 use super::clock;
+use super::server_notices;
 use super::shared::Shared;
 use super::store_sync;
 use crate::error::StartError;
@@ -152,7 +153,9 @@
         let reply = ExchangeReply {
             members: list_members(&self.shared),
             newer: message.known.iter().filter_map(|known| relay.items_newer_than(known)).collect(),
+            leaving: list_leaving(&self.shared),
         };
+        merge_leaving(&self.shared, &message.leaving);
         message.known.iter().for_each(|known| relay.record_peer_revision(known));
         merge_members(&self.shared, message.sender.iter().chain(&message.members));
         Ok(Response::new(reply))
@@ -196,6 +199,25 @@
     }
 }
 
+fn list_leaving(shared: &Shared) -> Vec<wire::LeavingRun> {
+    let to_wire = |run: &ServerRun| wire::LeavingRun {
+        server: run.server.to_string(),
+        started_ms: run.started_ms.0,
+    };
+    shared.forwarder().leaving_runs().iter().map(to_wire).collect()
+}
+
+fn merge_leaving(shared: &Shared, leaving: &[wire::LeavingRun]) {
+    for run in leaving {
+        let Ok(server) = run.server.parse() else {
+            spdlog::warn!("event=leaving_run_malformed server={:?}", run.server);
+            continue;
+        };
+        let run = ServerRun { server, started_ms: WallMillis(run.started_ms) };
+        server_notices::record_told_leaving(shared, &run);
+    }
+}
+
 /// Listens for other instances.
 pub async fn listen(shared: &Arc<Shared>) -> Result<(), StartError> {
     let address = shared.settings().peer_address;
@@ -264,9 +286,11 @@
     let mut members = list_members(shared);
     let sender = members.remove(0);
     let known = shared.relay.known_sets();
-    let request = ExchangeRequest { sender: Some(sender), members, known };
+    let leaving = list_leaving(shared);
+    let request = ExchangeRequest { sender: Some(sender), members, known, leaving };
     let reply = client.exchange(Request::new(request)).await?.into_inner();
     merge_members(shared, reply.members.iter());
+    merge_leaving(shared, &reply.leaving);
     for set in reply.newer {
         let to_item = |item: wire::Item| PublishedItem {
             key: item.key,
--- a/crates/turmericrail/src/forward/server_calls.rs
+++ b/crates/turmericrail/src/forward/server_calls.rs
@@ -8,6 +8,7 @@
 use super::call_failure::CallFailure;
 use super::clock;
 use super::exchange::{Exchange, OutgoingCall};
+use super::server_notices;
 
 /// Head and body of a call.
 pub fn call_bytes(
@@ -38,6 +39,7 @@
         request_id: context.request_id,
     };
     let exchange = Exchange::start(&context.shared.pool, &outgoing, timeout_ms).await?;
+    server_notices::record(context.shared, &choice.run, &exchange.metadata);
     if let Some(load) = exchange.metadata.load {
         context.shared.forwarder().record_reported_load(clock::now_ms(), &choice.run, load);
     }
--- a/crates/turmericrail/src/forward/store_client.rs
+++ b/crates/turmericrail/src/forward/store_client.rs
@@ -5,11 +5,13 @@
 
 use async_std::io::prelude::*;
 use thiserror::Error;
-use turmericrail_platform::DecodeError;
+use turmericrail_platform::{DecodeError, store};
+use turmericrail_wire::http1::ResponseHead;
 
 use super::call_failure::CallFailure;
 use super::exchange;
 use super::server_connection::ServerConnection;
+use super::shared::Shared;
 
 /// Largest answer: a page holds a megabyte of values, and base64 adds a third.
 const MAX_BODY_BYTES: usize = 4 << 20;
@@ -23,6 +25,12 @@
     /// The store answered with a status other than 200.
     #[error("status {0}")]
     Status(u16),
+    /// The store was restored from a copy since the revision that is known.
+    #[error("restored: era {0}")]
+    Restored(u64),
+    /// The answer is older than what is known: the store was restored since it was written.
+    #[error("answer of era {0}")]
+    EarlierEra(u64),
     /// Other instances know this revision, and the watch of this instance hasn't returned it.
     #[error("behind revision {0}")]
     Behind(u64),
@@ -31,6 +39,13 @@
     Decode(#[from] DecodeError),
 }
 
+/// An answer of the store with status 200.
+pub struct StoreAnswer {
+    /// The store's era; `None` if the answer states none that can be used.
+    pub era: Option<u64>,
+    pub body: Vec<u8>,
+}
+
 /// A client of the store, used by one task.
 #[derive(Default)]
 pub struct StoreClient {
@@ -38,25 +53,31 @@
 }
 
 impl StoreClient {
-    /// Sends a GET request; returns the body of an answer with status 200.
+    /// Sends a GET request; returns an answer with status 200.
     pub async fn get(
         &mut self,
-        address: SocketAddr,
+        shared: &Shared,
         target: &str,
         timeout: Duration,
-    ) -> Result<Vec<u8>, StoreError> {
+    ) -> Result<StoreAnswer, StoreError> {
+        let address = shared.settings().store_address;
         // If the call times out, the connection is dropped with it: the answer could still arrive
         // later.
         let connection = self.connection.take();
         let calling = call(connection, address, target);
         let called = async_std::future::timeout(timeout, calling).await;
-        let (connection, status, body) =
+        let (connection, head, body) =
             called.unwrap_or(Err(CallFailure::Silent)).map_err(StoreError::Unreachable)?;
         self.connection = connection;
-        if status != 200 {
-            return Err(StoreError::Status(status));
+        if head.status != 200 {
+            return Err(StoreError::Status(head.status));
         }
-        Ok(body)
+        let era = store::parse_era(&head).unwrap_or_else(|error| {
+            shared.metrics.malformed_headers.inc();
+            spdlog::warn!("event=header_malformed server=store error={:?}", error.to_string());
+            None
+        });
+        Ok(StoreAnswer { era, body })
     }
 }
 
@@ -64,7 +85,7 @@
     connection: Option<ServerConnection>,
     address: SocketAddr,
     target: &str,
-) -> Result<(Option<ServerConnection>, u16, Vec<u8>), CallFailure> {
+) -> Result<(Option<ServerConnection>, ResponseHead, Vec<u8>), CallFailure> {
     let mut connection = match connection {
         Some(connection) => connection,
         None => ServerConnection::open(address).await?,
@@ -78,5 +99,5 @@
     let head = exchange::read_head(&mut connection, "GET").await?;
     let body = connection.read_body(head.framing, MAX_BODY_BYTES).await?;
     let is_kept = head.is_kept_alive && connection.buffer.is_empty();
-    Ok((is_kept.then_some(connection), head.status, body))
+    Ok((is_kept.then_some(connection), head, body))
 }
--- a/crates/turmericrail/src/forward/store_sync.rs
+++ b/crates/turmericrail/src/forward/store_sync.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use turmericrail_core::forward::PublishedItem;
-use turmericrail_platform::{configuration, server_entry};
+use turmericrail_platform::{configuration, server_entry, store};
 
 use super::clock;
 use super::shared::Shared;
@@ -36,6 +36,7 @@
             return;
         }
         StoreEvent::Listed(revision, items) => {
+            notice_restore(shared, prefix, revision);
             let item_count = items.len();
             let new_items =
                 shared.relay.with_set(prefix, |set| set.apply_snapshot(revision, items));
@@ -51,8 +52,29 @@
     apply_items(shared, prefix, new_items.unwrap_or_default(), "store");
 }
 
+/// Records that the store was restored from a copy if a revision is of a later era than the known
+/// ones: entries may be missing until their servers write them again, and servers that have left
+/// may be registered until their entries expire.
+fn notice_restore(shared: &Shared, prefix: &str, revision: u64) {
+    let known = shared.relay.with_set(prefix, |set| set.revision()).unwrap_or_default();
+    let is_restored = known > 0 && store::era_of(revision) > store::era_of(known);
+    if !is_restored {
+        return;
+    }
+    spdlog::info!("event=era_changed prefix={prefix} revision={known} new_revision={revision}");
+    if prefix == server_entry::PREFIX {
+        shared.forwarder().record_registry_restore(clock::now_ms());
+    }
+    // The watch of another prefix may go on from a lost revision without a sign.
+    let first_of_era = store::revision(store::era_of(revision), 0);
+    for other in PREFIXES.into_iter().filter(|other| *other != prefix) {
+        shared.relay.queue_announced_revision(other, first_of_era);
+    }
+}
+
 /// Applies items that another instance has read.
 pub fn apply_relayed(shared: &Shared, prefix: &str, revision: u64, items: Vec<PublishedItem>) {
+    notice_restore(shared, prefix, revision);
     let new_items = shared.relay.with_set(prefix, |set| set.apply(revision, items));
     let new_items = new_items.unwrap_or_default();
     if !new_items.is_empty() {
--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -83,6 +83,14 @@
                 spdlog::info!("event=store_history_gone prefix={prefix}");
                 revision = None;
             }
+            Err(StoreError::Restored(era)) => {
+                spdlog::warn!(
+                    "event=store_restored prefix={prefix} era={era} revision={}",
+                    revision.unwrap_or_default()
+                );
+                revision = None;
+                watch_ms = FIRST_WATCH_AFTER_LOSS_MS;
+            }
             Err(StoreError::Behind(announced)) => {
                 let revision_before = revision.unwrap_or_default();
                 spdlog::warn!(
@@ -117,14 +125,22 @@
     client: &mut StoreClient,
     prefix: &str,
 ) -> Result<(u64, StoreEvent), StoreError> {
-    let address = shared.settings().store_address;
     let mut items: Vec<PublishedItem> = Vec::new();
     let mut first_revision = None;
+    let known_era = known_era(shared, prefix);
     loop {
         let last_key = items.last().map(|item| item.key.as_str());
         let target = store::list_target(prefix, last_key);
         shared.metrics.store_calls.with_label_values(&["list"]).inc();
-        let page = store::decode_page(&client.get(address, &target, READ_TIMEOUT).await?)?;
+        let answer = client.get(shared, &target, READ_TIMEOUT).await?;
+        let era = answer.era.unwrap_or(known_era);
+        if era < known_era {
+            return Err(StoreError::EarlierEra(era));
+        }
+        let page = store::decode_page(era, &answer.body)?;
+        if first_revision.is_some_and(|revision| store::era_of(revision) != era) {
+            return Err(StoreError::Restored(era));
+        }
         // Pages aren't a snapshot; the watch returns what changed after the first one.
         let revision = *first_revision.get_or_insert(page.revision);
         let is_last = !page.has_more || page.items.is_empty();
@@ -135,6 +151,12 @@
     }
 }
 
+/// The highest era in which this instance knows items of the prefix.
+fn known_era(shared: &Shared, prefix: &str) -> u64 {
+    let revision = shared.relay.with_set(prefix, |set| set.revision());
+    store::era_of(revision.unwrap_or_default())
+}
+
 /// Fails once another instance knows a higher revision and the watch still returns nothing: its
 /// connection may be dead without an error, for instance after a lost answer.
 async fn wait_until_behind(
@@ -154,11 +176,16 @@
     after: u64,
     wait_ms: Millis,
 ) -> Result<(u64, StoreEvent), StoreError> {
-    let address = shared.settings().store_address;
     let target = store::watch_target(prefix, after, wait_ms);
     let timeout = Duration::from_millis(wait_ms.0) + WATCH_TIMEOUT_MARGIN;
     shared.metrics.store_calls.with_label_values(&["watch"]).inc();
-    let changes = store::decode_changes(&client.get(address, &target, timeout).await?)?;
+    let answer = client.get(shared, &target, timeout).await?;
+    let known_era = store::era_of(after);
+    let era = answer.era.unwrap_or(known_era);
+    if era != known_era {
+        return Err(StoreError::Restored(era));
+    }
+    let changes = store::decode_changes(era, &answer.body)?;
     let revision = changes.revision.max(after);
     Ok((revision, StoreEvent::Changed(revision, changes.items)))
 }
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -35,6 +35,12 @@
     counter
 }
 
+fn plain_counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("the names are valid");
+    registry.register(Box::new(counter.clone())).expect("each name is registered once");
+    counter
+}
+
 /// Upper bounds of the buckets, from the time of a plain call to the longest timeout of a caller.
 const LATENCY_BUCKETS_SECONDS: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 2.0, 5.0, 14.0];
@@ -120,6 +126,8 @@
     pub step_seconds: HistogramVec,
     /// Retries refused by the retry limit.
     pub retries_refused: IntCounter,
+    /// Header fields in servers' and the store's answers that can't be used.
+    pub malformed_headers: IntCounter,
     /// Configuration version in force.
     pub config_version: IntGauge,
     /// Backend servers, by state.
@@ -159,13 +167,16 @@
                 "Time of a step of a request.",
                 "step",
             ),
-            retries_refused: {
-                let name = "turmericrail_retries_refused_total";
-                let refused = IntCounter::new(name, "Retries refused by their bound.")
-                    .expect("the names are valid");
-                registry.register(Box::new(refused.clone())).expect("each name is registered once");
-                refused
-            },
+            retries_refused: plain_counter(
+                &registry,
+                "turmericrail_retries_refused_total",
+                "Retries refused by their bound.",
+            ),
+            malformed_headers: plain_counter(
+                &registry,
+                "turmericrail_malformed_headers_total",
+                "Header fields in answers of servers and the store that can't be used.",
+            ),
             servers: {
                 let options = Opts::new("turmericrail_servers", "Backend servers by state.");
                 let servers = IntGaugeVec::new(options, &["state"]).expect("the names are valid");
