Watch the store from a few instances of each data centre

Every instance watches both prefixes, so each change wakes all of them; and an instance whose set was read at a lower revision than a peer's counts as behind and lists anew, though only other keys changed.

A watching one that is silent or has lost the store is passed over, then one of another data centre is asked, then the instance watches itself. Peers announce the last change of an item, not the revision of a set.

Excluded: passing changes on by the exchanges alone (random pairs each 3 s need over 4 s for 295 instances), one watching instance (its loss would be noticed late).

--- a/crates/core/src/forward/members.rs
+++ b/crates/core/src/forward/members.rs
@@ -3,18 +3,25 @@
 //! Each exchange carries all members that the sender knows, with the time since each was last heard
 //! from directly. A member that has gone is therefore dropped everywhere.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use crate::ids::InstanceId;
+use crate::ids::{DataCentreId, InstanceId};
+use crate::membership::rendezvous;
 use crate::units::Millis;
 
 /// Time without contact after which a member is dropped: long enough for gossip, which reaches some
 /// hundred members within about ten exchanges of each.
 const MEMBER_TTL_MS: Millis = Millis(45_000);
 
-#[derive(Clone, Copy, Debug)]
+/// Members of each data centre that watch the platform: enough that a few may be lost at once.
+const WATCHERS_PER_DATA_CENTRE: usize = 4;
+/// Key of the rendezvous hash that selects them.
+const WATCHER_KEY: &str = "watcher";
+
+#[derive(Clone, Debug)]
 struct MemberRecord {
+    data_centre: DataCentreId,
     address: SocketAddr,
     last_heard_ms: Millis,
 }
@@ -24,11 +31,21 @@
 #[expect(missing_docs, reason = "the names say it")]
 pub struct Member {
     pub instance: InstanceId,
+    pub data_centre: DataCentreId,
     pub address: SocketAddr,
     /// Time since an instance last heard from the member directly.
     pub age_ms: Millis,
 }
 
+/// An instance that watches the platform for its data centre.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Watcher {
+    /// This instance.
+    Own,
+    /// Another one, at this address.
+    Other(SocketAddr),
+}
+
 /// The known instances other than this one.
 #[derive(Clone, Debug)]
 pub struct Members {
@@ -50,7 +67,11 @@
         let last_heard_ms = now_ms.saturating_sub(member.age_ms);
         let is_newer = |known: &MemberRecord| known.last_heard_ms < last_heard_ms;
         if self.records.get(&member.instance).is_none_or(is_newer) {
-            let record = MemberRecord { address: member.address, last_heard_ms };
+            let record = MemberRecord {
+                data_centre: member.data_centre.clone(),
+                address: member.address,
+                last_heard_ms,
+            };
             self.records.insert(member.instance.clone(), record);
         }
     }
@@ -64,6 +85,7 @@
     pub fn list(&self, now_ms: Millis) -> Vec<Member> {
         let to_member = |(instance, record): (&InstanceId, &MemberRecord)| Member {
             instance: instance.clone(),
+            data_centre: record.data_centre.clone(),
             address: record.address,
             age_ms: now_ms.saturating_sub(record.last_heard_ms),
         };
@@ -75,6 +97,25 @@
         self.records.len() + 1
     }
 
+    /// The members of a data centre that watch the platform for all of its members; the own instance
+    /// may be one of them. Instances with the same members name the same ones.
+    pub fn watchers(&self, data_centre: &DataCentreId, includes_own: bool) -> Vec<Watcher> {
+        let local = self.records.iter().filter(|(_, record)| record.data_centre == *data_centre);
+        let own = includes_own.then_some(&self.own);
+        let instances = local.map(|(instance, _)| instance).chain(own);
+        let watchers = rendezvous::top_members(WATCHER_KEY, instances, WATCHERS_PER_DATA_CENTRE);
+        let to_watcher = |instance: &InstanceId| match self.records.get(instance) {
+            Some(record) => Watcher::Other(record.address),
+            None => Watcher::Own,
+        };
+        watchers.into_iter().map(to_watcher).collect()
+    }
+
+    /// The data centres of the other members.
+    pub fn data_centres(&self) -> BTreeSet<&DataCentreId> {
+        self.records.values().map(|record| &record.data_centre).collect()
+    }
+
     /// Address of a random other member.
     pub fn pick_random(&self, random: u64) -> Option<SocketAddr> {
         let count = self.records.len() as u64;
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -40,7 +40,7 @@
 pub use failure_score::FailureScore;
 pub use forwarder::{Forwarder, ForwarderSettings};
 pub use leaving_runs::LeavingRuns;
-pub use members::{Member, Members};
+pub use members::{Member, Members, Watcher};
 pub use model_call_size::ModelCallSize;
 pub use model_plan::{ModelPlan, PlanRefusal};
 pub use published_set::{PublishedItem, PublishedSet};
--- a/crates/core/src/forward/published_set.rs
+++ b/crates/core/src/forward/published_set.rs
@@ -30,6 +30,12 @@
         self.revision
     }
 
+    /// The highest revision of a known change. It is below [`Self::revision`] if other keys of the
+    /// platform changed later.
+    pub fn last_change(&self) -> u64 {
+        self.items.values().map(|item| item.revision).max().unwrap_or_default()
+    }
+
     /// Applies the changes up to a revision; returns those that were new.
     pub fn apply(&mut self, revision: u64, items: Vec<PublishedItem>) -> Vec<PublishedItem> {
         let mut applied = Vec::new();
--- a/crates/core/tests/published_set.rs
+++ b/crates/core/tests/published_set.rs
@@ -23,6 +23,14 @@
     assert!(source.changes_since(receiver.revision()).is_empty());
 }
 
+#[test]
+fn last_change() {
+    // Other keys of the platform raise the revision of a set, but are no change of its items.
+    let mut set = PublishedSet::default();
+    set.apply_snapshot(9, vec![item("a", 2, Some("1")), item("b", 4, Some("1"))]);
+    assert_eq!((set.revision(), set.last_change()), (9, 4));
+}
+
 #[test]
 fn missing_in_snapshot() {
     let mut set = PublishedSet::default();
@@ -45,6 +53,7 @@
 fn silent_member_expires() {
     let member = |name: &str, age_ms| Member {
         instance: name.parse().unwrap(),
+        data_centre: "dc-a".parse().unwrap(),
         address: ([127, 0, 0, 1], 1).into(),
         age_ms: Millis(age_ms),
     };
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -23,6 +23,7 @@
 mod engine_calls;
 mod engine_selection;
 mod exchange;
+mod follow_state;
 mod held_kv;
 mod model_call;
 mod operator_endpoints;
@@ -38,6 +39,7 @@
 mod shared;
 mod shutdown;
 mod store_client;
+mod store_follow;
 mod store_sync;
 mod store_watch;
 
@@ -86,6 +88,7 @@
     relay::listen(&shared).await?;
     store_sync::start(&shared);
     task::spawn(relay::run(Arc::clone(&shared)));
+    task::spawn(store_follow::run(Arc::clone(&shared)));
     task::spawn(role_orders::run(Arc::clone(&shared)));
     task::spawn(shared::expire_periodically(Arc::clone(&shared)));
     task::spawn(reload::run(Arc::clone(&shared), path, reload_signal));
--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! Each instance calls one other instance at a time: seldom while it can read the platform's store
 //! itself, and often while it can't, since then it learns the items from others. A reply holds only
-//! items that the calling instance lacks.
+//! items that the calling instance lacks. Instances that don't watch the store follow one that does
+//! (`store_follow`).
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -11,13 +12,15 @@
 
 use async_channel::{Receiver, Sender};
 use async_std::task;
-use tonic::transport::{Endpoint, Server};
+use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
 use turmericrail_core::forward::{Member, Members, PublishedItem, PublishedSet, ServerRun};
 use turmericrail_core::units::{Millis, WallMillis};
 use turmericrail_wire::relay::relay_client::RelayClient;
 use turmericrail_wire::relay::relay_server::{Relay, RelayServer};
-use turmericrail_wire::relay::{self as wire, ExchangeReply, ExchangeRequest};
+use turmericrail_wire::relay::{
+    self as wire, ExchangeReply, ExchangeRequest, FollowReply, FollowRequest,
+};
 
 use super::clock;
 use super::server_notices;
@@ -37,6 +40,11 @@
 /// Largest message: a megabyte for the configuration, and room for the servers.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
+/// Longest time for which a call of a following instance waits for changes.
+const MAX_FOLLOW_WAIT_MS: Millis = Millis(5_000);
+/// Data centre of members that don't state theirs.
+const UNKNOWN_DATA_CENTRE: &str = "unknown";
+
 /// Announced revisions that can wait to be processed.
 const MAX_PENDING_ANNOUNCEMENTS: usize = 16;
 
@@ -45,6 +53,8 @@
     members: Mutex<Members>,
     sets: Mutex<Vec<(&'static str, PublishedSet)>>,
     has_exchanged: AtomicBool,
+    /// Calls of following instances that wait for changes.
+    waiting_followers: Mutex<Vec<Sender<()>>>,
     /// By prefix: channel of revisions that other instances had before this one read them from the
     /// store.
     announced_revisions: Vec<(&'static str, Sender<u64>, Receiver<u64>)>,
@@ -67,6 +77,7 @@
             members: Mutex::new(members),
             sets: Mutex::new(sets),
             has_exchanged: AtomicBool::new(false),
+            waiting_followers: Mutex::new(Vec::new()),
             announced_revisions,
         }
     }
@@ -85,14 +96,28 @@
         sets.iter_mut().find(|(known, _)| *known == prefix).map(|(_, set)| apply(set))
     }
 
-    /// Queues the revision that another instance has of a set, if it is above this instance's.
-    fn record_peer_revision(&self, known: &wire::KnownSet) {
-        let own = self.with_set(&known.prefix, |set| set.revision());
-        if own.is_some_and(|own| own < known.revision) {
-            self.queue_announced_revision(&known.prefix, known.revision);
+    /// Queues the last change that another instance knows of a set, if this instance doesn't.
+    fn record_peer_change(&self, known: &wire::KnownSet) {
+        let own = self.with_set(&known.prefix, |set| set.last_change());
+        if own.is_some_and(|own| own < known.last_change) {
+            self.queue_announced_revision(&known.prefix, known.last_change);
+        }
+    }
+
+    /// Wakes the calls of following instances, because an item or the access to the store changed.
+    pub fn wake_followers(&self) {
+        for follower in lock(&self.waiting_followers).drain(..) {
+            let _ = follower.try_send(());
         }
     }
 
+    /// A receiver that gets a message at the next change.
+    fn next_change(&self) -> Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        lock(&self.waiting_followers).push(sender);
+        receiver
+    }
+
     /// Queues a revision that another instance had before this one read it from the store.
     pub fn queue_announced_revision(&self, prefix: &str, revision: u64) {
         let channel = self.announced_revisions.iter().find(|(known, ..)| *known == prefix);
@@ -113,10 +138,11 @@
         std::future::pending().await
     }
 
-    fn known_sets(&self) -> Vec<wire::KnownSet> {
+    pub fn known_sets(&self) -> Vec<wire::KnownSet> {
         let to_wire = |(prefix, set): &(&'static str, PublishedSet)| wire::KnownSet {
             prefix: (*prefix).to_owned(),
             revision: set.revision(),
+            last_change: set.last_change(),
         };
         lock(&self.sets).iter().map(to_wire).collect()
     }
@@ -156,10 +182,32 @@
             leaving: list_leaving(&self.shared),
         };
         merge_leaving(&self.shared, &message.leaving);
-        message.known.iter().for_each(|known| relay.record_peer_revision(known));
+        message.known.iter().for_each(|known| relay.record_peer_change(known));
         merge_members(&self.shared, message.sender.iter().chain(&message.members));
         Ok(Response::new(reply))
     }
+
+    async fn follow(
+        &self,
+        request: Request<FollowRequest>,
+    ) -> Result<Response<FollowReply>, Status> {
+        let message = request.into_inner();
+        let relay = &self.shared.relay;
+        let end_ms = clock::now_ms() + Millis(message.wait_ms).min(MAX_FOLLOW_WAIT_MS);
+        loop {
+            let change = relay.next_change();
+            let newer: Vec<_> =
+                message.known.iter().filter_map(|known| relay.items_newer_than(known)).collect();
+            let is_store_lost = self.shared.is_store_lost();
+            let remaining_ms = end_ms.saturating_sub(clock::now_ms());
+            if !newer.is_empty() || is_store_lost || remaining_ms == Millis::ZERO {
+                let leaving = list_leaving(&self.shared);
+                return Ok(Response::new(FollowReply { newer, is_store_lost, leaving }));
+            }
+            let timeout = Duration::from_millis(remaining_ms.0);
+            let _ = async_std::future::timeout(timeout, change.recv()).await;
+        }
+    }
 }
 
 /// Every member with the time since it was heard from, this instance first.
@@ -168,11 +216,13 @@
     let own = wire::Member {
         instance: settings.instance.to_string(),
         peer_address: settings.peer_address.to_string(),
+        data_centre: settings.data_centre.to_string(),
         age_ms: 0,
     };
     let to_wire = |member: Member| wire::Member {
         instance: member.instance.to_string(),
         peer_address: member.address.to_string(),
+        data_centre: member.data_centre.to_string(),
         age_ms: member.age_ms.0,
     };
     let others = shared.relay.members().list(clock::now_ms());
@@ -189,7 +239,10 @@
             spdlog::warn!("event=member_malformed instance={:?}", member.instance);
             continue;
         };
-        known.merge(now_ms, &Member { instance, address, age_ms: Millis(member.age_ms) });
+        let unknown = || UNKNOWN_DATA_CENTRE.parse().expect("the name is a valid id");
+        let data_centre = member.data_centre.parse().unwrap_or_else(|_| unknown());
+        let age_ms = Millis(member.age_ms);
+        known.merge(now_ms, &Member { instance, data_centre, address, age_ms });
     }
     known.expire(now_ms);
     let count = known.count();
@@ -207,7 +260,7 @@
     shared.forwarder().leaving_runs().iter().map(to_wire).collect()
 }
 
-fn merge_leaving(shared: &Shared, leaving: &[wire::LeavingRun]) {
+pub fn merge_leaving(shared: &Shared, leaving: &[wire::LeavingRun]) {
     for run in leaving {
         let Ok(server) = run.server.parse() else {
             spdlog::warn!("event=leaving_run_malformed server={:?}", run.server);
@@ -274,15 +327,20 @@
     if fastrand::u8(..) < 32 { seed.or(member) } else { member.or(seed) }
 }
 
-async fn exchange(shared: &Arc<Shared>, address: SocketAddr) -> Result<(), Status> {
+/// A client with a new connection to another instance.
+pub async fn connect(address: SocketAddr) -> Result<RelayClient<Channel>, Status> {
     let endpoint = Endpoint::from_shared(format!("http://{address}"))
         .map_err(|error| Status::invalid_argument(error.to_string()))?;
     let endpoint = endpoint.connect_timeout(EXCHANGE_TIMEOUT).tcp_nodelay(true);
     let channel =
         endpoint.connect().await.map_err(|error| Status::unavailable(error.to_string()))?;
-    let mut client = RelayClient::new(channel)
+    Ok(RelayClient::new(channel)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
-        .max_encoding_message_size(MAX_MESSAGE_BYTES);
+        .max_encoding_message_size(MAX_MESSAGE_BYTES))
+}
+
+async fn exchange(shared: &Arc<Shared>, address: SocketAddr) -> Result<(), Status> {
+    let mut client = connect(address).await?;
     let mut members = list_members(shared);
     let sender = members.remove(0);
     let known = shared.relay.known_sets();
@@ -291,7 +349,13 @@
     let reply = client.exchange(Request::new(request)).await?.into_inner();
     merge_members(shared, reply.members.iter());
     merge_leaving(shared, &reply.leaving);
-    for set in reply.newer {
+    apply_newer(shared, address, reply.newer);
+    Ok(())
+}
+
+/// Applies the sets of which another instance knew a newer revision.
+pub fn apply_newer(shared: &Shared, address: SocketAddr, newer: Vec<wire::ItemSet>) {
+    for set in newer {
         let to_item = |item: wire::Item| PublishedItem {
             key: item.key,
             revision: item.revision,
@@ -306,5 +370,4 @@
         );
         store_sync::apply_relayed(shared, &set.prefix, set.revision, items);
     }
-    Ok(())
 }
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -12,6 +12,7 @@
 
 use super::clock;
 use super::connection_pool::ConnectionPool;
+use super::follow_state::FollowState;
 use super::relay::RelayState;
 use super::settings::ForwardSettings;
 use super::store_sync::PREFIXES;
@@ -36,6 +37,7 @@
     /// State that is exchanged with other instances.
     pub relay: RelayState,
     pub metrics: ForwardMetrics,
+    pub follow_state: FollowState,
     settings: Mutex<Arc<ForwardSettings>>,
     forwarder: Mutex<Forwarder>,
     /// Prefixes whose items can't be read from the store at present.
@@ -63,6 +65,7 @@
             pool: ConnectionPool::default(),
             relay: RelayState::new(Members::new(settings.instance.clone()), &PREFIXES),
             metrics: ForwardMetrics::default(),
+            follow_state: FollowState::default(),
             lost_prefixes: Mutex::new(BTreeSet::new()),
             forwarder: Mutex::new(forwarder),
             is_shutting_down: AtomicBool::new(false),
@@ -109,6 +112,8 @@
         } else {
             lost.remove(prefix);
         }
+        drop(lost);
+        self.relay.wake_followers();
     }
 
     /// Whether the store doesn't answer for at least one prefix.
--- a/crates/turmericrail/src/forward/store_sync.rs
+++ b/crates/turmericrail/src/forward/store_sync.rs
@@ -49,6 +49,7 @@
             shared.relay.with_set(prefix, |set| set.apply(revision, items))
         }
     };
+    shared.relay.wake_followers();
     apply_items(shared, prefix, new_items.unwrap_or_default(), "store");
 }
 
@@ -72,13 +73,25 @@
     }
 }
 
+/// Records whether the instance that this one follows can read the store.
+pub fn record_store_access(shared: &Shared, is_lost: bool) {
+    let was_lost = shared.is_store_lost();
+    if is_lost == was_lost {
+        return;
+    }
+    spdlog::info!("event=followed_store is_lost={is_lost}");
+    let event = || if is_lost { StoreEvent::Lost } else { StoreEvent::Regained };
+    PREFIXES.into_iter().for_each(|prefix| handle_event(shared, prefix, event()));
+}
+
 /// Applies items that another instance has read.
 pub fn apply_relayed(shared: &Shared, prefix: &str, revision: u64, items: Vec<PublishedItem>) {
     notice_restore(shared, prefix, revision);
     let new_items = shared.relay.with_set(prefix, |set| set.apply(revision, items));
     let new_items = new_items.unwrap_or_default();
-    if !new_items.is_empty() {
-        shared.relay.queue_announced_revision(prefix, revision);
+    if let Some(last_change) = new_items.iter().map(|item| item.revision).max() {
+        shared.relay.queue_announced_revision(prefix, last_change);
+        shared.relay.wake_followers();
     }
     apply_items(shared, prefix, new_items, "peer");
 }
--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -56,14 +56,30 @@
     let mut lost_since_ms: Option<Millis> = None;
     let mut watch_ms = WATCH_MS;
     loop {
+        if shared.follow_state.is_following() && known_revision(&shared, prefix) > 0 {
+            shared.follow_state.wait_until(false).await;
+            revision = Some(known_revision(&shared, prefix));
+            lost_since_ms = None;
+            retry_delay = MIN_RETRY_DELAY;
+            watch_ms = FIRST_WATCH_AFTER_LOSS_MS;
+        }
         let result = match revision {
-            None => read_all(&shared, &mut client, prefix).await,
+            None => Some(read_all(&shared, &mut client, prefix).await),
             Some(after) => {
                 let watching = watch(&shared, &mut client, prefix, after, watch_ms);
                 watch_ms = Millis(watch_ms.0 * WATCH_GROWTH_FACTOR).min(WATCH_MS);
-                watching.or(wait_until_behind(&shared, prefix, after)).await
+                let watching = watching.or(wait_until_behind(&shared, prefix, after));
+                let following = async {
+                    shared.follow_state.wait_until(true).await;
+                    None
+                };
+                async { Some(watching.await) }.or(following).await
             }
         };
+        // A watch that was given up because another instance is followed.
+        let Some(result) = result else {
+            continue;
+        };
         match result {
             Ok((at, event)) => {
                 if let Some(since_ms) = lost_since_ms.take() {
@@ -127,7 +143,7 @@
 ) -> Result<(u64, StoreEvent), StoreError> {
     let mut items: Vec<PublishedItem> = Vec::new();
     let mut first_revision = None;
-    let known_era = known_era(shared, prefix);
+    let known_era = store::era_of(known_revision(shared, prefix));
     loop {
         let last_key = items.last().map(|item| item.key.as_str());
         let target = store::list_target(prefix, last_key);
@@ -151,10 +167,9 @@
     }
 }
 
-/// The highest era in which this instance knows items of the prefix.
-fn known_era(shared: &Shared, prefix: &str) -> u64 {
-    let revision = shared.relay.with_set(prefix, |set| set.revision());
-    store::era_of(revision.unwrap_or_default())
+/// The revision up to which this instance knows the items of the prefix; zero if it knows none.
+fn known_revision(shared: &Shared, prefix: &str) -> u64 {
+    shared.relay.with_set(prefix, |set| set.revision()).unwrap_or_default()
 }
 
 /// Fails once another instance knows a higher revision and the watch still returns nothing: its
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -67,9 +67,20 @@
     /// Starts a peer of this instance, with this instance as its seed and a store address of its
     /// own.
     pub fn start_peer(&self, name: &str, store: FakeStore, store_address: SocketAddr) -> Self {
+        self.start_numbered_peer(name, 2, store, store_address)
+    }
+
+    /// Starts a peer whose address ends with a number.
+    pub fn start_numbered_peer(
+        &self,
+        name: &str,
+        number: u8,
+        store: FakeStore,
+        store_address: SocketAddr,
+    ) -> Self {
         let seeds = format!("seeds: [\"{}\"]\n", self.peer_address);
-        let port = self.peer_address.port();
-        Self::start_with_settings(name, store, store_address, &format!("127.0.0.2:{port}"), &seeds)
+        let address = format!("127.0.0.{number}:{}", self.peer_address.port());
+        Self::start_with_settings(name, store, store_address, &address, &seeds)
     }
 
     /// `peer_address_text` is an address with a port; if it has no port, a free loopback address is
--- /dev/null
+++ b/crates/turmericrail/tests/store_followers.rs
@@ -0,0 +1,78 @@
+//! Instances that follow others instead of watching the store: changes reach all of them in time,
+//! the calls to the store stay few, and the loss of those that watch is borne.
+
+mod forward_support;
+
+use std::time::{Duration, Instant};
+
+use forward_support::{ForwardInstance, configuration, wait_for};
+use turmericrail_fakes::registered::FakeStore;
+
+const FLEET: u8 = 8;
+/// Instances of a data centre that watch the store.
+const WATCHERS: usize = 4;
+/// Time within which every instance must know a change.
+const CHANGE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Starts instances that share the first one's store, and waits until each knows all and the
+/// others follow the watching ones.
+fn start_fleet(name: &str) -> Vec<ForwardInstance> {
+    let mut fleet = vec![ForwardInstance::start(&format!("{name}-1"))];
+    for number in 2..=FLEET {
+        let store = FakeStore::start().unwrap();
+        let address = fleet[0].store.address();
+        let peer =
+            fleet[0].start_numbered_peer(&format!("{name}-{number}"), number, store, address);
+        fleet.push(peer);
+    }
+    wait_for("followers", || following(&fleet).len() == usize::from(FLEET) - WATCHERS);
+    fleet
+}
+
+/// Positions of the instances that follow another one.
+fn following(fleet: &[ForwardInstance]) -> Vec<usize> {
+    let follows = |instance: &ForwardInstance| {
+        let log = instance.read_log();
+        let last = log.lines().rfind(|line| line.contains("event=store_follow "));
+        last.is_some_and(|line| line.contains("is_following=true"))
+    };
+    (0..fleet.len()).filter(|number| follows(&fleet[*number])).collect()
+}
+
+fn assert_all_know(fleet: &[&ForwardInstance], version: u64) {
+    let published_at = Instant::now();
+    let line = format!("event=config version={version} ");
+    for instance in fleet {
+        wait_for(&line, || instance.read_log().contains(&line));
+    }
+    assert!(published_at.elapsed() < CHANGE_LIMIT, "{:?}", published_at.elapsed());
+}
+
+#[test]
+fn few_calls() {
+    let fleet = start_fleet("few-calls");
+    let calls_before = fleet[0].store.calls();
+    for version in 2..=6 {
+        fleet[0].store.publish(&configuration(version));
+        assert_all_know(&fleet.iter().collect::<Vec<_>>(), version);
+        std::thread::sleep(Duration::from_millis(600));
+    }
+    let calls = fleet[0].store.calls() - calls_before;
+    assert!(calls <= 5 * (WATCHERS as u64 + 1), "{calls} calls for five changes");
+}
+
+#[test]
+fn lost_watchers() {
+    // All watching instances are frozen: those that followed them watch the store themselves.
+    let fleet = start_fleet("lost-watchers");
+    let following = following(&fleet);
+    for number in (0..fleet.len()).filter(|number| !following.contains(number)) {
+        fleet[number].signal("STOP");
+    }
+    fleet[0].store.publish(&configuration(2));
+    let remaining: Vec<_> = following.iter().map(|number| &fleet[*number]).collect();
+    assert_all_know(&remaining, 2);
+    for instance in &fleet {
+        instance.signal("CONT");
+    }
+}
