--- a/crates/core/tests/growing_answers.rs
+++ b/crates/core/tests/growing_answers.rs
@@ -12,8 +12,8 @@
 /// Tokens of an answer that each engine makes in one step of time.
 const STEP_TOKENS: u64 = 59;
 const STEPS: u64 = 4_000;
-/// Steps in which three calls come, in a hundred.
-const CALLS_PER_HUNDRED_STEPS: u64 = 185;
+/// Calls in a hundred steps; they use three quarters of the memory.
+const CALLS_PER_HUNDRED_STEPS: u64 = 260;
 
 /// Deterministic numbers that look random.
 struct Numbers(u64);
--- a/crates/turmericrail/src/forward/engine_selection.rs
+++ b/crates/turmericrail/src/forward/engine_selection.rs
@@ -21,10 +21,6 @@
 /// Most engines from which a reservation is requested in one step of a round, for a call of average
 /// size.
 const MAX_ENGINES_PER_STEP: usize = 4;
-/// Longest wait for a reservation, as a multiple of the route's target. Callers give up after four
-/// times the target without an event, and the prefill is still to come. The wait also takes no more
-/// than a third of the caller's timeout, so that the answer fits in.
-const MAX_WAIT_TARGET_FACTOR: u64 = 2;
 /// Mean time between rounds while the target can be met. Several engines become free in this time.
 const RETRY_INTERVAL_MS: Millis = Millis(60);
 /// Mean time between rounds once the target is missed; about a sixth of the time of an answer.
@@ -243,8 +239,9 @@
     let elapsed_ms = context.elapsed_ms();
     let caller_timeout_ms = context.caller_timeout_ms();
     let target_ms = context.route.target_ms;
-    let max_wait_ms =
-        Millis(target_ms.0 * MAX_WAIT_TARGET_FACTOR).min(Millis(caller_timeout_ms.0 / 3));
+    // A call that has missed its target is refused, so that its caller can plan; a wait of more than
+    // a third of the timeout would leave no time for the answer.
+    let max_wait_ms = target_ms.min(Millis(caller_timeout_ms.0 / 3));
     if elapsed_ms > max_wait_ms {
         let is_scarce = context.shared.forwarder().is_scarce(clock::now_ms(), context.service);
         spdlog::info!(
