--- a/crates/turmericrail/src/forward/engine_selection.rs
+++ b/crates/turmericrail/src/forward/engine_selection.rs
@@ -5,7 +5,7 @@
 use async_std::task;
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{
-    CallEnd, ChosenServer, KvOrigin, ModelPlan, PlanRefusal, ServerRun,
+    CallEnd, ChosenServer, KvOrigin, ModelPlan, PlanRefusal, ReservationRound, ServerRun,
 };
 use turmericrail_core::ids::DataCentreId;
 use turmericrail_core::units::Millis;
@@ -18,12 +18,9 @@
 use super::held_kv::HeldKv;
 use super::reservation::{Reservation, ReservationResult};
 
-/// Most engines from which a reservation is requested in one round, for a call of average size.
-const MAX_ENGINES_PER_ROUND: usize = 4;
-/// Longest wait for a reservation, as a multiple of the route's target. Callers give up after four
-/// times the target without an event, and the prefill is still to come. The wait also takes no more
-/// than a third of the caller's timeout, so that the answer fits in.
-const MAX_WAIT_TARGET_FACTOR: u64 = 2;
+/// Most engines from which a reservation is requested in one step of a round, for a call of average
+/// size.
+const MAX_ENGINES_PER_STEP: usize = 4;
 /// Mean time between rounds while the target can be met. Several engines become free in this time.
 const RETRY_INTERVAL_MS: Millis = Millis(60);
 /// Mean time between rounds once the target is missed; about a sixth of the time of an answer.
@@ -62,7 +59,7 @@
 /// Reserves an engine for the call and runs the prefill if the plan has one.
 pub async fn reserve_first_attempt(context: &CallContext<'_>) -> Result<EngineAttempt, Refusal> {
     if !context.is_model_call() {
-        let choice = choose_engine(context, &[]).ok_or(ErrorKind::NoServer)?;
+        let choice = choose_engine(context, &[]).ok_or_else(|| context.no_server_refusal())?;
         return Ok(start_unreserved(context, &choice));
     }
     let mut is_first_round = true;
@@ -132,7 +129,7 @@
         );
     }
     planned.map_err(|refusal| match refusal {
-        PlanRefusal::NoServer => ErrorKind::NoServer.into(),
+        PlanRefusal::NoServer => context.no_server_refusal(),
         PlanRefusal::DeadlineUnreachable { retry_after_ms } => {
             Refusal { kind: ErrorKind::DeadlineUnreachable, retry_after_ms: Some(retry_after_ms) }
         }
@@ -179,7 +176,8 @@
     EngineAttempt { guard: CallGuard::start(context.shared, choice), reservation: None, kv: None }
 }
 
-/// Reserves the best engine that has room; `None` if no engine of the round grants a reservation.
+/// Reserves an engine with much room for the answer to grow, or else one with enough; `None` if no
+/// engine of the round grants a reservation.
 /// If the service uses no reservations, the best engine is taken without one.
 pub async fn reserve(
     context: &CallContext<'_>,
@@ -191,15 +189,21 @@
     if ttl_ms == Millis::ZERO {
         return choose(&[]).map(|choice| start_unreserved(context, &choice));
     }
-    let mut full_engines = Vec::new();
-    let max_engines = (MAX_ENGINES_PER_ROUND as f64 * relative_size).ceil() as usize;
-    while full_engines.len() < max_engines {
-        let choice = choose(&full_engines)?;
+    let call_size = model_call_size(context);
+    let needed_tokens = call_size.expected_kv_tokens();
+    let max_engines = (MAX_ENGINES_PER_STEP as f64 * relative_size).ceil() as usize;
+    let mut round = ReservationRound::new(call_size, max_engines);
+    while let Some(free_tokens) = round.free_tokens() {
+        let Some(choice) = choose(&round.excluded_engines()) else {
+            round.end_step();
+            continue;
+        };
         let mut attempt = start_unreserved(context, &choice);
-        let result = Reservation::request(
+        let result = Reservation::request_with_room(
             context.shared,
             &choice,
-            model_call_size(context).expected_kv_tokens(),
+            needed_tokens,
+            free_tokens,
             ttl_ms,
         )
         .await;
@@ -209,11 +213,16 @@
                 return Some(attempt);
             }
             ReservationResult::Full => {
-                context.shared.forwarder().record_full(clock::now_ms(), &choice)
+                if round.is_last_step() {
+                    context.shared.forwarder().record_full(clock::now_ms(), &choice);
+                }
+                round.record_refusal(choice.run);
+            }
+            ReservationResult::Failed => {
+                attempt.guard.end(CallEnd::TimedOut);
+                round.record_failure(choice.run);
             }
-            ReservationResult::Failed => attempt.guard.end(CallEnd::TimedOut),
         }
-        full_engines.push(choice.run);
     }
     None
 }
@@ -230,8 +239,9 @@
     let elapsed_ms = context.elapsed_ms();
     let caller_timeout_ms = context.caller_timeout_ms();
     let target_ms = context.route.target_ms;
-    let max_wait_ms =
-        Millis(target_ms.0 * MAX_WAIT_TARGET_FACTOR).min(Millis(caller_timeout_ms.0 / 3));
+    // A call that has missed its target is refused, so that its caller can plan; a wait of more than
+    // a third of the timeout would leave no time for the answer.
+    let max_wait_ms = target_ms.min(Millis(caller_timeout_ms.0 / 3));
     if elapsed_ms > max_wait_ms {
         let is_scarce = context.shared.forwarder().is_scarce(clock::now_ms(), context.service);
         spdlog::info!(
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -23,6 +23,7 @@
 mod engine_calls;
 mod engine_selection;
 mod exchange;
+mod follow_state;
 mod held_kv;
 mod model_call;
 mod operator_endpoints;
@@ -33,10 +34,12 @@
 mod role_orders;
 mod server_calls;
 mod server_connection;
+mod server_notices;
 pub mod settings;
 mod shared;
 mod shutdown;
 mod store_client;
+mod store_follow;
 mod store_sync;
 mod store_watch;
 
@@ -85,6 +88,7 @@
     relay::listen(&shared).await?;
     store_sync::start(&shared);
     task::spawn(relay::run(Arc::clone(&shared)));
+    task::spawn(store_follow::run(Arc::clone(&shared)));
     task::spawn(role_orders::run(Arc::clone(&shared)));
     task::spawn(shared::expire_periodically(Arc::clone(&shared)));
     task::spawn(reload::run(Arc::clone(&shared), path, reload_signal));
--- a/crates/turmericrail/src/forward/store_sync.rs
+++ b/crates/turmericrail/src/forward/store_sync.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use turmericrail_core::forward::PublishedItem;
-use turmericrail_platform::{configuration, server_entry};
+use turmericrail_platform::{configuration, server_entry, store};
 
 use super::clock;
 use super::shared::Shared;
@@ -36,6 +36,7 @@
             return;
         }
         StoreEvent::Listed(revision, items) => {
+            notice_restore(shared, prefix, revision);
             let item_count = items.len();
             let new_items =
                 shared.relay.with_set(prefix, |set| set.apply_snapshot(revision, items));
@@ -48,15 +49,49 @@
             shared.relay.with_set(prefix, |set| set.apply(revision, items))
         }
     };
+    shared.relay.wake_followers();
     apply_items(shared, prefix, new_items.unwrap_or_default(), "store");
 }
 
+/// Records that the store was restored from a copy if a revision is of a later era than the known
+/// ones: entries may be missing until their servers write them again, and servers that have left
+/// may be registered until their entries expire.
+fn notice_restore(shared: &Shared, prefix: &str, revision: u64) {
+    let known = shared.relay.with_set(prefix, |set| set.revision()).unwrap_or_default();
+    let is_restored = known > 0 && store::era_of(revision) > store::era_of(known);
+    if !is_restored {
+        return;
+    }
+    spdlog::info!("event=era_changed prefix={prefix} revision={known} new_revision={revision}");
+    if prefix == server_entry::PREFIX {
+        shared.forwarder().record_registry_restore(clock::now_ms());
+    }
+    // The watch of another prefix may go on from a lost revision without a sign.
+    let first_of_era = store::revision(store::era_of(revision), 0);
+    for other in PREFIXES.into_iter().filter(|other| *other != prefix) {
+        shared.relay.queue_announced_revision(other, first_of_era);
+    }
+}
+
+/// Records whether the instance that this one follows can read the store.
+pub fn record_store_access(shared: &Shared, is_lost: bool) {
+    let was_lost = shared.is_store_lost();
+    if is_lost == was_lost {
+        return;
+    }
+    spdlog::info!("event=followed_store is_lost={is_lost}");
+    let event = || if is_lost { StoreEvent::Lost } else { StoreEvent::Regained };
+    PREFIXES.into_iter().for_each(|prefix| handle_event(shared, prefix, event()));
+}
+
 /// Applies items that another instance has read.
 pub fn apply_relayed(shared: &Shared, prefix: &str, revision: u64, items: Vec<PublishedItem>) {
+    notice_restore(shared, prefix, revision);
     let new_items = shared.relay.with_set(prefix, |set| set.apply(revision, items));
     let new_items = new_items.unwrap_or_default();
-    if !new_items.is_empty() {
-        shared.relay.queue_announced_revision(prefix, revision);
+    if let Some(last_change) = new_items.iter().map(|item| item.revision).max() {
+        shared.relay.queue_announced_revision(prefix, last_change);
+        shared.relay.wake_followers();
     }
     apply_items(shared, prefix, new_items, "peer");
 }
--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -56,14 +56,30 @@
     let mut lost_since_ms: Option<Millis> = None;
     let mut watch_ms = WATCH_MS;
     loop {
+        if shared.follow_state.is_following() && known_revision(&shared, prefix) > 0 {
+            shared.follow_state.wait_until(false).await;
+            revision = Some(known_revision(&shared, prefix));
+            lost_since_ms = None;
+            retry_delay = MIN_RETRY_DELAY;
+            watch_ms = FIRST_WATCH_AFTER_LOSS_MS;
+        }
         let result = match revision {
-            None => read_all(&shared, &mut client, prefix).await,
+            None => Some(read_all(&shared, &mut client, prefix).await),
             Some(after) => {
                 let watching = watch(&shared, &mut client, prefix, after, watch_ms);
                 watch_ms = Millis(watch_ms.0 * WATCH_GROWTH_FACTOR).min(WATCH_MS);
-                watching.or(wait_until_behind(&shared, prefix, after)).await
+                let watching = watching.or(wait_until_behind(&shared, prefix, after));
+                let following = async {
+                    shared.follow_state.wait_until(true).await;
+                    None
+                };
+                async { Some(watching.await) }.or(following).await
             }
         };
+        // A watch that was given up because another instance is followed.
+        let Some(result) = result else {
+            continue;
+        };
         match result {
             Ok((at, event)) => {
                 if let Some(since_ms) = lost_since_ms.take() {
@@ -83,6 +99,14 @@
                 spdlog::info!("event=store_history_gone prefix={prefix}");
                 revision = None;
             }
+            Err(StoreError::Restored(era)) => {
+                spdlog::warn!(
+                    "event=store_restored prefix={prefix} era={era} revision={}",
+                    revision.unwrap_or_default()
+                );
+                revision = None;
+                watch_ms = FIRST_WATCH_AFTER_LOSS_MS;
+            }
             Err(StoreError::Behind(announced)) => {
                 let revision_before = revision.unwrap_or_default();
                 spdlog::warn!(
@@ -117,14 +141,22 @@
     client: &mut StoreClient,
     prefix: &str,
 ) -> Result<(u64, StoreEvent), StoreError> {
-    let address = shared.settings().store_address;
     let mut items: Vec<PublishedItem> = Vec::new();
     let mut first_revision = None;
+    let known_era = store::era_of(known_revision(shared, prefix));
     loop {
         let last_key = items.last().map(|item| item.key.as_str());
         let target = store::list_target(prefix, last_key);
         shared.metrics.store_calls.with_label_values(&["list"]).inc();
-        let page = store::decode_page(&client.get(address, &target, READ_TIMEOUT).await?)?;
+        let answer = client.get(shared, &target, READ_TIMEOUT).await?;
+        let era = answer.era.unwrap_or(known_era);
+        if era < known_era {
+            return Err(StoreError::EarlierEra(era));
+        }
+        let page = store::decode_page(era, &answer.body)?;
+        if first_revision.is_some_and(|revision| store::era_of(revision) != era) {
+            return Err(StoreError::Restored(era));
+        }
         // Pages aren't a snapshot; the watch returns what changed after the first one.
         let revision = *first_revision.get_or_insert(page.revision);
         let is_last = !page.has_more || page.items.is_empty();
@@ -135,6 +167,11 @@
     }
 }
 
+/// The revision up to which this instance knows the items of the prefix; zero if it knows none.
+fn known_revision(shared: &Shared, prefix: &str) -> u64 {
+    shared.relay.with_set(prefix, |set| set.revision()).unwrap_or_default()
+}
+
 /// Fails once another instance knows a higher revision and the watch still returns nothing: its
 /// connection may be dead without an error, for instance after a lost answer.
 async fn wait_until_behind(
@@ -154,11 +191,16 @@
     after: u64,
     wait_ms: Millis,
 ) -> Result<(u64, StoreEvent), StoreError> {
-    let address = shared.settings().store_address;
     let target = store::watch_target(prefix, after, wait_ms);
     let timeout = Duration::from_millis(wait_ms.0) + WATCH_TIMEOUT_MARGIN;
     shared.metrics.store_calls.with_label_values(&["watch"]).inc();
-    let changes = store::decode_changes(&client.get(address, &target, timeout).await?)?;
+    let answer = client.get(shared, &target, timeout).await?;
+    let known_era = store::era_of(after);
+    let era = answer.era.unwrap_or(known_era);
+    if era != known_era {
+        return Err(StoreError::Restored(era));
+    }
+    let changes = store::decode_changes(era, &answer.body)?;
     let revision = changes.revision.max(after);
     Ok((revision, StoreEvent::Changed(revision, changes.items)))
 }
