Keep no waits for changes that are over

Found by reading the diff: each call of a following instance left a sender behind until the next change, 20 a second at a watching instance, without bound while nothing changes. No change of what callers see.

--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -15,6 +15,7 @@
 mod caller_connection;
 mod caller_listener;
 mod caller_stream;
+mod change_signal;
 mod clock;
 mod connection_pool;
 mod control_call;
--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -22,6 +22,7 @@
     self as wire, ExchangeReply, ExchangeRequest, FollowReply, FollowRequest,
 };
 
+use super::change_signal::ChangeSignal;
 use super::clock;
 use super::server_notices;
 use super::shared::Shared;
@@ -53,8 +54,8 @@
     members: Mutex<Members>,
     sets: Mutex<Vec<(&'static str, PublishedSet)>>,
     has_exchanged: AtomicBool,
-    /// Calls of following instances that wait for changes.
-    waiting_followers: Mutex<Vec<Sender<()>>>,
+    /// Wakes the calls of following instances when an item or the access to the store changes.
+    pub change: ChangeSignal,
     /// By prefix: channel of revisions that other instances had before this one read them from the
     /// store.
     announced_revisions: Vec<(&'static str, Sender<u64>, Receiver<u64>)>,
@@ -77,7 +78,7 @@
             members: Mutex::new(members),
             sets: Mutex::new(sets),
             has_exchanged: AtomicBool::new(false),
-            waiting_followers: Mutex::new(Vec::new()),
+            change: ChangeSignal::default(),
             announced_revisions,
         }
     }
@@ -104,20 +105,6 @@
         }
     }
 
-    /// Wakes the calls of following instances, because an item or the access to the store changed.
-    pub fn wake_followers(&self) {
-        for follower in lock(&self.waiting_followers).drain(..) {
-            let _ = follower.try_send(());
-        }
-    }
-
-    /// A receiver that gets a message at the next change.
-    fn next_change(&self) -> Receiver<()> {
-        let (sender, receiver) = async_channel::bounded(1);
-        lock(&self.waiting_followers).push(sender);
-        receiver
-    }
-
     /// Queues a revision that another instance had before this one read it from the store.
     pub fn queue_announced_revision(&self, prefix: &str, revision: u64) {
         let channel = self.announced_revisions.iter().find(|(known, ..)| *known == prefix);
@@ -195,7 +182,7 @@
         let relay = &self.shared.relay;
         let end_ms = clock::now_ms() + Millis(message.wait_ms).min(MAX_FOLLOW_WAIT_MS);
         loop {
-            let change = relay.next_change();
+            let change = relay.change.next_change();
             let newer: Vec<_> =
                 message.known.iter().filter_map(|known| relay.items_newer_than(known)).collect();
             let is_store_lost = self.shared.is_store_lost();
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -113,7 +113,7 @@
             lost.remove(prefix);
         }
         drop(lost);
-        self.relay.wake_followers();
+        self.relay.change.notify();
     }
 
     /// Whether the store doesn't answer for at least one prefix.
--- a/crates/turmericrail/src/forward/store_sync.rs
+++ b/crates/turmericrail/src/forward/store_sync.rs
@@ -49,7 +49,7 @@
             shared.relay.with_set(prefix, |set| set.apply(revision, items))
         }
     };
-    shared.relay.wake_followers();
+    shared.relay.change.notify();
     apply_items(shared, prefix, new_items.unwrap_or_default(), "store");
 }
 
@@ -91,7 +91,7 @@
     let new_items = new_items.unwrap_or_default();
     if let Some(last_change) = new_items.iter().map(|item| item.revision).max() {
         shared.relay.queue_announced_revision(prefix, last_change);
-        shared.relay.wake_followers();
+        shared.relay.change.notify();
     }
     apply_items(shared, prefix, new_items, "peer");
 }
