Check each second whether an instance still is to watch the store

Change: the check is made each second; the 4 s stand for an instance that found none to follow. The test gives the instances 30 s to learn of each other, which is no bound of the promise; the limits on calls (5 for a change) and on the time of a change (4 s) are as before.

--- a/crates/turmericrail/src/forward/store_follow.rs
+++ b/crates/turmericrail/src/forward/store_follow.rs
@@ -33,8 +33,10 @@
 const LOST_INTERVAL: Duration = Duration::from_millis(400);
 /// Share of these rounds after which this instance tries the store itself.
 const OWN_TRIAL_SHARE: f64 = 0.125;
-/// Time for which an instance watches the store itself.
+/// Time for which an instance watches the store itself after it found none to follow.
 const OWN_WATCH_PERIOD: Duration = Duration::from_millis(4_000);
+/// Time between checks whether an instance that is to watch still is, as members come and go.
+const WATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
 type Clients = BTreeMap<SocketAddr, RelayClient<Channel>>;
 
@@ -42,7 +44,12 @@
 pub async fn run(shared: Arc<Shared>) {
     let mut clients = Clients::new();
     loop {
-        let is_following = match follow_any(&shared, &mut clients).await {
+        let Some(watchers) = watchers(&shared) else {
+            shared.follow_state.set_following(false);
+            task::sleep(WATCHER_CHECK_INTERVAL).await;
+            continue;
+        };
+        let is_following = match follow_any(&shared, &mut clients, watchers).await {
             Some(false) => true,
             Some(true) => {
                 task::sleep(LOST_INTERVAL.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
@@ -58,10 +65,14 @@
 }
 
 /// Asks watching instances until one replies that can read the store. Returns whether all that
-/// replied have lost the store; `None` if none replied or this instance is to watch.
-async fn follow_any(shared: &Shared, clients: &mut Clients) -> Option<bool> {
+/// replied have lost the store; `None` if none replied.
+async fn follow_any(
+    shared: &Shared,
+    clients: &mut Clients,
+    watchers: Vec<SocketAddr>,
+) -> Option<bool> {
     let mut is_lost = None;
-    for address in watchers(shared)?.into_iter().take(MAX_ATTEMPTS) {
+    for address in watchers.into_iter().take(MAX_ATTEMPTS) {
         let following =
             async_std::future::timeout(FOLLOW_TIMEOUT, follow(shared, clients, address));
         let reply = following.await.unwrap_or_else(|_| Err(Status::deadline_exceeded("no reply")));
