--- a/crates/turmericrail/tests/repeated_calls.rs
+++ b/crates/turmericrail/tests/repeated_calls.rs
@@ -98,14 +98,14 @@
 }
 
 #[test]
-fn failing_engines() {
+fn failing_engine_pairs() {
     // Guards against prefills that are sent again, or calls that follow a refused prefill, beside
     // the bound on retries.
     play_all_pairs(play_engines);
 }
 
 #[test]
-fn failing_plain_servers() {
+fn failing_server_pairs() {
     // Guards against plain calls that are sent again beside the bound on retries.
     play_all_pairs(|first, second| {
         let faults = format!("plain-{first:?}-{second:?}");
