Send nothing to a server without a permit of the retry bound

Cause: the bound was asked in three places and passed by in two. A refused prefill was counted but nothing asked whether the next might be sent; a lost one wasn't counted at all, though the run after it is then the second call of its request.

Now `Forwarder::permit_send` gives a permit for each request that is sent, and `send_call` takes it, so that there is no way to send beside the bound. `CallSends` knows what is free: the first request of a call, and the first prefill that an engine completes. What wasn't sent, as no server was reached, is given back to the call.

Excluded: the retries of plain calls, which asked (the test for pairs of plain servers passed before).

The test `unchecked_retries` guarded the counting of calls that nothing asked for; these don't exist any more. `refused_prefills` replaces it: a refused prefill counts, what follows it asks.

--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -6,9 +6,9 @@
 
 use super::service_latency::ServiceLatency;
 use super::{
-    CallEnd, CallerRetryDetector, ChosenServer, FailureScore, LeavingRuns, ModelCallSize,
-    ReportedLoad, ReservationPressure, RetryBounds, RetryWindow, RouteTable, ServerEntry,
-    ServerLoad, ServerRegistry, ServerRun, ServerUpdate,
+    CallEnd, CallSends, CallerRetryDetector, ChosenServer, FailureScore, LeavingRuns,
+    ModelCallSize, ReportedLoad, ReservationPressure, RetryBounds, RetryWindow, RouteTable,
+    SendPermit, ServerEntry, ServerLoad, ServerRegistry, ServerRun, ServerUpdate,
 };
 use crate::ids::{DataCentreId, RouteId, ServiceId};
 use crate::units::{Millis, Tokens};
@@ -217,17 +217,23 @@
         self.retry_windows.entry(service.clone()).or_default().record_call(now_ms, &bounds);
     }
 
-    /// Counts a retry if the limit allows one; returns whether it did.
-    pub fn try_record_retry(&mut self, now_ms: Millis, service: &ServiceId) -> bool {
-        let bounds = self.settings.retry_bounds;
-        let window = self.retry_windows.entry(service.clone()).or_default();
-        window.try_record_retry(now_ms, &bounds, self.instance_count)
-    }
-
-    /// Counts a retry that was sent without checking the limit.
-    pub fn record_retry(&mut self, now_ms: Millis, service: &ServiceId) {
-        let bounds = self.settings.retry_bounds;
-        self.retry_windows.entry(service.clone()).or_default().record_retry(now_ms, &bounds);
+    /// Permits one more request of a call to be sent, if it is free or the limit on retries allows
+    /// it.
+    pub fn permit_send(
+        &mut self,
+        now_ms: Millis,
+        service: &ServiceId,
+        sends: &mut CallSends,
+    ) -> Option<SendPermit> {
+        if sends.needs_retry() {
+            let bounds = self.settings.retry_bounds;
+            let window = self.retry_windows.entry(service.clone()).or_default();
+            if !window.try_record_retry(now_ms, &bounds, self.instance_count) {
+                return None;
+            }
+            sends.record_granted_retry();
+        }
+        Some(sends.record_send())
     }
 
     /// Adds a call to the load of its server.
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -7,6 +7,7 @@
 //! arguments; the network calls are made elsewhere.
 
 mod call_end;
+mod call_sends;
 mod caller_retry_detector;
 mod chosen_server;
 mod engine_report;
@@ -34,6 +35,7 @@
 mod table;
 
 pub use call_end::CallEnd;
+pub use call_sends::{CallSends, SendPermit};
 pub use caller_retry_detector::CallerRetryDetector;
 pub use chosen_server::{ChosenServer, ServerRun};
 pub use engine_report::EngineReport;
--- a/crates/core/src/forward/retry_window.rs
+++ b/crates/core/src/forward/retry_window.rs
@@ -41,11 +41,6 @@
         self.bucket(now_ms, bounds).call_count += 1;
     }
 
-    /// Counts a retry without checking the limit.
-    pub fn record_retry(&mut self, now_ms: Millis, bounds: &RetryBounds) {
-        self.bucket(now_ms, bounds).retry_count += 1;
-    }
-
     /// Counts a retry if the limit allows one; returns whether it did.
     pub fn try_record_retry(
         &mut self,
@@ -60,7 +55,7 @@
         if (retry_count + 1) as f64 > bounds.ratio * call_count as f64 + own_slack {
             return false;
         }
-        self.record_retry(now_ms, bounds);
+        self.bucket(now_ms, bounds).retry_count += 1;
         true
     }
 
--- a/crates/core/tests/retry_bound.rs
+++ b/crates/core/tests/retry_bound.rs
@@ -2,8 +2,8 @@
 
 mod forward_support;
 
-use forward_support::RETRY_BOUNDS;
-use turmericrail_core::forward::{RetryBounds, RetryWindow};
+use forward_support::{RETRY_BOUNDS, forwarder, service_id};
+use turmericrail_core::forward::{CallSends, RetryBounds, RetryWindow};
 use turmericrail_core::units::Millis;
 
 #[test]
@@ -45,12 +45,25 @@
 }
 
 #[test]
-fn unchecked_retries() {
-    // Calls that a server refused are sent again without a check of the limit, and count as well.
+fn refused_prefills() {
+    // Guards against prefills that are sent again beside the limit: a refused one counts, and so
+    // does whatever follows it; one that an engine completed is free.
     let bounds = RetryBounds { ratio: 0.0, slack: 3, window_ms: Millis(10_000) };
-    let mut window = RetryWindow::default();
-    window.record_retry(Millis(0), &bounds);
-    window.record_retry(Millis(10), &bounds);
-    assert!(window.try_record_retry(Millis(20), &bounds, 1));
-    assert!(!window.try_record_retry(Millis(30), &bounds, 1));
+    let mut forwarder = forwarder(&[]);
+    forwarder.set_retry_bounds(bounds);
+    let mut send =
+        |sends: &mut CallSends| forwarder.permit_send(Millis(20), &service_id(), sends).is_some();
+    let mut refused = CallSends::default();
+    let mut done = CallSends::default();
+    assert!(send(&mut refused), "the first prefill is free");
+    assert!(send(&mut refused), "the second one takes a retry");
+    assert!(send(&mut refused), "the run takes another one");
+    assert!(send(&mut done));
+    done.record_done_prefill();
+    assert!(send(&mut done), "the run after a prefill is the first call");
+    assert!(send(&mut done), "the last retry");
+    assert!(!send(&mut done));
+    assert!(!send(&mut refused));
+    done.record_not_sent();
+    assert!(send(&mut done), "a retry whose server wasn't reached is left");
 }
--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -268,7 +268,14 @@
     } else {
         state.next_behaviours.remove(0)
     };
-    let is_done_prefill = is_prefill && behaviour == Behaviour::Answer;
+    let is_done_prefill = is_prefill
+        && !matches!(
+            behaviour,
+            Behaviour::Refuse
+                | Behaviour::Fail
+                | Behaviour::CloseWithoutAnswer
+                | Behaviour::NeverAnswer
+        );
     state.arrivals.push(Arrival { request_id: request_id.clone(), is_done_prefill });
     if behaviour == Behaviour::Refuse {
         let refused = with_id("503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/call_context.rs
@@ -1,9 +1,9 @@
 //! What the modules that serve a request know of it, and what they record about it.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use turmericrail_core::error_kind::ErrorKind;
-use turmericrail_core::forward::{Route, RouteTable};
+use turmericrail_core::forward::{CallSends, Route, RouteTable, SendPermit};
 use turmericrail_core::ids::ServiceId;
 use turmericrail_core::units::Millis;
 
@@ -23,6 +23,7 @@
     pub service: &'a ServiceId,
     /// Monotonic time by which the request must be answered.
     pub deadline_ms: Millis,
+    pub sends: Mutex<CallSends>,
 }
 
 impl CallContext<'_> {
@@ -41,29 +42,43 @@
         clock::now_ms().saturating_sub(self.request.arrived_ms)
     }
 
-    /// Whether the call may go to one more server, within the route's attempts and the bound on
-    /// retries. A granted retry is counted against that bound; the first call always goes out.
-    pub fn claim_retry(&self, calls_sent: u32) -> bool {
-        if calls_sent == 0 {
-            return true;
+    /// Permits the call to be run by one more server, within the route's attempts and the bound on
+    /// retries.
+    pub fn permit_run(&self, calls_sent: u32) -> Option<SendPermit> {
+        if calls_sent >= self.route.max_attempts {
+            self.log_send_again("no_attempts_left");
+            return None;
         }
-        let has_attempts = calls_sent < self.route.max_attempts;
-        let is_within_retry_bound =
-            has_attempts && self.shared.forwarder().try_record_retry(clock::now_ms(), self.service);
-        if has_attempts && !is_within_retry_bound {
+        self.permit_send()
+    }
+
+    /// Permits one more request to be sent to a server, within the bound on retries.
+    pub fn permit_send(&self) -> Option<SendPermit> {
+        let mut sends = self.sends();
+        let needs_retry = sends.needs_retry();
+        let permit = self.shared.forwarder().permit_send(clock::now_ms(), self.service, &mut sends);
+        drop(sends);
+        if permit.is_none() {
             self.shared.metrics.retries_refused.inc();
         }
-        let outcome = match (has_attempts, is_within_retry_bound) {
-            (false, _) => "no_attempts_left",
-            (true, false) => "bound_reached",
-            (true, true) => "allowed",
-        };
+        if needs_retry {
+            self.log_send_again(if permit.is_some() { "allowed" } else { "bound_reached" });
+        }
+        permit
+    }
+
+    /// What was sent for the call so far.
+    pub fn sends(&self) -> MutexGuard<'_, CallSends> {
+        self.sends.lock().unwrap_or_else(|_| std::process::abort())
+    }
+
+    fn log_send_again(&self, outcome: &str) {
         spdlog::info!(
-            "event=send_again request={} sent={calls_sent} max_attempts={} outcome={outcome}",
+            "event=send_again request={} service={} max_attempts={} outcome={outcome}",
             self.request_id,
+            self.service,
             self.route.max_attempts
         );
-        is_within_retry_bound
     }
 
     /// The refusal of a call that no server takes. If servers only want no calls for a while, the
--- a/crates/turmericrail/src/forward/dispatch.rs
+++ b/crates/turmericrail/src/forward/dispatch.rs
@@ -1,6 +1,6 @@
 //! Finds the route of a request, has it served and sends the final answer.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use futures_lite::FutureExt;
 use turmericrail_core::error_kind::ErrorKind;
@@ -88,6 +88,7 @@
         route: &route,
         service,
         deadline_ms: request.arrived_ms + caller_timeout_ms(request, &route),
+        sends: Mutex::default(),
     };
     let is_stream = matches!(route.kind, RouteKind::Stream { .. });
     if is_stream || context.is_model_call() {
--- a/crates/turmericrail/src/forward/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/engine_attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use turmericrail_core::forward::{CallEnd, ServerRun};
+use turmericrail_core::forward::{CallEnd, SendPermit, ServerRun};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{RunOptions, ServerTask};
 use turmericrail_wire::http1::{BodyDecoder, EventSplitter, ResponseHead};
@@ -34,7 +34,7 @@
     /// No answer came, or the answer broke off.
     Failed(CallFailure),
     /// The engine was silent, and another one takes over.
-    Moved(Box<EngineAttempt>),
+    Moved(Box<EngineAttempt>, SendPermit),
     /// The caller's connection takes no more bytes.
     CallerLost,
 }
@@ -44,6 +44,7 @@
     context: &CallContext<'_>,
     caller: &CallerStream,
     mut attempt: EngineAttempt,
+    permit: SendPermit,
     events: &mut EventSplitter,
     tried: &[ServerRun],
     calls_sent: u32,
@@ -52,14 +53,14 @@
         context.route.kind.is_repeatable() && calls_sent + 1 < context.route.max_attempts;
     let mut failover = Failover { tried, calls_sent: calls_sent + 1, is_movable };
     let started_ms = clock::now_ms();
-    let end = stream_answer(context, caller, &mut attempt, events, &mut failover).await;
+    let end = stream_answer(context, caller, &mut attempt, permit, events, &mut failover).await;
     let call_end = match &end {
         EngineAttemptEnd::Complete(_) => CallEnd::Answered,
         EngineAttemptEnd::Answered(head, _) if head.status >= 500 => CallEnd::Failed,
         EngineAttemptEnd::Answered(..) => CallEnd::Answered,
         EngineAttemptEnd::NotRun => CallEnd::Refused,
         EngineAttemptEnd::Failed(failure) => failure.call_end(),
-        EngineAttemptEnd::Moved(_) => CallEnd::TimedOut,
+        EngineAttemptEnd::Moved(..) => CallEnd::TimedOut,
         EngineAttemptEnd::CallerLost => CallEnd::Cancelled,
     };
     let elapsed_ms = clock::now_ms().saturating_sub(started_ms);
@@ -100,9 +101,9 @@
         if self.is_movable { remaining_ms.min(silence_timeout_ms) } else { remaining_ms }
     }
 
-    /// Reserves another engine. If none is free, the call stays at the silent engine: silence alone
+    /// Moves the call to another engine. If none is free, the call stays at the silent engine: silence alone
     /// doesn't end an answer.
-    async fn reserve_engine(&mut self, context: &CallContext<'_>) -> Option<Box<EngineAttempt>> {
+    async fn move_call(&mut self, context: &CallContext<'_>) -> Option<EngineAttemptEnd> {
         if !std::mem::take(&mut self.is_movable) || context.remaining_ms() == Millis::ZERO {
             return None;
         }
@@ -110,7 +111,8 @@
             choose_engine(context, &[self.tried, full_engines].concat())
         };
         let attempt = reserve(context, 1.0, &choose).await?;
-        context.claim_retry(self.calls_sent).then(|| Box::new(attempt))
+        let permit = context.permit_run(self.calls_sent)?;
+        Some(EngineAttemptEnd::Moved(Box::new(attempt), permit))
     }
 }
 
@@ -119,6 +121,7 @@
     context: &CallContext<'_>,
     caller: &CallerStream,
     attempt: &mut EngineAttempt,
+    permit: SendPermit,
     events: &mut EventSplitter,
     failover: &mut Failover<'_>,
 ) -> EngineAttemptEnd {
@@ -134,12 +137,12 @@
     let timeout_ms = failover.timeout_ms(context, first_event_timeout_ms(context, attempt));
     let started = {
         let mut sending =
-            Box::pin(send_call(context, attempt.choice(), &bytes, context.remaining_ms()));
+            Box::pin(send_call(context, attempt.choice(), &bytes, permit, context.remaining_ms()));
         let limit = Duration::from_millis(timeout_ms.0);
         match async_std::future::timeout(limit, sending.as_mut()).await {
             Ok(started) => started,
-            Err(_) => match failover.reserve_engine(context).await {
-                Some(next) => return EngineAttemptEnd::Moved(next),
+            Err(_) => match failover.move_call(context).await {
+                Some(moved) => return moved,
                 None => sending.await,
             },
         }
@@ -217,10 +220,10 @@
             Ok(Ok(0)) if decoder.end_of_input().is_ok() => None,
             Ok(Ok(read)) if read > 0 => None,
             Ok(_) => Some(CallFailure::Lost),
-            Err(_) if failover.is_movable => match failover.reserve_engine(context).await {
-                Some(next) => {
+            Err(_) if failover.is_movable => match failover.move_call(context).await {
+                Some(moved) => {
                     events.take_partial();
-                    return EngineAttemptEnd::Moved(next);
+                    return moved;
                 }
                 None => continue,
             },
--- a/crates/turmericrail/src/forward/engine_calls.rs
+++ b/crates/turmericrail/src/forward/engine_calls.rs
@@ -1,6 +1,6 @@
 //! Prefill calls to engines, and the timeouts for engines that don't answer.
 
-use turmericrail_core::forward::{CallEnd, ChosenServer, ModelCallSize};
+use turmericrail_core::forward::{CallEnd, ChosenServer, ModelCallSize, SendPermit};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{KvSource, ServerTask};
 use turmericrail_platform::prefill;
@@ -34,22 +34,19 @@
 
 /// Runs the prefill at an engine; `None` if no engine did. A prefill isn't a run of the call, so a
 /// lost one does no harm. If an engine refuses, mostly because it is changing its role, another one
-/// is tried, and the refusal counts as a retry.
+/// is tried within the bound on retries.
 pub async fn prefill_prompt(context: &CallContext<'_>, engine: &ChosenServer) -> Option<HeldKv> {
     let mut refusing_engines = Vec::new();
     let mut engine = engine.clone();
     loop {
-        match run_prefill(context, &engine).await {
+        let permit = context.permit_send()?;
+        match run_prefill(context, &engine, permit).await {
             PrefillResult::Held(kv) => return Some(kv),
             PrefillResult::Lost => return None,
             PrefillResult::Refused => {}
         }
         let now_ms = clock::now_ms();
-        {
-            let mut forwarder = context.shared.forwarder();
-            forwarder.record_prefill_refusal(now_ms, &engine.run);
-            forwarder.record_retry(now_ms, context.service);
-        }
+        context.shared.forwarder().record_prefill_refusal(now_ms, &engine.run);
         refusing_engines.push(engine.run);
         if refusing_engines.len() >= MAX_PREFILL_REFUSALS {
             return None;
@@ -76,11 +73,15 @@
     Lost,
 }
 
-async fn run_prefill(context: &CallContext<'_>, engine: &ChosenServer) -> PrefillResult {
+async fn run_prefill(
+    context: &CallContext<'_>,
+    engine: &ChosenServer,
+    permit: SendPermit,
+) -> PrefillResult {
     let guard = CallGuard::start(context.shared, engine);
     let timeout_ms =
         silence_timeout_ms(engine).max(context.route.target_ms).min(context.remaining_ms());
-    let prefilled = call_prefill(context, engine, timeout_ms).await;
+    let prefilled = call_prefill(context, engine, permit, timeout_ms).await;
     let elapsed_ms = guard.elapsed_ms();
     let end = match &prefilled {
         Ok(Some(_)) => CallEnd::Answered,
@@ -89,6 +90,7 @@
     };
     log_call(context, "prefill_call", engine, end, elapsed_ms);
     if end == CallEnd::Answered {
+        context.sends().record_done_prefill();
         context.shared.forwarder().record_prefill_time(clock::now_ms(), engine, elapsed_ms);
     }
     guard.end(end);
@@ -105,11 +107,12 @@
 async fn call_prefill(
     context: &CallContext<'_>,
     engine: &ChosenServer,
+    permit: SendPermit,
     timeout_ms: Millis,
 ) -> Result<Option<String>, CallFailure> {
     let started_ms = clock::now_ms();
     let bytes = call_bytes(context, engine, &ServerTask::Prefill);
-    let exchange = send_call(context, engine, &bytes, timeout_ms).await?;
+    let exchange = send_call(context, engine, &bytes, permit, timeout_ms).await?;
     let metadata = exchange.metadata.clone();
     let remaining_ms = (started_ms + timeout_ms).saturating_sub(clock::now_ms());
     let (head, body) =
--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -40,17 +40,21 @@
     let mut events = EventSplitter::default();
     let mut calls_sent = 0;
     let mut attempt = reserve_first_attempt(context).await?;
+    let refused_prefill =
+        Refusal { kind: ErrorKind::Overloaded, retry_after_ms: Some(REFUSED_RETRY_AFTER_MS) };
+    let mut permit = context.permit_run(calls_sent).ok_or(refused_prefill)?;
     loop {
         tried.push(attempt.choice().run.clone());
-        let end = run_attempt(context, caller, attempt, &mut events, &tried, calls_sent).await;
+        let end =
+            run_attempt(context, caller, attempt, permit, &mut events, &tried, calls_sent).await;
         if !matches!(end, EngineAttemptEnd::Failed(CallFailure::NotSent)) {
             calls_sent += 1;
         }
         let (kind, may_move) = match end {
             EngineAttemptEnd::Complete(action) => return Ok(action),
             EngineAttemptEnd::CallerLost => return Ok(ConnectionAction::Abort),
-            EngineAttemptEnd::Moved(next) => {
-                attempt = *next;
+            EngineAttemptEnd::Moved(next, next_permit) => {
+                (attempt, permit) = (*next, next_permit);
                 continue;
             }
             EngineAttemptEnd::Answered(head, body) => {
@@ -85,9 +89,10 @@
         if !may_move || context.remaining_ms() == Millis::ZERO {
             return Err(refusal());
         }
-        if choose_engine(context, &tried).is_none() || !context.claim_retry(calls_sent) {
+        if choose_engine(context, &tried).is_none() {
             return Err(refusal());
         }
+        permit = context.permit_run(calls_sent).ok_or_else(refusal)?;
         attempt = match reserve_next_attempt(context, &tried).await {
             Some(attempt) => attempt,
             None => return Err(refusal()),
--- a/crates/turmericrail/src/forward/plain_call.rs
+++ b/crates/turmericrail/src/forward/plain_call.rs
@@ -9,7 +9,7 @@
 use async_std::task;
 use futures_lite::FutureExt;
 use turmericrail_core::error_kind::ErrorKind;
-use turmericrail_core::forward::{CallEnd, ChosenServer, ServerRun};
+use turmericrail_core::forward::{CallEnd, ChosenServer, SendPermit, ServerRun};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::answer::AnswerMetadata;
 use turmericrail_platform::call::{RunOptions, ServerTask};
@@ -39,7 +39,7 @@
     NotRun,
     Failed(CallFailure),
     /// No answer yet; the call goes to this server instead.
-    MovedTo(ChosenServer),
+    MovedTo(ChosenServer, SendPermit),
 }
 
 /// Sends a call until a server has answered it.
@@ -48,12 +48,13 @@
     let mut calls_sent = 0;
     let mut unreached_servers = 0;
     let mut next = choose(context, &tried).ok_or_else(|| context.no_server_refusal())?;
+    let mut permit = context.permit_run(calls_sent).ok_or(ErrorKind::Overloaded)?;
     loop {
         tried.push(next.run.clone());
-        let end = run_attempt(context, &next, &tried, calls_sent + 1).await;
-        if let AttemptEnd::MovedTo(choice) = end {
+        let end = run_attempt(context, &next, permit, &tried, calls_sent + 1).await;
+        if let AttemptEnd::MovedTo(choice, next_permit) = end {
             calls_sent += 1;
-            next = choice;
+            (next, permit) = (choice, next_permit);
             continue;
         }
         let is_reached = !matches!(end, AttemptEnd::Failed(CallFailure::NotSent));
@@ -73,14 +74,15 @@
                 return Err(error_kind_of(failure).into());
             }
             AttemptEnd::Failed(failure) => Err(error_kind_of(failure)),
-            AttemptEnd::MovedTo(_) => unreachable!("moved calls are handled above"),
+            AttemptEnd::MovedTo(..) => unreachable!("moved calls are handled above"),
         };
         if context.remaining_ms() == Millis::ZERO || unreached_servers > MAX_UNREACHED_SERVERS {
             return outcome.map_err(Refusal::from);
         }
-        match choose(context, &tried) {
-            Some(choice) if context.claim_retry(calls_sent) => next = choice,
-            _ => return outcome.map_err(Refusal::from),
+        let permitted = choose_permitted(context, &tried, calls_sent);
+        match permitted {
+            Some(permitted) => (next, permit) = permitted,
+            None => return outcome.map_err(Refusal::from),
         }
     }
 }
@@ -104,17 +106,28 @@
     forwarder.choose_plain(now_ms, context.service, is_repeatable, tried, random)
 }
 
+/// Chooses another server if the call may be sent once more.
+fn choose_permitted(
+    context: &CallContext<'_>,
+    tried: &[ServerRun],
+    calls_sent: u32,
+) -> Option<(ChosenServer, SendPermit)> {
+    let choice = choose(context, tried)?;
+    Some((choice, context.permit_run(calls_sent)?))
+}
+
 /// Sends the call to one server. Gives up on it before the deadline only if another server takes
 /// the call.
 async fn run_attempt(
     context: &CallContext<'_>,
     choice: &ChosenServer,
+    permit: SendPermit,
     tried: &[ServerRun],
     calls_sent: u32,
 ) -> AttemptEnd {
     let guard = CallGuard::start(context.shared, choice);
     let end = {
-        let mut calling = Box::pin(call_server(context, choice));
+        let mut calling = Box::pin(call_server(context, choice, permit));
         if context.route.kind.is_repeatable() {
             let hedge_ms = (context.route.target_ms.0 as f64 * HEDGE_TARGET_FRACTION) as u64;
             let hedge_timer = async {
@@ -124,9 +137,9 @@
             let first = async { Some(calling.as_mut().await) }.or(hedge_timer).await;
             match first {
                 Some(end) => end,
-                None => match choose(context, tried) {
-                    Some(other) if context.claim_retry(calls_sent) => AttemptEnd::MovedTo(other),
-                    _ => calling.await,
+                None => match choose_permitted(context, tried, calls_sent) {
+                    Some((other, permit)) => AttemptEnd::MovedTo(other, permit),
+                    None => calling.await,
                 },
             }
         } else {
@@ -139,7 +152,7 @@
         AttemptEnd::Answered(..) => CallEnd::Answered,
         AttemptEnd::NotRun => CallEnd::Refused,
         AttemptEnd::Failed(failure) => failure.call_end(),
-        AttemptEnd::MovedTo(_) => CallEnd::TimedOut,
+        AttemptEnd::MovedTo(..) => CallEnd::TimedOut,
     };
     log_call(context, "server_call", choice, call_end, elapsed_ms);
     if call_end == CallEnd::Answered {
@@ -149,9 +162,13 @@
     end
 }
 
-async fn call_server(context: &CallContext<'_>, choice: &ChosenServer) -> AttemptEnd {
+async fn call_server(
+    context: &CallContext<'_>,
+    choice: &ChosenServer,
+    permit: SendPermit,
+) -> AttemptEnd {
     let bytes = call_bytes(context, choice, &ServerTask::Run(RunOptions::default()));
-    let exchange = match send_call(context, choice, &bytes, context.remaining_ms()).await {
+    let exchange = match send_call(context, choice, &bytes, permit, context.remaining_ms()).await {
         Ok(exchange) => exchange,
         Err(failure) => return AttemptEnd::Failed(failure),
     };
--- a/crates/turmericrail/src/forward/server_calls.rs
+++ b/crates/turmericrail/src/forward/server_calls.rs
@@ -1,6 +1,6 @@
 //! Serialises, sends and logs the calls of a request to backend servers.
 
-use turmericrail_core::forward::{CallEnd, ChosenServer};
+use turmericrail_core::forward::{CallEnd, ChosenServer, SendPermit};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{self, ServerTask};
 
@@ -30,6 +30,7 @@
     context: &CallContext<'_>,
     choice: &ChosenServer,
     bytes: &[u8],
+    _permit: SendPermit,
     timeout_ms: Millis,
 ) -> Result<Exchange, CallFailure> {
     let outgoing = OutgoingCall {
@@ -38,7 +39,11 @@
         method: &context.request.head.method,
         request_id: context.request_id,
     };
-    let exchange = Exchange::start(&context.shared.pool, &outgoing, timeout_ms).await?;
+    let started = Exchange::start(&context.shared.pool, &outgoing, timeout_ms).await;
+    if matches!(started, Err(CallFailure::NotSent)) {
+        context.sends().record_not_sent();
+    }
+    let exchange = started?;
     server_notices::record(context.shared, &choice.run, &exchange.metadata);
     if let Some(load) = exchange.metadata.load {
         context.shared.forwarder().record_reported_load(clock::now_ms(), &choice.run, load);
