Grant an instance no slack of the retry bound in its first window

Callers' requests were sent again beyond the bound after many instances were killed at once.

Cause: an instance that starts has an empty count and takes its share of the slack at once, though its predecessor may have used the same share a moment before; and until the first exchange it takes the share of a fleet of ten, which is seven times too much in a fleet of 69. The calls of up to half a second before the window counted for the ratio as well.

Now the slack counts from the second window on; in the first one the ratio of an instance's own calls is all that it may send again. Calls count for the ratio only within the window itself.

Tests of forwarding that are not about the bound run with a window of 100 ms that is over when they begin, since a single call is no ground for a retry; `repeated_calls` keeps that of 10 s.

--- a/crates/core/benches/forward_choice.rs
+++ b/crates/core/benches/forward_choice.rs
@@ -74,6 +74,7 @@
     let mut forwarder = Forwarder::new(ForwarderSettings {
         data_centre: "dc-0".parse().expect("the name is valid"),
         retry_bounds: RETRY_BOUNDS,
+        started_ms: Millis(0),
         assumed_instance_count: 32,
         gives_orders: false,
     });
--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -25,6 +25,8 @@
     pub data_centre: DataCentreId,
     /// Limits on retries, shared by all instances.
     pub retry_bounds: RetryBounds,
+    /// Time at which this instance started.
+    pub started_ms: Millis,
     /// Least number of instances among which the retry limit is divided, used until the real number
     /// is known.
     pub assumed_instance_count: usize,
@@ -226,7 +228,7 @@
         sends: &mut CallSends,
     ) -> Option<SendPermit> {
         if sends.needs_retry() {
-            let bounds = self.settings.retry_bounds;
+            let bounds = self.retry_bounds_at(now_ms);
             let window = self.retry_windows.entry(service.clone()).or_default();
             if !window.try_record_retry(now_ms, &bounds, self.instance_count) {
                 return None;
@@ -236,6 +238,14 @@
         Some(sends.record_send())
     }
 
+    /// The limits on retries. In the first window after its start an instance has no slack, since
+    /// its predecessor may have used it up.
+    fn retry_bounds_at(&self, now_ms: Millis) -> RetryBounds {
+        let bounds = self.settings.retry_bounds;
+        let is_first_window = now_ms < self.settings.started_ms + bounds.window_ms;
+        if is_first_window { RetryBounds { slack: 0, ..bounds } } else { bounds }
+    }
+
     /// Adds a call to the load of its server.
     pub fn record_call_start(&mut self, choice: &ChosenServer) {
         self.loads.entry(choice.run.clone()).or_default().record_call_start(choice.tokens);
--- a/crates/core/src/forward/retry_window.rs
+++ b/crates/core/src/forward/retry_window.rs
@@ -49,7 +49,9 @@
         instance_count: usize,
     ) -> bool {
         self.bucket(now_ms, bounds);
-        let call_count: u64 = self.buckets.iter().map(|bucket| bucket.call_count).sum();
+        let is_in_window = |bucket: &&Bucket| now_ms < bucket.start_ms + bounds.window_ms;
+        let in_window = self.buckets.iter().filter(is_in_window);
+        let call_count: u64 = in_window.map(|bucket| bucket.call_count).sum();
         let retry_count: u64 = self.buckets.iter().map(|bucket| bucket.retry_count).sum();
         let own_slack = bounds.slack as f64 / instance_count.max(1) as f64;
         if (retry_count + 1) as f64 > bounds.ratio * call_count as f64 + own_slack {
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -84,15 +84,22 @@
     ServerUpdate { server: format!("s{number}").parse().unwrap(), revision, entry }
 }
 
-/// A forwarder in `dc-a` that knows servers with these roles and data centres, numbered from 1.
-pub fn forwarder(servers: &[(ServerRole, &str)]) -> Forwarder {
+/// A forwarder in `dc-a` that has just started and knows no other instance.
+pub fn started_forwarder(started_ms: Millis, assumed_instance_count: usize) -> Forwarder {
     let mut forwarder = Forwarder::new(ForwarderSettings {
         data_centre: "dc-a".parse().unwrap(),
         retry_bounds: RETRY_BOUNDS,
-        assumed_instance_count: 1,
+        started_ms,
+        assumed_instance_count,
         gives_orders: true,
     });
     forwarder.apply_table(table(1, vec![route("r", "a.example", "/")]));
+    forwarder
+}
+
+/// A forwarder in `dc-a` that knows servers with these roles and data centres, numbered from 1.
+pub fn forwarder(servers: &[(ServerRole, &str)]) -> Forwarder {
+    let mut forwarder = started_forwarder(Millis::ZERO, 1);
     for (index, (role, data_centre)) in servers.iter().enumerate() {
         let number = index as u16 + 1;
         let entry = server_entry(number, *role, data_centre);
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -57,6 +57,7 @@
         let forwarder = Forwarder::new(ForwarderSettings {
             data_centre: settings.data_centre.clone(),
             retry_bounds: settings.retry_bounds(),
+            started_ms: clock::now_ms(),
             assumed_instance_count: ASSUMED_INSTANCE_COUNT,
             gives_orders: settings.gives_orders,
         });
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -107,15 +107,18 @@
         peer_address_text: &str,
         extra_settings: &str,
     ) -> Self {
-        let bounds = RetryBoundsText { slack: 56, window: "10s" };
-        Self::start_with_bounds(
+        // The window in which a new instance has no slack is over when the test begins.
+        let bounds = RetryBoundsText { slack: 56, window: "100ms" };
+        let instance = Self::start_with_bounds(
             name,
             store,
             store_address,
             peer_address_text,
             &bounds,
             extra_settings,
-        )
+        );
+        std::thread::sleep(Duration::from_millis(100));
+        instance
     }
 
     fn start_with_bounds(
