Count an engine as silent only after 1.5 s

Callers' answers were begun again at another engine, with a prompt that was read twice, because a sound engine was silent for less than a second: a prefill or first event counted as lost after the route's target, a gap between events after twice its target. Each such move is a repeated call and takes a retry of the bound from those that need one.

An answer that is that late has missed its target in any case, and callers leave a stream after a gap of two seconds or more, so that 1.5 s leaves time to go on elsewhere.

`stalled_engine` failed before: 2 calls arrived for a request whose engine paused for 1.2 s. It holds now, and an engine that stays silent is still given up.

--- a/crates/fakes/src/registered/raw_server.rs
+++ b/crates/fakes/src/registered/raw_server.rs
@@ -17,6 +17,8 @@
     Bytes(Vec<u8>),
     /// Writes each of these parts after a pause.
     WithPauses(Vec<Vec<u8>>, Duration),
+    /// Writes bytes, and others after a pause.
+    BytesThenBytes(Vec<u8>, Duration, Vec<u8>),
     /// Writes these bytes and closes the connection.
     BytesThenClose(Vec<u8>),
     /// Never answers again on this connection.
@@ -66,6 +68,15 @@
                     }
                 }
             }
+            RawAnswer::BytesThenBytes(first, pause, rest) => {
+                if stream.write_all(&first).is_err() {
+                    return;
+                }
+                thread::sleep(pause);
+                if stream.write_all(&rest).is_err() {
+                    return;
+                }
+            }
             RawAnswer::BytesThenClose(bytes) => {
                 let _ = stream.write_all(&bytes);
                 return;
--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -26,6 +26,8 @@
     CloseMidEvent,
     /// Pauses before the head and after the second event that it sends.
     Pause,
+    /// Pauses for about a second after the second event that it sends.
+    Stall,
     /// Executes the call and answers that it failed.
     Fail,
     /// Writes an answer to another request before the answer.
@@ -92,6 +94,8 @@
 const EVENT_COUNT: u64 = 5;
 /// Longer than the latency target (500 ms) and the target gap (300 ms) of every test route.
 const LONG_PAUSE: Duration = Duration::from_millis(700);
+/// A silence after which a sound server may go on.
+const STALL_TIME: Duration = Duration::from_millis(1_200);
 /// Time between events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -334,5 +338,9 @@
         let (first, rest) = parts.split_at(parts.len().min(3));
         return RawAnswer::WithPauses(vec![first.concat(), rest.concat()], LONG_PAUSE);
     }
+    if behaviour == Behaviour::Stall {
+        let (first, rest) = parts.split_at(parts.len().min(3));
+        return RawAnswer::BytesThenBytes(first.concat(), STALL_TIME, rest.concat());
+    }
     RawAnswer::WithPauses(parts, EVENT_INTERVAL)
 }
--- a/crates/turmericrail/src/forward/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/engine_attempt.rs
@@ -12,7 +12,7 @@
 use super::caller_stream::CallerStream;
 use super::clock;
 use super::dispatch::{self, ConnectionAction};
-use super::engine_calls::silence_timeout_ms;
+use super::engine_calls::{MIN_SILENCE_MS, silence_timeout_ms};
 use super::engine_selection::{EngineAttempt, choose_engine, reserve};
 use super::exchange::Exchange;
 use super::held_kv::HeldKv;
@@ -212,6 +212,7 @@
             break;
         }
         let gap_ms = Millis(context.route.gap_target_ms.0 * GAP_TIMEOUT_FACTOR);
+        let gap_ms = gap_ms.max(MIN_SILENCE_MS);
         let silence_timeout_ms =
             if is_before_first_event { first_event_timeout_ms(context, attempt) } else { gap_ms };
         let timeout = Duration::from_millis(failover.timeout_ms(context, silence_timeout_ms).0);
--- a/crates/turmericrail/src/forward/engine_calls.rs
+++ b/crates/turmericrail/src/forward/engine_calls.rs
@@ -17,6 +17,8 @@
 const SILENCE_TIMEOUT_FACTOR: u64 = 3;
 /// Added to that timeout for work that other instances have queued at the engine.
 const SILENCE_SLACK_MS: Millis = Millis(250);
+/// Shortest silence that counts; a sound engine may pause for about a second.
+pub const MIN_SILENCE_MS: Millis = Millis(1_500);
 
 /// Engines that may refuse a prefill before the decode engine reads the prompt itself. Each refusal
 /// takes a few milliseconds.
@@ -29,7 +31,8 @@
 
 /// Time without an answer after which an engine counts as silent.
 pub fn silence_timeout_ms(choice: &ChosenServer) -> Millis {
-    Millis(choice.predicted_latency_ms.0 * SILENCE_TIMEOUT_FACTOR) + SILENCE_SLACK_MS
+    let expected_ms = Millis(choice.predicted_latency_ms.0 * SILENCE_TIMEOUT_FACTOR);
+    (expected_ms + SILENCE_SLACK_MS).max(MIN_SILENCE_MS)
 }
 
 /// Runs the prefill at an engine; `None` if no engine did. A prefill isn't a run of the call, so a
--- a/crates/turmericrail/tests/forwarded_streams.rs
+++ b/crates/turmericrail/tests/forwarded_streams.rs
@@ -141,6 +141,33 @@
     }
 }
 
+#[test]
+fn stalled_engine() {
+    // Guards against calls that are sent again because a sound engine was silent for a second; one
+    // that stays silent is given up.
+    let instance = ForwardInstance::start("stalled-engine");
+    let engines = [instance.start_engine("d1", "decode"), instance.start_engine("d2", "decode")];
+    engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::Stall));
+    let reply = instance.send_request("resumable", "r1");
+    assert_eq!((reply.is_complete, reply.body), (true, complete_stream()));
+    let arrivals = |id: &str| {
+        let arrived = engines.iter().flat_map(|engine| engine.arrivals());
+        arrived.filter(|arrival| arrival.request_id == id).count()
+    };
+    assert_eq!(arrivals("r1"), 1);
+    engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::Answer));
+    engines[0].set_behaviour(Behaviour::NeverAnswer);
+    for number in 0..8 {
+        let id = format!("q{number}");
+        let reply = instance.send_request("resumable", &id);
+        assert_eq!((reply.is_complete, reply.body), (true, complete_stream()));
+        if arrivals(&id) == 2 {
+            return;
+        }
+    }
+    panic!("the silent engine was never chosen");
+}
+
 #[test]
 fn caller_disconnects() {
     // The reservation is released if the caller disconnects before the answer begins.
