--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -73,8 +73,8 @@
     notices: String,
     /// Value of `Retry-After` of the 503 with which every call is answered.
     closed_text: Option<&'static str>,
-    /// Calls of any kind that arrived.
-    call_count: usize,
+    /// Arrival times of calls of any kind.
+    call_times: Vec<Instant>,
     /// Role in the server's entry; none at a plain server.
     stage: Option<&'static str>,
     orders: Vec<serde_json::Value>,
@@ -195,7 +195,12 @@
 
     /// Number of calls of any kind that arrived.
     pub fn call_count(&self) -> usize {
-        lock(&self.state).call_count
+        lock(&self.state).call_times.len()
+    }
+
+    /// Arrival times of the calls of any kind, in their order.
+    pub fn call_times(&self) -> Vec<Instant> {
+        lock(&self.state).call_times.clone()
     }
 
     /// Bodies of the orders received, in their order.
@@ -227,7 +232,7 @@
     if head.headers.text("X-Expect-Instance") != Some(id) {
         return RawAnswer::Bytes(with_id("421 Misdirected Request", "", ""));
     }
-    state.call_count += 1;
+    state.call_times.push(Instant::now());
     if let Some(seconds) = state.closed_text {
         let fields = format!("X-Not-Executed: 1\r\nRetry-After: {seconds}\r\n");
         return RawAnswer::Bytes(with_id("503 Service Unavailable", &fields, ""));
