Soak: check repeated calls against the bound on retries

The soak counted executions only, so calls that servers refused beside the bound went unseen. It now compares all arrivals beyond the first of each request with what the bound allows in any window.

--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -58,6 +58,8 @@
     pub request_id: String,
     /// Whether only the prompt was to be processed, and was.
     pub is_done_prefill: bool,
+    /// Time of arrival.
+    pub at: Instant,
 }
 
 #[derive(Default)]
@@ -285,7 +287,8 @@
                 | Behaviour::CloseWithoutAnswer
                 | Behaviour::NeverAnswer
         );
-    state.arrivals.push(Arrival { request_id: request_id.clone(), is_done_prefill });
+    let arrival = Arrival { request_id: request_id.clone(), is_done_prefill, at: Instant::now() };
+    state.arrivals.push(arrival);
     if behaviour == Behaviour::Refuse {
         let refused = with_id("503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
         return RawAnswer::Bytes(refused);
--- a/crates/turmericrail/examples/fault_soak/fault_run.rs
+++ b/crates/turmericrail/examples/fault_soak/fault_run.rs
@@ -9,6 +9,7 @@
 use turmericrail_fakes::ports::free_address;
 use turmericrail_fakes::registered::{FakeStore, RegisteredServer, configuration};
 
+use crate::call_counts;
 use crate::callers::{self, Callers, RequestRecord};
 use crate::checks::{self, Executions};
 use crate::fault::Fault;
@@ -156,6 +157,7 @@
     for violation in records.iter().filter_map(|record| checks::check(record, &executions)) {
         totals.report_violation(violation);
     }
+    check_repeated_calls(&run, &mut totals, &records);
     check_released_requests(&run, &mut totals);
     if totals.violations.is_empty() {
         let _ = std::fs::remove_dir_all(&run.folder);
@@ -252,6 +254,20 @@
     }
 }
 
+/// Checks the calls beyond the first of each request against the bound on retries, by service.
+fn check_repeated_calls(run: &FaultRun, totals: &mut Totals, records: &[RequestRecord]) {
+    let (plain_servers, engines) = run.servers.split_at(PLAIN_SERVERS);
+    let services =
+        [("desk", plain_servers, ["read", "order"]), ("llm", engines, ["stream", "resumable"])];
+    for (service, servers, routes) in services {
+        let arrivals = servers.iter().flat_map(|proxied| proxied.server.arrivals()).collect();
+        let records: Vec<_> =
+            records.iter().filter(|record| routes.contains(&record.route)).collect();
+        let violation = call_counts::check_repeated(service, arrivals, &records);
+        violation.into_iter().for_each(|violation| totals.report_violation(violation));
+    }
+}
+
 /// Stops a random instance in a calm period, and checks that it cuts no request that it had
 /// accepted.
 fn check_graceful_stop(
--- a/crates/turmericrail/examples/fault_soak/main.rs
+++ b/crates/turmericrail/examples/fault_soak/main.rs
@@ -6,6 +6,7 @@
 //! the totals; the exit code is 1 if a guarantee was violated. The instances run this same
 //! executable, which acts as the daemon when called with `--forward`.
 
+mod call_counts;
 mod callers;
 mod checks;
 mod fault;
--- a/crates/turmericrail/tests/fault_soak.rs
+++ b/crates/turmericrail/tests/fault_soak.rs
@@ -1,5 +1,7 @@
 //! Short soak test with faults and fixed seeds. The example of the same name runs longer ones.
 
+#[path = "../examples/fault_soak/call_counts.rs"]
+mod call_counts;
 #[path = "../examples/fault_soak/callers.rs"]
 mod callers;
 #[path = "../examples/fault_soak/checks.rs"]
