--- a/crates/turmericrail/examples/fault_soak/call_counts.rs
+++ b/crates/turmericrail/examples/fault_soak/call_counts.rs
@@ -1,4 +1,5 @@
-//! Checks how many calls servers got beyond the first of each request, against the bound on retries.
+//! Checks how many calls servers got: repeated ones against the bound on retries, and those of a
+//! server that names a limit.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -11,6 +12,8 @@
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_SLACK: f64 = 56.0;
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// Time for which the calls of a limited server are counted together.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 
 /// Times of the requests to a service and of the calls beyond the first of each.
 struct ServiceCalls {
@@ -74,3 +77,19 @@
     }
     None
 }
+
+/// Returns the violation of a limit that a server has named by `start`, if any.
+pub fn check_limited(
+    server: &str,
+    limit_per_s: f64,
+    mut call_times: Vec<Instant>,
+    start: Instant,
+) -> Option<String> {
+    call_times.retain(|at| *at >= start);
+    call_times.sort();
+    let allowed = 1.5 * limit_per_s * LIMIT_WINDOW.as_secs_f64() + 5.0;
+    let counts = call_times.iter().map(|at| count_from(&call_times, *at, LIMIT_WINDOW));
+    let most = counts.max().unwrap_or_default();
+    (most as f64 > allowed)
+        .then(|| format!("beyond_limit server={server} calls={most} allowed={allowed}"))
+}
--- a/crates/turmericrail/examples/fault_soak/fault_run.rs
+++ b/crates/turmericrail/examples/fault_soak/fault_run.rs
@@ -28,6 +28,12 @@
 const DRAIN_BOUND: Duration = Duration::from_millis(2_000);
 /// Time after `DRAIN_BOUND` in which calls at the leaving server count as violations.
 const DRAIN_CHECK_DURATION: Duration = Duration::from_millis(1_000);
+/// Time after a server first names a limit from which the limit must hold.
+const LIMIT_CONTACT: Duration = Duration::from_secs(3);
+/// Time after it for which the calls of the limited server are checked.
+const LIMIT_CHECK_DURATION: Duration = Duration::from_secs(5);
+/// Greatest limit that a server names, in calls a second.
+const MAX_LIMIT_PER_S: f64 = 4.0;
 /// Time within which instances must release the requests of callers that have left.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between checks of the instances.
@@ -135,6 +141,8 @@
 /// Runs instances of a program under faults; no new episode begins after `end`.
 pub fn run(program: PathBuf, seed: u64, instances: usize, end: Instant) -> Totals {
     let mut rng = fastrand::Rng::with_seed(seed);
+    // Apart, so that the seeds of earlier failures play the same faults as then.
+    let mut limit_rng = fastrand::Rng::with_seed(seed);
     let mut run = FaultRun::start(&program, seed, instances);
     let mut totals = Totals::default();
     await_recovery(&mut run, &mut totals);
@@ -147,6 +155,7 @@
         await_recovery(&mut run, &mut totals);
         std::thread::sleep(calm_start.saturating_duration_since(Instant::now()));
         check_leaving_server(&mut run, &mut totals, &mut rng);
+        check_limited_server(&run, &mut totals, &mut limit_rng);
         check_graceful_stop(&mut run, &mut totals, &mut rng, &callers, &mut records);
         records.extend(callers.take_records());
     }
@@ -254,6 +263,19 @@
     }
 }
 
+/// Lets a random server name a limit in a calm period, and checks that it gets no more calls.
+fn check_limited_server(run: &FaultRun, totals: &mut Totals, rng: &mut fastrand::Rng) {
+    let limited = &run.servers[rng.usize(..run.servers.len())].server;
+    let limit_per_s = 1.0 + rng.f64() * (MAX_LIMIT_PER_S - 1.0);
+    limited.set_notices(&format!("Server-Limit: {limit_per_s}\r\n"));
+    let start = Instant::now() + LIMIT_CONTACT;
+    std::thread::sleep(LIMIT_CONTACT + LIMIT_CHECK_DURATION);
+    let call_times = limited.call_times();
+    limited.set_notices("");
+    let violation = call_counts::check_limited(&limited.id, limit_per_s, call_times, start);
+    violation.into_iter().for_each(|violation| totals.report_violation(violation));
+}
+
 /// Checks the calls beyond the first of each request against the bound on retries, by service.
 fn check_repeated_calls(run: &FaultRun, totals: &mut Totals, records: &[RequestRecord]) {
     let (plain_servers, engines) = run.servers.split_at(PLAIN_SERVERS);
