Prefer engines that answered lately while others of their service fail

Each instance calls an engine once in some twenty seconds, so that most choices fall on engines of which it knows nothing.

Now each instance keeps decaying counts of answered and failed calls by engine and by service. An engine of which little is known is taken to fail as often as its service, and the expected cost of a failure is added to its cost, so that engines that answered lately are preferred, as long as others fail. If no retry is left for the run after a failed prefill, the decode engine reads the prompt.

--- a/crates/core/src/forward/call_end.rs
+++ b/crates/core/src/forward/call_end.rs
@@ -30,6 +30,14 @@
         }
     }
 
+    /// Whether the server did what it was asked; `None` if the end says nothing about it.
+    pub(super) fn is_answered(self) -> Option<bool> {
+        match self {
+            CallEnd::Cancelled => None,
+            end => Some(end == CallEnd::Answered),
+        }
+    }
+
     /// The value in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::reliability::Reliability;
 use super::service_latency::ServiceLatency;
 use super::{
     CallEnd, CallLimits, CallSends, CallerRetryDetector, ChosenServer, FailureScore, LeavingRuns,
@@ -41,6 +42,7 @@
     pub(super) registry: ServerRegistry,
     pub(super) loads: BTreeMap<ServerRun, ServerLoad>,
     service_latencies: BTreeMap<ServiceId, ServiceLatency>,
+    service_reliabilities: BTreeMap<ServiceId, Reliability>,
     retry_windows: BTreeMap<ServiceId, RetryWindow>,
     reservation_pressures: BTreeMap<ServiceId, ReservationPressure>,
     caller_retry_detectors: BTreeMap<RouteId, CallerRetryDetector>,
@@ -63,6 +65,7 @@
             registry: ServerRegistry::default(),
             loads: BTreeMap::new(),
             service_latencies: BTreeMap::new(),
+            service_reliabilities: BTreeMap::new(),
             retry_windows: BTreeMap::new(),
             reservation_pressures: BTreeMap::new(),
             caller_retry_detectors: BTreeMap::new(),
@@ -287,6 +290,10 @@
             choice.tokens,
             end,
         );
+        if let Some(is_answered) = end.is_answered() {
+            let reliability = self.service_reliabilities.entry(choice.service.clone()).or_default();
+            reliability.record(now_ms, is_answered);
+        }
         let failures = self.data_centre_failures.entry(choice.data_centre.clone()).or_default();
         match end {
             CallEnd::Answered => failures.record_answer(now_ms),
@@ -370,6 +377,21 @@
         load.record_latency(now_ms, measured_ms, choice.baseline_latency_ms);
     }
 
+    /// Probability that a call to any server of a service fails.
+    pub(super) fn failure_probability(&self, now_ms: Millis, service: &ServiceId) -> f64 {
+        let reliability = self.service_reliabilities.get(service).copied().unwrap_or_default();
+        reliability.failure_probability(now_ms, 0.0)
+    }
+
+    /// Whether the limit on retries allows another one.
+    pub(super) fn allows_retry(&self, now_ms: Millis, service: &ServiceId) -> bool {
+        let instance_count = self.instance_count.max(self.settings.assumed_instance_count);
+        let window = self.retry_windows.get(service);
+        window.is_none_or(|window| {
+            window.allows_retry(now_ms, &self.retry_bounds_at(now_ms), instance_count)
+        })
+    }
+
     pub(super) fn service_latency(&self, service: &ServiceId) -> ServiceLatency {
         self.service_latencies.get(service).copied().unwrap_or_default()
     }
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -22,6 +22,7 @@
 mod model_plan;
 pub mod order_right;
 mod published_set;
+mod reliability;
 mod reservation_pressure;
 mod reservation_round;
 mod retry_window;
--- a/crates/core/src/forward/retry_window.rs
+++ b/crates/core/src/forward/retry_window.rs
@@ -48,23 +48,34 @@
         bounds: &RetryBounds,
         instance_count: usize,
     ) -> bool {
-        self.bucket(now_ms, bounds);
-        let is_in_window = |bucket: &&Bucket| now_ms < bucket.start_ms + bounds.window_ms;
-        let in_window = self.buckets.iter().filter(is_in_window);
-        let call_count: u64 = in_window.map(|bucket| bucket.call_count).sum();
-        let retry_count: u64 = self.buckets.iter().map(|bucket| bucket.retry_count).sum();
-        let own_slack = bounds.slack as f64 / instance_count.max(1) as f64;
-        if (retry_count + 1) as f64 > bounds.ratio * call_count as f64 + own_slack {
+        if !self.allows_retry(now_ms, bounds, instance_count) {
             return false;
         }
         self.bucket(now_ms, bounds).retry_count += 1;
         true
     }
 
+    /// Whether the limit allows another retry.
+    pub fn allows_retry(
+        &self,
+        now_ms: Millis,
+        bounds: &RetryBounds,
+        instance_count: usize,
+    ) -> bool {
+        let is_in_window = |bucket: &&Bucket| now_ms < bucket.start_ms + bounds.window_ms;
+        let in_window = self.buckets.iter().filter(is_in_window);
+        let call_count: u64 = in_window.map(|bucket| bucket.call_count).sum();
+        let oldest_ms = oldest_bucket_ms(now_ms, bounds);
+        let is_counted = |bucket: &&Bucket| bucket.start_ms >= oldest_ms;
+        let counted = self.buckets.iter().filter(is_counted);
+        let retry_count: u64 = counted.map(|bucket| bucket.retry_count).sum();
+        let own_slack = bounds.slack as f64 / instance_count.max(1) as f64;
+        (retry_count + 1) as f64 <= bounds.ratio * call_count as f64 + own_slack
+    }
+
     fn bucket(&mut self, now_ms: Millis, bounds: &RetryBounds) -> &mut Bucket {
-        let bucket_ms = Millis((bounds.window_ms.0 / BUCKET_COUNT).max(1));
-        // One bucket more than the window, so that any span of its length is covered.
-        let oldest_ms = now_ms.saturating_sub(bounds.window_ms + bucket_ms);
+        let bucket_ms = bucket_length_ms(bounds);
+        let oldest_ms = oldest_bucket_ms(now_ms, bounds);
         while self.buckets.front().is_some_and(|bucket| bucket.start_ms < oldest_ms) {
             self.buckets.pop_front();
         }
@@ -75,3 +86,13 @@
         self.buckets.back_mut().expect("a bucket was just pushed")
     }
 }
+
+fn bucket_length_ms(bounds: &RetryBounds) -> Millis {
+    Millis((bounds.window_ms.0 / BUCKET_COUNT).max(1))
+}
+
+/// Start of the oldest interval whose retries count: one interval before the window, so that any span
+/// of its length is covered.
+fn oldest_bucket_ms(now_ms: Millis, bounds: &RetryBounds) -> Millis {
+    now_ms.saturating_sub(bounds.window_ms + bucket_length_ms(bounds))
+}
--- a/crates/core/src/forward/server_load.rs
+++ b/crates/core/src/forward/server_load.rs
@@ -2,6 +2,7 @@
 //! reports.
 
 use super::latency_ratio::LatencyRatio;
+use super::reliability::Reliability;
 use super::{CallEnd, FailureScore};
 use crate::units::{Millis, Tokens};
 
@@ -44,6 +45,7 @@
     report: Option<Report>,
     latency_ratio: LatencyRatio,
     failures: FailureScore,
+    reliability: Reliability,
     last_full_ms: Option<Millis>,
     last_unreachable_ms: Option<Millis>,
     last_prefill_refusal_ms: Option<Millis>,
@@ -70,6 +72,9 @@
             CallEnd::Unreachable => self.last_unreachable_ms = Some(now_ms),
             _ => {}
         }
+        if let Some(is_answered) = end.is_answered() {
+            self.reliability.record(now_ms, is_answered);
+        }
         if let Some(weight) = end.failure_weight() {
             self.failures.record_failure(now_ms, weight);
         }
@@ -168,6 +173,11 @@
         self.latency_ratio.value(now_ms)
     }
 
+    /// Probability that the next call fails, given that of a call to any server of the service.
+    pub fn failure_probability(&self, now_ms: Millis, prior: f64) -> f64 {
+        self.reliability.failure_probability(now_ms, prior)
+    }
+
     /// Decaying score of recent failures.
     pub fn failure_score(&self, now_ms: Millis) -> f64 {
         self.failures.value(now_ms)
--- a/crates/core/src/forward/server_selection.rs
+++ b/crates/core/src/forward/server_selection.rs
@@ -15,6 +15,12 @@
 
 /// Cost of one recent failure of a server: about the duration of a retried call.
 const FAILURE_PENALTY_MS: f64 = 250.0;
+/// Cost of a call that fails at an engine: about the time of another try with a prefill, if the limit
+/// on retries allows one.
+const ENGINE_FAILURE_COST_MS: f64 = 1_000.0;
+/// Probability of a failed prefill above which the decode engine reads the prompt if no retry is
+/// left for the run after a failure.
+const MAX_UNBACKED_FAILURE_PROBABILITY: f64 = 0.1;
 /// Cost that one recent timeout or failed connection adds to every server of the data centre.
 /// Several in a row mean that the data centre is cut off.
 const DATA_CENTRE_FAILURE_PENALTY_MS: f64 = 60.0;
@@ -149,7 +155,8 @@
         let decode_prefill_ms = Millis(self.decode_prefill_ms(service, size) as u64);
         let prefill = self
             .choose_prefill(now_ms, service, size, &[], random)
-            .filter(|prefill| prefill.predicted_latency_ms <= decode_prefill_ms);
+            .filter(|prefill| prefill.predicted_latency_ms <= decode_prefill_ms)
+            .filter(|prefill| self.is_backed(now_ms, prefill));
         let origin = prefill
             .as_ref()
             .map_or(KvOrigin::DecodeEngine, |it| KvOrigin::PrefillEngineIn(&it.data_centre));
@@ -179,6 +186,7 @@
         let candidates = self.candidates(now_ms, service, ServerRole::Prefill, excluded);
         let candidate_count = candidates.len();
         let tokens = size.prompt_tokens;
+        let prior = self.failure_probability(now_ms, service);
         let avoids_conversion_candidates =
             (random as f64) < CONVERSION_AVOIDANCE_SHARE * u64::MAX as f64;
         let best = self.lowest_cost_candidate(now_ms, candidates, 1.0, random, |candidate| {
@@ -187,7 +195,8 @@
             let queued = candidate.load.tokens() as f64 + other_tokens + tokens.0 as f64;
             let is_avoided =
                 avoids_conversion_candidates && candidate.load.is_conversion_candidate();
-            (queued * token_ms, if is_avoided { CONVERSION_CANDIDATE_PENALTY_MS } else { 0.0 })
+            let avoidance_ms = if is_avoided { CONVERSION_CANDIDATE_PENALTY_MS } else { 0.0 };
+            (queued * token_ms, avoidance_ms + failure_cost_ms(now_ms, candidate, prior))
         })?;
         Some(self.chosen_server(best, tokens, candidate_count))
     }
@@ -211,15 +220,25 @@
         let candidates = self.candidates(now_ms, service, ServerRole::Decode, excluded);
         let candidate_count = candidates.len();
         let needed_tokens = size.expected_kv_tokens();
+        let prior = self.failure_probability(now_ms, service);
         let best = self.lowest_cost_candidate(now_ms, candidates, 1.0, random, |candidate| {
             let is_remote =
                 matches!(origin, KvOrigin::PrefillEngineIn(prefill_data_centre) if candidate.entry.data_centre != *prefill_data_centre);
             let remote_ms = if is_remote { REMOTE_KV_PENALTY_MS } else { 0.0 };
-            (first_event_ms + contention_ms(now_ms, candidate, needed_tokens, kv_tokens), remote_ms)
+            let contention_ms = contention_ms(now_ms, candidate, needed_tokens, kv_tokens);
+            (first_event_ms + contention_ms, remote_ms + failure_cost_ms(now_ms, candidate, prior))
         })?;
         Some(self.chosen_server(best, needed_tokens, candidate_count))
     }
 
+    /// Whether a prefill is likely to succeed, or a retry is left for the run after a failed one.
+    fn is_backed(&self, now_ms: Millis, prefill: &ChosenServer) -> bool {
+        let prior = self.failure_probability(now_ms, &prefill.service);
+        let load = self.loads.get(&prefill.run).copied().unwrap_or_default();
+        load.failure_probability(now_ms, prior) < MAX_UNBACKED_FAILURE_PROBABILITY
+            || self.allows_retry(now_ms, &prefill.service)
+    }
+
     /// Time that a decode engine takes to process the prompt itself.
     fn decode_prefill_ms(&self, service: &ServiceId, size: ModelCallSize) -> f64 {
         let token_ms = self.service_latency(service).prompt_token_ms;
@@ -308,6 +327,12 @@
     }
 }
 
+/// Expected cost of a failure at an engine. Engines that answered lately are preferred to unknown ones
+/// while others of the service fail.
+fn failure_cost_ms(now_ms: Millis, candidate: &Candidate<'_>, prior: f64) -> f64 {
+    candidate.load.failure_probability(now_ms, prior) * ENGINE_FAILURE_COST_MS
+}
+
 /// Time that the other requests on a decode engine add: a share per batched request, and the wait
 /// for memory if it is full.
 fn contention_ms(
