Wait for a silent prefill if no other call may be sent in its place

A caller whose prefill took longer than 1.5 s was refused when the bound on retries was used up: the prefill was given up before anything asked whether the run could be sent without it.

Now the prefill is given up only if one more call may be sent, as a silent run already was.

`late_prefill` failed before with 503.

--- a/crates/core/src/decay.rs
+++ b/crates/core/src/decay.rs
@@ -17,6 +17,9 @@
 impl DecayingValue {
     /// The value decayed to `now_ms`.
     pub fn value(&self, now_ms: Millis, half_life_ms: f64) -> f64 {
+        if self.value == 0.0 {
+            return 0.0;
+        }
         self.value * remaining_fraction(now_ms.saturating_sub(self.at_ms), half_life_ms)
     }
 
--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -384,7 +384,7 @@
     }
 
     /// Whether the limit on retries allows another one.
-    pub(super) fn allows_retry(&self, now_ms: Millis, service: &ServiceId) -> bool {
+    pub fn allows_retry(&self, now_ms: Millis, service: &ServiceId) -> bool {
         let instance_count = self.instance_count.max(self.settings.assumed_instance_count);
         let window = self.retry_windows.get(service);
         window.is_none_or(|window| {
--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -28,6 +28,8 @@
     Pause,
     /// Pauses for about a second after the second event that it sends.
     Stall,
+    /// Executes the call and answers after two seconds.
+    AnswerLate,
     /// Executes the call and answers that it failed.
     Fail,
     /// Writes an answer to another request before the answer.
@@ -98,6 +100,8 @@
 const LONG_PAUSE: Duration = Duration::from_millis(700);
 /// A silence after which a sound server may go on.
 const STALL_TIME: Duration = Duration::from_millis(1_200);
+/// Time after which a late answer comes.
+const LATE_ANSWER_TIME: Duration = Duration::from_millis(2_000);
 /// Time between events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -309,7 +313,11 @@
     }
     if is_prefill {
         let body = r#"{"kvHandle":"kv1","tokens":100,"version":1}"#;
-        return RawAnswer::Bytes(with_id("200 OK", "", body));
+        let done = with_id("200 OK", "", body);
+        if behaviour == Behaviour::AnswerLate {
+            return RawAnswer::WithPauses(vec![done], LATE_ANSWER_TIME);
+        }
+        return RawAnswer::Bytes(done);
     }
     if stage.is_some() {
         let after = head.headers.text("Last-Event-Id").and_then(|id| id.parse().ok()).unwrap_or(0);
--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/call_context.rs
@@ -67,6 +67,12 @@
         permit
     }
 
+    /// Whether one more request may be sent to a server now, within the bound on retries.
+    pub fn may_send(&self) -> bool {
+        !self.sends().needs_retry()
+            || self.shared.forwarder().allows_retry(clock::now_ms(), self.service)
+    }
+
     /// What was sent for the call so far.
     pub fn sends(&self) -> MutexGuard<'_, CallSends> {
         self.sends.lock().unwrap_or_else(|_| std::process::abort())
--- a/crates/turmericrail/src/forward/engine_calls.rs
+++ b/crates/turmericrail/src/forward/engine_calls.rs
@@ -1,5 +1,7 @@
 //! Prefill calls to engines, and the timeouts for engines that don't answer.
 
+use std::time::Duration;
+
 use turmericrail_core::forward::{CallEnd, ChosenServer, ModelCallSize, SendPermit};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{KvSource, ServerTask};
@@ -82,9 +84,15 @@
     permit: SendPermit,
 ) -> PrefillResult {
     let guard = CallGuard::start(context.shared, engine);
-    let timeout_ms =
-        silence_timeout_ms(engine).max(context.route.target_ms).min(context.remaining_ms());
-    let prefilled = call_prefill(context, engine, permit, timeout_ms).await;
+    let silence_timeout_ms = silence_timeout_ms(engine).max(context.route.target_ms);
+    let mut calling = Box::pin(call_prefill(context, engine, permit));
+    let limit = Duration::from_millis(silence_timeout_ms.0);
+    let prefilled = match async_std::future::timeout(limit, calling.as_mut()).await {
+        Ok(prefilled) => prefilled,
+        Err(_) if context.may_send() => Err(CallFailure::Silent),
+        // Without another call to fall back on, the silent engine is the only hope.
+        Err(_) => calling.await,
+    };
     let elapsed_ms = guard.elapsed_ms();
     let end = match &prefilled {
         Ok(Some(_)) => CallEnd::Answered,
@@ -111,15 +119,12 @@
     context: &CallContext<'_>,
     engine: &ChosenServer,
     permit: SendPermit,
-    timeout_ms: Millis,
 ) -> Result<Option<String>, CallFailure> {
-    let started_ms = clock::now_ms();
     let bytes = call_bytes(context, engine, &ServerTask::Prefill);
-    let exchange = send_call(context, engine, &bytes, permit, timeout_ms).await?;
+    let exchange = send_call(context, engine, &bytes, permit, context.remaining_ms()).await?;
     let metadata = exchange.metadata.clone();
-    let remaining_ms = (started_ms + timeout_ms).saturating_sub(clock::now_ms());
-    let (head, body) =
-        exchange.read_body(&context.shared.pool, engine.address, remaining_ms).await?;
+    let pool = &context.shared.pool;
+    let (head, body) = exchange.read_body(pool, engine.address, context.remaining_ms()).await?;
     if metadata.is_not_run || !head.is_success() {
         return Ok(None);
     }
--- a/crates/turmericrail/tests/forwarded_streams.rs
+++ b/crates/turmericrail/tests/forwarded_streams.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use forward_support::{ForwardInstance, read_reply, request_text, wait_for};
-use turmericrail_fakes::registered::Behaviour;
+use turmericrail_fakes::registered::{self, Behaviour};
 
 fn complete_stream() -> String {
     (1..=5).map(|number| format!("id: {number}\ndata: token {number}\n\n")).collect()
@@ -141,6 +141,25 @@
     }
 }
 
+#[test]
+fn late_prefill() {
+    // Guards against a prefill that is given up while no other call may be sent in its place: the
+    // caller was refused. Within the bound on retries the decode engine reads the prompt instead.
+    let text = |id| registered::request_text("stream", "x", id, 2_900);
+    let prefill_waited_for = |instance: &ForwardInstance| {
+        let prefill = instance.start_engine("p1", "prefill");
+        let decode = instance.start_engine("d1", "decode");
+        prefill.set_behaviour(Behaviour::AnswerLate);
+        let reply = instance.send(&text("r1")).unwrap();
+        assert_eq!((reply.status(), reply.body), (200, complete_stream()));
+        decode.executed_calls()[0].head.headers.text("X-Kv-Source").is_some()
+    };
+    let without_retries = ForwardInstance::start_with_retry_slack("late-prefill-0", 0);
+    assert!(prefill_waited_for(&without_retries));
+    let with_retries = ForwardInstance::start("late-prefill");
+    assert!(!prefill_waited_for(&with_retries));
+}
+
 #[test]
 fn stalled_engine() {
     // Guards against calls that are sent again because a sound engine was silent for a second; one
