Judge a shutdown only by requests that are sent before the balancer notices

graceful_shutdown failed once at a load of 30 with 503 for 200. A test that is late can't tell anything about the time before: it begins anew, up to five times, and fails if it never is in time. What it asserts is as before.

--- a/crates/turmericrail/tests/forwarding_changes.rs
+++ b/crates/turmericrail/tests/forwarding_changes.rs
@@ -13,6 +13,9 @@
 /// Time within which a watch starts after the store has been read.
 const WATCH_START_TIME: Duration = Duration::from_millis(600);
 
+/// Time in which the load balancer notices that an instance isn't ready: two checks, one a second.
+const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_800);
+
 #[test]
 fn new_configuration() {
     let instance = ForwardInstance::start("new-config");
@@ -63,6 +66,9 @@
     assert!(second.read_log().contains("event=config version=3 "), "{}", second.read_log());
 }
 
+/// Times that a test begins anew because the machine was too busy for it to act in time.
+const MAX_TRIES: usize = 5;
+
 #[test]
 fn silent_reconnect() {
     // After a lost connection, the watch on the next one gets neither an answer nor an error: it
@@ -136,8 +142,9 @@
     assert_eq!(instance.send_request("order", "r1").status(), 200);
 }
 
-#[test]
-fn graceful_shutdown() {
+/// Stops an instance under way. Returns whether the requests were sent before the load balancer must
+/// have noticed; later ones may be refused.
+fn play_graceful_shutdown() -> bool {
     let mut instance = ForwardInstance::start("ordered-end");
     instance.start_engine("p1", "prefill");
     instance.start_engine("d1", "decode");
@@ -153,9 +160,13 @@
     instance.wait_for_log("event=shutdown");
     assert!(!instance.is_ready());
     // The load balancer may not have noticed yet: new and kept-alive connections are still served.
-    assert_eq!(instance.send_request("order", "r3").status(), 200);
+    let reply = instance.send_request("order", "r3");
     kept_stream.write_all(request_text("read", "r4").as_bytes()).unwrap();
     let last_reply = read_reply(&mut kept_stream, &mut buffer).unwrap();
+    if shutdown_started.elapsed() >= BALANCER_NOTICE_TIME {
+        return false;
+    }
+    assert_eq!(reply.status(), 200);
     assert_eq!((last_reply.status(), last_reply.head.is_kept_alive), (200, false));
     assert!(read_reply(&mut stream, &mut Vec::new()).unwrap().is_complete);
     // Late requests are refused, since their answers might not end within the grace time.
@@ -170,6 +181,15 @@
         assert!(Instant::now() < deadline, "the process has not exited");
         std::thread::sleep(Duration::from_millis(50));
     }
+    true
+}
+
+#[test]
+fn graceful_shutdown() {
+    assert!(
+        (0..MAX_TRIES).any(|_| play_graceful_shutdown()),
+        "the requests came too late each time"
+    );
 }
 
 #[test]
