--- a/crates/core/src/forward/call_limit.rs
+++ b/crates/core/src/forward/call_limit.rs
@@ -2,8 +2,8 @@
 //!
 //! Instances don't count each other's calls. Each calls the server only in slots of its own, which
 //! recur with a period that all instances compute alike, from a random start and with a random
-//! deviation, so that a change of the limit doesn't align them. A slot that isn't used soon is lost,
-//! so that instances that were idle don't call the server all at once.
+//! deviation, so that a change of the limit doesn't align them. A slot that isn't used soon is
+//! lost, so that instances that were idle don't call the server all at once.
 
 use crate::membership::rendezvous::stable_hash;
 use crate::units::{CallRate, Millis};
@@ -13,7 +13,6 @@
 const USED_SHARE: f64 = 0.7;
 /// Time for which a slot can be used.
 const SLOT_LIFETIME_MS: Millis = Millis(1_000);
-
 /// Least and greatest time between two slots, as parts of the period.
 const SPACING_RANGE: (f64, f64) = (0.5, 1.5);
 
@@ -23,6 +22,7 @@
     rate: CallRate,
     period_ms: f64,
     next_slot_ms: f64,
+    /// Draws the spacing of the slots.
     random: u64,
 }
 
--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -135,8 +135,8 @@
         self.loads.entry(run.clone()).or_default().record_closed(now_ms + closed_ms);
     }
 
-    /// Records what a server says about its limit on the calls of all instances; returns whether the
-    /// limit began, changed or ended.
+    /// Records what a server says about its limit on the calls of all instances; returns whether
+    /// the limit began, changed or ended.
     pub fn record_limit(
         &mut self,
         now_ms: Millis,
@@ -151,8 +151,8 @@
         &self.call_limits
     }
 
-    /// Whether a call of any kind may be made to a server now. If the server names a limit, the call
-    /// uses a slot of this instance.
+    /// Whether a call of any kind may be made to a server now. If the server names a limit, the
+    /// call uses a slot of this instance.
     pub fn try_take_call(&mut self, now_ms: Millis, run: &ServerRun) -> bool {
         self.closed_for_ms(now_ms, run).is_none() && self.call_limits.try_take(now_ms, run)
     }
@@ -179,8 +179,8 @@
         self.settings.retry_bounds = bounds;
     }
 
-    /// Sets the number of instances that share the limits. For the limit on retries it is never below
-    /// `assumed_instance_count`.
+    /// Sets the number of instances that share the limits. For the limit on retries it is never
+    /// below `assumed_instance_count`.
     pub fn set_instance_count(&mut self, now_ms: Millis, instance_count: usize) {
         self.instance_count = instance_count;
         self.call_limits.set_instance_count(now_ms, instance_count);
--- a/crates/turmericrail/src/forward/engine_selection.rs
+++ b/crates/turmericrail/src/forward/engine_selection.rs
@@ -243,8 +243,8 @@
     let elapsed_ms = context.elapsed_ms();
     let caller_timeout_ms = context.caller_timeout_ms();
     let target_ms = context.route.target_ms;
-    // A call that has missed its target is refused, so that its caller can plan; a wait of more than
-    // a third of the timeout would leave no time for the answer.
+    // A call that has missed its target is refused, so that its caller can plan; a wait of more
+    // than a third of the timeout would leave no time for the answer.
     let max_wait_ms = target_ms.min(Millis(caller_timeout_ms.0 / 3));
     if elapsed_ms > max_wait_ms {
         let is_scarce = context.shared.forwarder().is_scarce(clock::now_ms(), context.service);
--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -283,10 +283,9 @@
 
 pub fn merge_limits(shared: &Shared, limits: &[wire::ServerLimit]) {
     for limit in limits {
-        let rate = limit.calls_per_s.map(CallRate::new);
-        let (Ok(server), Some(rate)) =
-            (limit.server.parse(), rate.map_or(Some(None), |it| it.map(Some)))
-        else {
+        let rate = limit.calls_per_s.and_then(CallRate::new);
+        let is_rate_valid = rate.is_some() == limit.calls_per_s.is_some();
+        let (Ok(server), true) = (limit.server.parse(), is_rate_valid) else {
             spdlog::warn!("event=server_limit_malformed server={:?}", limit.server);
             continue;
         };
--- a/crates/turmericrail/src/forward/server_notices.rs
+++ b/crates/turmericrail/src/forward/server_notices.rs
@@ -1,5 +1,5 @@
-//! What servers say about themselves in any answer: that they are leaving, want no calls for a while,
-//! or take only so many calls a second.
+//! What servers say about themselves in any answer: that they are leaving, want no calls for a
+//! while, or take only so many calls a second.
 
 use turmericrail_core::forward::{LimitStatement, ServerRun};
 use turmericrail_core::units::Millis;
@@ -27,8 +27,8 @@
     }
 }
 
-/// What an answer says of the server's limit. Only a signed answer tells that there is none, as of the
-/// time of the call: an older answer may arrive late.
+/// What an answer says of the server's limit. Only a signed answer tells that there is none, as of
+/// the time of the call: an older answer may arrive late.
 fn limit_statement(
     run: &ServerRun,
     metadata: &AnswerMetadata,
