--- a/crates/core/src/forward/call_sends.rs
+++ b/crates/core/src/forward/call_sends.rs
@@ -1,8 +1,8 @@
 //! What one call has sent to servers, as the bound on retries counts it.
 //!
 //! Every request that reaches a server counts, whether the server runs or refuses it. The first one
-//! of a call is free, and so is the first prefill that an engine completes; each further one needs a
-//! retry of the bound before it is sent.
+//! of a call is free, and so is the first prefill that an engine completes; each further one needs
+//! a retry of the bound before it is sent.
 
 /// Permission to send one request of a call to a server; sending uses it up.
 #[derive(Debug)]
--- a/crates/core/src/forward/retry_window.rs
+++ b/crates/core/src/forward/retry_window.rs
@@ -91,8 +91,8 @@
     Millis((bounds.window_ms.0 / BUCKET_COUNT).max(1))
 }
 
-/// Start of the oldest interval whose retries count: one interval before the window, so that any span
-/// of its length is covered.
+/// Start of the oldest interval whose retries count: one interval before the window, so that any
+/// span of its length is covered.
 fn oldest_bucket_ms(now_ms: Millis, bounds: &RetryBounds) -> Millis {
     now_ms.saturating_sub(bounds.window_ms + bucket_length_ms(bounds))
 }
--- a/crates/core/src/forward/server_selection.rs
+++ b/crates/core/src/forward/server_selection.rs
@@ -15,8 +15,8 @@
 
 /// Cost of one recent failure of a server: about the duration of a retried call.
 const FAILURE_PENALTY_MS: f64 = 250.0;
-/// Cost of a call that fails at an engine: about the time of another try with a prefill, if the limit
-/// on retries allows one.
+/// Cost of a call that fails at an engine: about the time of another try with a prefill, if the
+/// limit on retries allows one.
 const ENGINE_FAILURE_COST_MS: f64 = 1_000.0;
 /// Probability of a failed prefill above which the decode engine reads the prompt if no retry is
 /// left for the run after a failure.
@@ -327,8 +327,8 @@
     }
 }
 
-/// Expected cost of a failure at an engine. Engines that answered lately are preferred to unknown ones
-/// while others of the service fail.
+/// Expected cost of a failure at an engine. Engines that answered lately are preferred to unknown
+/// ones while others of the service fail.
 fn failure_cost_ms(now_ms: Millis, candidate: &Candidate<'_>, prior: f64) -> f64 {
     candidate.load.failure_probability(now_ms, prior) * ENGINE_FAILURE_COST_MS
 }
--- a/crates/fakes/src/registered/store.rs
+++ b/crates/fakes/src/registered/store.rs
@@ -122,8 +122,8 @@
         StoreCopy { items: state.items.clone(), revision: state.revision }
     }
 
-    /// Goes back to a copy: later changes are lost, their revisions are given out again, and the era
-    /// rises. Open watches stay open.
+    /// Goes back to a copy: later changes are lost, their revisions are given out again, and the
+    /// era rises. Open watches stay open.
     pub fn restore(&self, copy: StoreCopy) {
         self.update(|state| {
             state.items = copy.items;
--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/call_context.rs
@@ -23,6 +23,7 @@
     pub service: &'a ServiceId,
     /// Monotonic time by which the request must be answered.
     pub deadline_ms: Millis,
+    /// What was sent for the call so far; see [`CallContext::sends`].
     pub sends: Mutex<CallSends>,
 }
 
@@ -73,7 +74,7 @@
             || self.shared.forwarder().allows_retry(clock::now_ms(), self.service)
     }
 
-    /// What was sent for the call so far.
+    /// Locks the record of what was sent; never while the forwarder is locked.
     pub fn sends(&self) -> MutexGuard<'_, CallSends> {
         self.sends.lock().unwrap_or_else(|_| std::process::abort())
     }
--- a/crates/turmericrail/src/forward/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/engine_attempt.rs
@@ -101,8 +101,8 @@
         if self.is_movable { remaining_ms.min(silence_timeout_ms) } else { remaining_ms }
     }
 
-    /// Moves the call to another engine. If none is free, the call stays at the silent engine: silence alone
-    /// doesn't end an answer.
+    /// Moves the call to another engine. If none is free, the call stays at the silent engine:
+    /// silence alone doesn't end an answer.
     async fn move_call(&mut self, context: &CallContext<'_>) -> Option<EngineAttemptEnd> {
         if !std::mem::take(&mut self.is_movable) || context.remaining_ms() == Millis::ZERO {
             return None;
--- a/crates/turmericrail/src/forward/store_follow.rs
+++ b/crates/turmericrail/src/forward/store_follow.rs
@@ -1,5 +1,5 @@
-//! Follows an instance that watches the platform's store, so that calls to the store don't grow with
-//! the number of instances.
+//! Follows an instance that watches the platform's store, so that calls to the store don't grow
+//! with the number of instances.
 //!
 //! In each data centre a few instances watch the store. The others ask one of these at a time, at
 //! random, for what is new; each call waits until there is something. An instance that finds no
--- a/crates/turmericrail/tests/forwarding_changes.rs
+++ b/crates/turmericrail/tests/forwarding_changes.rs
@@ -98,8 +98,8 @@
 #[test]
 fn silent_reconnect() {
     // After a lost connection, the watch on the next one gets neither an answer nor an error: it
-    // must be abandoned within the time in which an instance has to catch up. A later watch is known
-    // to have a working connection and may last longer.
+    // must be abandoned within the time in which an instance has to catch up. A later watch is
+    // known to have a working connection and may last longer.
     assert!((0..MAX_TRIES).any(|_| play_silent_reconnect()), "the fault came too late each time");
 }
 
@@ -156,8 +156,8 @@
     assert_eq!(instance.send_request("order", "r1").status(), 200);
 }
 
-/// Stops an instance under way. Returns whether the requests were sent before the load balancer must
-/// have noticed; later ones may be refused.
+/// Stops an instance under way. Returns whether the requests were sent before the load balancer
+/// must have noticed; later ones may be refused.
 fn play_graceful_shutdown() -> bool {
     let mut instance = ForwardInstance::start("ordered-end");
     instance.start_engine("p1", "prefill");
