--- a/crates/turmericrail/tests/forwarded_streams.rs
+++ b/crates/turmericrail/tests/forwarded_streams.rs
@@ -174,17 +174,22 @@
         arrived.filter(|arrival| arrival.request_id == id).count()
     };
     assert_eq!(arrivals("r1"), 1);
-    engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::Answer));
-    engines[0].set_behaviour(Behaviour::NeverAnswer);
-    for number in 0..8 {
-        let id = format!("q{number}");
-        let reply = instance.send_request("resumable", &id);
-        assert_eq!((reply.is_complete, reply.body), (true, complete_stream()));
-        if arrivals(&id) == 2 {
-            return;
-        }
-    }
-    panic!("the silent engine was never chosen");
+    // The other engine is full until the silent one has got the call.
+    let [silent, other] = &engines;
+    silent.set_behaviour(Behaviour::NeverAnswer);
+    other.set_behaviour(Behaviour::Answer);
+    other.set_full(true);
+    let reply = std::thread::scope(|scope| {
+        let reply =
+            scope.spawn(|| instance.send(&registered::request_text("resumable", "x", "r2", 2_900)));
+        forward_support::wait_for("the call at the silent engine", || {
+            silent.arrivals().iter().any(|arrival| arrival.request_id == "r2")
+        });
+        other.set_full(false);
+        reply.join().unwrap().unwrap()
+    });
+    assert_eq!((reply.is_complete, reply.body), (true, complete_stream()));
+    assert_eq!(arrivals("r2"), 2);
 }
 
 #[test]
