Relay: an instance that follows another one says so when it is followed

Cause: a following instance replied like a watching one, so the delays of both added up. Two with old lists could even follow each other. The functions that shared the clients are now methods of Follower.

--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -196,11 +196,18 @@
             let newer: Vec<_> =
                 message.known.iter().filter_map(|known| relay.items_newer_than(known)).collect();
             let is_store_lost = self.shared.is_store_lost();
+            // Waiting here for what this instance waits for elsewhere would add the delays up.
+            let is_following = self.shared.follow_state.is_following();
             let remaining_ms = end_ms.saturating_sub(clock::now_ms());
-            if !newer.is_empty() || is_store_lost || remaining_ms == Millis::ZERO {
-                let leaving = list_leaving(&self.shared);
-                let limits = list_limits(&self.shared);
-                return Ok(Response::new(FollowReply { newer, is_store_lost, leaving, limits }));
+            let is_due = is_store_lost || is_following || remaining_ms == Millis::ZERO;
+            if !newer.is_empty() || is_due {
+                return Ok(Response::new(FollowReply {
+                    newer,
+                    is_store_lost,
+                    leaving: list_leaving(&self.shared),
+                    limits: list_limits(&self.shared),
+                    is_following,
+                }));
             }
             let timeout = Duration::from_millis(remaining_ms.0);
             let _ = async_std::future::timeout(timeout, change.recv()).await;
--- a/crates/turmericrail/src/forward/store_follow.rs
+++ b/crates/turmericrail/src/forward/store_follow.rs
@@ -24,11 +24,13 @@
 use super::store_sync;
 
 /// Time for which a call waits for changes; an instance that is silent is noticed after it.
-const FOLLOW_WAIT_MS: u64 = 1_000;
-/// Longest wait for the reply.
-const FOLLOW_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Watching instances that are asked in one round.
-const MAX_ATTEMPTS: usize = 3;
+const FOLLOW_WAIT: Duration = Duration::from_millis(1_000);
+/// Time allowed beyond the wait for the reply to arrive.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Watching instances of this data centre that are asked in one round.
+const MAX_LOCAL_ATTEMPTS: usize = 2;
+/// Watching instances of other data centres, which may read the store when this one can't.
+const MAX_REMOTE_ATTEMPTS: usize = 1;
 /// Time between rounds while no watching instance can read the store.
 const LOST_INTERVAL: Duration = Duration::from_millis(400);
 /// Share of these rounds after which this instance tries the store itself.
@@ -38,18 +40,22 @@
 /// Time between checks whether an instance that is to watch still is, as members come and go.
 const WATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
-type Clients = BTreeMap<SocketAddr, RelayClient<Channel>>;
+/// Asks watching instances for what is new.
+struct Follower {
+    shared: Arc<Shared>,
+    clients: BTreeMap<SocketAddr, RelayClient<Channel>>,
+}
 
 /// Follows other instances in an endless loop.
 pub async fn run(shared: Arc<Shared>) {
-    let mut clients = Clients::new();
+    let mut follower = Follower { shared: Arc::clone(&shared), clients: BTreeMap::new() };
     loop {
-        let Some(watchers) = watchers(&shared) else {
+        if is_watcher(&shared) {
             shared.follow_state.set_following(false);
             task::sleep(WATCHER_CHECK_INTERVAL).await;
             continue;
-        };
-        let is_following = match follow_any(&shared, &mut clients, watchers).await {
+        }
+        let is_following = match follower.follow_any().await {
             Some(false) => true,
             Some(true) => {
                 task::sleep(LOST_INTERVAL.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
@@ -64,77 +70,113 @@
     }
 }
 
-/// Asks watching instances until one replies that can read the store. Returns whether all that
-/// replied have lost the store; `None` if none replied.
-async fn follow_any(
-    shared: &Shared,
-    clients: &mut Clients,
-    watchers: Vec<SocketAddr>,
-) -> Option<bool> {
-    let mut is_lost = None;
-    for address in watchers.into_iter().take(MAX_ATTEMPTS) {
-        let following =
-            async_std::future::timeout(FOLLOW_TIMEOUT, follow(shared, clients, address));
+/// Whether this instance is to watch the store.
+fn is_watcher(shared: &Shared) -> bool {
+    let data_centre = &shared.settings().data_centre;
+    shared.relay.members().watchers(data_centre, true).contains(&Watcher::Own)
+}
+
+impl Follower {
+    /// Asks watching instances until one replies that can read the store. Returns whether all that
+    /// replied have lost the store; `None` if none replied.
+    async fn follow_any(&mut self) -> Option<bool> {
+        let (local, remote) = self.choose_watchers();
+        let is_lost = match self.ask_in_turn(local, MAX_LOCAL_ATTEMPTS, FOLLOW_WAIT).await {
+            Some(false) => Some(false),
+            Some(true) => {
+                let is_lost = self.ask_in_turn(remote, MAX_REMOTE_ATTEMPTS, FOLLOW_WAIT).await;
+                is_lost.or(Some(true))
+            }
+            None => self.ask_in_turn(remote, MAX_REMOTE_ATTEMPTS, FOLLOW_WAIT).await,
+        };
+        if let Some(is_lost) = is_lost {
+            store_sync::record_store_access(&self.shared, is_lost);
+        }
+        is_lost
+    }
+
+    /// Asks instances in turn, as [`Self::follow_any`] does. Those that follow another one count
+    /// neither as a reply nor as an attempt.
+    async fn ask_in_turn(
+        &mut self,
+        watchers: Vec<SocketAddr>,
+        max_attempts: usize,
+        wait: Duration,
+    ) -> Option<bool> {
+        let mut is_lost = None;
+        let mut attempts = 0;
+        for address in watchers {
+            if attempts == max_attempts || is_lost == Some(false) {
+                break;
+            }
+            let Some(reply) = self.ask(address, wait).await else {
+                attempts += 1;
+                continue;
+            };
+            if reply.is_following {
+                continue;
+            }
+            attempts += 1;
+            is_lost = Some(reply.is_store_lost);
+        }
+        is_lost
+    }
+
+    /// The other watching instances of this data centre and those of the other ones, in the order in
+    /// which to ask them.
+    fn choose_watchers(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let settings = self.shared.settings();
+        let members = self.shared.relay.members();
+        let mut local = addresses(members.watchers(&settings.data_centre, true));
+        let others = members.data_centres();
+        let others = others.into_iter().filter(|data_centre| **data_centre != settings.data_centre);
+        let mut remote: Vec<_> =
+            others.flat_map(|other| addresses(members.watchers(other, false))).collect();
+        drop(members);
+        fastrand::shuffle(&mut local);
+        fastrand::shuffle(&mut remote);
+        (local, remote)
+    }
+
+    /// Asks an instance for what is new and applies it; `None` if it doesn't reply.
+    async fn ask(&mut self, address: SocketAddr, wait: Duration) -> Option<FollowReply> {
+        let following = async_std::future::timeout(wait + REPLY_TIMEOUT, self.call(address, wait));
         let reply = following.await.unwrap_or_else(|_| Err(Status::deadline_exceeded("no reply")));
-        let reply = match reply {
+        let mut reply = match reply {
             Ok(reply) => reply,
             Err(status) => {
-                clients.remove(&address);
+                self.clients.remove(&address);
                 let problem = status.message();
                 spdlog::debug!("event=follow_failed peer={address} problem={problem:?}");
-                continue;
+                return None;
             }
         };
-        relay::merge_leaving(shared, &reply.leaving);
-        relay::merge_limits(shared, &reply.limits);
-        relay::apply_newer(shared, address, reply.newer);
-        is_lost = Some(reply.is_store_lost);
-        if !reply.is_store_lost {
-            break;
-        }
+        relay::merge_leaving(&self.shared, &reply.leaving);
+        relay::merge_limits(&self.shared, &reply.limits);
+        relay::apply_newer(&self.shared, address, std::mem::take(&mut reply.newer));
+        Some(reply)
     }
-    if let Some(is_lost) = is_lost {
-        store_sync::record_store_access(shared, is_lost);
+
+    async fn call(&mut self, address: SocketAddr, wait: Duration) -> Result<FollowReply, Status> {
+        let mut client = match self.clients.get(&address) {
+            Some(client) => client.clone(),
+            None => relay::connect(address).await?,
+        };
+        self.clients.insert(address, client.clone());
+        let request = FollowRequest {
+            known: self.shared.relay.known_sets(),
+            wait_ms: wait.as_millis() as u64,
+            limits: relay::list_limits(&self.shared),
+        };
+        Ok(client.follow(Request::new(request)).await?.into_inner())
     }
-    is_lost
 }
 
-/// The instances to ask, those of this data centre first; `None` if this instance is to watch.
-fn watchers(shared: &Shared) -> Option<Vec<SocketAddr>> {
-    let settings = shared.settings();
-    let members = shared.relay.members();
-    let mut local = members.watchers(&settings.data_centre, true);
-    if local.contains(&Watcher::Own) {
-        return None;
-    }
-    fastrand::shuffle(&mut local);
-    // The last attempt goes to another data centre, which may read the store when this one can't.
-    local.truncate(MAX_ATTEMPTS - 1);
-    let others = members.data_centres();
-    let others = others.into_iter().filter(|data_centre| **data_centre != settings.data_centre);
-    let mut remote: Vec<_> = others.flat_map(|it| members.watchers(it, false)).collect();
-    fastrand::shuffle(&mut remote);
+/// Addresses of the other instances among watching ones.
+fn addresses(watchers: Vec<Watcher>) -> Vec<SocketAddr> {
     let address = |watcher: Watcher| match watcher {
         Watcher::Own => None,
         Watcher::Other(address) => Some(address),
     };
-    Some(local.into_iter().chain(remote).filter_map(address).collect())
-}
-
-async fn follow(
-    shared: &Shared,
-    clients: &mut Clients,
-    address: SocketAddr,
-) -> Result<FollowReply, Status> {
-    let mut client = match clients.get(&address) {
-        Some(client) => client.clone(),
-        None => relay::connect(address).await?,
-    };
-    clients.insert(address, client.clone());
-    let request = FollowRequest {
-        known: shared.relay.known_sets(),
-        wait_ms: FOLLOW_WAIT_MS,
-        limits: relay::list_limits(shared),
-    };
-    Ok(client.follow(Request::new(request)).await?.into_inner())
+    watchers.into_iter().filter_map(address).collect()
 }
--- a/crates/turmericrail/tests/store_followers.rs
+++ b/crates/turmericrail/tests/store_followers.rs
@@ -7,6 +7,8 @@
 
 use forward_support::{ForwardInstance, configuration, wait_for, wait_within};
 use turmericrail_fakes::registered::FakeStore;
+use turmericrail_wire::relay::FollowRequest;
+use turmericrail_wire::relay::relay_client::RelayClient;
 
 const FLEET: u8 = 8;
 /// Instances of a data centre that watch the store.
@@ -15,6 +17,8 @@
 const MEMBERS_LIMIT: Duration = Duration::from_secs(30);
 /// Time within which every instance must know a change.
 const CHANGE_LIMIT: Duration = Duration::from_secs(4);
+/// Wait that a call asks for, much longer than an immediate reply takes.
+const FOLLOW_WAIT_MS: u64 = 4_000;
 
 /// Starts instances that share the first one's store, and waits until each knows all and the
 /// others follow the watching ones.
@@ -80,3 +84,17 @@
         instance.signal("CONT");
     }
 }
+
+#[async_std::test]
+async fn asked_follower() {
+    // Guards against delays that add up where an instance follows one that follows another.
+    let fleet = start_fleet("asked-follower");
+    let follower = &fleet[following(&fleet)[0]];
+    let address = format!("http://{}", follower.peer_address);
+    let mut client = RelayClient::connect(address).await.unwrap();
+    let request = FollowRequest { wait_ms: FOLLOW_WAIT_MS, ..FollowRequest::default() };
+    let asked_at = Instant::now();
+    let reply = client.follow(request).await.unwrap().into_inner();
+    assert!(asked_at.elapsed() < Duration::from_millis(FOLLOW_WAIT_MS / 2));
+    assert!(reply.is_following);
+}
