Follow: after a silent watcher, the next one is asked without waiting

Two frozen watchers were each given 1.5 s, one after the other, of which 1 s is the wait for changes, and one of another data centre 1.5 s more: up to 4.5 s until an instance watched the store itself, of the 4 s that lost_watchers allows. An instance that replies at all does so at once when it is told not to wait, so those after a silent one get 0.5 s: 2.0 s for two, 2.5 s for three. Instances that were silent in the last 10 s are asked after the others, so that a round seldom starts with one while some watchers are lost.

--- a/crates/turmericrail/src/forward/store_follow.rs
+++ b/crates/turmericrail/src/forward/store_follow.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use tonic::transport::Channel;
@@ -31,6 +31,8 @@
 const MAX_LOCAL_ATTEMPTS: usize = 2;
 /// Watching instances of other data centres, which may read the store when this one can't.
 const MAX_REMOTE_ATTEMPTS: usize = 1;
+/// Time for which others are asked before an instance that didn't reply.
+const SILENCE_PERIOD: Duration = Duration::from_millis(10_000);
 /// Time between rounds while no watching instance can read the store.
 const LOST_INTERVAL: Duration = Duration::from_millis(400);
 /// Share of these rounds after which this instance tries the store itself.
@@ -44,11 +46,14 @@
 struct Follower {
     shared: Arc<Shared>,
     clients: BTreeMap<SocketAddr, RelayClient<Channel>>,
+    /// Instances that didn't reply, and until when others are asked first.
+    silent_until: BTreeMap<SocketAddr, Instant>,
 }
 
 /// Follows other instances in an endless loop.
 pub async fn run(shared: Arc<Shared>) {
-    let mut follower = Follower { shared: Arc::clone(&shared), clients: BTreeMap::new() };
+    let (clients, silent_until) = (BTreeMap::new(), BTreeMap::new());
+    let mut follower = Follower { shared: Arc::clone(&shared), clients, silent_until };
     loop {
         if is_watcher(&shared) {
             shared.follow_state.set_following(false);
@@ -87,7 +92,7 @@
                 let is_lost = self.ask_in_turn(remote, MAX_REMOTE_ATTEMPTS, FOLLOW_WAIT).await;
                 is_lost.or(Some(true))
             }
-            None => self.ask_in_turn(remote, MAX_REMOTE_ATTEMPTS, FOLLOW_WAIT).await,
+            None => self.ask_in_turn(remote, MAX_REMOTE_ATTEMPTS, Duration::ZERO).await,
         };
         if let Some(is_lost) = is_lost {
             store_sync::record_store_access(&self.shared, is_lost);
@@ -101,7 +106,7 @@
         &mut self,
         watchers: Vec<SocketAddr>,
         max_attempts: usize,
-        wait: Duration,
+        mut wait: Duration,
     ) -> Option<bool> {
         let mut is_lost = None;
         let mut attempts = 0;
@@ -111,6 +116,8 @@
             }
             let Some(reply) = self.ask(address, wait).await else {
                 attempts += 1;
+                // Changes may have been missed meanwhile: the next one is to reply at once.
+                wait = Duration::ZERO;
                 continue;
             };
             if reply.is_following {
@@ -124,7 +131,7 @@
 
     /// The other watching instances of this data centre and those of the other ones, in the order in
     /// which to ask them.
-    fn choose_watchers(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    fn choose_watchers(&mut self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let settings = self.shared.settings();
         let members = self.shared.relay.members();
         let mut local = addresses(members.watchers(&settings.data_centre, true));
@@ -133,8 +140,12 @@
         let mut remote: Vec<_> =
             others.flat_map(|other| addresses(members.watchers(other, false))).collect();
         drop(members);
-        fastrand::shuffle(&mut local);
-        fastrand::shuffle(&mut remote);
+        let now = Instant::now();
+        self.silent_until.retain(|_, until| *until > now);
+        for watchers in [&mut local, &mut remote] {
+            fastrand::shuffle(watchers);
+            watchers.sort_by_key(|address| self.silent_until.contains_key(address));
+        }
         (local, remote)
     }
 
@@ -146,11 +157,13 @@
             Ok(reply) => reply,
             Err(status) => {
                 self.clients.remove(&address);
+                self.silent_until.insert(address, Instant::now() + SILENCE_PERIOD);
                 let problem = status.message();
                 spdlog::debug!("event=follow_failed peer={address} problem={problem:?}");
                 return None;
             }
         };
+        self.silent_until.remove(&address);
         relay::merge_leaving(&self.shared, &reply.leaving);
         relay::merge_limits(&self.shared, &reply.limits);
         relay::apply_newer(&self.shared, address, std::mem::take(&mut reply.newer));
