Follow: the watching instances follow each other, so that a dead watch costs no delay

Cause: instances that watch the store hear each other only in exchanges, 3 s apart and with a random member. Now each holds a follow call of 4 s at another watching one, which replies at the first change. Such a call costs as much as those of following instances, at a quarter of their number. Announcing each change to every watching instance was the other choice: it costs calls to all of them for each change, and a lost one is not noticed.

--- a/crates/turmericrail/src/forward/store_follow.rs
+++ b/crates/turmericrail/src/forward/store_follow.rs
@@ -6,6 +6,9 @@
 //! watching one that can be reached watches the store itself for a while. If those that are reached
 //! can't read the store, the instance goes on to follow them and now and then tries the store
 //! itself, since it may be served.
+//!
+//! The watching instances follow each other too: one whose watch has failed without a sign learns
+//! of changes from the others.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,6 +16,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use futures_lite::FutureExt;
 use tonic::transport::Channel;
 use tonic::{Request, Status};
 use turmericrail_core::forward::Watcher;
@@ -25,6 +29,8 @@
 
 /// Time for which a call waits for changes; an instance that is silent is noticed after it.
 const FOLLOW_WAIT: Duration = Duration::from_millis(1_000);
+/// Time for which a call between watching instances waits for changes.
+const WATCHER_WAIT: Duration = Duration::from_millis(4_000);
 /// Time allowed beyond the wait for the reply to arrive.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Watching instances of this data centre that are asked in one round.
@@ -41,6 +47,8 @@
 const OWN_WATCH_PERIOD: Duration = Duration::from_millis(4_000);
 /// Time between checks whether an instance that is to watch still is, as members come and go.
 const WATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between calls of a watching instance, so that changes in quick succession cost one call.
+const WATCHER_CALL_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Asks watching instances for what is new.
 struct Follower {
@@ -57,7 +65,7 @@
     loop {
         if is_watcher(&shared) {
             shared.follow_state.set_following(false);
-            task::sleep(WATCHER_CHECK_INTERVAL).await;
+            follower.follow_as_watcher().or(wait_until_follower(&shared)).await;
             continue;
         }
         let is_following = match follower.follow_any().await {
@@ -81,6 +89,12 @@
     shared.relay.members().watchers(data_centre, true).contains(&Watcher::Own)
 }
 
+async fn wait_until_follower(shared: &Shared) {
+    while is_watcher(shared) {
+        task::sleep(WATCHER_CHECK_INTERVAL).await;
+    }
+}
+
 impl Follower {
     /// Asks watching instances until one replies that can read the store. Returns whether all that
     /// replied have lost the store; `None` if none replied.
@@ -129,6 +143,21 @@
         is_lost
     }
 
+    /// Follows another watching instance in an endless loop, since the own watch may get neither
+    /// changes nor an error.
+    async fn follow_as_watcher(&mut self) {
+        loop {
+            let reply = match self.choose_watchers().0.first() {
+                Some(&address) => self.ask(address, WATCHER_WAIT).await,
+                None => None,
+            };
+            let is_watching =
+                reply.is_some_and(|reply| !reply.is_following && !reply.is_store_lost);
+            let interval = if is_watching { WATCHER_CALL_INTERVAL } else { WATCHER_CHECK_INTERVAL };
+            task::sleep(interval.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+        }
+    }
+
     /// The other watching instances of this data centre and those of the other ones, in the order in
     /// which to ask them.
     fn choose_watchers(&mut self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
--- a/crates/turmericrail/tests/store_followers.rs
+++ b/crates/turmericrail/tests/store_followers.rs
@@ -7,6 +7,7 @@
 
 use forward_support::{ForwardInstance, configuration, wait_for, wait_within};
 use turmericrail_fakes::registered::FakeStore;
+use turmericrail_fakes::{Fault, FaultProxy, FaultScope};
 use turmericrail_wire::relay::FollowRequest;
 use turmericrail_wire::relay::relay_client::RelayClient;
 
@@ -17,6 +18,8 @@
 const MEMBERS_LIMIT: Duration = Duration::from_secs(30);
 /// Time within which every instance must know a change.
 const CHANGE_LIMIT: Duration = Duration::from_secs(4);
+/// Time within which an instance whose own watch is dead must know a change.
+const DEAD_WATCH_LIMIT: Duration = Duration::from_secs(2);
 /// Wait that a call asks for, much longer than an immediate reply takes.
 const FOLLOW_WAIT_MS: u64 = 4_000;
 
@@ -98,3 +101,26 @@
     assert!(asked_at.elapsed() < Duration::from_millis(FOLLOW_WAIT_MS / 2));
     assert!(reply.is_following);
 }
+
+#[test]
+fn dead_watches() {
+    // Guards against changes that are learned late because the own watch gets neither them nor an
+    // error.
+    let first = ForwardInstance::start("dead-watches-1");
+    let proxy = async_std::task::block_on(FaultProxy::start(first.store.address())).unwrap();
+    let start_peer = |number: u8| {
+        let name = format!("dead-watches-{number}");
+        first.start_numbered_peer(&name, number, FakeStore::start().unwrap(), proxy.address)
+    };
+    let others: Vec<_> = (2..=WATCHERS as u8).map(start_peer).collect();
+    for instance in others.iter().chain([&first]) {
+        instance.wait_for_log(&format!("event=members_changed count={WATCHERS} "));
+    }
+    proxy.add_fault(Fault::DropAll, FaultScope::All, |_| true);
+    let published_at = Instant::now();
+    first.store.publish(&configuration(2));
+    for instance in &others {
+        instance.wait_for_log("event=config version=2 ");
+    }
+    assert!(published_at.elapsed() < DEAD_WATCH_LIMIT, "{:?}", published_at.elapsed());
+}
