Node: an owner that has not answered a first slot request is given up after 0.3 s

Traced before: the owners of two engines in turn were behind connections that had fallen silent, 0.8 s each, of a target of 2 s.

Cause: of the 0.8 s, 0.5 s are the interval at which a queued request is repeated. An owner answers every request at once, so a first one that got no answer was given 0.5 s in which nothing could come. Now only a request that its owner has queued gets them; the stage says which one it is.

--- a/crates/core/src/node/owner_requests.rs
+++ b/crates/core/src/node/owner_requests.rs
@@ -55,7 +55,7 @@
         let backlog_ms = self.prefill_backlog_ms(&server) + work_ms;
         self.record_prefill_backlog(&server, backlog_ms);
         let now_ms = self.now.monotonic_ms;
-        self.set_stage(request, Stage::AskingSlot { since_ms: now_ms });
+        self.set_stage(request, Stage::AskingSlot { since_ms: now_ms, is_queued: false });
         if let Some(flow) = self.flows.get_mut(&request) {
             flow.prefill_server = Some(server);
             flow.work_tokens = work_tokens;
@@ -99,7 +99,7 @@
             Some(Stage::AskingSlot { .. }) if is_prefill && is_queued => {
                 self.record_prefill_backlog(&seat.server, wait_ms);
                 let since_ms = self.now.monotonic_ms;
-                self.set_stage(request, Stage::AskingSlot { since_ms });
+                self.set_stage(request, Stage::AskingSlot { since_ms, is_queued: true });
             }
             Some(Stage::AskingSlot { .. }) if is_prefill => {
                 self.handle_slot_refused(request, seat.server, wait_ms);
@@ -294,7 +294,7 @@
             let Some(flow) = self.flows.get(&request) else {
                 continue;
             };
-            let (Stage::AskingSlot { since_ms }
+            let (Stage::AskingSlot { since_ms, .. }
             | Stage::Asking { since_ms }
             | Stage::Reseating { since_ms }) = flow.stage
             else {
@@ -309,17 +309,15 @@
                 self.request_seat(request);
                 continue;
             }
-            let is_queued = matches!(flow.stage, Stage::AskingSlot { .. });
-            let silence_ms = now_ms - since_ms;
+            // Only a queued request is repeated; any other one is answered at once.
+            let is_queued = matches!(flow.stage, Stage::AskingSlot { is_queued: true, .. });
+            let repeat_after_ms = if is_queued { SLOT_REQUEST_INTERVAL_MS } else { Millis::ZERO };
             let is_repeat_due =
                 is_queued && now_ms - flow.stage_since_ms >= SLOT_REQUEST_INTERVAL_MS;
-            if silence_ms
-                > OWNER_REPLY_TIMEOUT_MS
-                    + if is_queued { SLOT_REQUEST_INTERVAL_MS } else { Millis::ZERO }
-            {
+            if now_ms - since_ms > OWNER_REPLY_TIMEOUT_MS + repeat_after_ms {
                 self.handle_silent_owner(request);
             } else if is_repeat_due {
-                self.set_stage(request, Stage::AskingSlot { since_ms });
+                self.set_stage(request, Stage::AskingSlot { since_ms, is_queued });
                 self.send_slot_request(request);
             }
         }
--- a/crates/core/src/request/flow.rs
+++ b/crates/core/src/request/flow.rs
@@ -19,6 +19,8 @@
     AskingSlot {
         /// When the owner last answered, or the first request was sent.
         since_ms: Millis,
+        /// Whether the owner has answered that the request is queued.
+        is_queued: bool,
     },
     /// Waits for a seat, for which the owner of a decode engine was asked.
     Asking { since_ms: Millis },
