--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -260,7 +260,7 @@
     ) -> Option<SendPermit> {
         if sends.needs_retry() {
             let bounds = self.retry_bounds_at(now_ms);
-            let instance_count = self.instance_count.max(self.settings.assumed_instance_count);
+            let instance_count = self.sharing_instance_count();
             let window = self.retry_windows.entry(service.clone()).or_default();
             if !window.try_record_retry(now_ms, &bounds, instance_count) {
                 return None;
@@ -270,6 +270,11 @@
         Some(sends.record_send())
     }
 
+    /// Instances that share the limits on retries; never fewer than the settings assume.
+    fn sharing_instance_count(&self) -> usize {
+        self.instance_count.max(self.settings.assumed_instance_count)
+    }
+
     /// The limits on retries. In the first window after its start an instance has no slack, since
     /// its predecessor may have used it up.
     fn retry_bounds_at(&self, now_ms: Millis) -> RetryBounds {
@@ -385,10 +390,10 @@
 
     /// Whether the limit on retries allows another one.
     pub fn allows_retry(&self, now_ms: Millis, service: &ServiceId) -> bool {
-        let instance_count = self.instance_count.max(self.settings.assumed_instance_count);
+        let bounds = self.retry_bounds_at(now_ms);
         let window = self.retry_windows.get(service);
         window.is_none_or(|window| {
-            window.allows_retry(now_ms, &self.retry_bounds_at(now_ms), instance_count)
+            window.allows_retry(now_ms, &bounds, self.sharing_instance_count())
         })
     }
 
--- a/crates/core/tests/call_limits.rs
+++ b/crates/core/tests/call_limits.rs
@@ -4,7 +4,7 @@
 mod forward_support;
 
 use forward_support::{
-    forwarder, server_entry, server_number, server_update, service_id, started_forwarder,
+    forwarder, mixed, server_entry, server_number, server_update, service_id, started_forwarder,
 };
 use turmericrail_core::config::ServerRole::Plain;
 use turmericrail_core::forward::{Forwarder, LimitStatement, ServerRun};
@@ -24,12 +24,6 @@
     LimitStatement { run: limited_run(), rate, age_ms: Millis(age_ms) }
 }
 
-/// Numbers that look random and are the same in every run.
-fn mixed(number: u64) -> u64 {
-    let mixed = number.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
-}
-
 /// Instances that all know a server and each other.
 fn fleet(instance_count: usize) -> Vec<Forwarder> {
     let start = |_| {
--- a/crates/core/tests/engine_reliability.rs
+++ b/crates/core/tests/engine_reliability.rs
@@ -2,7 +2,7 @@
 
 mod forward_support;
 
-use forward_support::{RETRY_BOUNDS, forwarder, model_call_size, server_number, service_id};
+use forward_support::{RETRY_BOUNDS, forwarder, mixed, model_call_size, server_number, service_id};
 use turmericrail_core::config::ServerRole::{self, Decode, Prefill};
 use turmericrail_core::forward::{CallEnd, CallSends, ChosenServer, Forwarder, RetryBounds};
 use turmericrail_core::units::Millis;
@@ -16,12 +16,6 @@
 /// Time of a prefill at an engine of average load.
 const PREFILL_MS: u64 = 100;
 
-/// Numbers that look random and are the same in every run.
-fn mixed(number: u64) -> u64 {
-    let mixed = number.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
-}
-
 fn is_refused(choice: &ChosenServer, call: u64) -> bool {
     let draw = mixed(call ^ 0xabcd) as f64 / u64::MAX as f64;
     server_number(choice) <= FAILING_ENGINES && draw < REFUSED_SHARE
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -21,6 +21,12 @@
     idle_timeout_ms: Millis(15_000),
 };
 
+/// Numbers that look random and are the same in every run.
+pub fn mixed(number: u64) -> u64 {
+    let mixed = number.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
+
 pub fn service_id() -> ServiceId {
     "desk".parse().unwrap()
 }
