Relay: instances that know the same members tell each other only the ages

CAPACITY.md listed it as over: each exchange carried all members both ways, 13 KB each at 320 instances, of 5 KB a second allowed. A request now states a hash of the members and their ages in the order of their ids; a reply to the same hash holds ages too, any other one the members, and the caller then tells its own list in a second request. Instances of earlier releases state no hash and get the list as before.

A random part of the list in each exchange was the other choice: of 320 members it would leave some unheard for longer than they are kept.

--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -30,6 +30,7 @@
 mod operator_endpoints;
 mod plain_call;
 mod relay;
+mod relay_members;
 mod reload;
 mod reservation;
 mod role_orders;
--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -15,7 +15,7 @@
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
 use turmericrail_core::forward::{
-    LimitStatement, Member, Members, PublishedItem, PublishedSet, ServerRun,
+    LimitStatement, MemberList, Members, PublishedItem, PublishedSet, ServerRun,
 };
 use turmericrail_core::units::{CallRate, Millis, WallMillis};
 use turmericrail_wire::relay::relay_client::RelayClient;
@@ -26,6 +26,7 @@
 
 use super::change_signal::ChangeSignal;
 use super::clock;
+use super::relay_members;
 use super::server_notices;
 use super::shared::Shared;
 use super::store_sync;
@@ -45,8 +46,6 @@
 
 /// Longest time for which a call of a following instance waits for changes.
 const MAX_FOLLOW_WAIT_MS: Millis = Millis(5_000);
-/// Data centre of members that don't state theirs.
-const UNKNOWN_DATA_CENTRE: &str = "unknown";
 
 /// Announced revisions that can wait to be processed.
 const MAX_PENDING_ANNOUNCEMENTS: usize = 16;
@@ -170,8 +169,12 @@
     ) -> Result<Response<ExchangeReply>, Status> {
         let message = request.into_inner();
         let relay = &self.shared.relay;
+        let own = relay_members::list_members(&self.shared);
+        let is_same = message.members_hash == own.identity_hash();
+        let is_told = is_same || (message.members_hash > 0 && !message.members.is_empty());
         let reply = ExchangeReply {
-            members: list_members(&self.shared),
+            members: if is_told { Vec::new() } else { relay_members::members_to_wire(&own) },
+            ages_ms: if is_same { relay_members::ages_to_wire(&own) } else { Vec::new() },
             newer: message.known.iter().filter_map(|known| relay.items_newer_than(known)).collect(),
             leaving: list_leaving(&self.shared),
             limits: list_limits(&self.shared),
@@ -179,7 +182,10 @@
         merge_leaving(&self.shared, &message.leaving);
         merge_limits(&self.shared, &message.limits);
         message.known.iter().for_each(|known| relay.record_peer_change(known));
-        merge_members(&self.shared, message.sender.iter().chain(&message.members));
+        relay_members::merge_members(&self.shared, message.sender.iter().chain(&message.members));
+        if is_same && !message.ages_ms.is_empty() {
+            relay_members::merge_ages(&self.shared, &own, &message.ages_ms);
+        }
         Ok(Response::new(reply))
     }
 
@@ -215,48 +221,6 @@
     }
 }
 
-/// Every member with the time since it was heard from, this instance first.
-fn list_members(shared: &Shared) -> Vec<wire::Member> {
-    let settings = shared.settings();
-    let own = wire::Member {
-        instance: settings.instance.to_string(),
-        peer_address: settings.peer_address.to_string(),
-        data_centre: settings.data_centre.to_string(),
-        age_ms: 0,
-    };
-    let to_wire = |member: Member| wire::Member {
-        instance: member.instance.to_string(),
-        peer_address: member.address.to_string(),
-        data_centre: member.data_centre.to_string(),
-        age_ms: member.age_ms.0,
-    };
-    let others = shared.relay.members().list(clock::now_ms());
-    std::iter::once(own).chain(others.into_iter().map(to_wire)).collect()
-}
-
-fn merge_members<'a>(shared: &Shared, members: impl Iterator<Item = &'a wire::Member>) {
-    let now_ms = clock::now_ms();
-    let mut known = shared.relay.members();
-    let before = known.count();
-    for member in members {
-        let (Ok(instance), Ok(address)) = (member.instance.parse(), member.peer_address.parse())
-        else {
-            spdlog::warn!("event=member_malformed instance={:?}", member.instance);
-            continue;
-        };
-        let unknown = || UNKNOWN_DATA_CENTRE.parse().expect("the name is a valid id");
-        let data_centre = member.data_centre.parse().unwrap_or_else(|_| unknown());
-        let age_ms = Millis(member.age_ms);
-        known.merge(now_ms, &Member { instance, data_centre, address, age_ms });
-    }
-    known.expire(now_ms);
-    let count = known.count();
-    drop(known);
-    if count != before {
-        spdlog::info!("event=members_changed count={count} before={before}");
-    }
-}
-
 fn list_leaving(shared: &Shared) -> Vec<wire::LeavingRun> {
     let to_wire = |run: &ServerRun| wire::LeavingRun {
         server: run.server.to_string(),
@@ -370,20 +334,49 @@
         .max_encoding_message_size(MAX_MESSAGE_BYTES))
 }
 
-async fn exchange(shared: &Arc<Shared>, address: SocketAddr) -> Result<(), Status> {
+async fn exchange(shared: &Shared, address: SocketAddr) -> Result<(), Status> {
     let mut client = connect(address).await?;
-    let mut members = list_members(shared);
-    let sender = members.remove(0);
-    let known = shared.relay.known_sets();
-    let leaving = list_leaving(shared);
-    let limits = list_limits(shared);
-    let request = ExchangeRequest { sender: Some(sender), members, known, leaving, limits };
+    let own = relay_members::list_members(shared);
+    let request = ExchangeRequest {
+        ages_ms: relay_members::ages_to_wire(&own),
+        ..exchange_request(shared, &own)
+    };
+    let reply = client.exchange(Request::new(request)).await?.into_inner();
+    let is_told = reply.members.is_empty();
+    apply_reply(shared, address, &own, reply);
+    if is_told {
+        return Ok(());
+    }
+    let own = relay_members::list_members(shared);
+    let request = ExchangeRequest {
+        members: relay_members::members_to_wire(&own),
+        ..exchange_request(shared, &own)
+    };
     let reply = client.exchange(Request::new(request)).await?.into_inner();
-    merge_members(shared, reply.members.iter());
+    apply_reply(shared, address, &own, reply);
+    Ok(())
+}
+
+/// A request without the members or their ages.
+fn exchange_request(shared: &Shared, own: &MemberList) -> ExchangeRequest {
+    ExchangeRequest {
+        sender: Some(relay_members::own_to_wire(shared)),
+        known: shared.relay.known_sets(),
+        leaving: list_leaving(shared),
+        limits: list_limits(shared),
+        members_hash: own.identity_hash(),
+        ..ExchangeRequest::default()
+    }
+}
+
+fn apply_reply(shared: &Shared, address: SocketAddr, own: &MemberList, reply: ExchangeReply) {
+    relay_members::merge_members(shared, reply.members.iter());
+    if !reply.ages_ms.is_empty() {
+        relay_members::merge_ages(shared, own, &reply.ages_ms);
+    }
     merge_leaving(shared, &reply.leaving);
     merge_limits(shared, &reply.limits);
     apply_newer(shared, address, reply.newer);
-    Ok(())
 }
 
 /// Applies the sets of which another instance knew a newer revision.
--- /dev/null
+++ b/crates/turmericrail/src/forward/relay_members.rs
@@ -0,0 +1,91 @@
+//! The members as instances tell them to each other in exchanges.
+
+use turmericrail_core::forward::{Member, MemberList};
+use turmericrail_core::units::Millis;
+use turmericrail_wire::relay as wire;
+
+use super::clock;
+use super::shared::Shared;
+
+/// Data centre of members that don't state theirs.
+const UNKNOWN_DATA_CENTRE: &str = "unknown";
+
+fn own_member(shared: &Shared) -> Member {
+    let settings = shared.settings();
+    Member {
+        instance: settings.instance.clone(),
+        data_centre: settings.data_centre.clone(),
+        address: settings.peer_address,
+        age_ms: Millis::ZERO,
+    }
+}
+
+/// This instance as a member, for a message.
+pub fn own_to_wire(shared: &Shared) -> wire::Member {
+    member_to_wire(&own_member(shared))
+}
+
+/// Every member with the time since it was heard from, this instance included.
+pub fn list_members(shared: &Shared) -> MemberList {
+    let mut members = shared.relay.members().list(clock::now_ms());
+    members.push(own_member(shared));
+    MemberList::new(members)
+}
+
+fn member_to_wire(member: &Member) -> wire::Member {
+    wire::Member {
+        instance: member.instance.to_string(),
+        peer_address: member.address.to_string(),
+        data_centre: member.data_centre.to_string(),
+        age_ms: member.age_ms.0,
+    }
+}
+
+/// The members, for a message to an instance that knows others.
+pub fn members_to_wire(list: &MemberList) -> Vec<wire::Member> {
+    list.members().iter().map(member_to_wire).collect()
+}
+
+/// The ages alone, for a message to an instance that knows the same members.
+pub fn ages_to_wire(list: &MemberList) -> Vec<u32> {
+    list.ages_ms().map(|age_ms| u32::try_from(age_ms.0).unwrap_or(u32::MAX)).collect()
+}
+
+/// Merges the ages that an instance with the same members knows.
+pub fn merge_ages(shared: &Shared, list: &MemberList, ages_ms: &[u32]) {
+    let ages_ms: Vec<_> = ages_ms.iter().map(|age_ms| Millis(u64::from(*age_ms))).collect();
+    match list.with_ages(&ages_ms) {
+        Some(members) => merge_known_members(shared, members.into_iter()),
+        None => spdlog::warn!("event=member_ages_malformed ages={}", ages_ms.len()),
+    }
+}
+
+/// Merges members from a message.
+pub fn merge_members<'a>(shared: &Shared, members: impl Iterator<Item = &'a wire::Member>) {
+    let mut decoded = Vec::new();
+    for member in members {
+        let (Ok(instance), Ok(address)) = (member.instance.parse(), member.peer_address.parse())
+        else {
+            spdlog::warn!("event=member_malformed instance={:?}", member.instance);
+            continue;
+        };
+        let unknown = || UNKNOWN_DATA_CENTRE.parse().expect("the name is a valid id");
+        let data_centre = member.data_centre.parse().unwrap_or_else(|_| unknown());
+        let age_ms = Millis(member.age_ms);
+        decoded.push(Member { instance, data_centre, address, age_ms });
+    }
+    merge_known_members(shared, decoded.into_iter());
+}
+
+fn merge_known_members(shared: &Shared, members: impl Iterator<Item = Member>) {
+    let now_ms = clock::now_ms();
+    let mut known = shared.relay.members();
+    let before = known.count();
+    members.for_each(|member| known.merge(now_ms, &member));
+    known.expire(now_ms);
+    let count = known.count();
+    drop(known);
+    if count != before {
+        spdlog::info!("event=members_changed count={count} before={before}");
+    }
+}
