Fakes: free_address does not bind the port that it hands out

failing_server_pairs failed once, in one of three runs of its file: an instance could not listen, "Address already in use". The ports are reserved against other tests by UDP sockets, so no other test had it.

Cause: free_address bound a trial listener to see whether the port is free. A process that another thread starts at that moment inherits it until it runs its program, and meanwhile the port is taken. free_while_spawning shows it: with four threads that start processes, 21 of 2,000 addresses could not be bound. Now a connection is tried instead, which a free port refuses; 0 of 2,000 in 5 of 5 runs.

--- a/crates/fakes/src/ports.rs
+++ b/crates/fakes/src/ports.rs
@@ -1,6 +1,7 @@
 //! Free loopback ports for processes that are started later, unique across concurrent tests.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -22,17 +23,20 @@
     loop {
         let number = first + NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + (number % PORT_COUNT) as u16;
-        let is_in_use = |error: &std::io::Error| error.kind() == std::io::ErrorKind::AddrInUse;
-        let reservation = UdpSocket::bind(("127.0.0.1", port));
-        if reservation.as_ref().is_err_and(is_in_use) {
-            continue;
-        }
-        match TcpListener::bind(("127.0.0.1", port)) {
-            Ok(listener) => {
-                RESERVED_PORTS.lock().expect("no holder of the lock panics").extend(reservation);
-                return listener.local_addr();
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let reservation = match UdpSocket::bind(address) {
+            Ok(reservation) => reservation,
+            Err(error) if error.kind() == ErrorKind::AddrInUse => continue,
+            Err(error) => return Err(error),
+        };
+        // A trial listener would be inherited by processes that other threads start meanwhile, and
+        // the port would be taken until they run their program.
+        match TcpStream::connect(address) {
+            Ok(_) => {}
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                RESERVED_PORTS.lock().expect("no holder of the lock panics").push(reservation);
+                return Ok(address);
             }
-            Err(error) if is_in_use(&error) => {}
             Err(error) => return Err(error),
         }
     }
