Model calls: the retry is taken only once an engine is reserved for it

The post-mortem of the repeated calls named it as left: a retry that the bound granted was lost where no engine had room for the call, and the next call was refused though an engine had room for that one. Now an engine is reserved first, as a call that moves to another engine did already; a call that may not be sent again is still refused before it looks for one.

--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/call_context.rs
@@ -46,13 +46,32 @@
     /// Permits the call to be run by one more server, within the route's attempts and the bound on
     /// retries.
     pub fn permit_run(&self, calls_sent: u32) -> Option<SendPermit> {
-        if calls_sent >= self.route.max_attempts {
-            self.log_send_again("no_attempts_left");
+        if !self.has_attempts_left(calls_sent) {
             return None;
         }
         self.permit_send()
     }
 
+    /// Whether the call may be run by one more server now, so that it is worth looking for one.
+    pub fn may_run(&self, calls_sent: u32) -> bool {
+        if !self.has_attempts_left(calls_sent) {
+            return false;
+        }
+        let may_send = self.may_send();
+        if !may_send {
+            self.record_denied_retry();
+        }
+        may_send
+    }
+
+    fn has_attempts_left(&self, calls_sent: u32) -> bool {
+        let is_left = calls_sent < self.route.max_attempts;
+        if !is_left {
+            self.log_send_again("no_attempts_left");
+        }
+        is_left
+    }
+
     /// Permits one more request to be sent to a server, within the bound on retries.
     pub fn permit_send(&self) -> Option<SendPermit> {
         let mut sends = self.sends();
@@ -60,14 +79,18 @@
         let permit = self.shared.forwarder().permit_send(clock::now_ms(), self.service, &mut sends);
         drop(sends);
         if permit.is_none() {
-            self.shared.metrics.retries_refused.inc();
-        }
-        if needs_retry {
-            self.log_send_again(if permit.is_some() { "allowed" } else { "bound_reached" });
+            self.record_denied_retry();
+        } else if needs_retry {
+            self.log_send_again("allowed");
         }
         permit
     }
 
+    fn record_denied_retry(&self) {
+        self.shared.metrics.retries_refused.inc();
+        self.log_send_again("bound_reached");
+    }
+
     /// Whether one more request may be sent to a server now, within the bound on retries.
     pub fn may_send(&self) -> bool {
         !self.sends().needs_retry()
--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -88,14 +88,15 @@
         if !may_move || context.remaining_ms() == Millis::ZERO {
             return Err(refusal());
         }
-        if choose_engine(context, &tried).is_none() {
+        if choose_engine(context, &tried).is_none() || !context.may_run(calls_sent) {
             return Err(refusal());
         }
-        permit = context.permit_run(calls_sent).ok_or_else(refusal)?;
+        // The retry is taken only once an engine is reserved for it.
         attempt = match reserve_next_attempt(context, &tried).await {
             Some(attempt) => attempt,
             None => return Err(refusal()),
         };
+        permit = context.permit_run(calls_sent).ok_or_else(refusal)?;
     }
 }
 
--- a/crates/turmericrail/tests/repeated_calls.rs
+++ b/crates/turmericrail/tests/repeated_calls.rs
@@ -7,7 +7,7 @@
 use std::io::Write;
 use std::thread;
 
-use forward_support::ForwardInstance;
+use forward_support::{ForwardInstance, wait_for};
 use turmericrail_fakes::registered::{Arrival, Behaviour, RegisteredServer, Reply, request_text};
 
 const RETRY_RATIO: f64 = 0.2;
@@ -120,3 +120,27 @@
         assert_within_bound(&servers, &faults);
     });
 }
+
+#[test]
+fn unused_retry() {
+    // Guards against a retry that is taken for a call for which no engine has room: the next call
+    // was refused though an engine had room.
+    let instance = ForwardInstance::start_with_retry_slack("unused-retry", 0);
+    let [first, second] = ["d1", "d2"].map(|id| instance.start_engine(id, "decode"));
+    // One retry is allowed for each five calls.
+    for number in 0..5 {
+        assert!(instance.send_request("resumable", &format!("q{number}")).is_complete);
+    }
+    first.set_behaviour(Behaviour::Refuse);
+    second.set_full(true);
+    assert_eq!(instance.send_request("resumable", "r1").status(), 503);
+    let reply = std::thread::scope(|scope| {
+        let reply = scope.spawn(|| instance.send_request("resumable", "r2"));
+        wait_for("the refused call", || {
+            first.arrivals().iter().any(|arrival| arrival.request_id == "r2")
+        });
+        second.set_full(false);
+        reply.join().unwrap()
+    });
+    assert_eq!((reply.status(), reply.is_complete), (200, true));
+}
