--- a/crates/turmericrail/src/forward/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/engine_attempt.rs
@@ -231,10 +231,12 @@
             Err(_) => Some(CallFailure::Silent),
         };
         if let Some(failure) = failure {
+            log_stream_end(context, attempt, &exchange, events);
             events.take_partial();
             return EngineAttemptEnd::Failed(failure);
         }
     }
+    log_stream_end(context, attempt, &exchange, events);
     let rest = events.take_partial();
     if !caller.write_events(&exchange.head, &rest).await {
         return EngineAttemptEnd::CallerLost;
@@ -263,6 +265,23 @@
     );
 }
 
+/// Logs where the body of an answer ended or broke off.
+fn log_stream_end(
+    context: &CallContext<'_>,
+    attempt: &EngineAttempt,
+    exchange: &Exchange,
+    events: &EventSplitter,
+) {
+    spdlog::info!(
+        "event=stream_end request={} server={} framing={} events={} open_event_bytes={}",
+        context.request_id,
+        attempt.choice().run.server,
+        exchange.head.framing.as_str(),
+        events.event_count(),
+        events.partial_bytes()
+    );
+}
+
 /// Records that an engine refused the KV cache. If it had accepted a reservation, it could not
 /// fetch the cache, which counts against the engine that should have kept it.
 fn record_refused_kv(context: &CallContext<'_>, attempt: &EngineAttempt) {
--- a/crates/wire/src/http1/event_splitter.rs
+++ b/crates/wire/src/http1/event_splitter.rs
@@ -45,6 +45,11 @@
         std::mem::take(&mut self.partial)
     }
 
+    /// Number of buffered bytes of an incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// The id of the last complete event that had one.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
--- a/crates/wire/src/http1/framing.rs
+++ b/crates/wire/src/http1/framing.rs
@@ -12,3 +12,15 @@
     /// The body lasts until the connection ends without an error.
     UntilClose,
 }
+
+impl BodyFraming {
+    /// The value in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            BodyFraming::Empty => "empty",
+            BodyFraming::Length(_) => "length",
+            BodyFraming::Chunked => "chunked",
+            BodyFraming::UntilClose => "until_close",
+        }
+    }
+}
