Model calls: an answer that ends inside an event is broken off, however it is framed

An engine that crashes may close its connection in order; an answer with neither a length nor chunks then ends as a whole one does. The end of the body was taken for the end of the answer, and the bytes of the open event were passed on before it. The same happened after a full length and after a last chunk.

A stream of events is now complete only if its body ended as its framing demands, no event is open, and, where nothing states the end, at least one event came. Everything else takes the way of a lost connection: resumed after the last whole event where the route allows it, else cut so that the caller sees it. Line ends after the last event open none, and events may end with two carriage returns.

--- a/crates/turmericrail/src/forward/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/engine_attempt.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use turmericrail_core::forward::{CallEnd, SendPermit, ServerRun};
+use turmericrail_core::forward::{CallEnd, RouteKind, SendPermit, ServerRun};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{RunOptions, ServerTask};
-use turmericrail_wire::http1::{BodyDecoder, EventSplitter, ResponseHead};
+use turmericrail_wire::http1::{BodyDecoder, BodyFraming, EventSplitter, ResponseHead};
 
 use super::call_context::CallContext;
 use super::call_failure::CallFailure;
@@ -23,6 +23,9 @@
 /// Multiple of the route's target gap between events after which an engine counts as silent.
 const GAP_TIMEOUT_FACTOR: u64 = 2;
 
+/// Media type of a stream of events.
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
+
 /// How an attempt at one engine ended.
 pub enum EngineAttemptEnd {
     /// The whole answer went to the caller.
@@ -188,28 +191,74 @@
     sent_ms: Millis,
     failover: &mut Failover<'_>,
 ) -> EngineAttemptEnd {
+    let events_before = events.event_count();
+    let cut = copy_body(context, caller, attempt, events, &mut exchange, sent_ms, failover).await;
+    log_stream_end(context, attempt, &exchange, events);
+    let has_events = events.event_count() > events_before;
+    let is_inside_event = events.is_inside_event();
+    let rest = events.take_partial();
+    if let Some(end) = cut {
+        return end;
+    }
+    let is_unfinished = is_inside_event || (!has_events && is_end_unstated(&exchange.head));
+    if is_unfinished && is_event_stream(context, &exchange.head) {
+        return EngineAttemptEnd::Failed(CallFailure::Lost);
+    }
+    if !caller.write_events(&exchange.head, &rest).await {
+        return EngineAttemptEnd::CallerLost;
+    }
+    let action = caller.end_events(&exchange.head).await;
+    let request_id = Some(context.request_id);
+    dispatch::log_answer(context.shared, request_id, "completed", exchange.head.status);
+    exchange.return_to_pool(&context.shared.pool, attempt.choice().address);
+    EngineAttemptEnd::Complete(action)
+}
+
+/// Whether the body of an answer consists of events, each of which must be whole.
+fn is_event_stream(context: &CallContext<'_>, head: &ResponseHead) -> bool {
+    let is_stated = head.headers.text("content-type").is_some_and(|content_type| {
+        content_type.trim_start().to_ascii_lowercase().starts_with(EVENT_STREAM_TYPE)
+    });
+    is_stated || matches!(context.route.kind, RouteKind::Stream { .. })
+}
+
+/// Whether nothing in the body tells its end, so that a lost engine may look like a finished one.
+fn is_end_unstated(head: &ResponseHead) -> bool {
+    head.framing == BodyFraming::UntilClose
+}
+
+/// Forwards the whole events of a body until it ends as its framing demands. Returns how the attempt
+/// ended if it ended before.
+async fn copy_body(
+    context: &CallContext<'_>,
+    caller: &CallerStream,
+    attempt: &EngineAttempt,
+    events: &mut EventSplitter,
+    exchange: &mut Exchange,
+    sent_ms: Millis,
+    failover: &mut Failover<'_>,
+) -> Option<EngineAttemptEnd> {
+    let lost = || Some(EngineAttemptEnd::Failed(CallFailure::Lost));
     let mut decoder = BodyDecoder::new(exchange.head.framing);
     let mut is_before_first_event = true;
     loop {
         let mut data = Vec::new();
         let Ok(used) = decoder.decode(&exchange.connection.buffer, &mut data) else {
-            events.take_partial();
-            return EngineAttemptEnd::Failed(CallFailure::Lost);
+            return lost();
         };
         exchange.connection.buffer.drain(..used);
         let Some(whole_events) = events.push(&data) else {
-            events.take_partial();
-            return EngineAttemptEnd::Failed(CallFailure::Lost);
+            return lost();
         };
         if is_before_first_event && !whole_events.is_empty() {
             is_before_first_event = false;
             record_first_event(context, attempt, sent_ms);
         }
         if !caller.write_events(&exchange.head, &whole_events).await {
-            return EngineAttemptEnd::CallerLost;
+            return Some(EngineAttemptEnd::CallerLost);
         }
         if decoder.is_done() {
-            break;
+            return None;
         }
         let gap_ms = Millis(context.route.gap_target_ms.0 * GAP_TIMEOUT_FACTOR);
         let gap_ms = gap_ms.max(MIN_SILENCE_MS);
@@ -217,35 +266,18 @@
             if is_before_first_event { first_event_timeout_ms(context, attempt) } else { gap_ms };
         let timeout = Duration::from_millis(failover.timeout_ms(context, silence_timeout_ms).0);
         let filling = async_std::future::timeout(timeout, exchange.connection.fill());
-        let failure = match filling.await {
-            Ok(Ok(0)) if decoder.end_of_input().is_ok() => None,
-            Ok(Ok(read)) if read > 0 => None,
-            Ok(_) => Some(CallFailure::Lost),
-            Err(_) if failover.is_movable => match failover.move_call(context).await {
-                Some(moved) => {
-                    events.take_partial();
-                    return moved;
+        match filling.await {
+            Ok(Ok(0)) if decoder.end_of_input().is_ok() => {}
+            Ok(Ok(read)) if read > 0 => {}
+            Ok(_) => return lost(),
+            Err(_) if failover.is_movable => {
+                if let Some(moved) = failover.move_call(context).await {
+                    return Some(moved);
                 }
-                None => continue,
-            },
-            Err(_) => Some(CallFailure::Silent),
-        };
-        if let Some(failure) = failure {
-            log_stream_end(context, attempt, &exchange, events);
-            events.take_partial();
-            return EngineAttemptEnd::Failed(failure);
+            }
+            Err(_) => return Some(EngineAttemptEnd::Failed(CallFailure::Silent)),
         }
     }
-    log_stream_end(context, attempt, &exchange, events);
-    let rest = events.take_partial();
-    if !caller.write_events(&exchange.head, &rest).await {
-        return EngineAttemptEnd::CallerLost;
-    }
-    let action = caller.end_events(&exchange.head).await;
-    let request_id = Some(context.request_id);
-    dispatch::log_answer(context.shared, request_id, "completed", exchange.head.status);
-    exchange.return_to_pool(&context.shared.pool, attempt.choice().address);
-    EngineAttemptEnd::Complete(action)
 }
 
 fn record_first_event(context: &CallContext<'_>, attempt: &EngineAttempt, sent_ms: Millis) {
--- a/crates/wire/src/http1/event_splitter.rs
+++ b/crates/wire/src/http1/event_splitter.rs
@@ -34,7 +34,7 @@
     fn record_event(&mut self, start: usize, end: usize) {
         self.event_count += 1;
         let event = String::from_utf8_lossy(&self.partial[start..end]);
-        let id = event.lines().find_map(|line| line.strip_prefix("id:"));
+        let id = event.split(['\r', '\n']).find_map(|line| line.strip_prefix("id:"));
         if let Some(id) = id {
             self.last_id = Some(id.strip_prefix(' ').unwrap_or(id).to_owned());
         }
@@ -45,6 +45,11 @@
         std::mem::take(&mut self.partial)
     }
 
+    /// Whether an event has begun and is incomplete; line ends alone don't begin one.
+    pub fn is_inside_event(&self) -> bool {
+        self.partial.iter().any(|byte| !b"\r\n".contains(byte))
+    }
+
     /// Number of buffered bytes of an incomplete event.
     pub fn partial_bytes(&self) -> usize {
         self.partial.len()
@@ -68,6 +73,9 @@
         if rest.starts_with(b"\n\n") {
             return Some(at + 2);
         }
+        if rest.starts_with(b"\r\r") {
+            return Some(at + 2);
+        }
         if rest.starts_with(b"\n\r\n") {
             return Some(at + 3);
         }
--- a/crates/wire/tests/event_splitting.rs
+++ b/crates/wire/tests/event_splitting.rs
@@ -28,6 +28,30 @@
     assert_eq!(splitter.last_id(), Some("8"));
 }
 
+#[test]
+fn open_event() {
+    // Guards against a stream that counts as finished inside an event, or as unfinished for a line
+    // end after its last event.
+    let is_open = |text: &[u8]| {
+        let mut splitter = EventSplitter::default();
+        splitter.push(text).unwrap();
+        splitter.is_inside_event()
+    };
+    for whole in ["", "id: 1\n\n", "id: 1\n\n\n", "id: 1\r\n\r\n\r\n", "id: 1\r\r"] {
+        assert!(!is_open(whole.as_bytes()), "{whole:?}");
+    }
+    for open in ["i", "id: 1\n", "id: 1\r\n", "id: 1\n\nid: 2\ndata: x", "id: 1\n\n:"] {
+        assert!(is_open(open.as_bytes()), "{open:?}");
+    }
+}
+
+#[test]
+fn carriage_returns() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\rdata: a\r\rid: 2\rdata: b\r\r").unwrap();
+    assert_eq!((splitter.event_count(), splitter.last_id()), (2, Some("2")));
+}
+
 #[test]
 fn oversized_event() {
     let mut splitter = EventSplitter::default();
