Caller edge: a cut answer to a caller with HTTP/1.0 ends with a reset

Same class of fault as the answers of engines that end inside an event, on the side where we write: an answer to HTTP/1.0 has no chunks and ends with its connection, and an answer that broke off was closed in order, so it looked complete. The connection is now reset. Answers in chunks lack their last one and are closed as before, so that what was written still arrives.

The test's reader took a reset for an end too; a body that ends with its connection is now complete only without an error.

--- a/crates/fakes/src/registered/raw_server.rs
+++ b/crates/fakes/src/registered/raw_server.rs
@@ -81,7 +81,7 @@
                 let _ = stream.write_all(&bytes);
                 return;
             }
-            RawAnswer::NoAnswer => while read_more(&mut stream, &mut buffer) {},
+            RawAnswer::NoAnswer => while matches!(read_more(&mut stream, &mut buffer), Ok(true)) {},
         }
     }
 }
@@ -91,7 +91,7 @@
         if let Some(parsed) = RequestHead::parse(buffer).ok()? {
             break parsed;
         }
-        if !read_more(stream, buffer) {
+        if !matches!(read_more(stream, buffer), Ok(true)) {
             return None;
         }
     };
--- a/crates/fakes/src/registered/reply.rs
+++ b/crates/fakes/src/registered/reply.rs
@@ -48,7 +48,7 @@
             if let Some(parsed) = parsed {
                 break parsed;
             }
-            if !read_more(stream, buffer) {
+            if !matches!(read_more(stream, buffer), Ok(true)) {
                 return Ok(None);
             }
         };
@@ -74,20 +74,18 @@
         if decoder.is_done() {
             return Ok((body, true));
         }
-        if !read_more(stream, buffer) {
-            return Ok((body, decoder.end_of_input().is_ok()));
+        match read_more(stream, buffer) {
+            Ok(true) => {}
+            Ok(false) => return Ok((body, decoder.end_of_input().is_ok())),
+            Err(_) => return Ok((body, false)),
         }
     }
 }
 
-/// Reads more bytes into the buffer; false at the end, on an error and on a read timeout.
-pub(super) fn read_more(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
+/// Reads more bytes into the buffer; returns whether there were any before the end.
+pub(super) fn read_more(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> std::io::Result<bool> {
     let mut bytes = [0; 4096];
-    match stream.read(&mut bytes) {
-        Ok(read) if read > 0 => {
-            buffer.extend_from_slice(&bytes[..read]);
-            true
-        }
-        _ => false,
-    }
+    let read = stream.read(&mut bytes)?;
+    buffer.extend_from_slice(&bytes[..read]);
+    Ok(read > 0)
 }
--- a/crates/turmericrail/src/connection_close.rs
+++ b/crates/turmericrail/src/connection_close.rs
@@ -1,10 +1,11 @@
-//! Closes a caller's connection without losing the last answer.
+//! Closes a caller's connection without losing the last answer, or so that it looks broken.
 
 use std::net::Shutdown;
 use std::time::Duration;
 
 use async_std::io::prelude::*;
 use async_std::net::TcpStream;
+use socket2::SockRef;
 
 /// Longest wait for the caller to close its side.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -29,3 +30,11 @@
     let _ = async_std::future::timeout(CLOSE_TIMEOUT, draining).await;
     let _ = stream.shutdown(Shutdown::Both);
 }
+
+/// Has the connection reset once it is dropped, so that an answer that ends with it doesn't look
+/// complete.
+pub fn reset_on_drop(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
+    }
+}
--- a/crates/turmericrail/src/forward/caller_listener.rs
+++ b/crates/turmericrail/src/forward/caller_listener.rs
@@ -11,6 +11,7 @@
 use super::server_connection::TCP_TIMEOUTS;
 use super::shared::Shared;
 use crate::accept_loop::{self, AcceptLoop};
+use crate::connection_close;
 use crate::error::StartError;
 
 /// Listens for callers until the returned loop is stopped.
@@ -45,8 +46,13 @@
             dispatch::ConnectionAction::KeepAlive => {}
             dispatch::ConnectionAction::Close => break,
             // Dropped without an orderly close, so that the caller sees that its answer is
-            // incomplete.
-            dispatch::ConnectionAction::Abort => return,
+            // incomplete: it lacks the last chunk.
+            dispatch::ConnectionAction::Abort => {
+                if request.head.is_http_10 {
+                    connection_close::reset_on_drop(&connection.stream);
+                }
+                return;
+            }
         }
     }
     connection.close().await;
--- a/crates/turmericrail/tests/unfinished_events.rs
+++ b/crates/turmericrail/tests/unfinished_events.rs
@@ -63,6 +63,25 @@
     assert_eq!(reply.body, events(2..=3));
 }
 
+#[test]
+fn old_caller() {
+    // Guards against a cut answer that looks complete to a caller with HTTP/1.0, whose answers end
+    // with the connection.
+    let instance = ForwardInstance::start("old-caller");
+    let engine = instance.start_engine("d1", "decode");
+    let send = |id: &str| {
+        let text = forward_support::request_text("stream", id).replace("HTTP/1.1", "HTTP/1.0");
+        instance.send(&text).unwrap()
+    };
+    let reply = send("r1");
+    assert_eq!((reply.is_complete, reply.body), (true, events(1..=5)));
+    for (number, behaviour) in UNFINISHED.into_iter().enumerate() {
+        engine.set_next_behaviours(&[behaviour]);
+        let reply = send(&format!("q{number}"));
+        assert_eq!((reply.status(), reply.is_complete), (200, false), "{behaviour:?}");
+    }
+}
+
 #[test]
 fn no_event() {
     // Guards against an answer without an event that passes for a complete one.
