--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -116,3 +116,24 @@
 number_id!(ConfigVersion, "configuration version");
 number_id!(FencingNumber, "fencing number");
 number_id!(RequestId, "request");
+
+/// Id of a part of a prompt that several requests may share, in hexadecimal.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PromptPartId(pub u64);
+
+impl fmt::Display for PromptPartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for PromptPartId {
+    type Err = IdError;
+
+    fn from_str(value: &str) -> Result<Self, IdError> {
+        let error = || IdError { kind: "prompt part", value: value.to_owned() };
+        let is_number = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let number = is_number.then(|| u64::from_str_radix(value, 16).ok()).flatten();
+        number.map(Self).ok_or_else(error)
+    }
+}
--- a/crates/turmericrail/src/forward/engine_selection.rs
+++ b/crates/turmericrail/src/forward/engine_selection.rs
@@ -7,7 +7,7 @@
 use turmericrail_core::forward::{
     CallEnd, ChosenServer, KvOrigin, ModelPlan, PlanRefusal, ReservationRound, ServerRun,
 };
-use turmericrail_core::ids::DataCentreId;
+use turmericrail_core::ids::{DataCentreId, PromptPartId};
 use turmericrail_core::units::Millis;
 
 use super::call_context::CallContext;
@@ -142,17 +142,25 @@
     let call_size = model_call_size(context);
     spdlog::info!(
         "event=plan request={} prefill={prefill} decode={} is_reserved={} prompt_tokens={} \
-         expected_output_tokens={} patience_ms={} since_arrival_ms={}",
+         expected_output_tokens={} patience_ms={} since_arrival_ms={} shared_parts={}",
         context.request_id,
         attempt.choice().run.server,
         attempt.reservation.is_some(),
         call_size.prompt_tokens.0,
         call_size.expected_output_tokens.0,
         context.caller_timeout_ms().0,
-        context.elapsed_ms().0
+        context.elapsed_ms().0,
+        join_parts(&context.request.metadata.shared_parts)
     );
 }
 
+fn join_parts(parts: &[PromptPartId]) -> String {
+    if parts.is_empty() {
+        return "none".to_owned();
+    }
+    parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+}
+
 /// Chooses an engine that continues from a KV cache made in the data centre `kv_data_centre`.
 fn choose_decode(
     context: &CallContext<'_>,
