--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -30,6 +30,8 @@
     EndMidEvent,
     /// As `AnswerUntilClose`, and closes the connection in order before the first event.
     EndBeforeEvents,
+    /// Closes the connection after the head of an answer in chunks.
+    CloseBeforeEvents,
     /// Ends the chunks in order in the middle of the third event.
     LastChunkMidEvent,
     /// States the length of an answer that stops in the middle of the third event.
@@ -92,6 +94,8 @@
     /// Role in the server's entry; none at a plain server.
     stage: Option<&'static str>,
     orders: Vec<serde_json::Value>,
+    /// Shared parts of prompts with which no answer is written.
+    deadly_parts: Vec<&'static str>,
 }
 
 /// Fake backend server: a plain server, or an engine if it has a stage.
@@ -211,6 +215,11 @@
         lock(&self.state).closed_text = retry_after;
     }
 
+    /// Loses each answer whose prompt shares one of these parts, after its head.
+    pub fn set_deadly_parts(&self, parts: &[&'static str]) {
+        lock(&self.state).deadly_parts = parts.to_vec();
+    }
+
     /// Number of calls of any kind that arrived.
     pub fn call_count(&self) -> usize {
         lock(&self.state).call_times.len()
@@ -332,6 +341,9 @@
         return RawAnswer::Bytes(done);
     }
     if stage.is_some() {
+        if shares_part(head, &state.deadly_parts) {
+            return event_stream(&request_id, &signature, 0, Behaviour::CloseBeforeEvents);
+        }
         let after = head.headers.text("Last-Event-Id").and_then(|id| id.parse().ok()).unwrap_or(0);
         return event_stream(&request_id, &signature, after, behaviour);
     }
@@ -344,6 +356,14 @@
     RawAnswer::Bytes(own)
 }
 
+/// Whether the prompt holds one of these parts before its last one.
+fn shares_part(head: &RequestHead, parts: &[&str]) -> bool {
+    let text = head.headers.text("X-Prefix-Hash").unwrap_or_default();
+    let shared = text.rsplit_once(',').map_or("", |(shared, _)| shared);
+    let ids = shared.split(',').filter_map(|part| part.split(':').next());
+    ids.into_iter().any(|id| parts.contains(&id))
+}
+
 /// An event stream after the event with this id.
 fn event_stream(request_id: &str, signature: &str, after: u64, behaviour: Behaviour) -> RawAnswer {
     let events =
@@ -383,6 +403,9 @@
         _ => {}
     }
     let mut parts = vec![head("Transfer-Encoding: chunked\r\n")];
+    if behaviour == Behaviour::CloseBeforeEvents {
+        return RawAnswer::BytesThenClose(parts.concat());
+    }
     parts.extend(
         events.iter().map(|event| format!("{:x}\r\n{event}\r\n", event.len()).into_bytes()),
     );
--- /dev/null
+++ b/crates/turmericrail/tests/deadly_parts.rs
@@ -0,0 +1,177 @@
+//! Prompts with a shared part on which every engine is lost: how many engines a fleet sends them
+//! to, and that sound prompts with the same first part go on being served.
+
+mod forward_support;
+
+use std::time::{Duration, Instant};
+
+use forward_support::{ForwardInstance, wait_within};
+use turmericrail_fakes::registered::{Behaviour, FakeStore, RegisteredServer, Reply};
+
+/// Engines lost to a part after which every instance must know it in time.
+const KNOWN_AFTER_LOSSES: usize = 5;
+/// Time after that within which every instance must know it.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Requests with a known part that may still reach an engine.
+const MAX_LATE_ARRIVALS: usize = 3;
+const ENGINES: usize = 16;
+/// Answers are refused without a call to a server.
+const REFUSAL_TIME: Duration = Duration::from_millis(200);
+
+struct Fleet {
+    instances: Vec<ForwardInstance>,
+    engines: Vec<RegisteredServer>,
+}
+
+impl Fleet {
+    fn start(name: &str) -> Self {
+        let first = ForwardInstance::start(name);
+        let mut fleet = Self { instances: vec![first], engines: Vec::new() };
+        for number in 2..=3 {
+            fleet.add_instance(&format!("{name}-{number}"), number);
+        }
+        let engine = |number| {
+            let stage = if number < 2 { "prefill" } else { "decode" };
+            fleet.instances[0].start_engine(&format!("e{number}"), stage)
+        };
+        fleet.engines = (0..ENGINES).map(engine).collect();
+        for instance in &fleet.instances {
+            wait_for_engines(instance);
+        }
+        fleet
+    }
+
+    fn add_instance(&mut self, name: &str, number: u8) {
+        let first = &self.instances[0];
+        let (store, address) = (FakeStore::start().unwrap(), first.store.address());
+        let instance = first.start_numbered_peer(name, number, store, address);
+        instance.wait_for_log("event=members_changed ");
+        self.instances.push(instance);
+    }
+
+    fn set_deadly_parts(&self, parts: &[&'static str]) {
+        self.engines.iter().for_each(|engine| engine.set_deadly_parts(parts));
+    }
+
+    /// Arrival times of the requests of any kind whose ids begin so, in their order.
+    fn arrivals(&self, prefix: &str) -> Vec<Instant> {
+        let arrivals = self.engines.iter().flat_map(|engine| engine.arrivals());
+        let matching = arrivals.filter(|arrival| arrival.request_id.starts_with(prefix));
+        let mut times: Vec<_> = matching.map(|arrival| arrival.at).collect();
+        times.sort();
+        times
+    }
+
+    /// Times at which answers to requests whose ids begin so were lost, in their order.
+    fn losses(&self, prefix: &str) -> Vec<Instant> {
+        let decode = &self.engines[2..];
+        let calls = decode.iter().flat_map(|engine| engine.executed_calls());
+        let matching = calls.filter(|call| call.request_id().unwrap().starts_with(prefix));
+        let mut times: Vec<_> = matching.map(|call| call.at).collect();
+        times.sort();
+        times
+    }
+
+    fn assert_known_in_time(&self, prefix: &str) {
+        let losses = self.losses(prefix);
+        let Some(fifth) = losses.get(KNOWN_AFTER_LOSSES - 1) else {
+            return;
+        };
+        let is_late = |at: &Instant| *at > *fifth + CONTACT_TIME;
+        let late = self.arrivals(prefix).into_iter().filter(is_late).count();
+        assert!(late <= MAX_LATE_ARRIVALS, "{late} of {prefix} sent late, {} lost", losses.len());
+    }
+}
+
+fn wait_for_engines(instance: &ForwardInstance) {
+    for number in 0..ENGINES {
+        instance.wait_for_log(&format!("event=server_changed server=e{number} "));
+    }
+}
+
+fn send(instance: &ForwardInstance, route: &str, id: &str, parts: &str) -> Reply {
+    let text = forward_support::request_text(route, id);
+    let parts = format!("X-Prefix-Hash: {parts},{:x}:9\r\nX-Request-Id", id.len());
+    instance.send(&text.replace("X-Request-Id", &parts)).unwrap()
+}
+
+#[test]
+fn deadly_part() {
+    // Guards against engine after engine that is lost to one part of prompts.
+    let mut fleet = Fleet::start("deadly-part");
+    fleet.set_deadly_parts(&["dead"]);
+    let start = Instant::now();
+    let mut number = 0;
+    let mut late_losses = 0;
+    while start.elapsed() < CONTACT_TIME * 2 {
+        number += 1;
+        let instance = &fleet.instances[number % fleet.instances.len()];
+        let sent_at = Instant::now();
+        let reply = send(instance, "resumable", &format!("bad{number}"), "f1:200,dead:40");
+        assert_ne!(reply.status(), 200);
+        if reply.status() != 503 {
+            late_losses += usize::from(start.elapsed() > CONTACT_TIME);
+            continue;
+        }
+        let retry_after: f64 = reply.head.headers.text("Retry-After").unwrap().parse().unwrap();
+        assert!(retry_after > 5.0, "{retry_after}");
+        assert!(sent_at.elapsed() < REFUSAL_TIME, "{:?}", sent_at.elapsed());
+        let sound = send(instance, "resumable", &format!("good{number}"), "f1:200");
+        assert_eq!((sound.status(), sound.is_complete), (200, true));
+    }
+    fleet.assert_known_in_time("bad");
+    assert_eq!(late_losses, 0);
+    // An instance that starts now learns it from the others.
+    fleet.add_instance("deadly-part-4", 4);
+    let latest = &fleet.instances[3];
+    wait_for_engines(latest);
+    wait_within(CONTACT_TIME, "the part to be known", || {
+        latest.read_log().contains("event=part_loss ")
+    });
+    let arrived = fleet.arrivals("bad").len();
+    assert_eq!(send(latest, "resumable", "bad-late", "f1:200,dead:40").status(), 503);
+    assert_eq!(fleet.arrivals("bad").len(), arrived);
+}
+
+#[test]
+fn two_deadly_parts() {
+    // Guards against sound prompts that are refused since their first part came with two deadly
+    // ones.
+    let fleet = Fleet::start("two-deadly-parts");
+    fleet.set_deadly_parts(&["dead1", "dead2"]);
+    for number in 0..30 {
+        let instance = &fleet.instances[number % fleet.instances.len()];
+        for part in ["dead1", "dead2"] {
+            let parts = format!("f1:200,{part}:40");
+            send(instance, "resumable", &format!("{part}-{number}"), &parts);
+        }
+    }
+    for part in ["dead1", "dead2"] {
+        let losses = fleet.losses(part).len();
+        assert!(losses <= KNOWN_AFTER_LOSSES + 1, "{part}: {losses} lost");
+    }
+    for number in 0..9 {
+        let instance = &fleet.instances[number % fleet.instances.len()];
+        let reply = send(instance, "stream", &format!("good{number}"), "f1:200");
+        assert_eq!((reply.status(), reply.is_complete), (200, true));
+    }
+}
+
+#[test]
+fn crashes_alone() {
+    // Guards against sound prompts that are refused because engines crash by themselves.
+    let fleet = Fleet::start("crashes-alone");
+    let mut refused = 0;
+    for number in 0..60 {
+        for (index, engine) in fleet.engines[2..].iter().enumerate() {
+            let is_lost = (number + index) % 3 == 0;
+            let behaviour = if is_lost { Behaviour::CloseBeforeEvents } else { Behaviour::Answer };
+            engine.set_behaviour(behaviour);
+        }
+        let instance = &fleet.instances[number % fleet.instances.len()];
+        let parts = format!("f1:200,a{:x}:40", number % 4);
+        let reply = send(instance, "resumable", &format!("good{number}"), &parts);
+        refused += usize::from(reply.status() == 503);
+    }
+    assert_eq!(refused, 0);
+}
