Prompts with a part to which engine after engine was lost are quarantined

Nothing knew of parts, so every request was new to the instance that got it.

An answer whose engine is lost at its first events names the shared parts of its prompt. A part is cleared by any answer that goes on; what all lost prompts of a part have in common is the cause, and a loss that one cause explains counts for no other, so the first part that sound prompts share isn't blamed. Three lost engines quarantine a prompt: it is refused at once (503, not run, with the time of the next trial), and no call of any kind is permitted for it, prefills and repeats included. After two an answer that was lost isn't begun again. Each instance tries one such request after one to ten minutes, at a time of its own.

Instances tell each other: a loss goes to the instances that others follow, which wake their followers; exchanges carry what a cut kept back. At most 64 losses are kept, and nothing is sent while there are none.

--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -103,6 +103,7 @@
     DeadlineUnreachable, "deadline_unreachable", 503, NotRun, true, "The target for this caller kind and hour can't be met at the present load.";
     Overloaded, "overloaded", 503, NotRun, true, "The workspace or the instance is at its limit.";
     NoServer, "no_server", 503, NotRun, true, "No reachable backend server serves the call.";
+    PromptQuarantined, "prompt_quarantined", 503, NotRun, true, "Engines were lost one after the other as they began answers to prompts with these parts, so the prompt isn't sent to any for a while.";
     NotReady, "not_ready", 503, NotRun, true, "This instance has no configuration yet.";
     ShuttingDown, "shutting_down", 503, NotRun, true, "This instance is shutting down and takes no new work.";
     HomeUnreachable, "home_unreachable", 504, Unknown, false, "The instance that issued the ticket can't be reached, so whether the call ran is not known.";
--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -8,8 +8,9 @@
 use super::service_latency::ServiceLatency;
 use super::{
     CallEnd, CallLimits, CallSends, CallerRetryDetector, ChosenServer, FailureScore, LeavingRuns,
-    LimitStatement, ModelCallSize, ReportedLoad, ReservationPressure, RetryBounds, RetryWindow,
-    RouteTable, SendPermit, ServerEntry, ServerLoad, ServerRegistry, ServerRun, ServerUpdate,
+    LimitStatement, ModelCallSize, PartQuarantine, ReportedLoad, ReservationPressure, RetryBounds,
+    RetryWindow, RouteTable, SendPermit, ServerEntry, ServerLoad, ServerRegistry, ServerRun,
+    ServerUpdate,
 };
 use crate::ids::{DataCentreId, RouteId, ServiceId};
 use crate::units::{Millis, Tokens};
@@ -50,6 +51,7 @@
     pub(super) data_centre_failures: BTreeMap<DataCentreId, FailureScore>,
     leaving_runs: LeavingRuns,
     call_limits: CallLimits,
+    part_quarantine: PartQuarantine,
     instance_count: usize,
     /// Registry revision for which the conversion candidates are marked.
     pub(super) conversion_candidates_revision: Option<u64>,
@@ -73,6 +75,7 @@
             data_centre_failures: BTreeMap::new(),
             leaving_runs: LeavingRuns::default(),
             call_limits: CallLimits::default(),
+            part_quarantine: PartQuarantine::default(),
             conversion_candidates_revision: None,
         }
     }
@@ -151,6 +154,11 @@
         &self.call_limits
     }
 
+    /// The shared parts of prompts to which engines were lost.
+    pub fn part_quarantine(&mut self) -> &mut PartQuarantine {
+        &mut self.part_quarantine
+    }
+
     /// Whether a call of any kind may be made to a server now. If the server names a limit, the
     /// call uses a slot of this instance.
     pub fn try_take_call(&mut self, now_ms: Millis, run: &ServerRun) -> bool {
@@ -192,6 +200,7 @@
         self.registry.expire(now_ms);
         self.leaving_runs.expire(now_ms, &self.registry);
         self.call_limits.expire(now_ms, &self.registry);
+        self.part_quarantine.expire(now_ms);
         let registry = &self.registry;
         self.loads.retain(|run, load| {
             let is_current = |entry: &ServerEntry| entry.started_ms == run.started_ms;
--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/call_context.rs
@@ -4,7 +4,7 @@
 
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{CallSends, Route, RouteTable, SendPermit};
-use turmericrail_core::ids::ServiceId;
+use turmericrail_core::ids::{PromptPartId, ServiceId};
 use turmericrail_core::units::Millis;
 
 use super::caller_connection::Request;
@@ -23,6 +23,8 @@
     pub service: &'a ServiceId,
     /// Monotonic time by which the request must be answered.
     pub deadline_ms: Millis,
+    /// Whether the call may be sent although its prompt is quarantined.
+    pub is_prompt_trial: bool,
     /// What was sent for the call so far; see [`CallContext::sends`].
     pub sends: Mutex<CallSends>,
 }
@@ -43,10 +45,51 @@
         clock::now_ms().saturating_sub(self.request.arrived_ms)
     }
 
+    /// Parts of the prompt that other requests may share; none in a plain call.
+    pub fn shared_parts(&self) -> &[PromptPartId] {
+        &self.request.metadata.shared_parts
+    }
+
+    /// Whether engines aren't sent the prompt at present.
+    pub fn is_prompt_quarantined(&self) -> bool {
+        !self.is_prompt_trial
+            && self.is_model_call()
+            && self
+                .shared
+                .forwarder()
+                .part_quarantine()
+                .is_quarantined(self.service, self.shared_parts())
+    }
+
+    /// Whether engines that began the answer were lost, and the prompt may be why.
+    fn is_prompt_suspect(&self, calls_sent: u32) -> bool {
+        let is_suspect = calls_sent > 0
+            && self.is_model_call()
+            && self
+                .shared
+                .forwarder()
+                .part_quarantine()
+                .is_suspect(self.service, self.shared_parts());
+        if is_suspect {
+            self.log_send_again("prompt_suspect");
+        }
+        is_suspect
+    }
+
+    /// The refusal of a call whose prompt is quarantined.
+    pub fn quarantine_refusal(&self) -> Refusal {
+        let (now_ms, random) = (clock::now_ms(), fastrand::u64(..));
+        let parts = self.shared_parts();
+        let mut forwarder = self.shared.forwarder();
+        let retry_after_ms =
+            forwarder.part_quarantine().retry_after_ms(now_ms, self.service, parts, random);
+        Refusal { kind: ErrorKind::PromptQuarantined, retry_after_ms }
+    }
+
     /// Permits the call to be run by one more server, within the route's attempts and the bound on
     /// retries.
     pub fn permit_run(&self, calls_sent: u32) -> Option<SendPermit> {
-        if !self.has_attempts_left(calls_sent) {
+        if !self.has_attempts_left(calls_sent) || self.is_prompt_suspect(calls_sent) {
             return None;
         }
         self.permit_send()
@@ -54,7 +97,7 @@
 
     /// Whether the call may be run by one more server now, so that it is worth looking for one.
     pub fn may_run(&self, calls_sent: u32) -> bool {
-        if !self.has_attempts_left(calls_sent) {
+        if !self.has_attempts_left(calls_sent) || self.is_prompt_suspect(calls_sent) {
             return false;
         }
         let may_send = self.may_send();
@@ -72,8 +115,13 @@
         is_left
     }
 
-    /// Permits one more request to be sent to a server, within the bound on retries.
+    /// Permits one more request to be sent to a server, within the bound on retries and unless the
+    /// prompt is quarantined.
     pub fn permit_send(&self) -> Option<SendPermit> {
+        if self.is_prompt_quarantined() {
+            self.log_send_again("prompt_quarantined");
+            return None;
+        }
         let mut sends = self.sends();
         let needs_retry = sends.needs_retry();
         let permit = self.shared.forwarder().permit_send(clock::now_ms(), self.service, &mut sends);
--- a/crates/turmericrail/src/forward/dispatch.rs
+++ b/crates/turmericrail/src/forward/dispatch.rs
@@ -4,7 +4,7 @@
 
 use futures_lite::FutureExt;
 use turmericrail_core::error_kind::ErrorKind;
-use turmericrail_core::forward::{Route, RouteKind};
+use turmericrail_core::forward::{PromptAdmission, Route, RouteKind};
 use turmericrail_core::units::Millis;
 
 use super::answer_writer;
@@ -80,7 +80,7 @@
     let route = Arc::clone(route.ok_or(ErrorKind::UnknownRoute)?);
     let service = route.pick_service(fastrand::u64(..)).ok_or(ErrorKind::NoServer)?;
     shared.forwarder().record_call(clock::now_ms(), service);
-    let context = CallContext {
+    let mut context = CallContext {
         shared,
         request,
         request_id,
@@ -88,9 +88,13 @@
         route: &route,
         service,
         deadline_ms: request.arrived_ms + caller_timeout_ms(request, &route),
+        is_prompt_trial: false,
         sends: Mutex::default(),
     };
     let is_stream = matches!(route.kind, RouteKind::Stream { .. });
+    if context.is_model_call() {
+        context.is_prompt_trial = admit_prompt(&context)?;
+    }
     if is_stream || context.is_model_call() {
         return model_call::serve(&context, caller).await;
     }
@@ -103,6 +107,24 @@
     Ok(caller.finish(&bytes).await)
 }
 
+/// Refuses a call whose prompt is quarantined; returns whether it is a trial.
+fn admit_prompt(context: &CallContext<'_>) -> Result<bool, Refusal> {
+    let (now_ms, random) = (clock::now_ms(), fastrand::u64(..));
+    let mut forwarder = context.shared.forwarder();
+    let quarantine = forwarder.part_quarantine();
+    match quarantine.admit(now_ms, context.service, context.shared_parts(), random) {
+        PromptAdmission::Admitted => Ok(false),
+        PromptAdmission::Trial => {
+            spdlog::info!("event=part_trial request={}", context.request_id);
+            Ok(true)
+        }
+        PromptAdmission::Quarantined { retry_after_ms } => {
+            let retry_after_ms = Some(retry_after_ms);
+            Err(Refusal { kind: ErrorKind::PromptQuarantined, retry_after_ms })
+        }
+    }
+}
+
 /// Longest time that the caller waits, counted from the arrival.
 fn caller_timeout_ms(request: &Request, route: &Route) -> Millis {
     request
--- a/crates/turmericrail/src/forward/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/engine_attempt.rs
@@ -16,6 +16,7 @@
 use super::engine_selection::{EngineAttempt, choose_engine, reserve};
 use super::exchange::Exchange;
 use super::held_kv::HeldKv;
+use super::part_notices;
 use super::plain_call::is_acceptable;
 use super::reservation::Reservation;
 use super::server_calls::{call_bytes, log_call, send_call};
@@ -23,6 +24,10 @@
 /// Multiple of the route's target gap between events after which an engine counts as silent.
 const GAP_TIMEOUT_FACTOR: u64 = 2;
 
+/// Most events of an answer whose loss the prompt may have caused.
+const MAX_LOSS_EVENTS: u64 = 1;
+/// Events of an answer after which its engine has survived the prompt.
+const MIN_SURVIVAL_EVENTS: u64 = 3;
 /// Media type of a stream of events.
 const EVENT_STREAM_TYPE: &str = "text/event-stream";
 
@@ -194,16 +199,23 @@
     let events_before = events.event_count();
     let cut = copy_body(context, caller, attempt, events, &mut exchange, sent_ms, failover).await;
     log_stream_end(context, attempt, &exchange, events);
-    let has_events = events.event_count() > events_before;
+    let attempt_events = events.event_count() - events_before;
     let is_inside_event = events.is_inside_event();
     let rest = events.take_partial();
-    if let Some(end) = cut {
+    let is_unfinished = is_inside_event || (attempt_events == 0 && is_end_unstated(&exchange.head));
+    let end = match cut {
+        None if is_unfinished && is_event_stream(context, &exchange.head) => {
+            Some(EngineAttemptEnd::Failed(CallFailure::Lost))
+        }
+        cut => cut,
+    };
+    if let Some(end) = end {
+        let is_lost = matches!(end, EngineAttemptEnd::Failed(CallFailure::Lost));
+        if is_lost && attempt_events <= MAX_LOSS_EVENTS {
+            record_part_loss(context, attempt);
+        }
         return end;
     }
-    let is_unfinished = is_inside_event || (!has_events && is_end_unstated(&exchange.head));
-    if is_unfinished && is_event_stream(context, &exchange.head) {
-        return EngineAttemptEnd::Failed(CallFailure::Lost);
-    }
     if !caller.write_events(&exchange.head, &rest).await {
         return EngineAttemptEnd::CallerLost;
     }
@@ -240,7 +252,8 @@
 ) -> Option<EngineAttemptEnd> {
     let lost = || Some(EngineAttemptEnd::Failed(CallFailure::Lost));
     let mut decoder = BodyDecoder::new(exchange.head.framing);
-    let mut is_before_first_event = true;
+    let events_before = events.event_count();
+    let (mut is_before_first_event, mut has_survived) = (true, false);
     loop {
         let mut data = Vec::new();
         let Ok(used) = decoder.decode(&exchange.connection.buffer, &mut data) else {
@@ -254,6 +267,10 @@
             is_before_first_event = false;
             record_first_event(context, attempt, sent_ms);
         }
+        if !has_survived && events.event_count() >= events_before + MIN_SURVIVAL_EVENTS {
+            has_survived = true;
+            part_notices::record_survival(context.shared, context.service, context.shared_parts());
+        }
         if !caller.write_events(&exchange.head, &whole_events).await {
             return Some(EngineAttemptEnd::CallerLost);
         }
@@ -280,6 +297,15 @@
     }
 }
 
+/// Records that the engine was lost as it began the answer, which a part of the prompt may have
+/// caused.
+fn record_part_loss(context: &CallContext<'_>, attempt: &EngineAttempt) {
+    let (parts, engine) = (context.shared_parts(), &attempt.choice().run);
+    if context.is_model_call() {
+        part_notices::record_loss(context.shared, context.service, engine, parts);
+    }
+}
+
 fn record_first_event(context: &CallContext<'_>, attempt: &EngineAttempt, sent_ms: Millis) {
     let elapsed_ms = clock::now_ms().saturating_sub(sent_ms);
     context.observe_step("first_event", elapsed_ms);
--- a/crates/turmericrail/src/forward/engine_selection.rs
+++ b/crates/turmericrail/src/forward/engine_selection.rs
@@ -7,7 +7,7 @@
 use turmericrail_core::forward::{
     CallEnd, ChosenServer, KvOrigin, ModelPlan, PlanRefusal, ReservationRound, ServerRun,
 };
-use turmericrail_core::ids::{DataCentreId, PromptPartId};
+use turmericrail_core::ids::DataCentreId;
 use turmericrail_core::units::Millis;
 
 use super::call_context::CallContext;
@@ -16,6 +16,7 @@
 use super::dispatch::Refusal;
 use super::engine_calls::{model_call_size, prefill_prompt};
 use super::held_kv::HeldKv;
+use super::part_notices;
 use super::reservation::{Reservation, ReservationResult};
 
 /// Most engines from which a reservation is requested in one step of a round, for a call of average
@@ -150,17 +151,10 @@
         call_size.expected_output_tokens.0,
         context.caller_timeout_ms().0,
         context.elapsed_ms().0,
-        join_parts(&context.request.metadata.shared_parts)
+        part_notices::join_parts(context.shared_parts())
     );
 }
 
-fn join_parts(parts: &[PromptPartId]) -> String {
-    if parts.is_empty() {
-        return "none".to_owned();
-    }
-    parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
-}
-
 /// Chooses an engine that continues from a KV cache made in the data centre `kv_data_centre`.
 fn choose_decode(
     context: &CallContext<'_>,
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -28,6 +28,7 @@
 mod held_kv;
 mod model_call;
 mod operator_endpoints;
+mod part_notices;
 mod plain_call;
 mod relay;
 mod relay_members;
@@ -91,6 +92,7 @@
     store_sync::start(&shared);
     task::spawn(relay::run(Arc::clone(&shared)));
     task::spawn(store_follow::run(Arc::clone(&shared)));
+    task::spawn(part_notices::run(Arc::clone(&shared)));
     task::spawn(role_orders::run(Arc::clone(&shared)));
     task::spawn(shared::expire_periodically(Arc::clone(&shared)));
     task::spawn(reload::run(Arc::clone(&shared), path, reload_signal));
--- a/crates/turmericrail/src/forward/operator_endpoints.rs
+++ b/crates/turmericrail/src/forward/operator_endpoints.rs
@@ -52,6 +52,8 @@
     metrics.servers.with_label_values(&["ready"]).set(count(ServerState::Ready));
     metrics.servers.with_label_values(&["draining"]).set(count(ServerState::Draining));
     metrics.instances.set(shared.relay.members().count() as i64);
+    let causes = shared.forwarder().part_quarantine().causes().len();
+    metrics.quarantined_prompts.set(causes as i64);
     metrics.store_lost.set(i64::from(shared.is_store_lost()));
     let body = metrics.render();
     Ok(Response::builder(200).content_type("text/plain; version=0.0.4").body(body).build())
--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -21,11 +21,13 @@
 use turmericrail_wire::relay::relay_client::RelayClient;
 use turmericrail_wire::relay::relay_server::{Relay, RelayServer};
 use turmericrail_wire::relay::{
-    self as wire, ExchangeReply, ExchangeRequest, FollowReply, FollowRequest,
+    self as wire, ExchangeReply, ExchangeRequest, FollowReply, FollowRequest, NotifyReply,
+    PartNotices,
 };
 
 use super::change_signal::ChangeSignal;
 use super::clock;
+use super::part_notices;
 use super::relay_members;
 use super::server_notices;
 use super::shared::Shared;
@@ -172,13 +174,18 @@
         let own = relay_members::list_members(&self.shared);
         let is_same = message.members_hash == own.identity_hash();
         let is_told = is_same || (message.members_hash > 0 && !message.members.is_empty());
+        let notices_hash = part_notices::hash(&self.shared);
+        let is_hash_known = message.notices_hash == notices_hash;
         let reply = ExchangeReply {
             members: if is_told { Vec::new() } else { relay_members::members_to_wire(&own) },
             ages_ms: if is_same { relay_members::ages_to_wire(&own) } else { Vec::new() },
             newer: message.known.iter().filter_map(|known| relay.items_newer_than(known)).collect(),
             leaving: list_leaving(&self.shared),
             limits: list_limits(&self.shared),
+            notices_hash,
+            notices: if is_hash_known { None } else { part_notices::list_after(&self.shared, 0) },
         };
+        part_notices::merge_exchanged(&self.shared, message.notices);
         merge_leaving(&self.shared, &message.leaving);
         merge_limits(&self.shared, &message.limits);
         message.known.iter().for_each(|known| relay.record_peer_change(known));
@@ -197,6 +204,9 @@
         merge_limits(&self.shared, &message.limits);
         let relay = &self.shared.relay;
         let end_ms = clock::now_ms() + Millis(message.wait_ms).min(MAX_FOLLOW_WAIT_MS);
+        let notices_epoch = self.shared.part_notices.epoch;
+        let is_same_epoch = message.notices_epoch == notices_epoch;
+        let notices_after = if is_same_epoch { message.notices_after } else { 0 };
         loop {
             let change = relay.change.next_change();
             let newer: Vec<_> =
@@ -205,7 +215,9 @@
             // Waiting here for what this instance waits for elsewhere would add the delays up.
             let is_following = self.shared.follow_state.is_following();
             let remaining_ms = end_ms.saturating_sub(clock::now_ms());
-            let is_due = is_store_lost || is_following || remaining_ms == Millis::ZERO;
+            let notices = part_notices::list_after(&self.shared, notices_after);
+            let is_due =
+                is_store_lost || is_following || notices.is_some() || remaining_ms == Millis::ZERO;
             if !newer.is_empty() || is_due {
                 return Ok(Response::new(FollowReply {
                     newer,
@@ -213,12 +225,23 @@
                     leaving: list_leaving(&self.shared),
                     limits: list_limits(&self.shared),
                     is_following,
+                    notices,
+                    notices_epoch,
+                    last_notice: self.shared.forwarder().part_quarantine().last_number(),
                 }));
             }
             let timeout = Duration::from_millis(remaining_ms.0);
             let _ = async_std::future::timeout(timeout, change.recv()).await;
         }
     }
+
+    async fn notify_parts(
+        &self,
+        request: Request<PartNotices>,
+    ) -> Result<Response<NotifyReply>, Status> {
+        part_notices::merge(&self.shared, Some(request.into_inner()));
+        Ok(Response::new(NotifyReply {}))
+    }
 }
 
 fn list_leaving(shared: &Shared) -> Vec<wire::LeavingRun> {
@@ -342,16 +365,20 @@
         ..exchange_request(shared, &own)
     };
     let reply = client.exchange(Request::new(request)).await?.into_inner();
-    let is_told = reply.members.is_empty();
+    let are_members_told = reply.members.is_empty();
+    let peer_notices_hash = reply.notices_hash;
     apply_reply(shared, address, &own, reply);
-    if is_told {
+    let are_notices_told = part_notices::hash(shared) == peer_notices_hash;
+    if are_members_told && are_notices_told {
         return Ok(());
     }
     let own = relay_members::list_members(shared);
-    let request = ExchangeRequest {
-        members: relay_members::members_to_wire(&own),
-        ..exchange_request(shared, &own)
+    let (members, ages_ms) = match are_members_told {
+        true => (Vec::new(), relay_members::ages_to_wire(&own)),
+        false => (relay_members::members_to_wire(&own), Vec::new()),
     };
+    let notices = if are_notices_told { None } else { part_notices::list_after(shared, 0) };
+    let request = ExchangeRequest { members, ages_ms, notices, ..exchange_request(shared, &own) };
     let reply = client.exchange(Request::new(request)).await?.into_inner();
     apply_reply(shared, address, &own, reply);
     Ok(())
@@ -365,6 +392,7 @@
         leaving: list_leaving(shared),
         limits: list_limits(shared),
         members_hash: own.identity_hash(),
+        notices_hash: part_notices::hash(shared),
         ..ExchangeRequest::default()
     }
 }
@@ -376,6 +404,7 @@
     }
     merge_leaving(shared, &reply.leaving);
     merge_limits(shared, &reply.limits);
+    part_notices::merge_exchanged(shared, reply.notices);
     apply_newer(shared, address, reply.newer);
 }
 
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -13,6 +13,7 @@
 use super::clock;
 use super::connection_pool::ConnectionPool;
 use super::follow_state::FollowState;
+use super::part_notices::PartNoticeState;
 use super::relay::RelayState;
 use super::settings::ForwardSettings;
 use super::store_sync::PREFIXES;
@@ -38,6 +39,7 @@
     pub relay: RelayState,
     pub metrics: ForwardMetrics,
     pub follow_state: FollowState,
+    pub part_notices: PartNoticeState,
     settings: Mutex<Arc<ForwardSettings>>,
     forwarder: Mutex<Forwarder>,
     /// Prefixes whose items can't be read from the store at present.
@@ -67,6 +69,7 @@
             relay: RelayState::new(Members::new(settings.instance.clone()), &PREFIXES),
             metrics: ForwardMetrics::default(),
             follow_state: FollowState::default(),
+            part_notices: PartNoticeState::default(),
             lost_prefixes: Mutex::new(BTreeSet::new()),
             forwarder: Mutex::new(forwarder),
             is_shutting_down: AtomicBool::new(false),
--- a/crates/turmericrail/src/forward/store_follow.rs
+++ b/crates/turmericrail/src/forward/store_follow.rs
@@ -23,6 +23,7 @@
 use turmericrail_wire::relay::relay_client::RelayClient;
 use turmericrail_wire::relay::{FollowReply, FollowRequest};
 
+use super::part_notices;
 use super::relay;
 use super::shared::Shared;
 use super::store_sync;
@@ -56,12 +57,18 @@
     clients: BTreeMap<SocketAddr, RelayClient<Channel>>,
     /// Instances that didn't reply, and until when others are asked first.
     silent_until: BTreeMap<SocketAddr, Instant>,
+    /// The last notice that each instance told: epoch and number.
+    last_notices: BTreeMap<SocketAddr, (u64, u64)>,
 }
 
 /// Follows other instances in an endless loop.
 pub async fn run(shared: Arc<Shared>) {
-    let (clients, silent_until) = (BTreeMap::new(), BTreeMap::new());
-    let mut follower = Follower { shared: Arc::clone(&shared), clients, silent_until };
+    let mut follower = Follower {
+        shared: Arc::clone(&shared),
+        clients: BTreeMap::new(),
+        silent_until: BTreeMap::new(),
+        last_notices: BTreeMap::new(),
+    };
     loop {
         if is_watcher(&shared) {
             shared.follow_state.set_following(false);
@@ -171,6 +178,7 @@
         drop(members);
         let now = Instant::now();
         self.silent_until.retain(|_, until| *until > now);
+        self.last_notices.retain(|address, _| local.contains(address) || remote.contains(address));
         for watchers in [&mut local, &mut remote] {
             fastrand::shuffle(watchers);
             watchers.sort_by_key(|address| self.silent_until.contains_key(address));
@@ -195,6 +203,8 @@
         self.silent_until.remove(&address);
         relay::merge_leaving(&self.shared, &reply.leaving);
         relay::merge_limits(&self.shared, &reply.limits);
+        part_notices::merge(&self.shared, reply.notices.take());
+        self.last_notices.insert(address, (reply.notices_epoch, reply.last_notice));
         relay::apply_newer(&self.shared, address, std::mem::take(&mut reply.newer));
         Some(reply)
     }
@@ -205,10 +215,14 @@
             None => relay::connect(address).await?,
         };
         self.clients.insert(address, client.clone());
+        let last_notice = self.last_notices.get(&address).copied();
+        let (notices_epoch, notices_after) = last_notice.unwrap_or_default();
         let request = FollowRequest {
             known: self.shared.relay.known_sets(),
             wait_ms: wait.as_millis() as u64,
             limits: relay::list_limits(&self.shared),
+            notices_epoch,
+            notices_after,
         };
         Ok(client.follow(Request::new(request)).await?.into_inner())
     }
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -134,6 +134,8 @@
     pub servers: IntGaugeVec,
     /// Known instances, including this one.
     pub instances: IntGauge,
+    /// Sets of shared parts whose prompts are quarantined.
+    pub quarantined_prompts: IntGauge,
     /// One while the store does not answer, else zero.
     pub store_lost: IntGauge,
 }
@@ -184,6 +186,11 @@
                 servers
             },
             instances: gauge(&registry, "turmericrail_instances", "Instances that are known."),
+            quarantined_prompts: gauge(
+                &registry,
+                "turmericrail_quarantined_prompts",
+                "Sets of shared parts whose prompts are quarantined.",
+            ),
             store_lost: gauge(&registry, "turmericrail_store_lost", "Whether the store is lost."),
             config_version: gauge(
                 &registry,
