Quarantine: parts that lost prompts only have in common aren't blamed alone

Sound prompts were refused for about a second, or until the first trial if no other of them was under way: where prompts with two or three deadly parts share their first part, and none of these parts had three losses yet, the first part was all that they have in common. A prompt without other parts is now blamed only once one such was lost.

--- a/crates/core/src/forward/loss_cause.rs
+++ b/crates/core/src/forward/loss_cause.rs
@@ -11,8 +11,10 @@
 pub struct LossCause {
     /// Service of the engines.
     pub service: ServiceId,
-    /// A prompt with all of these parts is meant.
+    /// What the lost prompts have in common.
     pub parts: BTreeSet<PromptPartId>,
+    /// Whether a lost prompt had no other parts. If none had, these parts alone may be sound.
+    pub is_lost_alone: bool,
     /// Number of engines that were lost.
     pub engine_count: usize,
     /// When the latest one was lost.
@@ -20,9 +22,13 @@
 }
 
 impl LossCause {
-    /// Whether a prompt holds all of the parts.
+    /// Whether a prompt is meant: it holds all of the parts, and others too unless a prompt without
+    /// others was lost.
     pub fn is_in(&self, service: &ServiceId, parts: &[PromptPartId]) -> bool {
-        self.service == *service && self.parts.iter().all(|part| parts.contains(part))
+        let has_others = || parts.iter().any(|part| !self.parts.contains(part));
+        self.service == *service
+            && self.parts.iter().all(|part| parts.contains(part))
+            && (self.is_lost_alone || has_others())
     }
 
     /// The causes that explain at least `min_engines` lost engines each.
@@ -66,6 +72,7 @@
     let engines: BTreeSet<&ServerRun> = losses.iter().map(|loss| &loss.engine).collect();
     LossCause {
         service: service.clone(),
+        is_lost_alone: losses.iter().any(|loss| loss.parts == parts),
         parts,
         engine_count: engines.len(),
         last_loss_ms: losses.iter().map(|loss| loss.lost_ms).max().unwrap_or_default(),
--- a/crates/core/src/forward/part_quarantine.rs
+++ b/crates/core/src/forward/part_quarantine.rs
@@ -149,24 +149,26 @@
         self.merge(now_ms, notice.clone()).then_some(notice)
     }
 
-    /// Records that an answer of this instance went on past its first events; returns whether a
-    /// loss names one of its parts.
+    /// Records that an answer of this instance went on past its first events; returns whether that
+    /// clears one of its parts.
     pub fn record_survival(
         &mut self,
         now_ms: Millis,
         service: &ServiceId,
         parts: &[PromptPartId],
     ) -> bool {
-        self.own_survivals.record(now_ms, service, parts);
-        let is_named = |part: &PromptPartId| {
-            let mut losses = self.losses.iter().map(|known| &known.notice);
-            losses.any(|loss| loss.service == *service && loss.parts.contains(part))
+        let is_blamed = |part: &PromptPartId| {
+            let losses = self.losses.iter().map(|known| &known.notice);
+            let mut naming =
+                losses.filter(|loss| loss.service == *service && loss.parts.contains(part));
+            naming.any(|loss| !self.is_cleared(service, *part, loss.lost_ms))
         };
-        let is_contradicted = parts.iter().any(is_named);
-        if is_contradicted {
+        let clears_part = parts.iter().any(is_blamed);
+        self.own_survivals.record(now_ms, service, parts);
+        if clears_part {
             self.find_causes();
         }
-        is_contradicted
+        clears_part
     }
 
     /// Merges a notice of another instance; returns whether it is new.
--- a/crates/core/tests/part_quarantine.rs
+++ b/crates/core/tests/part_quarantine.rs
@@ -66,6 +66,20 @@
     assert!(!is_quarantined(&quarantine, &[SOUND]));
 }
 
+#[test]
+fn common_part_alone() {
+    // Guards against sound prompts that are refused since their only shared part is all that
+    // prompts with different deadly parts have in common.
+    let mut quarantine = PartQuarantine::default();
+    lose(&mut quarantine, 1, &[SOUND, DEADLY], Millis(1_000));
+    lose(&mut quarantine, 2, &[SOUND, OTHER_DEADLY], Millis(1_000));
+    lose(&mut quarantine, 3, &[SOUND, RARE], Millis(1_000));
+    assert!(is_quarantined(&quarantine, &[SOUND, DEADLY]));
+    assert!(!is_quarantined(&quarantine, &[SOUND]));
+    lose(&mut quarantine, 4, &[SOUND], Millis(1_000));
+    assert!(is_quarantined(&quarantine, &[SOUND]));
+}
+
 #[test]
 fn varied_prompts() {
     // What the lost prompts have in common is quarantined, not each of them.
