Quarantine: first trial after two minutes; a follower's place in the notices is taken first

A trial costs an engine and all of its answers where the part is still deadly, so it waits longer than most incidents last. The number up to which a follower knows the notices was read after them; it is read before, so that none between is left out.

--- a/crates/core/src/forward/part_quarantine.rs
+++ b/crates/core/src/forward/part_quarantine.rs
@@ -30,7 +30,7 @@
 /// Most losses that are remembered.
 const MAX_LOSSES: usize = 64;
 /// Shortest time from the last loss to the first trial; doubled for each further lost engine.
-const MIN_TRIAL_INTERVAL_MS: Millis = Millis(60_000);
+const MIN_TRIAL_INTERVAL_MS: Millis = Millis(120_000);
 /// Longest time from the last loss to the first trial.
 const MAX_TRIAL_INTERVAL_MS: Millis = Millis(600_000);
 
--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -215,6 +215,8 @@
             // Waiting here for what this instance waits for elsewhere would add the delays up.
             let is_following = self.shared.follow_state.is_following();
             let remaining_ms = end_ms.saturating_sub(clock::now_ms());
+            // Taken before the notices, so that none between the two is left out.
+            let last_notice = self.shared.forwarder().part_quarantine().last_number();
             let notices = part_notices::list_after(&self.shared, notices_after);
             let is_due =
                 is_store_lost || is_following || notices.is_some() || remaining_ms == Millis::ZERO;
@@ -227,7 +229,7 @@
                     is_following,
                     notices,
                     notices_epoch,
-                    last_notice: self.shared.forwarder().part_quarantine().last_number(),
+                    last_notice,
                 }));
             }
             let timeout = Duration::from_millis(remaining_ms.0);
