Quarantine: an answer that an engine garbles is no lost engine

A malformed answer was recorded like a broken connection, so that engines which garble their answers would have had sound prompts quarantined. Answers that are invalid are a failure of their own now, with its name in the logs.

--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -32,6 +32,8 @@
     EndBeforeEvents,
     /// Closes the connection after the head of an answer in chunks.
     CloseBeforeEvents,
+    /// Writes bytes that are no chunks after the head of an answer in chunks.
+    GarbledChunks,
     /// Ends the chunks in order in the middle of the third event.
     LastChunkMidEvent,
     /// States the length of an answer that stops in the middle of the third event.
@@ -450,6 +452,10 @@
         _ => {}
     }
     let mut parts = vec![head("Transfer-Encoding: chunked\r\n")];
+    if behaviour == Behaviour::GarbledChunks {
+        parts.push(b"no chunk\r\n".to_vec());
+        return RawAnswer::Bytes(parts.concat());
+    }
     if behaviour == Behaviour::CloseBeforeEvents {
         return RawAnswer::BytesThenClose(parts.concat());
     }
--- a/crates/turmericrail/src/forward/call_failure.rs
+++ b/crates/turmericrail/src/forward/call_failure.rs
@@ -10,8 +10,10 @@
     NotSent,
     /// The server takes no calls of this instance at present; nothing was written.
     Withheld,
-    /// The call may have been written, but the connection broke or the answer was invalid.
+    /// The call may have been written, but the connection broke before the end of the answer.
     Lost,
+    /// The answer is invalid.
+    Malformed,
     /// The answer is longer than may be held.
     Oversized,
     /// The call may have been written, but nothing came in time.
@@ -25,7 +27,9 @@
             CallFailure::NotSent => CallEnd::Unreachable,
             CallFailure::Withheld => CallEnd::Cancelled,
             CallFailure::Silent => CallEnd::TimedOut,
-            CallFailure::Lost | CallFailure::Oversized => CallEnd::ConnectionLost,
+            CallFailure::Lost | CallFailure::Malformed | CallFailure::Oversized => {
+                CallEnd::ConnectionLost
+            }
         }
     }
 
@@ -40,6 +44,7 @@
             CallFailure::NotSent => "not_sent",
             CallFailure::Withheld => "withheld",
             CallFailure::Lost => "lost",
+            CallFailure::Malformed => "malformed",
             CallFailure::Oversized => "oversized",
             CallFailure::Silent => "silent",
         }
--- a/crates/turmericrail/src/forward/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/engine_attempt.rs
@@ -24,7 +24,6 @@
 
 /// Multiple of the route's target gap between events after which an engine counts as silent.
 const GAP_TIMEOUT_FACTOR: u64 = 2;
-
 /// Time after the deadline for which events that come without a pause are forwarded.
 const MAX_OVERRUN_MS: Millis = Millis(300);
 /// Most events of an answer whose loss the prompt may have caused.
@@ -97,6 +96,11 @@
     silence_timeout_ms(attempt.choice()).max(context.route.target_ms)
 }
 
+/// Time without an event after which an engine that has begun its answer counts as silent.
+fn gap_timeout_ms(context: &CallContext<'_>) -> Millis {
+    Millis(context.route.gap_target_ms.0 * GAP_TIMEOUT_FACTOR).max(MIN_SILENCE_MS)
+}
+
 /// What decides whether a call may move to another engine when its own falls silent.
 struct Failover<'a> {
     tried: &'a [ServerRun],
@@ -176,7 +180,7 @@
         reservation.mark_used();
     }
     if !is_acceptable(&exchange.head, &exchange.metadata) {
-        return EngineAttemptEnd::Failed(CallFailure::Lost);
+        return EngineAttemptEnd::Failed(CallFailure::Malformed);
     }
     if !exchange.head.is_success() {
         let remaining_ms = context.remaining_ms();
@@ -253,7 +257,7 @@
     sent_ms: Millis,
     failover: &mut Failover<'_>,
 ) -> Option<EngineAttemptEnd> {
-    let lost = || Some(EngineAttemptEnd::Failed(CallFailure::Lost));
+    let failed = |failure| Some(EngineAttemptEnd::Failed(failure));
     let mut decoder = BodyDecoder::new(exchange.head.framing);
     let mut share = context.shared.pool.answer_budget.share();
     let events_before = events.event_count();
@@ -261,14 +265,14 @@
     loop {
         let mut data = Vec::new();
         let Ok(used) = decoder.decode(&exchange.connection.buffer, &mut data) else {
-            return lost();
+            return failed(CallFailure::Malformed);
         };
         exchange.connection.buffer.drain(..used);
         let Some(whole_events) = events.push(&data) else {
-            return lost();
+            return failed(CallFailure::Malformed);
         };
         if !share.resize(events.partial_bytes()) {
-            return Some(EngineAttemptEnd::Failed(CallFailure::Oversized));
+            return failed(CallFailure::Oversized);
         }
         if is_before_first_event && !whole_events.is_empty() {
             is_before_first_event = false;
@@ -285,24 +289,24 @@
             return None;
         }
         if clock::now_ms() > context.deadline_ms + MAX_OVERRUN_MS {
-            return Some(EngineAttemptEnd::Failed(CallFailure::Silent));
+            return failed(CallFailure::Silent);
         }
-        let gap_ms = Millis(context.route.gap_target_ms.0 * GAP_TIMEOUT_FACTOR);
-        let gap_ms = gap_ms.max(MIN_SILENCE_MS);
-        let silence_timeout_ms =
-            if is_before_first_event { first_event_timeout_ms(context, attempt) } else { gap_ms };
+        let silence_timeout_ms = match is_before_first_event {
+            true => first_event_timeout_ms(context, attempt),
+            false => gap_timeout_ms(context),
+        };
         let timeout = Duration::from_millis(failover.timeout_ms(context, silence_timeout_ms).0);
         let filling = async_std::future::timeout(timeout, exchange.connection.fill_fairly());
         match filling.await {
             Ok(Ok(0)) if decoder.end_of_input().is_ok() => {}
             Ok(Ok(read)) if read > 0 => {}
-            Ok(_) => return lost(),
+            Ok(_) => return failed(CallFailure::Lost),
             Err(_) if failover.is_movable => {
                 if let Some(moved) = failover.move_call(context).await {
                     return Some(moved);
                 }
             }
-            Err(_) => return Some(EngineAttemptEnd::Failed(CallFailure::Silent)),
+            Err(_) => return failed(CallFailure::Silent),
         }
     }
 }
--- a/crates/turmericrail/src/forward/engine_calls.rs
+++ b/crates/turmericrail/src/forward/engine_calls.rs
@@ -137,7 +137,7 @@
                 engine.run.server,
                 error.to_string()
             );
-            Err(CallFailure::Lost)
+            Err(CallFailure::Malformed)
         }
     }
 }
--- a/crates/turmericrail/src/forward/exchange.rs
+++ b/crates/turmericrail/src/forward/exchange.rs
@@ -138,7 +138,7 @@
         }
         *stale_answers += 1;
         if *stale_answers > MAX_STALE_ANSWERS {
-            return Err(CallFailure::Lost);
+            return Err(CallFailure::Malformed);
         }
         connection.skip_body(head.framing, MAX_BODY_BYTES).await?;
     }
@@ -152,19 +152,19 @@
     let mut interim_heads = 0;
     loop {
         let parsed = ResponseHead::parse(&connection.buffer, method);
-        if let Some((head, length)) = parsed.map_err(|_| CallFailure::Lost)? {
+        if let Some((head, length)) = parsed.map_err(|_| CallFailure::Malformed)? {
             connection.buffer.drain(..length);
             if !head.is_interim() {
                 return Ok(head);
             }
             interim_heads += 1;
             if interim_heads > MAX_INTERIM_HEADS {
-                return Err(CallFailure::Lost);
+                return Err(CallFailure::Malformed);
             }
             continue;
         }
         if connection.buffer.len() > MAX_HEAD_BYTES {
-            return Err(CallFailure::Lost);
+            return Err(CallFailure::Malformed);
         }
         if connection.fill_fairly().await.map_err(|_| CallFailure::Lost)? == 0 {
             return Err(CallFailure::Lost);
--- a/crates/turmericrail/src/forward/plain_call.rs
+++ b/crates/turmericrail/src/forward/plain_call.rs
@@ -99,6 +99,7 @@
         CallFailure::NotSent
         | CallFailure::Withheld
         | CallFailure::Lost
+        | CallFailure::Malformed
         | CallFailure::Oversized => ErrorKind::ServerLost,
     }
 }
@@ -181,7 +182,7 @@
     match exchange.read_body(pool, choice.address, context.remaining_ms()).await {
         _ if metadata.is_not_run => AttemptEnd::NotRun,
         Ok((head, body)) if is_acceptable(&head, &metadata) => AttemptEnd::Answered(head, body),
-        Ok(_) => AttemptEnd::Failed(CallFailure::Lost),
+        Ok(_) => AttemptEnd::Failed(CallFailure::Malformed),
         Err(failure) => AttemptEnd::Failed(failure),
     }
 }
--- a/crates/turmericrail/src/forward/server_connection.rs
+++ b/crates/turmericrail/src/forward/server_connection.rs
@@ -126,7 +126,8 @@
         let mut piece = Vec::new();
         loop {
             piece.clear();
-            let used = decoder.decode(&self.buffer, &mut piece).map_err(|_| CallFailure::Lost)?;
+            let used =
+                decoder.decode(&self.buffer, &mut piece).map_err(|_| CallFailure::Malformed)?;
             self.buffer.drain(..used);
             if !take_piece(&piece) {
                 return Err(CallFailure::Oversized);
--- a/crates/turmericrail/tests/deadly_parts.rs
+++ b/crates/turmericrail/tests/deadly_parts.rs
@@ -175,3 +175,16 @@
     }
     assert_eq!(refused, 0);
 }
+
+#[test]
+fn garbled_answers() {
+    // Guards against a part that is blamed for answers which engines garble: they weren't lost.
+    let instance = ForwardInstance::start("garbled-answers");
+    let engines = [0, 1, 2, 3].map(|number| instance.start_engine(&format!("d{number}"), "decode"));
+    engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::GarbledChunks));
+    for number in 0..8 {
+        let reply = send(&instance, "stream", &format!("r{number}"), "f1:200");
+        assert_eq!(reply.status(), 502);
+    }
+    assert!(!instance.read_log().contains("event=part_loss "), "{}", instance.read_log());
+}
