Forwarding: the conversions of limits and notices get files of their own

The random spread of a wait stood four times and is one function. The quarantine drops what is old where its changes are logged, so that its end by age has a line too; notices of an exchange wake the sending task after they are queued.

--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -200,7 +200,6 @@
         self.registry.expire(now_ms);
         self.leaving_runs.expire(now_ms, &self.registry);
         self.call_limits.expire(now_ms, &self.registry);
-        self.part_quarantine.expire(now_ms);
         let registry = &self.registry;
         self.loads.retain(|run, load| {
             let is_current = |entry: &ServerEntry| entry.started_ms == run.started_ms;
--- a/crates/turmericrail/src/forward/part_notices.rs
+++ b/crates/turmericrail/src/forward/part_notices.rs
@@ -13,14 +13,15 @@
 use async_std::task;
 use tonic::{Request, Status};
 use turmericrail_core::forward::{
-    LossCause, PartLoss, PartNotice, PartQuarantine, PartSurvival, ServerRun, Watcher,
+    LossCause, PartLoss, PartNotice, PartQuarantine, ServerRun, Watcher,
 };
 use turmericrail_core::ids::{PromptPartId, ServiceId};
-use turmericrail_core::units::{Millis, WallMillis};
+use turmericrail_core::units::Millis;
 use turmericrail_wire::relay as wire;
 
 use super::clock;
 use super::relay;
+use super::relay_notices;
 use super::shared::Shared;
 
 /// Time in which notices are collected before they are sent.
@@ -98,7 +99,7 @@
 /// Merges notices of another instance; returns those that are new.
 pub fn merge(shared: &Shared, notices: Option<wire::PartNotices>) -> Vec<PartNotice> {
     let now_ms = clock::now_ms();
-    let received = from_wire(now_ms, notices.unwrap_or_default());
+    let received = relay_notices::from_wire(now_ms, notices.unwrap_or_default());
     if received.is_empty() {
         return Vec::new();
     }
@@ -120,7 +121,15 @@
 /// follow may not know them.
 pub fn merge_exchanged(shared: &Shared, notices: Option<wire::PartNotices>) {
     let new = merge(shared, notices);
-    shared.part_notices.unsent().to_own_data_centre.extend(new);
+    if !new.is_empty() {
+        shared.part_notices.unsent().to_own_data_centre.extend(new);
+        shared.part_notices.wake();
+    }
+}
+
+/// Drops notices that are old.
+pub fn expire(shared: &Shared) {
+    update(shared, |quarantine| quarantine.expire(clock::now_ms()));
 }
 
 /// The notices after one with this number; `None` if there are none.
@@ -133,7 +142,7 @@
         }
         quarantine.notices_after(number)
     };
-    (!notices.is_empty()).then(|| to_wire(clock::now_ms(), &notices))
+    (!notices.is_empty()).then(|| relay_notices::to_wire(clock::now_ms(), &notices))
 }
 
 /// Hash of the notices that this instance knows.
@@ -166,7 +175,7 @@
         if notices.is_empty() {
             continue;
         }
-        let message = to_wire(now_ms, &notices);
+        let message = relay_notices::to_wire(now_ms, &notices);
         for address in addresses {
             task::spawn(notify(address, message.clone()));
         }
@@ -258,48 +267,3 @@
     }
     parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
 }
-
-fn to_wire(now_ms: Millis, notices: &[PartNotice]) -> wire::PartNotices {
-    let mut message = wire::PartNotices::default();
-    for notice in notices {
-        match notice {
-            PartNotice::Lost(loss) => message.losses.push(wire::PartLoss {
-                service: loss.service.to_string(),
-                server: loss.engine.server.to_string(),
-                started_ms: loss.engine.started_ms.0,
-                parts: loss.parts.iter().map(|part| part.0).collect(),
-                age_ms: now_ms.saturating_sub(loss.lost_ms).0,
-            }),
-            PartNotice::Survived(survival) => message.survivals.push(wire::PartSurvival {
-                service: survival.service.to_string(),
-                part: survival.part.0,
-                age_ms: now_ms.saturating_sub(survival.survived_ms).0,
-            }),
-        }
-    }
-    message
-}
-
-fn from_wire(now_ms: Millis, message: wire::PartNotices) -> Vec<PartNotice> {
-    let mut notices = Vec::new();
-    for loss in message.losses {
-        let (Ok(service), Ok(server)) = (loss.service.parse(), loss.server.parse()) else {
-            spdlog::warn!("event=part_notice_malformed service={:?}", loss.service);
-            continue;
-        };
-        let engine = ServerRun { server, started_ms: WallMillis(loss.started_ms) };
-        let parts = loss.parts.into_iter().map(PromptPartId).collect();
-        let lost_ms = now_ms.saturating_sub(Millis(loss.age_ms));
-        notices.push(PartNotice::Lost(PartLoss { service, engine, parts, lost_ms }));
-    }
-    for survival in message.survivals {
-        let Ok(service) = survival.service.parse() else {
-            spdlog::warn!("event=part_notice_malformed service={:?}", survival.service);
-            continue;
-        };
-        let part = PromptPartId(survival.part);
-        let survived_ms = now_ms.saturating_sub(Millis(survival.age_ms));
-        notices.push(PartNotice::Survived(PartSurvival { service, part, survived_ms }));
-    }
-    notices
-}
--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -14,10 +14,8 @@
 use async_std::task;
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
-use turmericrail_core::forward::{
-    LimitStatement, MemberList, Members, PublishedItem, PublishedSet, ServerRun,
-};
-use turmericrail_core::units::{CallRate, Millis, WallMillis};
+use turmericrail_core::forward::{MemberList, Members, PublishedItem, PublishedSet, ServerRun};
+use turmericrail_core::units::{Millis, WallMillis};
 use turmericrail_wire::relay::relay_client::RelayClient;
 use turmericrail_wire::relay::relay_server::{Relay, RelayServer};
 use turmericrail_wire::relay::{
@@ -28,6 +26,7 @@
 use super::change_signal::ChangeSignal;
 use super::clock;
 use super::part_notices;
+use super::relay_limits;
 use super::relay_members;
 use super::server_notices;
 use super::shared::Shared;
@@ -181,13 +180,13 @@
             ages_ms: if is_same { relay_members::ages_to_wire(&own) } else { Vec::new() },
             newer: message.known.iter().filter_map(|known| relay.items_newer_than(known)).collect(),
             leaving: list_leaving(&self.shared),
-            limits: list_limits(&self.shared),
+            limits: relay_limits::list_limits(&self.shared),
             notices_hash,
             notices: if is_hash_known { None } else { part_notices::list_after(&self.shared, 0) },
         };
         part_notices::merge_exchanged(&self.shared, message.notices);
         merge_leaving(&self.shared, &message.leaving);
-        merge_limits(&self.shared, &message.limits);
+        relay_limits::merge_limits(&self.shared, &message.limits);
         message.known.iter().for_each(|known| relay.record_peer_change(known));
         relay_members::merge_members(&self.shared, message.sender.iter().chain(&message.members));
         if is_same && !message.ages_ms.is_empty() {
@@ -201,7 +200,7 @@
         request: Request<FollowRequest>,
     ) -> Result<Response<FollowReply>, Status> {
         let message = request.into_inner();
-        merge_limits(&self.shared, &message.limits);
+        relay_limits::merge_limits(&self.shared, &message.limits);
         let relay = &self.shared.relay;
         let end_ms = clock::now_ms() + Millis(message.wait_ms).min(MAX_FOLLOW_WAIT_MS);
         let notices_epoch = self.shared.part_notices.epoch;
@@ -225,7 +224,7 @@
                     newer,
                     is_store_lost,
                     leaving: list_leaving(&self.shared),
-                    limits: list_limits(&self.shared),
+                    limits: relay_limits::list_limits(&self.shared),
                     is_following,
                     notices,
                     notices_epoch,
@@ -265,32 +264,6 @@
     }
 }
 
-/// What servers said last about their limits.
-pub fn list_limits(shared: &Shared) -> Vec<wire::ServerLimit> {
-    let statements = shared.forwarder().call_limits().statements(clock::now_ms());
-    let to_wire = |statement: LimitStatement| wire::ServerLimit {
-        server: statement.run.server.to_string(),
-        started_ms: statement.run.started_ms.0,
-        calls_per_s: statement.rate.map(CallRate::calls_per_second),
-        age_ms: statement.age_ms.0,
-    };
-    statements.into_iter().map(to_wire).collect()
-}
-
-pub fn merge_limits(shared: &Shared, limits: &[wire::ServerLimit]) {
-    for limit in limits {
-        let rate = limit.calls_per_s.and_then(CallRate::new);
-        let is_rate_valid = rate.is_some() == limit.calls_per_s.is_some();
-        let (Ok(server), true) = (limit.server.parse(), is_rate_valid) else {
-            spdlog::warn!("event=server_limit_malformed server={:?}", limit.server);
-            continue;
-        };
-        let run = ServerRun { server, started_ms: WallMillis(limit.started_ms) };
-        let statement = LimitStatement { run, rate, age_ms: Millis(limit.age_ms) };
-        server_notices::record_limit(shared, &statement, "peer");
-    }
-}
-
 /// Listens for other instances.
 pub async fn listen(shared: &Arc<Shared>) -> Result<(), StartError> {
     let address = shared.settings().peer_address;
@@ -321,7 +294,7 @@
             (true, true) => STORE_LOST_INTERVAL,
             (true, false) => NORMAL_INTERVAL,
         };
-        task::sleep(interval.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+        task::sleep(clock::spread(interval)).await;
         let Some(address) = choose_peer(&shared) else {
             continue;
         };
@@ -392,7 +365,7 @@
         sender: Some(relay_members::own_to_wire(shared)),
         known: shared.relay.known_sets(),
         leaving: list_leaving(shared),
-        limits: list_limits(shared),
+        limits: relay_limits::list_limits(shared),
         members_hash: own.identity_hash(),
         notices_hash: part_notices::hash(shared),
         ..ExchangeRequest::default()
@@ -405,7 +378,7 @@
         relay_members::merge_ages(shared, own, &reply.ages_ms);
     }
     merge_leaving(shared, &reply.leaving);
-    merge_limits(shared, &reply.limits);
+    relay_limits::merge_limits(shared, &reply.limits);
     part_notices::merge_exchanged(shared, reply.notices);
     apply_newer(shared, address, reply.newer);
 }
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -13,7 +13,7 @@
 use super::clock;
 use super::connection_pool::ConnectionPool;
 use super::follow_state::FollowState;
-use super::part_notices::PartNoticeState;
+use super::part_notices::{self, PartNoticeState};
 use super::relay::RelayState;
 use super::settings::ForwardSettings;
 use super::store_sync::PREFIXES;
@@ -197,6 +197,7 @@
     loop {
         task::sleep(EXPIRE_INTERVAL).await;
         shared.forwarder().expire(clock::now_ms());
+        part_notices::expire(&shared);
         shared.pool.expire();
         if shared.relay.has_exchanged() {
             let instances = shared.relay.members().count();
--- a/crates/turmericrail/src/forward/store_follow.rs
+++ b/crates/turmericrail/src/forward/store_follow.rs
@@ -23,8 +23,10 @@
 use turmericrail_wire::relay::relay_client::RelayClient;
 use turmericrail_wire::relay::{FollowReply, FollowRequest};
 
+use super::clock;
 use super::part_notices;
 use super::relay;
+use super::relay_limits;
 use super::shared::Shared;
 use super::store_sync;
 
@@ -78,14 +80,14 @@
         let is_following = match follower.follow_any().await {
             Some(false) => true,
             Some(true) => {
-                task::sleep(LOST_INTERVAL.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+                task::sleep(clock::spread(LOST_INTERVAL)).await;
                 fastrand::f64() >= OWN_TRIAL_SHARE
             }
             None => false,
         };
         shared.follow_state.set_following(is_following);
         if !is_following {
-            task::sleep(OWN_WATCH_PERIOD.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+            task::sleep(clock::spread(OWN_WATCH_PERIOD)).await;
         }
     }
 }
@@ -161,7 +163,7 @@
             let is_watching =
                 reply.is_some_and(|reply| !reply.is_following && !reply.is_store_lost);
             let interval = if is_watching { WATCHER_CALL_INTERVAL } else { WATCHER_CHECK_INTERVAL };
-            task::sleep(interval.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+            task::sleep(clock::spread(interval)).await;
         }
     }
 
@@ -202,7 +204,7 @@
         };
         self.silent_until.remove(&address);
         relay::merge_leaving(&self.shared, &reply.leaving);
-        relay::merge_limits(&self.shared, &reply.limits);
+        relay_limits::merge_limits(&self.shared, &reply.limits);
         part_notices::merge(&self.shared, reply.notices.take());
         self.last_notices.insert(address, (reply.notices_epoch, reply.last_notice));
         relay::apply_newer(&self.shared, address, std::mem::take(&mut reply.newer));
@@ -220,7 +222,7 @@
         let request = FollowRequest {
             known: self.shared.relay.known_sets(),
             wait_ms: wait.as_millis() as u64,
-            limits: relay::list_limits(&self.shared),
+            limits: relay_limits::list_limits(&self.shared),
             notices_epoch,
             notices_after,
         };
