Quarantine: a whole answer of few events clears the parts of its prompt

Only answers that went on past their third event cleared a part, so a prompt whose answers are short could be blamed for any three crashes. Whole answers clear it too, where their framing states the end: one that ends with its connection may have been cut between two events. short_answers failed before (503 after three losses).

--- a/crates/turmericrail/src/forward/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/engine_attempt.rs
@@ -223,6 +223,9 @@
         }
         return end;
     }
+    if !is_end_unstated(&exchange.head) {
+        part_notices::record_survival(context.shared, context.service, context.shared_parts());
+    }
     if !caller.write_events(&exchange.head, &rest).await {
         return EngineAttemptEnd::CallerLost;
     }
--- a/crates/turmericrail/tests/deadly_parts.rs
+++ b/crates/turmericrail/tests/deadly_parts.rs
@@ -176,6 +176,25 @@
     assert_eq!(refused, 0);
 }
 
+#[test]
+fn short_answers() {
+    // Guards against a part that is blamed for lost engines although answers to it, of few events,
+    // were whole.
+    let instance = ForwardInstance::start("short-answers");
+    let engines = [0, 1, 2, 3].map(|number| instance.start_engine(&format!("d{number}"), "decode"));
+    let send_last_events = |id: &str| {
+        let text = forward_support::request_text("stream", id);
+        let fields = "X-Prefix-Hash: f1:200,e:9\r\nLast-Event-Id: 3\r\nX-Request-Id";
+        instance.send(&text.replace("X-Request-Id", fields)).unwrap()
+    };
+    assert!(send_last_events("whole").is_complete);
+    engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::CloseBeforeEvents));
+    for number in 0..8 {
+        let reply = send_last_events(&format!("r{number}"));
+        assert_eq!((reply.status(), reply.is_complete), (502, true));
+    }
+}
+
 #[test]
 fn garbled_answers() {
     // Guards against a part that is blamed for answers which engines garble: they weren't lost.
