--- a/crates/turmericrail/examples/fault_soak/fault.rs
+++ b/crates/turmericrail/examples/fault_soak/fault.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use turmericrail_fakes::registered::Behaviour;
+use turmericrail_fakes::registered::{Behaviour, EndlessBytes};
 use turmericrail_fakes::{Fault as ProxyFault, FaultProxy, FaultScope};
 
 use crate::fault_run::{FaultRun, PLAIN_SERVERS};
@@ -17,6 +17,18 @@
     Behaviour::Fail,
     Behaviour::ForeignAnswerFirst,
 ];
+/// Answers that stop before their end, or never do.
+pub const ANSWER_FAULTS: [Behaviour; 9] = [
+    Behaviour::AnswerUntilClose,
+    Behaviour::EndMidEvent,
+    Behaviour::EndBeforeEvents,
+    Behaviour::CloseBeforeEvents,
+    Behaviour::LastChunkMidEvent,
+    Behaviour::FullLengthMidEvent,
+    Behaviour::GarbledChunks,
+    Behaviour::Endless(EndlessBytes::InterimHeads),
+    Behaviour::Endless(EndlessBytes::Trailers),
+];
 /// Maximum number of consecutive calls that one server handles wrongly: about what it receives in a
 /// second.
 const MAX_FAULTY_CALLS: usize = 30;
--- a/crates/turmericrail/examples/fault_soak/fault_run.rs
+++ b/crates/turmericrail/examples/fault_soak/fault_run.rs
@@ -7,7 +7,7 @@
 
 use turmericrail_fakes::FaultProxy;
 use turmericrail_fakes::ports::free_address;
-use turmericrail_fakes::registered::{FakeStore, RegisteredServer, configuration};
+use turmericrail_fakes::registered::{Behaviour, FakeStore, RegisteredServer, configuration};
 
 use crate::call_counts;
 use crate::callers::{self, Callers, RequestRecord};
@@ -139,10 +139,17 @@
 }
 
 /// Runs instances of a program under faults; no new episode begins after `end`.
-pub fn run(program: PathBuf, seed: u64, instances: usize, end: Instant) -> Totals {
+pub fn run(
+    program: PathBuf,
+    seed: u64,
+    instances: usize,
+    end: Instant,
+    answer_faults: &[Behaviour],
+) -> Totals {
     let mut rng = fastrand::Rng::with_seed(seed);
     // Apart, so that the seeds of earlier failures play the same faults as then.
     let mut limit_rng = fastrand::Rng::with_seed(seed);
+    let mut answer_rng = fastrand::Rng::with_seed(seed);
     let mut run = FaultRun::start(&program, seed, instances);
     let mut totals = Totals::default();
     await_recovery(&mut run, &mut totals);
@@ -150,7 +157,9 @@
     let mut callers = Callers::start(addresses, seed);
     let mut records = Vec::new();
     while Instant::now() < end {
+        set_answer_faults(&run, &mut answer_rng, answer_faults);
         run_fault_episode(&mut run, &mut totals, &mut rng);
+        run.servers.iter().for_each(|server| server.server.set_behaviour(Behaviour::Answer));
         let calm_start = Instant::now() + CATCH_UP_BOUND;
         await_recovery(&mut run, &mut totals);
         std::thread::sleep(calm_start.saturating_duration_since(Instant::now()));
@@ -176,6 +185,14 @@
     totals
 }
 
+/// Has one server answer each call wrongly, unless a fault of the episode says otherwise.
+fn set_answer_faults(run: &FaultRun, rng: &mut fastrand::Rng, answer_faults: &[Behaviour]) {
+    let server = rng.usize(..run.servers.len());
+    if let Some(behaviour) = rng.choice(answer_faults) {
+        run.servers[server].server.set_behaviour(*behaviour);
+    }
+}
+
 /// Injects overlapping faults of random lengths.
 fn run_fault_episode(run: &mut FaultRun, totals: &mut Totals, rng: &mut fastrand::Rng) {
     let end = Instant::now() + EPISODE_DURATION;
--- a/crates/turmericrail/examples/fault_soak/main.rs
+++ b/crates/turmericrail/examples/fault_soak/main.rs
@@ -47,7 +47,8 @@
     let arguments: Arguments = argh::from_env();
     let program = std::env::current_exe().expect("an example knows its own path");
     let end = Instant::now() + Duration::from_secs_f64(arguments.minutes * 60.0);
-    let totals = fault_run::run(program, arguments.seed, arguments.instances, end);
+    let answer_faults = &fault::ANSWER_FAULTS;
+    let totals = fault_run::run(program, arguments.seed, arguments.instances, end, answer_faults);
     println!(
         "seed={} requests={} faults={} violations={}",
         arguments.seed,
--- a/crates/turmericrail/tests/fault_soak.rs
+++ b/crates/turmericrail/tests/fault_soak.rs
@@ -15,12 +15,14 @@
 
 use std::time::{Duration, Instant};
 
+use turmericrail_fakes::registered::Behaviour;
+
 /// Time after which no new episode of faults begins.
 const DURATION: Duration = Duration::from_secs(8);
 
-fn soak(seed: u64) {
+fn soak(seed: u64, answer_faults: &[Behaviour]) {
     let program = env!("CARGO_BIN_EXE_turmericrail").into();
-    let totals = fault_run::run(program, seed, 3, Instant::now() + DURATION);
+    let totals = fault_run::run(program, seed, 3, Instant::now() + DURATION, answer_faults);
     assert!(totals.requests > 0 && totals.faults > 0);
     assert!(totals.violations.is_empty(), "{:?}", totals.violations);
 }
@@ -29,5 +31,12 @@
 /// died without an error: the calls went on until another instance announced the removal.
 #[test]
 fn silent_watches() {
-    soak(3);
+    soak(3, &[]);
+}
+
+/// Guards against answers that are passed on as whole although they stop before their end, beside
+/// other faults.
+#[test]
+fn unfinished_answers() {
+    soak(1, &fault::ANSWER_FAULTS);
 }
