--- a/crates/turmericrail/src/forward/part_notices.rs
+++ b/crates/turmericrail/src/forward/part_notices.rs
@@ -12,15 +12,14 @@
 use async_channel::{Receiver, Sender};
 use async_std::task;
 use tonic::{Request, Status};
-use turmericrail_core::forward::{
-    LossCause, PartLoss, PartNotice, PartQuarantine, ServerRun, Watcher,
-};
+use turmericrail_core::forward::{LossCause, PartLoss, PartNotice, PartQuarantine, ServerRun};
 use turmericrail_core::ids::{PromptPartId, ServiceId};
 use turmericrail_core::units::Millis;
 use turmericrail_wire::relay as wire;
 
 use super::clock;
 use super::relay;
+use super::relay_members;
 use super::relay_notices;
 use super::shared::Shared;
 
@@ -169,7 +168,7 @@
 fn send_unsent(shared: &Arc<Shared>) {
     let unsent = std::mem::take(&mut *shared.part_notices.unsent());
     let now_ms = clock::now_ms();
-    let (local, remote) = followed_instances(shared);
+    let (local, remote) = relay_members::watching_instances(shared);
     let to_local = [unsent.to_all.as_slice(), unsent.to_own_data_centre.as_slice()].concat();
     for (addresses, notices) in [(local, to_local), (remote, unsent.to_all)] {
         if notices.is_empty() {
@@ -182,20 +181,6 @@
     }
 }
 
-/// The instances that others follow in this data centre and in the other ones.
-fn followed_instances(shared: &Shared) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-    let own = shared.settings().data_centre.clone();
-    let members = shared.relay.members();
-    let address = |watcher: Watcher| match watcher {
-        Watcher::Own => None,
-        Watcher::Other(address) => Some(address),
-    };
-    let local = members.watchers(&own, true).into_iter().filter_map(address).collect();
-    let others = members.data_centres().into_iter().filter(|other| **other != own);
-    let remote = others.flat_map(|other| members.watchers(other, false)).filter_map(address);
-    (local, remote.collect())
-}
-
 async fn notify(address: SocketAddr, notices: wire::PartNotices) {
     let notifying = async {
         let mut client = relay::connect(address).await?;
--- a/crates/turmericrail/src/forward/relay_members.rs
+++ b/crates/turmericrail/src/forward/relay_members.rs
@@ -1,6 +1,8 @@
 //! The members as instances tell them to each other in exchanges.
 
-use turmericrail_core::forward::{Member, MemberList};
+use std::net::SocketAddr;
+
+use turmericrail_core::forward::{Member, MemberList, Watcher};
 use turmericrail_core::units::Millis;
 use turmericrail_wire::relay as wire;
 
@@ -10,6 +12,21 @@
 /// Data centre of members that don't state theirs.
 const UNKNOWN_DATA_CENTRE: &str = "unknown";
 
+/// Addresses of the other instances that watch the store: those of this data centre, and those of
+/// the other ones.
+pub fn watching_instances(shared: &Shared) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let own = &shared.settings().data_centre;
+    let members = shared.relay.members();
+    let address = |watcher: Watcher| match watcher {
+        Watcher::Own => None,
+        Watcher::Other(address) => Some(address),
+    };
+    let local = members.watchers(own, true).into_iter().filter_map(address).collect();
+    let others = members.data_centres().into_iter().filter(|other| *other != own);
+    let remote = others.flat_map(|other| members.watchers(other, false)).filter_map(address);
+    (local, remote.collect())
+}
+
 fn own_member(shared: &Shared) -> Member {
     let settings = shared.settings();
     Member {
--- a/crates/turmericrail/src/forward/store_follow.rs
+++ b/crates/turmericrail/src/forward/store_follow.rs
@@ -27,6 +27,7 @@
 use super::part_notices;
 use super::relay;
 use super::relay_limits;
+use super::relay_members;
 use super::shared::Shared;
 use super::store_sync;
 
@@ -170,14 +171,7 @@
     /// The other watching instances of this data centre and those of the other ones, in the order in
     /// which to ask them.
     fn choose_watchers(&mut self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let settings = self.shared.settings();
-        let members = self.shared.relay.members();
-        let mut local = addresses(members.watchers(&settings.data_centre, true));
-        let others = members.data_centres();
-        let others = others.into_iter().filter(|data_centre| **data_centre != settings.data_centre);
-        let mut remote: Vec<_> =
-            others.flat_map(|other| addresses(members.watchers(other, false))).collect();
-        drop(members);
+        let (mut local, mut remote) = relay_members::watching_instances(&self.shared);
         let now = Instant::now();
         self.silent_until.retain(|_, until| *until > now);
         self.last_notices.retain(|address, _| local.contains(address) || remote.contains(address));
@@ -229,12 +223,3 @@
         Ok(client.follow(Request::new(request)).await?.into_inner())
     }
 }
-
-/// Addresses of the other instances among watching ones.
-fn addresses(watchers: Vec<Watcher>) -> Vec<SocketAddr> {
-    let address = |watcher: Watcher| match watcher {
-        Watcher::Own => None,
-        Watcher::Other(address) => Some(address),
-    };
-    watchers.into_iter().filter_map(address).collect()
-}
