Quarantine: a plain call has no shared parts, so nothing asks for its kind again

A prompt without shared parts is never quarantined and is never a loss, so the behaviour is the same.

--- a/crates/core/src/forward/part_survivals.rs
+++ b/crates/core/src/forward/part_survivals.rs
@@ -21,12 +21,7 @@
 impl PartSurvivals {
     /// Records an answer to a prompt with these parts.
     pub fn record(&mut self, now_ms: Millis, service: &ServiceId, parts: &[PromptPartId]) {
-        if !self.by_service.contains_key(service) {
-            self.by_service.insert(service.clone(), Default::default());
-        }
-        let Some(generations) = self.by_service.get_mut(service) else {
-            return;
-        };
+        let generations = self.by_service.entry(service.clone()).or_default();
         for part in parts {
             generations[0].insert(*part, now_ms);
         }
--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/call_context.rs
@@ -47,29 +47,22 @@
 
     /// Parts of the prompt that other requests may share; none in a plain call.
     pub fn shared_parts(&self) -> &[PromptPartId] {
-        &self.request.metadata.shared_parts
+        if self.is_model_call() { &self.request.metadata.shared_parts } else { &[] }
     }
 
     /// Whether engines aren't sent the prompt at present.
     pub fn is_prompt_quarantined(&self) -> bool {
+        let mut forwarder = self.shared.forwarder();
         !self.is_prompt_trial
-            && self.is_model_call()
-            && self
-                .shared
-                .forwarder()
-                .part_quarantine()
-                .is_quarantined(self.service, self.shared_parts())
+            && forwarder.part_quarantine().is_quarantined(self.service, self.shared_parts())
     }
 
     /// Whether engines that began the answer were lost, and the prompt may be why.
     fn is_prompt_suspect(&self, calls_sent: u32) -> bool {
+        let mut forwarder = self.shared.forwarder();
         let is_suspect = calls_sent > 0
-            && self.is_model_call()
-            && self
-                .shared
-                .forwarder()
-                .part_quarantine()
-                .is_suspect(self.service, self.shared_parts());
+            && forwarder.part_quarantine().is_suspect(self.service, self.shared_parts());
+        drop(forwarder);
         if is_suspect {
             self.log_send_again("prompt_suspect");
         }
--- a/crates/turmericrail/src/forward/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/engine_attempt.rs
@@ -219,7 +219,9 @@
     if let Some(end) = end {
         let is_lost = matches!(end, EngineAttemptEnd::Failed(CallFailure::Lost));
         if is_lost && attempt_events <= MAX_LOSS_EVENTS {
-            record_part_loss(context, attempt);
+            let engine = &attempt.choice().run;
+            let parts = context.shared_parts();
+            part_notices::record_loss(context.shared, context.service, engine, parts);
         }
         return end;
     }
@@ -314,15 +316,6 @@
     }
 }
 
-/// Records that the engine was lost as it began the answer, which a part of the prompt may have
-/// caused.
-fn record_part_loss(context: &CallContext<'_>, attempt: &EngineAttempt) {
-    let (parts, engine) = (context.shared_parts(), &attempt.choice().run);
-    if context.is_model_call() {
-        part_notices::record_loss(context.shared, context.service, engine, parts);
-    }
-}
-
 fn record_first_event(context: &CallContext<'_>, attempt: &EngineAttempt, sent_ms: Millis) {
     let elapsed_ms = clock::now_ms().saturating_sub(sent_ms);
     context.observe_step("first_event", elapsed_ms);
