--- a/crates/turmericrail/tests/store_followers.rs
+++ b/crates/turmericrail/tests/store_followers.rs
@@ -20,6 +20,10 @@
 const CHANGE_LIMIT: Duration = Duration::from_secs(4);
 /// Time within which an instance whose own watch is dead must know a change.
 const DEAD_WATCH_LIMIT: Duration = Duration::from_secs(2);
+/// Time within which a configuration must be in force at every instance, whatever fails.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(8);
+/// Time within which a watch starts after the store has been read.
+const WATCH_START_TIME: Duration = Duration::from_millis(600);
 /// Wait that a call asks for, much longer than an immediate reply takes.
 const FOLLOW_WAIT_MS: u64 = 4_000;
 
@@ -124,3 +128,31 @@
     }
     assert!(published_at.elapsed() < DEAD_WATCH_LIMIT, "{:?}", published_at.elapsed());
 }
+
+#[test]
+fn all_watches_dead() {
+    // Guards against changes that no instance learns of, since the watches of all get neither them
+    // nor an error.
+    let store = FakeStore::start().unwrap();
+    store.publish(&configuration(1));
+    let proxy = async_std::task::block_on(FaultProxy::start(store.address())).unwrap();
+    let first = ForwardInstance::start_with_store_address("all-dead-1", store, proxy.address);
+    let start_peer = |number: u8| {
+        let name = format!("all-dead-{number}");
+        first.start_numbered_peer(&name, number, FakeStore::start().unwrap(), proxy.address)
+    };
+    let mut fleet: Vec<_> = (2..=WATCHERS as u8).map(start_peer).collect();
+    for instance in fleet.iter().chain([&first]) {
+        instance.wait_for_log(&format!("event=members_changed count={WATCHERS} "));
+    }
+    std::thread::sleep(WATCH_START_TIME);
+    proxy.add_fault(Fault::DropAll, FaultScope::Existing, |_| true);
+    let published_at = Instant::now();
+    first.store.publish(&configuration(2));
+    fleet.push(first);
+    for instance in &fleet {
+        let line = "event=config version=2 ";
+        wait_within(IN_FORCE_LIMIT, line, || instance.read_log().contains(line));
+    }
+    assert!(published_at.elapsed() < IN_FORCE_LIMIT, "{:?}", published_at.elapsed());
+}
