Silent peers: a failing test of the time after which connections are replaced

What peers_silent, listed, shows on a loaded machine alone, without load: where both owners of prefill engines are behind connections that fell silent, callers with a target of 2 s are rejected, since these are replaced after 1.5 to 2.2 s.

--- a/crates/fakes/src/fault_proxy.rs
+++ b/crates/fakes/src/fault_proxy.rs
@@ -109,6 +109,11 @@
         state.rules.push(FaultRule { fault, below_number, matches_head: Arc::new(matches_head) });
     }
 
+    /// Number of connections accepted so far.
+    pub fn connection_count(&self) -> u64 {
+        self.state().connection_count
+    }
+
     /// Removes all faults. Connections of which bytes were dropped stay silent until they are
     /// closed.
     pub fn clear_faults(&self) {
--- a/crates/turmericrail/tests/silent_peers.rs
+++ b/crates/turmericrail/tests/silent_peers.rs
@@ -16,6 +16,10 @@
 /// Time within which members must see each other as live again.
 const RECOVERY_TIME_LIMIT: Duration = Duration::from_secs(5);
 
+/// Time within which silent connections must be replaced: half of the callers' target of 2 s, of
+/// which two silent owners take 0.6 s.
+const REPLACEMENT_TIME_LIMIT: Duration = Duration::from_secs(1);
+
 /// Length of an answer that is resumed at another instance.
 const ANSWER_TOKENS: u64 = 300;
 
@@ -49,6 +53,25 @@
     run_with_peer_faults("streams-silent", Fault::DropAll).await;
 }
 
+#[async_std::test]
+async fn silent_connections_replaced() {
+    // Guards against callers rejected at their deadline because the owners of all engines are behind
+    // connections that have fallen silent.
+    let fleet = Fleet::start(proxied_plan("silent-replaced")).await.unwrap();
+    task::sleep(RECOVERY_TIME_LIMIT).await;
+    let connection_counts =
+        || -> Vec<_> { fleet.proxies.peers.values().map(FaultProxy::connection_count).collect() };
+    let before = connection_counts();
+    for proxy in fleet.proxies.peers.values() {
+        proxy.add_fault(Fault::DropAll, FaultScope::Existing, |_| true);
+    }
+    task::sleep(REPLACEMENT_TIME_LIMIT).await;
+    let after = connection_counts();
+    let peers = fleet.instances.len() as u64 - 1;
+    let are_replaced = before.iter().zip(&after).all(|(before, after)| after - before >= peers);
+    assert!(are_replaced, "{before:?} {after:?}");
+}
+
 #[async_std::test]
 async fn peers_closed() {
     run_with_peer_faults("streams-cut", Fault::Close).await;
