Store follow: watches that are all dead are found after two seconds

Cause: a watch lasts 25 s, and one whose connection is dead without an error shows it only at its end. The instances that watch learn from each other, which helps while one of them still hears the store; a fault that silences all of them leaves nobody who knows. The system's keepalive finds a link that is down, not a proxy or a store that took the request and forgot it.

Change: the first of the watching instances of a data centre, which all members name alike, renews its watch every two seconds, so its end comes 3.5 s after the fault at the latest; it reads the store anew. The watching instances follow each other in a ring instead of at random: what one of them reads reaches all, while random choices could leave two that followed each other without the news for four seconds.

Excluded: a short watch at all watching instances (four times the calls, for nothing more); spreading the ends of their watches over time (8 s with three).

--- a/crates/turmericrail/src/forward/relay_members.rs
+++ b/crates/turmericrail/src/forward/relay_members.rs
@@ -12,8 +12,14 @@
 /// Data centre of members that don't state theirs.
 const UNKNOWN_DATA_CENTRE: &str = "unknown";
 
-/// Addresses of the other instances that watch the store: those of this data centre, and those of
-/// the other ones.
+/// Whether this instance is the first of those that watch the store for its data centre.
+pub fn is_first_watcher(shared: &Shared) -> bool {
+    let own = &shared.settings().data_centre;
+    shared.relay.members().watchers(own, true).first() == Some(&Watcher::Own)
+}
+
+/// Addresses of the other instances that watch the store: those of this data centre as a ring,
+/// beginning after this instance, and those of the other ones.
 pub fn watching_instances(shared: &Shared) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
     let own = &shared.settings().data_centre;
     let members = shared.relay.members();
@@ -21,7 +27,10 @@
         Watcher::Own => None,
         Watcher::Other(address) => Some(address),
     };
-    let local = members.watchers(own, true).into_iter().filter_map(address).collect();
+    let mut ring = members.watchers(own, true);
+    let position = ring.iter().position(|watcher| *watcher == Watcher::Own);
+    ring.rotate_left(position.unwrap_or_default());
+    let local = ring.into_iter().filter_map(address).collect();
     let others = members.data_centres().into_iter().filter(|other| *other != own);
     let remote = others.flat_map(|other| members.watchers(other, false)).filter_map(address);
     (local, remote.collect())
--- a/crates/turmericrail/src/forward/store_follow.rs
+++ b/crates/turmericrail/src/forward/store_follow.rs
@@ -7,8 +7,9 @@
 //! can't read the store, the instance goes on to follow them and now and then tries the store
 //! itself, since it may be served.
 //!
-//! The watching instances follow each other too: one whose watch has failed without a sign learns
-//! of changes from the others.
+//! The watching instances of a data centre follow each other in a ring, so that what one of them
+//! reads reaches those whose watches have failed without a sign. The first one renews its watch
+//! often (`store_watch`), in case all of them have.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -109,7 +110,7 @@
     /// Asks watching instances until one replies that can read the store. Returns whether all that
     /// replied have lost the store; `None` if none replied.
     async fn follow_any(&mut self) -> Option<bool> {
-        let (local, remote) = self.choose_watchers();
+        let (local, remote) = self.choose_watchers(|watchers| fastrand::shuffle(watchers));
         let is_lost = match self.ask_in_turn(local, MAX_LOCAL_ATTEMPTS, FOLLOW_WAIT).await {
             Some(false) => Some(false),
             Some(true) => {
@@ -153,11 +154,11 @@
         is_lost
     }
 
-    /// Follows another watching instance in an endless loop, since the own watch may get neither
+    /// Follows the next watching instance in an endless loop, since the own watch may get neither
     /// changes nor an error.
     async fn follow_as_watcher(&mut self) {
         loop {
-            let reply = match self.choose_watchers().0.first() {
+            let reply = match self.choose_watchers(|_| {}).0.first() {
                 Some(&address) => self.ask(address, WATCHER_WAIT).await,
                 None => None,
             };
@@ -168,15 +169,18 @@
         }
     }
 
-    /// The other watching instances of this data centre and those of the other ones, in the order in
-    /// which to ask them.
-    fn choose_watchers(&mut self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    /// The other watching instances of this data centre and those of the other ones, as `arrange`
+    /// orders them, those that didn't reply last.
+    fn choose_watchers(
+        &mut self,
+        arrange: impl Fn(&mut Vec<SocketAddr>),
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let (mut local, mut remote) = relay_members::watching_instances(&self.shared);
         let now = Instant::now();
         self.silent_until.retain(|_, until| *until > now);
         self.last_notices.retain(|address, _| local.contains(address) || remote.contains(address));
         for watchers in [&mut local, &mut remote] {
-            fastrand::shuffle(watchers);
+            arrange(watchers);
             watchers.sort_by_key(|address| self.silent_until.contains_key(address));
         }
         (local, remote)
--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -10,14 +10,16 @@
 use turmericrail_platform::store;
 
 use super::clock;
+use super::relay_members;
 use super::shared::Shared;
 use super::store_client::{StoreClient, StoreError};
 
 /// Time for which the store holds a watch without changes.
 const WATCH_MS: Millis = Millis(25_000);
-/// Watch time of the first watch after the store or a watch failed. A connection that is dead
-/// without an error is found after this time, soon enough for the instance to catch up.
-const FIRST_WATCH_AFTER_LOSS_MS: Millis = Millis(2_000);
+/// Watch time of the first watch after the store or a watch failed, and of the first of the watching
+/// instances. A connection that is dead without an error is found after this time, soon enough for
+/// the instances to catch up.
+const SHORT_WATCH_MS: Millis = Millis(2_000);
 /// Factor by which the time of the next watches grows, since each answered one shows that the
 /// connection works.
 const WATCH_GROWTH_FACTOR: u64 = 4;
@@ -61,12 +63,13 @@
             revision = Some(known_revision(&shared, prefix));
             lost_since_ms = None;
             retry_delay = MIN_RETRY_DELAY;
-            watch_ms = FIRST_WATCH_AFTER_LOSS_MS;
+            watch_ms = SHORT_WATCH_MS;
         }
         let result = match revision {
             None => Some(read_all(&shared, &mut client, prefix).await),
             Some(after) => {
-                let watching = watch(&shared, &mut client, prefix, after, watch_ms);
+                let wait_ms = watch_ms.min(max_watch_ms(&shared));
+                let watching = watch(&shared, &mut client, prefix, after, wait_ms);
                 watch_ms = Millis(watch_ms.0 * WATCH_GROWTH_FACTOR).min(WATCH_MS);
                 let watching = watching.or(wait_until_behind(&shared, prefix, after));
                 let following = async {
@@ -105,7 +108,7 @@
                     revision.unwrap_or_default()
                 );
                 revision = None;
-                watch_ms = FIRST_WATCH_AFTER_LOSS_MS;
+                watch_ms = SHORT_WATCH_MS;
             }
             Err(StoreError::Behind(announced)) => {
                 let revision_before = revision.unwrap_or_default();
@@ -113,7 +116,7 @@
                     "event=watch_silent prefix={prefix} revision={revision_before} told={announced}"
                 );
                 revision = None;
-                watch_ms = FIRST_WATCH_AFTER_LOSS_MS;
+                watch_ms = SHORT_WATCH_MS;
             }
             Err(error) => {
                 if lost_since_ms.is_none() {
@@ -130,12 +133,18 @@
                 // The watch may have missed changes before it failed, and one that continues from
                 // an old revision would only return at the next change.
                 revision = None;
-                watch_ms = FIRST_WATCH_AFTER_LOSS_MS;
+                watch_ms = SHORT_WATCH_MS;
             }
         }
     }
 }
 
+/// Longest time of a watch. The first of the watching instances renews its own often: where the
+/// watches of all are dead without an error, it learns of changes and tells the others.
+fn max_watch_ms(shared: &Shared) -> Millis {
+    if relay_members::is_first_watcher(shared) { SHORT_WATCH_MS } else { WATCH_MS }
+}
+
 async fn read_all(
     shared: &Shared,
     client: &mut StoreClient,
