Peer edge: messages leave a silent connection after 0.3 s

Cause: messages kept going to a channel whose deliveries got no confirmation, until the first of them timed out after 2 s or a keepalive of 1 s and 1 s did. A message that timed out also dropped whichever channel stood there by then, so also a new one.

Change: the time after which the next messages take a new connection is apart from the time for which a delivery may go on. A delivery that isn't confirmed after 0.3 s, as long as a request waits for an owner, takes its channel out of use; the delivery itself goes on over it for its 2 s, so large documents on slow links aren't cut, which a shorter keepalive would do. Channels have numbers, so that a late delivery drops its own alone.

--- a/crates/turmericrail/src/peer_edge/client.rs
+++ b/crates/turmericrail/src/peer_edge/client.rs
@@ -1,16 +1,19 @@
 //! Sends messages to peers, over one channel per peer that connects on first use.
 //!
-//! Messages can be lost and are not sent again here. When a delivery times out, the channel is
-//! dropped, so that the next message opens a new connection. Idle channels cause no traffic, since
-//! keepalive probes are sent only during a delivery. Channels that were unused for long are dropped
-//! when a new one is opened.
+//! Messages can be lost and are not sent again here. When a delivery is slow, the next messages go
+//! over a new connection, while the delivery may still end on the old one. Idle channels cause no
+//! traffic, since keepalive probes are sent only during a delivery. Channels that were unused for
+//! long are dropped when a new one is opened.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use futures_lite::FutureExt;
+use futures_lite::future;
 use http_types::StatusCode;
 use prost::Message;
 use tonic::transport::{Channel, Endpoint};
@@ -30,12 +33,17 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 const DELIVER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time after which a delivery is slow: some round trips between data centres, and as long as a
+/// caller's request waits for the owner of an engine.
+const SLOW_DELIVERY: Duration = Duration::from_millis(300);
 /// Time between keepalive probes during a delivery, and longest wait for their answers.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Channels unused for longer are dropped when a new one is opened.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 struct PeerChannel {
+    /// Tells the channel from later ones to the same peer.
+    number: u64,
     address: SocketAddr,
     channel: Channel,
     last_used: Instant,
@@ -45,18 +53,19 @@
 #[derive(Default)]
 pub struct PeerChannels {
     channels: Mutex<BTreeMap<InstanceId, PeerChannel>>,
+    opened_count: AtomicU64,
 }
 
 impl PeerChannels {
-    /// Returns a client for a peer; opens a channel if there is none to this address. `None` if the
-    /// address can't be used in a URL.
-    fn client(&self, peer: &InstanceId, address: SocketAddr) -> Option<PeerClient<Channel>> {
+    /// Returns a client for a peer with the number of its channel; opens a channel if there is none
+    /// to this address. `None` if the address can't be used in a URL.
+    fn client(&self, peer: &InstanceId, address: SocketAddr) -> Option<(u64, PeerClient<Channel>)> {
         let now = Instant::now();
         let mut channels = self.channels.lock().unwrap_or_else(|_| std::process::abort());
         let known = channels.get_mut(peer).filter(|known| known.address == address);
         if let Some(known) = known {
             known.last_used = now;
-            return Some(client_with_limits(known.channel.clone()));
+            return Some((known.number, client_with_limits(known.channel.clone())));
         }
         let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
         let channel = endpoint
@@ -66,16 +75,18 @@
             .keep_alive_timeout(KEEPALIVE_INTERVAL)
             .connect_lazy();
         channels.retain(|_, known| now - known.last_used < IDLE_TIMEOUT);
-        channels.insert(
-            peer.clone(),
-            PeerChannel { address, channel: channel.clone(), last_used: now },
-        );
-        Some(client_with_limits(channel))
+        let number = self.opened_count.fetch_add(1, Ordering::Relaxed);
+        let opened = PeerChannel { number, address, channel: channel.clone(), last_used: now };
+        channels.insert(peer.clone(), opened);
+        Some((number, client_with_limits(channel)))
     }
 
-    /// Drops the channel to a peer.
-    fn close(&self, peer: &InstanceId) {
-        self.channels.lock().unwrap_or_else(|_| std::process::abort()).remove(peer);
+    /// Drops this channel to a peer, unless a later one has taken its place.
+    fn drop_channel(&self, peer: &InstanceId, number: u64) {
+        let mut channels = self.channels.lock().unwrap_or_else(|_| std::process::abort());
+        if channels.get(peer).is_some_and(|known| known.number == number) {
+            channels.remove(peer);
+        }
     }
 }
 
@@ -104,7 +115,7 @@
 
 /// Sends a message without waiting for its delivery; failures are not reported.
 pub fn send(shared: &Arc<Shared>, to: InstanceId, address: SocketAddr, envelope: &Envelope) {
-    let Some(mut client) = shared.peer_channels.client(&to, address) else {
+    let Some((number, mut client)) = shared.peer_channels.client(&to, address) else {
         return;
     };
     let encoded = convert::encode(&shared.settings.deployment, envelope);
@@ -115,9 +126,13 @@
     task::spawn(async move {
         let request = tonic::Request::new(encoded);
         let delivery = async_std::future::timeout(DELIVER_TIMEOUT, client.deliver(request));
-        if delivery.await.is_err() {
-            shared.peer_channels.close(&to);
-        }
+        let replacement = async {
+            task::sleep(SLOW_DELIVERY).await;
+            spdlog::debug!("event=peer_channel_slow peer={to}");
+            shared.peer_channels.drop_channel(&to, number);
+            future::pending().await
+        };
+        let _ = delivery.or(replacement).await;
     });
 }
 
@@ -145,7 +160,7 @@
     timeout_ms: Millis,
 ) -> Result<ForwardReply, String> {
     let client = shared.peer_channels.client(&home.instance, address);
-    let mut client = client.ok_or_else(|| "bad peer address".to_owned())?;
+    let (_, mut client) = client.ok_or_else(|| "bad peer address".to_owned())?;
     let request = ForwardRequest {
         deployment: shared.settings.deployment.clone(),
         home: Some(convert::encode_holder(home)),
