--- a/crates/core/src/forward/call_sends.rs
+++ b/crates/core/src/forward/call_sends.rs
@@ -15,6 +15,7 @@
     counted_sends: u32,
     granted_retries: u32,
     has_done_prefill: bool,
+    is_denied: bool,
 }
 
 impl CallSends {
@@ -34,6 +35,11 @@
         self.granted_retries += 1;
     }
 
+    /// Records that the bound denied a retry; returns whether it is the first one of the call.
+    pub fn record_denied_retry(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_denied, true)
+    }
+
     /// Takes back the latest send: no server was reached.
     pub fn record_not_sent(&mut self) {
         self.counted_sends = self.counted_sends.saturating_sub(1);
--- a/crates/core/tests/retry_bound.rs
+++ b/crates/core/tests/retry_bound.rs
@@ -69,6 +69,14 @@
     assert!(send(&mut done), "a retry whose server wasn't reached is left");
 }
 
+#[test]
+fn denied_once() {
+    // Guards against calls that are counted as denied once for their prefill and once for their run.
+    let mut sends = CallSends::default();
+    assert!(sends.record_denied_retry());
+    assert!(!sends.record_denied_retry());
+}
+
 #[test]
 fn restarted_instances() {
     // Guards against instances that take a full share of the slack again when they start again, a
--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/call_context.rs
@@ -128,8 +128,10 @@
     }
 
     fn record_denied_retry(&self) {
-        self.shared.metrics.retries_refused.inc();
-        self.log_send_again("bound_reached");
+        if self.sends().record_denied_retry() {
+            self.shared.metrics.retries_refused.inc();
+            self.log_send_again("bound_reached");
+        }
     }
 
     /// Whether one more request may be sent to a server now, within the bound on retries.
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -172,7 +172,7 @@
             retries_refused: plain_counter(
                 &registry,
                 "turmericrail_retries_refused_total",
-                "Retries refused by their bound.",
+                "Calls with a retry refused by its bound.",
             ),
             malformed_headers: plain_counter(
                 &registry,
