Store follow: fewer calls of the store, by watching instances and new followers

- All four watching instances of a data centre renewed their watch 0.4 s after each change, though they tell each other.
The first one still does; the others wait for a second, and continue from what they were told meanwhile.
- A new instance watched both sets from its first reading on, until it followed another one two seconds later: members are checked once a second, and the first call to a followed instance waited for a second for changes.

Where the first watching instance is silent, a change is known after 1 s in place of 0.4 s; the shortest time that any deployment allows is 2 s.

--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -26,6 +26,11 @@
 /// Time between an answer and the next call, so that changes in quick succession cost one call. It
 /// is well below the time within which leaving servers and new configurations must be noticed.
 const WATCH_INTERVAL: Duration = Duration::from_millis(400);
+/// The same for the watching instances after the first one, which tells them of changes meanwhile.
+const LATER_WATCH_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time that a new instance with seeds waits before its first watch, which it does not need if it
+/// is to follow others. It suffices to learn of the members and to follow one.
+const FIRST_WATCH_DELAY: Duration = Duration::from_millis(2_000);
 /// Time allowed beyond the watch time for the answer to arrive.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -57,6 +62,7 @@
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut lost_since_ms: Option<Millis> = None;
     let mut watch_ms = WATCH_MS;
+    let mut is_new = !shared.settings().seeds.is_empty();
     loop {
         if shared.follow_state.is_following() && known_revision(&shared, prefix) > 0 {
             shared.follow_state.wait_until(false).await;
@@ -94,9 +100,15 @@
                     handle(StoreEvent::Regained);
                 }
                 retry_delay = MIN_RETRY_DELAY;
-                revision = Some(at);
                 handle(event);
-                task::sleep(WATCH_INTERVAL).await;
+                if std::mem::take(&mut is_new) {
+                    let following = shared.follow_state.wait_until(true);
+                    following.or(task::sleep(FIRST_WATCH_DELAY)).await;
+                } else {
+                    task::sleep(watch_interval(&shared)).await;
+                }
+                // What others have told meanwhile needs no watch that returns at once.
+                revision = Some(at.max(known_revision(&shared, prefix)));
             }
             Err(StoreError::Status(store::HISTORY_GONE_STATUS)) => {
                 spdlog::info!("event=store_history_gone prefix={prefix}");
@@ -145,6 +157,10 @@
     if relay_members::is_first_watcher(shared) { SHORT_WATCH_MS } else { WATCH_MS }
 }
 
+fn watch_interval(shared: &Shared) -> Duration {
+    if relay_members::is_first_watcher(shared) { WATCH_INTERVAL } else { LATER_WATCH_INTERVAL }
+}
+
 async fn read_all(
     shared: &Shared,
     client: &mut StoreClient,
