--- a/crates/turmericrail/src/forward/store_follow.rs
+++ b/crates/turmericrail/src/forward/store_follow.rs
@@ -73,16 +73,13 @@
         silent_until: BTreeMap::new(),
         last_notices: BTreeMap::new(),
     };
-    // A new follower is to know at once that it can be one.
-    let mut wait = Duration::ZERO;
     loop {
         if is_watcher(&shared) {
             shared.follow_state.set_following(false);
             follower.follow_as_watcher().or(wait_until_follower(&shared)).await;
-            wait = Duration::ZERO;
             continue;
         }
-        let is_following = match follower.follow_any(wait).await {
+        let is_following = match follower.follow_any().await {
             Some(false) => true,
             Some(true) => {
                 task::sleep(clock::spread(LOST_INTERVAL)).await;
@@ -91,7 +88,6 @@
             None => false,
         };
         shared.follow_state.set_following(is_following);
-        wait = FOLLOW_WAIT;
         if !is_following {
             task::sleep(clock::spread(OWN_WATCH_PERIOD)).await;
         }
@@ -111,14 +107,14 @@
 }
 
 impl Follower {
-    /// Asks watching instances until one replies that can read the store; each waits for changes for
-    /// `wait`. Returns whether all that replied have lost the store; `None` if none replied.
-    async fn follow_any(&mut self, wait: Duration) -> Option<bool> {
+    /// Asks watching instances until one replies that can read the store. Returns whether all that
+    /// replied have lost the store; `None` if none replied.
+    async fn follow_any(&mut self) -> Option<bool> {
         let (local, remote) = self.choose_watchers(|watchers| fastrand::shuffle(watchers));
-        let is_lost = match self.ask_in_turn(local, MAX_LOCAL_ATTEMPTS, wait).await {
+        let is_lost = match self.ask_in_turn(local, MAX_LOCAL_ATTEMPTS, FOLLOW_WAIT).await {
             Some(false) => Some(false),
             Some(true) => {
-                let is_lost = self.ask_in_turn(remote, MAX_REMOTE_ATTEMPTS, wait).await;
+                let is_lost = self.ask_in_turn(remote, MAX_REMOTE_ATTEMPTS, FOLLOW_WAIT).await;
                 is_lost.or(Some(true))
             }
             None => self.ask_in_turn(remote, MAX_REMOTE_ATTEMPTS, Duration::ZERO).await,
--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -28,9 +28,6 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(400);
 /// The same for the watching instances after the first one, which tells them of changes meanwhile.
 const LATER_WATCH_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Time that a new instance with seeds waits before its first watch, which it does not need if it
-/// is to follow others. It suffices to learn of the members and to follow one.
-const FIRST_WATCH_DELAY: Duration = Duration::from_millis(2_000);
 /// Time allowed beyond the watch time for the answer to arrive.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -62,7 +59,6 @@
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut lost_since_ms: Option<Millis> = None;
     let mut watch_ms = WATCH_MS;
-    let mut is_new = !shared.settings().seeds.is_empty();
     loop {
         if shared.follow_state.is_following() && known_revision(&shared, prefix) > 0 {
             shared.follow_state.wait_until(false).await;
@@ -101,12 +97,7 @@
                 }
                 retry_delay = MIN_RETRY_DELAY;
                 handle(event);
-                if std::mem::take(&mut is_new) {
-                    let following = shared.follow_state.wait_until(true);
-                    following.or(task::sleep(FIRST_WATCH_DELAY)).await;
-                } else {
-                    task::sleep(watch_interval(&shared)).await;
-                }
+                task::sleep(watch_interval(&shared)).await;
                 // What others have told meanwhile needs no watch that returns at once.
                 revision = Some(at.max(known_revision(&shared, prefix)));
             }
