Store watch: all watching instances read a change at once again

The second server, of 59.4 to 59.7, was known at 60.09, and ten calls at 59.79 got 503. So the pause costs callers wherever the ring is not closed: after a start, and while a neighbour is silent.

--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store_watch.rs
@@ -26,8 +26,6 @@
 /// Time between an answer and the next call, so that changes in quick succession cost one call. It
 /// is well below the time within which leaving servers and new configurations must be noticed.
 const WATCH_INTERVAL: Duration = Duration::from_millis(400);
-/// The same for the watching instances after the first one, which tells them of changes meanwhile.
-const LATER_WATCH_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time allowed beyond the watch time for the answer to arrive.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -96,10 +94,9 @@
                     handle(StoreEvent::Regained);
                 }
                 retry_delay = MIN_RETRY_DELAY;
+                revision = Some(at);
                 handle(event);
-                task::sleep(watch_interval(&shared)).await;
-                // What others have told meanwhile needs no watch that returns at once.
-                revision = Some(at.max(known_revision(&shared, prefix)));
+                task::sleep(WATCH_INTERVAL).await;
             }
             Err(StoreError::Status(store::HISTORY_GONE_STATUS)) => {
                 spdlog::info!("event=store_history_gone prefix={prefix}");
@@ -148,10 +145,6 @@
     if relay_members::is_first_watcher(shared) { SHORT_WATCH_MS } else { WATCH_MS }
 }
 
-fn watch_interval(shared: &Shared) -> Duration {
-    if relay_members::is_first_watcher(shared) { WATCH_INTERVAL } else { LATER_WATCH_INTERVAL }
-}
-
 async fn read_all(
     shared: &Shared,
     client: &mut StoreClient,
