--- a/crates/turmericrail/tests/deadly_parts.rs
+++ b/crates/turmericrail/tests/deadly_parts.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use forward_support::{ForwardInstance, wait_within};
-use turmericrail_fakes::registered::{Behaviour, FakeStore, RegisteredServer, Reply};
+use turmericrail_fakes::registered::{Behaviour, RegisteredServer, Reply};
 
 /// Engines lost to a part after which every instance must know it in time.
 const KNOWN_AFTER_LOSSES: usize = 5;
@@ -27,11 +27,8 @@
 
 impl Fleet {
     fn start(name: &str) -> Self {
-        let first = ForwardInstance::start(name);
-        let mut fleet = Self { instances: vec![first], engines: Vec::new() };
-        for number in 2..=3 {
-            fleet.add_instance(&format!("{name}-{number}"), number);
-        }
+        let instances = forward_support::start_group(name, 3);
+        let mut fleet = Self { instances, engines: Vec::new() };
         let engine = |number| {
             let stage = if number < 2 { "prefill" } else { "decode" };
             fleet.instances[0].start_engine(&format!("e{number}"), stage)
@@ -43,14 +40,6 @@
         fleet
     }
 
-    fn add_instance(&mut self, name: &str, number: u8) {
-        let first = &self.instances[0];
-        let (store, address) = (FakeStore::start().unwrap(), first.store.address());
-        let instance = first.start_numbered_peer(name, number, store, address);
-        instance.wait_for_log("event=members_changed ");
-        self.instances.push(instance);
-    }
-
     fn set_deadly_parts(&self, parts: &[&'static str]) {
         self.engines.iter().for_each(|engine| engine.set_deadly_parts(parts));
     }
@@ -124,7 +113,7 @@
     fleet.assert_known_in_time("bad");
     assert_eq!(late_losses, 0);
     // An instance that starts now learns it from the others.
-    fleet.add_instance("deadly-part-4", 4);
+    forward_support::add_to_group(&mut fleet.instances, "deadly-part");
     let latest = &fleet.instances[3];
     wait_for_engines(latest);
     wait_within(CONTACT_TIME, "the part to be known", || {
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -34,6 +34,24 @@
     window: &'static str,
 }
 
+/// Starts instances that know each other, each with a store of its own; the first one's holds the
+/// configuration.
+pub fn start_group(name: &str, count: u8) -> Vec<ForwardInstance> {
+    let mut group = vec![ForwardInstance::start(name)];
+    (1..count).for_each(|_| add_to_group(&mut group, name));
+    group
+}
+
+/// Adds an instance to a group.
+pub fn add_to_group(group: &mut Vec<ForwardInstance>, name: &str) {
+    let number = group.len() as u8 + 1;
+    let (store, address) = (FakeStore::start().unwrap(), group[0].store.address());
+    let instance =
+        group[0].start_numbered_peer(&format!("{name}-{number}"), number, store, address);
+    instance.wait_for_log("event=members_changed ");
+    group.push(instance);
+}
+
 /// Configuration of the tests, with one attempt for the routes whose calls run at most once.
 pub fn configuration(version: u64) -> Value {
     registered::configuration(version, 1)
