--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -104,6 +104,7 @@
     Overloaded, "overloaded", 503, NotRun, true, "The workspace or the instance is at its limit.";
     NoServer, "no_server", 503, NotRun, true, "No reachable backend server serves the call.";
     PromptQuarantined, "prompt_quarantined", 503, NotRun, true, "Engines were lost one after the other as they began answers to prompts with these parts, so the prompt isn't sent to any for a while.";
+    RequestQuarantined, "request_quarantined", 503, NotRun, true, "Servers ended one after the other while they ran this request, so it isn't sent to any for a while.";
     NotReady, "not_ready", 503, NotRun, true, "This instance has no configuration yet.";
     ShuttingDown, "shutting_down", 503, NotRun, true, "This instance is shutting down and takes no new work.";
     HomeUnreachable, "home_unreachable", 504, Unknown, false, "The instance that issued the ticket can't be reached, so whether the call ran is not known.";
--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -7,10 +7,10 @@
 use super::reliability::Reliability;
 use super::service_latency::ServiceLatency;
 use super::{
-    CallEnd, CallLimits, CallSends, CallerRetryDetector, ChosenServer, FailureScore, LeavingRuns,
-    LimitStatement, ModelCallSize, PartQuarantine, ReportedLoad, ReservationPressure, RetryBounds,
-    RetryWindow, RouteTable, SendPermit, ServerEntry, ServerLoad, ServerRegistry, ServerRun,
-    ServerUpdate,
+    BrokenCalls, CallEnd, CallLimits, CallSends, CallerRetryDetector, ChosenServer, FailureScore,
+    LeavingRuns, LimitStatement, ModelCallSize, Quarantine, ReportedLoad, ReservationPressure,
+    RetryBounds, RetryWindow, RouteTable, SendPermit, ServerEntry, ServerLoad, ServerRegistry,
+    ServerRun, ServerState, ServerUpdate,
 };
 use crate::ids::{DataCentreId, RouteId, ServiceId};
 use crate::units::{Millis, Tokens};
@@ -51,7 +51,8 @@
     pub(super) data_centre_failures: BTreeMap<DataCentreId, FailureScore>,
     leaving_runs: LeavingRuns,
     call_limits: CallLimits,
-    part_quarantine: PartQuarantine,
+    quarantine: Quarantine,
+    broken_calls: BrokenCalls,
     instance_count: usize,
     /// Registry revision for which the conversion candidates are marked.
     pub(super) conversion_candidates_revision: Option<u64>,
@@ -75,7 +76,8 @@
             data_centre_failures: BTreeMap::new(),
             leaving_runs: LeavingRuns::default(),
             call_limits: CallLimits::default(),
-            part_quarantine: PartQuarantine::default(),
+            quarantine: Quarantine::default(),
+            broken_calls: BrokenCalls::default(),
             conversion_candidates_revision: None,
         }
     }
@@ -133,6 +135,15 @@
         &self.leaving_runs
     }
 
+    /// Whether a run has said that it is leaving, so that its end is planned.
+    pub fn is_leaving(&self, now_ms: Millis, run: &ServerRun) -> bool {
+        let entry = self.registry.entry(now_ms, &run.server);
+        let is_draining = |entry: &ServerEntry| {
+            entry.started_ms == run.started_ms && entry.state == ServerState::Draining
+        };
+        self.leaving_runs.contains(run) || entry.is_some_and(is_draining)
+    }
+
     /// Records that a server wants no calls from this instance for some time.
     pub fn record_closed(&mut self, now_ms: Millis, run: &ServerRun, closed_ms: Millis) {
         self.loads.entry(run.clone()).or_default().record_closed(now_ms + closed_ms);
@@ -154,9 +165,14 @@
         &self.call_limits
     }
 
-    /// The shared parts of prompts to which engines were lost.
-    pub fn part_quarantine(&mut self) -> &mut PartQuarantine {
-        &mut self.part_quarantine
+    /// The requests to which servers were lost.
+    pub fn quarantine(&mut self) -> &mut Quarantine {
+        &mut self.quarantine
+    }
+
+    /// The calls whose servers may have ended.
+    pub fn broken_calls(&mut self) -> &mut BrokenCalls {
+        &mut self.broken_calls
     }
 
     /// Whether a call of any kind may be made to a server now. If the server names a limit, the
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! this instance's own calls and in the servers' answers. Time and random numbers are passed in as
 //! arguments; the network calls are made elsewhere.
 
+mod broken_calls;
 mod call_end;
 mod call_limit;
 mod call_limits;
@@ -18,16 +19,17 @@
 mod latency_ratio;
 mod leaving_runs;
 mod loss_cause;
+mod loss_notice;
 mod member_list;
 mod members;
 mod model_call_size;
 mod model_plan;
 pub mod order_right;
-mod part_notice;
-mod part_quarantine;
 mod part_survivals;
 mod published_set;
+mod quarantine;
 mod reliability;
+mod request_traits;
 mod reservation_pressure;
 mod reservation_round;
 mod retry_window;
@@ -42,6 +44,7 @@
 mod service_latency;
 mod table;
 
+pub use broken_calls::{BrokenCall, BrokenCalls, BrokenKind};
 pub use call_end::CallEnd;
 pub use call_limits::{CallLimits, LimitStatement};
 pub use call_sends::{CallSends, SendPermit};
@@ -51,14 +54,15 @@
 pub use failure_score::FailureScore;
 pub use forwarder::{Forwarder, ForwarderSettings};
 pub use leaving_runs::LeavingRuns;
-pub use loss_cause::LossCause;
+pub use loss_cause::{LossCause, LossSubject};
+pub use loss_notice::{Loss, LossNotice, Survival, Suspect};
 pub use member_list::MemberList;
 pub use members::{Member, Members, Watcher};
 pub use model_call_size::ModelCallSize;
 pub use model_plan::{ModelPlan, PlanRefusal};
-pub use part_notice::{PartLoss, PartNotice, PartSurvival};
-pub use part_quarantine::{PartQuarantine, PromptAdmission};
 pub use published_set::{PublishedItem, PublishedSet};
+pub use quarantine::{Admission, Quarantine};
+pub use request_traits::RequestTraits;
 pub use reservation_pressure::ReservationPressure;
 pub use reservation_round::ReservationRound;
 pub use retry_window::{RetryBounds, RetryWindow};
--- a/crates/core/tests/part_fleets.rs
+++ b/crates/core/tests/part_fleets.rs
@@ -7,9 +7,10 @@
 
 use forward_support::mixed;
 use turmericrail_core::forward::{
-    PartLoss, PartNotice, PartQuarantine, PromptAdmission, ServerRun,
+    Admission, Loss, LossNotice, Quarantine, RequestTraits, ServerRun,
 };
 use turmericrail_core::ids::{PromptPartId, ServiceId};
+use turmericrail_core::request::RequestFingerprint;
 use turmericrail_core::units::{Millis, WallMillis};
 
 const STEP_MS: u64 = 10;
@@ -42,6 +43,7 @@
 }
 
 struct Answer {
+    number: u64,
     instance: usize,
     parts: Vec<PromptPartId>,
     began_ms: u64,
@@ -66,10 +68,10 @@
 struct Fleet {
     plan: Plan,
     random: u64,
-    instances: Vec<PartQuarantine>,
+    instances: Vec<Quarantine>,
     engines: Vec<Engine>,
     /// Due times, receivers and notices.
-    notices: Vec<(u64, usize, PartNotice)>,
+    notices: Vec<(u64, usize, LossNotice)>,
     outcome: Outcome,
 }
 
@@ -86,7 +88,7 @@
         let mut fleet = Self {
             plan,
             random: mixed(seed),
-            instances: vec![PartQuarantine::default(); plan.instances],
+            instances: vec![Quarantine::default(); plan.instances],
             engines: (0..plan.engines).map(|_| Engine::default()).collect(),
             notices: Vec::new(),
             outcome: Outcome::default(),
@@ -154,10 +156,13 @@
         let run = ServerRun { server, started_ms: WallMillis(engine.starts) };
         let lost = std::mem::take(&mut engine.answers);
         for answer in lost.into_iter().filter(|answer| !answer.has_survived) {
-            let loss = PartLoss {
+            let loss = Loss {
                 service: service(),
-                engine: run.clone(),
+                server: run.clone(),
+                request: RequestFingerprint(u128::from(answer.number)),
                 parts: answer.parts.into_iter().collect(),
+                is_server_ended: true,
+                is_late: false,
                 lost_ms: Millis(now_ms),
             };
             let told = self.instances[answer.instance].record_loss(Millis(now_ms), loss);
@@ -165,7 +170,7 @@
         }
     }
 
-    fn tell(&mut self, sender: usize, now_ms: u64, notice: &PartNotice) {
+    fn tell(&mut self, sender: usize, now_ms: u64, notice: &LossNotice) {
         for receiver in (0..self.instances.len()).filter(|other| *other != sender) {
             let due_ms = now_ms + self.draw(MAX_NOTICE_DELAY_MS);
             self.notices.push((due_ms, receiver, notice.clone()));
@@ -182,8 +187,11 @@
         let instance = self.draw(self.plan.instances as u64) as usize;
         let random = self.draw(u64::MAX);
         let quarantine = &mut self.instances[instance];
-        let admission = quarantine.admit(Millis(now_ms), &service(), &parts, random);
-        let is_sent = !matches!(admission, PromptAdmission::Quarantined { .. });
+        let service = service();
+        let request = RequestFingerprint(u128::from(random));
+        let traits = RequestTraits { service: &service, request, parts: &parts };
+        let admission = quarantine.admit(Millis(now_ms), &traits, random);
+        let is_sent = !matches!(admission, Admission::Quarantined { .. });
         if deadly_part(&parts).is_none() {
             self.outcome.sound[usize::from(is_sent)] += 1;
             self.outcome.same_first_part[usize::from(is_sent)] +=
@@ -199,7 +207,8 @@
             self.outcome.send_times_ms.entry(part).or_default().push(now_ms);
         }
         let engine = up[self.draw(up.len() as u64) as usize];
-        let answer = Answer { instance, parts, began_ms: now_ms, has_survived: false };
+        let answer =
+            Answer { number: random, instance, parts, began_ms: now_ms, has_survived: false };
         self.engines[engine].answers.push(answer);
     }
 }
--- a/crates/core/tests/part_quarantine.rs
+++ b/crates/core/tests/part_quarantine.rs
@@ -1,9 +1,10 @@
 //! Prompts that are quarantined for a shared part to which engines were lost.
 
 use turmericrail_core::forward::{
-    PartLoss, PartNotice, PartQuarantine, PartSurvival, PromptAdmission, ServerRun,
+    Admission, Loss, LossNotice, Quarantine, RequestTraits, ServerRun, Survival, Suspect,
 };
 use turmericrail_core::ids::{PromptPartId, ServiceId};
+use turmericrail_core::request::RequestFingerprint;
 use turmericrail_core::units::{Millis, WallMillis};
 
 const SOUND: PromptPartId = PromptPartId(1);
@@ -17,40 +18,51 @@
     "llm".parse().unwrap()
 }
 
-fn loss(engine: u64, parts: &[PromptPartId], lost_ms: Millis) -> PartLoss {
+fn loss(engine: u64, parts: &[PromptPartId], lost_ms: Millis) -> Loss {
     let server = format!("e{engine}").parse().unwrap();
-    let engine = ServerRun { server, started_ms: WallMillis(1) };
-    PartLoss { service: service(), engine, parts: parts.iter().copied().collect(), lost_ms }
+    Loss {
+        service: service(),
+        server: ServerRun { server, started_ms: WallMillis(1) },
+        request: RequestFingerprint(u128::from(engine)),
+        parts: parts.iter().copied().collect(),
+        is_server_ended: false,
+        is_late: false,
+        lost_ms,
+    }
+}
+
+fn traits<'a>(service: &'a ServiceId, parts: &'a [PromptPartId]) -> RequestTraits<'a> {
+    RequestTraits { service, request: RequestFingerprint(0), parts }
 }
 
-fn lose(quarantine: &mut PartQuarantine, engine: u64, parts: &[PromptPartId], lost_ms: Millis) {
+fn lose(quarantine: &mut Quarantine, engine: u64, parts: &[PromptPartId], lost_ms: Millis) {
     quarantine.record_loss(lost_ms, loss(engine, parts, lost_ms));
 }
 
 /// A quarantine of prompts with both parts, as of one second.
-fn quarantined() -> PartQuarantine {
-    let mut quarantine = PartQuarantine::default();
+fn quarantined() -> Quarantine {
+    let mut quarantine = Quarantine::default();
     (1..=3).for_each(|engine| lose(&mut quarantine, engine, &[SOUND, DEADLY], Millis(1_000)));
     quarantine
 }
 
-fn is_quarantined(quarantine: &PartQuarantine, parts: &[PromptPartId]) -> bool {
-    quarantine.is_quarantined(&service(), parts)
+fn is_quarantined(quarantine: &Quarantine, parts: &[PromptPartId]) -> bool {
+    quarantine.is_quarantined(&traits(&service(), parts))
 }
 
 #[test]
 fn lost_engines() {
-    let mut quarantine = PartQuarantine::default();
+    let mut quarantine = Quarantine::default();
     for engine in [1, 1, 1, 2] {
-        assert!(!quarantine.is_suspect(&service(), &[SOUND, DEADLY]));
+        assert!(!quarantine.is_suspect(&traits(&service(), &[SOUND, DEADLY])));
         lose(&mut quarantine, engine, &[SOUND, DEADLY], Millis(1_000));
         assert!(!is_quarantined(&quarantine, &[SOUND, DEADLY]), "an engine counts once");
     }
-    assert!(quarantine.is_suspect(&service(), &[SOUND, DEADLY]));
+    assert!(quarantine.is_suspect(&traits(&service(), &[SOUND, DEADLY])));
     lose(&mut quarantine, 3, &[SOUND, DEADLY], Millis(1_000));
     assert!(is_quarantined(&quarantine, &[SOUND, DEADLY]));
     assert!(is_quarantined(&quarantine, &[RARE, SOUND, DEADLY]));
-    assert!(!quarantine.is_quarantined(&"other".parse().unwrap(), &[SOUND, DEADLY]));
+    assert!(!quarantine.is_quarantined(&traits(&"other".parse().unwrap(), &[SOUND, DEADLY])));
 }
 
 #[test]
@@ -70,7 +82,7 @@
 fn common_part_alone() {
     // Guards against sound prompts that are refused since their only shared part is all that
     // prompts with different deadly parts have in common.
-    let mut quarantine = PartQuarantine::default();
+    let mut quarantine = Quarantine::default();
     lose(&mut quarantine, 1, &[SOUND, DEADLY], Millis(1_000));
     lose(&mut quarantine, 2, &[SOUND, OTHER_DEADLY], Millis(1_000));
     lose(&mut quarantine, 3, &[SOUND, RARE], Millis(1_000));
@@ -83,7 +95,7 @@
 #[test]
 fn varied_prompts() {
     // What the lost prompts have in common is quarantined, not each of them.
-    let mut quarantine = PartQuarantine::default();
+    let mut quarantine = Quarantine::default();
     for engine in 1..=3 {
         let own = PromptPartId(100 + engine);
         lose(&mut quarantine, engine, &[own, DEADLY], Millis(1_000));
@@ -95,7 +107,7 @@
 #[test]
 fn answers_clear() {
     // Guards against a part that is blamed although answers to prompts with it went on.
-    let mut quarantine = PartQuarantine::default();
+    let mut quarantine = Quarantine::default();
     quarantine.record_survival(Millis(500), &service(), &[SOUND]);
     (1..=9).for_each(|engine| lose(&mut quarantine, engine, &[SOUND], Millis(1_000)));
     assert_eq!(quarantine.last_number(), 0, "no other instance needs to know");
@@ -104,7 +116,7 @@
     assert!(quarantine.record_survival(Millis(1_200), &service(), &[SOUND, DEADLY]));
     assert!(!is_quarantined(&quarantine, &[SOUND, DEADLY]));
     // One from long ago doesn't.
-    let mut quarantine = PartQuarantine::default();
+    let mut quarantine = Quarantine::default();
     quarantine.record_survival(Millis(500), &service(), &[DEADLY]);
     (1..=3).for_each(|engine| lose(&mut quarantine, engine, &[DEADLY], LONG_MS));
     assert!(is_quarantined(&quarantine, &[DEADLY]));
@@ -113,7 +125,7 @@
 #[test]
 fn told_survivals() {
     // Guards against a sound part that instances quarantine which have seen no answer to it.
-    let (mut first, mut second) = (quarantined(), PartQuarantine::default());
+    let (mut first, mut second) = (quarantined(), Quarantine::default());
     second.record_survival(Millis(900), &service(), &[SOUND, DEADLY]);
     assert!(second.take_untold_survivals(Millis(1_000)).is_empty(), "nobody blames the parts");
     first.notices_after(0).into_iter().for_each(|notice| {
@@ -133,13 +145,13 @@
 #[test]
 fn trials() {
     // Guards against prompts that are refused for good, and against trials by all instances at once.
-    let admit = |quarantine: &mut PartQuarantine, now_ms, random| {
-        quarantine.admit(now_ms, &service(), &[SOUND, DEADLY], random)
+    let admit = |quarantine: &mut Quarantine, now_ms, random| {
+        quarantine.admit(now_ms, &traits(&service(), &[SOUND, DEADLY]), random)
     };
     let first_trial_ms = |random| {
         let mut quarantine = quarantined();
         match admit(&mut quarantine, Millis(1_000), random) {
-            PromptAdmission::Quarantined { retry_after_ms } => Millis(1_000) + retry_after_ms,
+            Admission::Quarantined { retry_after_ms, .. } => Millis(1_000) + retry_after_ms,
             other => panic!("{other:?}"),
         }
     };
@@ -147,19 +159,19 @@
     assert_eq!(first_trial_ms(30_000), Millis(151_000));
     let mut quarantine = quarantined();
     admit(&mut quarantine, Millis(1_000), 0);
-    assert_eq!(admit(&mut quarantine, Millis(121_000), 0), PromptAdmission::Trial);
-    let waits = |admission| matches!(admission, PromptAdmission::Quarantined { .. });
+    assert_eq!(admit(&mut quarantine, Millis(121_000), 0), Admission::Trial);
+    let waits = |admission| matches!(admission, Admission::Quarantined { .. });
     assert!(waits(admit(&mut quarantine, Millis(121_001), 0)), "one at a time");
     // Each further loss doubles the wait, up to ten minutes.
     lose(&mut quarantine, 4, &[SOUND, DEADLY], Millis(122_000));
     assert!(waits(admit(&mut quarantine, Millis(361_999), 0)));
-    assert_eq!(admit(&mut quarantine, Millis(362_000), 0), PromptAdmission::Trial);
+    assert_eq!(admit(&mut quarantine, Millis(362_000), 0), Admission::Trial);
     (5..=30).for_each(|engine| lose(&mut quarantine, engine, &[SOUND, DEADLY], Millis(363_000)));
     assert!(waits(admit(&mut quarantine, Millis(962_999), 0)));
-    assert_eq!(admit(&mut quarantine, Millis(963_000), 0), PromptAdmission::Trial);
+    assert_eq!(admit(&mut quarantine, Millis(963_000), 0), Admission::Trial);
     // A trial that is answered ends the quarantine.
     quarantine.record_survival(Millis(964_000), &service(), &[SOUND, DEADLY]);
-    assert_eq!(admit(&mut quarantine, Millis(964_000), 0), PromptAdmission::Admitted);
+    assert_eq!(admit(&mut quarantine, Millis(964_000), 0), Admission::Admitted);
 }
 
 #[test]
@@ -168,10 +180,11 @@
     assert_eq!(quarantine.notices_after(0).len(), 3);
     let last = quarantine.last_number();
     assert!(quarantine.notices_after(last).is_empty());
-    let known = PartNotice::Lost(loss(1, &[SOUND, DEADLY], Millis(900)));
+    let known = LossNotice::Lost(loss(1, &[SOUND, DEADLY], Millis(900)));
     assert!(!quarantine.merge(Millis(1_000), known), "a known loss is not new");
-    let unnamed = PartSurvival { service: service(), part: RARE, survived_ms: Millis(1_000) };
-    assert!(!quarantine.merge(Millis(1_000), PartNotice::Survived(unnamed)));
+    let unnamed =
+        Survival { service: service(), suspect: Suspect::Part(RARE), survived_ms: Millis(1_000) };
+    assert!(!quarantine.merge(Millis(1_000), LossNotice::Survived(unnamed)));
     assert_eq!(quarantine.last_number(), last);
     lose(&mut quarantine, 7, &[RARE], Millis(1_000));
     assert_eq!(quarantine.notices_after(last).len(), 1);
@@ -184,7 +197,7 @@
     let mut quarantine = quarantined();
     for number in 0..2_000 {
         lose(&mut quarantine, 10 + number, &[PromptPartId(1_000 + number)], Millis(2_000 + number));
-        assert!(quarantine.notices_after(0).len() <= 64);
+        assert!(quarantine.notices_after(0).len() <= 48);
     }
     assert!(is_quarantined(&quarantine, &[SOUND, DEADLY]));
     quarantine.expire(Millis(1_000) + LONG_MS);
--- a/crates/fakes/src/registered/raw_server.rs
+++ b/crates/fakes/src/registered/raw_server.rs
@@ -98,15 +98,30 @@
                 if serving.has_crashed.load(Ordering::SeqCst) {
                     return;
                 }
-                lock(&serving.streams).extend(stream.try_clone());
+                let Ok(kept) = stream.try_clone() else {
+                    continue;
+                };
+                lock(&serving.streams).push(kept);
                 let (process, handler) = (Arc::clone(&serving), Arc::clone(&handler));
-                thread::spawn(move || serve(stream, &*handler, &process));
+                thread::spawn(move || process.serve(stream, &*handler));
             }
         });
         *lock(&process.listening) = Some(listening);
         Ok(process)
     }
 
+    /// Serves a connection and closes it, which `streams` would keep open else.
+    fn serve(&self, stream: TcpStream, handler: &Handler) {
+        let caller = stream.peer_addr().ok();
+        let closed = stream.try_clone();
+        serve(stream, handler, self);
+        lock(&self.streams).retain(|kept| kept.peer_addr().ok() != caller);
+        if let Ok(stream) = closed {
+            // The caller may have closed it before.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     fn crash(&self) {
         if self.has_crashed.swap(true, Ordering::SeqCst) {
             return;
--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/call_context.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use turmericrail_core::error_kind::ErrorKind;
-use turmericrail_core::forward::{CallSends, Route, RouteTable, SendPermit};
+use turmericrail_core::forward::{CallSends, RequestTraits, Route, RouteTable, SendPermit};
 use turmericrail_core::ids::{PromptPartId, ServiceId};
 use turmericrail_core::request::RequestFingerprint;
 use turmericrail_core::units::Millis;
@@ -26,8 +26,8 @@
     pub fingerprint: RequestFingerprint,
     /// Monotonic time by which the request must be answered.
     pub deadline_ms: Millis,
-    /// Whether the call may be sent although its prompt is quarantined.
-    pub is_prompt_trial: bool,
+    /// Whether the call may be sent although it is quarantined.
+    pub is_trial: bool,
     /// What was sent for the call so far; see [`CallContext::sends`].
     pub sends: Mutex<CallSends>,
 }
@@ -53,39 +53,43 @@
         if self.is_model_call() { &self.request.metadata.shared_parts } else { &[] }
     }
 
-    /// Whether engines aren't sent the prompt at present.
-    pub fn is_prompt_quarantined(&self) -> bool {
-        let mut forwarder = self.shared.forwarder();
-        !self.is_prompt_trial
-            && forwarder.part_quarantine().is_quarantined(self.service, self.shared_parts())
+    /// The traits for which the call may be quarantined.
+    pub fn traits(&self) -> RequestTraits<'_> {
+        let (service, request) = (self.service, self.fingerprint);
+        RequestTraits { service, request, parts: self.shared_parts() }
     }
 
-    /// Whether engines that began the answer were lost, and the prompt may be why.
-    fn is_prompt_suspect(&self, calls_sent: u32) -> bool {
-        let mut forwarder = self.shared.forwarder();
-        let is_suspect = calls_sent > 0
-            && forwarder.part_quarantine().is_suspect(self.service, self.shared_parts());
-        drop(forwarder);
+    /// Whether servers aren't sent the call at present.
+    fn is_quarantined(&self) -> bool {
+        let traits = self.traits();
+        !self.is_trial && self.shared.forwarder().quarantine().is_quarantined(&traits)
+    }
+
+    /// Whether servers that ran the call were lost, and the call may be why.
+    fn is_suspect(&self, calls_sent: u32) -> bool {
+        let traits = self.traits();
+        let is_suspect = calls_sent > 0 && self.shared.forwarder().quarantine().is_suspect(&traits);
         if is_suspect {
-            self.log_send_again("prompt_suspect");
+            self.log_send_again("suspect");
         }
         is_suspect
     }
 
-    /// The refusal of a call whose prompt is quarantined.
-    pub fn quarantine_refusal(&self) -> Refusal {
+    /// The refusal of a call that is quarantined; `None` if it isn't.
+    pub fn quarantine_refusal(&self) -> Option<Refusal> {
+        if self.is_trial {
+            return None;
+        }
+        let traits = self.traits();
         let (now_ms, random) = (clock::now_ms(), fastrand::u64(..));
-        let parts = self.shared_parts();
-        let mut forwarder = self.shared.forwarder();
-        let retry_after_ms =
-            forwarder.part_quarantine().retry_after_ms(now_ms, self.service, parts, random);
-        Refusal { kind: ErrorKind::PromptQuarantined, retry_after_ms }
+        let admission = self.shared.forwarder().quarantine().check(now_ms, &traits, random);
+        Refusal::of_admission(admission)
     }
 
     /// Permits the call to be run by one more server, within the route's attempts and the bound on
     /// retries.
     pub fn permit_run(&self, calls_sent: u32) -> Option<SendPermit> {
-        if !self.has_attempts_left(calls_sent) || self.is_prompt_suspect(calls_sent) {
+        if !self.has_attempts_left(calls_sent) || self.is_suspect(calls_sent) {
             return None;
         }
         self.permit_send()
@@ -93,7 +97,7 @@
 
     /// Whether the call may be run by one more server now, so that it is worth looking for one.
     pub fn may_run(&self, calls_sent: u32) -> bool {
-        if !self.has_attempts_left(calls_sent) || self.is_prompt_suspect(calls_sent) {
+        if !self.has_attempts_left(calls_sent) || self.is_suspect(calls_sent) {
             return false;
         }
         let may_send = self.may_send();
@@ -112,10 +116,10 @@
     }
 
     /// Permits one more request to be sent to a server, within the bound on retries and unless the
-    /// prompt is quarantined.
+    /// call is quarantined.
     pub fn permit_send(&self) -> Option<SendPermit> {
-        if self.is_prompt_quarantined() {
-            self.log_send_again("prompt_quarantined");
+        if self.is_quarantined() {
+            self.log_send_again("quarantined");
             return None;
         }
         let mut sends = self.sends();
--- a/crates/turmericrail/src/forward/dispatch.rs
+++ b/crates/turmericrail/src/forward/dispatch.rs
@@ -4,7 +4,7 @@
 
 use futures_lite::FutureExt;
 use turmericrail_core::error_kind::ErrorKind;
-use turmericrail_core::forward::{PromptAdmission, Route, RouteKind};
+use turmericrail_core::forward::{Admission, Route, RouteKind};
 use turmericrail_core::units::Millis;
 
 use super::answer_writer;
@@ -38,6 +38,20 @@
     pub retry_after_ms: Option<Millis>,
 }
 
+impl Refusal {
+    /// The refusal of a request that is quarantined; `None` if it isn't.
+    pub fn of_admission(admission: Admission) -> Option<Self> {
+        let Admission::Quarantined { is_for_request, retry_after_ms } = admission else {
+            return None;
+        };
+        let kind = match is_for_request {
+            true => ErrorKind::RequestQuarantined,
+            false => ErrorKind::PromptQuarantined,
+        };
+        Some(Self { kind, retry_after_ms: Some(retry_after_ms) })
+    }
+}
+
 impl From<ErrorKind> for Refusal {
     fn from(kind: ErrorKind) -> Self {
         Self { kind, retry_after_ms: None }
@@ -89,13 +103,11 @@
         service,
         fingerprint: request.fingerprint(),
         deadline_ms: request.arrived_ms + caller_timeout_ms(request, &route),
-        is_prompt_trial: false,
+        is_trial: false,
         sends: Mutex::default(),
     };
     let is_stream = matches!(route.kind, RouteKind::Stream { .. });
-    if context.is_model_call() {
-        context.is_prompt_trial = admit_prompt(&context)?;
-    }
+    context.is_trial = admit(&context)?;
     if is_stream || context.is_model_call() {
         return model_call::serve(&context, caller).await;
     }
@@ -108,22 +120,19 @@
     Ok(caller.finish(&bytes).await)
 }
 
-/// Refuses a call whose prompt is quarantined; returns whether it is a trial.
-fn admit_prompt(context: &CallContext<'_>) -> Result<bool, Refusal> {
+/// Refuses a call that is quarantined; returns whether it is a trial.
+fn admit(context: &CallContext<'_>) -> Result<bool, Refusal> {
     let (now_ms, random) = (clock::now_ms(), fastrand::u64(..));
-    let mut forwarder = context.shared.forwarder();
-    let quarantine = forwarder.part_quarantine();
-    match quarantine.admit(now_ms, context.service, context.shared_parts(), random) {
-        PromptAdmission::Admitted => Ok(false),
-        PromptAdmission::Trial => {
-            spdlog::info!("event=part_trial request={}", context.request_id);
-            Ok(true)
-        }
-        PromptAdmission::Quarantined { retry_after_ms } => {
-            let retry_after_ms = Some(retry_after_ms);
-            Err(Refusal { kind: ErrorKind::PromptQuarantined, retry_after_ms })
-        }
+    let traits = context.traits();
+    let admission = context.shared.forwarder().quarantine().admit(now_ms, &traits, random);
+    if let Some(refusal) = Refusal::of_admission(admission) {
+        return Err(refusal);
+    }
+    if admission == Admission::Trial {
+        let (request_id, fingerprint) = (context.request_id, context.fingerprint);
+        spdlog::info!("event=quarantine_trial request={request_id} fingerprint={fingerprint}");
     }
+    Ok(admission == Admission::Trial)
 }
 
 /// Longest time that the caller waits, counted from the arrival.
--- a/crates/turmericrail/src/forward/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/engine_attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use turmericrail_core::forward::{CallEnd, RouteKind, SendPermit, ServerRun};
+use turmericrail_core::forward::{CallEnd, Loss, RouteKind, SendPermit, ServerRun};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{RunOptions, ServerTask};
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming, EventSplitter, ResponseHead};
@@ -17,7 +17,7 @@
 use super::engine_selection::{EngineAttempt, choose_engine, reserve};
 use super::exchange::Exchange;
 use super::held_kv::HeldKv;
-use super::part_notices;
+use super::loss_notices;
 use super::plain_call::is_acceptable;
 use super::reservation::Reservation;
 use super::server_calls::{call_bytes, log_call, send_call};
@@ -186,7 +186,10 @@
         let remaining_ms = context.remaining_ms();
         let pool = &context.shared.pool;
         return match exchange.read_body(pool, attempt.choice().address, remaining_ms).await {
-            Ok((head, body)) => EngineAttemptEnd::Answered(head, body),
+            Ok((head, body)) => {
+                loss_notices::record_answer(context.shared, context.service, context.fingerprint);
+                EngineAttemptEnd::Answered(head, body)
+            }
             Err(failure) => EngineAttemptEnd::Failed(failure),
         };
     }
@@ -217,16 +220,17 @@
         cut => cut,
     };
     if let Some(end) = end {
-        let is_lost = matches!(end, EngineAttemptEnd::Failed(CallFailure::Lost));
-        if is_lost && attempt_events <= MAX_LOSS_EVENTS {
-            let engine = &attempt.choice().run;
-            let parts = context.shared_parts();
-            part_notices::record_loss(context.shared, context.service, engine, parts);
+        if matches!(end, EngineAttemptEnd::Failed(CallFailure::Lost)) {
+            if attempt_events <= MAX_LOSS_EVENTS && !context.shared_parts().is_empty() {
+                record_parts_loss(context, attempt);
+            }
+            exchange.break_off();
         }
         return end;
     }
     if !is_end_unstated(&exchange.head) {
-        part_notices::record_survival(context.shared, context.service, context.shared_parts());
+        loss_notices::record_survival(context.shared, context.service, context.shared_parts());
+        loss_notices::record_answer(context.shared, context.service, context.fingerprint);
     }
     if !caller.write_events(&exchange.head, &rest).await {
         return EngineAttemptEnd::CallerLost;
@@ -238,6 +242,21 @@
     EngineAttemptEnd::Complete(action)
 }
 
+/// Records that an answer was lost at its first events, for which parts of its prompt may be to
+/// blame.
+fn record_parts_loss(context: &CallContext<'_>, attempt: &EngineAttempt) {
+    let loss = Loss {
+        service: context.service.clone(),
+        server: attempt.choice().run.clone(),
+        request: context.fingerprint,
+        parts: context.shared_parts().iter().copied().collect(),
+        is_server_ended: false,
+        is_late: false,
+        lost_ms: clock::now_ms(),
+    };
+    loss_notices::record_loss(context.shared, loss);
+}
+
 /// Whether the body of an answer consists of events, each of which must be whole.
 fn is_event_stream(context: &CallContext<'_>, head: &ResponseHead) -> bool {
     let is_stated = head.headers.text("content-type").is_some_and(|content_type| {
@@ -281,11 +300,12 @@
         }
         if is_before_first_event && !whole_events.is_empty() {
             is_before_first_event = false;
+            exchange.record_first_event();
             record_first_event(context, attempt, sent_ms);
         }
         if !has_survived && events.event_count() >= events_before + MIN_SURVIVAL_EVENTS {
             has_survived = true;
-            part_notices::record_survival(context.shared, context.service, context.shared_parts());
+            loss_notices::record_survival(context.shared, context.service, context.shared_parts());
         }
         if !caller.write_events(&exchange.head, &whole_events).await {
             return Some(EngineAttemptEnd::CallerLost);
--- a/crates/turmericrail/src/forward/engine_selection.rs
+++ b/crates/turmericrail/src/forward/engine_selection.rs
@@ -16,7 +16,7 @@
 use super::dispatch::Refusal;
 use super::engine_calls::{model_call_size, prefill_prompt};
 use super::held_kv::HeldKv;
-use super::part_notices;
+use super::loss_notices;
 use super::reservation::{Reservation, ReservationResult};
 
 /// Most engines from which a reservation is requested in one step of a round, for a call of average
@@ -151,7 +151,7 @@
         call_size.expected_output_tokens.0,
         context.caller_timeout_ms().0,
         context.elapsed_ms().0,
-        part_notices::join_parts(context.shared_parts())
+        loss_notices::join_parts(context.shared_parts())
     );
 }
 
--- a/crates/turmericrail/src/forward/exchange.rs
+++ b/crates/turmericrail/src/forward/exchange.rs
@@ -14,6 +14,7 @@
 use super::answer_body::AnswerBody;
 use super::call_failure::CallFailure;
 use super::connection_pool::ConnectionPool;
+use super::sent_call::SentCall;
 use super::server_connection::ServerConnection;
 
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -42,6 +43,8 @@
     /// The headers of the answer that the router itself evaluates.
     pub metadata: AnswerMetadata,
     is_reusable: bool,
+    /// The caller's request that is answered, until its end is known.
+    sent: Option<SentCall>,
 }
 
 impl Exchange {
@@ -79,6 +82,9 @@
         let reading = self.connection.read_body(self.head.framing, may_hold);
         let read = async_std::future::timeout(Duration::from_millis(remaining_ms.0), reading).await;
         let read = read.unwrap_or(Err(CallFailure::Silent));
+        if read == Err(CallFailure::Lost) {
+            self.break_off();
+        }
         if read == Err(CallFailure::Oversized) {
             spdlog::warn!("event=answer_oversized address={address}");
         }
@@ -88,8 +94,24 @@
         Ok((head, body))
     }
 
+    /// Watches how a caller's request ends.
+    pub fn watch(&mut self, sent: SentCall) {
+        self.sent = Some(sent);
+    }
+
+    /// Records that the answer has its first event.
+    pub fn record_first_event(&mut self) {
+        self.sent.iter_mut().for_each(SentCall::record_first_event);
+    }
+
+    /// Records that the connection broke before the end of the answer.
+    pub fn break_off(&mut self) {
+        self.sent.take().into_iter().for_each(SentCall::break_off);
+    }
+
     /// Returns the connection to the pool if it can be reused. The body must have been read.
     pub fn return_to_pool(mut self, pool: &ConnectionPool, address: SocketAddr) {
+        self.sent.take().into_iter().for_each(SentCall::settle);
         if self.is_reusable && self.head.is_kept_alive && self.connection.buffer.is_empty() {
             self.connection.keep_alive_ms = keep_alive_ms(&self.head);
             pool.put(address, self.connection);
@@ -120,7 +142,7 @@
     let (head, metadata) =
         writing.or(read_matching_head(&mut connection, call, &mut stale_answers)).await?;
     let is_reusable = is_written.load(Ordering::Relaxed) && stale_answers == 0;
-    Ok(Exchange { connection, head, metadata, is_reusable })
+    Ok(Exchange { connection, head, metadata, is_reusable, sent: None })
 }
 
 /// Reads heads up to the one that answers the call. Answers to earlier requests may precede it and
--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -41,12 +41,9 @@
     let mut attempt = reserve_first_attempt(context).await?;
     let refused_prefill =
         Refusal { kind: ErrorKind::Overloaded, retry_after_ms: Some(REFUSED_RETRY_AFTER_MS) };
-    let mut permit = context.permit_run(calls_sent).ok_or_else(|| {
-        if context.is_prompt_quarantined() {
-            return context.quarantine_refusal();
-        }
-        refused_prefill
-    })?;
+    let mut permit = context
+        .permit_run(calls_sent)
+        .ok_or_else(|| context.quarantine_refusal().unwrap_or(refused_prefill))?;
     loop {
         tried.push(attempt.choice().run.clone());
         let end =
--- a/crates/turmericrail/src/forward/operator_endpoints.rs
+++ b/crates/turmericrail/src/forward/operator_endpoints.rs
@@ -5,7 +5,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use tide::{Request, Response, Server, StatusCode};
-use turmericrail_core::forward::ServerState;
+use turmericrail_core::forward::{LossCause, LossSubject, ServerState};
 
 use super::clock;
 use super::shared::Shared;
@@ -52,8 +52,11 @@
     metrics.servers.with_label_values(&["ready"]).set(count(ServerState::Ready));
     metrics.servers.with_label_values(&["draining"]).set(count(ServerState::Draining));
     metrics.instances.set(shared.relay.members().count() as i64);
-    let causes = shared.forwarder().part_quarantine().causes().len();
-    metrics.quarantined_prompts.set(causes as i64);
+    let causes = shared.forwarder().quarantine().causes().to_vec();
+    let is_request = |cause: &&LossCause| matches!(cause.subject, LossSubject::Request(_));
+    let requests = causes.iter().filter(is_request).count();
+    metrics.quarantined_requests.set(requests as i64);
+    metrics.quarantined_prompts.set((causes.len() - requests) as i64);
     metrics.store_lost.set(i64::from(shared.is_store_lost()));
     let body = metrics.render();
     Ok(Response::builder(200).content_type("text/plain; version=0.0.4").body(body).build())
--- a/crates/turmericrail/src/forward/plain_call.rs
+++ b/crates/turmericrail/src/forward/plain_call.rs
@@ -13,7 +13,7 @@
 use turmericrail_core::units::Millis;
 use turmericrail_platform::answer::AnswerMetadata;
 use turmericrail_platform::call::{RunOptions, ServerTask};
-use turmericrail_wire::http1::ResponseHead;
+use turmericrail_wire::http1::{BodyFraming, ResponseHead};
 
 use super::answer_body::AnswerBody;
 use super::call_context::CallContext;
@@ -21,7 +21,9 @@
 use super::call_guard::CallGuard;
 use super::clock;
 use super::dispatch::Refusal;
+use super::loss_notices;
 use super::server_calls::{call_bytes, log_call, send_call};
+use super::server_ends;
 
 /// Fraction of the route's target after which an unanswered idempotent call goes to another server.
 /// The rest of the target is enough for a second attempt at the usual speed.
@@ -49,7 +51,9 @@
     let mut calls_sent = 0;
     let mut unreached_servers = 0;
     let mut next = choose(context, &tried).ok_or_else(|| context.no_server_refusal())?;
-    let mut permit = context.permit_run(calls_sent).ok_or(ErrorKind::Overloaded)?;
+    let mut permit = context.permit_run(calls_sent).ok_or_else(|| {
+        context.quarantine_refusal().unwrap_or_else(|| ErrorKind::Overloaded.into())
+    })?;
     loop {
         tried.push(next.run.clone());
         let end = run_attempt(context, &next, permit, &tried, calls_sent + 1).await;
@@ -144,7 +148,10 @@
             match first {
                 Some(end) => end,
                 None => match choose_permitted(context, tried, calls_sent) {
-                    Some((other, permit)) => AttemptEnd::MovedTo(other, permit),
+                    Some((other, permit)) => {
+                        server_ends::probe_moved(context, choice);
+                        AttemptEnd::MovedTo(other, permit)
+                    }
                     None => calling.await,
                 },
             }
@@ -182,7 +189,12 @@
     let pool = &context.shared.pool;
     match exchange.read_body(pool, choice.address, context.remaining_ms()).await {
         _ if metadata.is_not_run => AttemptEnd::NotRun,
-        Ok((head, body)) if is_acceptable(&head, &metadata) => AttemptEnd::Answered(head, body),
+        Ok((head, body)) if is_acceptable(&head, &metadata) => {
+            if head.framing != BodyFraming::UntilClose {
+                loss_notices::record_answer(context.shared, context.service, context.fingerprint);
+            }
+            AttemptEnd::Answered(head, body)
+        }
         Ok(_) => AttemptEnd::Failed(CallFailure::Malformed),
         Err(failure) => AttemptEnd::Failed(failure),
     }
--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -19,13 +19,13 @@
 use turmericrail_wire::relay::relay_client::RelayClient;
 use turmericrail_wire::relay::relay_server::{Relay, RelayServer};
 use turmericrail_wire::relay::{
-    self as wire, ExchangeReply, ExchangeRequest, FollowReply, FollowRequest, NotifyReply,
-    PartNotices,
+    self as wire, ExchangeReply, ExchangeRequest, FollowReply, FollowRequest, LossNotices,
+    NotifyReply,
 };
 
 use super::change_signal::ChangeSignal;
 use super::clock;
-use super::part_notices;
+use super::loss_notices;
 use super::relay_limits;
 use super::relay_members;
 use super::server_notices;
@@ -173,7 +173,7 @@
         let own = relay_members::list_members(&self.shared);
         let is_same = message.members_hash == own.identity_hash();
         let is_told = is_same || (message.members_hash > 0 && !message.members.is_empty());
-        let notices_hash = part_notices::hash(&self.shared);
+        let notices_hash = loss_notices::hash(&self.shared);
         let is_hash_known = message.notices_hash == notices_hash;
         let reply = ExchangeReply {
             members: if is_told { Vec::new() } else { relay_members::members_to_wire(&own) },
@@ -182,9 +182,9 @@
             leaving: list_leaving(&self.shared),
             limits: relay_limits::list_limits(&self.shared),
             notices_hash,
-            notices: if is_hash_known { None } else { part_notices::list_after(&self.shared, 0) },
+            notices: if is_hash_known { None } else { loss_notices::list_after(&self.shared, 0) },
         };
-        part_notices::merge_exchanged(&self.shared, message.notices);
+        loss_notices::merge_exchanged(&self.shared, message.notices);
         merge_leaving(&self.shared, &message.leaving);
         relay_limits::merge_limits(&self.shared, &message.limits);
         message.known.iter().for_each(|known| relay.record_peer_change(known));
@@ -203,7 +203,7 @@
         relay_limits::merge_limits(&self.shared, &message.limits);
         let relay = &self.shared.relay;
         let end_ms = clock::now_ms() + Millis(message.wait_ms).min(MAX_FOLLOW_WAIT_MS);
-        let notices_epoch = self.shared.part_notices.epoch;
+        let notices_epoch = self.shared.loss_notices.epoch;
         let is_same_epoch = message.notices_epoch == notices_epoch;
         let notices_after = if is_same_epoch { message.notices_after } else { 0 };
         loop {
@@ -215,8 +215,8 @@
             let is_following = self.shared.follow_state.is_following();
             let remaining_ms = end_ms.saturating_sub(clock::now_ms());
             // Taken before the notices, so that none between the two is left out.
-            let last_notice = self.shared.forwarder().part_quarantine().last_number();
-            let notices = part_notices::list_after(&self.shared, notices_after);
+            let last_notice = self.shared.forwarder().quarantine().last_number();
+            let notices = loss_notices::list_after(&self.shared, notices_after);
             let is_due =
                 is_store_lost || is_following || notices.is_some() || remaining_ms == Millis::ZERO;
             if !newer.is_empty() || is_due {
@@ -238,9 +238,9 @@
 
     async fn notify_parts(
         &self,
-        request: Request<PartNotices>,
+        request: Request<LossNotices>,
     ) -> Result<Response<NotifyReply>, Status> {
-        part_notices::merge(&self.shared, Some(request.into_inner()));
+        loss_notices::merge(&self.shared, Some(request.into_inner()));
         Ok(Response::new(NotifyReply {}))
     }
 }
@@ -332,7 +332,7 @@
         .max_encoding_message_size(MAX_MESSAGE_BYTES))
 }
 
-async fn exchange(shared: &Shared, address: SocketAddr) -> Result<(), Status> {
+async fn exchange(shared: &Arc<Shared>, address: SocketAddr) -> Result<(), Status> {
     let mut client = connect(address).await?;
     let own = relay_members::list_members(shared);
     let request = ExchangeRequest {
@@ -343,7 +343,7 @@
     let are_members_told = reply.members.is_empty();
     let peer_notices_hash = reply.notices_hash;
     apply_reply(shared, address, &own, reply);
-    let are_notices_told = part_notices::hash(shared) == peer_notices_hash;
+    let are_notices_told = loss_notices::hash(shared) == peer_notices_hash;
     if are_members_told && are_notices_told {
         return Ok(());
     }
@@ -352,7 +352,7 @@
         true => (Vec::new(), relay_members::ages_to_wire(&own)),
         false => (relay_members::members_to_wire(&own), Vec::new()),
     };
-    let notices = if are_notices_told { None } else { part_notices::list_after(shared, 0) };
+    let notices = if are_notices_told { None } else { loss_notices::list_after(shared, 0) };
     let request = ExchangeRequest { members, ages_ms, notices, ..exchange_request(shared, &own) };
     let reply = client.exchange(Request::new(request)).await?.into_inner();
     apply_reply(shared, address, &own, reply);
@@ -367,24 +367,24 @@
         leaving: list_leaving(shared),
         limits: relay_limits::list_limits(shared),
         members_hash: own.identity_hash(),
-        notices_hash: part_notices::hash(shared),
+        notices_hash: loss_notices::hash(shared),
         ..ExchangeRequest::default()
     }
 }
 
-fn apply_reply(shared: &Shared, address: SocketAddr, own: &MemberList, reply: ExchangeReply) {
+fn apply_reply(shared: &Arc<Shared>, address: SocketAddr, own: &MemberList, reply: ExchangeReply) {
     relay_members::merge_members(shared, reply.members.iter());
     if !reply.ages_ms.is_empty() {
         relay_members::merge_ages(shared, own, &reply.ages_ms);
     }
     merge_leaving(shared, &reply.leaving);
     relay_limits::merge_limits(shared, &reply.limits);
-    part_notices::merge_exchanged(shared, reply.notices);
+    loss_notices::merge_exchanged(shared, reply.notices);
     apply_newer(shared, address, reply.newer);
 }
 
 /// Applies the sets of which another instance knew a newer revision.
-pub fn apply_newer(shared: &Shared, address: SocketAddr, newer: Vec<wire::ItemSet>) {
+pub fn apply_newer(shared: &Arc<Shared>, address: SocketAddr, newer: Vec<wire::ItemSet>) {
     for set in newer {
         let to_item = |item: wire::Item| PublishedItem {
             key: item.key,
--- a/crates/turmericrail/src/forward/server_calls.rs
+++ b/crates/turmericrail/src/forward/server_calls.rs
@@ -8,6 +8,8 @@
 use super::call_failure::CallFailure;
 use super::clock;
 use super::exchange::{Exchange, OutgoingCall};
+use super::sent_call::SentCall;
+use super::server_ends;
 use super::server_notices;
 
 /// Head and body of a call.
@@ -44,11 +46,16 @@
         method: &context.request.head.method,
         request_id: context.request_id,
     };
+    let sent = SentCall::new(context, choice);
     let started = Exchange::start(&context.shared.pool, &outgoing, timeout_ms).await;
-    if matches!(started, Err(CallFailure::NotSent | CallFailure::ConnectionRefused)) {
-        context.sends().record_not_sent();
-    }
-    let exchange = started?;
+    let mut exchange = match started {
+        Ok(exchange) => exchange,
+        Err(failure) => {
+            end_unanswered(context, choice, sent, failure);
+            return Err(failure);
+        }
+    };
+    exchange.watch(sent);
     server_notices::record(context.shared, &choice.run, &exchange.metadata, sent_ms);
     if let Some(load) = exchange.metadata.load {
         context.shared.forwarder().record_reported_load(clock::now_ms(), &choice.run, load);
@@ -56,6 +63,27 @@
     Ok(exchange)
 }
 
+/// Records the end of a call without the head of an answer.
+fn end_unanswered(
+    context: &CallContext<'_>,
+    choice: &ChosenServer,
+    sent: SentCall,
+    failure: CallFailure,
+) {
+    match failure {
+        CallFailure::Lost => sent.break_off(),
+        CallFailure::Silent => drop(sent),
+        CallFailure::Malformed | CallFailure::Oversized => sent.settle(),
+        CallFailure::NotSent | CallFailure::ConnectionRefused | CallFailure::Withheld => {
+            sent.settle();
+            context.sends().record_not_sent();
+        }
+    }
+    if failure == CallFailure::ConnectionRefused {
+        server_ends::record_refused_connection(context.shared, &choice.run);
+    }
+}
+
 /// Logs the end of a call and records its duration.
 pub fn log_call(
     context: &CallContext<'_>,
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -13,7 +13,7 @@
 use super::clock;
 use super::connection_pool::ConnectionPool;
 use super::follow_state::FollowState;
-use super::part_notices::{self, PartNoticeState};
+use super::loss_notices::{self, LossNoticeState};
 use super::relay::RelayState;
 use super::settings::ForwardSettings;
 use super::store_sync::PREFIXES;
@@ -39,7 +39,7 @@
     pub relay: RelayState,
     pub metrics: ForwardMetrics,
     pub follow_state: FollowState,
-    pub part_notices: PartNoticeState,
+    pub loss_notices: LossNoticeState,
     settings: Mutex<Arc<ForwardSettings>>,
     forwarder: Mutex<Forwarder>,
     /// Prefixes whose items can't be read from the store at present.
@@ -69,7 +69,7 @@
             relay: RelayState::new(Members::new(settings.instance.clone()), &PREFIXES),
             metrics: ForwardMetrics::default(),
             follow_state: FollowState::default(),
-            part_notices: PartNoticeState::default(),
+            loss_notices: LossNoticeState::default(),
             lost_prefixes: Mutex::new(BTreeSet::new()),
             forwarder: Mutex::new(forwarder),
             is_shutting_down: AtomicBool::new(false),
@@ -197,7 +197,8 @@
     loop {
         task::sleep(EXPIRE_INTERVAL).await;
         shared.forwarder().expire(clock::now_ms());
-        part_notices::expire(&shared);
+        loss_notices::expire(&shared);
+        shared.forwarder().broken_calls().expire(clock::now_ms());
         shared.pool.expire();
         if shared.relay.has_exchanged() {
             let instances = shared.relay.members().count();
--- a/crates/turmericrail/src/forward/store_follow.rs
+++ b/crates/turmericrail/src/forward/store_follow.rs
@@ -25,7 +25,7 @@
 use turmericrail_wire::relay::{FollowReply, FollowRequest};
 
 use super::clock;
-use super::part_notices;
+use super::loss_notices;
 use super::relay;
 use super::relay_limits;
 use super::relay_members;
@@ -203,7 +203,7 @@
         self.silent_until.remove(&address);
         relay::merge_leaving(&self.shared, &reply.leaving);
         relay_limits::merge_limits(&self.shared, &reply.limits);
-        part_notices::merge(&self.shared, reply.notices.take());
+        loss_notices::merge(&self.shared, reply.notices.take());
         self.last_notices.insert(address, (reply.notices_epoch, reply.last_notice));
         relay::apply_newer(&self.shared, address, std::mem::take(&mut reply.newer));
         Some(reply)
--- a/crates/turmericrail/src/forward/store_sync.rs
+++ b/crates/turmericrail/src/forward/store_sync.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 
 use async_std::task;
-use turmericrail_core::forward::PublishedItem;
+use turmericrail_core::forward::{PublishedItem, ServerRun};
 use turmericrail_platform::{configuration, server_entry, store};
 
 use super::clock;
+use super::server_ends;
 use super::shared::Shared;
 use super::store_watch::{self, StoreEvent};
 
@@ -22,7 +23,7 @@
     }
 }
 
-fn handle_event(shared: &Shared, prefix: &str, event: StoreEvent) {
+fn handle_event(shared: &Arc<Shared>, prefix: &str, event: StoreEvent) {
     let new_items = match event {
         StoreEvent::Lost => {
             shared.set_store_lost(prefix, true);
@@ -56,7 +57,7 @@
 /// Records that the store was restored from a copy if a revision is of a later era than the known
 /// ones: entries may be missing until their servers write them again, and servers that have left
 /// may be registered until their entries expire.
-fn notice_restore(shared: &Shared, prefix: &str, revision: u64) {
+fn notice_restore(shared: &Arc<Shared>, prefix: &str, revision: u64) {
     let known = shared.relay.with_set(prefix, |set| set.revision()).unwrap_or_default();
     let is_restored = known > 0 && store::era_of(revision) > store::era_of(known);
     if !is_restored {
@@ -74,7 +75,7 @@
 }
 
 /// Records whether the instance that this one follows can read the store.
-pub fn record_store_access(shared: &Shared, is_lost: bool) {
+pub fn record_store_access(shared: &Arc<Shared>, is_lost: bool) {
     let was_lost = shared.is_store_lost();
     if is_lost == was_lost {
         return;
@@ -85,7 +86,7 @@
 }
 
 /// Applies items that another instance has read.
-pub fn apply_relayed(shared: &Shared, prefix: &str, revision: u64, items: Vec<PublishedItem>) {
+pub fn apply_relayed(shared: &Arc<Shared>, prefix: &str, revision: u64, items: Vec<PublishedItem>) {
     notice_restore(shared, prefix, revision);
     let new_items = shared.relay.with_set(prefix, |set| set.apply(revision, items));
     let new_items = new_items.unwrap_or_default();
@@ -96,7 +97,7 @@
     apply_items(shared, prefix, new_items, "peer");
 }
 
-fn apply_items(shared: &Shared, prefix: &str, new_items: Vec<PublishedItem>, source: &str) {
+fn apply_items(shared: &Arc<Shared>, prefix: &str, new_items: Vec<PublishedItem>, source: &str) {
     for item in &new_items {
         if prefix == configuration::KEY {
             apply_configuration(shared, item, source);
@@ -106,7 +107,7 @@
     }
 }
 
-fn apply_configuration(shared: &Shared, item: &PublishedItem, source: &str) {
+fn apply_configuration(shared: &Arc<Shared>, item: &PublishedItem, source: &str) {
     if item.key != configuration::KEY {
         return;
     }
@@ -135,7 +136,7 @@
     );
 }
 
-fn apply_server_entry(shared: &Shared, item: &PublishedItem, source: &str) {
+fn apply_server_entry(shared: &Arc<Shared>, item: &PublishedItem, source: &str) {
     let Some((update, error)) = server_entry::decode_item(item) else {
         spdlog::warn!("event=server_key_unusable key={:?}", item.key);
         return;
@@ -144,6 +145,10 @@
         let error = error.to_string();
         spdlog::warn!("event=server_entry_unusable server={} error={error:?}", update.server);
     }
+    let registered = update.entry.as_ref().map(|entry| {
+        let server = update.server.clone();
+        (ServerRun { server, started_ms: entry.started_ms }, entry.address)
+    });
     let state = update.entry.as_ref().map(|entry| format!("{:?}", entry.state));
     let state = state.unwrap_or_else(|| "Gone".to_owned()).to_lowercase();
     let (server, revision) = (update.server.clone(), update.revision);
@@ -152,4 +157,7 @@
         "event=server_changed server={server} revision={revision} state={state} source={source} \
          is_new={is_new}"
     );
+    if let Some((run, address)) = registered.filter(|_| is_new) {
+        server_ends::record_registration(shared, &run, address);
+    }
 }
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -136,6 +136,8 @@
     pub instances: IntGauge,
     /// Sets of shared parts whose prompts are quarantined.
     pub quarantined_prompts: IntGauge,
+    /// Requests that are quarantined for themselves.
+    pub quarantined_requests: IntGauge,
     /// One while the store does not answer, else zero.
     pub store_lost: IntGauge,
 }
@@ -191,6 +193,11 @@
                 "turmericrail_quarantined_prompts",
                 "Sets of shared parts whose prompts are quarantined.",
             ),
+            quarantined_requests: gauge(
+                &registry,
+                "turmericrail_quarantined_requests",
+                "Requests that are quarantined for themselves.",
+            ),
             store_lost: gauge(&registry, "turmericrail_store_lost", "Whether the store is lost."),
             config_version: gauge(
                 &registry,
--- a/crates/turmericrail/tests/deadly_parts.rs
+++ b/crates/turmericrail/tests/deadly_parts.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use forward_support::{ForwardInstance, wait_within};
-use turmericrail_fakes::registered::{Behaviour, RegisteredServer, Reply};
+use turmericrail_fakes::registered::{self, Behaviour, RegisteredServer, Reply};
 
 /// Engines lost to a part after which every instance must know it in time.
 const KNOWN_AFTER_LOSSES: usize = 5;
@@ -17,6 +17,7 @@
 /// Requests with a known part that may still reach an engine.
 const MAX_LATE_ARRIVALS: usize = 3;
 const ENGINES: usize = 16;
+const CALLER_TIMEOUT_MS: u64 = 2_000;
 /// Answers are refused without a call to a server.
 const REFUSAL_TIME: Duration = Duration::from_millis(200);
 
@@ -81,7 +82,7 @@
 }
 
 fn send(instance: &ForwardInstance, route: &str, id: &str, parts: &str) -> Reply {
-    let text = forward_support::request_text(route, id);
+    let text = registered::request_text(route, id, id, CALLER_TIMEOUT_MS);
     let parts = format!("X-Prefix-Hash: {parts},{:x}:9\r\nX-Request-Id", id.len());
     instance.send(&text.replace("X-Request-Id", &parts)).unwrap()
 }
@@ -116,9 +117,7 @@
     forward_support::add_to_group(&mut fleet.instances, "deadly-part");
     let latest = &fleet.instances[3];
     wait_for_engines(latest);
-    wait_within(CONTACT_TIME, "the part to be known", || {
-        latest.read_log().contains("event=part_loss ")
-    });
+    wait_within(CONTACT_TIME, "the part to be known", || latest.read_log().contains("event=loss "));
     let arrived = fleet.arrivals("bad").len();
     assert_eq!(send(latest, "resumable", "bad-late", "f1:200,dead:40").status(), 503);
     assert_eq!(fleet.arrivals("bad").len(), arrived);
@@ -176,7 +175,7 @@
     let instance = ForwardInstance::start("short-answers");
     let engines = [0, 1, 2, 3].map(|number| instance.start_engine(&format!("d{number}"), "decode"));
     let send_last_events = |id: &str| {
-        let text = forward_support::request_text("stream", id);
+        let text = registered::request_text("stream", id, id, CALLER_TIMEOUT_MS);
         let fields = "X-Prefix-Hash: f1:200,e:9\r\nLast-Event-Id: 3\r\nX-Request-Id";
         instance.send(&text.replace("X-Request-Id", fields)).unwrap()
     };
@@ -198,5 +197,5 @@
         let reply = send(&instance, "stream", &format!("r{number}"), "f1:200");
         assert_eq!(reply.status(), 502);
     }
-    assert!(!instance.read_log().contains("event=part_loss "), "{}", instance.read_log());
+    assert!(!instance.read_log().contains("event=loss "), "{}", instance.read_log());
 }
