Stream versions: notices are told once more, to five instances

A notice that isn't acknowledged within 0.4 s is sent again, and there are five keepers. With five: passes.

--- a/crates/core/src/forward/members.rs
+++ b/crates/core/src/forward/members.rs
@@ -17,7 +17,7 @@
 /// Members of each data centre that watch the platform: enough that a few may be lost at once.
 const WATCHERS_PER_DATA_CENTRE: usize = 4;
 /// Members that keep what others ask for by a key: some may be lost at once.
-const MAX_KEEPERS: usize = 4;
+const MAX_KEEPERS: usize = 5;
 /// Most of them in one data centre, which may be lost as a whole.
 const MAX_KEEPERS_PER_DATA_CENTRE: usize = 2;
 /// Key of the rendezvous hash that selects them.
--- a/crates/core/tests/version_fleets.rs
+++ b/crates/core/tests/version_fleets.rs
@@ -28,6 +28,8 @@
 /// Time until an instance knows of a new version of engines, at the most.
 const MAX_REGISTRY_DELAY_MS: u64 = 1_000;
 const DATA_CENTRES: usize = 3;
+const NOTIFY_ATTEMPTS: usize = 2;
+const NOTIFY_TIMEOUT_MS: u64 = 400;
 
 #[derive(Clone, Copy)]
 struct Plan {
@@ -202,9 +204,13 @@
 
     fn tell(&mut self, instance: usize, stream: &StreamVersion, now_ms: u64) {
         for keeper in self.keepers(instance, stream.stream.0 as u64) {
-            let due_ms = now_ms + self.draw(self.plan.max_delay_ms);
-            if self.draw(100) >= self.plan.lost_percent {
-                self.notices.entry(due_ms).or_default().push((keeper, stream.clone()));
+            let mut due_ms = now_ms + self.draw(self.plan.max_delay_ms);
+            for _ in 0..NOTIFY_ATTEMPTS {
+                if self.draw(100) >= self.plan.lost_percent {
+                    self.notices.entry(due_ms).or_default().push((keeper, stream.clone()));
+                    break;
+                }
+                due_ms += NOTIFY_TIMEOUT_MS;
             }
         }
     }
--- a/crates/turmericrail/src/forward/stream_versions.rs
+++ b/crates/turmericrail/src/forward/stream_versions.rs
@@ -31,7 +31,8 @@
 
 /// Time in which streams are collected before they are told.
 const COLLECT_TIME: Duration = Duration::from_millis(40);
-const NOTIFY_TIMEOUT: Duration = Duration::from_millis(600);
+const NOTIFY_TIMEOUT: Duration = Duration::from_millis(400);
+const MAX_NOTIFY_ATTEMPTS: usize = 2;
 /// Longest wait for an instance that may know a stream.
 const FIND_TIMEOUT: Duration = Duration::from_millis(200);
 /// Groups of streams that have the same keepers, which bounds the connections to them.
@@ -209,19 +210,22 @@
         }
     }
     for (address, message) in by_keeper {
-        let shared = Arc::clone(shared);
-        task::spawn(async move {
-            let notifying =
-                async_std::future::timeout(NOTIFY_TIMEOUT, notify(&shared, address, message));
-            let notified = notifying.await;
-            if let Err(status) =
-                notified.unwrap_or_else(|_| Err(Status::deadline_exceeded("no reply")))
-            {
-                lock(&shared.stream_versions.clients).remove(&address);
-                let problem = status.message();
-                spdlog::debug!("event=notify_failed peer={address} problem={problem:?}");
-            }
-        });
+        task::spawn(notify_again(Arc::clone(shared), address, message));
+    }
+}
+
+/// Tells an instance of streams; once more if it doesn't reply.
+async fn notify_again(shared: Arc<Shared>, address: SocketAddr, message: wire::BegunStreams) {
+    for _ in 0..MAX_NOTIFY_ATTEMPTS {
+        let notifying = notify(&shared, address, message.clone());
+        let notified = async_std::future::timeout(NOTIFY_TIMEOUT, notifying).await;
+        let notified = notified.unwrap_or_else(|_| Err(Status::deadline_exceeded("no reply")));
+        let Err(status) = notified else {
+            return;
+        };
+        lock(&shared.stream_versions.clients).remove(&address);
+        let problem = status.message();
+        spdlog::debug!("event=notify_failed peer={address} problem={problem:?}");
     }
 }
 
