Stream versions: the model of fleets tells streams under way once a second version comes

Traced: the model lacked what the program does, to tell the streams under way once a second version is seen, so that streams begun while there was one were unknown after a kill.

--- a/crates/core/tests/version_fleets.rs
+++ b/crates/core/tests/version_fleets.rs
@@ -45,6 +45,7 @@
     streams: StreamVersions,
     history: VersionHistory,
     members: Members,
+    is_single: bool,
 }
 
 struct Stream {
@@ -95,7 +96,7 @@
         let mut members = Members::new(format!("i{number}").parse().unwrap());
         (0..instances).for_each(|other| members.merge(Millis(now_ms), &member(other)));
         let history = VersionHistory::new(Millis(now_ms));
-        Self { streams: StreamVersions::default(), history, members }
+        Self { streams: StreamVersions::default(), history, members, is_single: false }
     }
 }
 
@@ -140,6 +141,7 @@
             for seen in serving_versions(now_ms.saturating_sub(delay_ms)) {
                 self.instances[number].history.record(Millis(now_ms), Some(&version(seen)));
             }
+            self.tell_recent(number, now_ms);
         }
         self.streams.retain(|stream| now_ms < stream.began_ms + ANSWER_MS);
         if now_ms % KILL_INTERVAL_MS == KILL_INTERVAL_MS - STEP_MS {
@@ -154,6 +156,16 @@
         }
     }
 
+    /// Tells what an instance has begun, once it sees a second version.
+    fn tell_recent(&mut self, number: usize, now_ms: u64) {
+        let own = &mut self.instances[number];
+        let is_single = own.history.only_version(Millis(now_ms), WINDOW_MS).is_some();
+        if std::mem::replace(&mut own.is_single, is_single) && !is_single {
+            let recent = own.streams.recent(Millis(now_ms), WINDOW_MS);
+            recent.iter().for_each(|stream| self.tell(number, stream, now_ms));
+        }
+    }
+
     fn kill_instances(&mut self, now_ms: u64) {
         for number in 0..self.instances.len() {
             if self.draw(8) >= 3 {
