Refusals: a call that a server may have run is not told not to have run

The outcome of the last server alone decided. Now a call that was sent to a server before, without that server's word that it didn't run it, ends with server_lost (502) where the next one refuses it or can't be reached; streams without an event the same.

--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/model_call.rs
@@ -38,6 +38,7 @@
     let mut tried: Vec<ServerRun> = Vec::new();
     let mut events = EventSplitter::default();
     let mut calls_sent = 0;
+    let mut may_have_run = false;
     let mut attempt = reserve_first_attempt(context).await?;
     let refused_prefill =
         Refusal { kind: ErrorKind::Overloaded, retry_after_ms: Some(REFUSED_RETRY_AFTER_MS) };
@@ -55,6 +56,7 @@
             EngineAttemptEnd::Complete(action) => return Ok(action),
             EngineAttemptEnd::CallerLost => return Ok(ConnectionAction::Abort),
             EngineAttemptEnd::Moved(next, next_permit) => {
+                may_have_run = true;
                 (attempt, permit) = (*next, next_permit);
                 continue;
             }
@@ -81,10 +83,13 @@
                 (ErrorKind::ServerLost, context.route.kind.is_repeatable())
             }
         };
+        let is_not_run = matches!(kind, ErrorKind::Overloaded | ErrorKind::NoServer);
+        may_have_run |= !is_not_run;
         let refusal = || {
             if caller.has_begun() {
                 return ErrorKind::StreamBroken.into();
             }
+            let kind = if may_have_run && is_not_run { ErrorKind::ServerLost } else { kind };
             Refusal { kind, retry_after_ms: Some(REFUSED_RETRY_AFTER_MS) }
         };
         if !may_move || context.remaining_ms() == Millis::ZERO {
--- a/crates/turmericrail/src/forward/plain_call.rs
+++ b/crates/turmericrail/src/forward/plain_call.rs
@@ -50,6 +50,7 @@
     let mut tried: Vec<ServerRun> = Vec::new();
     let mut calls_sent = 0;
     let mut unreached_servers = 0;
+    let mut may_have_run = false;
     let mut next = choose(context, &tried).ok_or_else(|| context.no_server_refusal())?;
     let mut permit = context.permit_run(calls_sent).ok_or_else(|| {
         context.quarantine_refusal().unwrap_or_else(|| ErrorKind::Overloaded.into())
@@ -59,6 +60,7 @@
         let end = run_attempt(context, &next, permit, &tried, calls_sent + 1).await;
         if let AttemptEnd::MovedTo(choice, next_permit) = end {
             calls_sent += 1;
+            may_have_run = true;
             (next, permit) = (choice, next_permit);
             continue;
         }
@@ -68,19 +70,31 @@
         } else {
             unreached_servers += 1;
         }
+        let not_run = |refusal: Refusal| match may_have_run {
+            true => Refusal::from(ErrorKind::ServerLost),
+            false => refusal,
+        };
+        let is_not_run = match &end {
+            AttemptEnd::NotRun => true,
+            AttemptEnd::Failed(failure) => !failure.is_sent(),
+            _ => false,
+        };
         let outcome = match end {
             AttemptEnd::Answered(head, body) if is_final(context, &head) => {
                 return Ok((head, body));
             }
             AttemptEnd::Answered(head, body) => Ok((head, body)),
-            AttemptEnd::NotRun => Err(ErrorKind::Overloaded.into()),
-            AttemptEnd::Failed(failure) if !failure.is_sent() => Err(context.no_server_refusal()),
+            AttemptEnd::NotRun => Err(not_run(ErrorKind::Overloaded.into())),
+            AttemptEnd::Failed(failure) if !failure.is_sent() => {
+                Err(not_run(context.no_server_refusal()))
+            }
             AttemptEnd::Failed(failure) if !context.route.kind.is_repeatable() => {
                 return Err(error_kind_of(failure).into());
             }
             AttemptEnd::Failed(failure) => Err(error_kind_of(failure).into()),
             AttemptEnd::MovedTo(..) => unreachable!("moved calls are handled above"),
         };
+        may_have_run |= !is_not_run;
         if context.remaining_ms() == Millis::ZERO || unreached_servers > MAX_UNREACHED_SERVERS {
             return outcome;
         }
