Server connections: a call that is given up resets its connection

The connection had been closed in order, and the system went on to deliver what the cut had held back. A connection that is dropped with an open call is now reset, which drops those bytes; calls to engines of the router's own too.

--- a/crates/turmericrail/src/forward/connection_pool.rs
+++ b/crates/turmericrail/src/forward/connection_pool.rs
@@ -47,6 +47,7 @@
 
     /// Returns a connection to the pool after a complete answer.
     pub fn put(&self, address: SocketAddr, mut connection: ServerConnection) {
+        connection.has_open_call = false;
         connection.last_used_ms = clock::now_ms();
         let mut idle = self.idle();
         let connections = idle.entry(address).or_default();
--- a/crates/turmericrail/src/forward/exchange.rs
+++ b/crates/turmericrail/src/forward/exchange.rs
@@ -128,6 +128,7 @@
     mut connection: ServerConnection,
     call: &OutgoingCall<'_>,
 ) -> Result<Exchange, CallFailure> {
+    connection.has_open_call = true;
     let writer = connection.stream.clone();
     let is_written = AtomicBool::new(false);
     // The server may answer before it has read the body, so the call is written and the answer read
--- a/crates/turmericrail/src/forward/server_connection.rs
+++ b/crates/turmericrail/src/forward/server_connection.rs
@@ -7,6 +7,7 @@
 use async_std::io::prelude::*;
 use async_std::net::TcpStream;
 use async_std::task;
+use socket2::SockRef;
 use turmericrail_core::units::Millis;
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming};
 
@@ -36,9 +37,24 @@
     pub last_used_ms: Millis,
     /// Time for which the server keeps it idle; `None` if it doesn't state one.
     pub keep_alive_ms: Option<Millis>,
+    /// Whether a call was written whose answer has not been read whole.
+    pub has_open_call: bool,
     reads_since_yield: u32,
 }
 
+/// Resets a connection that is given up with an open call. After an orderly close the system goes on
+/// to deliver what a cut link has held back, long after the call was given up.
+impl Drop for ServerConnection {
+    fn drop(&mut self) {
+        if !self.has_open_call {
+            return;
+        }
+        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+            spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
+        }
+    }
+}
+
 impl ServerConnection {
     pub async fn open(address: SocketAddr) -> Result<Self, CallFailure> {
         let connecting = async_std::future::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
@@ -56,6 +72,7 @@
             buffer: Vec::new(),
             last_used_ms,
             keep_alive_ms: None,
+            has_open_call: false,
             reads_since_yield: 0,
         })
     }
@@ -69,7 +86,8 @@
         Ok(read)
     }
 
-    pub async fn write(&self, bytes: &[u8]) -> io::Result<()> {
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.has_open_call = true;
         (&self.stream).write_all(bytes).await
     }
 
