--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -8,9 +8,9 @@
 use super::service_latency::ServiceLatency;
 use super::{
     BrokenCalls, CallEnd, CallLimits, CallSends, CallerRetryDetector, ChosenServer, FailureScore,
-    LeavingRuns, LimitStatement, ModelCallSize, Quarantine, ReportedLoad, ReservationPressure,
-    RetryBounds, RetryWindow, RouteTable, SendPermit, ServerEntry, ServerLoad, ServerRegistry,
-    ServerRun, ServerState, ServerUpdate, StreamVersions, VersionHistory,
+    LeavingRuns, ModelCallSize, Quarantine, ReportedLoad, ReservationPressure, RetryBounds,
+    RetryWindow, RouteTable, SendPermit, ServerEntry, ServerLoad, ServerRegistry, ServerRun,
+    ServerUpdate, StreamVersions, VersionHistory,
 };
 use crate::ids::{DataCentreId, RouteId, ServiceId};
 use crate::units::{Millis, Tokens};
@@ -49,8 +49,8 @@
     caller_retry_detectors: BTreeMap<RouteId, CallerRetryDetector>,
     mean_kv_tokens: BTreeMap<ServiceId, f64>,
     pub(super) data_centre_failures: BTreeMap<DataCentreId, FailureScore>,
-    leaving_runs: LeavingRuns,
-    call_limits: CallLimits,
+    pub(super) leaving_runs: LeavingRuns,
+    pub(super) call_limits: CallLimits,
     quarantine: Quarantine,
     broken_calls: BrokenCalls,
     pub(super) stream_versions: StreamVersions,
@@ -59,7 +59,7 @@
     pub(super) single_version_services: BTreeSet<ServiceId>,
     /// Longest time that a stream lasts, by any configuration so far.
     pub(super) longest_stream_ms: Millis,
-    instance_count: usize,
+    pub(super) instance_count: usize,
     /// Registry revision for which the conversion candidates are marked.
     pub(super) conversion_candidates_revision: Option<u64>,
 }
@@ -135,55 +135,6 @@
         self.registry.record_restore(now_ms);
     }
 
-    /// Records that a run of a server is leaving, whatever its registry entry says; returns whether
-    /// that is new.
-    pub fn record_leaving(&mut self, now_ms: Millis, run: &ServerRun) -> bool {
-        self.leaving_runs.record(now_ms, run)
-    }
-
-    /// Records a leaving run that another instance told of, if it is registered here; instances
-    /// would else go on to remind each other of runs that are long gone. Returns whether it is new.
-    pub fn record_told_leaving(&mut self, now_ms: Millis, run: &ServerRun) -> bool {
-        let entry = self.registry.entry(now_ms, &run.server);
-        let is_registered = entry.is_some_and(|entry| entry.started_ms == run.started_ms);
-        is_registered && self.leaving_runs.record(now_ms, run)
-    }
-
-    /// The runs that were told to be leaving by their servers or by other instances.
-    pub fn leaving_runs(&self) -> &LeavingRuns {
-        &self.leaving_runs
-    }
-
-    /// Whether a run has said that it is leaving, so that its end is planned.
-    pub fn is_leaving(&self, now_ms: Millis, run: &ServerRun) -> bool {
-        let entry = self.registry.entry(now_ms, &run.server);
-        let is_draining = |entry: &ServerEntry| {
-            entry.started_ms == run.started_ms && entry.state == ServerState::Draining
-        };
-        self.leaving_runs.contains(run) || entry.is_some_and(is_draining)
-    }
-
-    /// Records that a server wants no calls from this instance for some time.
-    pub fn record_closed(&mut self, now_ms: Millis, run: &ServerRun, closed_ms: Millis) {
-        self.loads.entry(run.clone()).or_default().record_closed(now_ms + closed_ms);
-    }
-
-    /// Records what a server says about its limit on the calls of all instances; returns whether
-    /// the limit began, changed or ended.
-    pub fn record_limit(
-        &mut self,
-        now_ms: Millis,
-        statement: &LimitStatement,
-        random: u64,
-    ) -> bool {
-        self.call_limits.record(now_ms, statement, self.instance_count, random)
-    }
-
-    /// The limits that servers name.
-    pub fn call_limits(&self) -> &CallLimits {
-        &self.call_limits
-    }
-
     /// The requests to which servers were lost.
     pub fn quarantine(&mut self) -> &mut Quarantine {
         &mut self.quarantine
@@ -194,29 +145,6 @@
         &mut self.broken_calls
     }
 
-    /// Whether a call of any kind may be made to a server now. If the server names a limit, the
-    /// call uses a slot of this instance.
-    pub fn try_take_call(&mut self, now_ms: Millis, run: &ServerRun) -> bool {
-        self.closed_for_ms(now_ms, run).is_none() && self.call_limits.try_take(now_ms, run)
-    }
-
-    /// Time until a server takes calls of this instance again; `None` if it takes them now.
-    pub fn closed_for_ms(&self, now_ms: Millis, run: &ServerRun) -> Option<Millis> {
-        let closed_ms = self.loads.get(run).and_then(|load| load.closed_for_ms(now_ms));
-        let slot_ms = self.call_limits.next_slot_in_ms(now_ms, run);
-        closed_ms.max(slot_ms.filter(|wait_ms| *wait_ms > Millis::ZERO))
-    }
-
-    /// Shortest time until one of the closed servers of a service takes calls again.
-    pub fn reopens_in_ms(&self, now_ms: Millis, service: &ServiceId) -> Option<Millis> {
-        let servers = self.registry.servers(now_ms).filter(|(_, entry)| entry.service == *service);
-        let runs = servers.map(|(server, entry)| ServerRun {
-            server: server.clone(),
-            started_ms: entry.started_ms,
-        });
-        runs.filter_map(|run| self.closed_for_ms(now_ms, &run)).min()
-    }
-
     /// Replaces the limits on retries, for instance after new settings.
     pub fn set_retry_bounds(&mut self, bounds: RetryBounds) {
         self.settings.retry_bounds = bounds;
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! this instance's own calls and in the servers' answers. Time and random numbers are passed in as
 //! arguments; the network calls are made elsewhere.
 
+mod broken_call;
 mod broken_calls;
 mod call_end;
 mod call_limit;
@@ -17,11 +18,13 @@
 mod engine_report;
 mod failure_score;
 mod forwarder;
+mod forwarder_notices;
 mod forwarder_versions;
 mod latency_ratio;
 mod leaving_runs;
 mod loss_cause;
 mod loss_notice;
+mod loss_records;
 mod member_list;
 mod members;
 mod model_call_size;
@@ -45,11 +48,13 @@
 mod service;
 mod service_latency;
 mod software_version;
+mod stream_version;
 mod stream_versions;
 mod table;
 mod version_history;
 
-pub use broken_calls::{BrokenCall, BrokenCalls, BrokenKind};
+pub use broken_call::{BrokenCall, BrokenKind};
+pub use broken_calls::BrokenCalls;
 pub use call_end::CallEnd;
 pub use call_limits::{CallLimits, LimitStatement};
 pub use call_sends::{CallSends, SendPermit};
@@ -62,6 +67,7 @@
 pub use leaving_runs::LeavingRuns;
 pub use loss_cause::{LossCause, LossSubject};
 pub use loss_notice::{Loss, LossNotice, Survival, Suspect};
+pub use loss_records::LossRecords;
 pub use member_list::MemberList;
 pub use members::{Member, Members, Watcher};
 pub use model_call_size::ModelCallSize;
@@ -80,6 +86,7 @@
 pub use server_selection::KvOrigin;
 pub use service::{EngineLimits, Service};
 pub use software_version::SoftwareVersion;
-pub use stream_versions::{StreamKey, StreamVersion, StreamVersions};
+pub use stream_version::{StreamKey, StreamVersion};
+pub use stream_versions::StreamVersions;
 pub use table::{RequestLimits, RouteTable, TableError};
 pub use version_history::VersionHistory;
--- a/crates/core/tests/part_quarantine.rs
+++ b/crates/core/tests/part_quarantine.rs
@@ -110,7 +110,7 @@
     let mut quarantine = Quarantine::default();
     quarantine.record_survival(Millis(500), &service(), &[SOUND]);
     (1..=9).for_each(|engine| lose(&mut quarantine, engine, &[SOUND], Millis(1_000)));
-    assert_eq!(quarantine.last_number(), 0, "no other instance needs to know");
+    assert_eq!(quarantine.records().last_number(), 0, "no other instance needs to know");
     // An answer that came later clears too.
     let mut quarantine = quarantined();
     assert!(quarantine.record_survival(Millis(1_200), &service(), &[SOUND, DEADLY]));
@@ -128,7 +128,7 @@
     let (mut first, mut second) = (quarantined(), Quarantine::default());
     second.record_survival(Millis(900), &service(), &[SOUND, DEADLY]);
     assert!(second.take_untold_survivals(Millis(1_000)).is_empty(), "nobody blames the parts");
-    first.notices_after(0).into_iter().for_each(|notice| {
+    first.records().notices_after(0).into_iter().for_each(|notice| {
         assert!(second.merge(Millis(1_000), notice));
     });
     assert!(!is_quarantined(&second, &[SOUND, DEADLY]));
@@ -139,7 +139,7 @@
         assert!(first.merge(Millis(1_100), notice));
     }
     assert!(!is_quarantined(&first, &[SOUND, DEADLY]));
-    assert_eq!(first.notices_hash(), second.notices_hash());
+    assert_eq!(first.records().hash(), second.records().hash());
 }
 
 #[test]
@@ -177,17 +177,17 @@
 #[test]
 fn numbered_notices() {
     let mut quarantine = quarantined();
-    assert_eq!(quarantine.notices_after(0).len(), 3);
-    let last = quarantine.last_number();
-    assert!(quarantine.notices_after(last).is_empty());
+    assert_eq!(quarantine.records().notices_after(0).len(), 3);
+    let last = quarantine.records().last_number();
+    assert!(quarantine.records().notices_after(last).is_empty());
     let known = LossNotice::Lost(loss(1, &[SOUND, DEADLY], Millis(900)));
     assert!(!quarantine.merge(Millis(1_000), known), "a known loss is not new");
     let unnamed =
         Survival { service: service(), suspect: Suspect::Part(RARE), survived_ms: Millis(1_000) };
     assert!(!quarantine.merge(Millis(1_000), LossNotice::Survived(unnamed)));
-    assert_eq!(quarantine.last_number(), last);
+    assert_eq!(quarantine.records().last_number(), last);
     lose(&mut quarantine, 7, &[RARE], Millis(1_000));
-    assert_eq!(quarantine.notices_after(last).len(), 1);
+    assert_eq!(quarantine.records().notices_after(last).len(), 1);
 }
 
 #[test]
@@ -197,7 +197,7 @@
     let mut quarantine = quarantined();
     for number in 0..2_000 {
         lose(&mut quarantine, 10 + number, &[PromptPartId(1_000 + number)], Millis(2_000 + number));
-        assert!(quarantine.notices_after(0).len() <= 48);
+        assert!(quarantine.records().notices_after(0).len() <= 48);
     }
     assert!(is_quarantined(&quarantine, &[SOUND, DEADLY]));
     quarantine.expire(Millis(1_000) + LONG_MS);
--- a/crates/core/tests/request_quarantine.rs
+++ b/crates/core/tests/request_quarantine.rs
@@ -127,16 +127,16 @@
     (10..800).for_each(|number| {
         lose(&mut quarantine, number, RequestFingerprint(u128::from(number)));
     });
-    let exchanged = quarantine.notices_after(0);
+    let exchanged = quarantine.records().notices_after(0);
     assert_eq!(exchanged.len(), 3);
     let mut started = Quarantine::default();
     assert_eq!(started.merge_all(Millis(1_000), exchanged).len(), 3);
     assert!(is_quarantined(&started, CRASHING));
-    assert_eq!(started.notices_hash(), quarantine.notices_hash());
+    assert_eq!(started.records().hash(), quarantine.records().hash());
     // A following instance is told each loss once.
-    let last = quarantine.last_number();
+    let last = quarantine.records().last_number();
     lose(&mut quarantine, 900, VICTIM);
-    assert_eq!(quarantine.notices_after(last).len(), 1);
+    assert_eq!(quarantine.records().notices_after(last).len(), 1);
 }
 
 #[test]
@@ -148,7 +148,7 @@
         LossNotice::Lost(loss(number, RequestFingerprint(u128::from(number)), Millis(2_000)))
     });
     quarantine.merge_all(Millis(2_000), notices.collect());
-    assert!(quarantine.notices_after(1).len() <= 1_024);
+    assert!(quarantine.records().notices_after(1).len() <= 1_024);
     assert!(is_quarantined(&quarantine, CRASHING));
 }
 
--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/call_context.rs
@@ -10,21 +10,12 @@
 use turmericrail_core::request::RequestFingerprint;
 use turmericrail_core::units::Millis;
 
+use super::begun_version::BegunVersion;
 use super::caller_connection::Request;
 use super::clock;
 use super::dispatch::Refusal;
 use super::shared::Shared;
 
-/// Where an answer has begun, at this instance or before the caller took it up.
-#[derive(Clone, Debug, Default)]
-pub enum BegunVersion {
-    /// It hasn't begun.
-    #[default]
-    None,
-    /// At an engine of this software version; `None` if it states none.
-    At(Option<SoftwareVersion>),
-}
-
 /// A request with the route and service chosen for it.
 pub struct CallContext<'a> {
     pub shared: &'a Arc<Shared>,
--- a/crates/turmericrail/src/forward/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/engine_attempt.rs
@@ -8,7 +8,8 @@
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming, EventSplitter, ResponseHead};
 
 use super::answer_body::AnswerBody;
-use super::call_context::{BegunVersion, CallContext};
+use super::begun_version::BegunVersion;
+use super::call_context::CallContext;
 use super::call_failure::CallFailure;
 use super::caller_stream::CallerStream;
 use super::clock;
--- a/crates/turmericrail/src/forward/engine_selection.rs
+++ b/crates/turmericrail/src/forward/engine_selection.rs
@@ -10,7 +10,8 @@
 };
 use turmericrail_core::units::Millis;
 
-use super::call_context::{BegunVersion, CallContext};
+use super::begun_version::BegunVersion;
+use super::call_context::CallContext;
 use super::call_guard::CallGuard;
 use super::clock;
 use super::dispatch::Refusal;
@@ -49,7 +50,7 @@
 pub fn choose_engine(context: &CallContext<'_>, tried: &[ServerRun]) -> Option<ChosenServer> {
     let (now_ms, random) = (clock::now_ms(), fastrand::u64(..));
     let begun = context.begun_version();
-    let filter = EngineFilter { excluded: tried, version: version_need(&begun)? };
+    let filter = EngineFilter { excluded: tried, version: begun.need()? };
     let forwarder = context.shared.forwarder();
     if !context.is_model_call() {
         let is_repeatable = context.route.kind.is_repeatable();
@@ -59,16 +60,6 @@
     forwarder.choose_decode(now_ms, service, call_size, KvOrigin::DecodeEngine, filter, random)
 }
 
-/// The version that the next engine of an answer must have; `None` if no engine may go on with it,
-/// since the one that began it states no version.
-fn version_need(begun: &BegunVersion) -> Option<VersionNeed<'_>> {
-    match begun {
-        BegunVersion::None => Some(VersionNeed::Any),
-        BegunVersion::At(Some(version)) => Some(VersionNeed::Same(Some(version))),
-        BegunVersion::At(None) => None,
-    }
-}
-
 /// Reserves an engine for the call and runs the prefill if the plan has one.
 pub async fn reserve_first_attempt(context: &CallContext<'_>) -> Result<EngineAttempt, Refusal> {
     if !context.is_model_call() {
@@ -137,7 +128,7 @@
 
 fn plan(context: &CallContext<'_>) -> Result<ModelPlan, Refusal> {
     let begun = context.begun_version();
-    let version = version_need(&begun).ok_or_else(|| no_engine_refusal(context))?;
+    let version = begun.need().ok_or_else(|| no_engine_refusal(context))?;
     let planned = context.shared.forwarder().plan_model(
         clock::now_ms(),
         context.service,
--- a/crates/turmericrail/src/forward/loss_notices.rs
+++ b/crates/turmericrail/src/forward/loss_notices.rs
@@ -87,7 +87,7 @@
         return;
     };
     log_notice(&notice, now_ms, "answer");
-    let is_lost_again = shared.forwarder().quarantine().is_lost_again(request);
+    let is_lost_again = shared.forwarder().quarantine().records().is_lost_again(request);
     let mut unsent = shared.loss_notices.unsent();
     match notice {
         LossNotice::Lost(loss) if loss.parts.is_empty() && !is_lost_again => {
@@ -115,7 +115,7 @@
     let told = {
         let mut forwarder = shared.forwarder();
         forwarder.broken_calls().record_answer(request);
-        if !forwarder.quarantine().is_named(request) {
+        if !forwarder.quarantine().records().is_named(request) {
             return;
         }
         drop(forwarder);
@@ -181,17 +181,17 @@
     let notices = {
         let mut forwarder = shared.forwarder();
         let quarantine = forwarder.quarantine();
-        if quarantine.last_number() <= number {
+        if quarantine.records().last_number() <= number {
             return None;
         }
-        quarantine.notices_after(number)
+        quarantine.records().notices_after(number)
     };
     (!notices.is_empty()).then(|| relay_notices::to_wire(clock::now_ms(), &notices))
 }
 
 /// Hash of the notices that this instance knows.
 pub fn hash(shared: &Shared) -> u64 {
-    shared.forwarder().quarantine().notices_hash()
+    shared.forwarder().quarantine().records().hash()
 }
 
 /// Sends notices in an endless loop.
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -10,6 +10,7 @@
 
 mod answer_body;
 mod answer_writer;
+mod begun_version;
 mod buffer_budget;
 mod call_context;
 mod call_failure;
--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/relay.rs
@@ -216,7 +216,7 @@
             let is_following = self.shared.follow_state.is_following();
             let remaining_ms = end_ms.saturating_sub(clock::now_ms());
             // Taken before the notices, so that none between the two is left out.
-            let last_notice = self.shared.forwarder().quarantine().last_number();
+            let last_notice = self.shared.forwarder().quarantine().records().last_number();
             let notices = loss_notices::list_after(&self.shared, notices_after);
             let is_due =
                 is_store_lost || is_following || notices.is_some() || remaining_ms == Millis::ZERO;
