--- a/crates/turmericrail/src/forward/dispatch.rs
+++ b/crates/turmericrail/src/forward/dispatch.rs
@@ -12,6 +12,7 @@
 use super::caller_connection::{CallerConnection, Request};
 use super::caller_stream::CallerStream;
 use super::clock;
+use super::loss_notices;
 use super::model_call;
 use super::plain_call;
 use super::shared::Shared;
@@ -130,11 +131,17 @@
     let (now_ms, random) = (clock::now_ms(), fastrand::u64(..));
     let traits = context.traits();
     let admission = context.shared.forwarder().quarantine().admit(now_ms, &traits, random);
+    let (request_id, fingerprint) = (context.request_id, context.fingerprint);
     if let Some(refusal) = Refusal::of_admission(admission) {
+        spdlog::info!(
+            "event=quarantined request={request_id} fingerprint={fingerprint} parts={} \
+             retry_after_ms={}",
+            loss_notices::join_parts(context.shared_parts()),
+            refusal.retry_after_ms.unwrap_or_default().0
+        );
         return Err(refusal);
     }
     if admission == Admission::Trial {
-        let (request_id, fingerprint) = (context.request_id, context.fingerprint);
         spdlog::info!("event=quarantine_trial request={request_id} fingerprint={fingerprint}");
     }
     Ok(admission == Admission::Trial)
