Forwarding decisions: modules grouped by subject

The folder held 46 files side by side, so that a newcomer couldn't see which belong together. They move to servers, selection, limits, losses, versions, roles, peers and routes; mod.rs is the table of contents. Nothing else changes: the names that other crates use are the same.

--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -4,14 +4,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::reliability::Reliability;
-use super::service_latency::ServiceLatency;
 use super::{
     BrokenCalls, CallEnd, CallLimits, CallSends, CallerRetryDetector, ChosenServer, FailureScore,
     LeavingRuns, ModelCallSize, Quarantine, ReportedLoad, ReservationPressure, RetryBounds,
     RetryWindow, RouteTable, SendPermit, ServerEntry, ServerLoad, ServerRegistry, ServerRun,
     ServerUpdate, StreamVersions, VersionHistory,
 };
+use crate::forward::servers::reliability::Reliability;
+use crate::forward::servers::service_latency::ServiceLatency;
 use crate::ids::{DataCentreId, RouteId, ServiceId};
 use crate::units::{Millis, Tokens};
 
--- a/crates/core/src/forward/call_limits.rs
+++ b/crates/core/src/forward/limits/call_limits.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use super::call_limit::CallLimit;
-use super::{ServerRegistry, ServerRun};
+use crate::forward::{ServerRegistry, ServerRun};
 use crate::units::{CallRate, Millis};
 
 /// Time for which the end of a limit is passed on; longer than it takes to reach every instance.
--- a/crates/core/src/forward/call_sends.rs
+++ b/crates/core/src/forward/limits/call_sends.rs
@@ -25,13 +25,13 @@
     }
 
     /// Counts a send, which must be free or have a retry granted for it.
-    pub(super) fn record_send(&mut self) -> SendPermit {
+    pub(in crate::forward) fn record_send(&mut self) -> SendPermit {
         self.counted_sends += 1;
         SendPermit(())
     }
 
     /// Counts a retry that the bound granted.
-    pub(super) fn record_granted_retry(&mut self) {
+    pub(in crate::forward) fn record_granted_retry(&mut self) {
         self.granted_retries += 1;
     }
 
--- a/crates/core/src/forward/broken_calls.rs
+++ b/crates/core/src/forward/losses/broken_calls.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use super::broken_call::BROKEN_TTL_MS;
-use super::{BrokenCall, BrokenKind, ServerRun};
+use crate::forward::{BrokenCall, BrokenKind, ServerRun};
 use crate::request::RequestFingerprint;
 use crate::units::Millis;
 
--- a/crates/core/src/forward/loss_cause.rs
+++ b/crates/core/src/forward/losses/loss_cause.rs
@@ -4,7 +4,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Loss, RequestTraits, ServerRun};
+use crate::forward::{Loss, RequestTraits, ServerRun};
 use crate::ids::{PromptPartId, ServiceId};
 use crate::request::RequestFingerprint;
 use crate::units::Millis;
--- a/crates/core/src/forward/loss_notice.rs
+++ b/crates/core/src/forward/losses/loss_notice.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::ServerRun;
+use crate::forward::ServerRun;
 use crate::ids::{PromptPartId, ServiceId};
 use crate::request::RequestFingerprint;
 use crate::units::Millis;
--- a/crates/core/src/forward/loss_records.rs
+++ b/crates/core/src/forward/losses/loss_records.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Loss, LossNotice, ServerRun, Survival, Suspect};
+use crate::forward::{Loss, LossNotice, ServerRun, Survival, Suspect};
 use crate::ids::ServiceId;
 use crate::membership::rendezvous::stable_hash;
 use crate::request::RequestFingerprint;
@@ -25,7 +25,7 @@
     notice: T,
 }
 
-/// What is known of lost answers; see [`Quarantine`](super::Quarantine).
+/// What is known of lost answers; see [`Quarantine`](crate::forward::Quarantine).
 #[derive(Clone, Debug, Default)]
 pub struct LossRecords {
     losses: Vec<Numbered<Loss>>,
--- a/crates/core/src/forward/quarantine.rs
+++ b/crates/core/src/forward/losses/quarantine.rs
@@ -15,7 +15,7 @@
 
 use super::loss_records::SURVIVAL_REFRESH_MS;
 use super::part_survivals::PartSurvivals;
-use super::{
+use crate::forward::{
     Loss, LossCause, LossNotice, LossRecords, LossSubject, RequestTraits, Survival, Suspect,
 };
 use crate::ids::{PromptPartId, ServiceId};
--- a/crates/core/src/forward/forwarder_notices.rs
+++ b/crates/core/src/forward/peers/forwarder_notices.rs
@@ -1,7 +1,7 @@
 //! What a forwarder does with what servers say of themselves in answers: that they are leaving, want no
 //! calls for a while, or take only so many.
 
-use super::{
+use crate::forward::{
     CallLimits, Forwarder, LeavingRuns, LimitStatement, ServerEntry, ServerRun, ServerState,
 };
 use crate::ids::ServiceId;
--- a/crates/core/src/forward/member_list.rs
+++ b/crates/core/src/forward/peers/member_list.rs
@@ -3,7 +3,7 @@
 //! Most exchanges are between instances that know the same members. These need only the times since
 //! each was heard from, in the order of their ids; the rest of the list is told where it differs.
 
-use super::Member;
+use crate::forward::Member;
 use crate::membership::rendezvous::stable_hash;
 use crate::units::Millis;
 
--- a/crates/core/src/forward/order_right.rs
+++ b/crates/core/src/forward/roles/order_right.rs
@@ -4,7 +4,7 @@
 //! a run of an engine never passes from one instance to another: it belongs to one of the seeds, by
 //! a hash of the run. While that seed is down or cut off, the engine gets no orders.
 
-use super::ServerRun;
+use crate::forward::ServerRun;
 use crate::ids::{FencingNumber, InstanceId};
 use crate::membership::rendezvous::stable_hash;
 
--- a/crates/core/src/forward/role_conversion.rs
+++ b/crates/core/src/forward/roles/role_conversion.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::server_selection::Candidate;
-use super::{ChosenServer, EngineReport, Forwarder, RoleLoad, ServerRun};
 use crate::config::ServerRole;
+use crate::forward::selection::server_selection::Candidate;
+use crate::forward::{ChosenServer, EngineReport, Forwarder, RoleLoad, ServerRun};
 use crate::ids::{DataCentreId, ServiceId};
 use crate::units::Millis;
 
@@ -90,7 +90,7 @@
 
     /// Marks the engines that would be converted first, so that most prefills avoid them: an engine
     /// refuses prefills during its change, and other instances do not know of the change.
-    pub(super) fn mark_conversion_candidates(&mut self, now_ms: Millis) {
+    pub(in crate::forward) fn mark_conversion_candidates(&mut self, now_ms: Millis) {
         let revision = self.registry.revision();
         if self.conversion_candidates_revision == Some(revision) {
             return;
--- /dev/null
+++ b/crates/core/src/forward/routes/mod.rs
@@ -0,0 +1,9 @@
+//! The configuration: routes, services and limits.
+
+mod route;
+mod service;
+mod table;
+
+pub use route::{Route, RouteKind, WeightedService};
+pub use service::{EngineLimits, Service};
+pub use table::{RequestLimits, RouteTable, TableError};
--- a/crates/core/src/forward/table.rs
+++ b/crates/core/src/forward/routes/table.rs
@@ -5,7 +5,7 @@
 
 use thiserror::Error;
 
-use super::{Route, Service};
+use crate::forward::{Route, Service};
 use crate::ids::{ConfigVersion, RouteId, ServiceId};
 use crate::units::{Bytes, Millis};
 
--- a/crates/core/src/forward/engine_filter.rs
+++ b/crates/core/src/forward/selection/engine_filter.rs
@@ -1,6 +1,6 @@
 //! Which engines a call may use.
 
-use super::{ServerRun, SoftwareVersion};
+use crate::forward::{ServerRun, SoftwareVersion};
 
 /// The software version that the next engine of a call must run.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/core/src/forward/model_plan.rs
+++ b/crates/core/src/forward/selection/model_plan.rs
@@ -1,6 +1,6 @@
 //! Plans of model calls, and why a call gets none.
 
-use super::ChosenServer;
+use crate::forward::ChosenServer;
 use crate::units::Millis;
 
 /// The engines chosen for a model call.
--- a/crates/core/src/forward/reservation_round.rs
+++ b/crates/core/src/forward/selection/reservation_round.rs
@@ -7,7 +7,7 @@
 //! needs, then for less. The last step still leaves room for growth; if no engine has that, the
 //! call has to wait.
 
-use super::{ModelCallSize, ServerRun};
+use crate::forward::{ModelCallSize, ServerRun};
 use crate::units::Tokens;
 
 /// Free memory that each step asks for beyond the call itself, in calls of the same size.
--- a/crates/core/src/forward/server_selection.rs
+++ b/crates/core/src/forward/selection/server_selection.rs
@@ -7,11 +7,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{
+use crate::config::ServerRole;
+use crate::forward::{
     ChosenServer, EngineFilter, Forwarder, ModelCallSize, ModelPlan, PlanRefusal, ServerEntry,
     ServerLoad, ServerRun, ServerState, SoftwareVersion, VersionNeed,
 };
-use crate::config::ServerRole;
 use crate::ids::{DataCentreId, ServerId, ServiceId};
 use crate::units::{Millis, Tokens};
 
@@ -71,14 +71,14 @@
 
 /// A server that accepts new calls, with its load as seen by this instance.
 #[derive(Clone)]
-pub(super) struct Candidate<'a> {
-    pub(super) server: &'a ServerId,
-    pub(super) entry: &'a ServerEntry,
-    pub(super) load: ServerLoad,
+pub(in crate::forward) struct Candidate<'a> {
+    pub(in crate::forward) server: &'a ServerId,
+    pub(in crate::forward) entry: &'a ServerEntry,
+    pub(in crate::forward) load: ServerLoad,
 }
 
 impl Candidate<'_> {
-    pub(super) fn run(&self) -> ServerRun {
+    pub(in crate::forward) fn run(&self) -> ServerRun {
         ServerRun { server: self.server.clone(), started_ms: self.entry.started_ms }
     }
 }
@@ -92,7 +92,7 @@
 
 impl Forwarder {
     /// The servers of a service and role that accept new calls and that a filter allows.
-    pub(super) fn candidates<'f>(
+    pub(in crate::forward) fn candidates<'f>(
         &self,
         now_ms: Millis,
         service: &ServiceId,
@@ -318,7 +318,7 @@
 
     /// The candidate as a chosen server whose predictions are zero, for control calls such as
     /// reports and orders.
-    pub(super) fn chosen_server_without_prediction(
+    pub(in crate::forward) fn chosen_server_without_prediction(
         &self,
         candidate: Candidate<'_>,
     ) -> ChosenServer {
--- a/crates/core/src/forward/call_end.rs
+++ b/crates/core/src/forward/servers/call_end.rs
@@ -21,7 +21,7 @@
 
 impl CallEnd {
     /// Weight in the failure score; `None` if the end says nothing against the server.
-    pub(super) fn failure_weight(self) -> Option<f64> {
+    pub(in crate::forward) fn failure_weight(self) -> Option<f64> {
         match self {
             CallEnd::Answered | CallEnd::Cancelled => None,
             CallEnd::Failed | CallEnd::ConnectionLost => Some(1.0),
@@ -31,7 +31,7 @@
     }
 
     /// Whether the server did what it was asked; `None` if the end says nothing about it.
-    pub(super) fn is_answered(self) -> Option<bool> {
+    pub(in crate::forward) fn is_answered(self) -> Option<bool> {
         match self {
             CallEnd::Cancelled => None,
             end => Some(end == CallEnd::Answered),
--- a/crates/core/src/forward/chosen_server.rs
+++ b/crates/core/src/forward/servers/chosen_server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::SoftwareVersion;
+use crate::forward::SoftwareVersion;
 use crate::ids::{DataCentreId, ServerId, ServiceId};
 use crate::units::{Millis, Tokens, WallMillis};
 
--- a/crates/core/src/forward/leaving_runs.rs
+++ b/crates/core/src/forward/servers/leaving_runs.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{ServerRegistry, ServerRun};
+use crate::forward::{ServerRegistry, ServerRun};
 use crate::units::Millis;
 
 /// Time for which a run without a registry entry is remembered; longer than its entry can be
--- a/crates/core/src/forward/server_entry.rs
+++ b/crates/core/src/forward/servers/server_entry.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use super::SoftwareVersion;
 use crate::config::ServerRole;
+use crate::forward::SoftwareVersion;
 use crate::ids::{DataCentreId, ServerId, ServiceId};
 use crate::units::WallMillis;
 
--- a/crates/core/src/forward/server_load.rs
+++ b/crates/core/src/forward/servers/server_load.rs
@@ -3,7 +3,7 @@
 
 use super::latency_ratio::LatencyRatio;
 use super::reliability::Reliability;
-use super::{CallEnd, FailureScore};
+use crate::forward::{CallEnd, FailureScore};
 use crate::units::{Millis, Tokens};
 
 /// Time over which the weight of a load report falls linearly to zero; calls last a few hundred
--- a/crates/core/src/forward/server_registry.rs
+++ b/crates/core/src/forward/servers/server_registry.rs
@@ -10,7 +10,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{ServerEntry, ServerState, ServerUpdate};
+use crate::forward::{ServerEntry, ServerState, ServerUpdate};
 use crate::ids::ServerId;
 use crate::units::Millis;
 
--- a/crates/core/src/forward/forwarder_versions.rs
+++ b/crates/core/src/forward/versions/forwarder_versions.rs
@@ -1,6 +1,6 @@
 //! What a forwarder knows of the software versions of servers and of the streams begun there.
 
-use super::{Forwarder, RouteKind, SoftwareVersion, StreamVersions, VersionHistory};
+use crate::forward::{Forwarder, RouteKind, SoftwareVersion, StreamVersions, VersionHistory};
 use crate::ids::ServiceId;
 use crate::units::Millis;
 
@@ -64,7 +64,7 @@
     }
 
     /// Takes the longest stream from a new configuration; streams begun under an older one go on.
-    pub(super) fn record_longest_stream(&mut self) {
+    pub(in crate::forward) fn record_longest_stream(&mut self) {
         let Some(table) = &self.table else {
             return;
         };
--- a/crates/core/src/forward/stream_version.rs
+++ b/crates/core/src/forward/versions/stream_version.rs
@@ -1,6 +1,6 @@
 //! The software version at which one stream has begun.
 
-use super::SoftwareVersion;
+use crate::forward::SoftwareVersion;
 use crate::request::RequestFingerprint;
 use crate::units::Millis;
 
--- a/crates/core/src/forward/stream_versions.rs
+++ b/crates/core/src/forward/versions/stream_versions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{SoftwareVersion, StreamKey, StreamVersion};
+use crate::forward::{SoftwareVersion, StreamKey, StreamVersion};
 use crate::request::RequestFingerprint;
 use crate::units::Millis;
 
--- a/crates/core/src/forward/version_history.rs
+++ b/crates/core/src/forward/versions/version_history.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::SoftwareVersion;
+use crate::forward::SoftwareVersion;
 use crate::units::Millis;
 
 /// Versions of a service, and since when this instance knows of all.
