--- a/crates/turmericrail/src/forward/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -15,10 +15,10 @@
 use turmericrail_platform::request::{self, RequestMetadata};
 use turmericrail_wire::http1::{BodyDecoder, HeadError, RequestHead};
 
-use super::clock;
-use super::server_connection::READ_SIZE_BYTES;
-use super::shared::Shared;
 use crate::connection_close::drain_and_close;
+use crate::forward::clock;
+use crate::forward::servers::server_connection::READ_SIZE_BYTES;
+use crate::forward::shared::Shared;
 
 /// Largest amount of a pipelined request that is buffered while an answer is under way.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
--- a/crates/turmericrail/src/forward/caller_listener.rs
+++ b/crates/turmericrail/src/forward/callers/caller_listener.rs
@@ -8,11 +8,11 @@
 use super::answer_writer;
 use super::caller_connection::{CallerConnection, Received};
 use super::dispatch;
-use super::server_connection::TCP_TIMEOUTS;
-use super::shared::Shared;
 use crate::accept_loop::{self, AcceptLoop};
 use crate::connection_close;
 use crate::error::StartError;
+use crate::forward::servers::server_connection::TCP_TIMEOUTS;
+use crate::forward::shared::Shared;
 
 /// Listens for callers until the returned loop is stopped.
 pub async fn listen(shared: &Arc<Shared>) -> Result<AcceptLoop, StartError> {
--- a/crates/turmericrail/src/forward/caller_stream.rs
+++ b/crates/turmericrail/src/forward/callers/caller_stream.rs
@@ -10,7 +10,7 @@
 use super::answer_writer;
 use super::caller_connection::Request;
 use super::dispatch::ConnectionAction;
-use super::shared::Shared;
+use crate::forward::shared::Shared;
 
 /// The answer to one request on the caller's connection.
 pub struct CallerStream {
--- a/crates/turmericrail/src/forward/dispatch.rs
+++ b/crates/turmericrail/src/forward/callers/dispatch.rs
@@ -8,15 +8,15 @@
 use turmericrail_core::units::Millis;
 
 use super::answer_writer;
-use super::call_context::CallContext;
 use super::caller_connection::{CallerConnection, Request};
 use super::caller_stream::CallerStream;
-use super::clock;
-use super::loss_notices;
-use super::model_call;
-use super::plain_call;
-use super::shared::Shared;
-use super::stream_versions;
+use crate::forward::calls::call_context::CallContext;
+use crate::forward::calls::model_call;
+use crate::forward::calls::plain_call;
+use crate::forward::clock;
+use crate::forward::peers::loss_notices;
+use crate::forward::peers::stream_versions;
+use crate::forward::shared::Shared;
 
 /// Longest part of a request id that is logged.
 const MAX_LOGGED_ID_BYTES: usize = 64;
--- a/crates/turmericrail/src/forward/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -11,10 +11,10 @@
 use turmericrail_core::units::Millis;
 
 use super::begun_version::BegunVersion;
-use super::caller_connection::Request;
-use super::clock;
-use super::dispatch::Refusal;
-use super::shared::Shared;
+use crate::forward::callers::caller_connection::Request;
+use crate::forward::callers::dispatch::Refusal;
+use crate::forward::clock;
+use crate::forward::shared::Shared;
 
 /// A request with the route and service chosen for it.
 pub struct CallContext<'a> {
--- a/crates/turmericrail/src/forward/call_guard.rs
+++ b/crates/turmericrail/src/forward/calls/call_guard.rs
@@ -5,8 +5,8 @@
 use turmericrail_core::forward::{CallEnd, ChosenServer};
 use turmericrail_core::units::Millis;
 
-use super::clock;
-use super::shared::Shared;
+use crate::forward::clock;
+use crate::forward::shared::Shared;
 
 /// Counts a call at a server until it ends; a dropped guard counts as a cancelled call.
 pub struct CallGuard {
--- a/crates/turmericrail/src/forward/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -7,22 +7,22 @@
 use turmericrail_platform::call::{RunOptions, ServerTask};
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming, EventSplitter, ResponseHead};
 
-use super::answer_body::AnswerBody;
 use super::begun_version::BegunVersion;
 use super::call_context::CallContext;
 use super::call_failure::CallFailure;
-use super::caller_stream::CallerStream;
-use super::clock;
-use super::dispatch::{self, ConnectionAction};
 use super::engine_calls::{MIN_SILENCE_MS, silence_timeout_ms};
 use super::engine_selection::{EngineAttempt, choose_engine, reserve};
-use super::exchange::Exchange;
 use super::held_kv::HeldKv;
-use super::loss_notices;
 use super::plain_call::is_acceptable;
 use super::reservation::Reservation;
-use super::server_calls::{call_bytes, log_call, send_call};
-use super::stream_versions;
+use crate::forward::callers::caller_stream::CallerStream;
+use crate::forward::callers::dispatch::{self, ConnectionAction};
+use crate::forward::clock;
+use crate::forward::peers::loss_notices;
+use crate::forward::peers::stream_versions;
+use crate::forward::servers::answer_body::AnswerBody;
+use crate::forward::servers::exchange::Exchange;
+use crate::forward::servers::server_calls::{call_bytes, log_call, send_call};
 
 /// Multiple of the route's target gap between events after which an engine counts as silent.
 const GAP_TIMEOUT_FACTOR: u64 = 2;
--- a/crates/turmericrail/src/forward/engine_calls.rs
+++ b/crates/turmericrail/src/forward/calls/engine_calls.rs
@@ -12,9 +12,9 @@
 use super::call_context::CallContext;
 use super::call_failure::CallFailure;
 use super::call_guard::CallGuard;
-use super::clock;
 use super::held_kv::HeldKv;
-use super::server_calls::{call_bytes, log_call, send_call};
+use crate::forward::clock;
+use crate::forward::servers::server_calls::{call_bytes, log_call, send_call};
 
 /// An engine counts as silent once a prefill or first event takes this many times as long as
 /// predicted.
--- a/crates/turmericrail/src/forward/engine_selection.rs
+++ b/crates/turmericrail/src/forward/calls/engine_selection.rs
@@ -13,12 +13,12 @@
 use super::begun_version::BegunVersion;
 use super::call_context::CallContext;
 use super::call_guard::CallGuard;
-use super::clock;
-use super::dispatch::Refusal;
 use super::engine_calls::{model_call_size, prefill_prompt};
 use super::held_kv::HeldKv;
-use super::loss_notices;
 use super::reservation::{Reservation, ReservationResult};
+use crate::forward::callers::dispatch::Refusal;
+use crate::forward::clock;
+use crate::forward::peers::loss_notices;
 
 /// Most engines from which a reservation is requested in one step of a round, for a call of average
 /// size.
--- a/crates/turmericrail/src/forward/held_kv.rs
+++ b/crates/turmericrail/src/forward/calls/held_kv.rs
@@ -7,9 +7,9 @@
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{self, KvSource};
 
-use super::clock;
-use super::control_call;
-use super::shared::Shared;
+use crate::forward::clock;
+use crate::forward::servers::control_call;
+use crate::forward::shared::Shared;
 
 /// A KV cache held by a prefill engine; dropping it frees the cache unless it was taken.
 pub struct HeldKv {
--- a/crates/turmericrail/src/forward/model_call.rs
+++ b/crates/turmericrail/src/forward/calls/model_call.rs
@@ -12,13 +12,13 @@
 use turmericrail_core::units::Millis;
 use turmericrail_wire::http1::EventSplitter;
 
-use super::answer_writer;
 use super::call_context::CallContext;
-use super::caller_stream::CallerStream;
-use super::clock;
-use super::dispatch::{self, ConnectionAction, Refusal};
 use super::engine_attempt::{EngineAttemptEnd, run_attempt};
 use super::engine_selection::{EngineAttempt, choose_engine, reserve, reserve_first_attempt};
+use crate::forward::callers::answer_writer;
+use crate::forward::callers::caller_stream::CallerStream;
+use crate::forward::callers::dispatch::{self, ConnectionAction, Refusal};
+use crate::forward::clock;
 
 /// Longest wait for another engine when an answer is to begin again or to continue. Callers leave a
 /// stream after a gap of two seconds, and before its first event the other engine has to run a
--- a/crates/turmericrail/src/forward/plain_call.rs
+++ b/crates/turmericrail/src/forward/calls/plain_call.rs
@@ -15,15 +15,15 @@
 use turmericrail_platform::call::{RunOptions, ServerTask};
 use turmericrail_wire::http1::{BodyFraming, ResponseHead};
 
-use super::answer_body::AnswerBody;
 use super::call_context::CallContext;
 use super::call_failure::CallFailure;
 use super::call_guard::CallGuard;
-use super::clock;
-use super::dispatch::Refusal;
-use super::loss_notices;
-use super::server_calls::{call_bytes, log_call, send_call};
-use super::server_ends;
+use crate::forward::callers::dispatch::Refusal;
+use crate::forward::clock;
+use crate::forward::peers::loss_notices;
+use crate::forward::servers::answer_body::AnswerBody;
+use crate::forward::servers::server_calls::{call_bytes, log_call, send_call};
+use crate::forward::servers::server_ends;
 
 /// Fraction of the route's target after which an unanswered idempotent call goes to another server.
 /// The rest of the target is enough for a second attempt at the usual speed.
--- a/crates/turmericrail/src/forward/reservation.rs
+++ b/crates/turmericrail/src/forward/calls/reservation.rs
@@ -7,9 +7,9 @@
 use turmericrail_core::units::{Millis, Tokens};
 use turmericrail_platform::reservation;
 
-use super::clock;
-use super::control_call;
-use super::shared::Shared;
+use crate::forward::clock;
+use crate::forward::servers::control_call;
+use crate::forward::shared::Shared;
 
 /// The result of a reservation request.
 pub enum ReservationResult {
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -1,58 +1,24 @@
 //! Forwards calls byte for byte to backend servers that register themselves in the platform's
 //! store.
 //!
-//! A request passes from the listener (`caller_listener`, `caller_connection`) to `dispatch`, which
-//! finds its route, and on to `plain_call` or `model_call`. These ask the [`Forwarder`] of
-//! `turmericrail-core` for a server and call it through `exchange` and `connection_pool`.
-//! `store_sync` supplies the forwarder with the configuration and the servers.
+//! A request passes from the listener (`callers`) to `callers::dispatch`, which
+//! finds its route, and on to `calls::plain_call` or `calls::model_call`. These ask the [`Forwarder`] of
+//! `turmericrail-core` for a server and call it through `servers`.
+//! `store::store_sync` supplies the forwarder with the configuration and the servers.
 //!
 //! [`Forwarder`]: turmericrail_core::forward::Forwarder
 
-mod answer_body;
-mod answer_writer;
-mod begun_version;
-mod buffer_budget;
-mod call_context;
-mod call_failure;
-mod call_guard;
-mod caller_connection;
-mod caller_listener;
-mod caller_stream;
-mod change_signal;
+mod callers;
+mod calls;
 mod clock;
-mod connection_pool;
-mod control_call;
-mod dispatch;
-mod engine_attempt;
-mod engine_calls;
-mod engine_selection;
-mod exchange;
-mod follow_state;
-mod held_kv;
-mod loss_notices;
-mod model_call;
 mod operator_endpoints;
-mod plain_call;
-mod relay;
-mod relay_limits;
-mod relay_members;
-mod relay_notices;
+mod peers;
 mod reload;
-mod reservation;
-mod role_orders;
-mod sent_call;
-mod server_calls;
-mod server_connection;
-mod server_ends;
-mod server_notices;
+mod servers;
 pub mod settings;
 mod shared;
 mod shutdown;
-mod store_client;
-mod store_follow;
-mod store_sync;
-mod store_watch;
-mod stream_versions;
+mod store;
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -94,14 +60,14 @@
     let shared = Arc::new(Shared::new(settings));
     let stop_signal = SignalListener::register(&[SIGTERM, SIGINT])?;
     let reload_signal = SignalListener::register(&[SIGHUP])?;
-    let listener = caller_listener::listen(&shared).await?;
+    let listener = callers::caller_listener::listen(&shared).await?;
     operator_endpoints::listen(&shared).await?;
-    relay::listen(&shared).await?;
-    store_sync::start(&shared);
-    task::spawn(relay::run(Arc::clone(&shared)));
-    task::spawn(store_follow::run(Arc::clone(&shared)));
-    task::spawn(loss_notices::run(Arc::clone(&shared)));
-    task::spawn(role_orders::run(Arc::clone(&shared)));
+    peers::relay::listen(&shared).await?;
+    store::store_sync::start(&shared);
+    task::spawn(peers::relay::run(Arc::clone(&shared)));
+    task::spawn(store::store_follow::run(Arc::clone(&shared)));
+    task::spawn(peers::loss_notices::run(Arc::clone(&shared)));
+    task::spawn(servers::role_orders::run(Arc::clone(&shared)));
     task::spawn(shared::expire_periodically(Arc::clone(&shared)));
     task::spawn(reload::run(Arc::clone(&shared), path, reload_signal));
     let settings = shared.settings();
--- a/crates/turmericrail/src/forward/loss_notices.rs
+++ b/crates/turmericrail/src/forward/peers/loss_notices.rs
@@ -18,11 +18,11 @@
 use turmericrail_core::units::Millis;
 use turmericrail_wire::relay as wire;
 
-use super::clock;
 use super::relay;
 use super::relay_members;
 use super::relay_notices;
-use super::shared::Shared;
+use crate::forward::clock;
+use crate::forward::shared::Shared;
 
 /// Time in which notices are collected before they are sent.
 const COLLECT_TIME: Duration = Duration::from_millis(20);
--- a/crates/turmericrail/src/forward/relay.rs
+++ b/crates/turmericrail/src/forward/peers/relay.rs
@@ -23,16 +23,16 @@
     FollowReply, FollowRequest, LossNotices, NotifyReply,
 };
 
-use super::change_signal::ChangeSignal;
-use super::clock;
 use super::loss_notices;
 use super::relay_limits;
 use super::relay_members;
-use super::server_notices;
-use super::shared::Shared;
-use super::store_sync;
 use super::stream_versions;
 use crate::error::StartError;
+use crate::forward::clock;
+use crate::forward::servers::server_notices;
+use crate::forward::shared::Shared;
+use crate::forward::store::change_signal::ChangeSignal;
+use crate::forward::store::store_sync;
 
 /// Mean time between exchanges while the store answers; each exchange costs bandwidth and processor
 /// time.
--- a/crates/turmericrail/src/forward/relay_limits.rs
+++ b/crates/turmericrail/src/forward/peers/relay_limits.rs
@@ -4,9 +4,9 @@
 use turmericrail_core::units::{CallRate, Millis, WallMillis};
 use turmericrail_wire::relay as wire;
 
-use super::clock;
-use super::server_notices;
-use super::shared::Shared;
+use crate::forward::clock;
+use crate::forward::servers::server_notices;
+use crate::forward::shared::Shared;
 
 /// What servers said last about their limits.
 pub fn list_limits(shared: &Shared) -> Vec<wire::ServerLimit> {
--- a/crates/turmericrail/src/forward/relay_members.rs
+++ b/crates/turmericrail/src/forward/peers/relay_members.rs
@@ -6,8 +6,8 @@
 use turmericrail_core::units::Millis;
 use turmericrail_wire::relay as wire;
 
-use super::clock;
-use super::shared::Shared;
+use crate::forward::clock;
+use crate::forward::shared::Shared;
 
 /// Data centre of members that don't state theirs.
 const UNKNOWN_DATA_CENTRE: &str = "unknown";
--- a/crates/turmericrail/src/forward/stream_versions.rs
+++ b/crates/turmericrail/src/forward/peers/stream_versions.rs
@@ -23,11 +23,11 @@
 use turmericrail_wire::relay as wire;
 use turmericrail_wire::relay::relay_client::RelayClient;
 
-use super::call_context::CallContext;
-use super::clock;
-use super::dispatch::Refusal;
 use super::relay;
-use super::shared::Shared;
+use crate::forward::callers::dispatch::Refusal;
+use crate::forward::calls::call_context::CallContext;
+use crate::forward::clock;
+use crate::forward::shared::Shared;
 
 /// Time in which streams are collected before they are told.
 const COLLECT_TIME: Duration = Duration::from_millis(40);
--- a/crates/turmericrail/src/forward/answer_body.rs
+++ b/crates/turmericrail/src/forward/servers/answer_body.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Deref;
 
-use super::buffer_budget::BufferShare;
+use crate::forward::callers::buffer_budget::BufferShare;
 
 /// Bytes of a body, with their share of the memory for answers.
 #[derive(Debug)]
--- a/crates/turmericrail/src/forward/connection_pool.rs
+++ b/crates/turmericrail/src/forward/servers/connection_pool.rs
@@ -6,9 +6,9 @@
 
 use turmericrail_core::units::Millis;
 
-use super::buffer_budget::BufferBudget;
-use super::clock;
 use super::server_connection::ServerConnection;
+use crate::forward::callers::buffer_budget::BufferBudget;
+use crate::forward::clock;
 
 /// Most idle connections to one server. The sum over all instances stays well below the connection
 /// limit of a server.
--- a/crates/turmericrail/src/forward/control_call.rs
+++ b/crates/turmericrail/src/forward/servers/control_call.rs
@@ -6,11 +6,11 @@
 use turmericrail_core::forward::ServerRun;
 use turmericrail_platform::answer;
 
-use super::clock;
 use super::exchange;
 use super::server_connection::ServerConnection;
 use super::server_notices;
-use super::shared::Shared;
+use crate::forward::clock;
+use crate::forward::shared::Shared;
 
 /// Longest wait for the answer. Engines answer these calls at once, without queueing them.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
--- a/crates/turmericrail/src/forward/exchange.rs
+++ b/crates/turmericrail/src/forward/servers/exchange.rs
@@ -12,10 +12,10 @@
 use turmericrail_wire::http1::ResponseHead;
 
 use super::answer_body::AnswerBody;
-use super::call_failure::CallFailure;
 use super::connection_pool::ConnectionPool;
 use super::sent_call::SentCall;
 use super::server_connection::ServerConnection;
+use crate::forward::calls::call_failure::CallFailure;
 
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Most interim heads before a final one.
--- a/crates/turmericrail/src/forward/role_orders.rs
+++ b/crates/turmericrail/src/forward/servers/role_orders.rs
@@ -16,9 +16,9 @@
 use turmericrail_core::units::Millis;
 use turmericrail_platform::{order, report};
 
-use super::clock;
 use super::control_call;
-use super::shared::Shared;
+use crate::forward::clock;
+use crate::forward::shared::Shared;
 
 /// Status with which an engine answers if it has seen a higher fencing number.
 const STALE_FENCING_NUMBER_STATUS: u16 = 412;
--- a/crates/turmericrail/src/forward/sent_call.rs
+++ b/crates/turmericrail/src/forward/servers/sent_call.rs
@@ -8,10 +8,10 @@
 use turmericrail_core::request::RequestFingerprint;
 use turmericrail_core::units::Millis;
 
-use super::call_context::CallContext;
-use super::clock;
 use super::server_ends;
-use super::shared::Shared;
+use crate::forward::calls::call_context::CallContext;
+use crate::forward::clock;
+use crate::forward::shared::Shared;
 
 /// Time after its first event from which on an answer counts as written for a while.
 const LATE_AFTER_MS: Millis = Millis(1_000);
--- a/crates/turmericrail/src/forward/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -4,13 +4,13 @@
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{self, ServerTask};
 
-use super::call_context::CallContext;
-use super::call_failure::CallFailure;
-use super::clock;
 use super::exchange::{Exchange, OutgoingCall};
 use super::sent_call::SentCall;
 use super::server_ends;
 use super::server_notices;
+use crate::forward::calls::call_context::CallContext;
+use crate::forward::calls::call_failure::CallFailure;
+use crate::forward::clock;
 
 /// Head and body of a call.
 pub fn call_bytes(
--- a/crates/turmericrail/src/forward/server_connection.rs
+++ b/crates/turmericrail/src/forward/servers/server_connection.rs
@@ -11,8 +11,8 @@
 use turmericrail_core::units::Millis;
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming};
 
-use super::call_failure::CallFailure;
-use super::clock;
+use crate::forward::calls::call_failure::CallFailure;
+use crate::forward::clock;
 use crate::tcp_timeouts::TcpTimeouts;
 
 pub const READ_SIZE_BYTES: usize = 8 * 1024;
--- a/crates/turmericrail/src/forward/server_ends.rs
+++ b/crates/turmericrail/src/forward/servers/server_ends.rs
@@ -8,12 +8,12 @@
 use turmericrail_core::forward::{BrokenCall, BrokenKind, ChosenServer, Loss, ServerRun};
 use turmericrail_core::units::Millis;
 
-use super::call_context::CallContext;
-use super::call_failure::CallFailure;
-use super::clock;
-use super::loss_notices;
 use super::server_connection::ServerConnection;
-use super::shared::Shared;
+use crate::forward::calls::call_context::CallContext;
+use crate::forward::calls::call_failure::CallFailure;
+use crate::forward::clock;
+use crate::forward::peers::loss_notices;
+use crate::forward::shared::Shared;
 
 /// Time after which a server is looked at whose call moved to another one; most are answered there
 /// before.
--- a/crates/turmericrail/src/forward/server_notices.rs
+++ b/crates/turmericrail/src/forward/servers/server_notices.rs
@@ -5,8 +5,8 @@
 use turmericrail_core::units::Millis;
 use turmericrail_platform::answer::AnswerMetadata;
 
-use super::clock;
-use super::shared::Shared;
+use crate::forward::clock;
+use crate::forward::shared::Shared;
 
 /// Records the notices in an answer of a server to a call that was sent at `sent_ms`.
 pub fn record(shared: &Shared, run: &ServerRun, metadata: &AnswerMetadata, sent_ms: Millis) {
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -11,13 +11,13 @@
 use turmericrail_core::units::{Bytes, Millis};
 
 use super::clock;
-use super::connection_pool::ConnectionPool;
-use super::follow_state::FollowState;
-use super::loss_notices::{self, LossNoticeState};
-use super::relay::RelayState;
+use super::peers::loss_notices::{self, LossNoticeState};
+use super::peers::relay::RelayState;
+use super::peers::stream_versions::{self, StreamVersionState};
+use super::servers::connection_pool::ConnectionPool;
 use super::settings::ForwardSettings;
-use super::store_sync::PREFIXES;
-use super::stream_versions::{self, StreamVersionState};
+use super::store::follow_state::FollowState;
+use super::store::store_sync::PREFIXES;
 use crate::metrics::ForwardMetrics;
 
 /// Time between two rounds of removing expired state.
--- a/crates/turmericrail/src/forward/store_client.rs
+++ b/crates/turmericrail/src/forward/store/store_client.rs
@@ -8,10 +8,10 @@
 use turmericrail_platform::{DecodeError, store};
 use turmericrail_wire::http1::ResponseHead;
 
-use super::call_failure::CallFailure;
-use super::exchange;
-use super::server_connection::ServerConnection;
-use super::shared::Shared;
+use crate::forward::calls::call_failure::CallFailure;
+use crate::forward::servers::exchange;
+use crate::forward::servers::server_connection::ServerConnection;
+use crate::forward::shared::Shared;
 
 /// Largest answer: a page holds a megabyte of values, and base64 adds a third.
 const MAX_BODY_BYTES: usize = 4 << 20;
--- a/crates/turmericrail/src/forward/store_follow.rs
+++ b/crates/turmericrail/src/forward/store/store_follow.rs
@@ -24,13 +24,13 @@
 use turmericrail_wire::relay::relay_client::RelayClient;
 use turmericrail_wire::relay::{FollowReply, FollowRequest};
 
-use super::clock;
-use super::loss_notices;
-use super::relay;
-use super::relay_limits;
-use super::relay_members;
-use super::shared::Shared;
 use super::store_sync;
+use crate::forward::clock;
+use crate::forward::peers::loss_notices;
+use crate::forward::peers::relay;
+use crate::forward::peers::relay_limits;
+use crate::forward::peers::relay_members;
+use crate::forward::shared::Shared;
 
 /// Time for which a call waits for changes; an instance that is silent is noticed after it.
 const FOLLOW_WAIT: Duration = Duration::from_millis(1_000);
--- a/crates/turmericrail/src/forward/store_sync.rs
+++ b/crates/turmericrail/src/forward/store/store_sync.rs
@@ -6,11 +6,11 @@
 use turmericrail_core::forward::{PublishedItem, ServerRun};
 use turmericrail_platform::{configuration, server_entry, store};
 
-use super::clock;
-use super::server_ends;
-use super::shared::Shared;
 use super::store_watch::{self, StoreEvent};
-use super::stream_versions;
+use crate::forward::clock;
+use crate::forward::peers::stream_versions;
+use crate::forward::servers::server_ends;
+use crate::forward::shared::Shared;
 
 /// The key prefixes that are read and watched.
 pub const PREFIXES: [&str; 2] = [configuration::KEY, server_entry::PREFIX];
--- a/crates/turmericrail/src/forward/store_watch.rs
+++ b/crates/turmericrail/src/forward/store/store_watch.rs
@@ -9,10 +9,10 @@
 use turmericrail_core::units::Millis;
 use turmericrail_platform::store;
 
-use super::clock;
-use super::relay_members;
-use super::shared::Shared;
 use super::store_client::{StoreClient, StoreError};
+use crate::forward::clock;
+use crate::forward::peers::relay_members;
+use crate::forward::shared::Shared;
 
 /// Time for which the store holds a watch without changes.
 const WATCH_MS: Millis = Millis(25_000);
