Tenants: requests need a key that the configuration in force holds

No code knew the tenants of a configuration, so requests ran without a tenant's name, servers were shown the keys, and keys that were never valid or had been removed were served.

The table of tenants comes with the numbered configuration. Each request is checked after its route is found, also on kept connections; 401 for an unknown key, except on public routes. Calls to servers carry the tenant's name and never the credentials or a name that the client made up. A request's fingerprint holds the tenant in place of the key.

--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -87,6 +87,7 @@
     TooLarge, "too_large", 413, NotRun, false, "The request is larger than the settings allow.";
     HeadTooLarge, "head_too_large", 431, NotRun, false, "The head of the request is larger than the configuration allows.";
     ReceiveTimeout, "receive_timeout", 408, NotRun, false, "The body did not arrive in time.";
+    UnknownKey, "unknown_key", 401, NotRun, false, "The request carries no API key that the configuration in force holds.";
     UnknownRoute, "unknown_route", 404, NotRun, false, "No route of the configuration matches the method and path.";
     UnknownModel, "unknown_model", 404, NotRun, false, "The configuration names no such model or version.";
     UnknownAdapter, "unknown_adapter", 404, NotRun, false, "The configuration names no such adapter of the version.";
@@ -102,6 +103,7 @@
     TooManyConnections, "too_many_connections", 503, Unknown, true, "This instance has as many connections as its settings allow, so nothing of the request was read; an earlier copy may have run.";
     DeadlineUnreachable, "deadline_unreachable", 503, NotRun, true, "The target for this caller kind and hour can't be met at the present load.";
     Overloaded, "overloaded", 503, NotRun, true, "The workspace or the instance is at its limit.";
+    UsageCapReached, "usage_cap_reached", 429, NotRun, true, "The tenant has used up its cap over all instances for now.";
     NoServer, "no_server", 503, NotRun, true, "No reachable backend server serves the call.";
     PromptQuarantined, "prompt_quarantined", 503, NotRun, true, "Engines were lost one after the other as they began answers to prompts with these parts, so the prompt isn't sent to any for a while.";
     RequestQuarantined, "request_quarantined", 503, NotRun, true, "Servers ended one after the other while they ran this request, so it isn't sent to any for a while.";
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -14,6 +14,7 @@
 mod routes;
 mod selection;
 mod servers;
+mod tenants;
 mod versions;
 
 pub use forwarder::{Forwarder, ForwarderSettings};
@@ -38,4 +39,5 @@
     CallEnd, ChosenServer, FailureScore, LeavingRuns, PublishedItem, PublishedSet, ReportedLoad,
     ServerEntry, ServerLoad, ServerRegistry, ServerRun, ServerState, ServerUpdate,
 };
+pub use tenants::{ApiKey, Tenant, TenantError, TenantTable, UsageCap, UsageUnit};
 pub use versions::{SoftwareVersion, StreamKey, StreamVersion, StreamVersions, VersionHistory};
--- a/crates/core/src/forward/routes/mod.rs
+++ b/crates/core/src/forward/routes/mod.rs
@@ -1,4 +1,4 @@
-//! The configuration: routes, services and limits.
+//! The configuration: routes, services and limits on requests.
 
 mod route;
 mod service;
--- a/crates/core/src/forward/routes/route.rs
+++ b/crates/core/src/forward/routes/route.rs
@@ -67,6 +67,8 @@
     pub gap_target_ms: Millis,
     /// Priority of the calls at the engines; zero is the most urgent.
     pub priority: u8,
+    /// Whether calls need no API key where the configuration has tenants.
+    pub is_public: bool,
     /// The services among which the calls are divided.
     pub services: Vec<WeightedService>,
 }
--- a/crates/core/src/forward/routes/table.rs
+++ b/crates/core/src/forward/routes/table.rs
@@ -5,7 +5,7 @@
 
 use thiserror::Error;
 
-use crate::forward::{Route, Service};
+use crate::forward::{Route, Service, TenantError, TenantTable};
 use crate::ids::{ConfigVersion, RouteId, ServiceId};
 use crate::units::{Bytes, Millis};
 
@@ -31,9 +31,12 @@
     /// All services of a route have weight zero.
     #[error("route {route}: no service gets any calls: give one a weight above zero")]
     NoService { route: RouteId },
+    /// The tenants are inconsistent.
+    #[error(transparent)]
+    Tenants(#[from] TenantError),
 }
 
-/// The routes, services and limits of one configuration version.
+/// The routes, services, tenants and limits of one configuration version.
 #[derive(Clone, Debug)]
 pub struct RouteTable {
     version: ConfigVersion,
@@ -41,6 +44,8 @@
     services: BTreeMap<ServiceId, Service>,
     /// Routes by host, longest path prefix first.
     routes: BTreeMap<String, Vec<Arc<Route>>>,
+    /// `None` if requests need no API key.
+    tenants: Option<TenantTable>,
 }
 
 impl RouteTable {
@@ -68,7 +73,17 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        Ok(Self { version, limits, services, routes: by_host })
+        Ok(Self { version, limits, services, routes: by_host, tenants: None })
+    }
+
+    /// Adds the tenants whose keys requests need on routes that aren't public.
+    pub fn with_tenants(self, tenants: TenantTable) -> Self {
+        Self { tenants: Some(tenants), ..self }
+    }
+
+    /// The tenants; `None` if requests need no API key.
+    pub fn tenants(&self) -> Option<&TenantTable> {
+        self.tenants.as_ref()
     }
 
     /// The route of the host with the longest prefix of the path.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -110,6 +110,7 @@
 text_id!(StreamId, "stream");
 text_id!(RouteId, "route");
 text_id!(ServiceId, "service");
+text_id!(TenantId, "tenant");
 
 number_id!(Incarnation, "incarnation");
 number_id!(MemberKey, "member key");
--- a/crates/core/tests/forward_support/mod.rs
+++ b/crates/core/tests/forward_support/mod.rs
@@ -42,6 +42,7 @@
         target_ms: Millis(100),
         gap_target_ms: Millis(300),
         priority: 1,
+        is_public: false,
         services: vec![WeightedService { service: service_id(), weight: 1 }],
     }
 }
--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -9,7 +9,7 @@
 use futures_lite::FutureExt;
 use futures_lite::future;
 use turmericrail_core::error_kind::ErrorKind;
-use turmericrail_core::forward::RequestLimits;
+use turmericrail_core::forward::{RequestLimits, Tenant};
 use turmericrail_core::request::RequestFingerprint;
 use turmericrail_core::units::Millis;
 use turmericrail_platform::request::{self, RequestMetadata};
@@ -41,11 +41,13 @@
 impl Request {
     /// What the repeats of the request have in common, by caller, path and body. Ids of attempts,
     /// deadlines and positions in a stream differ between repeats.
-    pub fn fingerprint(&self) -> RequestFingerprint {
+    /// Tenants count in place of their keys, of which one may follow the other.
+    pub fn fingerprint(&self, tenant: Option<&Tenant>) -> RequestFingerprint {
         let credentials = self.metadata.credentials.as_deref().unwrap_or_default();
-        let texts = [&self.head.method, &self.head.host, &self.head.target, credentials];
-        let [method, host, target, credentials] = texts.map(str::as_bytes);
-        RequestFingerprint::of(&[method, host, target, credentials, &self.body])
+        let caller = tenant.map_or(credentials, |tenant| tenant.name.as_str());
+        let texts = [&self.head.method, &self.head.host, &self.head.target, caller];
+        let [method, host, target, caller] = texts.map(str::as_bytes);
+        RequestFingerprint::of(&[method, host, target, caller, &self.body])
     }
 }
 
--- a/crates/turmericrail/src/forward/callers/dispatch.rs
+++ b/crates/turmericrail/src/forward/callers/dispatch.rs
@@ -4,7 +4,7 @@
 
 use futures_lite::FutureExt;
 use turmericrail_core::error_kind::ErrorKind;
-use turmericrail_core::forward::{Admission, Route, RouteKind};
+use turmericrail_core::forward::{Admission, Route, RouteKind, RouteTable, Tenant};
 use turmericrail_core::units::Millis;
 
 use super::answer_writer;
@@ -94,6 +94,7 @@
     let request_id = request.metadata.request_id.as_deref().ok_or(ErrorKind::BadRequest)?;
     let route = table.find(&request.head.host, request.head.path());
     let route = Arc::clone(route.ok_or(ErrorKind::UnknownRoute)?);
+    let tenant = find_tenant(&table, &route, request)?;
     let service = route.pick_service(fastrand::u64(..)).ok_or(ErrorKind::NoServer)?;
     shared.forwarder().record_call(clock::now_ms(), service);
     let mut context = CallContext {
@@ -103,7 +104,8 @@
         table: &table,
         route: &route,
         service,
-        fingerprint: request.fingerprint(),
+        tenant,
+        fingerprint: request.fingerprint(tenant),
         deadline_ms: request.arrived_ms + caller_timeout_ms(request, &route),
         is_trial: false,
         begun_version: Mutex::default(),
@@ -126,6 +128,29 @@
     Ok(caller.finish(&bytes).await)
 }
 
+/// The tenant that holds the request's API key. Requests without a known key are refused where the
+/// configuration has tenants, except on public routes.
+fn find_tenant<'a>(
+    table: &'a RouteTable,
+    route: &Route,
+    request: &Request,
+) -> Result<Option<&'a Tenant>, Refusal> {
+    let Some(tenants) = table.tenants() else {
+        return Ok(None);
+    };
+    let tenant = request.metadata.api_key().and_then(|key| tenants.find(key));
+    if tenant.is_none() && !route.is_public {
+        spdlog::info!(
+            "event=key_refused request={} route={} config_version={}",
+            logged_id(request.metadata.request_id.as_deref()),
+            route.name,
+            table.version()
+        );
+        return Err(ErrorKind::UnknownKey.into());
+    }
+    Ok(tenant.map(Arc::as_ref))
+}
+
 /// Refuses a call that is quarantined; returns whether it is a trial.
 fn admit(context: &CallContext<'_>) -> Result<bool, Refusal> {
     let (now_ms, random) = (clock::now_ms(), fastrand::u64(..));
@@ -175,7 +200,11 @@
 /// Logs and counts a final answer.
 pub fn log_answer(shared: &Shared, request_id: Option<&str>, outcome: &str, status: u16) {
     shared.metrics.answers.with_label_values(&[outcome]).inc();
-    let request_id = request_id.unwrap_or("none");
-    let request_id = request_id.get(..MAX_LOGGED_ID_BYTES).unwrap_or(request_id);
+    let request_id = logged_id(request_id);
     spdlog::info!("event=answer request={request_id} outcome={outcome} status={status}");
 }
+
+fn logged_id(request_id: Option<&str>) -> &str {
+    let request_id = request_id.unwrap_or("none");
+    request_id.get(..MAX_LOGGED_ID_BYTES).unwrap_or(request_id)
+}
--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -4,7 +4,7 @@
 
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{
-    CallSends, RequestTraits, Route, RouteTable, SendPermit, SoftwareVersion,
+    CallSends, RequestTraits, Route, RouteTable, SendPermit, SoftwareVersion, Tenant,
 };
 use turmericrail_core::ids::{PromptPartId, ServiceId};
 use turmericrail_core::request::RequestFingerprint;
@@ -25,6 +25,9 @@
     pub table: &'a RouteTable,
     pub route: &'a Route,
     pub service: &'a ServiceId,
+    /// The tenant that holds the caller's API key; `None` if there are no tenants, or on a public
+    /// route.
+    pub tenant: Option<&'a Tenant>,
     /// What the request and its repeats have in common.
     pub fingerprint: RequestFingerprint,
     /// Monotonic time by which the request must be answered.
@@ -38,6 +41,12 @@
 }
 
 impl CallContext<'_> {
+    #[expect(dead_code, reason = "the choice of engines is to use it")]
+    /// Priority of the request: its tenant's, or else its route's; zero is the most urgent.
+    pub fn rank(&self) -> u8 {
+        self.tenant.and_then(|tenant| tenant.priority).unwrap_or(self.route.priority)
+    }
+
     /// Time until the deadline.
     pub fn remaining_ms(&self) -> Millis {
         self.deadline_ms.saturating_sub(clock::now_ms())
--- a/crates/turmericrail/src/forward/servers/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -2,7 +2,7 @@
 
 use turmericrail_core::forward::{CallEnd, ChosenServer, SendPermit, SoftwareVersion};
 use turmericrail_core::units::Millis;
-use turmericrail_platform::call::{self, ServerTask};
+use turmericrail_platform::call::{self, CallTerms, ServerTask};
 
 use super::exchange::{Exchange, OutgoingCall};
 use super::sent_call::SentCall;
@@ -20,9 +20,14 @@
 ) -> Vec<u8> {
     let request = context.request;
     let mut bytes = Vec::new();
-    let remaining_ms = context.remaining_ms();
-    let length = request.body.len();
-    call::write_head(&request.head, length, &choice.run.server, remaining_ms, task, &mut bytes);
+    let terms = CallTerms {
+        server: &choice.run.server,
+        remaining_ms: context.remaining_ms(),
+        has_tenants: context.table.tenants().is_some(),
+        tenant: context.tenant.map(|tenant| &tenant.name),
+        priority: None,
+    };
+    call::write_head(&request.head, request.body.len(), &terms, task, &mut bytes);
     bytes.extend_from_slice(&request.body);
     bytes
 }
