--- a/crates/core/src/forward/tenants/tenant_table.rs
+++ b/crates/core/src/forward/tenants/tenant_table.rs
@@ -67,9 +67,9 @@
         self.tenants.values()
     }
 
-    /// Number of keys of all tenants.
-    pub fn key_count(&self) -> usize {
-        self.by_key.len()
+    /// Number of tenants.
+    pub fn count(&self) -> usize {
+        self.tenants.len()
     }
 }
 
--- a/crates/turmericrail/src/forward/store/store_sync.rs
+++ b/crates/turmericrail/src/forward/store/store_sync.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use async_std::task;
-use turmericrail_core::forward::{PublishedItem, ServerRun};
+use turmericrail_core::forward::{PublishedItem, ServerRun, TenantTable};
 use turmericrail_platform::{configuration, server_entry, store};
 
 use super::store_watch::{self, StoreEvent};
@@ -127,13 +127,14 @@
         }
     };
     let (version, routes) = (table.version(), table.route_count());
+    let tenants = table.tenants().map_or(0, TenantTable::count);
     let is_newer = shared.forwarder().apply_table(table);
     let outcome = if is_newer { "in_force" } else { "not_newer" };
     if is_newer {
         shared.metrics.config_version.set(version.0 as i64);
     }
     spdlog::info!(
-        "event=config version={version} revision={revision} routes={routes} source={source} \
+        "event=config version={version} revision={revision} routes={routes} tenants={tenants} source={source} \
          outcome={outcome}"
     );
 }
