--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -15,6 +15,7 @@
 mod selection;
 mod servers;
 mod tenants;
+mod usage;
 mod versions;
 
 pub use forwarder::{Forwarder, ForwarderSettings};
@@ -40,4 +41,8 @@
     ServerEntry, ServerLoad, ServerRegistry, ServerRun, ServerState, ServerUpdate,
 };
 pub use tenants::{ApiKey, Tenant, TenantError, TenantTable, UsageCap, UsageUnit};
+pub use usage::{
+    CoordinatorOrder, SuspectMembers, UsageBucket, UsageCaps, UsageCoordinator, UsageDecision,
+    UsageLevels, UsageReply, UsageReports, UsageRequest, UsageStep, UsageTerms, UsageView,
+};
 pub use versions::{SoftwareVersion, StreamKey, StreamVersion, StreamVersions, VersionHistory};
--- a/crates/core/src/forward/peers/members.rs
+++ b/crates/core/src/forward/peers/members.rs
@@ -54,13 +54,15 @@
 #[derive(Clone, Debug)]
 pub struct Members {
     own: InstanceId,
+    /// Number of changes of the members, their data centres and their addresses.
+    change_count: u64,
     records: BTreeMap<InstanceId, MemberRecord>,
 }
 
 impl Members {
     /// An empty list for the instance `own`.
     pub fn new(own: InstanceId) -> Self {
-        Self { own, records: BTreeMap::new() }
+        Self { own, change_count: 0, records: BTreeMap::new() }
     }
 
     /// Merges one received member; the most recent contact wins.
@@ -76,13 +78,25 @@
                 address: member.address,
                 last_heard_ms,
             };
-            self.records.insert(member.instance.clone(), record);
+            let known = self.records.insert(member.instance.clone(), record);
+            let is_same = known.is_some_and(|known| {
+                known.data_centre == member.data_centre && known.address == member.address
+            });
+            self.change_count += u64::from(!is_same);
         }
     }
 
     /// Drops the members that no instance has heard from recently.
     pub fn expire(&mut self, now_ms: Millis) {
+        let count = self.records.len();
         self.records.retain(|_, record| now_ms < record.last_heard_ms + MEMBER_TTL_MS);
+        self.change_count += u64::from(self.records.len() != count);
+    }
+
+    /// Number of changes of the members apart from their ages; what is derived from them may be kept
+    /// until the next one.
+    pub fn change_count(&self) -> u64 {
+        self.change_count
     }
 
     /// The members to send to another instance.
--- /dev/null
+++ b/crates/core/src/forward/usage/usage_caps.rs
@@ -0,0 +1,288 @@
+//! The usage caps as one instance keeps them.
+
+use std::collections::BTreeMap;
+
+use super::{
+    CoordinatorOrder, SuspectMembers, UsageCoordinator, UsageDecision, UsageLevels, UsageReply, UsageRequest,
+    UsageStep, UsageTerms, UsageView,
+};
+use crate::forward::Member;
+use crate::ids::{InstanceId, TenantId};
+use crate::units::Millis;
+
+/// Time after the start from which on an instance that knows no other members is coordinator.
+const START_TIME_MS: Millis = Millis(3_000);
+/// Time for which a member that was the coordinator names the one that has asked for its level.
+const HANDOVER_TIME_MS: Millis = Millis(60_000);
+
+/// Another member that is the coordinator now.
+#[derive(Clone, Debug)]
+struct Handover {
+    successor: InstanceId,
+    at_ms: Millis,
+}
+
+/// What an instance knows of the tenants' use, as coordinator and as one that asks coordinators.
+#[derive(Debug)]
+pub struct UsageCaps {
+    own: Member,
+    run: u64,
+    started_ms: Millis,
+    last_number: u64,
+    has_exchanged: bool,
+    views: BTreeMap<TenantId, UsageView>,
+    coordinators: BTreeMap<TenantId, UsageCoordinator>,
+    handovers: BTreeMap<TenantId, Handover>,
+    members: SuspectMembers,
+}
+
+impl UsageCaps {
+    /// The state of an instance that has just started; `run` is a random number of its process.
+    pub fn new(now_ms: Millis, own: Member, run: u64) -> Self {
+        Self {
+            own,
+            run,
+            started_ms: now_ms,
+            last_number: 0,
+            has_exchanged: false,
+            views: BTreeMap::new(),
+            coordinators: BTreeMap::new(),
+            handovers: BTreeMap::new(),
+            members: SuspectMembers::default(),
+        }
+    }
+
+    /// Records that another instance has told this one its members.
+    pub fn record_exchange(&mut self) {
+        self.has_exchanged = true;
+    }
+
+    /// The members that were and weren't reached.
+    pub fn members(&mut self) -> &mut SuspectMembers {
+        &mut self.members
+    }
+
+    /// What this instance knows of a tenant's use.
+    pub fn view(&mut self, now_ms: Millis, tenant: &TenantId) -> &mut UsageView {
+        if !self.views.contains_key(tenant) {
+            self.views.insert(tenant.clone(), UsageView::new(now_ms));
+        }
+        self.views.get_mut(tenant).expect("the view was just inserted")
+    }
+
+    /// Decides about a request that counts `cost` units.
+    pub fn decide(
+        &mut self,
+        now_ms: Millis,
+        tenant: &TenantId,
+        terms: &UsageTerms,
+        cost: f64,
+    ) -> UsageDecision {
+        self.view(now_ms, tenant).decide(now_ms, terms, cost)
+    }
+
+    /// Decides about a request while no coordinator is reached.
+    pub fn decide_alone(
+        &mut self,
+        now_ms: Millis,
+        tenant: &TenantId,
+        terms: &UsageTerms,
+        cost: f64,
+        order: &CoordinatorOrder,
+    ) -> Result<(), Millis> {
+        self.view(now_ms, tenant).decide_alone(now_ms, terms, cost, order.member_count())
+    }
+
+    /// The member to ask at present.
+    pub fn choose<'a>(&self, now_ms: Millis, order: &'a CoordinatorOrder) -> Option<&'a Member> {
+        self.members.choose(now_ms, order, &self.own.data_centre)
+    }
+
+    /// A question or a report for a member.
+    pub fn request(
+        &mut self,
+        now_ms: Millis,
+        tenant: &TenantId,
+        terms: UsageTerms,
+        to: &InstanceId,
+        (asked, reported): (f64, f64),
+    ) -> UsageRequest {
+        self.last_number += 1;
+        UsageRequest {
+            tenant: tenant.clone(),
+            instance: self.own.instance.clone(),
+            data_centre: self.own.data_centre.clone(),
+            run: self.run,
+            number: self.last_number,
+            terms,
+            asked,
+            reported,
+            last_level: self.view(now_ms, tenant).stated_elsewhere(now_ms, to),
+            suspect_age_ms: self.members.suspect_age_ms(now_ms),
+        }
+    }
+
+    /// Records the reply of a member.
+    pub fn record_reply(
+        &mut self,
+        now_ms: Millis,
+        tenant: &TenantId,
+        from: &Member,
+        reply: &UsageReply,
+    ) {
+        if from.instance != self.own.instance {
+            self.members.record_contact(now_ms, &from.instance, &from.data_centre);
+        }
+        self.view(now_ms, tenant).record_reply(now_ms, &from.instance, reply);
+    }
+
+    /// Records that a member wasn't reached.
+    pub fn record_failure(&mut self, now_ms: Millis, member: &Member, is_timed_out: bool) {
+        if member.instance != self.own.instance {
+            self.members.record_failure(now_ms, member, is_timed_out);
+        }
+    }
+
+    /// Handles a question or a report of an instance, this one included.
+    pub fn reserve(
+        &mut self,
+        now_ms: Millis,
+        order: &CoordinatorOrder,
+        request: &UsageRequest,
+    ) -> UsageStep {
+        let is_own = request.instance == self.own.instance;
+        let contact_ms = self.members.last_contact_ms(&request.data_centre).unwrap_or_default();
+        if !is_own {
+            self.members.record_contact(now_ms, &request.instance, &request.data_centre);
+        }
+        if !self.has_exchanged && now_ms < self.started_ms + START_TIME_MS {
+            return UsageStep::Unable;
+        }
+        if let Some(successor) = self.successor(now_ms, order, request) {
+            return UsageStep::Redirect(successor);
+        }
+        let own = (&self.own.instance, &self.own.data_centre);
+        let is_first = order.is_first(own.0);
+        let coordinator = self.coordinators.get_mut(&request.tenant);
+        let Some(coordinator) = coordinator.filter(|it| is_first || !it.is_idle(now_ms)) else {
+            return UsageStep::Start(order.predecessors(own.0));
+        };
+        let share = coordinator.share(now_ms, own, order, &self.members);
+        coordinator.refill(now_ms, share);
+        if !is_own && coordinator.was_silent(now_ms, contact_ms) {
+            coordinator.merge_stated(request);
+        }
+        UsageStep::Reply(coordinator.reserve(now_ms, request, share, is_first))
+    }
+
+    /// The member that is the coordinator in place of this one.
+    fn successor(
+        &self,
+        now_ms: Millis,
+        order: &CoordinatorOrder,
+        request: &UsageRequest,
+    ) -> Option<Member> {
+        let own = &self.own.instance;
+        let suspect_age_ms = request.suspect_age_ms;
+        if let Some(handover) = self.handovers.get(&request.tenant) {
+            let age_ms = now_ms.saturating_sub(handover.at_ms);
+            // A caller that failed to reach the successor after the handover needs another one.
+            let is_reached = suspect_age_ms.is_none_or(|suspect_ms| age_ms < suspect_ms);
+            let is_current = age_ms < HANDOVER_TIME_MS && is_reached;
+            let candidates = order.candidates().iter().filter(|_| is_current);
+            let successor =
+                candidates.clone().find(|member| member.instance == handover.successor);
+            if successor.is_some() {
+                return successor.cloned();
+            }
+        }
+        // The caller knows fewer members than this instance.
+        let first = order.candidates().first()?;
+        let is_elsewhere = first.instance != *own
+            && request.instance != *own
+            && suspect_age_ms.is_none()
+            && !self.members.is_suspect(now_ms, &first.instance);
+        is_elsewhere.then(|| first.clone())
+    }
+
+    /// Becomes the coordinator with the levels that its predecessors stated, and handles the call
+    /// that it was started for.
+    pub fn start(
+        &mut self,
+        now_ms: Millis,
+        order: &CoordinatorOrder,
+        request: &UsageRequest,
+        mut levels: Vec<UsageLevels>,
+    ) -> UsageReply {
+        let stated = self.views.get(&request.tenant).and_then(|view| view.stated(now_ms));
+        levels.push(UsageLevels { own: None, stated });
+        let coordinator = UsageCoordinator::start(now_ms, request, &levels);
+        self.handovers.remove(&request.tenant);
+        self.coordinators.insert(request.tenant.clone(), coordinator);
+        let coordinator = self.coordinators.get_mut(&request.tenant).expect("it was just inserted");
+        let own = (&self.own.instance, &self.own.data_centre);
+        let share = coordinator.share(now_ms, own, order, &self.members);
+        coordinator.reserve(now_ms, request, share, order.is_first(own.0))
+    }
+
+    /// What this instance knows of a tenant, for a member that is to be its coordinator. One that
+    /// comes first in the order takes the role over.
+    pub fn levels_for(
+        &mut self,
+        now_ms: Millis,
+        order: &CoordinatorOrder,
+        tenant: &TenantId,
+        asker: &InstanceId,
+    ) -> UsageLevels {
+        let stated = self.views.get(tenant).and_then(|view| view.stated(now_ms));
+        let own = (&self.own.instance, &self.own.data_centre);
+        let is_first = order.is_first(own.0);
+        let coordinator = self.coordinators.get_mut(tenant);
+        let Some(coordinator) = coordinator.filter(|it| is_first || !it.is_idle(now_ms)) else {
+            return UsageLevels { own: None, stated };
+        };
+        let share = coordinator.share(now_ms, own, order, &self.members);
+        coordinator.refill(now_ms, share);
+        let level = coordinator.level();
+        if order.is_before(asker, own.0) {
+            self.coordinators.remove(tenant);
+            let handover = Handover { successor: asker.clone(), at_ms: now_ms };
+            self.handovers.insert(tenant.clone(), handover);
+        }
+        UsageLevels { own: Some(level), stated }
+    }
+
+    /// The tenant's coordinator, if this instance is it.
+    pub fn coordinator(&mut self, tenant: &TenantId) -> Option<&mut UsageCoordinator> {
+        self.coordinators.get_mut(tenant)
+    }
+
+    /// The coordinator that this instance is of a tenant, and the best member that comes before it
+    /// and isn't avoided.
+    pub fn deputy<'a>(
+        &mut self,
+        now_ms: Millis,
+        order: &'a CoordinatorOrder,
+        tenant: &TenantId,
+    ) -> Option<(&mut UsageCoordinator, &'a Member)> {
+        let better = self.choose(now_ms, order)?;
+        let is_better = order.is_before(&better.instance, &self.own.instance);
+        let coordinator = self.coordinators.get_mut(tenant).filter(|_| is_better)?;
+        Some((coordinator, better))
+    }
+
+    /// Levels of the tenants that this instance coordinates.
+    pub fn levels(&self) -> impl Iterator<Item = (&TenantId, f64)> {
+        self.coordinators.iter().map(|(tenant, coordinator)| (tenant, coordinator.level()))
+    }
+
+    /// Drops the state of tenants that have no cap any more, and of members that weren't avoided for
+    /// a while.
+    pub fn expire(&mut self, now_ms: Millis, has_cap: impl Fn(&TenantId) -> bool) {
+        self.views.retain(|tenant, _| has_cap(tenant));
+        self.coordinators.retain(|tenant, _| has_cap(tenant));
+        self.handovers
+            .retain(|_, handover| now_ms < handover.at_ms + HANDOVER_TIME_MS);
+        self.members.expire(now_ms);
+    }
+}
--- /dev/null
+++ b/crates/core/src/forward/usage/usage_terms.rs
@@ -0,0 +1,26 @@
+//! The figures of a usage cap that instances tell each other.
+
+use crate::forward::UsageCap;
+use crate::ids::ConfigVersion;
+
+/// Rate and burst of a cap in one configuration version.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[expect(missing_docs, reason = "the names say it")]
+pub struct UsageTerms {
+    pub rate_per_s: f64,
+    pub burst: f64,
+    pub version: ConfigVersion,
+}
+
+impl UsageTerms {
+    /// The terms of a cap. Where it names no burst, a second's worth of the rate may be used at once.
+    pub fn new(cap: &UsageCap, version: ConfigVersion) -> Self {
+        let burst = if cap.burst > 0.0 { cap.burst } else { cap.rate_per_s };
+        Self { rate_per_s: cap.rate_per_s, burst, version }
+    }
+
+    /// Level above which a tenant counts as far below its cap.
+    pub fn ample_level(&self) -> f64 {
+        self.burst / 2.0
+    }
+}
