Usage caps: late and repeated messages count once, silence is noticed by a tenant's own traffic

Messages without a reply are named void in the next one, a report after a failed one holds no units, and a deputy's late report is set off against what its bucket spilled meanwhile. A data centre counts as silent after twelve of its usual gaps, between one and four seconds.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -42,7 +42,7 @@
 };
 pub use tenants::{ApiKey, Tenant, TenantError, TenantTable, UsageCap, UsageUnit};
 pub use usage::{
-    CoordinatorOrder, SuspectMembers, UsageBucket, UsageCaps, UsageCoordinator, UsageDecision,
+    CoordinatorOrder, MessageId, SuspectMembers, UsageBucket, UsageCaps, UsageCoordinator, UsageDecision,
     UsageLevels, UsageReply, UsageReports, UsageRequest, UsageStep, UsageTerms, UsageView,
 };
 pub use versions::{SoftwareVersion, StreamKey, StreamVersion, StreamVersions, VersionHistory};
--- a/crates/core/src/forward/usage/mod.rs
+++ b/crates/core/src/forward/usage/mod.rs
@@ -10,7 +10,7 @@
 //! that it is repaid.
 
 mod coordinator_order;
-mod seen_messages;
+mod counted_messages;
 mod suspect_members;
 mod usage_bucket;
 mod usage_caps;
@@ -25,7 +25,13 @@
 pub use usage_bucket::UsageBucket;
 pub use usage_caps::UsageCaps;
 pub use usage_coordinator::UsageCoordinator;
-pub use usage_messages::{UsageLevels, UsageReply, UsageRequest, UsageStep};
+pub use usage_messages::{MessageId, UsageLevels, UsageReply, UsageRequest, UsageStep};
 pub use usage_reports::UsageReports;
 pub use usage_terms::UsageTerms;
 pub use usage_view::{UsageDecision, UsageView};
+
+use crate::units::Millis;
+
+/// Silence after which a data centre counts as cut off. Members call for requests of the tenant and
+/// exchange each 3 s.
+const SILENCE_MS: Millis = Millis(4_000);
--- a/crates/core/src/forward/usage/suspect_members.rs
+++ b/crates/core/src/forward/usage/suspect_members.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::CoordinatorOrder;
+use super::{CoordinatorOrder, SILENCE_MS};
 use crate::forward::Member;
 use crate::ids::{DataCentreId, InstanceId};
 use crate::units::Millis;
@@ -13,6 +13,34 @@
 /// than a refused connection.
 const MAX_SUSPECT_TIME_MS: Millis = Millis(8_000);
 
+/// Time after which a member that was not reached is told again what another one counted in its
+/// place; no request waits for that.
+const REPORT_AGAIN_MS: Millis = Millis(250);
+
+/// Multiple of the mean time between two messages from a data centre after which it counts as
+/// silent: a random gap is as long once in some 100,000 messages.
+const SILENT_GAPS: u64 = 12;
+/// Shortest such time, for pauses of a process or a link.
+const MIN_SILENCE_MS: Millis = Millis(1_000);
+/// Weight of the latest gap in the mean is one in this number.
+const GAP_SAMPLES: u64 = 8;
+
+/// When a data centre was heard from.
+#[derive(Clone, Copy, Debug)]
+struct Contact {
+    last_ms: Millis,
+    mean_gap_ms: Millis,
+}
+
+impl Contact {
+    fn record(&mut self, now_ms: Millis) {
+        let gap_ms = now_ms.saturating_sub(self.last_ms).min(SILENCE_MS);
+        let sum_ms = self.mean_gap_ms.0 * (GAP_SAMPLES - 1) + gap_ms.0;
+        self.mean_gap_ms = Millis(sum_ms.div_ceil(GAP_SAMPLES));
+        self.last_ms = now_ms;
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Suspect {
     data_centre: DataCentreId,
@@ -26,7 +54,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct SuspectMembers {
     suspects: BTreeMap<InstanceId, Suspect>,
-    contacts: BTreeMap<DataCentreId, Millis>,
+    contacts: BTreeMap<DataCentreId, Contact>,
 }
 
 impl SuspectMembers {
@@ -39,9 +67,10 @@
     ) {
         self.suspects.remove(instance);
         match self.contacts.get_mut(data_centre) {
-            Some(contact_ms) => *contact_ms = now_ms,
+            Some(contact) => contact.record(now_ms),
             None => {
-                self.contacts.insert(data_centre.clone(), now_ms);
+                let contact = Contact { last_ms: now_ms, mean_gap_ms: SILENCE_MS };
+                self.contacts.insert(data_centre.clone(), contact);
             }
         }
     }
@@ -104,9 +133,33 @@
         usable.clone().find(is_near).or_else(|| usable.clone().next())
     }
 
-    /// Time at which a data centre was last heard from.
-    pub fn last_contact_ms(&self, data_centre: &DataCentreId) -> Option<Millis> {
-        self.contacts.get(data_centre).copied()
+    /// The member to report to for one that stands in for better ones; `None` if it is the best.
+    pub fn choose_better<'a>(
+        &self,
+        now_ms: Millis,
+        order: &'a CoordinatorOrder,
+        own: &InstanceId,
+    ) -> Option<&'a Member> {
+        let mut better =
+            order.candidates().iter().take_while(|member| member.instance != *own);
+        better.find(|member| {
+            let suspect = self.suspects.get(&member.instance);
+            suspect.is_none_or(|suspect| now_ms >= suspect.since_ms + REPORT_AGAIN_MS)
+        })
+    }
+
+    /// Whether nothing has come from a data centre since `since_ms` for so long that it is probably
+    /// cut off.
+    pub fn is_silent(&self, now_ms: Millis, data_centre: &DataCentreId, since_ms: Millis) -> bool {
+        let contact = self.contacts.get(data_centre).copied();
+        let contact = contact.unwrap_or(Contact { last_ms: since_ms, mean_gap_ms: SILENCE_MS });
+        let silence_ms = Millis(contact.mean_gap_ms.0 * SILENT_GAPS);
+        let silence_ms = silence_ms.max(MIN_SILENCE_MS).min(SILENCE_MS);
+        now_ms > contact.last_ms.max(since_ms) + silence_ms
+    }
+
+    fn last_contact_ms(&self, data_centre: &DataCentreId) -> Option<Millis> {
+        self.contacts.get(data_centre).map(|contact| contact.last_ms)
     }
 
     /// Drops members that are no longer avoided and weren't for a while.
--- a/crates/core/src/forward/usage/usage_bucket.rs
+++ b/crates/core/src/forward/usage/usage_bucket.rs
@@ -16,11 +16,15 @@
         Self { level, refilled_ms: now_ms }
     }
 
-    /// Adds what came in since the last time, and bounds the level by the depth.
-    pub fn refill(&mut self, now_ms: Millis, rate_per_s: f64, depth: f64) {
+    /// Adds what came in since the last time, and bounds the level by the depth; returns what was
+    /// beyond it.
+    pub fn refill(&mut self, now_ms: Millis, rate_per_s: f64, depth: f64) -> f64 {
         let elapsed_ms = now_ms.saturating_sub(self.refilled_ms);
         self.refilled_ms = self.refilled_ms.max(now_ms);
-        self.level = (self.level + rate_per_s * elapsed_ms.0 as f64 / 1_000.0).min(depth);
+        self.level += rate_per_s * elapsed_ms.0 as f64 / 1_000.0;
+        let excess = (self.level - depth).max(0.0);
+        self.level -= excess;
+        excess
     }
 
     /// Units that may be used at once; negative after an overshoot.
--- a/crates/core/src/forward/usage/usage_caps.rs
+++ b/crates/core/src/forward/usage/usage_caps.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::{
-    CoordinatorOrder, SuspectMembers, UsageCoordinator, UsageDecision, UsageLevels, UsageReply, UsageRequest,
+    CoordinatorOrder, MessageId, SuspectMembers, UsageCoordinator, UsageDecision, UsageLevels, UsageReply, UsageRequest,
     UsageStep, UsageTerms, UsageView,
 };
 use crate::forward::Member;
@@ -98,49 +98,93 @@
         self.members.choose(now_ms, order, &self.own.data_centre)
     }
 
-    /// A question or a report for a member.
-    pub fn request(
+    /// A report to a member of what was admitted here.
+    pub fn report(
         &mut self,
         now_ms: Millis,
         tenant: &TenantId,
         terms: UsageTerms,
         to: &InstanceId,
-        (asked, reported): (f64, f64),
     ) -> UsageRequest {
-        self.last_number += 1;
+        let request = self.question(now_ms, tenant, terms, to, 0.0);
+        let (reported, reported_span_ms) = self.view(now_ms, tenant).reports().take(now_ms);
+        UsageRequest { reported, reported_span_ms, ..request }
+    }
+
+    /// A question to a member whether a request may be admitted that counts `asked` units.
+    pub fn question(
+        &mut self,
+        now_ms: Millis,
+        tenant: &TenantId,
+        terms: UsageTerms,
+        to: &InstanceId,
+        asked: f64,
+    ) -> UsageRequest {
+        let id = self.next_id();
+        let view = self.view(now_ms, tenant);
         UsageRequest {
+            id,
             tenant: tenant.clone(),
-            instance: self.own.instance.clone(),
-            data_centre: self.own.data_centre.clone(),
-            run: self.run,
-            number: self.last_number,
             terms,
             asked,
-            reported,
-            last_level: self.view(now_ms, tenant).stated_elsewhere(now_ms, to),
+            reported: 0.0,
+            reported_span_ms: Millis::ZERO,
+            is_deputy: false,
+            void: view.reports().void().to_vec(),
+            last_level: view.stated_elsewhere(now_ms, to),
+            data_centre: self.own.data_centre.clone(),
             suspect_age_ms: self.members.suspect_age_ms(now_ms),
         }
     }
 
+    fn next_id(&mut self) -> MessageId {
+        self.last_number += 1;
+        let instance = self.own.instance.clone();
+        MessageId { instance, run: self.run, number: self.last_number }
+    }
+
     /// Records the reply of a member.
     pub fn record_reply(
         &mut self,
         now_ms: Millis,
-        tenant: &TenantId,
         from: &Member,
+        request: &UsageRequest,
         reply: &UsageReply,
     ) {
         if from.instance != self.own.instance {
             self.members.record_contact(now_ms, &from.instance, &from.data_centre);
         }
-        self.view(now_ms, tenant).record_reply(now_ms, &from.instance, reply);
+        if request.is_deputy {
+            if let Some(coordinator) = self.coordinators.get_mut(&request.tenant) {
+                coordinator.lower_to(reply.level);
+                coordinator.reports().confirm_void(&request.void);
+            }
+            return;
+        }
+        let view = self.view(now_ms, &request.tenant);
+        view.record_reply(now_ms, &from.instance, reply);
+        view.reports().confirm_void(&request.void);
     }
 
-    /// Records that a member wasn't reached.
-    pub fn record_failure(&mut self, now_ms: Millis, member: &Member, is_timed_out: bool) {
+    /// Records that a member didn't reply, because of a time-out or because it wasn't reached.
+    pub fn record_failure(
+        &mut self,
+        now_ms: Millis,
+        member: &Member,
+        request: &UsageRequest,
+        is_timed_out: bool,
+    ) {
         if member.instance != self.own.instance {
             self.members.record_failure(now_ms, member, is_timed_out);
         }
+        if !is_timed_out {
+            return;
+        }
+        if !request.is_deputy {
+            self.view(now_ms, &request.tenant).reports().add_void(request.id.clone());
+        } else if let Some(coordinator) = self.coordinators.get_mut(&request.tenant) {
+            coordinator.reports().add_void(request.id.clone());
+        }
     }
 
     /// Handles a question or a report of an instance, this one included.
@@ -150,10 +194,13 @@
         order: &CoordinatorOrder,
         request: &UsageRequest,
     ) -> UsageStep {
-        let is_own = request.instance == self.own.instance;
-        let contact_ms = self.members.last_contact_ms(&request.data_centre).unwrap_or_default();
+        let is_own = request.id.instance == self.own.instance;
+        let coordinator = self.coordinators.get(&request.tenant);
+        let was_silent = !is_own
+            && coordinator
+                .is_some_and(|it| it.was_silent(now_ms, &request.data_centre, &self.members));
         if !is_own {
-            self.members.record_contact(now_ms, &request.instance, &request.data_centre);
+            self.members.record_contact(now_ms, &request.id.instance, &request.data_centre);
         }
         if !self.has_exchanged && now_ms < self.started_ms + START_TIME_MS {
             return UsageStep::Unable;
@@ -169,7 +216,7 @@
         };
         let share = coordinator.share(now_ms, own, order, &self.members);
         coordinator.refill(now_ms, share);
-        if !is_own && coordinator.was_silent(now_ms, contact_ms) {
+        if was_silent {
             coordinator.merge_stated(request);
         }
         UsageStep::Reply(coordinator.reserve(now_ms, request, share, is_first))
@@ -199,7 +246,7 @@
         // The caller knows fewer members than this instance.
         let first = order.candidates().first()?;
         let is_elsewhere = first.instance != *own
-            && request.instance != *own
+            && request.id.instance != *own
             && suspect_age_ms.is_none()
             && !self.members.is_suspect(now_ms, &first.instance);
         is_elsewhere.then(|| first.clone())
@@ -214,9 +261,13 @@
         request: &UsageRequest,
         mut levels: Vec<UsageLevels>,
     ) -> UsageReply {
+        // Where others were asked and none of them knows the tenant, nobody has used it since this
+        // instance started.
+        let is_certain = !levels.is_empty() || order.member_count() == 1;
+        let unused_ms = if is_certain { now_ms.saturating_sub(self.started_ms) } else { Millis::ZERO };
         let stated = self.views.get(&request.tenant).and_then(|view| view.stated(now_ms));
         levels.push(UsageLevels { own: None, stated });
-        let coordinator = UsageCoordinator::start(now_ms, request, &levels);
+        let coordinator = UsageCoordinator::start(now_ms, request, &levels, unused_ms);
         self.handovers.remove(&request.tenant);
         self.coordinators.insert(request.tenant.clone(), coordinator);
         let coordinator = self.coordinators.get_mut(&request.tenant).expect("it was just inserted");
@@ -257,18 +308,42 @@
         self.coordinators.get_mut(tenant)
     }
 
-    /// The coordinator that this instance is of a tenant, and the best member that comes before it
-    /// and isn't avoided.
-    pub fn deputy<'a>(
+    /// The member that comes before this one and is to be told what was counted here, where this one is the
+    /// coordinator too; and the time until then.
+    pub fn deputy_report_due_in_ms<'a>(
         &mut self,
         now_ms: Millis,
         order: &'a CoordinatorOrder,
         tenant: &TenantId,
-    ) -> Option<(&mut UsageCoordinator, &'a Member)> {
-        let better = self.choose(now_ms, order)?;
-        let is_better = order.is_before(&better.instance, &self.own.instance);
-        let coordinator = self.coordinators.get_mut(tenant).filter(|_| is_better)?;
-        Some((coordinator, better))
+    ) -> Option<(&'a Member, Millis)> {
+        let better = self.members.choose_better(now_ms, order, &self.own.instance)?;
+        let due_ms = self.coordinators.get_mut(tenant)?.reports().due_in_ms(now_ms)?;
+        Some((better, due_ms))
+    }
+
+    /// The report to a better member; `None` if this instance isn't the coordinator.
+    pub fn deputy_report(
+        &mut self,
+        now_ms: Millis,
+        tenant: &TenantId,
+        terms: UsageTerms,
+    ) -> Option<UsageRequest> {
+        let id = self.next_id();
+        let coordinator = self.coordinators.get_mut(tenant)?;
+        let (reported, reported_span_ms) = coordinator.reports().take(now_ms);
+        Some(UsageRequest {
+            id,
+            tenant: tenant.clone(),
+            data_centre: self.own.data_centre.clone(),
+            terms,
+            asked: 0.0,
+            reported,
+            reported_span_ms,
+            is_deputy: true,
+            void: coordinator.reports().void().to_vec(),
+            last_level: Some((coordinator.level(), Millis::ZERO)),
+            suspect_age_ms: None,
+        })
     }
 
     /// Levels of the tenants that this instance coordinates.
--- a/crates/core/src/forward/usage/usage_coordinator.rs
+++ b/crates/core/src/forward/usage/usage_coordinator.rs
@@ -1,22 +1,24 @@
 //! The usage of one tenant, as its coordinator keeps it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::seen_messages::SeenMessages;
+use super::counted_messages::CountedMessages;
 use super::{
-    CoordinatorOrder, SuspectMembers, UsageBucket, UsageLevels, UsageReply, UsageReports,
+    CoordinatorOrder, SILENCE_MS, SuspectMembers, UsageBucket, UsageLevels, UsageReply, UsageReports,
     UsageRequest, UsageTerms,
 };
 use crate::ids::{DataCentreId, InstanceId};
 use crate::units::Millis;
 
-/// Silence after which a data centre counts as cut off. Members call for each request of the tenant
-/// and exchange each 3 s.
-const SILENCE_MS: Millis = Millis(4_000);
 /// Time without calls after which a member that isn't the first one has ceased to be coordinator.
 const IDLE_TIME_MS: Millis = Millis(5_000);
 /// Age up to which the level that another coordinator stated is used.
 const MAX_STATED_AGE_MS: Millis = Millis(5_000);
+/// Time after the start in which reports of other coordinators may be on their way whose levels were
+/// taken over.
+const TAKEOVER_TIME_MS: Millis = Millis(200);
+/// Time after the start in which calls from all data centres are still to be expected.
+const FIRST_CALLS_MS: Millis = Millis(500);
 /// Part of a second of the rate with which a bucket starts where nobody knows its level: the
 /// tenant may have used its burst just before.
 const INITIAL_SECONDS: f64 = 0.25;
@@ -26,34 +28,46 @@
 pub struct UsageCoordinator {
     terms: UsageTerms,
     bucket: UsageBucket,
+    /// Part of the rate that is granted.
+    share: f64,
     started_ms: Millis,
     last_call_ms: Millis,
     /// Data centres that called since the start.
     callers: BTreeSet<DataCentreId>,
-    seen: BTreeMap<InstanceId, SeenMessages>,
+    counted: BTreeMap<InstanceId, CountedMessages>,
+    /// Units that came in while the bucket was full, and their times.
+    spilled: VecDeque<(Millis, f64)>,
     /// What was counted here while a better member may be the coordinator for others.
     reports: UsageReports,
 }
 
 impl UsageCoordinator {
     /// Starts with the lowest of the levels that predecessors have, or else with the latest one that
-    /// an instance was told, or else with a small one.
-    pub fn start(now_ms: Millis, request: &UsageRequest, levels: &[UsageLevels]) -> Self {
+    /// an instance was told, or else with a small one and what has come in during `unused_ms`.
+    pub fn start(
+        now_ms: Millis,
+        request: &UsageRequest,
+        levels: &[UsageLevels],
+        unused_ms: Millis,
+    ) -> Self {
         let terms = request.terms;
         let lowest = levels.iter().filter_map(|levels| levels.own).reduce(f64::min);
         let stated = levels.iter().filter_map(|levels| levels.stated).chain(request.last_level);
         let latest = stated.min_by_key(|(_, age_ms)| *age_ms);
         let latest = latest.and_then(|stated| highest_level(&terms, stated));
         let latest = latest.map(|level| level.min(terms.ample_level()));
-        let level = lowest.or(latest).unwrap_or(INITIAL_SECONDS * terms.rate_per_s);
+        let initial_seconds = INITIAL_SECONDS + unused_ms.0 as f64 / 1_000.0;
+        let level = lowest.or(latest).unwrap_or(initial_seconds * terms.rate_per_s);
         let level = level.min(terms.burst);
         Self {
             terms,
             bucket: UsageBucket::new(now_ms, level),
+            share: 0.0,
             started_ms: now_ms,
             last_call_ms: now_ms,
             callers: BTreeSet::new(),
-            seen: BTreeMap::new(),
+            counted: BTreeMap::new(),
+            spilled: VecDeque::new(),
             reports: UsageReports::default(),
         }
     }
@@ -79,25 +93,54 @@
     ) -> f64 {
         let (instance, own_data_centre) = own;
         let is_first = order.is_first(instance);
+        let is_young = now_ms < self.started_ms + FIRST_CALLS_MS;
         let is_heard = |data_centre: &DataCentreId| {
-            let contact_ms = members.last_contact_ms(data_centre).unwrap_or_default();
-            now_ms <= contact_ms.max(self.started_ms) + SILENCE_MS
+            !members.is_silent(now_ms, data_centre, self.started_ms)
         };
         order.share(|data_centre| {
-            let is_caller = is_first || self.callers.contains(data_centre);
+            let is_caller = is_first || is_young || self.callers.contains(data_centre);
             data_centre == own_data_centre || (is_caller && is_heard(data_centre))
         })
     }
 
-    /// Brings the level up to date.
+    /// Brings the level up to date, and grants `share` of the rate from now on. A share is never
+    /// applied to the past: after a pause of the process all others seem to be silent.
     pub fn refill(&mut self, now_ms: Millis, share: f64) {
-        self.bucket.refill(now_ms, self.terms.rate_per_s * share, self.terms.burst);
+        let rate_per_s = self.terms.rate_per_s * self.share;
+        self.share = share;
+        let spilled = self.bucket.refill(now_ms, rate_per_s, self.terms.burst);
+        if spilled > 0.0 {
+            self.spilled.push_back((now_ms, spilled));
+        }
+        while self.spilled.front().is_some_and(|(at_ms, _)| now_ms > *at_ms + SILENCE_MS) {
+            self.spilled.pop_front();
+        }
+    }
+
+    /// The part of a deputy's late report that would have been refilled if it had come in time: the
+    /// bucket was full meanwhile.
+    fn take_spilled(&mut self, now_ms: Millis, request: &UsageRequest) -> f64 {
+        let span_ms = request.reported_span_ms;
+        let mut rest = request.reported;
+        for (at_ms, spilled) in &mut self.spilled {
+            if now_ms > *at_ms + span_ms {
+                continue;
+            }
+            let taken = spilled.min(rest);
+            *spilled -= taken;
+            rest -= taken;
+        }
+        request.reported - rest
     }
 
-    /// Whether a data centre that was last heard from at `contact_ms` may have had another
-    /// coordinator since.
-    pub fn was_silent(&self, now_ms: Millis, contact_ms: Millis) -> bool {
-        now_ms > contact_ms.max(self.started_ms) + SILENCE_MS
+    /// Whether a data centre may have had another coordinator, since it was silent.
+    pub fn was_silent(
+        &self,
+        now_ms: Millis,
+        data_centre: &DataCentreId,
+        members: &SuspectMembers,
+    ) -> bool {
+        members.is_silent(now_ms, data_centre, self.started_ms)
     }
 
     /// Uses the lower level where contact with a data centre that had another coordinator returns.
@@ -135,14 +178,15 @@
             self.callers.insert(request.data_centre.clone());
         }
         self.refill(now_ms, share);
-        let seen = self.seen.entry(request.instance.clone()).or_default();
-        let is_new = seen.record(request.run, request.number);
+        self.cancel_void(request, is_first);
         let is_granted = self.bucket.level() > 0.0;
         let asked = if is_granted { request.asked } else { 0.0 };
-        let units = if is_new { request.reported + asked } else { 0.0 };
-        self.bucket.take(units);
-        if !is_first && units != 0.0 {
-            self.reports.add(now_ms, units);
+        let is_included = request.is_deputy && now_ms < self.started_ms + TAKEOVER_TIME_MS;
+        let units = if is_included { 0.0 } else { request.reported + asked };
+        let units = units - self.take_spilled(now_ms, request).min(units.max(0.0));
+        let counted = self.counted.entry(request.id.instance.clone()).or_default();
+        if counted.record(request.id.run, request.id.number, units) {
+            self.count(units, is_first);
         }
         let rate_per_s = self.terms.rate_per_s * share;
         UsageReply {
@@ -151,6 +195,25 @@
             level: self.bucket.level(),
         }
     }
+
+    fn count(&mut self, units: f64, is_first: bool) {
+        self.bucket.take(units);
+        if !is_first && units != 0.0 {
+            self.reports.add(units);
+        }
+    }
+
+    /// Takes back what was counted for messages whose reply was lost or late.
+    fn cancel_void(&mut self, request: &UsageRequest, is_first: bool) {
+        for message in &request.void {
+            let counted = self.counted.entry(message.instance.clone()).or_default();
+            let units = counted.cancel(message.run, message.number);
+            self.count(-units, is_first);
+            if !is_first {
+                self.reports.add_void(message.clone());
+            }
+        }
+    }
 }
 
 /// The highest level that a coordinator can have by now, from what it stated.
--- a/crates/core/src/forward/usage/usage_reports.rs
+++ b/crates/core/src/forward/usage/usage_reports.rs
@@ -1,39 +1,39 @@
 //! Usage that a coordinator has yet to be told of.
 
+use super::{MessageId, SILENCE_MS};
 use crate::units::Millis;
 
 /// Least time between two reports.
 const REPORT_INTERVAL_MS: Millis = Millis(50);
 /// Time after a failed report until the next one.
 const REPORT_RETRY_MS: Millis = Millis(200);
-/// Time after which usage that nobody could be told of no longer matters to the cap.
-const MAX_REPORT_AGE_MS: Millis = Millis(8_000);
+/// Most messages that are told to be void: those of all instances in a few seconds.
+const MAX_VOID_MESSAGES: usize = 256;
 
-/// Units of one time or of a few times that are reported together.
-#[derive(Clone, Copy, Debug)]
-struct Units {
-    /// Negative if more units are given back than were used.
-    count: f64,
-    oldest_ms: Millis,
-}
-
-/// The units that are to be reported and those of the report that is on its way.
-#[derive(Clone, Copy, Debug, Default)]
+/// The units that are to be reported, those of the report that is on its way, and the messages that
+/// had no reply.
+#[derive(Clone, Debug, Default)]
 pub struct UsageReports {
-    unsent: Option<Units>,
-    sent: Option<Units>,
+    /// Negative if more units are given back than were used.
+    unsent: Option<f64>,
+    sent: Option<f64>,
     next_ms: Millis,
+    /// Whether the last report has failed.
+    is_failing: bool,
+    /// Time of the first failed report since which no units have arrived.
+    late_since_ms: Option<Millis>,
+    void: Vec<MessageId>,
 }
 
 impl UsageReports {
     /// Adds units to the next report; negative ones are given back.
-    pub fn add(&mut self, now_ms: Millis, count: f64) {
-        self.unsent.get_or_insert(Units { count: 0.0, oldest_ms: now_ms }).count += count;
+    pub fn add(&mut self, units: f64) {
+        *self.unsent.get_or_insert(0.0) += units;
     }
 
     /// Units that no coordinator has confirmed.
     pub fn unconfirmed(&self) -> f64 {
-        [self.unsent, self.sent].into_iter().flatten().map(|units| units.count).sum()
+        self.unsent.unwrap_or_default() + self.sent.unwrap_or_default()
     }
 
     /// Time until a report is due; `None` if there is nothing to report or a report is on its way.
@@ -42,29 +42,59 @@
         is_waiting.then(|| self.next_ms.saturating_sub(now_ms))
     }
 
-    /// Takes the units that are to be reported now.
-    pub fn take(&mut self, now_ms: Millis) -> f64 {
-        self.sent = self.unsent.take();
+    /// Takes the units that are to be reported now, and the time over which they came together if
+    /// earlier reports have failed. A report after a failed one holds none: should both arrive late
+    /// after all, the units would count twice. Once its silence is noticed, the other side grants only
+    /// its own share of the cap, and is to be told of nothing.
+    pub fn take(&mut self, now_ms: Millis) -> (f64, Millis) {
         self.next_ms = now_ms + REPORT_INTERVAL_MS;
-        self.sent.map_or(0.0, |units| units.count)
+        if self.is_failing {
+            self.sent = Some(0.0);
+            return (0.0, Millis::ZERO);
+        }
+        let late_since_ms = self.late_since_ms.unwrap_or(now_ms);
+        let units = self.unsent.take().filter(|_| now_ms <= late_since_ms + SILENCE_MS);
+        self.sent = units.or(Some(0.0));
+        (units.unwrap_or_default(), now_ms.saturating_sub(late_since_ms))
     }
 
     /// Records that the report has arrived.
-    pub fn confirm(&mut self) {
+    pub fn confirm(&mut self, now_ms: Millis) {
         self.sent = None;
+        if std::mem::take(&mut self.is_failing) {
+            self.next_ms = now_ms;
+        } else {
+            self.late_since_ms = None;
+        }
     }
 
-    /// Keeps the units of a report that failed for the next one, unless they are too old. They count
-    /// twice if the report did arrive, which errs on the side of the cap.
+    /// Keeps the units of a report that failed for a later one.
     pub fn keep_failed(&mut self, now_ms: Millis) {
         self.next_ms = now_ms + REPORT_RETRY_MS;
-        let Some(sent) = self.sent.take() else {
-            return;
-        };
-        if now_ms > sent.oldest_ms + MAX_REPORT_AGE_MS {
-            return;
+        self.late_since_ms.get_or_insert(now_ms);
+        self.is_failing = true;
+        if let Some(units) = self.sent.take() {
+            self.add(units);
+        }
+    }
+
+    /// Records a message that had no reply: its units are counted elsewhere, so that it is void.
+    pub fn add_void(&mut self, message: MessageId) {
+        if !self.void.contains(&message) {
+            self.void.push(message);
         }
-        self.add(now_ms, sent.count);
-        self.unsent = self.unsent.map(|units| Units { oldest_ms: sent.oldest_ms, ..units });
+        if self.void.len() > MAX_VOID_MESSAGES {
+            self.void.remove(0);
+        }
+    }
+
+    /// The messages that are void.
+    pub fn void(&self) -> &[MessageId] {
+        &self.void
+    }
+
+    /// Records that a coordinator was told of void messages.
+    pub fn confirm_void(&mut self, told: &[MessageId]) {
+        self.void.retain(|message| !told.contains(message));
     }
 }
--- a/crates/core/tests/usage_caps.rs
+++ b/crates/core/tests/usage_caps.rs
@@ -73,3 +73,36 @@
 fn paused_coordinators() {
     check("paused", 6, |plan| Plan { pause_first_every_ms: Some(7_000), ..plan });
 }
+
+/// Guards against requests that are admitted unseen when a tenant far below its cap exceeds it at
+/// once, also while its coordinator is lost.
+#[test]
+fn sudden_load() {
+    check("sudden", 7, |plan| Plan { load_before: 0.55, load_from_ms: 12_000, ..plan });
+    check("sudden_cut_off", 8, |plan| Plan {
+        load_before: 0.55,
+        load_from_ms: 12_000,
+        partition_ms: (11_900, 25_000),
+        ..plan
+    });
+    check("sudden_kills", 9, |plan| Plan {
+        load_before: 0.55,
+        load_from_ms: 12_000,
+        kill_first_every_ms: Some(4_000),
+        lost_permille: 20,
+        ..plan
+    });
+}
+
+/// Guards against faults that are harmless alone and exceed the cap together.
+#[test]
+fn several_faults() {
+    check("several", 10, |plan| Plan {
+        lost_permille: 20,
+        repeated_permille: 20,
+        partition_ms: (16_000, 24_000),
+        kill_all_ms: Some(8_000),
+        pause_first_every_ms: Some(13_000),
+        ..plan
+    });
+}
--- a/crates/core/tests/usage_simulation/mod.rs
+++ b/crates/core/tests/usage_simulation/mod.rs
@@ -119,6 +119,8 @@
     to: usize,
     run: u64,
     purpose: Purpose,
+    /// What it asks or reports; `None` if it is for levels.
+    request: Option<UsageRequest>,
 }
 
 #[derive(Clone, Copy)]
@@ -355,9 +357,9 @@
             return self.decide_alone(id);
         };
         self.questions[id].calls += 1;
-        let units = (question.cost, 0.0);
         let caps = &mut self.instances[number].caps;
-        let request = caps.request(now, &self.tenant, self.terms, &target.instance, units);
+        let request =
+            caps.question(now, &self.tenant, self.terms, &target.instance, question.cost);
         let to = self.number(&target);
         self.call(number, to, Purpose::Question(id), Message::Reserve(request));
     }
@@ -377,7 +379,11 @@
         let id = self.next_call;
         self.next_call += 1;
         let run = self.instances[from].run;
-        self.calls.insert(id, Call { from, to, run, purpose });
+        let request = match &message {
+            Message::Reserve(request) => Some(request.clone()),
+            Message::Fetch(_) => None,
+        };
+        self.calls.insert(id, Call { from, to, run, purpose, request });
         if from == to {
             self.network.add(self.now_ms, Event::Call { id, to, message });
             return;
@@ -513,20 +519,20 @@
     fn apply(&mut self, call: Call, member: &Member, reply: UsageReply) {
         let now = self.now();
         let caps = &mut self.instances[call.from].caps;
-        if matches!(call.purpose, Purpose::DeputyReport) {
-            caps.members().record_contact(now, &member.instance, &member.data_centre);
-            if let Some((coordinator, _)) = caps.deputy(now, &self.order, &self.tenant) {
-                coordinator.lower_to(reply.level);
-                coordinator.reports().confirm();
-            }
-            return self.schedule_deputy_report(call.from);
+        if let Some(request) = &call.request {
+            caps.record_reply(now, member, request, &reply);
         }
-        caps.record_reply(now, &self.tenant, member, &reply);
         match call.purpose {
             Purpose::Question(id) if self.questions[id].is_open => self.end(id, reply.is_granted),
-            Purpose::Question(_) | Purpose::Fetch(_) | Purpose::DeputyReport => {}
+            Purpose::Question(_) | Purpose::Fetch(_) => {}
+            Purpose::DeputyReport => {
+                if let Some(coordinator) = caps.coordinator(&self.tenant) {
+                    coordinator.reports().confirm(now);
+                }
+                self.schedule_deputy_report(call.from);
+            }
             Purpose::Report => {
-                caps.view(now, &self.tenant).reports().confirm();
+                caps.view(now, &self.tenant).reports().confirm(now);
                 self.schedule_report(call.from);
             }
         }
@@ -542,21 +548,15 @@
 
     fn fail_call(&mut self, call: Call, is_timed_out: bool) {
         let (now, member) = (self.now(), self.members[call.to].clone());
+        if let Some(request) = &call.request {
+            let caps = &mut self.instances[call.from].caps;
+            caps.record_failure(now, &member, request, is_timed_out);
+        }
         match call.purpose {
-            Purpose::Question(id) => {
-                self.instances[call.from].caps.record_failure(now, &member, is_timed_out);
-                if self.questions[id].is_open {
-                    self.ask(id, None);
-                }
-            }
-            Purpose::Report => {
-                self.instances[call.from].caps.record_failure(now, &member, is_timed_out);
-                self.retry_report(call.from);
-            }
-            Purpose::DeputyReport => {
-                self.instances[call.from].caps.record_failure(now, &member, is_timed_out);
-                self.retry_deputy_report(call.from);
-            }
+            Purpose::Question(id) if self.questions[id].is_open => self.ask(id, None),
+            Purpose::Question(_) => {}
+            Purpose::Report => self.retry_report(call.from),
+            Purpose::DeputyReport => self.retry_deputy_report(call.from),
             Purpose::Fetch(start) => {
                 let instance = &mut self.instances[call.from];
                 instance.fetches = instance.fetches.saturating_sub(1);
@@ -584,12 +584,10 @@
         if caps.view(now, &self.tenant).reports().due_in_ms(now) != Some(Millis::ZERO) {
             return;
         }
-        let units = caps.view(now, &self.tenant).reports().take(now);
         let Some(target) = caps.choose(now, &order).cloned() else {
             return self.retry_report(number);
         };
-        let units = (0.0, units);
-        let request = caps.request(now, &self.tenant, self.terms, &target.instance, units);
+        let request = caps.report(now, &self.tenant, self.terms, &target.instance);
         let to = self.number(&target);
         self.call(number, to, Purpose::Report, Message::Reserve(request));
     }
@@ -602,9 +600,8 @@
 
     fn schedule_deputy_report(&mut self, number: usize) {
         let (now, order) = (self.now(), Arc::clone(&self.instances[number].order));
-        let deputy = self.instances[number].caps.deputy(now, &order, &self.tenant);
-        let due_ms = deputy.and_then(|(coordinator, _)| coordinator.reports().due_in_ms(now));
-        if let Some(due_ms) = due_ms {
+        let caps = &mut self.instances[number].caps;
+        if let Some((_, due_ms)) = caps.deputy_report_due_in_ms(now, &order, &self.tenant) {
             self.network.add(self.now_ms + due_ms.0, Event::DeputyReport { instance: number });
         }
     }
@@ -615,16 +612,14 @@
         }
         let (now, order) = (self.now(), Arc::clone(&self.instances[number].order));
         let caps = &mut self.instances[number].caps;
-        let Some((coordinator, better)) = caps.deputy(now, &order, &self.tenant) else {
+        let due = caps.deputy_report_due_in_ms(now, &order, &self.tenant);
+        let Some((better, Millis::ZERO)) = due else {
             return;
         };
-        if coordinator.reports().due_in_ms(now) != Some(Millis::ZERO) {
-            return;
+        if let Some(request) = caps.deputy_report(now, &self.tenant, self.terms) {
+            let to = self.number(better);
+            self.call(number, to, Purpose::DeputyReport, Message::Reserve(request));
         }
-        let units = (0.0, coordinator.reports().take(now));
-        let request = caps.request(now, &self.tenant, self.terms, &better.instance, units);
-        let to = self.number(better);
-        self.call(number, to, Purpose::DeputyReport, Message::Reserve(request));
     }
 
     fn retry_deputy_report(&mut self, number: usize) {
--- a/crates/core/tests/usage_simulation/outcome.rs
+++ b/crates/core/tests/usage_simulation/outcome.rs
@@ -48,15 +48,6 @@
         refused as f64 / self.decisions.len() as f64
     }
 
-    /// Units admitted per second, from `from_ms` after the start to `until_ms`.
-    pub fn admitted_per_s(&self, from_ms: u64, until_ms: u64) -> f64 {
-        let span = self.start_ms + from_ms..self.start_ms + until_ms;
-        let admitted = self.decisions.iter().filter(|it| it.is_admitted);
-        let units: f64 =
-            admitted.filter(|it| span.contains(&it.decided_ms)).map(|it| it.cost).sum();
-        units * 1e3 / (until_ms - from_ms) as f64
-    }
-
     /// Requests that were decided later than `delay_ms` after they were sent.
     pub fn slow_share(&self, delay_ms: u64) -> f64 {
         let is_slow = |it: &&Decision| it.decided_ms > it.sent_ms + delay_ms;
