Usage caps: admission, RPCs, metrics and log events of the daemon

Requests of tenants with a cap are admitted after the key check and the quarantine. Where the tenant was far below its cap at the last reply, the coordinator is asked while the request goes on up to its first call of a server that runs it.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -42,7 +42,8 @@
 };
 pub use tenants::{ApiKey, Tenant, TenantError, TenantTable, UsageCap, UsageUnit};
 pub use usage::{
-    CoordinatorOrder, MessageId, SuspectMembers, UsageBucket, UsageCaps, UsageCoordinator, UsageDecision,
-    UsageLevels, UsageReply, UsageReports, UsageRequest, UsageStep, UsageTerms, UsageView,
+    CoordinatorOrder, MessageId, SuspectMembers, UsageBucket, UsageCaps, UsageCoordinator,
+    UsageDecision, UsageLevels, UsageReply, UsageReports, UsageRequest, UsageStep, UsageTerms,
+    UsageView,
 };
 pub use versions::{SoftwareVersion, StreamKey, StreamVersion, StreamVersions, VersionHistory};
--- a/crates/core/src/forward/usage/suspect_members.rs
+++ b/crates/core/src/forward/usage/suspect_members.rs
@@ -140,8 +140,7 @@
         order: &'a CoordinatorOrder,
         own: &InstanceId,
     ) -> Option<&'a Member> {
-        let mut better =
-            order.candidates().iter().take_while(|member| member.instance != *own);
+        let mut better = order.candidates().iter().take_while(|member| member.instance != *own);
         better.find(|member| {
             let suspect = self.suspects.get(&member.instance);
             suspect.is_none_or(|suspect| now_ms >= suspect.since_ms + REPORT_AGAIN_MS)
--- a/crates/core/src/forward/usage/usage_caps.rs
+++ b/crates/core/src/forward/usage/usage_caps.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use super::{
-    CoordinatorOrder, MessageId, SuspectMembers, UsageCoordinator, UsageDecision, UsageLevels, UsageReply, UsageRequest,
-    UsageStep, UsageTerms, UsageView,
+    CoordinatorOrder, MessageId, SuspectMembers, UsageCoordinator, UsageDecision, UsageLevels,
+    UsageReply, UsageRequest, UsageStep, UsageTerms, UsageView,
 };
 use crate::forward::Member;
 use crate::ids::{InstanceId, TenantId};
@@ -237,8 +237,7 @@
             let is_reached = suspect_age_ms.is_none_or(|suspect_ms| age_ms < suspect_ms);
             let is_current = age_ms < HANDOVER_TIME_MS && is_reached;
             let candidates = order.candidates().iter().filter(|_| is_current);
-            let successor =
-                candidates.clone().find(|member| member.instance == handover.successor);
+            let successor = candidates.clone().find(|member| member.instance == handover.successor);
             if successor.is_some() {
                 return successor.cloned();
             }
@@ -264,7 +263,8 @@
         // Where others were asked and none of them knows the tenant, nobody has used it since this
         // instance started.
         let is_certain = !levels.is_empty() || order.member_count() == 1;
-        let unused_ms = if is_certain { now_ms.saturating_sub(self.started_ms) } else { Millis::ZERO };
+        let unused_ms =
+            if is_certain { now_ms.saturating_sub(self.started_ms) } else { Millis::ZERO };
         let stated = self.views.get(&request.tenant).and_then(|view| view.stated(now_ms));
         levels.push(UsageLevels { own: None, stated });
         let coordinator = UsageCoordinator::start(now_ms, request, &levels, unused_ms);
@@ -355,9 +355,9 @@
     /// a while.
     pub fn expire(&mut self, now_ms: Millis, has_cap: impl Fn(&TenantId) -> bool) {
         self.views.retain(|tenant, _| has_cap(tenant));
-        self.coordinators.retain(|tenant, _| has_cap(tenant));
-        self.handovers
-            .retain(|_, handover| now_ms < handover.at_ms + HANDOVER_TIME_MS);
+        self.coordinators
+            .retain(|tenant, coordinator| has_cap(tenant) && !coordinator.is_forgotten(now_ms));
+        self.handovers.retain(|_, handover| now_ms < handover.at_ms + HANDOVER_TIME_MS);
         self.members.expire(now_ms);
     }
 }
--- a/crates/core/src/forward/usage/usage_coordinator.rs
+++ b/crates/core/src/forward/usage/usage_coordinator.rs
@@ -4,14 +4,16 @@
 
 use super::counted_messages::CountedMessages;
 use super::{
-    CoordinatorOrder, SILENCE_MS, SuspectMembers, UsageBucket, UsageLevels, UsageReply, UsageReports,
-    UsageRequest, UsageTerms,
+    CoordinatorOrder, SILENCE_MS, SuspectMembers, UsageBucket, UsageLevels, UsageReply,
+    UsageReports, UsageRequest, UsageTerms,
 };
 use crate::ids::{DataCentreId, InstanceId};
 use crate::units::Millis;
 
 /// Time without calls after which a member that isn't the first one has ceased to be coordinator.
 const IDLE_TIME_MS: Millis = Millis(5_000);
+/// Time without calls after which the state is dropped: by then the bucket is full.
+const FORGET_TIME_MS: Millis = Millis(60_000);
 /// Age up to which the level that another coordinator stated is used.
 const MAX_STATED_AGE_MS: Millis = Millis(5_000);
 /// Time after the start in which reports of other coordinators may be on their way whose levels were
@@ -77,6 +79,11 @@
         now_ms > self.last_call_ms + IDLE_TIME_MS
     }
 
+    /// Whether the tenant was not used for so long that its state can be dropped.
+    pub fn is_forgotten(&self, now_ms: Millis) -> bool {
+        now_ms > self.last_call_ms + FORGET_TIME_MS
+    }
+
     /// Units that may be used at once.
     pub fn level(&self) -> f64 {
         self.bucket.level()
@@ -94,9 +101,8 @@
         let (instance, own_data_centre) = own;
         let is_first = order.is_first(instance);
         let is_young = now_ms < self.started_ms + FIRST_CALLS_MS;
-        let is_heard = |data_centre: &DataCentreId| {
-            !members.is_silent(now_ms, data_centre, self.started_ms)
-        };
+        let is_heard =
+            |data_centre: &DataCentreId| !members.is_silent(now_ms, data_centre, self.started_ms);
         order.share(|data_centre| {
             let is_caller = is_first || is_young || self.callers.contains(data_centre);
             data_centre == own_data_centre || (is_caller && is_heard(data_centre))
@@ -121,7 +127,7 @@
     /// bucket was full meanwhile.
     fn take_spilled(&mut self, now_ms: Millis, request: &UsageRequest) -> f64 {
         let span_ms = request.reported_span_ms;
-        let mut rest = request.reported;
+        let mut rest = request.reported.max(0.0);
         for (at_ms, spilled) in &mut self.spilled {
             if now_ms > *at_ms + span_ms {
                 continue;
@@ -130,7 +136,7 @@
             *spilled -= taken;
             rest -= taken;
         }
-        request.reported - rest
+        request.reported.max(0.0) - rest
     }
 
     /// Whether a data centre may have had another coordinator, since it was silent.
--- a/crates/core/src/forward/usage/usage_view.rs
+++ b/crates/core/src/forward/usage/usage_view.rs
@@ -16,6 +16,8 @@
 /// Least number of instances among which a cap is divided while no coordinator is reached: after a
 /// start the members are not known yet.
 const ASSUMED_INSTANCE_COUNT: usize = 16;
+/// Longest time for which requests are refused by an earlier reply.
+const MAX_REFUSAL_MS: Millis = Millis(1_000);
 /// Longest `Retry-After` of a request that was refused without a coordinator; one is expected to be
 /// reached by then.
 const MAX_ALONE_WAIT_MS: Millis = Millis(1_000);
@@ -30,6 +32,8 @@
     AskMeanwhile,
     /// The coordinator is asked first.
     AskFirst,
+    /// It is refused: by the coordinator's last reply there is no room until this time has passed.
+    Refused(Millis),
 }
 
 #[derive(Clone, Debug)]
@@ -43,6 +47,8 @@
 #[derive(Clone, Debug)]
 pub struct UsageView {
     known: Option<KnownLevel>,
+    /// Time until which there is no room.
+    full_until_ms: Millis,
     /// Units admitted here without asking.
     reports: UsageReports,
     /// Limits what is admitted while no coordinator is reached.
@@ -54,6 +60,7 @@
     pub fn new(now_ms: Millis) -> Self {
         Self {
             known: None,
+            full_until_ms: now_ms,
             reports: UsageReports::default(),
             alone: UsageBucket::new(now_ms, 0.0),
         }
@@ -61,6 +68,9 @@
 
     /// Decides about a request that counts `cost` units.
     pub fn decide(&mut self, now_ms: Millis, terms: &UsageTerms, cost: f64) -> UsageDecision {
+        if now_ms < self.full_until_ms {
+            return UsageDecision::Refused(self.full_until_ms.saturating_sub(now_ms));
+        }
         let unconfirmed = self.reports.unconfirmed();
         let Some(known) = self.known.as_ref().filter(|_| self.is_ample(now_ms, terms)) else {
             return UsageDecision::AskFirst;
@@ -128,6 +138,9 @@
 
     /// Records the reply of a coordinator.
     pub fn record_reply(&mut self, now_ms: Millis, coordinator: &InstanceId, reply: &UsageReply) {
+        let is_full = !reply.is_granted && reply.level <= 0.0;
+        let full_ms = if is_full { reply.wait_ms.min(MAX_REFUSAL_MS) } else { Millis::ZERO };
+        self.full_until_ms = now_ms + full_ms;
         let coordinator = coordinator.clone();
         self.known = Some(KnownLevel { level: reply.level, at_ms: now_ms, coordinator });
     }
--- a/crates/core/tests/usage_simulation/mod.rs
+++ b/crates/core/tests/usage_simulation/mod.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 
 use turmericrail_core::forward::{
-    CoordinatorOrder, Member, UsageCaps, UsageDecision, UsageLevels, UsageReply, UsageRequest, UsageStep,
-    UsageTerms,
+    CoordinatorOrder, Member, UsageCaps, UsageDecision, UsageLevels, UsageReply, UsageRequest,
+    UsageStep, UsageTerms,
 };
 use turmericrail_core::ids::{ConfigVersion, TenantId};
 use turmericrail_core::units::Millis;
@@ -242,7 +242,8 @@
             Event::Restart { instance } => {
                 let run = self.instances[instance].run + 1;
                 self.instances[instance] = self.new_instance(instance, run);
-                let at_ms = self.now_ms + FIRST_EXCHANGE_MS / 2 + self.network.draw(FIRST_EXCHANGE_MS);
+                let at_ms =
+                    self.now_ms + FIRST_EXCHANGE_MS / 2 + self.network.draw(FIRST_EXCHANGE_MS);
                 self.network.add(at_ms, Event::Exchange { instance });
             }
         }
@@ -300,7 +301,8 @@
         if self.is_down(number) {
             return;
         }
-        let interval_ms = EXCHANGE_INTERVAL_MS / 4 * 3 + self.network.draw(EXCHANGE_INTERVAL_MS / 2);
+        let interval_ms =
+            EXCHANGE_INTERVAL_MS / 4 * 3 + self.network.draw(EXCHANGE_INTERVAL_MS / 2);
         self.network.add(self.now_ms + interval_ms, Event::Exchange { instance: number });
         let other = self.network.draw(self.instances.len() as u64) as usize;
         let is_reached = !self.is_down(other)
@@ -332,6 +334,7 @@
         let (now, instance) = (self.now(), &mut self.instances[question.instance]);
         match instance.caps.decide(now, &self.tenant, &self.terms, question.cost) {
             UsageDecision::Admitted => self.end(id, true),
+            UsageDecision::Refused(_) => self.end(id, false),
             UsageDecision::AskMeanwhile | UsageDecision::AskFirst => self.ask(id, None),
         }
         self.schedule_report(question.instance);
@@ -358,8 +361,7 @@
         };
         self.questions[id].calls += 1;
         let caps = &mut self.instances[number].caps;
-        let request =
-            caps.question(now, &self.tenant, self.terms, &target.instance, question.cost);
+        let request = caps.question(now, &self.tenant, self.terms, &target.instance, question.cost);
         let to = self.number(&target);
         self.call(number, to, Purpose::Question(id), Message::Reserve(request));
     }
@@ -455,7 +457,8 @@
 
     fn end_start(&mut self, number: usize, start: u64) {
         let instance = &mut self.instances[number];
-        if self.now_ms < instance.down_until_ms || !instance.is_starting || instance.start != start {
+        if self.now_ms < instance.down_until_ms || !instance.is_starting || instance.start != start
+        {
             return;
         }
         instance.is_starting = false;
--- a/crates/turmericrail/src/forward/callers/dispatch.rs
+++ b/crates/turmericrail/src/forward/callers/dispatch.rs
@@ -16,6 +16,8 @@
 use crate::forward::clock;
 use crate::forward::peers::loss_notices;
 use crate::forward::peers::stream_versions;
+use crate::forward::peers::usage;
+use crate::forward::peers::usage_grant::UsageGrant;
 use crate::forward::shared::Shared;
 
 /// Longest part of a request id that is logged.
@@ -110,21 +112,33 @@
         is_trial: false,
         begun_version: Mutex::default(),
         sends: Mutex::default(),
+        usage: UsageGrant::default(),
     };
-    let is_stream = matches!(route.kind, RouteKind::Stream { .. });
     context.is_trial = admit(&context)?;
-    if let Some(version) = stream_versions::find_begun(&context).await? {
+    context.usage = usage::admit(&context).await?;
+    let refused_late = async { Err(context.usage.refused().await) };
+    serve_admitted(&context, caller).or(refused_late).await
+}
+
+/// Has a request served that was neither quarantined nor refused for its tenant's use.
+async fn serve_admitted(
+    context: &CallContext<'_>,
+    caller: &CallerStream,
+) -> Result<ConnectionAction, Refusal> {
+    let (shared, request) = (context.shared, context.request);
+    let is_stream = matches!(context.route.kind, RouteKind::Stream { .. });
+    if let Some(version) = stream_versions::find_begun(context).await? {
         context.record_begun(Some(&version));
     }
     if is_stream || context.is_model_call() {
-        return model_call::serve(&context, caller).await;
+        return model_call::serve(context, caller).await;
     }
-    let (head, body) = plain_call::serve(&context).await?;
+    let (head, body) = plain_call::serve(context).await?;
     let is_head_call = request.head.method == "HEAD";
     let is_kept = caller.is_kept_alive();
     let bytes = answer_writer::server_answer(&head, &body, is_head_call, is_kept);
     context.observe_answer();
-    log_answer(shared, Some(request_id), "completed", head.status);
+    log_answer(shared, Some(context.request_id), "completed", head.status);
     Ok(caller.finish(&bytes).await)
 }
 
--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -14,6 +14,7 @@
 use crate::forward::callers::caller_connection::Request;
 use crate::forward::callers::dispatch::Refusal;
 use crate::forward::clock;
+use crate::forward::peers::usage_grant::UsageGrant;
 use crate::forward::shared::Shared;
 
 /// A request with the route and service chosen for it.
@@ -38,6 +39,8 @@
     pub begun_version: Mutex<BegunVersion>,
     /// What was sent for the call so far; see [`CallContext::sends`].
     pub sends: Mutex<CallSends>,
+    /// The admission under the tenant's usage cap.
+    pub usage: UsageGrant,
 }
 
 impl CallContext<'_> {
--- a/crates/turmericrail/src/forward/operator_endpoints.rs
+++ b/crates/turmericrail/src/forward/operator_endpoints.rs
@@ -8,6 +8,7 @@
 use turmericrail_core::forward::{LossCause, LossSubject, ServerState};
 
 use super::clock;
+use super::peers::usage;
 use super::shared::Shared;
 use crate::error::StartError;
 
@@ -57,6 +58,7 @@
     let requests = causes.iter().filter(is_request).count();
     metrics.quarantined_requests.set(requests as i64);
     metrics.quarantined_prompts.set((causes.len() - requests) as i64);
+    usage::observe_levels(shared);
     metrics.store_lost.set(i64::from(shared.is_store_lost()));
     let body = metrics.render();
     Ok(Response::builder(200).content_type("text/plain; version=0.0.4").body(body).build())
--- a/crates/turmericrail/src/forward/peers/mod.rs
+++ b/crates/turmericrail/src/forward/peers/mod.rs
@@ -6,3 +6,8 @@
 pub mod relay_members;
 pub mod relay_notices;
 pub mod stream_versions;
+pub mod usage;
+pub mod usage_calls;
+pub mod usage_grant;
+pub mod usage_messages;
+pub mod usage_reports;
--- a/crates/turmericrail/src/forward/peers/relay.rs
+++ b/crates/turmericrail/src/forward/peers/relay.rs
@@ -19,14 +19,17 @@
 use turmericrail_wire::relay::relay_client::RelayClient;
 use turmericrail_wire::relay::relay_server::{Relay, RelayServer};
 use turmericrail_wire::relay::{
-    self as wire, BegunStreams, ExchangeReply, ExchangeRequest, FindStreamReply, FindStreamRequest,
-    FollowReply, FollowRequest, LossNotices, NotifyReply,
+    self as wire, BegunStreams, ExchangeReply, ExchangeRequest, FetchUsageReply, FetchUsageRequest,
+    FindStreamReply, FindStreamRequest, FollowReply, FollowRequest, LossNotices, NotifyReply,
+    ReserveUsageReply, ReserveUsageRequest,
 };
 
 use super::loss_notices;
 use super::relay_limits;
 use super::relay_members;
 use super::stream_versions;
+use super::usage;
+use super::usage_calls;
 use crate::error::StartError;
 use crate::forward::clock;
 use crate::forward::servers::server_notices;
@@ -189,6 +192,7 @@
         merge_leaving(&self.shared, &message.leaving);
         relay_limits::merge_limits(&self.shared, &message.limits);
         message.known.iter().for_each(|known| relay.record_peer_change(known));
+        usage::record_contact(&self.shared, message.sender.as_ref());
         relay_members::merge_members(&self.shared, message.sender.iter().chain(&message.members));
         if is_same && !message.ages_ms.is_empty() {
             relay_members::merge_ages(&self.shared, &own, &message.ages_ms);
@@ -259,6 +263,20 @@
     ) -> Result<Response<FindStreamReply>, Status> {
         Ok(Response::new(stream_versions::reply(&self.shared, request.get_ref())))
     }
+
+    async fn reserve_usage(
+        &self,
+        request: Request<ReserveUsageRequest>,
+    ) -> Result<Response<ReserveUsageReply>, Status> {
+        Ok(Response::new(usage_calls::answer(&self.shared, request.into_inner()).await?))
+    }
+
+    async fn fetch_usage(
+        &self,
+        request: Request<FetchUsageRequest>,
+    ) -> Result<Response<FetchUsageReply>, Status> {
+        Ok(Response::new(usage_calls::answer_fetch(&self.shared, request.get_ref())?))
+    }
 }
 
 fn list_leaving(shared: &Shared) -> Vec<wire::LeavingRun> {
@@ -396,6 +414,7 @@
     merge_leaving(shared, &reply.leaving);
     relay_limits::merge_limits(shared, &reply.limits);
     loss_notices::merge_exchanged(shared, reply.notices);
+    usage::record_exchange(shared, address);
     apply_newer(shared, address, reply.newer);
 }
 
--- a/crates/turmericrail/src/forward/peers/relay_members.rs
+++ b/crates/turmericrail/src/forward/peers/relay_members.rs
@@ -7,6 +7,7 @@
 use turmericrail_wire::relay as wire;
 
 use crate::forward::clock;
+use crate::forward::settings::ForwardSettings;
 use crate::forward::shared::Shared;
 
 /// Data centre of members that don't state theirs.
@@ -36,8 +37,8 @@
     (local, remote.collect())
 }
 
-fn own_member(shared: &Shared) -> Member {
-    let settings = shared.settings();
+/// The instance with these settings as a member.
+pub fn own_member(settings: &ForwardSettings) -> Member {
     Member {
         instance: settings.instance.clone(),
         data_centre: settings.data_centre.clone(),
@@ -48,17 +49,18 @@
 
 /// This instance as a member, for a message.
 pub fn own_to_wire(shared: &Shared) -> wire::Member {
-    member_to_wire(&own_member(shared))
+    member_to_wire(&own_member(&shared.settings()))
 }
 
 /// Every member with the time since it was heard from, this instance included.
 pub fn list_members(shared: &Shared) -> MemberList {
     let mut members = shared.relay.members().list(clock::now_ms());
-    members.push(own_member(shared));
+    members.push(own_member(&shared.settings()));
     MemberList::new(members)
 }
 
-fn member_to_wire(member: &Member) -> wire::Member {
+/// A member, for a message.
+pub fn member_to_wire(member: &Member) -> wire::Member {
     wire::Member {
         instance: member.instance.to_string(),
         peer_address: member.address.to_string(),
@@ -86,19 +88,25 @@
     }
 }
 
+/// A member of a message; `None` if it can't be used.
+pub fn member_from_wire(member: &wire::Member) -> Option<Member> {
+    let unknown = || UNKNOWN_DATA_CENTRE.parse().expect("the name is a valid id");
+    Some(Member {
+        instance: member.instance.parse().ok()?,
+        address: member.peer_address.parse().ok()?,
+        data_centre: member.data_centre.parse().unwrap_or_else(|_| unknown()),
+        age_ms: Millis(member.age_ms),
+    })
+}
+
 /// Merges members from a message.
 pub fn merge_members<'a>(shared: &Shared, members: impl Iterator<Item = &'a wire::Member>) {
     let mut decoded = Vec::new();
     for member in members {
-        let (Ok(instance), Ok(address)) = (member.instance.parse(), member.peer_address.parse())
-        else {
-            spdlog::warn!("event=member_malformed instance={:?}", member.instance);
-            continue;
-        };
-        let unknown = || UNKNOWN_DATA_CENTRE.parse().expect("the name is a valid id");
-        let data_centre = member.data_centre.parse().unwrap_or_else(|_| unknown());
-        let age_ms = Millis(member.age_ms);
-        decoded.push(Member { instance, data_centre, address, age_ms });
+        match member_from_wire(member) {
+            Some(member) => decoded.push(member),
+            None => spdlog::warn!("event=member_malformed instance={:?}", member.instance),
+        }
     }
     merge_known_members(shared, decoded.into_iter());
 }
--- a/crates/turmericrail/src/forward/servers/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -40,6 +40,7 @@
     _permit: SendPermit,
     timeout_ms: Millis,
 ) -> Result<Exchange, CallFailure> {
+    context.usage.granted().await;
     let sent_ms = clock::now_ms();
     if !context.shared.forwarder().try_take_call(sent_ms, &choice.run) {
         context.sends().record_not_sent();
@@ -52,6 +53,7 @@
         request_id: context.request_id,
     };
     let sent = SentCall::new(context, choice);
+    context.usage.record_send();
     let started = Exchange::start(&context.shared.pool, &outgoing, timeout_ms).await;
     let mut exchange = match started {
         Ok(exchange) => exchange,
@@ -61,6 +63,9 @@
         }
     };
     exchange.watch(sent);
+    if exchange.metadata.is_not_run {
+        context.usage.record_not_run();
+    }
     server_notices::record(context.shared, &choice.run, &exchange.metadata, sent_ms);
     if let Some(load) = exchange.metadata.load {
         context.shared.forwarder().record_reported_load(clock::now_ms(), &choice.run, load);
@@ -82,6 +87,7 @@
         CallFailure::NotSent | CallFailure::ConnectionRefused | CallFailure::Withheld => {
             sent.settle();
             context.sends().record_not_sent();
+            context.usage.record_not_run();
         }
     }
     if failure == CallFailure::ConnectionRefused {
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -14,6 +14,7 @@
 use super::peers::loss_notices::{self, LossNoticeState};
 use super::peers::relay::RelayState;
 use super::peers::stream_versions::{self, StreamVersionState};
+use super::peers::usage::{self, UsageState};
 use super::servers::connection_pool::ConnectionPool;
 use super::settings::ForwardSettings;
 use super::store::follow_state::FollowState;
@@ -42,6 +43,7 @@
     pub follow_state: FollowState,
     pub loss_notices: LossNoticeState,
     pub stream_versions: StreamVersionState,
+    pub usage: UsageState,
     settings: Mutex<Arc<ForwardSettings>>,
     forwarder: Mutex<Forwarder>,
     /// Prefixes whose items can't be read from the store at present.
@@ -73,6 +75,7 @@
             follow_state: FollowState::default(),
             loss_notices: LossNoticeState::default(),
             stream_versions: StreamVersionState::default(),
+            usage: UsageState::new(&settings),
             lost_prefixes: Mutex::new(BTreeSet::new()),
             forwarder: Mutex::new(forwarder),
             is_shutting_down: AtomicBool::new(false),
@@ -201,6 +204,7 @@
         task::sleep(EXPIRE_INTERVAL).await;
         shared.forwarder().expire(clock::now_ms());
         loss_notices::expire(&shared);
+        usage::expire(&shared);
         shared.forwarder().broken_calls().expire(clock::now_ms());
         let has_more_versions = shared.forwarder().record_versions(clock::now_ms());
         if has_more_versions {
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -58,6 +58,12 @@
     gauge
 }
 
+fn gauges(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
+    let gauges = IntGaugeVec::new(Opts::new(name, help), &[label]).expect("the names are valid");
+    registry.register(Box::new(gauges.clone())).expect("each name is registered once");
+    gauges
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let registry = Registry::new();
@@ -140,6 +146,10 @@
     pub quarantined_requests: IntGauge,
     /// One while the store does not answer, else zero.
     pub store_lost: IntGauge,
+    /// Requests refused since their tenant has used up its cap.
+    pub usage_refused: IntCounterVec,
+    /// Units that tenants may use at once, at their coordinators.
+    pub usage_level: IntGaugeVec,
 }
 
 impl Default for ForwardMetrics {
@@ -181,12 +191,24 @@
                 "turmericrail_malformed_headers_total",
                 "Header fields in answers of servers and the store that can't be used.",
             ),
-            servers: {
-                let options = Opts::new("turmericrail_servers", "Backend servers by state.");
-                let servers = IntGaugeVec::new(options, &["state"]).expect("the names are valid");
-                registry.register(Box::new(servers.clone())).expect("each name is registered once");
-                servers
-            },
+            servers: gauges(
+                &registry,
+                "turmericrail_servers",
+                "Backend servers by state.",
+                "state",
+            ),
+            usage_refused: counter(
+                &registry,
+                "turmericrail_usage_refused_total",
+                "Requests refused by the usage cap of their tenant.",
+                "tenant",
+            ),
+            usage_level: gauges(
+                &registry,
+                "turmericrail_usage_level",
+                "Units that a tenant may use at once, at its coordinator.",
+                "tenant",
+            ),
             instances: gauge(&registry, "turmericrail_instances", "Instances that are known."),
             quarantined_prompts: gauge(
                 &registry,
