Overload: engines are told the rank of each request where ranks differ

Engines admit and preempt by X-Request-Priority, but the router never sent it, so an urgent request was treated like any other once it was at an engine.

The route table collects the ranks of each service from its routes and the tenants. Where they differ, every call of a request names its rank, at most 9. Where all requests of a service have one rank, the header stays absent as before.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod forwarder;
 mod limits;
 mod losses;
+mod overload;
 mod peers;
 mod roles;
 mod routes;
@@ -26,6 +27,7 @@
     Admission, BrokenCall, BrokenCalls, BrokenKind, Loss, LossCause, LossNotice, LossRecords,
     LossSubject, Quarantine, RequestTraits, Survival, Suspect,
 };
+pub use overload::ServiceRanks;
 pub use peers::{Member, MemberList, Members, Watcher};
 pub use roles::{RoleLoad, order_right};
 pub use routes::{
--- a/crates/core/src/forward/routes/table.rs
+++ b/crates/core/src/forward/routes/table.rs
@@ -5,7 +5,7 @@
 
 use thiserror::Error;
 
-use crate::forward::{Route, Service, TenantError, TenantTable};
+use crate::forward::{Route, Service, ServiceRanks, TenantError, TenantTable};
 use crate::ids::{ConfigVersion, RouteId, ServiceId};
 use crate::units::{Bytes, Millis};
 
@@ -46,6 +46,7 @@
     routes: BTreeMap<String, Vec<Arc<Route>>>,
     /// `None` if requests need no API key.
     tenants: Option<TenantTable>,
+    ranks: BTreeMap<ServiceId, ServiceRanks>,
 }
 
 impl RouteTable {
@@ -73,12 +74,35 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        Ok(Self { version, limits, services, routes: by_host, tenants: None })
+        let ranks = BTreeMap::new();
+        Ok(Self { version, limits, services, routes: by_host, tenants: None, ranks }.with_ranks())
+    }
+
+    /// Collects the ranks of each service anew.
+    fn with_ranks(mut self) -> Self {
+        self.ranks.clear();
+        for route in self.routes.values().flatten() {
+            for weighted in route.services.iter().filter(|weighted| weighted.weight > 0) {
+                let ranks = self.ranks.entry(weighted.service.clone()).or_default();
+                ranks.add_route(route, self.tenants.as_ref());
+            }
+        }
+        self
     }
 
     /// Adds the tenants whose keys requests need on routes that aren't public.
     pub fn with_tenants(self, tenants: TenantTable) -> Self {
-        Self { tenants: Some(tenants), ..self }
+        Self { tenants: Some(tenants), ..self }.with_ranks()
+    }
+
+    /// The ranks of a service's requests; `None` if no route leads to it.
+    pub fn ranks(&self, service: &ServiceId) -> Option<&ServiceRanks> {
+        self.ranks.get(service)
+    }
+
+    /// Whether requests of different ranks compete for a service.
+    pub fn has_ranks(&self, service: &ServiceId) -> bool {
+        self.ranks(service).is_some_and(ServiceRanks::differ)
     }
 
     /// The tenants; `None` if requests need no API key.
--- a/crates/core/src/forward/tenants/tenant_table.rs
+++ b/crates/core/src/forward/tenants/tenant_table.rs
@@ -1,6 +1,6 @@
 //! Look-up of tenants by API key in one configuration version.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use thiserror::Error;
@@ -28,6 +28,8 @@
 pub struct TenantTable {
     tenants: BTreeMap<TenantId, Arc<Tenant>>,
     by_key: BTreeMap<ApiKey, Arc<Tenant>>,
+    /// Priorities of the tenants; `None` stands for those without one.
+    priorities: BTreeSet<Option<u8>>,
 }
 
 impl TenantTable {
@@ -36,6 +38,7 @@
         let mut table = Self::default();
         for (tenant, keys) in tenants {
             check_cap(&tenant)?;
+            table.priorities.insert(tenant.priority);
             let tenant = Arc::new(tenant);
             if table.tenants.insert(tenant.name.clone(), Arc::clone(&tenant)).is_some() {
                 return Err(TenantError::DuplicateName { tenant: tenant.name.clone() });
@@ -67,6 +70,11 @@
         self.tenants.values()
     }
 
+    /// The different priorities of the tenants; `None` if some tenant has none.
+    pub fn priorities(&self) -> impl Iterator<Item = Option<u8>> {
+        self.priorities.iter().copied()
+    }
+
     /// Number of keys of all tenants.
     pub fn key_count(&self) -> usize {
         self.by_key.len()
--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -41,12 +41,16 @@
 }
 
 impl CallContext<'_> {
-    #[expect(dead_code, reason = "the choice of engines is to use it")]
     /// Priority of the request: its tenant's, or else its route's; zero is the most urgent.
     pub fn rank(&self) -> u8 {
         self.tenant.and_then(|tenant| tenant.priority).unwrap_or(self.route.priority)
     }
 
+    /// Whether requests of different ranks compete for the service.
+    pub fn has_ranks(&self) -> bool {
+        self.table.has_ranks(self.service)
+    }
+
     /// Time until the deadline.
     pub fn remaining_ms(&self) -> Millis {
         self.deadline_ms.saturating_sub(clock::now_ms())
--- a/crates/turmericrail/src/forward/servers/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -12,6 +12,9 @@
 use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::clock;
 
+/// Priority of the least urgent calls that servers know.
+const MAX_PRIORITY: u8 = 9;
+
 /// Head and body of a call.
 pub fn call_bytes(
     context: &CallContext<'_>,
@@ -25,7 +28,7 @@
         remaining_ms: context.remaining_ms(),
         has_tenants: context.table.tenants().is_some(),
         tenant: context.tenant.map(|tenant| &tenant.name),
-        priority: None,
+        priority: context.has_ranks().then(|| context.rank().min(MAX_PRIORITY)),
     };
     call::write_head(&request.head, request.body.len(), &terms, task, &mut bytes);
     bytes.extend_from_slice(&request.body);
