Overload: urgency, headroom and waits by rank, with a model of bursts

Where a service had too little memory, every call was treated alike: in a burst of 2.2 times the usual load a quarter of the urgent calls was late or refused while the lowest rank was served in time.

--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -8,7 +8,7 @@
     BrokenCalls, CallEnd, CallLimits, CallSends, CallerRetryDetector, ChosenServer, FailureScore,
     LeavingRuns, ModelCallSize, Quarantine, ReportedLoad, ReservationPressure, RetryBounds,
     RetryWindow, RouteTable, SendPermit, ServerEntry, ServerLoad, ServerRegistry, ServerRun,
-    ServerUpdate, StreamVersions, VersionHistory,
+    ServerUpdate, ServiceOverload, StreamVersions, VersionHistory,
 };
 use crate::forward::servers::reliability::Reliability;
 use crate::forward::servers::service_latency::ServiceLatency;
@@ -46,6 +46,7 @@
     service_reliabilities: BTreeMap<ServiceId, Reliability>,
     retry_windows: BTreeMap<ServiceId, RetryWindow>,
     reservation_pressures: BTreeMap<ServiceId, ReservationPressure>,
+    overloads: BTreeMap<ServiceId, ServiceOverload>,
     caller_retry_detectors: BTreeMap<RouteId, CallerRetryDetector>,
     mean_kv_tokens: BTreeMap<ServiceId, f64>,
     pub(super) data_centre_failures: BTreeMap<DataCentreId, FailureScore>,
@@ -77,6 +78,7 @@
             service_reliabilities: BTreeMap::new(),
             retry_windows: BTreeMap::new(),
             reservation_pressures: BTreeMap::new(),
+            overloads: BTreeMap::new(),
             caller_retry_detectors: BTreeMap::new(),
             mean_kv_tokens: BTreeMap::new(),
             data_centre_failures: BTreeMap::new(),
@@ -171,6 +173,8 @@
         self.retry_windows.retain(|service, _| {
             self.table.as_ref().is_some_and(|table| table.service(service).is_some())
         });
+        self.overloads
+            .retain(|service, _| self.table.as_ref().is_some_and(|table| table.has_ranks(service)));
         self.caller_retry_detectors
             .retain(|route, _| self.table.as_ref().is_some_and(|table| table.has_route(route)));
         if self.settings.gives_orders {
@@ -206,6 +210,16 @@
         self.reservation_pressures.get(service).is_some_and(|pressure| pressure.is_scarce(now_ms))
     }
 
+    /// What this instance has seen of a service's load, by rank.
+    pub fn overload(&mut self, service: &ServiceId) -> &mut ServiceOverload {
+        self.overloads.entry(service.clone()).or_default()
+    }
+
+    /// Mean KV memory of the calls of a service; zero before the first one.
+    pub fn typical_tokens(&self, service: &ServiceId) -> Tokens {
+        Tokens(self.mean_kv_tokens.get(service).copied().unwrap_or_default() as u64)
+    }
+
     /// KV memory that a call needs, relative to the mean of earlier calls.
     pub fn relative_size(&mut self, service: &ServiceId, size: ModelCallSize) -> f64 {
         let tokens = size.expected_kv_tokens().0.max(1) as f64;
--- a/crates/core/src/forward/overload/service_ranks.rs
+++ b/crates/core/src/forward/overload/service_ranks.rs
@@ -37,3 +37,9 @@
         self.0.range(..rank).count()
     }
 }
+
+impl FromIterator<u8> for ServiceRanks {
+    fn from_iter<I: IntoIterator<Item = u8>>(ranks: I) -> Self {
+        Self(ranks.into_iter().collect())
+    }
+}
--- a/crates/core/src/forward/selection/reservation_pressure.rs
+++ b/crates/core/src/forward/selection/reservation_pressure.rs
@@ -18,19 +18,20 @@
 }
 
 impl ReservationPressure {
-    fn value(&self, now_ms: Millis) -> f64 {
+    /// The present share.
+    pub fn share(&self, now_ms: Millis) -> f64 {
         self.share.value(now_ms, HALF_LIFE_MS)
     }
 
     /// Records the first reservation attempt of a new call.
     pub fn record(&mut self, now_ms: Millis, is_reserved: bool) {
         let sample = if is_reserved { 0.0 } else { 1.0 };
-        let share = self.value(now_ms);
+        let share = self.share(now_ms);
         self.share.set(now_ms, share + SAMPLE_WEIGHT * (sample - share));
     }
 
     /// Whether reservations are scarce and should go to calls that can still meet their target.
     pub fn is_scarce(&self, now_ms: Millis) -> bool {
-        self.value(now_ms) > SCARCE_SHARE
+        self.share(now_ms) > SCARCE_SHARE
     }
 }
--- a/crates/core/src/forward/selection/reservation_round.rs
+++ b/crates/core/src/forward/selection/reservation_round.rs
@@ -21,6 +21,8 @@
     max_engines_per_step: usize,
     refusing_engines: Vec<ServerRun>,
     failed_engines: Vec<ServerRun>,
+    /// Engines that refused in the last step.
+    full_engines: Vec<ServerRun>,
 }
 
 impl ReservationRound {
@@ -36,9 +38,17 @@
             max_engines_per_step,
             refusing_engines: Vec::new(),
             failed_engines: Vec::new(),
+            full_engines: Vec::new(),
         }
     }
 
+    /// A round with the last step alone, for services in which no engine has much room.
+    pub fn without_roomy_steps(size: ModelCallSize, max_engines: usize) -> Self {
+        let mut round = Self::new(size, max_engines);
+        round.remaining_steps.truncate(1);
+        round
+    }
+
     /// Free memory to ask the next engine for; `None` once the round is over.
     pub fn free_tokens(&self) -> Option<Tokens> {
         self.remaining_steps.last().copied()
@@ -73,6 +83,11 @@
     /// Goes on to the next step, because there is no engine left to ask.
     pub fn end_step(&mut self) {
         self.remaining_steps.pop();
-        self.refusing_engines.clear();
+        self.full_engines = std::mem::take(&mut self.refusing_engines);
+    }
+
+    /// Engines that had too little free memory in the last step of a round that is over.
+    pub fn full_engines(&self) -> &[ServerRun] {
+        &self.full_engines
     }
 }
