Overload: model calls wait and are refused by rank

Calls past their target got no reservation while others failed, and were refused after their target with a Retry-After of 4 s, whatever their rank.

Where ranks differ, ranked_selection takes the place of that loop: rounds with headroom while the service is scarce, retry intervals by urgency, and a wait as long as the whole answer can still come. place_refused has rank, standing, pressure and waiting calls; metrics count placements, refusals and waiting calls by rank. Where all requests of a service have one rank, the path is the old one.

--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -4,11 +4,12 @@
 
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{
-    CallSends, RequestTraits, Route, RouteTable, SendPermit, SoftwareVersion, Tenant,
+    CallSends, RequestTraits, Route, RouteTable, SendPermit, SoftwareVersion, Standing, Tenant,
+    Urgency,
 };
 use turmericrail_core::ids::{PromptPartId, ServiceId};
 use turmericrail_core::request::RequestFingerprint;
-use turmericrail_core::units::Millis;
+use turmericrail_core::units::{Millis, Tokens};
 
 use super::begun_version::BegunVersion;
 use crate::forward::callers::caller_connection::Request;
@@ -51,6 +52,25 @@
         self.table.has_ranks(self.service)
     }
 
+    /// Urgency of the request among those that compete for the service.
+    pub fn urgency(&self, standing: Standing) -> Urgency {
+        let ranks = self.table.ranks(self.service).cloned().unwrap_or_default();
+        Urgency::new(&ranks, self.rank(), standing, false)
+    }
+
+    /// KV memory of each engine of the service.
+    pub fn kv_tokens(&self) -> Tokens {
+        let engine = self.table.service(self.service).and_then(|service| service.engine);
+        engine.map_or(Tokens::ZERO, |engine| engine.kv_tokens)
+    }
+
+    /// Records in the metrics that the request found room.
+    pub fn record_placement(&self, urgency: Urgency) {
+        let rank = self.rank().to_string();
+        let standing = urgency.standing().as_str();
+        self.shared.metrics.placements.with_label_values(&[&rank, standing]).inc();
+    }
+
     /// Time until the deadline.
     pub fn remaining_ms(&self) -> Millis {
         self.deadline_ms.saturating_sub(clock::now_ms())
--- a/crates/turmericrail/src/forward/calls/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -89,6 +89,9 @@
             context.remaining_ms().0
         );
     }
+    if matches!(end, EngineAttemptEnd::Complete(_)) && context.has_ranks() {
+        context.shared.forwarder().overload(context.service).record_answer(elapsed_ms);
+    }
     attempt.guard.end(call_end);
     end
 }
--- a/crates/turmericrail/src/forward/calls/engine_selection.rs
+++ b/crates/turmericrail/src/forward/calls/engine_selection.rs
@@ -8,13 +8,14 @@
     CallEnd, ChosenServer, EngineFilter, KvOrigin, ModelPlan, PlanRefusal, ReservationRound,
     ServerRun, VersionNeed,
 };
-use turmericrail_core::units::Millis;
+use turmericrail_core::units::{Millis, Tokens};
 
 use super::begun_version::BegunVersion;
 use super::call_context::CallContext;
 use super::call_guard::CallGuard;
 use super::engine_calls::{model_call_size, prefill_prompt};
 use super::held_kv::HeldKv;
+use super::ranked_selection;
 use super::reservation::{Reservation, ReservationResult};
 use crate::forward::callers::dispatch::Refusal;
 use crate::forward::clock;
@@ -22,7 +23,7 @@
 
 /// Most engines from which a reservation is requested in one step of a round, for a call of average
 /// size.
-const MAX_ENGINES_PER_STEP: usize = 4;
+pub const MAX_ENGINES_PER_STEP: usize = 4;
 /// Mean time between rounds while the target can be met. Several engines become free in this time.
 const RETRY_INTERVAL_MS: Millis = Millis(60);
 /// Mean time between rounds once the target is missed; about a sixth of the time of an answer.
@@ -66,25 +67,14 @@
         let choice = choose_engine(context, &[]).ok_or_else(|| no_engine_refusal(context))?;
         return Ok(start_unreserved(context, &choice));
     }
+    let (relative_size, is_likely_retry) = size_and_retry(context);
+    if context.has_ranks() {
+        return ranked_selection::reserve_first(context, relative_size, is_likely_retry).await;
+    }
     let mut is_first_round = true;
-    let (relative_size, is_likely_retry) = {
-        let mut forwarder = context.shared.forwarder();
-        let relative_size = forwarder.relative_size(context.service, model_call_size(context));
-        // Only the deadline that the caller itself named: a change of the route's timeout must not
-        // look like a caller's retry.
-        let is_likely_retry =
-            context.request.metadata.deadline_ms.is_some_and(|caller_timeout_ms| {
-                forwarder.is_likely_retry(clock::now_ms(), &context.route.name, caller_timeout_ms)
-            });
-        (relative_size, is_likely_retry)
-    };
     loop {
         let plan = plan(context)?;
-        let choose = |full_engines: &[ServerRun]| match &plan.prefill {
-            _ if full_engines.is_empty() => Some(plan.decode.clone()),
-            Some(engine) => choose_decode(context, engine, full_engines),
-            None => choose_engine(context, full_engines),
-        };
+        let choose = |full_engines: &[ServerRun]| choose_planned(context, &plan, full_engines);
         let is_late = is_likely_retry
             || context.elapsed_ms() + plan.predicted_latency_ms() > context.route.target_ms;
         if is_late && context.shared.forwarder().is_scarce(clock::now_ms(), context.service) {
@@ -113,6 +103,18 @@
     }
 }
 
+/// The size of a call relative to others, and whether its caller comes back after a refusal.
+fn size_and_retry(context: &CallContext<'_>) -> (f64, bool) {
+    let mut forwarder = context.shared.forwarder();
+    let relative_size = forwarder.relative_size(context.service, model_call_size(context));
+    // Only the deadline that the caller itself named: a change of the route's timeout must not look
+    // like a caller's retry.
+    let is_likely_retry = context.request.metadata.deadline_ms.is_some_and(|caller_timeout_ms| {
+        forwarder.is_likely_retry(clock::now_ms(), &context.route.name, caller_timeout_ms)
+    });
+    (relative_size, is_likely_retry)
+}
+
 /// The refusal of a call that no engine takes.
 fn no_engine_refusal(context: &CallContext<'_>) -> Refusal {
     let begun = context.begun_version();
@@ -126,7 +128,8 @@
     if has_version { context.no_server_refusal() } else { ErrorKind::VersionUnavailable.into() }
 }
 
-fn plan(context: &CallContext<'_>) -> Result<ModelPlan, Refusal> {
+/// The engines of a call by the present load.
+pub fn plan(context: &CallContext<'_>) -> Result<ModelPlan, Refusal> {
     let begun = context.begun_version();
     let version = begun.need().ok_or_else(|| no_engine_refusal(context))?;
     let planned = context.shared.forwarder().plan_model(
@@ -157,7 +160,8 @@
     })
 }
 
-fn log_plan(context: &CallContext<'_>, plan: &ModelPlan, attempt: &EngineAttempt) {
+/// Logs the engines of a call that was placed.
+pub fn log_plan(context: &CallContext<'_>, plan: &ModelPlan, attempt: &EngineAttempt) {
     context.observe_step("place", context.elapsed_ms());
     let prefill = plan.prefill.as_ref().map_or("none", |engine| engine.run.server.as_str());
     let call_size = model_call_size(context);
@@ -175,6 +179,19 @@
     );
 }
 
+/// Chooses the decode engine of a plan; another one if engines of the plan are full.
+pub fn choose_planned(
+    context: &CallContext<'_>,
+    plan: &ModelPlan,
+    full_engines: &[ServerRun],
+) -> Option<ChosenServer> {
+    match &plan.prefill {
+        _ if full_engines.is_empty() => Some(plan.decode.clone()),
+        Some(engine) => choose_decode(context, engine, full_engines),
+        None => choose_engine(context, full_engines),
+    }
+}
+
 /// Chooses an engine that continues from a KV cache made at `prefill`.
 fn choose_decode(
     context: &CallContext<'_>,
@@ -208,15 +225,30 @@
     relative_size: f64,
     choose: &impl Fn(&[ServerRun]) -> Option<ChosenServer>,
 ) -> Option<EngineAttempt> {
+    let max_engines = (MAX_ENGINES_PER_STEP as f64 * relative_size).ceil() as usize;
+    let mut round = ReservationRound::new(model_call_size(context), max_engines);
+    reserve_round(context, &mut round, &|_| Tokens::ZERO, choose).await
+}
+
+/// Longest duration of a reservation at the engines of the call's service; zero if they take none.
+pub fn reservation_ttl_ms(context: &CallContext<'_>) -> Millis {
     let engine = context.table.service(context.service).and_then(|service| service.engine);
-    let ttl_ms = engine.map_or(Millis::ZERO, |engine| engine.max_reservation_ms);
+    engine.map_or(Millis::ZERO, |engine| engine.max_reservation_ms)
+}
+
+/// Reserves an engine in a round of requests; `headroom` is the free memory that an engine must have
+/// beyond what the round asks for.
+pub async fn reserve_round(
+    context: &CallContext<'_>,
+    round: &mut ReservationRound,
+    headroom: &impl Fn(&ServerRun) -> Tokens,
+    choose: &impl Fn(&[ServerRun]) -> Option<ChosenServer>,
+) -> Option<EngineAttempt> {
+    let ttl_ms = reservation_ttl_ms(context);
     if ttl_ms == Millis::ZERO {
         return choose(&[]).map(|choice| start_unreserved(context, &choice));
     }
-    let call_size = model_call_size(context);
-    let needed_tokens = call_size.expected_kv_tokens();
-    let max_engines = (MAX_ENGINES_PER_STEP as f64 * relative_size).ceil() as usize;
-    let mut round = ReservationRound::new(call_size, max_engines);
+    let needed_tokens = model_call_size(context).expected_kv_tokens();
     while let Some(free_tokens) = round.free_tokens() {
         let Some(choice) = choose(&round.excluded_engines()) else {
             round.end_step();
@@ -227,11 +259,12 @@
             return Some(start_unreserved(context, &choice));
         }
         let mut attempt = start_unreserved(context, &choice);
+        let headroom_tokens = headroom(&choice.run);
         let result = Reservation::request_with_room(
             context.shared,
             &choice,
             needed_tokens,
-            free_tokens,
+            free_tokens + headroom_tokens,
             ttl_ms,
         )
         .await;
@@ -241,7 +274,7 @@
                 return Some(attempt);
             }
             ReservationResult::Full => {
-                if round.is_last_step() {
+                if round.is_last_step() && headroom_tokens == Tokens::ZERO {
                     context.shared.forwarder().record_full(clock::now_ms(), &choice);
                 }
                 round.record_refusal(choice.run);
--- a/crates/turmericrail/src/forward/calls/mod.rs
+++ b/crates/turmericrail/src/forward/calls/mod.rs
@@ -10,4 +10,6 @@
 pub mod held_kv;
 pub mod model_call;
 pub mod plain_call;
+pub mod ranked_selection;
 pub mod reservation;
+pub mod waiting_call;
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -58,6 +58,12 @@
     gauge
 }
 
+fn gauges(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
+    let gauges = IntGaugeVec::new(Opts::new(name, help), &[label]).expect("the names are valid");
+    registry.register(Box::new(gauges.clone())).expect("each name is registered once");
+    gauges
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let registry = Registry::new();
@@ -124,6 +130,12 @@
     pub answer_seconds: HistogramVec,
     /// Duration of the steps of a request, by step.
     pub step_seconds: HistogramVec,
+    /// Calls that found room where ranks differ, by rank and whether they could meet their target.
+    pub placements: IntCounterVec,
+    /// Calls refused for lack of room where ranks differ, by rank.
+    pub overload_refusals: IntCounterVec,
+    /// Calls that wait for room where ranks differ, by rank.
+    pub waiting_calls: IntGaugeVec,
     /// Retries refused by the retry limit.
     pub retries_refused: IntCounter,
     /// Header fields in servers' and the store's answers that can't be used.
@@ -171,6 +183,25 @@
                 "Time of a step of a request.",
                 "step",
             ),
+            placements: {
+                let options = Opts::new("turmericrail_placements_total", "Calls that found room.");
+                let placements = IntCounterVec::new(options, &["rank", "standing"])
+                    .expect("the names are valid");
+                registry.register(Box::new(placements.clone())).expect("registered once");
+                placements
+            },
+            overload_refusals: counter(
+                &registry,
+                "turmericrail_overload_refusals_total",
+                "Calls refused for lack of room.",
+                "rank",
+            ),
+            waiting_calls: gauges(
+                &registry,
+                "turmericrail_waiting_calls",
+                "Calls that wait for room.",
+                "rank",
+            ),
             retries_refused: plain_counter(
                 &registry,
                 "turmericrail_retries_refused_total",
@@ -181,12 +212,12 @@
                 "turmericrail_malformed_headers_total",
                 "Header fields in answers of servers and the store that can't be used.",
             ),
-            servers: {
-                let options = Opts::new("turmericrail_servers", "Backend servers by state.");
-                let servers = IntGaugeVec::new(options, &["state"]).expect("the names are valid");
-                registry.register(Box::new(servers.clone())).expect("each name is registered once");
-                servers
-            },
+            servers: gauges(
+                &registry,
+                "turmericrail_servers",
+                "Backend servers by state.",
+                "state",
+            ),
             instances: gauge(&registry, "turmericrail_instances", "Instances that are known."),
             quarantined_prompts: gauge(
                 &registry,
