Overload: room for a prefill's result stays reserved, and its KV cache is used elsewhere

A reservation ends after holdMs whether or not the prefill has. A prefill that was queued for longer ended without room, the decode engine refused it, its KV cache was dropped and another engine read the prompt again. The prefill engine was blamed for it.

Where ranks differ, a call is not placed while the queue at the best prefill engine outlasts the reservation. The reservation is renewed while the prefill runs; an engine without room for both gives up the old one first. If the room is lost, all decode engines are asked as long as the KV cache is kept. An attempt that was refused without a reservation, or was not sent, hands its KV cache to the next one. Records of attempts move to attempt_records.

--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -220,6 +220,13 @@
         Tokens(self.mean_kv_tokens.get(service).copied().unwrap_or_default() as u64)
     }
 
+    /// Expected time of a prefill at its engine without the queue there.
+    pub fn unqueued_prefill_ms(&self, now_ms: Millis, prefill: &ChosenServer) -> Millis {
+        let token_ms = self.service_latency(&prefill.service).prompt_token_ms;
+        let load = self.loads.get(&prefill.run).copied().unwrap_or_default();
+        Millis((prefill.tokens.0 as f64 * token_ms * load.latency_ratio(now_ms)) as u64)
+    }
+
     /// KV memory that a call needs, relative to the mean of earlier calls.
     pub fn relative_size(&mut self, service: &ServiceId, size: ModelCallSize) -> f64 {
         let tokens = size.expected_kv_tokens().0.max(1) as f64;
--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -4,12 +4,12 @@
 
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{
-    CallSends, RequestTraits, Route, RouteTable, SendPermit, SoftwareVersion, Standing, Tenant,
-    Urgency,
+    CallSends, EngineLimits, RequestTraits, Route, RouteTable, SendPermit, SoftwareVersion,
+    Standing, Tenant, Urgency,
 };
 use turmericrail_core::ids::{PromptPartId, ServiceId};
 use turmericrail_core::request::RequestFingerprint;
-use turmericrail_core::units::{Millis, Tokens};
+use turmericrail_core::units::Millis;
 
 use super::begun_version::BegunVersion;
 use crate::forward::callers::caller_connection::Request;
@@ -58,10 +58,14 @@
         Urgency::new(&ranks, self.rank(), standing, false)
     }
 
-    /// KV memory of each engine of the service.
-    pub fn kv_tokens(&self) -> Tokens {
-        let engine = self.table.service(self.service).and_then(|service| service.engine);
-        engine.map_or(Tokens::ZERO, |engine| engine.kv_tokens)
+    /// Limits of the engines of the service; `None` if it serves plain calls.
+    pub fn engine_limits(&self) -> Option<EngineLimits> {
+        self.table.service(self.service).and_then(|service| service.engine)
+    }
+
+    /// Time for which a prefill engine keeps a KV cache.
+    pub fn handle_ttl_ms(&self) -> Millis {
+        self.engine_limits().map_or(Millis::ZERO, |engine| engine.handle_ttl_ms)
     }
 
     /// Records in the metrics that the request found room.
--- a/crates/turmericrail/src/forward/calls/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
-use turmericrail_core::forward::{CallEnd, Loss, RouteKind, SendPermit, ServerRun};
+use turmericrail_core::forward::{CallEnd, RouteKind, SendPermit, ServerRun};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{RunOptions, ServerTask};
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming, EventSplitter, ResponseHead};
 
+use super::attempt_records::{
+    log_cut_answer, log_stream_end, record_first_event, record_parts_loss, record_refused_kv,
+};
 use super::begun_version::BegunVersion;
 use super::call_context::CallContext;
 use super::call_failure::CallFailure;
@@ -51,7 +54,8 @@
     CallerLost,
 }
 
-/// Runs the call at one engine, or resumes it there after its last whole event.
+/// Runs the call at one engine, or resumes it there after its last whole event. Returns the KV cache
+/// too if another engine can still start from it.
 pub async fn run_attempt(
     context: &CallContext<'_>,
     caller: &CallerStream,
@@ -60,11 +64,12 @@
     events: &mut EventSplitter,
     tried: &[ServerRun],
     calls_sent: u32,
-) -> EngineAttemptEnd {
+) -> (EngineAttemptEnd, Option<HeldKv>) {
     let is_movable =
         context.route.kind.is_repeatable() && calls_sent + 1 < context.route.max_attempts;
     let mut failover = Failover { tried, calls_sent: calls_sent + 1, is_movable };
     let started_ms = clock::now_ms();
+    let is_reserved = attempt.reservation.as_ref().is_some_and(|it| it.id().is_some());
     let end = stream_answer(context, caller, &mut attempt, permit, events, &mut failover).await;
     let call_end = match &end {
         EngineAttemptEnd::Complete(_) => CallEnd::Answered,
@@ -78,22 +83,30 @@
     let elapsed_ms = clock::now_ms().saturating_sub(started_ms);
     log_call(context, "server_call", attempt.choice(), call_end, elapsed_ms);
     if let EngineAttemptEnd::Failed(failure) = &end {
-        spdlog::info!(
-            "event=answer_cut request={} server={} failure={} events={} last_event_id={} \
-             is_movable={is_movable} left_ms={}",
-            context.request_id,
-            attempt.choice().run.server,
-            failure.as_str(),
-            events.event_count(),
-            events.last_id().unwrap_or("none"),
-            context.remaining_ms().0
-        );
+        log_cut_answer(context, &attempt, *failure, events, is_movable);
     }
     if matches!(end, EngineAttemptEnd::Complete(_)) && context.has_ranks() {
         context.shared.forwarder().overload(context.service).record_answer(elapsed_ms);
     }
+    let kv = attempt.kv.take().filter(|kv| is_kept(context, &end, kv, is_reserved));
     attempt.guard.end(call_end);
-    end
+    (end, kv)
+}
+
+/// Whether another engine can start from the KV cache. An engine that had a reservation for the call
+/// and refused it couldn't fetch the cache.
+fn is_kept(
+    context: &CallContext<'_>,
+    end: &EngineAttemptEnd,
+    kv: &HeldKv,
+    is_reserved: bool,
+) -> bool {
+    let is_unread = match end {
+        EngineAttemptEnd::NotRun => !is_reserved,
+        EngineAttemptEnd::Failed(failure) => !failure.is_sent(),
+        _ => false,
+    };
+    is_unread && context.has_ranks() && kv.is_usable(context)
 }
 
 /// Time without an answer or a first event after which an engine counts as silent.
@@ -252,21 +265,6 @@
     EngineAttemptEnd::Complete(action)
 }
 
-/// Records that an answer was lost at its first events, for which parts of its prompt may be to
-/// blame.
-fn record_parts_loss(context: &CallContext<'_>, attempt: &EngineAttempt) {
-    let loss = Loss {
-        service: context.service.clone(),
-        server: attempt.choice().run.clone(),
-        request: context.fingerprint,
-        parts: context.shared_parts().iter().copied().collect(),
-        is_server_ended: false,
-        is_late: false,
-        lost_ms: clock::now_ms(),
-    };
-    loss_notices::record_loss(context.shared, loss);
-}
-
 /// Whether the body of an answer consists of events, each of which must be whole.
 fn is_event_stream(context: &CallContext<'_>, head: &ResponseHead) -> bool {
     let is_stated = head.headers.text("content-type").is_some_and(|content_type| {
@@ -346,55 +344,3 @@
         }
     }
 }
-
-fn record_first_event(context: &CallContext<'_>, attempt: &EngineAttempt, sent_ms: Millis) {
-    let elapsed_ms = clock::now_ms().saturating_sub(sent_ms);
-    context.observe_step("first_event", elapsed_ms);
-    context.observe_answer();
-    if attempt.kv.is_some() {
-        let now_ms = clock::now_ms();
-        context.shared.forwarder().record_first_event_time(now_ms, attempt.choice(), elapsed_ms);
-    }
-    spdlog::info!(
-        "event=first_event request={} server={} after_ms={} since_arrival_ms={}",
-        context.request_id,
-        attempt.choice().run.server,
-        elapsed_ms.0,
-        context.elapsed_ms().0
-    );
-}
-
-/// Logs where the body of an answer ended or broke off.
-fn log_stream_end(
-    context: &CallContext<'_>,
-    attempt: &EngineAttempt,
-    exchange: &Exchange,
-    events: &EventSplitter,
-) {
-    spdlog::info!(
-        "event=stream_end request={} server={} framing={} events={} open_event_bytes={}",
-        context.request_id,
-        attempt.choice().run.server,
-        exchange.head.framing.as_str(),
-        events.event_count(),
-        events.partial_bytes()
-    );
-}
-
-/// Records that an engine refused the KV cache. If it had accepted a reservation, it could not
-/// fetch the cache, which counts against the engine that should have kept it.
-fn record_refused_kv(context: &CallContext<'_>, attempt: &EngineAttempt) {
-    let Some(kv) = &attempt.kv else {
-        return;
-    };
-    spdlog::info!(
-        "event=kv_refused request={} server={} source={} age_ms={}",
-        context.request_id,
-        attempt.choice().run.server,
-        kv.run().server,
-        kv.age_ms().0
-    );
-    if attempt.reservation.is_some() {
-        context.shared.forwarder().record_lost_kv(clock::now_ms(), kv.run());
-    }
-}
--- a/crates/turmericrail/src/forward/calls/engine_calls.rs
+++ b/crates/turmericrail/src/forward/calls/engine_calls.rs
@@ -54,7 +54,7 @@
     loop {
         let permit = context.permit_send()?;
         match run_prefill(context, &engine, permit).await {
-            PrefillResult::Held(kv) => return Some(kv),
+            PrefillResult::Held(kv) => return Some(*kv),
             PrefillResult::Lost => return None,
             PrefillResult::Refused => {}
         }
@@ -79,7 +79,7 @@
 /// The result of a prefill call.
 enum PrefillResult {
     /// The engine holds the KV cache.
-    Held(HeldKv),
+    Held(Box<HeldKv>),
     /// The engine did not accept the prefill.
     Refused,
     /// No answer came, or one that can't be used.
@@ -116,7 +116,7 @@
     match prefilled {
         Ok(Some(handle)) => {
             let source = KvSource { address: engine.address, handle };
-            PrefillResult::Held(HeldKv::new(context.shared, source, engine.run.clone()))
+            PrefillResult::Held(Box::new(HeldKv::new(context.shared, source, engine.clone())))
         }
         Ok(None) => PrefillResult::Refused,
         Err(_) => PrefillResult::Lost,
--- a/crates/turmericrail/src/forward/calls/engine_selection.rs
+++ b/crates/turmericrail/src/forward/calls/engine_selection.rs
@@ -193,7 +193,7 @@
 }
 
 /// Chooses an engine that continues from a KV cache made at `prefill`.
-fn choose_decode(
+pub fn choose_decode(
     context: &CallContext<'_>,
     prefill: &ChosenServer,
     full_engines: &[ServerRun],
@@ -232,8 +232,7 @@
 
 /// Longest duration of a reservation at the engines of the call's service; zero if they take none.
 pub fn reservation_ttl_ms(context: &CallContext<'_>) -> Millis {
-    let engine = context.table.service(context.service).and_then(|service| service.engine);
-    engine.map_or(Millis::ZERO, |engine| engine.max_reservation_ms)
+    context.engine_limits().map_or(Millis::ZERO, |engine| engine.max_reservation_ms)
 }
 
 /// Reserves an engine in a round of requests; `headroom` is the free memory that an engine must have
--- a/crates/turmericrail/src/forward/calls/held_kv.rs
+++ b/crates/turmericrail/src/forward/calls/held_kv.rs
@@ -3,28 +3,32 @@
 use std::sync::Arc;
 
 use async_std::task;
-use turmericrail_core::forward::ServerRun;
+use turmericrail_core::forward::{ChosenServer, ServerRun};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{self, KvSource};
 
+use super::call_context::CallContext;
 use crate::forward::clock;
 use crate::forward::servers::control_call;
 use crate::forward::shared::Shared;
 
+/// Time until an engine that is called has begun to fetch the KV cache.
+const FETCH_TIME_MS: Millis = Millis(100);
+
 /// A KV cache held by a prefill engine; dropping it frees the cache unless it was taken.
 pub struct HeldKv {
     shared: Arc<Shared>,
     source: KvSource,
-    run: ServerRun,
+    engine: ChosenServer,
     created_ms: Millis,
     is_taken: bool,
 }
 
 impl HeldKv {
     /// Wraps the result of a prefill that has just ended.
-    pub fn new(shared: &Arc<Shared>, source: KvSource, run: ServerRun) -> Self {
+    pub fn new(shared: &Arc<Shared>, source: KvSource, engine: ChosenServer) -> Self {
         let created_ms = clock::now_ms();
-        Self { shared: Arc::clone(shared), source, run, created_ms, is_taken: false }
+        Self { shared: Arc::clone(shared), source, engine, created_ms, is_taken: false }
     }
 
     /// The address and handle from which it is fetched.
@@ -33,8 +37,8 @@
     }
 
     /// The engine that holds it.
-    pub fn run(&self) -> &ServerRun {
-        &self.run
+    pub fn engine(&self) -> &ChosenServer {
+        &self.engine
     }
 
     /// Time since the prefill ended.
@@ -42,6 +46,11 @@
         clock::now_ms().saturating_sub(self.created_ms)
     }
 
+    /// Whether an engine that is called now can still fetch it.
+    pub fn is_usable(&self, context: &CallContext<'_>) -> bool {
+        self.age_ms() + FETCH_TIME_MS < context.handle_ttl_ms()
+    }
+
     /// Marks it as taken by an engine or gone, so that dropping it frees nothing.
     pub fn mark_taken(&mut self) {
         self.is_taken = true;
@@ -52,7 +61,7 @@
     fn drop(&mut self) {
         if !self.is_taken {
             let (shared, source) = (Arc::clone(&self.shared), self.source.clone());
-            task::spawn(release(shared, source, self.run.clone()));
+            task::spawn(release(shared, source, self.engine.run.clone()));
         }
     }
 }
--- a/crates/turmericrail/src/forward/calls/mod.rs
+++ b/crates/turmericrail/src/forward/calls/mod.rs
@@ -1,5 +1,6 @@
 //! One forwarded call: its context, its attempts and the choice of servers for them.
 
+pub mod attempt_records;
 pub mod begun_version;
 pub mod call_context;
 pub mod call_failure;
@@ -12,4 +13,5 @@
 pub mod plain_call;
 pub mod ranked_selection;
 pub mod reservation;
+pub mod reserved_prefill;
 pub mod waiting_call;
--- a/crates/turmericrail/src/forward/calls/model_call.rs
+++ b/crates/turmericrail/src/forward/calls/model_call.rs
@@ -14,7 +14,10 @@
 
 use super::call_context::CallContext;
 use super::engine_attempt::{EngineAttemptEnd, run_attempt};
-use super::engine_selection::{EngineAttempt, choose_engine, reserve, reserve_first_attempt};
+use super::engine_selection::{
+    EngineAttempt, choose_decode, choose_engine, reserve, reserve_first_attempt,
+};
+use super::held_kv::HeldKv;
 use crate::forward::callers::answer_writer;
 use crate::forward::callers::caller_stream::CallerStream;
 use crate::forward::callers::dispatch::{self, ConnectionAction, Refusal};
@@ -47,7 +50,7 @@
         .ok_or_else(|| context.quarantine_refusal().unwrap_or(refused_prefill))?;
     loop {
         tried.push(attempt.choice().run.clone());
-        let end =
+        let (end, kv) =
             run_attempt(context, caller, attempt, permit, &mut events, &tried, calls_sent).await;
         if !matches!(end, EngineAttemptEnd::Failed(failure) if !failure.is_sent()) {
             calls_sent += 1;
@@ -99,7 +102,7 @@
             return Err(refusal());
         }
         // The retry is taken only once an engine is reserved for it.
-        attempt = match reserve_next_attempt(context, &tried).await {
+        attempt = match reserve_next_attempt(context, &tried, kv).await {
             Some(attempt) => attempt,
             None => return Err(refusal()),
         };
@@ -108,18 +111,31 @@
 }
 
 /// Reserves an engine that wasn't tried yet for an answer that is to begin again or to continue;
-/// retries for a while if every engine is full.
+/// retries for a while if every engine is full. The engine starts from the KV cache if that is kept
+/// for long enough.
 async fn reserve_next_attempt(
     context: &CallContext<'_>,
     tried: &[ServerRun],
+    kv: Option<HeldKv>,
 ) -> Option<EngineAttempt> {
-    let choose =
-        |full_engines: &[ServerRun]| choose_engine(context, &[tried, full_engines].concat());
+    let usable_kv = || kv.as_ref().filter(|kv| kv.is_usable(context));
+    let choose = |full_engines: &[ServerRun]| {
+        let excluded = [tried, full_engines].concat();
+        let engine = usable_kv().and_then(|kv| choose_decode(context, kv.engine(), &excluded));
+        engine.or_else(|| choose_engine(context, &excluded))
+    };
     let wait_end_ms = clock::now_ms() + MAX_RESERVATION_WAIT_MS.min(context.remaining_ms());
     loop {
         let attempt = reserve(context, 1.0, &choose).await;
-        if attempt.is_some() || clock::now_ms() >= wait_end_ms {
-            return attempt;
+        if let Some(mut attempt) = attempt {
+            let is_same_version = |kv: &HeldKv| {
+                kv.engine().version == attempt.choice().version && kv.is_usable(context)
+            };
+            attempt.kv = kv.filter(is_same_version);
+            return Some(attempt);
+        }
+        if clock::now_ms() >= wait_end_ms {
+            return None;
         }
         task::sleep(RESERVATION_RETRY_INTERVAL).await;
     }
--- a/crates/turmericrail/src/forward/calls/ranked_selection.rs
+++ b/crates/turmericrail/src/forward/calls/ranked_selection.rs
@@ -15,10 +15,11 @@
 use turmericrail_core::units::{Millis, Tokens};
 
 use super::call_context::CallContext;
-use super::engine_calls::{model_call_size, prefill_prompt};
+use super::engine_calls::model_call_size;
 use super::engine_selection::{
     EngineAttempt, MAX_ENGINES_PER_STEP, choose_planned, log_plan, plan, reserve_round,
 };
+use super::reserved_prefill::{has_time_for_prefill, prefill_reserved};
 use super::waiting_call::WaitingCall;
 use crate::forward::callers::dispatch::Refusal;
 use crate::forward::clock;
@@ -48,14 +49,17 @@
     loop {
         let plan = plan(context)?;
         let urgency = call.urgency(&plan);
-        let Some(mut attempt) = call.reserve(&plan, urgency).await else {
+        let reserved = match has_time_for_prefill(context, &plan) {
+            true => call.reserve(&plan, urgency).await,
+            false => None,
+        };
+        let Some(mut attempt) = reserved else {
             call.wait(urgency).await?;
             continue;
         };
         log_plan(context, &plan, &attempt);
         if let Some(engine) = &plan.prefill {
-            let version = attempt.choice().version.clone();
-            attempt.kv = prefill_prompt(context, engine, version.as_ref()).await;
+            attempt = prefill_reserved(context, attempt, engine).await;
         }
         return Ok(attempt);
     }
@@ -85,7 +89,8 @@
             false => ReservationRound::new(size, max_engines),
         };
         let typical_tokens = context.shared.forwarder().typical_tokens(service);
-        let kv_tokens = context.kv_tokens();
+        let engine_limits = context.engine_limits();
+        let kv_tokens = engine_limits.map_or(Tokens::ZERO, |engine| engine.kv_tokens);
         let headroom = |engine: &ServerRun| match is_scarce {
             true => headroom_tokens(urgency, &engine.server, typical_tokens, kv_tokens),
             false => Tokens::ZERO,
--- a/crates/turmericrail/src/forward/calls/reservation.rs
+++ b/crates/turmericrail/src/forward/calls/reservation.rs
@@ -25,6 +25,8 @@
     shared: Arc<Shared>,
     choice: ChosenServer,
     id: String,
+    tokens: Tokens,
+    ttl_ms: Millis,
     expires_ms: Millis,
     is_used: bool,
 }
@@ -54,6 +56,8 @@
                 shared: Arc::clone(shared),
                 choice: choice.clone(),
                 id,
+                tokens,
+                ttl_ms,
                 expires_ms: requested_ms + ttl_ms,
                 is_used: false,
             })),
@@ -92,6 +96,31 @@
         (clock::now_ms() < self.expires_ms).then_some(self.id.as_str())
     }
 
+    /// Time until it expires.
+    pub fn remaining_ms(&self) -> Millis {
+        self.expires_ms.saturating_sub(clock::now_ms())
+    }
+
+    /// Replaces it by one that has just begun; returns whether the room is still reserved. An engine
+    /// without room for both gives up the old one first, which another call may take.
+    pub async fn renew(&mut self) -> bool {
+        let (shared, choice) = (Arc::clone(&self.shared), self.choice.clone());
+        let (tokens, ttl_ms) = (self.tokens, self.ttl_ms);
+        let mut result = Self::request(&shared, &choice, tokens, ttl_ms).await;
+        if matches!(result, ReservationResult::Full) {
+            self.is_used = true;
+            release(&shared, &choice, &self.id).await;
+            result = Self::request(&shared, &choice, tokens, ttl_ms).await;
+        }
+        let is_reserved = matches!(result, ReservationResult::Reserved(_));
+        let server = &choice.run.server;
+        spdlog::info!("event=reservation_renewed server={server} is_reserved={is_reserved}");
+        if let ReservationResult::Reserved(renewed) = result {
+            *self = *renewed;
+        }
+        is_reserved
+    }
+
     /// Marks it as used by a run, so that dropping it releases nothing.
     pub fn mark_used(&mut self) {
         self.is_used = true;
