Merge admission by urgency in overload; a tenant's priority goes before the route's

Two tenants of the same priority compete by their routes' priorities, so that a tenant's urgent route stays ahead of its other ones. A rank that few requests have keeps little room free.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod forwarder;
 mod limits;
 mod losses;
+mod overload;
 mod peers;
 mod roles;
 mod routes;
@@ -27,6 +28,7 @@
     Admission, BrokenCall, BrokenCalls, BrokenKind, Loss, LossCause, LossNotice, LossRecords,
     LossSubject, Quarantine, RequestTraits, Survival, Suspect,
 };
+pub use overload::{ServiceOverload, ServiceRanks, Standing, Urgency, headroom_tokens};
 pub use peers::{Member, MemberList, Members, Watcher};
 pub use roles::{RoleLoad, order_right};
 pub use routes::{
--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -4,7 +4,8 @@
 
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{
-    CallSends, RequestTraits, Route, RouteTable, SendPermit, SoftwareVersion, Tenant,
+    CallSends, EngineLimits, RequestTraits, Route, RouteTable, SendPermit, ServiceRanks,
+    SoftwareVersion, Standing, Tenant, Urgency,
 };
 use turmericrail_core::ids::{PromptPartId, ServiceId};
 use turmericrail_core::request::RequestFingerprint;
@@ -44,10 +45,41 @@
 }
 
 impl CallContext<'_> {
-    #[expect(dead_code, reason = "the choice of engines is to use it")]
-    /// Priority of the request: its tenant's, or else its route's; zero is the most urgent.
+    /// Rank among the requests of the service, by the tenant's priority before the route's; zero is
+    /// the most urgent.
     pub fn rank(&self) -> u8 {
-        self.tenant.and_then(|tenant| tenant.priority).unwrap_or(self.route.priority)
+        let ranks = self.table.ranks(self.service);
+        ranks.map_or(0, |ranks| ranks.rank(self.route, self.tenant))
+    }
+
+    /// Whether requests of different ranks compete for the service.
+    pub fn has_ranks(&self) -> bool {
+        self.table.has_ranks(self.service)
+    }
+
+    /// Urgency of the request among those that compete for the service.
+    pub fn urgency(&self, standing: Standing) -> Urgency {
+        let count = self.table.ranks(self.service).map_or(1, ServiceRanks::count);
+        let (now_ms, rank) = (clock::now_ms(), self.rank());
+        let position = self.shared.forwarder().overload(self.service).position(now_ms, count, rank);
+        Urgency::at(count, position, standing, false)
+    }
+
+    /// Limits of the engines of the service; `None` if it serves plain calls.
+    pub fn engine_limits(&self) -> Option<EngineLimits> {
+        self.table.service(self.service).and_then(|service| service.engine)
+    }
+
+    /// Time for which a prefill engine keeps a KV cache.
+    pub fn handle_ttl_ms(&self) -> Millis {
+        self.engine_limits().map_or(Millis::ZERO, |engine| engine.handle_ttl_ms)
+    }
+
+    /// Records in the metrics that the request found room.
+    pub fn record_placement(&self, urgency: Urgency) {
+        let rank = self.rank().to_string();
+        let standing = urgency.standing().as_str();
+        self.shared.metrics.placements.with_label_values(&[&rank, standing]).inc();
     }
 
     /// Time until the deadline.
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -130,6 +130,12 @@
     pub answer_seconds: HistogramVec,
     /// Duration of the steps of a request, by step.
     pub step_seconds: HistogramVec,
+    /// Calls that found room where ranks differ, by rank and whether they could meet their target.
+    pub placements: IntCounterVec,
+    /// Calls refused for lack of room where ranks differ, by rank.
+    pub overload_refusals: IntCounterVec,
+    /// Calls that wait for room where ranks differ, by rank.
+    pub waiting_calls: IntGaugeVec,
     /// Retries refused by the retry limit.
     pub retries_refused: IntCounter,
     /// Header fields in servers' and the store's answers that can't be used.
@@ -181,6 +187,25 @@
                 "Time of a step of a request.",
                 "step",
             ),
+            placements: {
+                let options = Opts::new("turmericrail_placements_total", "Calls that found room.");
+                let placements = IntCounterVec::new(options, &["rank", "standing"])
+                    .expect("the names are valid");
+                registry.register(Box::new(placements.clone())).expect("registered once");
+                placements
+            },
+            overload_refusals: counter(
+                &registry,
+                "turmericrail_overload_refusals_total",
+                "Calls refused for lack of room.",
+                "rank",
+            ),
+            waiting_calls: gauges(
+                &registry,
+                "turmericrail_waiting_calls",
+                "Calls that wait for room.",
+                "rank",
+            ),
             retries_refused: plain_counter(
                 &registry,
                 "turmericrail_retries_refused_total",
