Overload: tenants in excess wait longer, and answers that can't end in time are not begun

A tenant that sent many times its usual rate took the room of all others of its rank, and prompts were read for calls whose answer could not end before the deadline.

Each instance keeps the recent and the usual rate of each tenant. Requests of one above twice its usual rate and twice the mean of the others stand beside those of the next rank. A call with less time left than most of an answer takes is refused before its prefill. place_refused names the reason.

A burst is over before most of 71 instances have seen enough of it.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -27,7 +27,9 @@
     Admission, BrokenCall, BrokenCalls, BrokenKind, Loss, LossCause, LossNotice, LossRecords,
     LossSubject, Quarantine, RequestTraits, Survival, Suspect,
 };
-pub use overload::{ServiceOverload, ServiceRanks, Standing, Urgency, headroom_tokens};
+pub use overload::{
+    ServiceOverload, ServiceRanks, Standing, TenantRates, Urgency, headroom_tokens,
+};
 pub use peers::{Member, MemberList, Members, Watcher};
 pub use roles::{RoleLoad, order_right};
 pub use routes::{
--- a/crates/core/src/forward/overload/mod.rs
+++ b/crates/core/src/forward/overload/mod.rs
@@ -12,9 +12,11 @@
 mod headroom;
 mod service_overload;
 mod service_ranks;
+mod tenant_rates;
 mod urgency;
 
 pub use headroom::headroom_tokens;
 pub use service_overload::ServiceOverload;
 pub use service_ranks::ServiceRanks;
+pub use tenant_rates::TenantRates;
 pub use urgency::{Standing, Urgency};
--- a/crates/core/src/forward/overload/service_overload.rs
+++ b/crates/core/src/forward/overload/service_overload.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Standing, Urgency};
+use super::{Standing, TenantRates, Urgency};
 use crate::decay::DecayingValue;
 use crate::forward::ReservationPressure;
 use crate::units::Millis;
@@ -18,6 +18,8 @@
 const INITIAL_ANSWER_SHARE: f64 = 0.67;
 /// Time kept for an answer, as a multiple of the mean time of answers.
 const ANSWER_TIME_FACTOR: f64 = 1.5;
+/// Part of the mean time of answers that must be left when a call is placed.
+const MIN_ANSWER_SHARE: f64 = 0.7;
 /// Mean time between rounds of the most urgent calls. Several engines become free in this time.
 const RETRY_INTERVAL_MS: f64 = 40.0;
 /// Time that each level of urgency adds.
@@ -43,6 +45,7 @@
     waiting: Vec<Urgency>,
     placements: DecayingValue,
     answer_ms: Option<f64>,
+    tenant_rates: TenantRates,
 }
 
 impl ServiceOverload {
@@ -70,6 +73,17 @@
         *mean += SAMPLE_WEIGHT * (measured_ms - *mean);
     }
 
+    /// Whether an answer that begins now would not end in the time that is left.
+    pub fn is_out_of_time(&self, remaining_ms: Millis) -> bool {
+        let needed_ms = self.answer_ms.map_or(0.0, |answer_ms| answer_ms * MIN_ANSWER_SHARE);
+        (remaining_ms.0 as f64) < needed_ms
+    }
+
+    /// Rates of the tenants.
+    pub fn tenant_rates(&mut self) -> &mut TenantRates {
+        &mut self.tenant_rates
+    }
+
     /// Counts a call that begins to wait.
     pub fn add_waiting(&mut self, urgency: Urgency) {
         self.waiting.push(urgency);
--- a/crates/core/src/forward/overload/urgency.rs
+++ b/crates/core/src/forward/overload/urgency.rs
@@ -4,8 +4,8 @@
 
 use super::ServiceRanks;
 
-/// Levels that a tenant's excess adds: less than the distance between two ranks.
-const EXCESS_LEVELS: f64 = 0.75;
+/// Levels that a tenant's excess adds: its requests stand beside those of the next rank.
+const EXCESS_LEVELS: f64 = 1.0;
 /// Levels that a request of a returning caller is ahead of the late ones.
 const RETURNING_LEVELS: f64 = 0.5;
 /// Engines that a request of the first rank asks for room in one round while the service is scarce:
@@ -57,7 +57,7 @@
         let position = ranks.position(rank) as f64;
         let excess = if is_in_excess { EXCESS_LEVELS } else { 0.0 };
         let level = match standing {
-            Standing::InTime => (position + excess).min(count - RETURNING_LEVELS),
+            Standing::InTime => position + excess,
             Standing::Returning => count - RETURNING_LEVELS,
             Standing::Late => count + position + excess,
         };
--- a/crates/core/tests/overload_loads.rs
+++ b/crates/core/tests/overload_loads.rs
@@ -138,3 +138,28 @@
         compare(&format!("load of {scale}"), &Load { scale, end_ms: 40_000, ..USUAL }).check();
     }
 }
+
+/// Guards against tenants whose calls are late because another one sends many times as many.
+#[test]
+fn tenant_excess() {
+    for (instances, factor) in [(71, 7.5), (71, 5.0), (3, 7.5)] {
+        let load = Load {
+            bursting_tenant: Some(factor),
+            burst_from_ms: 14_000,
+            burst_to_ms: 20_500,
+            end_ms: 30_000,
+            instances,
+            ..USUAL
+        };
+        let comparison = compare(&format!("one tenant times {factor}"), &load);
+        comparison.check();
+        let share = |outcome: &Outcome| {
+            let (calls, in_time) = outcome.quiet_tenants;
+            in_time as f64 / calls as f64
+        };
+        let without = share(&play_instances(&load, Policy::RankedWithoutTenants));
+        let with = share(&comparison.ranked);
+        println!("in time of the other tenants: {without:.3} -> {with:.3}");
+        assert!(with > without, "{with:.3}");
+    }
+}
--- a/crates/core/tests/overload_simulation/instances.rs
+++ b/crates/core/tests/overload_simulation/instances.rs
@@ -5,10 +5,10 @@
 use turmericrail_core::forward::{
     ReservationPressure, ServiceOverload, ServiceRanks, Standing, Urgency, headroom_tokens,
 };
-use turmericrail_core::ids::ServerId;
+use turmericrail_core::ids::{ServerId, TenantId};
 use turmericrail_core::units::{Millis, Tokens};
 
-use super::load::{KINDS, TIMEOUT_MS};
+use super::load::{KINDS, TENANTS, TIMEOUT_MS};
 use super::{
     ANSWER_MS, CAPACITY, Call, Engines, FIRST_EVENT_MS, Load, Numbers, OUTPUT, Outcome, PROMPT,
     STEP_MS, arrivals,
@@ -21,6 +21,8 @@
     Uniform,
     /// By urgency.
     Ranked,
+    /// By urgency, with no regard to tenants in excess.
+    RankedWithoutTenants,
 }
 
 /// Engines asked in a step of a round.
@@ -42,6 +44,7 @@
 struct Play {
     policy: Policy,
     ranks: ServiceRanks,
+    tenants: Vec<TenantId>,
     engines: Engines,
     instances: Vec<Instance>,
     numbers: Numbers,
@@ -54,6 +57,7 @@
     let mut play = Play {
         policy,
         ranks: KINDS.iter().map(|kind| kind.rank).collect(),
+        tenants: (0..TENANTS).map(|it| format!("tenant-{it}").parse().unwrap()).collect(),
         engines: Engines::new(load.engines),
         instances: (0..load.instances).map(|_| Instance::default()).collect(),
         numbers: Numbers(load.seed ^ 99),
@@ -89,7 +93,7 @@
         }
         match self.policy {
             Policy::Uniform => self.uniform_step(waiting, now_ms),
-            Policy::Ranked => self.ranked_step(waiting, now_ms),
+            Policy::Ranked | Policy::RankedWithoutTenants => self.ranked_step(waiting, now_ms),
         }
     }
 
@@ -124,8 +128,14 @@
             (_, true) => Standing::InTime,
             (_, false) => Standing::Late,
         };
-        let urgency = Urgency::new(&self.ranks, rank, standing, false);
-        let instance = &self.instances[call.instance];
+        let instance = &mut self.instances[call.instance];
+        let tenant = &self.tenants[call.tenant as usize];
+        if waiting.is_first_round && !call.is_retry {
+            instance.overload.tenant_rates().record(now, tenant);
+        }
+        let is_in_excess = self.policy != Policy::RankedWithoutTenants
+            && instance.overload.tenant_rates().is_in_excess(now, tenant);
+        let urgency = Urgency::new(&self.ranks, rank, standing, is_in_excess);
         let is_scarce = instance.scarcity.is_scarce(now);
         let steps: &[u64] = if is_scarce { &[0] } else { &[2, 1, 0] };
         let engines = if is_scarce { urgency.engines_per_round() } else { MAX_ENGINES };
--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -54,8 +54,22 @@
 
     /// Urgency of the request among those that compete for the service.
     pub fn urgency(&self, standing: Standing) -> Urgency {
+        let is_in_excess = self.tenant.is_some_and(|tenant| {
+            let mut forwarder = self.shared.forwarder();
+            let rates = forwarder.overload(self.service).tenant_rates();
+            rates.is_in_excess(clock::now_ms(), &tenant.name)
+        });
         let ranks = self.table.ranks(self.service).cloned().unwrap_or_default();
-        Urgency::new(&ranks, self.rank(), standing, false)
+        Urgency::new(&ranks, self.rank(), standing, is_in_excess)
+    }
+
+    /// Counts the request in the rates of its tenant.
+    pub fn record_tenant(&self) {
+        if let Some(tenant) = self.tenant {
+            let mut forwarder = self.shared.forwarder();
+            let rates = forwarder.overload(self.service).tenant_rates();
+            rates.record(clock::now_ms(), &tenant.name);
+        }
     }
 
     /// Limits of the engines of the service; `None` if it serves plain calls.
--- a/crates/turmericrail/src/forward/calls/ranked_selection.rs
+++ b/crates/turmericrail/src/forward/calls/ranked_selection.rs
@@ -43,12 +43,16 @@
     relative_size: f64,
     is_likely_retry: bool,
 ) -> Result<EngineAttempt, Refusal> {
+    if !is_likely_retry {
+        context.record_tenant();
+    }
     let full_engines = (Vec::new(), Millis::ZERO);
     let mut call =
         RankedCall { context, relative_size, is_likely_retry, is_first_round: true, full_engines };
     loop {
         let plan = plan(context)?;
         let urgency = call.urgency(&plan);
+        call.check_time(urgency)?;
         let reserved = match has_time_for_prefill(context, &plan) {
             true => call.reserve(&plan, urgency).await,
             false => None,
@@ -131,6 +135,20 @@
         }
     }
 
+    /// Refuses the call before its prefill if its whole answer can't come before the deadline.
+    fn check_time(&self, urgency: Urgency) -> Result<(), Refusal> {
+        let (context, now_ms) = (self.context, clock::now_ms());
+        let mut forwarder = context.shared.forwarder();
+        let overload = forwarder.overload(context.service);
+        if !overload.is_out_of_time(context.remaining_ms()) {
+            return Ok(());
+        }
+        let longest_ms = overload.longest_wait_ms(context.caller_timeout_ms());
+        let retry_after_ms = overload.retry_after_ms(now_ms, urgency);
+        drop(forwarder);
+        Err(self.refuse(ErrorKind::DeadlineUnreachable, urgency, longest_ms, retry_after_ms))
+    }
+
     /// Waits for the next round, or refuses the call if it can't be served before its deadline.
     async fn wait(&mut self, urgency: Urgency) -> Result<(), Refusal> {
         let mean_interval_ms = self.retry_interval_ms(urgency)?;
@@ -153,12 +171,18 @@
         if is_over || overload.is_hopeless(now_ms, urgency, remaining_ms) {
             let retry_after_ms = overload.retry_after_ms(now_ms, urgency);
             drop(forwarder);
-            return Err(self.refuse(urgency, longest_ms, retry_after_ms));
+            return Err(self.refuse(ErrorKind::Overloaded, urgency, longest_ms, retry_after_ms));
         }
         Ok(overload.retry_interval_ms(now_ms, rank, urgency, context.route.target_ms))
     }
 
-    fn refuse(&self, urgency: Urgency, longest_ms: Millis, retry_after_ms: Millis) -> Refusal {
+    fn refuse(
+        &self,
+        kind: ErrorKind,
+        urgency: Urgency,
+        longest_ms: Millis,
+        retry_after_ms: Millis,
+    ) -> Refusal {
         let (context, now_ms) = (self.context, clock::now_ms());
         let rank = context.rank();
         let mut forwarder = context.shared.forwarder();
@@ -167,7 +191,7 @@
         let (pressure, waiting_calls) = (overload.pressure(now_ms, rank), overload.waiting_calls());
         drop(forwarder);
         spdlog::info!(
-            "event=place_refused request={} service={} rank={rank} standing={} waited_ms={} longest_ms={} \
+            "event=place_refused request={} service={} reason={kind} rank={rank} standing={} waited_ms={} longest_ms={} \
              target_ms={} patience_ms={} is_scarce={is_scarce} pressure={pressure:.2} waiting={waiting_calls} \
              retry_after_ms={} size={:.2} config_version={}",
             context.request_id,
@@ -182,6 +206,6 @@
             context.table.version()
         );
         context.shared.metrics.overload_refusals.with_label_values(&[&rank.to_string()]).inc();
-        Refusal { kind: ErrorKind::Overloaded, retry_after_ms: Some(retry_after_ms) }
+        Refusal { kind, retry_after_ms: Some(retry_after_ms) }
     }
 }
--- a/crates/turmericrail/tests/overload.rs
+++ b/crates/turmericrail/tests/overload.rs
@@ -59,7 +59,9 @@
     let reply = instance.send_request("resumable", "r1");
     assert_eq!(reply.status(), 503);
     assert!(sent.elapsed() < Duration::from_millis(2_000), "{:?}", sent.elapsed());
-    instance.wait_for_log("event=place_refused request=r1 service=llm rank=2 standing=late");
+    instance.wait_for_log(
+        "event=place_refused request=r1 service=llm reason=overloaded rank=2 standing=late",
+    );
     wait_for("the metrics", || {
         let metrics = read_metrics(&instance);
         metrics.contains("turmericrail_overload_refusals_total{rank=\"2\"} 1")
