Overload: plain calls that no server can take in time, hedges, and calls that wait at the end

A plain call was sent to a server whose queue was longer than its deadline, and idempotent calls were sent a second time while every server had a queue. A model call that waited for room when its instance was stopped could be cut off.

Where a deployment has ranks, plain_queue_ms tells the shortest queue by the servers' places alone. A call is refused at once if that outlasts its deadline, and nothing is hedged while it isn't zero. Waiting model calls get shutting_down once the instance takes no new requests.

--- a/crates/core/src/forward/overload/mod.rs
+++ b/crates/core/src/forward/overload/mod.rs
@@ -10,6 +10,7 @@
 //! All of it takes effect only where a service gets requests of different ranks.
 
 mod headroom;
+mod plain_queue;
 mod service_overload;
 mod service_ranks;
 mod tenant_rates;
--- a/crates/core/src/forward/routes/table.rs
+++ b/crates/core/src/forward/routes/table.rs
@@ -110,6 +110,11 @@
         self.tenants.as_ref()
     }
 
+    /// Whether requests of different ranks compete for some service.
+    pub fn has_any_ranks(&self) -> bool {
+        self.ranks.values().any(ServiceRanks::differ)
+    }
+
     /// The route of the host with the longest prefix of the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(host)?;
--- a/crates/turmericrail/src/forward/calls/plain_call.rs
+++ b/crates/turmericrail/src/forward/calls/plain_call.rs
@@ -31,6 +31,9 @@
 /// Unreachable servers that may be skipped before the call fails.
 const MAX_UNREACHED_SERVERS: usize = 3;
 
+/// Shortest `Retry-After` of a call that would wait at every server until its deadline.
+const MIN_RETRY_AFTER_MS: Millis = Millis(200);
+
 /// Statuses that tell a caller that the call did not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -52,6 +55,7 @@
     let mut unreached_servers = 0;
     let mut may_have_run = false;
     let mut next = choose(context, &tried).ok_or_else(|| context.no_server_refusal())?;
+    check_queue(context)?;
     let mut permit = context.permit_run(calls_sent).ok_or_else(|| {
         context.quarantine_refusal().unwrap_or_else(|| ErrorKind::Overloaded.into())
     })?;
@@ -106,6 +110,37 @@
     }
 }
 
+/// Refuses a call that would wait at every server until its deadline.
+fn check_queue(context: &CallContext<'_>) -> Result<(), Refusal> {
+    let Some(queue_ms) = queue_ms(context) else {
+        return Ok(());
+    };
+    let remaining_ms = context.remaining_ms();
+    if queue_ms <= remaining_ms {
+        return Ok(());
+    }
+    let retry_after_ms = (queue_ms - remaining_ms).max(MIN_RETRY_AFTER_MS);
+    spdlog::info!(
+        "event=queue_refused request={} service={} rank={} queue_ms={} left_ms={} retry_after_ms={}",
+        context.request_id,
+        context.service,
+        context.rank(),
+        queue_ms.0,
+        remaining_ms.0,
+        retry_after_ms.0
+    );
+    let refusals = &context.shared.metrics.overload_refusals;
+    refusals.with_label_values(&[&context.rank().to_string()]).inc();
+    Err(Refusal { kind: ErrorKind::DeadlineUnreachable, retry_after_ms: Some(retry_after_ms) })
+}
+
+/// Expected wait for a place at the server with the shortest queue; `None` in deployments without
+/// ranks, where calls don't depend on it.
+fn queue_ms(context: &CallContext<'_>) -> Option<Millis> {
+    let has_ranks = context.table.has_any_ranks();
+    has_ranks.then(|| context.shared.forwarder().plain_queue_ms(clock::now_ms(), context.service))
+}
+
 /// Whether the caller gets this answer even if another server could be tried.
 fn is_final(context: &CallContext<'_>, head: &ResponseHead) -> bool {
     head.status < 500 || !context.route.kind.is_repeatable()
@@ -161,6 +196,10 @@
             let first = async { Some(calling.as_mut().await) }.or(hedge_timer).await;
             match first {
                 Some(end) => end,
+                // While every server has a queue, a second attempt would only make them longer.
+                None if queue_ms(context).is_some_and(|queue_ms| queue_ms > Millis::ZERO) => {
+                    calling.await
+                }
                 None => match choose_permitted(context, tried, calls_sent) {
                     Some((other, permit)) => AttemptEnd::MovedTo(other, permit),
                     None => calling.await,
--- a/crates/turmericrail/src/forward/calls/ranked_selection.rs
+++ b/crates/turmericrail/src/forward/calls/ranked_selection.rs
@@ -159,8 +159,11 @@
         Ok(())
     }
 
-    /// Mean time until the next round.
+    /// Mean time until the next round. While the instance ends, callers are to ask another one.
     fn retry_interval_ms(&self, urgency: Urgency) -> Result<Millis, Refusal> {
+        if self.context.shared.is_refusing_requests() {
+            return Err(ErrorKind::ShuttingDown.into());
+        }
         let (context, now_ms) = (self.context, clock::now_ms());
         let (rank, waited_ms) = (context.rank(), context.elapsed_ms());
         let mut forwarder = context.shared.forwarder();
