--- a/crates/turmericrail/tests/reserved_prefills.rs
+++ b/crates/turmericrail/tests/reserved_prefills.rs
@@ -84,3 +84,40 @@
     assert!(renewals <= 1, "nothing is reserved for a caller who has left: {renewals}");
     assert!(calls(&decode).is_empty());
 }
+
+/// Guards against prompts that are read in vain while decode engines fill up and empty again, and
+/// while prefills take longer than reservations.
+#[test]
+fn few_vain_prompts() {
+    const CALLS: usize = 120;
+    let instance = start("few-vain-prompts");
+    let prefill = ["p1", "p2"].map(|id| instance.start_engine(id, "prefill"));
+    let decode = ["d1", "d2", "d3"].map(|id| instance.start_engine(id, "decode"));
+    prefill[0].set_next_behaviours(&[Behaviour::AnswerLate; 10]);
+    std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..CALLS)
+            .map(|number| {
+                let instance = &instance;
+                scope.spawn(move || {
+                    std::thread::sleep(Duration::from_millis(20 * number as u64));
+                    send(instance, &format!("r{number}"))
+                })
+            })
+            .collect();
+        for round in 0..30 {
+            for (number, engine) in decode.iter().enumerate() {
+                engine.set_full((round + number) % 3 != 0);
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        decode.iter().for_each(|engine| engine.set_full(false));
+        let answered = calls.into_iter().map(|call| call.join().unwrap());
+        let answered = answered.filter(|status| *status == 200).count();
+        assert!(answered * 10 >= CALLS * 9, "{answered} of {CALLS} answered");
+    });
+    let done: usize = prefill.iter().map(|engine| engine.executed_calls().len()).sum();
+    // A prompt without reserved room for its answer is as good as lost at a full engine.
+    let used = decode.iter().flat_map(calls).filter(|call| *call == (true, true)).count();
+    assert!(done >= CALLS / 2, "{done} prefills");
+    assert!((done - used) * 100 < done, "{} of {done} prompts read in vain", done - used);
+}
