--- a/crates/core/src/forward/overload/mod.rs
+++ b/crates/core/src/forward/overload/mod.rs
@@ -10,11 +10,14 @@
 //! All of it takes effect only where a service gets requests of different ranks.
 
 mod headroom;
+mod plain_queue;
 mod service_overload;
 mod service_ranks;
+mod tenant_rates;
 mod urgency;
 
 pub use headroom::headroom_tokens;
 pub use service_overload::ServiceOverload;
 pub use service_ranks::ServiceRanks;
+pub use tenant_rates::TenantRates;
 pub use urgency::{Standing, Urgency};
--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -61,8 +61,22 @@
     pub fn urgency(&self, standing: Standing) -> Urgency {
         let count = self.table.ranks(self.service).map_or(1, ServiceRanks::count);
         let (now_ms, rank) = (clock::now_ms(), self.rank());
-        let position = self.shared.forwarder().overload(self.service).position(now_ms, count, rank);
-        Urgency::at(count, position, standing, false)
+        let mut forwarder = self.shared.forwarder();
+        let overload = forwarder.overload(self.service);
+        let position = overload.position(now_ms, count, rank);
+        let rates = overload.tenant_rates();
+        let is_in_excess =
+            self.tenant.is_some_and(|tenant| rates.is_in_excess(now_ms, &tenant.name));
+        Urgency::at(count, position, standing, is_in_excess)
+    }
+
+    /// Counts the request in the rates of its tenant.
+    pub fn record_tenant(&self) {
+        if let Some(tenant) = self.tenant {
+            let mut forwarder = self.shared.forwarder();
+            let rates = forwarder.overload(self.service).tenant_rates();
+            rates.record(clock::now_ms(), &tenant.name);
+        }
     }
 
     /// Limits of the engines of the service; `None` if it serves plain calls.
