Start of many instances: members are told in samples, items by the store and a tree

Cause: after a start of all instances each called the few seeds every 0.5 s with a timeout of 0.6 s, and got the whole list of members, sent its own back, and got all items of the store that it was still reading itself. Seeds with a small share of a core fell behind, and calls were repeated.

Change: a request carries a filter of the known members, and a reply tells at most 40 others, within an allowance of 56 a second; a busy seed tells four. First calls are spread and back off, seeds are taken in turn. Ages are told by buckets where lists differ. Whole sets go only to instances that failed to read the store, 256 KiB a second. Followers form a tree of eight each. Connections to keepers of stream versions are bounded.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -26,7 +26,10 @@
     Admission, BrokenCall, BrokenCalls, BrokenKind, Loss, LossCause, LossNotice, LossRecords,
     LossSubject, Quarantine, RequestTraits, Survival, Suspect,
 };
-pub use peers::{Member, MemberList, Members, Watcher};
+pub use peers::{
+    ExchangePace, FollowPlan, Member, MemberFilter, MemberList, Members, ToldMembers,
+    TransferBudget, Watcher,
+};
 pub use roles::{RoleLoad, order_right};
 pub use routes::{
     EngineLimits, RequestLimits, Route, RouteKind, RouteTable, Service, TableError, WeightedService,
--- a/crates/core/src/forward/peers/members.rs
+++ b/crates/core/src/forward/peers/members.rs
@@ -1,11 +1,12 @@
 //! The other instances that forward calls, learned by gossip.
 //!
-//! Each exchange carries all members that the sender knows, with the time since each was last heard
-//! from directly. A member that has gone is therefore dropped everywhere.
+//! Exchanges carry members with the time since each was last heard from directly. A member that has
+//! gone is therefore dropped everywhere.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use super::follow_plan::{FollowPlan, WATCHERS_PER_DATA_CENTRE};
 use crate::ids::{DataCentreId, InstanceId};
 use crate::membership::rendezvous;
 use crate::units::Millis;
@@ -14,14 +15,12 @@
 /// hundred members within about ten exchanges of each.
 const MEMBER_TTL_MS: Millis = Millis(45_000);
 
-/// Members of each data centre that watch the platform: enough that a few may be lost at once.
-const WATCHERS_PER_DATA_CENTRE: usize = 4;
 /// Members that keep what others ask for by a key: some may be lost at once.
 const MAX_KEEPERS: usize = 5;
 /// Most of them in one data centre, which may be lost as a whole.
 const MAX_KEEPERS_PER_DATA_CENTRE: usize = 2;
-/// Key of the rendezvous hash that selects them.
-const WATCHER_KEY: &str = "watcher";
+/// Key of the rendezvous hash that orders the members of a data centre.
+pub(super) const WATCHER_KEY: &str = "watcher";
 
 #[derive(Clone, Debug)]
 struct MemberRecord {
@@ -115,6 +114,17 @@
         watchers.into_iter().map(to_watcher).collect()
     }
 
+    /// The members that this instance follows in its data centre.
+    pub fn follow_plan(&self, data_centre: &DataCentreId) -> FollowPlan {
+        let local = self.records.iter().filter(|(_, record)| record.data_centre == *data_centre);
+        let instances = local.map(|(instance, _)| instance).chain([&self.own]);
+        let ranked = rendezvous::top_members(WATCHER_KEY, instances, usize::MAX);
+        let position = ranked.iter().position(|instance| **instance == self.own);
+        FollowPlan::new(position.unwrap_or_default(), |position| {
+            self.records.get(*ranked.get(position)?).map(|record| record.address)
+        })
+    }
+
     /// The members that keep what others ask for by a key, of several data centres if there are any.
     /// Instances with the same members name the same ones.
     pub fn keepers(&self, own_data_centre: &DataCentreId, key: &str) -> Vec<Watcher> {
@@ -140,10 +150,16 @@
         self.records.values().map(|record| &record.data_centre).collect()
     }
 
-    /// Address of a random other member.
-    pub fn pick_random(&self, random: u64) -> Option<SocketAddr> {
-        let count = self.records.len() as u64;
-        let index = random.checked_rem(count)?;
-        self.records.values().nth(index as usize).map(|record| record.address)
+    /// Address of a random other member, which is not one of `seeds` if others are known: each
+    /// instance knows the seeds first, so that they would be called most.
+    pub fn pick_random(&self, seeds: &[SocketAddr], random: u64) -> Option<SocketAddr> {
+        let addresses = self.records.values().map(|record| record.address);
+        let is_seed = |address: &SocketAddr| seeds.contains(address);
+        let mut others: Vec<_> = addresses.clone().filter(|address| !is_seed(address)).collect();
+        if others.is_empty() {
+            others = addresses.collect();
+        }
+        let index = random.checked_rem(others.len() as u64)?;
+        others.get(index as usize).copied()
     }
 }
--- a/crates/core/tests/published_set.rs
+++ b/crates/core/tests/published_set.rs
@@ -67,5 +67,5 @@
     members.merge(Millis(50_000), &member("two", 49_000));
     members.expire(Millis(50_000));
     assert_eq!(members.count(), 2);
-    assert_eq!(members.pick_random(12).map(|address| address.port()), Some(1));
+    assert_eq!(members.pick_random(&[], 12).map(|address| address.port()), Some(1));
 }
--- a/crates/turmericrail/src/forward/peers/relay.rs
+++ b/crates/turmericrail/src/forward/peers/relay.rs
@@ -1,21 +1,23 @@
-//! Exchanges members and published items with other instances.
+//! Answers other instances, and holds what they are told.
 //!
-//! Each instance calls one other instance at a time: seldom while it can read the platform's store
-//! itself, and often while it can't, since then it learns the items from others. A reply holds only
-//! items that the calling instance lacks. Instances that don't watch the store follow one that does
-//! (`store_follow`).
+//! A reply holds only items that the calling instance lacks. Whole sets, of which it knows no
+//! revision, go only to instances that can't read the store, a few at a time: after a start of many
+//! instances all of them would else ask the seeds for everything.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use async_std::task;
+use prost::Message;
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
-use turmericrail_core::forward::{MemberList, Members, PublishedItem, PublishedSet, ServerRun};
-use turmericrail_core::units::{Millis, WallMillis};
+use turmericrail_core::forward::{
+    ExchangePace, MemberFilter, Members, PublishedItem, PublishedSet, ToldMembers, TransferBudget,
+};
+use turmericrail_core::units::{Bytes, Millis};
 use turmericrail_wire::relay::relay_client::RelayClient;
 use turmericrail_wire::relay::relay_server::{Relay, RelayServer};
 use turmericrail_wire::relay::{
@@ -24,31 +26,26 @@
 };
 
 use super::loss_notices;
+use super::relay_leaving;
 use super::relay_limits;
 use super::relay_members;
 use super::stream_versions;
 use crate::error::StartError;
 use crate::forward::clock;
-use crate::forward::servers::server_notices;
 use crate::forward::shared::Shared;
 use crate::forward::store::change_signal::ChangeSignal;
-use crate::forward::store::store_sync;
-
-/// Mean time between exchanges while the store answers; each exchange costs bandwidth and processor
-/// time.
-const NORMAL_INTERVAL: Duration = Duration::from_millis(3_000);
-/// Mean time between exchanges while the store doesn't answer. Several must fit into the time
-/// within which a new configuration has to be in force.
-const STORE_LOST_INTERVAL: Duration = Duration::from_millis(400);
-/// Mean time between exchanges until the first one has succeeded.
-const INITIAL_INTERVAL: Duration = Duration::from_millis(500);
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(600);
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Largest message: a megabyte for the configuration, and room for the servers.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
 /// Longest time for which a call of a following instance waits for changes.
 const MAX_FOLLOW_WAIT_MS: Millis = Millis(5_000);
 
+/// Followers whose calls wait here at once. In a settled fleet there are eight; more come while the
+/// members' lists differ, and from earlier releases.
+const MAX_FOLLOWERS: usize = 64;
+
 /// Announced revisions that can wait to be processed.
 const MAX_PENDING_ANNOUNCEMENTS: usize = 16;
 
@@ -56,7 +53,17 @@
 pub struct RelayState {
     members: Mutex<Members>,
     sets: Mutex<Vec<(&'static str, PublishedSet)>>,
-    has_exchanged: AtomicBool,
+    pace: Mutex<ExchangePace>,
+    /// Whether the last exchange was with an instance that knew the same members.
+    pub is_settled: AtomicBool,
+    told_member_count: AtomicUsize,
+    /// Whether the last reading of the store by this instance failed.
+    pub has_read_failed: AtomicBool,
+    /// A number that spreads the first calls of instances over the seeds.
+    pub own_number: usize,
+    told_members: Mutex<ToldMembers>,
+    whole_sets: Mutex<TransferBudget>,
+    waiting_followers: AtomicUsize,
     /// Wakes the calls of following instances when an item or the access to the store changes.
     pub change: ChangeSignal,
     /// By prefix: channel of revisions that other instances had before this one read them from the
@@ -80,7 +87,14 @@
         Self {
             members: Mutex::new(members),
             sets: Mutex::new(sets),
-            has_exchanged: AtomicBool::new(false),
+            pace: Mutex::default(),
+            is_settled: AtomicBool::new(false),
+            told_member_count: AtomicUsize::new(0),
+            has_read_failed: AtomicBool::new(false),
+            own_number: fastrand::usize(..1 << 16),
+            told_members: Mutex::default(),
+            whole_sets: Mutex::default(),
+            waiting_followers: AtomicUsize::new(0),
             change: ChangeSignal::default(),
             announced_revisions,
         }
@@ -88,7 +102,36 @@
 
     /// Whether another instance has told this one which instances there are.
     pub fn has_exchanged(&self) -> bool {
-        self.has_exchanged.load(Ordering::Relaxed)
+        self.pace().has_exchanged()
+    }
+
+    /// Whether this instance reads the store itself, or has not failed to yet.
+    pub fn is_reading_store(&self) -> bool {
+        !self.has_read_failed.load(Ordering::Relaxed)
+    }
+
+    /// When this instance exchanges members.
+    pub fn pace(&self) -> MutexGuard<'_, ExchangePace> {
+        lock(&self.pace)
+    }
+
+    /// Number of instances, which an instance that has just started is told before it knows them.
+    pub fn instance_count(&self) -> usize {
+        self.members().count().max(self.told_member_count())
+    }
+
+    /// Members that the instance knew that was asked last.
+    pub fn told_member_count(&self) -> usize {
+        self.told_member_count.load(Ordering::Relaxed)
+    }
+
+    pub fn record_told_member_count(&self, count: u32) {
+        self.told_member_count.store(count as usize, Ordering::Relaxed);
+    }
+
+    /// How many members this instance may tell others.
+    pub fn told_members(&self) -> MutexGuard<'_, ToldMembers> {
+        lock(&self.told_members)
     }
 
     pub fn members(&self) -> MutexGuard<'_, Members> {
@@ -142,8 +185,16 @@
         lock(&self.sets).iter().map(to_wire).collect()
     }
 
-    fn items_newer_than(&self, known: &wire::KnownSet) -> Option<wire::ItemSet> {
-        self.with_set(&known.prefix, |set| {
+    fn items_newer_than(
+        &self,
+        known: &wire::KnownSet,
+        is_reading_store: bool,
+    ) -> Option<wire::ItemSet> {
+        let is_whole = known.revision == 0;
+        if is_whole && is_reading_store {
+            return None;
+        }
+        let newer = self.with_set(&known.prefix, |set| {
             let to_wire = |item: PublishedItem| wire::Item {
                 key: item.key,
                 revision: item.revision,
@@ -154,8 +205,27 @@
                 revision: set.revision(),
                 items: set.changes_since(known.revision).into_iter().map(to_wire).collect(),
             })
-        })
-        .flatten()
+        });
+        newer.flatten().filter(|set| !is_whole || self.may_send_whole(set))
+    }
+
+    fn may_send_whole(&self, set: &wire::ItemSet) -> bool {
+        let bytes = Bytes(set.encoded_len() as u64);
+        lock(&self.whole_sets).try_take(clock::now_ms(), bytes)
+    }
+
+    /// Counts a call that waits for changes, until the guard is dropped.
+    fn count_follower(&self) -> FollowerGuard<'_> {
+        self.waiting_followers.fetch_add(1, Ordering::Relaxed);
+        FollowerGuard(&self.waiting_followers)
+    }
+}
+
+struct FollowerGuard<'a>(&'a AtomicUsize);
+
+impl Drop for FollowerGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -163,6 +233,20 @@
     shared: Arc<Shared>,
 }
 
+impl RelayService {
+    /// Whether an instance of a level may follow this one. If this one follows others itself, only
+    /// those of later levels may: instances that follow each other would learn nothing.
+    fn takes_follower(&self, level: u32) -> bool {
+        let relay = &self.shared.relay;
+        let is_above = || {
+            let data_centre = &self.shared.settings().data_centre;
+            relay.members().follow_plan(data_centre).level < level
+        };
+        let followers = relay.waiting_followers.load(Ordering::Relaxed);
+        followers <= MAX_FOLLOWERS && (!self.shared.follow_state.is_following() || is_above())
+    }
+}
+
 #[tonic::async_trait]
 impl Relay for RelayService {
     async fn exchange(
@@ -176,17 +260,35 @@
         let is_told = is_same || (message.members_hash > 0 && !message.members.is_empty());
         let notices_hash = loss_notices::hash(&self.shared);
         let is_hash_known = message.notices_hash == notices_hash;
+        let newer =
+            |known: &wire::KnownSet| relay.items_newer_than(known, message.is_reading_store);
+        let equal_buckets = if is_same { 0 } else { own.equal_buckets(&message.bucket_hashes) };
+        let ages_ms = match is_same {
+            true => relay_members::ages_to_wire(&own),
+            false => relay_members::ages_to_wire(&own.part(equal_buckets)),
+        };
+        let is_free = relay.told_members().is_free(clock::now_ms());
+        let has_use = !is_told && is_free && !message.known_members.is_empty();
+        let filter = has_use.then(|| MemberFilter::new(&own, fastrand::u64(..)));
+        let members = match is_told {
+            true => Vec::new(),
+            false => relay_members::select_for_request(&self.shared, &own, &message),
+        };
         let reply = ExchangeReply {
-            members: if is_told { Vec::new() } else { relay_members::members_to_wire(&own) },
-            ages_ms: if is_same { relay_members::ages_to_wire(&own) } else { Vec::new() },
-            newer: message.known.iter().filter_map(|known| relay.items_newer_than(known)).collect(),
-            leaving: list_leaving(&self.shared),
+            members,
+            member_count: own.members().len() as u32,
+            ages_ms,
+            equal_buckets,
+            filter_salt: filter.as_ref().map_or(0, MemberFilter::salt),
+            known_members: filter.map_or_else(Vec::new, |filter| filter.bits().to_vec()),
+            newer: message.known.iter().filter_map(newer).collect(),
+            leaving: relay_leaving::list_leaving(&self.shared),
             limits: relay_limits::list_limits(&self.shared),
             notices_hash,
             notices: if is_hash_known { None } else { loss_notices::list_after(&self.shared, 0) },
         };
         loss_notices::merge_exchanged(&self.shared, message.notices);
-        merge_leaving(&self.shared, &message.leaving);
+        relay_leaving::merge_leaving(&self.shared, &message.leaving);
         relay_limits::merge_limits(&self.shared, &message.limits);
         message.known.iter().for_each(|known| relay.record_peer_change(known));
         relay_members::merge_members(&self.shared, message.sender.iter().chain(&message.members));
@@ -207,13 +309,14 @@
         let notices_epoch = self.shared.loss_notices.epoch;
         let is_same_epoch = message.notices_epoch == notices_epoch;
         let notices_after = if is_same_epoch { message.notices_after } else { 0 };
+        let _follower_guard = relay.count_follower();
+        let newer =
+            |known: &wire::KnownSet| relay.items_newer_than(known, message.is_reading_store);
         loop {
             let change = relay.change.next_change();
-            let newer: Vec<_> =
-                message.known.iter().filter_map(|known| relay.items_newer_than(known)).collect();
+            let newer: Vec<_> = message.known.iter().filter_map(newer).collect();
             let is_store_lost = self.shared.is_store_lost();
-            // Waiting here for what this instance waits for elsewhere would add the delays up.
-            let is_following = self.shared.follow_state.is_following();
+            let is_following = !self.takes_follower(message.level);
             let remaining_ms = end_ms.saturating_sub(clock::now_ms());
             // Taken before the notices, so that none between the two is left out.
             let last_notice = self.shared.forwarder().quarantine().records().last_number();
@@ -224,7 +327,7 @@
                 return Ok(Response::new(FollowReply {
                     newer,
                     is_store_lost,
-                    leaving: list_leaving(&self.shared),
+                    leaving: relay_leaving::list_leaving(&self.shared),
                     limits: relay_limits::list_limits(&self.shared),
                     is_following,
                     notices,
@@ -261,25 +364,6 @@
     }
 }
 
-fn list_leaving(shared: &Shared) -> Vec<wire::LeavingRun> {
-    let to_wire = |run: &ServerRun| wire::LeavingRun {
-        server: run.server.to_string(),
-        started_ms: run.started_ms.0,
-    };
-    shared.forwarder().leaving_runs().iter().map(to_wire).collect()
-}
-
-pub fn merge_leaving(shared: &Shared, leaving: &[wire::LeavingRun]) {
-    for run in leaving {
-        let Ok(server) = run.server.parse() else {
-            spdlog::warn!("event=leaving_run_malformed server={:?}", run.server);
-            continue;
-        };
-        let run = ServerRun { server, started_ms: WallMillis(run.started_ms) };
-        server_notices::record_told_leaving(shared, &run);
-    }
-}
-
 /// Listens for other instances.
 pub async fn listen(shared: &Arc<Shared>) -> Result<(), StartError> {
     let address = shared.settings().peer_address;
@@ -301,119 +385,14 @@
     Ok(())
 }
 
-/// Exchanges with other instances in an endless loop.
-pub async fn run(shared: Arc<Shared>) {
-    loop {
-        let has_exchanged = shared.relay.has_exchanged();
-        let interval = match (has_exchanged, shared.is_store_lost()) {
-            (false, _) => INITIAL_INTERVAL,
-            (true, true) => STORE_LOST_INTERVAL,
-            (true, false) => NORMAL_INTERVAL,
-        };
-        task::sleep(clock::spread(interval)).await;
-        let Some(address) = choose_peer(&shared) else {
-            continue;
-        };
-        match async_std::future::timeout(EXCHANGE_TIMEOUT, exchange(&shared, address)).await {
-            Ok(Ok(())) => shared.relay.has_exchanged.store(true, Ordering::Relaxed),
-            Ok(Err(status)) => {
-                let problem = status.message();
-                spdlog::debug!("event=exchange_failed peer={address} problem={problem:?}");
-            }
-            Err(_) => spdlog::debug!("event=exchange_failed peer={address} problem=timeout"),
-        }
-    }
-}
-
-/// Chooses a random member, or for one exchange in eight a seed, so that groups of members that
-/// lost contact merge again.
-fn choose_peer(shared: &Shared) -> Option<SocketAddr> {
-    let settings = shared.settings();
-    let is_other = |address: &&SocketAddr| **address != settings.peer_address;
-    let seeds: Vec<_> = settings.seeds.iter().filter(is_other).collect();
-    let member = shared.relay.members().pick_random(fastrand::u64(..));
-    let seed = seeds.get(fastrand::usize(..seeds.len().max(1))).map(|address| **address);
-    if fastrand::u8(..) < 32 { seed.or(member) } else { member.or(seed) }
-}
-
 /// A client with a new connection to another instance.
 pub async fn connect(address: SocketAddr) -> Result<RelayClient<Channel>, Status> {
     let endpoint = Endpoint::from_shared(format!("http://{address}"))
         .map_err(|error| Status::invalid_argument(error.to_string()))?;
-    let endpoint = endpoint.connect_timeout(EXCHANGE_TIMEOUT).tcp_nodelay(true);
+    let endpoint = endpoint.connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true);
     let channel =
         endpoint.connect().await.map_err(|error| Status::unavailable(error.to_string()))?;
     Ok(RelayClient::new(channel)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES))
 }
-
-async fn exchange(shared: &Arc<Shared>, address: SocketAddr) -> Result<(), Status> {
-    let mut client = connect(address).await?;
-    let own = relay_members::list_members(shared);
-    let request = ExchangeRequest {
-        ages_ms: relay_members::ages_to_wire(&own),
-        ..exchange_request(shared, &own)
-    };
-    let reply = client.exchange(Request::new(request)).await?.into_inner();
-    let are_members_told = reply.members.is_empty();
-    let peer_notices_hash = reply.notices_hash;
-    apply_reply(shared, address, &own, reply);
-    let are_notices_told = loss_notices::hash(shared) == peer_notices_hash;
-    if are_members_told && are_notices_told {
-        return Ok(());
-    }
-    let own = relay_members::list_members(shared);
-    let (members, ages_ms) = match are_members_told {
-        true => (Vec::new(), relay_members::ages_to_wire(&own)),
-        false => (relay_members::members_to_wire(&own), Vec::new()),
-    };
-    let notices = if are_notices_told { None } else { loss_notices::list_after(shared, 0) };
-    let request = ExchangeRequest { members, ages_ms, notices, ..exchange_request(shared, &own) };
-    let reply = client.exchange(Request::new(request)).await?.into_inner();
-    apply_reply(shared, address, &own, reply);
-    Ok(())
-}
-
-/// A request without the members or their ages.
-fn exchange_request(shared: &Shared, own: &MemberList) -> ExchangeRequest {
-    ExchangeRequest {
-        sender: Some(relay_members::own_to_wire(shared)),
-        known: shared.relay.known_sets(),
-        leaving: list_leaving(shared),
-        limits: relay_limits::list_limits(shared),
-        members_hash: own.identity_hash(),
-        notices_hash: loss_notices::hash(shared),
-        ..ExchangeRequest::default()
-    }
-}
-
-fn apply_reply(shared: &Arc<Shared>, address: SocketAddr, own: &MemberList, reply: ExchangeReply) {
-    relay_members::merge_members(shared, reply.members.iter());
-    if !reply.ages_ms.is_empty() {
-        relay_members::merge_ages(shared, own, &reply.ages_ms);
-    }
-    merge_leaving(shared, &reply.leaving);
-    relay_limits::merge_limits(shared, &reply.limits);
-    loss_notices::merge_exchanged(shared, reply.notices);
-    apply_newer(shared, address, reply.newer);
-}
-
-/// Applies the sets of which another instance knew a newer revision.
-pub fn apply_newer(shared: &Arc<Shared>, address: SocketAddr, newer: Vec<wire::ItemSet>) {
-    for set in newer {
-        let to_item = |item: wire::Item| PublishedItem {
-            key: item.key,
-            revision: item.revision,
-            value: item.value,
-        };
-        let items: Vec<_> = set.items.into_iter().map(to_item).collect();
-        spdlog::info!(
-            "event=relayed peer={address} prefix={} revision={} items={}",
-            set.prefix,
-            set.revision,
-            items.len()
-        );
-        store_sync::apply_relayed(shared, &set.prefix, set.revision, items);
-    }
-}
--- a/crates/turmericrail/src/forward/peers/relay_members.rs
+++ b/crates/turmericrail/src/forward/peers/relay_members.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use turmericrail_core::forward::{Member, MemberList, Watcher};
+use turmericrail_core::forward::{Member, MemberFilter, MemberList, Watcher};
+use turmericrail_core::ids::DataCentreId;
 use turmericrail_core::units::Millis;
 use turmericrail_wire::relay as wire;
 
@@ -67,9 +68,44 @@
     }
 }
 
-/// The members, for a message to an instance that knows others.
-pub fn members_to_wire(list: &MemberList) -> Vec<wire::Member> {
-    list.members().iter().map(member_to_wire).collect()
+/// Some of the members, for an instance that knows others.
+pub fn select_for_request(
+    shared: &Shared,
+    list: &MemberList,
+    request: &wire::ExchangeRequest,
+) -> Vec<wire::Member> {
+    let filter = MemberFilter::from_parts(request.filter_salt, request.known_members.clone());
+    let data_centre = request.sender.as_ref().map_or("", |sender| &sender.data_centre);
+    select(shared, list, filter.as_ref(), data_centre)
+}
+
+/// Some of the members, for an instance whose reply shows that it doesn't know them.
+pub fn select_for_reply(
+    shared: &Shared,
+    list: &MemberList,
+    reply: &wire::ExchangeReply,
+) -> Vec<wire::Member> {
+    let filter = MemberFilter::from_parts(reply.filter_salt, reply.known_members.clone());
+    filter.map_or_else(Vec::new, |filter| select(shared, list, Some(&filter), ""))
+}
+
+fn select(
+    shared: &Shared,
+    list: &MemberList,
+    filter: Option<&MemberFilter>,
+    data_centre: &str,
+) -> Vec<wire::Member> {
+    let (now_ms, random) = (clock::now_ms(), fastrand::u64(..));
+    let mut told = shared.relay.told_members();
+    let data_centre = to_data_centre(data_centre);
+    let members = list.select_unknown(filter, &data_centre, random, told.allowed(now_ms));
+    told.record(now_ms, members.len());
+    members.iter().map(member_to_wire).collect()
+}
+
+fn to_data_centre(text: &str) -> DataCentreId {
+    let unknown = || UNKNOWN_DATA_CENTRE.parse().expect("the name is a valid id");
+    text.parse().unwrap_or_else(|_| unknown())
 }
 
 /// The ages alone, for a message to an instance that knows the same members.
@@ -81,13 +117,18 @@
 pub fn merge_ages(shared: &Shared, list: &MemberList, ages_ms: &[u32]) {
     let ages_ms: Vec<_> = ages_ms.iter().map(|age_ms| Millis(u64::from(*age_ms))).collect();
     match list.with_ages(&ages_ms) {
-        Some(members) => merge_known_members(shared, members.into_iter()),
+        Some(members) => {
+            merge_known_members(shared, members.into_iter());
+        }
         None => spdlog::warn!("event=member_ages_malformed ages={}", ages_ms.len()),
     }
 }
 
-/// Merges members from a message.
-pub fn merge_members<'a>(shared: &Shared, members: impl Iterator<Item = &'a wire::Member>) {
+/// Merges members from a message; returns the number of new ones.
+pub fn merge_members<'a>(
+    shared: &Shared,
+    members: impl Iterator<Item = &'a wire::Member>,
+) -> usize {
     let mut decoded = Vec::new();
     for member in members {
         let (Ok(instance), Ok(address)) = (member.instance.parse(), member.peer_address.parse())
@@ -95,23 +136,24 @@
             spdlog::warn!("event=member_malformed instance={:?}", member.instance);
             continue;
         };
-        let unknown = || UNKNOWN_DATA_CENTRE.parse().expect("the name is a valid id");
-        let data_centre = member.data_centre.parse().unwrap_or_else(|_| unknown());
+        let data_centre = to_data_centre(&member.data_centre);
         let age_ms = Millis(member.age_ms);
         decoded.push(Member { instance, data_centre, address, age_ms });
     }
-    merge_known_members(shared, decoded.into_iter());
+    merge_known_members(shared, decoded.into_iter())
 }
 
-fn merge_known_members(shared: &Shared, members: impl Iterator<Item = Member>) {
+fn merge_known_members(shared: &Shared, members: impl Iterator<Item = Member>) -> usize {
     let now_ms = clock::now_ms();
     let mut known = shared.relay.members();
     let before = known.count();
     members.for_each(|member| known.merge(now_ms, &member));
+    let new_members = known.count() - before;
     known.expire(now_ms);
     let count = known.count();
     drop(known);
     if count != before {
         spdlog::info!("event=members_changed count={count} before={before}");
     }
+    new_members
 }
--- a/crates/turmericrail/src/forward/peers/stream_versions.rs
+++ b/crates/turmericrail/src/forward/peers/stream_versions.rs
@@ -35,6 +35,9 @@
 const MAX_NOTIFY_ATTEMPTS: usize = 2;
 /// Longest wait for an instance that may know a stream.
 const FIND_TIMEOUT: Duration = Duration::from_millis(200);
+/// Connections to other instances that are kept. In a large fleet the keepers of all groups are half
+/// of the instances, and each connection takes some 30 kB at both ends.
+const MAX_CLIENTS: usize = 24;
 /// Groups of streams that have the same keepers, which bounds the connections to them.
 const GROUPS: u128 = 32;
 
@@ -42,7 +45,8 @@
 #[derive(Default)]
 pub struct StreamVersionState {
     unsent: Mutex<Vec<StreamVersion>>,
-    clients: Mutex<BTreeMap<SocketAddr, RelayClient<Channel>>>,
+    /// With the time of their last use.
+    clients: Mutex<BTreeMap<SocketAddr, (RelayClient<Channel>, Millis)>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -250,11 +254,19 @@
 }
 
 async fn client(shared: &Shared, address: SocketAddr) -> Result<RelayClient<Channel>, Status> {
-    if let Some(client) = lock(&shared.stream_versions.clients).get(&address) {
+    let now_ms = clock::now_ms();
+    if let Some((client, used_ms)) = lock(&shared.stream_versions.clients).get_mut(&address) {
+        *used_ms = now_ms;
         return Ok(client.clone());
     }
     let client = relay::connect(address).await?;
-    lock(&shared.stream_versions.clients).insert(address, client.clone());
+    let mut clients = lock(&shared.stream_versions.clients);
+    clients.insert(address, (client.clone(), now_ms));
+    if clients.len() > MAX_CLIENTS {
+        let unused = clients.iter().min_by_key(|(_, (_, used_ms))| *used_ms);
+        let unused = unused.map(|(address, _)| *address);
+        unused.map(|address| clients.remove(&address));
+    }
     Ok(client)
 }
 
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -208,7 +208,7 @@
         }
         shared.pool.expire();
         if shared.relay.has_exchanged() {
-            let instances = shared.relay.members().count();
+            let instances = shared.relay.instance_count();
             shared.forwarder().set_instance_count(clock::now_ms(), instances);
         }
     }
--- a/crates/turmericrail/src/forward/store/store_follow.rs
+++ b/crates/turmericrail/src/forward/store/store_follow.rs
@@ -1,11 +1,11 @@
 //! Follows an instance that watches the platform's store, so that calls to the store don't grow
 //! with the number of instances.
 //!
-//! In each data centre a few instances watch the store. The others ask one of these at a time, at
-//! random, for what is new; each call waits until there is something. An instance that finds no
-//! watching one that can be reached watches the store itself for a while. If those that are reached
-//! can't read the store, the instance goes on to follow them and now and then tries the store
-//! itself, since it may be served.
+//! In each data centre a few instances watch the store. The others form a tree below them
+//! (`FollowPlan`), in which each asks one of the level above for what is new; each call waits until
+//! there is something. An instance that finds none that can be reached watches the store itself for
+//! a while. If those that are reached can't read the store, the instance goes on to follow them and
+//! now and then tries the store itself, since it may be served.
 //!
 //! The watching instances of a data centre follow each other in a ring, so that what one of them
 //! reads reaches those whose watches have failed without a sign. The first one renews its watch
@@ -28,6 +28,8 @@
 use crate::forward::clock;
 use crate::forward::peers::loss_notices;
 use crate::forward::peers::relay;
+use crate::forward::peers::relay_exchange;
+use crate::forward::peers::relay_leaving;
 use crate::forward::peers::relay_limits;
 use crate::forward::peers::relay_members;
 use crate::forward::shared::Shared;
@@ -55,6 +57,9 @@
 /// Time between calls of a watching instance, so that changes in quick succession cost one call.
 const WATCHER_CALL_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Instances whose last notice is remembered.
+const MAX_NOTICE_SOURCES: usize = 64;
+
 /// Asks watching instances for what is new.
 struct Follower {
     shared: Arc<Shared>,
@@ -63,6 +68,8 @@
     silent_until: BTreeMap<SocketAddr, Instant>,
     /// The last notice that each instance told: epoch and number.
     last_notices: BTreeMap<SocketAddr, (u64, u64)>,
+    /// Instances between this one and the store; 0 while this one is to watch it.
+    level: u32,
 }
 
 /// Follows other instances in an endless loop.
@@ -72,6 +79,7 @@
         clients: BTreeMap::new(),
         silent_until: BTreeMap::new(),
         last_notices: BTreeMap::new(),
+        level: 0,
     };
     loop {
         if is_watcher(&shared) {
@@ -110,7 +118,7 @@
     /// Asks watching instances until one replies that can read the store. Returns whether all that
     /// replied have lost the store; `None` if none replied.
     async fn follow_any(&mut self) -> Option<bool> {
-        let (local, remote) = self.choose_watchers(|watchers| fastrand::shuffle(watchers));
+        let (local, remote) = self.choose_parents();
         let is_lost = match self.ask_in_turn(local, MAX_LOCAL_ATTEMPTS, FOLLOW_WAIT).await {
             Some(false) => Some(false),
             Some(true) => {
@@ -158,7 +166,7 @@
     /// changes nor an error.
     async fn follow_as_watcher(&mut self) {
         loop {
-            let reply = match self.choose_watchers(|_| {}).0.first() {
+            let reply = match self.choose_watchers().first() {
                 Some(&address) => self.ask(address, WATCHER_WAIT).await,
                 None => None,
             };
@@ -169,21 +177,30 @@
         }
     }
 
-    /// The other watching instances of this data centre and those of the other ones, as `arrange`
-    /// orders them, those that didn't reply last.
-    fn choose_watchers(
-        &mut self,
-        arrange: impl Fn(&mut Vec<SocketAddr>),
-    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let (mut local, mut remote) = relay_members::watching_instances(&self.shared);
+    /// The instances of the level above in this data centre, the planned one first, and the watching
+    /// ones of the other data centres in random order; those that didn't reply last.
+    fn choose_parents(&mut self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let data_centre = &self.shared.settings().data_centre;
+        let plan = self.shared.relay.members().follow_plan(data_centre);
+        let (_, mut remote) = relay_members::watching_instances(&self.shared);
+        fastrand::shuffle(&mut remote);
+        self.level = plan.level;
+        (self.silent_last(plan.parents), self.silent_last(remote))
+    }
+
+    /// The other watching instances of this data centre in the order of the ring, those that didn't
+    /// reply last.
+    fn choose_watchers(&mut self) -> Vec<SocketAddr> {
+        let (local, _) = relay_members::watching_instances(&self.shared);
+        self.level = 0;
+        self.silent_last(local)
+    }
+
+    fn silent_last(&mut self, mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
         let now = Instant::now();
         self.silent_until.retain(|_, until| *until > now);
-        self.last_notices.retain(|address, _| local.contains(address) || remote.contains(address));
-        for watchers in [&mut local, &mut remote] {
-            arrange(watchers);
-            watchers.sort_by_key(|address| self.silent_until.contains_key(address));
-        }
-        (local, remote)
+        addresses.sort_by_key(|address| self.silent_until.contains_key(address));
+        addresses
     }
 
     /// Asks an instance for what is new and applies it; `None` if it doesn't reply.
@@ -194,6 +211,7 @@
             Ok(reply) => reply,
             Err(status) => {
                 self.clients.remove(&address);
+                self.last_notices.remove(&address);
                 self.silent_until.insert(address, Instant::now() + SILENCE_PERIOD);
                 let problem = status.message();
                 spdlog::debug!("event=follow_failed peer={address} problem={problem:?}");
@@ -201,11 +219,14 @@
             }
         };
         self.silent_until.remove(&address);
-        relay::merge_leaving(&self.shared, &reply.leaving);
+        relay_leaving::merge_leaving(&self.shared, &reply.leaving);
         relay_limits::merge_limits(&self.shared, &reply.limits);
         loss_notices::merge(&self.shared, reply.notices.take());
         self.last_notices.insert(address, (reply.notices_epoch, reply.last_notice));
-        relay::apply_newer(&self.shared, address, std::mem::take(&mut reply.newer));
+        if self.last_notices.len() > MAX_NOTICE_SOURCES {
+            self.last_notices.retain(|known, _| *known == address);
+        }
+        relay_exchange::apply_newer(&self.shared, address, std::mem::take(&mut reply.newer));
         Some(reply)
     }
 
@@ -223,6 +244,8 @@
             limits: relay_limits::list_limits(&self.shared),
             notices_epoch,
             notices_after,
+            level: self.level,
+            is_reading_store: self.shared.relay.is_reading_store(),
         };
         Ok(client.follow(Request::new(request)).await?.into_inner())
     }
--- a/crates/turmericrail/src/forward/store/store_watch.rs
+++ b/crates/turmericrail/src/forward/store/store_watch.rs
@@ -1,7 +1,8 @@
 //! Reads all items of one prefix of the store, then watches it for changes.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use futures_lite::FutureExt;
@@ -38,6 +39,11 @@
 /// times of the store.
 const MAX_WATCH_LAG: Duration = Duration::from_millis(300);
 
+/// Longest time for which an instance that has just started waits to hear which ones watch the store
+/// for it, before it watches itself. After a start of many instances few watches begin this way.
+const MAX_MEMBERS_WAIT: Duration = Duration::from_millis(2_000);
+const MEMBERS_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// An event of one prefix.
 pub enum StoreEvent {
     /// All items of the prefix, as of the revision or later.
@@ -94,9 +100,14 @@
                     handle(StoreEvent::Regained);
                 }
                 retry_delay = MIN_RETRY_DELAY;
+                shared.relay.has_read_failed.store(false, Ordering::Relaxed);
+                let is_first = revision.is_none();
                 revision = Some(at);
                 handle(event);
                 task::sleep(WATCH_INTERVAL).await;
+                if is_first {
+                    wait_for_members(&shared).await;
+                }
             }
             Err(StoreError::Status(store::HISTORY_GONE_STATUS)) => {
                 spdlog::info!("event=store_history_gone prefix={prefix}");
@@ -119,6 +130,7 @@
                 watch_ms = SHORT_WATCH_MS;
             }
             Err(error) => {
+                shared.relay.has_read_failed.store(true, Ordering::Relaxed);
                 if lost_since_ms.is_none() {
                     lost_since_ms = Some(clock::now_ms());
                     spdlog::warn!(
@@ -139,6 +151,16 @@
     }
 }
 
+/// Waits for the first exchange of members, if there are others to exchange with.
+async fn wait_for_members(shared: &Shared) {
+    let settings = shared.settings();
+    let has_seeds = settings.seeds.iter().any(|seed| *seed != settings.peer_address);
+    let begin = Instant::now();
+    while has_seeds && !shared.relay.has_exchanged() && begin.elapsed() < MAX_MEMBERS_WAIT {
+        task::sleep(MEMBERS_POLL_INTERVAL).await;
+    }
+}
+
 /// Longest time of a watch. The first of the watching instances renews its own often: where the
 /// watches of all are dead without an error, it learns of changes and tells the others.
 fn max_watch_ms(shared: &Shared) -> Millis {
