--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -31,7 +31,10 @@
 pub use overload::{
     ServiceOverload, ServiceRanks, Standing, TenantRates, Urgency, headroom_tokens,
 };
-pub use peers::{Member, MemberList, Members, Watcher};
+pub use peers::{
+    ExchangePace, FollowPlan, Member, MemberFilter, MemberList, Members, ToldMembers,
+    TransferBudget, Watcher,
+};
 pub use roles::{RoleLoad, order_right};
 pub use routes::{
     EngineLimits, RequestLimits, Route, RouteKind, RouteTable, Service, TableError, WeightedService,
