Connections to servers: a late copy of an answer no longer passes for the next one

Cause: a caller may give two requests one id, and calls of the router itself carry none, so that the check of the request id didn't tell a late copy of an answer apart on a connection in use again. A HEAD answer and other answers end in different places, so that copies between them weren't skipped whole. Change: a connection carries each request id once, at most one reservation, and 64 calls in all; HEAD requests have connections of their own.

--- a/crates/fakes/src/registered/store.rs
+++ b/crates/fakes/src/registered/store.rs
@@ -27,6 +27,8 @@
     era: u64,
     is_withholding_events: bool,
     is_closing_watches: bool,
+    /// Time after which each answer is sent a second time, where it was set.
+    copy_delay: Option<Duration>,
     calls: u64,
     last_watches: BTreeMap<String, Watch>,
 }
@@ -57,7 +59,16 @@
     pub fn start() -> std::io::Result<Self> {
         let state = Arc::new((Mutex::new(State::default()), Condvar::new()));
         let serving = Arc::clone(&state);
-        let server = RawServer::start(move |head, _| answer(&serving, head))?;
+        let server = RawServer::start(move |head, _| {
+            let answer = answer(&serving, head);
+            let copy_delay = serving.0.lock().expect("no holder of the lock panics").copy_delay;
+            match (answer, copy_delay) {
+                (RawAnswer::Bytes(bytes), Some(delay)) => {
+                    RawAnswer::BytesThenBytes(bytes.clone(), delay, bytes)
+                }
+                (answer, _) => answer,
+            }
+        })?;
         Ok(Self { state, server })
     }
 
@@ -116,6 +127,11 @@
         self.close_watches();
     }
 
+    /// Sends each answer a second time after a delay.
+    pub fn set_copy_delay(&self, delay: Duration) {
+        self.update(|state| state.copy_delay = Some(delay));
+    }
+
     /// A copy of the store as it is now.
     pub fn copy(&self) -> StoreCopy {
         let state = self.state.0.lock().expect("no holder of the lock panics");
--- a/crates/turmericrail/src/forward/servers/connection_pool.rs
+++ b/crates/turmericrail/src/forward/servers/connection_pool.rs
@@ -6,13 +6,17 @@
 
 use turmericrail_core::units::Millis;
 
+use super::call_key::CallKey;
 use super::server_connection::ServerConnection;
 use crate::forward::callers::buffer_budget::BufferBudget;
+use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::clock;
 
 /// Most idle connections to one server. The sum over all instances stays well below the connection
 /// limit of a server.
 const MAX_IDLE_PER_SERVER: usize = 4;
+/// Most calls that one connection carries, which bounds the keys that it keeps.
+const MAX_CARRIED_CALLS: usize = 64;
 /// Idle timeout if the server names none.
 const DEFAULT_IDLE_TIMEOUT_MS: Millis = Millis(4_000);
 /// Margin below the server's idle timeout, since its close may already be under way.
@@ -35,19 +39,49 @@
         self.idle.lock().unwrap_or_else(|_| std::process::abort())
     }
 
-    /// Takes an idle connection on which nothing has arrived since its last answer.
-    pub async fn take(&self, address: SocketAddr) -> Option<ServerConnection> {
+    /// Takes an idle connection on which nothing has arrived since its last answer, and that has
+    /// carried no call with this key: a late copy of that call's answer would pass for the answer to
+    /// this one.
+    pub async fn take(
+        &self,
+        address: SocketAddr,
+        key: Option<CallKey>,
+    ) -> Option<ServerConnection> {
         loop {
-            let mut connection = self.idle().get_mut(&address)?.pop()?;
+            let mut connection = self.pop(address, key)?;
             if is_fresh(&connection) && connection.is_usable().await {
+                connection.carried_calls.extend(key);
                 return Some(connection);
             }
         }
     }
 
+    /// Opens a connection for a call with this key.
+    pub async fn open(
+        address: SocketAddr,
+        key: Option<CallKey>,
+    ) -> Result<ServerConnection, CallFailure> {
+        let mut connection = ServerConnection::open(address).await?;
+        connection.carried_calls.extend(key);
+        Ok(connection)
+    }
+
+    fn pop(&self, address: SocketAddr, key: Option<CallKey>) -> Option<ServerConnection> {
+        let mut idle = self.idle();
+        let connections = idle.get_mut(&address)?;
+        let has_carried = |connection: &ServerConnection| {
+            key.is_some_and(|key| connection.carried_calls.contains(&key))
+        };
+        let index = connections.iter().rposition(|connection| !has_carried(connection))?;
+        Some(connections.remove(index))
+    }
+
     /// Returns a connection to the pool after a complete answer.
     pub fn put(&self, address: SocketAddr, mut connection: ServerConnection) {
         connection.has_open_call = false;
+        if connection.carried_calls.len() >= MAX_CARRIED_CALLS {
+            return;
+        }
         connection.last_used_ms = clock::now_ms();
         let mut idle = self.idle();
         let connections = idle.entry(address).or_default();
--- a/crates/turmericrail/src/forward/servers/control_call.rs
+++ b/crates/turmericrail/src/forward/servers/control_call.rs
@@ -6,8 +6,9 @@
 use turmericrail_core::forward::ServerRun;
 use turmericrail_platform::answer;
 
+use super::call_key::CallKey;
+use super::connection_pool::ConnectionPool;
 use super::exchange;
-use super::server_connection::ServerConnection;
 use super::server_notices;
 use crate::forward::clock;
 use crate::forward::shared::Shared;
@@ -33,9 +34,10 @@
         return None;
     }
     let calling = async {
-        let mut connection = match shared.pool.take(address).await {
+        let key = CallKey::of_control_call(method);
+        let mut connection = match shared.pool.take(address, key).await {
             Some(connection) => connection,
-            None => ServerConnection::open(address).await.ok()?,
+            None => ConnectionPool::open(address, key).await.ok()?,
         };
         connection.write(bytes).await.ok()?;
         let head = exchange::read_head(&mut connection, method).await.ok()?;
--- a/crates/turmericrail/src/forward/servers/exchange.rs
+++ b/crates/turmericrail/src/forward/servers/exchange.rs
@@ -12,6 +12,7 @@
 use turmericrail_wire::http1::ResponseHead;
 
 use super::answer_body::AnswerBody;
+use super::call_key::CallKey;
 use super::connection_pool::ConnectionPool;
 use super::sent_call::SentCall;
 use super::server_connection::ServerConnection;
@@ -36,6 +37,14 @@
     pub request_id: &'a str,
 }
 
+impl OutgoingCall<'_> {
+    /// Whether answers have no body. Such a call has a connection of its own: copies of answers to
+    /// calls with another method can't be skipped, since the method determines where they end.
+    fn is_head(&self) -> bool {
+        self.method == "HEAD"
+    }
+}
+
 /// The head of an answer, whose body is still to be read from the connection.
 pub struct Exchange {
     pub connection: ServerConnection,
@@ -56,9 +65,11 @@
     ) -> Result<Self, CallFailure> {
         let is_connected = AtomicBool::new(false);
         let calling = async {
-            let connection = match pool.take(call.address).await {
+            let key = Some(CallKey::of_request(call.request_id));
+            let pooled = if call.is_head() { None } else { pool.take(call.address, key).await };
+            let connection = match pooled {
                 Some(connection) => connection,
-                None => ServerConnection::open(call.address).await?,
+                None => ConnectionPool::open(call.address, key).await?,
             };
             is_connected.store(true, Ordering::Relaxed);
             send_and_read_head(connection, call).await
@@ -142,7 +153,7 @@
     let mut stale_answers = 0;
     let (head, metadata) =
         writing.or(read_matching_head(&mut connection, call, &mut stale_answers)).await?;
-    let is_reusable = is_written.load(Ordering::Relaxed) && stale_answers == 0;
+    let is_reusable = is_written.load(Ordering::Relaxed) && stale_answers == 0 && !call.is_head();
     Ok(Exchange { connection, head, metadata, is_reusable, sent: None })
 }
 
--- a/crates/turmericrail/src/forward/servers/server_connection.rs
+++ b/crates/turmericrail/src/forward/servers/server_connection.rs
@@ -11,6 +11,7 @@
 use turmericrail_core::units::Millis;
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming};
 
+use super::call_key::CallKey;
 use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::clock;
 use crate::tcp_timeouts::TcpTimeouts;
@@ -39,6 +40,8 @@
     pub keep_alive_ms: Option<Millis>,
     /// Whether a call was written whose answer has not been read whole.
     pub has_open_call: bool,
+    /// The keys of the calls that it has carried.
+    pub carried_calls: Vec<CallKey>,
     reads_since_yield: u32,
 }
 
@@ -73,6 +76,7 @@
             last_used_ms,
             keep_alive_ms: None,
             has_open_call: false,
+            carried_calls: Vec::new(),
             reads_since_yield: 0,
         })
     }
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -8,10 +8,11 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use serde_json::Value;
+use serde_json::{Value, json};
 use turmericrail_fakes::ports::free_address;
-use turmericrail_fakes::registered::{self, FakeStore, RegisteredServer, Reply};
+use turmericrail_fakes::registered::{self, FakeStore, RawServer, RegisteredServer, Reply};
 use turmericrail_fakes::signal::send_signal;
+use turmericrail_wire::http1::RequestHead;
 
 /// Data centre of instances that aren't put in another one.
 const DATA_CENTRE: &str = "dc-a";
@@ -310,3 +311,24 @@
 pub fn read_reply(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Reply> {
     Reply::read(stream, buffer).expect("the answer is well formed")
 }
+
+/// Registers a server that a test runs itself, and waits until the instance knows it.
+pub fn register_raw(instance: &ForwardInstance, id: &str, stage: Option<&str>, server: &RawServer) {
+    let service = if stage.is_some() { "llm" } else { "desk" };
+    let mut entry = json!({
+        "service": service, "address": server.address.to_string(), "zone": "dc-a", "version": "v1",
+        "slots": 6, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": 1,
+    });
+    if let Some(stage) = stage {
+        entry["stage"] = json!(stage);
+    }
+    instance.store.put(&format!("servers/{id}"), &entry);
+    instance.wait_for_log(&format!("event=server_changed server={id} "));
+}
+
+/// A signed answer to a request, with this body.
+pub fn answer_with(head: &RequestHead, body: &str) -> Vec<u8> {
+    let id = head.headers.text("X-Request-Id").unwrap_or_default();
+    let fields = format!("X-Request-Id: {id}\r\nX-Response-Signature: x\r\n");
+    format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
