Streams: bytes that complete no event are no sign of life

Cause: any received byte restarted the silence timeout of a stream, so that an engine that sent a byte, a line end or a comment now and then kept a resumable stream until its deadline. A caller that sent its body byte by byte kept its connection for as long as the deadline that it stated itself. Change: the timeout runs from the last event with content; a body arrives within the time limit of its route.

--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -97,9 +97,8 @@
         if head.expects_continue() && self.write(CONTINUE_ANSWER).await.is_err() {
             return Received::Closed;
         }
-        let body_timeout_ms = metadata.deadline_ms.unwrap_or(DEFAULT_BODY_TIMEOUT_MS);
         let reading = self.read_body(&head, &limits);
-        let timeout = Duration::from_millis(body_timeout_ms.0);
+        let timeout = body_timeout(shared, &head, &metadata);
         let body = match async_std::future::timeout(timeout, reading).await {
             Ok(Ok(Some(body))) => body,
             Ok(Ok(None)) => return Received::Closed,
@@ -190,6 +189,15 @@
     }
 }
 
+/// Time limit for the body: the caller's deadline, and at most the time limit of its route.
+fn body_timeout(shared: &Shared, head: &RequestHead, metadata: &RequestMetadata) -> Duration {
+    let forwarder = shared.forwarder();
+    let route = forwarder.table().and_then(|table| table.find(&head.host, head.path()));
+    let limit_ms = route.map_or(DEFAULT_BODY_TIMEOUT_MS, |route| route.timeout_ms);
+    let requested_ms = metadata.deadline_ms.unwrap_or(DEFAULT_BODY_TIMEOUT_MS);
+    Duration::from_millis(requested_ms.min(limit_ms).0)
+}
+
 fn head_error(error: HeadError) -> ErrorKind {
     spdlog::info!("event=head_refused problem={:?}", error.to_string());
     ErrorKind::HeadRefused
--- a/crates/turmericrail/src/forward/calls/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -293,6 +293,8 @@
     let mut share = context.shared.pool.answer_budget.share();
     let events_before = events.event_count();
     let (mut is_before_first_event, mut has_survived) = (true, false);
+    // Bytes that complete no event don't count as a sign of life.
+    let (mut last_event_count, mut last_event_ms) = (events_before, clock::now_ms());
     loop {
         let mut data = Vec::new();
         let Ok(used) = decoder.decode(&exchange.connection.buffer, &mut data) else {
@@ -318,6 +320,9 @@
         if !caller.write_events(&exchange.head, &whole_events).await {
             return Some(EngineAttemptEnd::CallerLost);
         }
+        if events.event_count() > last_event_count {
+            (last_event_count, last_event_ms) = (events.event_count(), clock::now_ms());
+        }
         if decoder.is_done() {
             return None;
         }
@@ -328,17 +333,22 @@
             true => first_event_timeout_ms(context, attempt),
             false => gap_timeout_ms(context),
         };
-        let timeout = Duration::from_millis(failover.timeout_ms(context, silence_timeout_ms).0);
+        let silent_ms = clock::now_ms().saturating_sub(last_event_ms);
+        let left_ms = silence_timeout_ms.saturating_sub(silent_ms);
+        if left_ms == Millis::ZERO
+            && failover.is_movable
+            && let Some(moved) = failover.move_call(context).await
+        {
+            return Some(moved);
+        }
+        let timeout = Duration::from_millis(failover.timeout_ms(context, left_ms).0);
         let filling = async_std::future::timeout(timeout, exchange.connection.fill_fairly());
         match filling.await {
             Ok(Ok(0)) if decoder.end_of_input().is_ok() => {}
             Ok(Ok(read)) if read > 0 => {}
             Ok(_) => return failed(CallFailure::Lost),
-            Err(_) if failover.is_movable => {
-                if let Some(moved) = failover.move_call(context).await {
-                    return Some(moved);
-                }
-            }
+            // The engine has been silent for so long that the call moves, if it can.
+            Err(_) if failover.is_movable && context.remaining_ms() > Millis::ZERO => {}
             Err(_) => return failed(CallFailure::Silent),
         }
     }
--- a/crates/wire/src/http1/event_splitter.rs
+++ b/crates/wire/src/http1/event_splitter.rs
@@ -35,8 +35,11 @@
     }
 
     fn record_event(&mut self, start: usize, end: usize) {
-        self.event_count += 1;
         let event = String::from_utf8_lossy(&self.partial[start..end]);
+        let mut lines = event.split(['\r', '\n']);
+        if lines.any(|line| !line.is_empty() && !line.starts_with(':')) {
+            self.event_count += 1;
+        }
         let id = event.split(['\r', '\n']).find_map(|line| line.strip_prefix("id:"));
         if let Some(id) = id {
             self.last_id = Some(id.strip_prefix(' ').unwrap_or(id).to_owned());
@@ -63,7 +66,7 @@
         self.last_id.as_deref()
     }
 
-    /// Number of complete events so far.
+    /// Number of complete events so far; empty lines and comments alone are none.
     pub fn event_count(&self) -> u64 {
         self.event_count
     }
