--- a/crates/turmericrail/src/forward/peers/relay_exchange.rs
+++ b/crates/turmericrail/src/forward/peers/relay_exchange.rs
@@ -17,7 +17,7 @@
 use turmericrail_core::forward::{ExchangePace, MemberFilter, MemberList, PublishedItem};
 use turmericrail_wire::relay::{self as wire, ExchangeReply, ExchangeRequest};
 
-use super::{loss_notices, relay, relay_leaving, relay_limits, relay_members};
+use super::{loss_notices, relay, relay_leaving, relay_limits, relay_members, usage};
 use crate::forward::shared::Shared;
 use crate::forward::store::store_sync;
 
