Usage caps: members that learn of each other late, and reports from before a coordinator's start

After a kill of all instances several coordinators begin side by side; each keeps what it counted in the last four seconds and reports it once it knows a better one, and no bucket gets credit for the first three seconds of its process. A report counts only from the start of its receiver on.

--- a/crates/core/src/forward/usage/usage_caps.rs
+++ b/crates/core/src/forward/usage/usage_caps.rs
@@ -261,10 +261,10 @@
         mut levels: Vec<UsageLevels>,
     ) -> UsageReply {
         // Where others were asked and none of them knows the tenant, nobody has used it since this
-        // instance started.
+        // instance started, or knew its members if all started together.
         let is_certain = !levels.is_empty() || order.member_count() == 1;
-        let unused_ms =
-            if is_certain { now_ms.saturating_sub(self.started_ms) } else { Millis::ZERO };
+        let unused_ms = now_ms.saturating_sub(self.started_ms + START_TIME_MS);
+        let unused_ms = if is_certain { unused_ms } else { Millis::ZERO };
         let stated = self.views.get(&request.tenant).and_then(|view| view.stated(now_ms));
         levels.push(UsageLevels { own: None, stated });
         let coordinator = UsageCoordinator::start(now_ms, request, &levels, unused_ms);
--- a/crates/core/src/forward/usage/usage_coordinator.rs
+++ b/crates/core/src/forward/usage/usage_coordinator.rs
@@ -123,20 +123,33 @@
         }
     }
 
-    /// The part of a deputy's late report that would have been refilled if it had come in time: the
-    /// bucket was full meanwhile.
-    fn take_spilled(&mut self, now_ms: Millis, request: &UsageRequest) -> f64 {
+    /// The units of a report. Of a deputy's, the part from before the start of this coordinator is left
+    /// out: the first level stands for it.
+    fn reported_units(&self, now_ms: Millis, request: &UsageRequest) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.started_ms);
         let span_ms = request.reported_span_ms;
-        let mut rest = request.reported.max(0.0);
+        if !request.is_deputy || (age_ms >= span_ms && age_ms >= TAKEOVER_TIME_MS) {
+            return request.reported;
+        }
+        if age_ms < TAKEOVER_TIME_MS {
+            return 0.0;
+        }
+        request.reported * age_ms.0 as f64 / span_ms.0 as f64
+    }
+
+    /// The part of a late report that would have been refilled if it had come in time: the bucket was
+    /// full meanwhile.
+    fn take_spilled(&mut self, now_ms: Millis, request: &UsageRequest, reported: f64) -> f64 {
+        let mut rest = reported.max(0.0);
         for (at_ms, spilled) in &mut self.spilled {
-            if now_ms > *at_ms + span_ms {
+            if now_ms > *at_ms + request.reported_span_ms {
                 continue;
             }
             let taken = spilled.min(rest);
             *spilled -= taken;
             rest -= taken;
         }
-        request.reported.max(0.0) - rest
+        reported.max(0.0) - rest
     }
 
     /// Whether a data centre may have had another coordinator, since it was silent.
@@ -184,15 +197,14 @@
             self.callers.insert(request.data_centre.clone());
         }
         self.refill(now_ms, share);
-        self.cancel_void(request, is_first);
+        self.cancel_void(now_ms, request, is_first);
         let is_granted = self.bucket.level() > 0.0;
         let asked = if is_granted { request.asked } else { 0.0 };
-        let is_included = request.is_deputy && now_ms < self.started_ms + TAKEOVER_TIME_MS;
-        let units = if is_included { 0.0 } else { request.reported + asked };
-        let units = units - self.take_spilled(now_ms, request).min(units.max(0.0));
+        let reported = self.reported_units(now_ms, request);
+        let units = reported - self.take_spilled(now_ms, request, reported) + asked;
         let counted = self.counted.entry(request.id.instance.clone()).or_default();
         if counted.record(request.id.run, request.id.number, units) {
-            self.count(units, is_first);
+            self.count(now_ms, units, is_first);
         }
         let rate_per_s = self.terms.rate_per_s * share;
         UsageReply {
@@ -202,19 +214,24 @@
         }
     }
 
-    fn count(&mut self, units: f64, is_first: bool) {
+    /// Counts units. They are also kept for a better member that may become known in the next
+    /// seconds.
+    fn count(&mut self, now_ms: Millis, units: f64, is_first: bool) {
         self.bucket.take(units);
-        if !is_first && units != 0.0 {
-            self.reports.add(units);
+        if units != 0.0 {
+            self.reports.add(now_ms, units);
+        }
+        if is_first {
+            self.reports.expire(now_ms);
         }
     }
 
     /// Takes back what was counted for messages whose reply was lost or late.
-    fn cancel_void(&mut self, request: &UsageRequest, is_first: bool) {
+    fn cancel_void(&mut self, now_ms: Millis, request: &UsageRequest, is_first: bool) {
         for message in &request.void {
             let counted = self.counted.entry(message.instance.clone()).or_default();
             let units = counted.cancel(message.run, message.number);
-            self.count(-units, is_first);
+            self.count(now_ms, -units, is_first);
             if !is_first {
                 self.reports.add_void(message.clone());
             }
--- a/crates/core/src/forward/usage/usage_reports.rs
+++ b/crates/core/src/forward/usage/usage_reports.rs
@@ -1,10 +1,14 @@
 //! Usage that a coordinator has yet to be told of.
 
+use std::collections::VecDeque;
+
 use super::{MessageId, SILENCE_MS};
 use crate::units::Millis;
 
 /// Least time between two reports.
 const REPORT_INTERVAL_MS: Millis = Millis(50);
+/// Time for which units are kept as one sum.
+const COLLECT_MS: Millis = Millis(100);
 /// Time after a failed report until the next one.
 const REPORT_RETRY_MS: Millis = Millis(200);
 /// Most messages that are told to be void: those of all instances in a few seconds.
@@ -14,8 +18,8 @@
 /// had no reply.
 #[derive(Clone, Debug, Default)]
 pub struct UsageReports {
-    /// Negative if more units are given back than were used.
-    unsent: Option<f64>,
+    /// Units and their times; negative if more units are given back than were used.
+    unsent: VecDeque<(Millis, f64)>,
     sent: Option<f64>,
     next_ms: Millis,
     /// Whether the last report has failed.
@@ -27,35 +31,48 @@
 
 impl UsageReports {
     /// Adds units to the next report; negative ones are given back.
-    pub fn add(&mut self, units: f64) {
-        *self.unsent.get_or_insert(0.0) += units;
+    pub fn add(&mut self, now_ms: Millis, units: f64) {
+        match self.unsent.back_mut() {
+            Some((at_ms, sum)) if now_ms < *at_ms + COLLECT_MS => *sum += units,
+            _ => self.unsent.push_back((now_ms, units)),
+        }
+    }
+
+    /// Drops units that nobody needs to be told of any more: once its silence is noticed, another
+    /// coordinator grants only its own share of the cap.
+    pub fn expire(&mut self, now_ms: Millis) {
+        while self.unsent.front().is_some_and(|(at_ms, _)| now_ms > *at_ms + SILENCE_MS) {
+            self.unsent.pop_front();
+        }
     }
 
     /// Units that no coordinator has confirmed.
     pub fn unconfirmed(&self) -> f64 {
-        self.unsent.unwrap_or_default() + self.sent.unwrap_or_default()
+        self.unsent.iter().map(|(_, units)| units).sum::<f64>() + self.sent.unwrap_or_default()
     }
 
     /// Time until a report is due; `None` if there is nothing to report or a report is on its way.
     pub fn due_in_ms(&self, now_ms: Millis) -> Option<Millis> {
-        let is_waiting = self.unsent.is_some() && self.sent.is_none();
+        let is_waiting = !self.unsent.is_empty() && self.sent.is_none();
         is_waiting.then(|| self.next_ms.saturating_sub(now_ms))
     }
 
-    /// Takes the units that are to be reported now, and the time over which they came together if
-    /// earlier reports have failed. A report after a failed one holds none: should both arrive late
-    /// after all, the units would count twice. Once its silence is noticed, the other side grants only
-    /// its own share of the cap, and is to be told of nothing.
+    /// Takes the units that are to be reported now, and the time over which they came together. A
+    /// report after a failed one holds none: should both arrive late after all, the units would count
+    /// twice.
     pub fn take(&mut self, now_ms: Millis) -> (f64, Millis) {
         self.next_ms = now_ms + REPORT_INTERVAL_MS;
         if self.is_failing {
             self.sent = Some(0.0);
             return (0.0, Millis::ZERO);
         }
-        let late_since_ms = self.late_since_ms.unwrap_or(now_ms);
-        let units = self.unsent.take().filter(|_| now_ms <= late_since_ms + SILENCE_MS);
-        self.sent = units.or(Some(0.0));
-        (units.unwrap_or_default(), now_ms.saturating_sub(late_since_ms))
+        if self.late_since_ms.is_some_and(|since_ms| now_ms > since_ms + SILENCE_MS) {
+            self.unsent.clear();
+        }
+        let oldest_ms = self.unsent.front().map_or(now_ms, |(at_ms, _)| *at_ms);
+        let units = self.unsent.drain(..).map(|(_, units)| units).sum();
+        self.sent = Some(units);
+        (units, now_ms.saturating_sub(oldest_ms))
     }
 
     /// Records that the report has arrived.
@@ -74,7 +91,7 @@
         self.late_since_ms.get_or_insert(now_ms);
         self.is_failing = true;
         if let Some(units) = self.sent.take() {
-            self.add(units);
+            self.add(now_ms, units);
         }
     }
 
--- a/crates/core/src/forward/usage/usage_view.rs
+++ b/crates/core/src/forward/usage/usage_view.rs
@@ -79,7 +79,7 @@
         let is_recent = now_ms <= known.at_ms + MAX_LEVEL_AGE_MS;
         let is_below = known.level - unconfirmed > terms.ample_level();
         if is_recent && is_below && unconfirmed + cost <= max_unconfirmed {
-            self.reports.add(cost);
+            self.reports.add(now_ms, cost);
             return UsageDecision::Admitted;
         }
         UsageDecision::AskMeanwhile
@@ -111,7 +111,7 @@
             return Err(self.alone.rises_in_ms(least, rate_per_s).min(MAX_ALONE_WAIT_MS));
         }
         self.alone.take(cost);
-        self.reports.add(cost);
+        self.reports.add(now_ms, cost);
         Ok(())
     }
 
--- a/crates/turmericrail/src/forward/peers/usage.rs
+++ b/crates/turmericrail/src/forward/peers/usage.rs
@@ -189,7 +189,8 @@
 
 /// Gives back the usage of a request that was sent to no server.
 pub fn give_back(shared: &Arc<Shared>, tenant: &TenantId, units: f64) {
-    shared.usage.caps().view(clock::now_ms(), tenant).reports().add(-units);
+    let now_ms = clock::now_ms();
+    shared.usage.caps().view(now_ms, tenant).reports().add(now_ms, -units);
     usage_reports::schedule(shared, tenant);
 }
 
@@ -215,7 +216,7 @@
 }
 
 /// Drops the state of tenants without a cap.
-pub fn expire(shared: &Shared) {
+pub fn expire(shared: &Arc<Shared>) {
     let table = shared.forwarder().table().cloned();
     let tenants = table.as_ref().and_then(|table| table.tenants());
     let has_cap = |tenant: &TenantId| {
@@ -224,6 +225,9 @@
             .is_some_and(|tenant| tenant.usage_cap.is_some())
     };
     shared.usage.caps().expire(clock::now_ms(), has_cap);
+    let coordinated: Vec<_> =
+        shared.usage.caps().levels().map(|(tenant, _)| tenant.clone()).collect();
+    coordinated.iter().for_each(|tenant| usage_reports::schedule_deputy(shared, tenant));
     lock(&shared.usage.orders).retain(|tenant, _| has_cap(tenant));
     let members = shared.relay.members().list(clock::now_ms());
     let is_member = |address: &SocketAddr| members.iter().any(|it| it.address == *address);
