Servers' own speeds: a lasting and a momentary factor in predictions

The speed of a server was known only as one ratio that forgets within 4 s. An instance that sends less than a request a second to 60 engines had forgotten or never learned it, so slow engines got as many answers as they had room for.

X-Instance-Load may have a fourth number, the momentary work time in percent of usual. It is read from the answers to prefills, decode and plain calls, reservations and other control calls. A malformed one is counted and logged and leaves the other numbers usable. Its weight falls to zero, that is to the mean of the server's figures, within 600 ms. Measured times divided by it give the lasting slowdown of a run (half-life 5 minutes); the product scales prefill, first event, step and plain times. Decode engines are charged a tenth of the time for which an answer holds memory, and the time by which events come later than the gap target. Reports of running calls fade to their mean rather than to zero, and slower on slow engines. The jitter between servers that state a speed is one expected time. Servers that state none are predicted and chosen as before.

--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -13,7 +13,7 @@
 use crate::forward::servers::reliability::Reliability;
 use crate::forward::servers::service_latency::ServiceLatency;
 use crate::ids::{DataCentreId, RouteId, ServiceId};
-use crate::units::{Millis, Tokens};
+use crate::units::Millis;
 
 /// Least and greatest relative size of a call; others are clamped.
 const RELATIVE_SIZE_RANGE: (f64, f64) = (0.5, 3.0);
@@ -42,7 +42,7 @@
     pub(super) table: Option<Arc<RouteTable>>,
     pub(super) registry: ServerRegistry,
     pub(super) loads: BTreeMap<ServerRun, ServerLoad>,
-    service_latencies: BTreeMap<ServiceId, ServiceLatency>,
+    pub(super) service_latencies: BTreeMap<ServiceId, ServiceLatency>,
     service_reliabilities: BTreeMap<ServiceId, Reliability>,
     retry_windows: BTreeMap<ServiceId, RetryWindow>,
     reservation_pressures: BTreeMap<ServiceId, ReservationPressure>,
@@ -278,13 +278,18 @@
         }
     }
 
-    /// Stores the load that a server reported about itself.
+    /// Stores the load that a server reported about itself. A report of a run that another one has
+    /// followed is ignored.
     pub fn record_reported_load(
         &mut self,
         now_ms: Millis,
         run: &ServerRun,
         reported: ReportedLoad,
     ) {
+        let current = self.registry.entry(now_ms, &run.server);
+        if current.is_some_and(|entry| run.started_ms < entry.started_ms) {
+            return;
+        }
         self.loads.entry(run.clone()).or_default().record_report(now_ms, reported);
     }
 
@@ -303,56 +308,6 @@
         self.loads.entry(run.clone()).or_default().record_failure(now_ms);
     }
 
-    /// Records the time to the answer of a plain call.
-    pub fn record_answer_time(
-        &mut self,
-        now_ms: Millis,
-        choice: &ChosenServer,
-        measured_ms: Millis,
-    ) {
-        self.service_latencies
-            .entry(choice.service.clone())
-            .or_default()
-            .record_answer_time(measured_ms);
-        self.record_latency(now_ms, choice, measured_ms);
-    }
-
-    /// Records the time to the first event at a decode engine that received the KV cache from a
-    /// prefill engine.
-    pub fn record_first_event_time(
-        &mut self,
-        now_ms: Millis,
-        choice: &ChosenServer,
-        measured_ms: Millis,
-    ) {
-        self.service_latencies
-            .entry(choice.service.clone())
-            .or_default()
-            .record_first_event_time(measured_ms);
-        self.record_latency(now_ms, choice, measured_ms);
-    }
-
-    /// Records the duration of a prefill.
-    pub fn record_prefill_time(
-        &mut self,
-        now_ms: Millis,
-        choice: &ChosenServer,
-        measured_ms: Millis,
-    ) {
-        let load = self.loads.get(&choice.run).copied().unwrap_or_default();
-        let queued = Tokens(load.tokens().max(choice.tokens.0));
-        self.service_latencies
-            .entry(choice.service.clone())
-            .or_default()
-            .record_prefill_time(measured_ms, queued);
-        self.record_latency(now_ms, choice, measured_ms);
-    }
-
-    fn record_latency(&mut self, now_ms: Millis, choice: &ChosenServer, measured_ms: Millis) {
-        let load = self.loads.entry(choice.run.clone()).or_default();
-        load.record_latency(now_ms, measured_ms, choice.baseline_latency_ms);
-    }
-
     /// Probability that a call to any server of a service fails.
     pub(super) fn failure_probability(&self, now_ms: Millis, service: &ServiceId) -> f64 {
         let reliability = self.service_reliabilities.get(service).copied().unwrap_or_default();
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -14,6 +14,7 @@
 mod routes;
 mod selection;
 mod servers;
+mod speed;
 mod tenants;
 mod versions;
 
@@ -39,5 +40,6 @@
     CallEnd, ChosenServer, FailureScore, LeavingRuns, PublishedItem, PublishedSet, ReportedLoad,
     ServerEntry, ServerLoad, ServerRegistry, ServerRun, ServerState, ServerUpdate,
 };
+pub use speed::{LastingSlowdown, LastingSpeed, MomentarySlowdown, ServerSpeed, WorkTimePercent};
 pub use tenants::{ApiKey, Tenant, TenantError, TenantTable, UsageCap, UsageUnit};
 pub use versions::{SoftwareVersion, StreamKey, StreamVersion, StreamVersions, VersionHistory};
--- a/crates/core/src/forward/routes/table.rs
+++ b/crates/core/src/forward/routes/table.rs
@@ -44,6 +44,8 @@
     services: BTreeMap<ServiceId, Service>,
     /// Routes by host, longest path prefix first.
     routes: BTreeMap<String, Vec<Arc<Route>>>,
+    /// Shortest gap target of the routes to each service.
+    gap_targets_ms: BTreeMap<ServiceId, Millis>,
     /// `None` if requests need no API key.
     tenants: Option<TenantTable>,
 }
@@ -59,6 +61,7 @@
         let services: BTreeMap<_, _> =
             services.into_iter().map(|service| (service.name.clone(), service)).collect();
         let mut by_host: BTreeMap<String, Vec<Arc<Route>>> = BTreeMap::new();
+        let gap_targets_ms = shortest_gap_targets(&routes);
         for route in routes {
             if route.services.iter().all(|weighted| weighted.weight == 0) {
                 return Err(TableError::NoService { route: route.name });
@@ -73,7 +76,7 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        Ok(Self { version, limits, services, routes: by_host, tenants: None })
+        Ok(Self { version, limits, services, routes: by_host, gap_targets_ms, tenants: None })
     }
 
     /// Adds the tenants whose keys requests need on routes that aren't public.
@@ -112,6 +115,12 @@
         self.services.values()
     }
 
+    /// The shortest target for the gaps between events of the routes to a service; `None` if none
+    /// has one.
+    pub fn gap_target_ms(&self, service: &ServiceId) -> Option<Millis> {
+        self.gap_targets_ms.get(service).copied()
+    }
+
     /// All routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flatten()
@@ -127,3 +136,18 @@
         self.routes.values().map(Vec::len).sum()
     }
 }
+
+fn shortest_gap_targets(routes: &[Route]) -> BTreeMap<ServiceId, Millis> {
+    let mut shortest_ms = BTreeMap::new();
+    for route in routes {
+        if route.gap_target_ms == Millis::ZERO {
+            continue;
+        }
+        for weighted in &route.services {
+            let known_ms =
+                shortest_ms.entry(weighted.service.clone()).or_insert(route.gap_target_ms);
+            *known_ms = route.gap_target_ms.min(*known_ms);
+        }
+    }
+    shortest_ms
+}
--- a/crates/core/src/forward/selection/mod.rs
+++ b/crates/core/src/forward/selection/mod.rs
@@ -1,5 +1,6 @@
 //! Chooses servers for calls, and engines for prefill and decode.
 
+mod decode_cost;
 mod engine_filter;
 mod engine_report;
 mod model_call_size;
--- a/crates/core/src/forward/selection/server_selection.rs
+++ b/crates/core/src/forward/selection/server_selection.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::decode_cost::{TYPICAL_REQUEST_TOKENS, contention_ms, generation_cost_ms};
 use crate::config::ServerRole;
 use crate::forward::{
     ChosenServer, EngineFilter, Forwarder, ModelCallSize, ModelPlan, PlanRefusal, ServerEntry,
@@ -37,16 +38,8 @@
 const LONE_VERSION_PENALTY_MS: f64 = 400.0;
 /// Range of the random jitter that is added to the cost.
 const JITTER_RANGE_MS: f64 = 4.0;
-/// Time that each further request in a decode engine's batch adds to the first event and to each
-/// gap between tokens.
-const BATCHED_REQUEST_MS: f64 = 3.0;
-/// Size assumed for requests of other instances, of which only the number is known.
-const TYPICAL_REQUEST_TOKENS: f64 = 4_000.0;
-/// Share of the KV memory that may be in use before an engine counts as full; the rest covers
-/// requests that other instances have just sent.
-const USABLE_MEMORY_SHARE: f64 = 0.9;
-/// Expected wait for memory at a full engine: about the duration of one answer.
-const MEMORY_WAIT_MS: f64 = 600.0;
+/// Range of the jitter between servers that state their speed, as a share of the expected time.
+const STATED_SPEED_JITTER_SHARE: f64 = 1.0;
 /// Prompt processing time at a decode engine relative to a prefill engine: a decode engine has half
 /// the speed and generates running answers in the same steps.
 const DECODE_PREFILL_SLOWDOWN: f64 = 2.5;
@@ -237,7 +230,9 @@
             KvOrigin::PrefillEngineIn(_) => 0.0,
             KvOrigin::DecodeEngine => self.decode_prefill_ms(service, size),
         };
-        let first_event_ms = self.service_latency(service).first_event_ms + prefill_ms;
+        let latency = self.service_latency(service);
+        let first_event_ms = latency.first_event_ms + prefill_ms;
+        let gap_target_ms = self.table().and_then(|table| table.gap_target_ms(service));
         let kv_tokens = self.kv_capacity(service);
         let candidates = self.candidates(now_ms, service, ServerRole::Decode, filter);
         let lone_engines = engines_of_lone_versions(&candidates);
@@ -251,7 +246,10 @@
             let is_lone = lone_engines.contains(candidate.server);
             let lone_ms = if is_lone { LONE_VERSION_PENALTY_MS } else { 0.0 };
             let contention_ms = contention_ms(now_ms, candidate, needed_tokens, kv_tokens);
-            let penalty_ms = remote_ms + lone_ms + failure_cost_ms(now_ms, candidate, prior);
+            let generation_ms =
+                generation_cost_ms(now_ms, candidate, size, &latency, gap_target_ms);
+            let penalty_ms =
+                remote_ms + lone_ms + generation_ms + failure_cost_ms(now_ms, candidate, prior);
             (first_event_ms + contention_ms, penalty_ms)
         })?;
         Some(self.chosen_server(best, needed_tokens, candidate_count))
@@ -289,7 +287,8 @@
         let mut best: Option<ScoredCandidate<'a>> = None;
         for (index, candidate) in candidates.into_iter().enumerate() {
             let (baseline_latency_ms, extra_ms) = estimate_ms(&candidate);
-            let predicted_latency_ms = baseline_latency_ms * candidate.load.latency_ratio(now_ms);
+            let predicted_latency_ms =
+                baseline_latency_ms * candidate.load.time_ratio(now_ms, baseline_latency_ms);
             let failure_ms =
                 candidate.load.failure_score(now_ms) * FAILURE_PENALTY_MS * failure_factor;
             let is_remote = candidate.entry.data_centre != self.settings.data_centre;
@@ -303,7 +302,7 @@
                 + failure_ms
                 + remote_ms
                 + data_centre_failure_ms
-                + jitter_ms(random, index);
+                + jitter_share(random, index) * jitter_range_ms(&candidate, baseline_latency_ms);
             if best.as_ref().is_none_or(|best| cost_ms < best.cost_ms) {
                 best = Some(ScoredCandidate {
                     candidate,
@@ -374,35 +373,19 @@
     candidate.load.failure_probability(now_ms, prior) * ENGINE_FAILURE_COST_MS
 }
 
-/// Time that the other requests on a decode engine add: a share per batched request, and the wait
-/// for memory if it is full.
-fn contention_ms(
-    now_ms: Millis,
-    candidate: &Candidate<'_>,
-    needed_tokens: Tokens,
-    kv_tokens: Option<Tokens>,
-) -> f64 {
-    let other_calls = candidate.load.other_instances_calls(now_ms);
-    let batch_requests = f64::from(candidate.load.running_calls()) + other_calls;
-    let used_tokens = candidate.load.tokens() as f64
-        + other_calls * TYPICAL_REQUEST_TOKENS
-        + needed_tokens.0 as f64;
-    let usable_tokens =
-        kv_tokens.map_or(f64::INFINITY, |tokens| tokens.0 as f64 * USABLE_MEMORY_SHARE);
-    let is_full = candidate.load.is_full(now_ms);
-    let memory_wait_ms = if is_full || used_tokens > usable_tokens {
-        MEMORY_WAIT_MS * (used_tokens / usable_tokens).max(1.0)
-    } else {
-        0.0
-    };
-    batch_requests * BATCHED_REQUEST_MS + memory_wait_ms
+/// Range of the random part of a candidate's cost. The instances know the same lasting speeds, so
+/// that those of servers that state theirs need more of it to spread the calls.
+fn jitter_range_ms(candidate: &Candidate<'_>, baseline_latency_ms: f64) -> f64 {
+    if !candidate.load.speed().is_stated() {
+        return JITTER_RANGE_MS;
+    }
+    JITTER_RANGE_MS.max(baseline_latency_ms * STATED_SPEED_JITTER_SHARE)
 }
 
-/// Random part of the cost: hashes `random` with the candidate index, so that each candidate gets a
-/// different jitter.
-fn jitter_ms(random: u64, index: usize) -> f64 {
+/// Random share of the jitter: hashes `random` with the candidate index, so that each candidate
+/// gets a different one.
+fn jitter_share(random: u64, index: usize) -> f64 {
     let mixed = random.wrapping_add(index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let mixed = (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let part = (mixed >> 40) as f64 / (1u64 << 24) as f64;
-    part * JITTER_RANGE_MS
+    (mixed >> 40) as f64 / (1u64 << 24) as f64
 }
--- a/crates/core/src/forward/servers/server_load.rs
+++ b/crates/core/src/forward/servers/server_load.rs
@@ -3,13 +3,16 @@
 
 use super::latency_ratio::LatencyRatio;
 use super::reliability::Reliability;
-use crate::forward::{CallEnd, FailureScore};
+use crate::forward::{CallEnd, FailureScore, ServerSpeed, WorkTimePercent};
 use crate::units::{Millis, Tokens};
 
 /// Time over which the weight of a load report falls linearly to zero; calls last a few hundred
 /// milliseconds at most.
 const REPORT_LIFETIME_MS: f64 = 1_000.0;
 
+/// Weight of a new report in the mean number of other instances' calls.
+const OTHER_CALLS_SAMPLE_WEIGHT: f64 = 0.2;
+
 /// Time for which a server counts as full after it had no room; a few answers finish in it.
 const FULL_HOLD_OFF_MS: Millis = Millis(150);
 
@@ -29,6 +32,8 @@
     pub waiting_calls: u32,
     /// Number of calls that can run concurrently.
     pub max_concurrent_calls: u32,
+    /// How long work takes at the moment; `None` if the server does not state it.
+    pub work_time: Option<WorkTimePercent>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -43,7 +48,10 @@
     running_calls: u32,
     tokens: u64,
     report: Option<Report>,
+    /// Mean of the reported calls of other instances; `None` for servers that state no speed.
+    mean_other_calls: Option<f64>,
     latency_ratio: LatencyRatio,
+    speed: ServerSpeed,
     failures: FailureScore,
     reliability: Reliability,
     last_full_ms: Option<Millis>,
@@ -101,6 +109,11 @@
         let all = f64::from(reported.running_calls) + f64::from(reported.waiting_calls);
         let other_calls = (all - f64::from(self.running_calls)).max(0.0);
         self.report = Some(Report { other_calls, at_ms: now_ms });
+        if let Some(figure) = reported.work_time {
+            self.speed.record_figure(now_ms, figure);
+            let mean = self.mean_other_calls.get_or_insert(other_calls);
+            *mean += OTHER_CALLS_SAMPLE_WEIGHT * (other_calls - *mean);
+        }
     }
 
     /// Records that the server had no room for a call.
@@ -159,18 +172,34 @@
         self.tokens
     }
 
-    /// Estimated number of running calls of other instances; falls to zero with the age of the
-    /// report.
+    /// Estimated number of running calls of other instances. As the report ages, it goes to zero, or
+    /// to the mean of the reports for a server that states its speed: the mean then shows how long
+    /// calls stay there. A slow server keeps its calls for longer, so its reports hold for longer.
     pub fn other_instances_calls(&self, now_ms: Millis) -> f64 {
-        self.report.map_or(0.0, |report| {
-            let age_ms = now_ms.saturating_sub(report.at_ms).0 as f64;
-            report.other_calls * (1.0 - age_ms / REPORT_LIFETIME_MS).max(0.0)
-        })
+        let Some(report) = self.report else {
+            return 0.0;
+        };
+        let mean = self.mean_other_calls.unwrap_or(0.0);
+        let slowdown = self.mean_other_calls.map_or(1.0, |_| self.speed.lasting().value(now_ms));
+        let age_ms = now_ms.saturating_sub(report.at_ms).0 as f64;
+        let weight = (1.0 - age_ms / (REPORT_LIFETIME_MS * slowdown)).max(0.0);
+        mean + weight * (report.other_calls - mean)
+    }
+
+    /// Expected ratio of the server's time to that of an average server for work that starts now.
+    pub fn time_ratio(&self, now_ms: Millis, baseline_ms: f64) -> f64 {
+        let stated = self.speed.time_ratio(now_ms, baseline_ms);
+        stated.unwrap_or_else(|| self.latency_ratio.value(now_ms))
+    }
+
+    /// Lasting and momentary speed.
+    pub fn speed(&self) -> &ServerSpeed {
+        &self.speed
     }
 
-    /// Ratio of the server's measured times to those of an average server.
-    pub fn latency_ratio(&self, now_ms: Millis) -> f64 {
-        self.latency_ratio.value(now_ms)
+    /// Lasting and momentary speed.
+    pub fn speed_mut(&mut self) -> &mut ServerSpeed {
+        &mut self.speed
     }
 
     /// Probability that the next call fails, given that of a call to any server of the service.
--- a/crates/core/src/forward/servers/service_latency.rs
+++ b/crates/core/src/forward/servers/service_latency.rs
@@ -23,6 +23,10 @@
     pub first_event_ms: f64,
     /// Time to process one prompt token at a prefill engine.
     pub prompt_token_ms: f64,
+    /// Time between two events of an answer; `None` until one was measured.
+    pub event_gap_ms: Option<f64>,
+    /// Events of an answer per token that was expected of it.
+    pub events_per_token: f64,
 }
 
 impl Default for ServiceLatency {
@@ -31,6 +35,8 @@
             answer_ms: INITIAL_ANSWER_MS,
             first_event_ms: INITIAL_FIRST_EVENT_MS,
             prompt_token_ms: INITIAL_PROMPT_TOKEN_MS,
+            event_gap_ms: None,
+            events_per_token: 1.0,
         }
     }
 }
@@ -51,6 +57,22 @@
     pub fn record_prefill_time(&mut self, measured_ms: Millis, queued: Tokens) {
         update_mean(&mut self.prompt_token_ms, measured_ms.0 as f64 / queued.0.max(1) as f64);
     }
+
+    /// Records the mean time between the events of an answer, and their number for the tokens that
+    /// were expected.
+    pub fn record_event_gap(&mut self, gap_ms: f64, events: u64, expected_tokens: Tokens) {
+        let events_per_token = events as f64 / expected_tokens.0.max(1) as f64;
+        match &mut self.event_gap_ms {
+            Some(mean) => {
+                update_mean(mean, gap_ms);
+                update_mean(&mut self.events_per_token, events_per_token);
+            }
+            None => {
+                self.event_gap_ms = Some(gap_ms);
+                self.events_per_token = events_per_token;
+            }
+        }
+    }
 }
 
 fn update_mean(mean: &mut f64, sample: f64) {
--- a/crates/turmericrail/src/forward/calls/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -12,6 +12,7 @@
 use super::call_failure::CallFailure;
 use super::engine_calls::{MIN_SILENCE_MS, silence_timeout_ms};
 use super::engine_selection::{EngineAttempt, choose_engine, reserve};
+use super::generation_timer::GenerationTimer;
 use super::held_kv::HeldKv;
 use super::plain_call::is_acceptable;
 use super::reservation::Reservation;
@@ -293,6 +294,7 @@
     let mut share = context.shared.pool.answer_budget.share();
     let events_before = events.event_count();
     let (mut is_before_first_event, mut has_survived) = (true, false);
+    let mut timer = GenerationTimer::new(sent_ms);
     loop {
         let mut data = Vec::new();
         let Ok(used) = decoder.decode(&exchange.connection.buffer, &mut data) else {
@@ -309,16 +311,21 @@
             is_before_first_event = false;
             exchange.record_first_event();
             context.record_begun(attempt.choice().version.as_ref());
-            record_first_event(context, attempt, sent_ms);
+            timer.record_first_event(context, attempt);
         }
         if !has_survived && events.event_count() >= events_before + MIN_SURVIVAL_EVENTS {
             has_survived = true;
             loss_notices::record_survival(context.shared, context.service, context.shared_parts());
         }
+        let write_began_ms = clock::now_ms();
         if !caller.write_events(&exchange.head, &whole_events).await {
             return Some(EngineAttemptEnd::CallerLost);
         }
+        timer.record_write(write_began_ms);
         if decoder.is_done() {
+            if events_before == 0 {
+                timer.record_end(context, attempt, events.event_count());
+            }
             return None;
         }
         if clock::now_ms() > context.deadline_ms + MAX_OVERRUN_MS {
@@ -344,23 +351,6 @@
     }
 }
 
-fn record_first_event(context: &CallContext<'_>, attempt: &EngineAttempt, sent_ms: Millis) {
-    let elapsed_ms = clock::now_ms().saturating_sub(sent_ms);
-    context.observe_step("first_event", elapsed_ms);
-    context.observe_answer();
-    if attempt.kv.is_some() {
-        let now_ms = clock::now_ms();
-        context.shared.forwarder().record_first_event_time(now_ms, attempt.choice(), elapsed_ms);
-    }
-    spdlog::info!(
-        "event=first_event request={} server={} after_ms={} since_arrival_ms={}",
-        context.request_id,
-        attempt.choice().run.server,
-        elapsed_ms.0,
-        context.elapsed_ms().0
-    );
-}
-
 /// Logs where the body of an answer ended or broke off.
 fn log_stream_end(
     context: &CallContext<'_>,
--- a/crates/turmericrail/src/forward/calls/mod.rs
+++ b/crates/turmericrail/src/forward/calls/mod.rs
@@ -7,6 +7,7 @@
 pub mod engine_attempt;
 pub mod engine_calls;
 pub mod engine_selection;
+pub mod generation_timer;
 pub mod held_kv;
 pub mod model_call;
 pub mod plain_call;
--- a/crates/turmericrail/src/forward/servers/control_call.rs
+++ b/crates/turmericrail/src/forward/servers/control_call.rs
@@ -39,7 +39,12 @@
         };
         connection.write(bytes).await.ok()?;
         let head = exchange::read_head(&mut connection, method).await.ok()?;
-        server_notices::record(shared, engine, &answer::parse(&head), sent_ms);
+        let metadata = answer::parse(&head);
+        server_notices::record(shared, engine, &metadata, sent_ms);
+        // Engines that state no speed are predicted from the answers to callers' requests alone.
+        if metadata.load.is_some_and(|load| load.work_time.is_some()) {
+            server_notices::record_load(shared, engine, &metadata);
+        }
         let may_hold = |bytes| bytes <= MAX_BODY_BYTES;
         let body = connection.read_body(head.framing, may_hold).await.ok()?;
         if head.is_kept_alive && connection.buffer.is_empty() {
--- a/crates/turmericrail/src/forward/servers/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -62,9 +62,7 @@
     };
     exchange.watch(sent);
     server_notices::record(context.shared, &choice.run, &exchange.metadata, sent_ms);
-    if let Some(load) = exchange.metadata.load {
-        context.shared.forwarder().record_reported_load(clock::now_ms(), &choice.run, load);
-    }
+    server_notices::record_load(context.shared, &choice.run, &exchange.metadata);
     Ok(exchange)
 }
 
--- a/crates/turmericrail/src/forward/servers/server_notices.rs
+++ b/crates/turmericrail/src/forward/servers/server_notices.rs
@@ -1,5 +1,5 @@
 //! What servers say about themselves in any answer: that they are leaving, want no calls for a
-//! while, or take only so many calls a second.
+//! while, take only so many calls a second, or their load and speed.
 
 use turmericrail_core::forward::{LimitStatement, ServerRun};
 use turmericrail_core::units::Millis;
@@ -27,6 +27,13 @@
     }
 }
 
+/// Records the load in an answer of a server, unless another server sent it.
+pub fn record_load(shared: &Shared, run: &ServerRun, metadata: &AnswerMetadata) {
+    if let Some(load) = metadata.load.filter(|_| !metadata.is_misdirected) {
+        shared.forwarder().record_reported_load(clock::now_ms(), run, load);
+    }
+}
+
 /// What an answer says of the server's limit. Only a signed answer tells that there is none, as of
 /// the time of the call: an older answer may arrive late.
 fn limit_statement(
@@ -34,7 +41,7 @@
     metadata: &AnswerMetadata,
     sent_ms: Millis,
 ) -> Option<LimitStatement> {
-    let is_clear = metadata.is_signed && metadata.malformed_headers.is_empty();
+    let is_clear = metadata.is_signed && !metadata.has_malformed_notice();
     let age_ms = match metadata.limit {
         Some(_) => Millis::ZERO,
         None if is_clear => clock::now_ms().saturating_sub(sent_ms),
