--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -15,6 +15,7 @@
 mod routes;
 mod selection;
 mod servers;
+mod speed;
 mod tenants;
 mod usage;
 mod versions;
@@ -47,6 +48,7 @@
     CallEnd, ChosenServer, FailureScore, LeavingRuns, PublishedItem, PublishedSet, ReportedLoad,
     ServerEntry, ServerLoad, ServerRegistry, ServerRun, ServerState, ServerUpdate,
 };
+pub use speed::{LastingSlowdown, LastingSpeed, MomentarySlowdown, ServerSpeed, WorkTimePercent};
 pub use tenants::{ApiKey, Tenant, TenantError, TenantTable, UsageCap, UsageUnit};
 pub use usage::{
     CoordinatorOrder, MessageId, SuspectMembers, UsageBucket, UsageCaps, UsageCoordinator,
--- a/crates/turmericrail/src/forward/calls/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -15,6 +15,7 @@
 use super::call_failure::CallFailure;
 use super::engine_calls::{MIN_SILENCE_MS, silence_timeout_ms};
 use super::engine_selection::{EngineAttempt, choose_engine, reserve};
+use super::generation_timer::GenerationTimer;
 use super::held_kv::HeldKv;
 use super::plain_call::is_acceptable;
 use super::reservation::Reservation;
@@ -296,6 +297,7 @@
     let (mut is_before_first_event, mut has_survived) = (true, false);
     // Bytes that complete no event don't count as a sign of life.
     let (mut last_event_count, mut last_event_ms) = (events_before, clock::now_ms());
+    let mut timer = GenerationTimer::new(sent_ms);
     loop {
         let mut data = Vec::new();
         let Ok(used) = decoder.decode(&exchange.connection.buffer, &mut data) else {
@@ -312,19 +314,24 @@
             is_before_first_event = false;
             exchange.record_first_event();
             context.record_begun(attempt.choice().version.as_ref());
-            record_first_event(context, attempt, sent_ms);
+            timer.record_first_event(context, attempt);
         }
         if !has_survived && events.event_count() >= events_before + MIN_SURVIVAL_EVENTS {
             has_survived = true;
             loss_notices::record_survival(context.shared, context.service, context.shared_parts());
         }
+        let write_began_ms = clock::now_ms();
         if !caller.write_events(&exchange.head, &whole_events).await {
             return Some(EngineAttemptEnd::CallerLost);
         }
         if events.event_count() > last_event_count {
             (last_event_count, last_event_ms) = (events.event_count(), clock::now_ms());
         }
+        timer.record_write(write_began_ms);
         if decoder.is_done() {
+            if events_before == 0 {
+                timer.record_end(context, attempt, events.event_count());
+            }
             return None;
         }
         if clock::now_ms() > context.deadline_ms + MAX_OVERRUN_MS {
--- a/crates/turmericrail/src/forward/servers/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -70,9 +70,7 @@
         context.usage.record_not_run();
     }
     server_notices::record(context.shared, &choice.run, &exchange.metadata, sent_ms);
-    if let Some(load) = exchange.metadata.load {
-        context.shared.forwarder().record_reported_load(clock::now_ms(), &choice.run, load);
-    }
+    server_notices::record_load(context.shared, &choice.run, &exchange.metadata);
     Ok(exchange)
 }
 
