Streams go on after all instances were killed, where engines still list them

An attempt that an engine may have run goes only to engines of the same version before its first event too, so that one listed run tells the version. What is found counts only while the engine is registered with the same start and version. Else the stream is refused as before.

--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -7,8 +7,8 @@
 use super::{
     BrokenCalls, CallEnd, CallLimits, CallSends, CallerRetryDetector, ChosenServer, FailureScore,
     LeavingRuns, ModelCallSize, Quarantine, ReportedLoad, ReservationPressure, RetryBounds,
-    RetryWindow, RouteTable, SendPermit, ServerEntry, ServerLoad, ServerRegistry, ServerRun,
-    ServerUpdate, StreamVersions, VersionHistory,
+    RetryWindow, RouteTable, SeenRuns, SendPermit, ServerEntry, ServerLoad, ServerRegistry,
+    ServerRun, ServerUpdate, StreamVersions, VersionHistory,
 };
 use crate::forward::servers::reliability::Reliability;
 use crate::forward::servers::service_latency::ServiceLatency;
@@ -54,6 +54,7 @@
     quarantine: Quarantine,
     broken_calls: BrokenCalls,
     pub(super) stream_versions: StreamVersions,
+    pub(super) seen_runs: SeenRuns,
     pub(super) version_histories: BTreeMap<ServiceId, VersionHistory>,
     /// Services whose servers all had one version when that was looked at last.
     pub(super) single_version_services: BTreeSet<ServiceId>,
@@ -85,6 +86,7 @@
             quarantine: Quarantine::default(),
             broken_calls: BrokenCalls::default(),
             stream_versions: StreamVersions::default(),
+            seen_runs: SeenRuns::default(),
             version_histories: BTreeMap::new(),
             single_version_services: BTreeSet::new(),
             longest_stream_ms: Millis::ZERO,
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -43,4 +43,6 @@
     ServerEntry, ServerLoad, ServerRegistry, ServerRun, ServerState, ServerUpdate,
 };
 pub use tenants::{ApiKey, Tenant, TenantError, TenantTable, UsageCap, UsageUnit};
-pub use versions::{SoftwareVersion, StreamKey, StreamVersion, StreamVersions, VersionHistory};
+pub use versions::{
+    SeenRun, SeenRuns, SoftwareVersion, StreamKey, StreamVersion, StreamVersions, VersionHistory,
+};
--- a/crates/core/src/forward/versions/forwarder_versions.rs
+++ b/crates/core/src/forward/versions/forwarder_versions.rs
@@ -1,7 +1,14 @@
 //! What a forwarder knows of the software versions of servers and of the streams begun there.
 
-use crate::forward::{Forwarder, RouteKind, SoftwareVersion, StreamVersions, VersionHistory};
+use std::net::SocketAddr;
+
+use crate::config::ServerRole;
+use crate::forward::{
+    Forwarder, RouteKind, SeenRun, SeenRuns, ServerRun, SoftwareVersion, StreamVersions,
+    VersionHistory,
+};
 use crate::ids::ServiceId;
+use crate::membership::rendezvous;
 use crate::units::Millis;
 
 /// Time after its route's timeout for which a stream may be taken up again.
@@ -15,6 +22,40 @@
         &mut self.stream_versions
     }
 
+    /// The runs of streams that engines have reported.
+    pub fn seen_runs(&mut self) -> &mut SeenRuns {
+        &mut self.seen_runs
+    }
+
+    /// The version at which a stream began, by what this and other instances have seen of its run.
+    pub fn seen_version(&self, now_ms: Millis, runs: &[SeenRun]) -> Option<SoftwareVersion> {
+        SeenRuns::version(now_ms, &self.registry, runs).cloned()
+    }
+
+    /// Some of the engines that may run streams and state a version: `count` of them that another
+    /// instance, with another `number`, is unlikely to select too.
+    pub fn select_stream_engines(
+        &self,
+        now_ms: Millis,
+        number: u64,
+        count: usize,
+    ) -> Vec<(ServerRun, SocketAddr, SoftwareVersion)> {
+        let mut engines = Vec::new();
+        for (server, entry) in self.registry.servers(now_ms) {
+            let Some(version) = entry.version.clone().filter(|_| entry.role == ServerRole::Decode)
+            else {
+                continue;
+            };
+            let run = ServerRun { server: server.clone(), started_ms: entry.started_ms };
+            engines.push((run, entry.address, version));
+        }
+        engines.sort_by_cached_key(|(run, ..)| {
+            rendezvous::stable_hash(&format!("{number} {}", run.server))
+        });
+        engines.truncate(count);
+        engines
+    }
+
     /// Records the versions of the registered servers; returns whether a service that had one
     /// version has several now.
     pub fn record_versions(&mut self, now_ms: Millis) -> bool {
@@ -28,6 +69,7 @@
         }
         self.version_histories.values_mut().for_each(|history| history.expire(now_ms, window_ms));
         self.stream_versions.expire(now_ms);
+        self.seen_runs.expire(now_ms);
         let is_single =
             |history: &VersionHistory| history.only_version(now_ms, window_ms).is_some();
         let single = self.version_histories.iter().filter(|(_, history)| is_single(history));
--- a/crates/core/tests/software_versions.rs
+++ b/crates/core/tests/software_versions.rs
@@ -6,11 +6,12 @@
 use forward_support::{forwarder, model_call_size, server_entry, server_number, server_update};
 use turmericrail_core::config::ServerRole;
 use turmericrail_core::forward::{
-    EngineFilter, Forwarder, KvOrigin, PlanRefusal, SoftwareVersion, StreamKey, StreamVersion,
-    StreamVersions, VersionHistory, VersionNeed,
+    EngineFilter, Forwarder, KvOrigin, PlanRefusal, SeenRun, SeenRuns, ServerRegistry, ServerRun,
+    ServerUpdate, SoftwareVersion, StreamKey, StreamVersion, StreamVersions, VersionHistory,
+    VersionNeed,
 };
 use turmericrail_core::request::RequestFingerprint;
-use turmericrail_core::units::Millis;
+use turmericrail_core::units::{Millis, WallMillis};
 
 const WINDOW_MS: Millis = Millis(16_000);
 
@@ -142,3 +143,47 @@
     (0..10_000).for_each(|number| streams.record(stream(&format!("s{number}"), "v1", 1)));
     assert!(streams.recent(Millis(2_000), WINDOW_MS).len() <= 8_192);
 }
+
+#[test]
+fn seen_runs() {
+    // Guards against a version that is concluded from the runs of an engine that was started anew,
+    // or from reports that don't agree.
+    let run = |text: &str, number: u16| SeenRun {
+        stream: StreamKey::of_attempt("a"),
+        engine: ServerRun {
+            server: format!("s{number}").parse().unwrap(),
+            started_ms: WallMillis(1),
+        },
+        version: version(text),
+        seen_ms: Millis(1_000),
+    };
+    let registry = |started_ms: u64| {
+        let mut registry = ServerRegistry::default();
+        for (number, text) in [(1, "v1"), (2, "v2"), (3, "v1")] {
+            let mut entry = server_entry(number, ServerRole::Decode, "dc-a");
+            (entry.version, entry.started_ms) = (text.parse().ok(), WallMillis(started_ms));
+            let server = format!("s{number}").parse().unwrap();
+            let update = ServerUpdate { server, revision: 1, entry: Some(entry) };
+            registry.apply(Millis(0), update);
+        }
+        registry
+    };
+    let find = |started_ms, runs: &[SeenRun]| {
+        SeenRuns::version(Millis(0), &registry(started_ms), runs).cloned()
+    };
+    assert_eq!(find(1, &[run("v1", 1), run("v1", 3)]), Some(version("v1")));
+    assert_eq!(find(1, &[]), None);
+    assert_eq!(find(1, &[run("v1", 1), run("v2", 2)]), None);
+    assert_eq!(find(1, &[run("v2", 1)]), None, "the engine runs another version now");
+    assert_eq!(find(2, &[run("v1", 1)]), None, "the engine was started anew");
+    assert_eq!(find(1, &[run("v1", 9)]), None, "the engine has left");
+    let mut seen = SeenRuns::default();
+    seen.record(run("v1", 1));
+    assert!(seen.get(StreamKey::of_attempt("a")).is_some());
+    seen.record(run("v2", 2));
+    seen.record(run("v1", 1));
+    assert!(seen.is_doubtful(StreamKey::of_attempt("a")), "an id that is used twice");
+    assert!(seen.get(StreamKey::of_attempt("a")).is_none());
+    seen.expire(Millis(61_000));
+    assert!(!seen.is_doubtful(StreamKey::of_attempt("a")));
+}
--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -128,6 +128,8 @@
     crash_delay: Option<Duration>,
     /// Id under which the server runs now, where it isn't that of its first start.
     restarted_id: Option<String>,
+    /// Time from the arrival of a call for which reports list it as running.
+    report_time: Duration,
     /// Software version, named in each event, where it was set.
     version: Option<&'static str>,
 }
@@ -298,6 +300,12 @@
         lock(&self.state).orders.clone()
     }
 
+    /// Sets the time from the arrival of a call for which reports list it as running, with two
+    /// events, whether its connection is open or not.
+    pub fn set_report_time(&self, time: Duration) {
+        lock(&self.state).report_time = time;
+    }
+
     /// Number of KV caches and reservations released.
     pub fn release_count(&self) -> u64 {
         lock(&self.state).release_count
@@ -323,6 +331,15 @@
     entry
 }
 
+impl State {
+    /// Id, tokens in memory, events made and priority of each run.
+    fn reported_runs(&self) -> Vec<serde_json::Value> {
+        let is_listed = |call: &&ExecutedCall| call.at.elapsed() < self.report_time;
+        let calls = self.executed_calls.iter().filter(is_listed);
+        calls.map(|call| json!([call.request_id(), 100, 2, 5])).collect()
+    }
+}
+
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().expect("no holder of the lock panics")
 }
@@ -359,7 +376,7 @@
             let used_tokens = if state.is_full { KV_CAPACITY_TOKENS } else { 0 };
             let report = json!({
                 "stage": state.stage, "busy": false, "sequence": state.orders.len(), "waiting": 0, "running": 0, "kvUsed": used_tokens,
-                "kvTotal": KV_CAPACITY_TOKENS,
+                "kvTotal": KV_CAPACITY_TOKENS, "runs": state.reported_runs(),
             });
             return RawAnswer::Bytes(with_id("200 OK", "", &report.to_string()));
         }
--- a/crates/turmericrail/src/forward/calls/begun_version.rs
+++ b/crates/turmericrail/src/forward/calls/begun_version.rs
@@ -8,6 +8,9 @@
     /// It hasn't begun.
     #[default]
     None,
+    /// It hasn't begun, but an engine of this version may have run it. Others of its version alone
+    /// may run it now, so that a run that an engine reports tells the version of the stream.
+    SentTo(SoftwareVersion),
     /// At an engine of this software version; `None` if it states none.
     At(Option<SoftwareVersion>),
 }
@@ -18,7 +21,9 @@
     pub fn need(&self) -> Option<VersionNeed<'_>> {
         match self {
             BegunVersion::None => Some(VersionNeed::Any),
-            BegunVersion::At(Some(version)) => Some(VersionNeed::Same(Some(version))),
+            BegunVersion::SentTo(version) | BegunVersion::At(Some(version)) => {
+                Some(VersionNeed::Same(Some(version)))
+            }
             BegunVersion::At(None) => None,
         }
     }
--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -70,11 +70,24 @@
     /// Records that an engine has written an event of the answer.
     pub fn record_begun(&self, version: Option<&SoftwareVersion>) {
         let mut begun = self.begun_version.lock().unwrap_or_else(|_| std::process::abort());
-        if matches!(*begun, BegunVersion::None) {
+        if !matches!(*begun, BegunVersion::At(_)) {
             *begun = BegunVersion::At(version.cloned());
         }
     }
 
+    /// Records that the call is sent to an engine, which may state a version.
+    pub fn record_sent_to(&self, version: Option<&SoftwareVersion>) {
+        let mut begun = self.begun_version.lock().unwrap_or_else(|_| std::process::abort());
+        if let (BegunVersion::None, Some(version)) = (&*begun, version) {
+            *begun = BegunVersion::SentTo(version.clone());
+        }
+    }
+
+    /// Records that an engine did not run the call that was sent to it.
+    pub fn record_not_run(&self, before: BegunVersion) {
+        *self.begun_version.lock().unwrap_or_else(|_| std::process::abort()) = before;
+    }
+
     /// The software version at which the answer has begun.
     pub fn begun_version(&self) -> BegunVersion {
         self.begun_version.lock().unwrap_or_else(|_| std::process::abort()).clone()
--- a/crates/turmericrail/src/forward/calls/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -150,10 +150,11 @@
         };
         call_bytes(context, attempt.choice(), &ServerTask::Run(start))
     };
-    if matches!(context.route.kind, RouteKind::Stream { .. })
-        && matches!(context.begun_version(), BegunVersion::None)
-    {
+    let is_stream = matches!(context.route.kind, RouteKind::Stream { .. });
+    let begun_before = context.begun_version();
+    if is_stream && !matches!(begun_before, BegunVersion::At(_)) {
         stream_versions::record_sent(context, attempt.choice(), failover.calls_sent);
+        context.record_sent_to(attempt.choice().version.as_ref());
     }
     let sent_ms = clock::now_ms();
     let timeout_ms = failover.timeout_ms(context, first_event_timeout_ms(context, attempt));
@@ -171,9 +172,15 @@
     };
     let exchange = match started {
         Ok(exchange) => exchange,
-        Err(failure) => return EngineAttemptEnd::Failed(failure),
+        Err(failure) => {
+            if !failure.is_sent() {
+                context.record_not_run(begun_before);
+            }
+            return EngineAttemptEnd::Failed(failure);
+        }
     };
     if exchange.metadata.is_not_run {
+        context.record_not_run(begun_before);
         record_refused_kv(context, attempt);
         let remaining_ms = context.remaining_ms();
         let _ =
--- a/crates/turmericrail/src/forward/calls/engine_selection.rs
+++ b/crates/turmericrail/src/forward/calls/engine_selection.rs
@@ -117,7 +117,7 @@
 fn no_engine_refusal(context: &CallContext<'_>) -> Refusal {
     let begun = context.begun_version();
     let has_version = match &begun {
-        BegunVersion::None => true,
+        BegunVersion::None | BegunVersion::SentTo(_) => true,
         BegunVersion::At(version) => {
             let forwarder = context.shared.forwarder();
             forwarder.is_version_served(clock::now_ms(), context.service, version.as_ref())
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -65,6 +65,7 @@
     peers::relay::listen(&shared).await?;
     store::store_sync::start(&shared);
     task::spawn(peers::relay_exchange::run(Arc::clone(&shared)));
+    task::spawn(peers::run_search::run(Arc::clone(&shared)));
     task::spawn(store::store_follow::run(Arc::clone(&shared)));
     task::spawn(peers::loss_notices::run(Arc::clone(&shared)));
     task::spawn(servers::role_orders::run(Arc::clone(&shared)));
--- a/crates/turmericrail/src/forward/peers/relay.rs
+++ b/crates/turmericrail/src/forward/peers/relay.rs
@@ -353,6 +353,7 @@
         request: Request<BegunStreams>,
     ) -> Result<Response<NotifyReply>, Status> {
         stream_versions::record_told(&self.shared, request.get_ref());
+        stream_versions::record_told_runs(&self.shared, request.get_ref());
         Ok(Response::new(NotifyReply {}))
     }
 
--- a/crates/turmericrail/src/forward/peers/stream_versions.rs
+++ b/crates/turmericrail/src/forward/peers/stream_versions.rs
@@ -2,8 +2,9 @@
 //!
 //! The version of a stream is told to a few instances, chosen by the request, when the stream is
 //! sent to its engine, unless all engines have had one version for longer than any stream lasts. An
-//! instance at which a caller takes a stream up asks them. Where nobody knows the version, the
-//! stream is refused: it may only go on where it began.
+//! instance at which a caller takes a stream up asks them. After a start of all instances, what
+//! engines reported of their runs takes its place (`run_search`). Where nobody knows the version,
+//! the stream is refused: it may only go on where it began.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,7 +16,8 @@
 use tonic::{Request, Status};
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{
-    ChosenServer, RouteKind, SoftwareVersion, StreamKey, StreamVersion, VersionHistory, Watcher,
+    ChosenServer, RouteKind, SeenRun, SoftwareVersion, StreamKey, StreamVersion, VersionHistory,
+    Watcher,
 };
 use turmericrail_core::ids::ServiceId;
 use turmericrail_core::request::RequestFingerprint;
@@ -24,6 +26,7 @@
 use turmericrail_wire::relay::relay_client::RelayClient;
 
 use super::relay;
+use super::run_search;
 use crate::forward::callers::dispatch::Refusal;
 use crate::forward::calls::call_context::CallContext;
 use crate::forward::clock;
@@ -100,7 +103,13 @@
     stream: Option<StreamKey>,
 ) -> Option<(SoftwareVersion, &'static str)> {
     let shared = context.shared;
-    let keepers = keepers(shared, context.fingerprint);
+    let mut keepers = keepers(shared, context.fingerprint);
+    let is_new = clock::now_ms() < shared.started_ms + run_search::SEARCH_PERIOD_MS;
+    if let Some(stream) = stream.filter(|_| is_new) {
+        keepers.extend(run_keepers(shared, stream));
+        keepers.sort();
+        keepers.dedup();
+    }
     let request = wire::FindStreamRequest {
         stream: stream.map(|stream| stream.0.to_le_bytes().to_vec()).unwrap_or_default(),
         request: context.fingerprint.0.to_le_bytes().to_vec(),
@@ -122,6 +131,7 @@
     let mut history = shared.forwarder().version_history(now_ms, context.service);
     let mut has_reply = keepers.is_empty();
     let mut is_store_lost = shared.is_store_lost();
+    let mut runs = RunEvidence::here(shared, stream);
     while let Ok(reply) = replies.recv().await {
         let Ok(reply) = reply else {
             continue;
@@ -130,15 +140,50 @@
             return Some((version, "peer"));
         }
         has_reply = true;
+        runs.add(now_ms, reply.run.as_ref());
         is_store_lost |= reply.is_store_lost;
         history.merge(&to_history(now_ms, &reply));
     }
+    if let Some(version) = runs.version(shared) {
+        return Some((version, "run"));
+    }
     let window_ms = shared.forwarder().version_window_ms();
     let only_version = history.only_version(now_ms, window_ms).cloned();
     let is_certain = has_reply && !is_store_lost;
     only_version.filter(|_| is_certain).map(|version| (version, "only_version"))
 }
 
+/// What this and other instances have seen of the run of a stream.
+struct RunEvidence {
+    runs: Vec<SeenRun>,
+    is_doubtful: bool,
+}
+
+impl RunEvidence {
+    fn here(shared: &Shared, stream: Option<StreamKey>) -> Self {
+        let mut forwarder = shared.forwarder();
+        let seen = forwarder.seen_runs();
+        let run = stream.and_then(|stream| seen.get(stream).cloned());
+        let is_doubtful = stream.is_some_and(|stream| seen.is_doubtful(stream));
+        Self { runs: run.into_iter().collect(), is_doubtful }
+    }
+
+    /// Adds what another instance has seen; a run that can't be read says that several versions may
+    /// have run the stream.
+    fn add(&mut self, now_ms: Millis, run: Option<&wire::SeenRun>) {
+        match run.map(|run| run_search::from_wire(now_ms, run)) {
+            Some(Some(run)) => self.runs.push(run),
+            Some(None) => self.is_doubtful = true,
+            None => {}
+        }
+    }
+
+    fn version(&self, shared: &Shared) -> Option<SoftwareVersion> {
+        let version = shared.forwarder().seen_version(clock::now_ms(), &self.runs);
+        version.filter(|_| !self.is_doubtful)
+    }
+}
+
 fn to_history(now_ms: Millis, reply: &wire::FindStreamReply) -> VersionHistory {
     let at = |age_ms| now_ms.saturating_sub(Millis(age_ms));
     let mut history = VersionHistory::new(at(reply.known_for_ms));
@@ -281,6 +326,25 @@
     keepers.into_iter().filter_map(address).collect()
 }
 
+/// Addresses of the other instances that keep what engines reported of a stream.
+fn run_keepers(shared: &Shared, stream: StreamKey) -> Vec<SocketAddr> {
+    keepers(shared, RequestFingerprint(stream.0))
+}
+
+/// Tells runs that engines reported to the instances that keep them.
+pub fn tell_runs(shared: &Arc<Shared>, runs: &[SeenRun]) {
+    let now_ms = clock::now_ms();
+    let mut by_keeper: BTreeMap<SocketAddr, wire::BegunStreams> = BTreeMap::new();
+    for run in runs {
+        for keeper in run_keepers(shared, run.stream) {
+            by_keeper.entry(keeper).or_default().runs.push(run_search::to_wire(now_ms, run));
+        }
+    }
+    for (address, message) in by_keeper {
+        task::spawn(notify_again(Arc::clone(shared), address, message));
+    }
+}
+
 fn to_wire(now_ms: Millis, stream: &StreamVersion) -> wire::BegunStream {
     let age_ms = now_ms.saturating_sub(stream.sent_ms).0;
     wire::BegunStream {
@@ -316,6 +380,26 @@
     }
 }
 
+/// Records runs that engines have reported to another instance.
+pub fn record_told_runs(shared: &Shared, message: &wire::BegunStreams) {
+    let now_ms = clock::now_ms();
+    for run in &message.runs {
+        match run_search::from_wire(now_ms, run) {
+            Some(run) => shared.forwarder().seen_runs().record(run),
+            None => spdlog::warn!("event=stream_notice_malformed"),
+        }
+    }
+}
+
+fn run_for_reply(shared: &Shared, stream: StreamKey) -> Option<wire::SeenRun> {
+    let mut forwarder = shared.forwarder();
+    let seen = forwarder.seen_runs();
+    if seen.is_doubtful(stream) {
+        return Some(wire::SeenRun::default());
+    }
+    seen.get(stream).map(|run| run_search::to_wire(clock::now_ms(), run))
+}
+
 /// Answers an instance at which a caller takes a stream up.
 pub fn reply(shared: &Shared, request: &wire::FindStreamRequest) -> wire::FindStreamReply {
     let now_ms = clock::now_ms();
@@ -325,6 +409,7 @@
     let mut reply = wire::FindStreamReply {
         version: found.map(|version| version.to_string()),
         is_store_lost: shared.is_store_lost(),
+        run: stream.and_then(|stream| run_for_reply(shared, stream)),
         ..wire::FindStreamReply::default()
     };
     if let Ok(service) = request.service.parse::<ServiceId>() {
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -34,6 +34,8 @@
 };
 
 pub struct Shared {
+    /// Monotonic time of the start.
+    pub started_ms: Millis,
     /// Idle connections to backend servers.
     pub pool: ConnectionPool,
     /// State that is exchanged with other instances.
@@ -67,6 +69,7 @@
         });
         let (idle_close_sender, idle_close_requested) = async_channel::bounded(1);
         Self {
+            started_ms: clock::now_ms(),
             pool: ConnectionPool::new(settings.max_answer_bytes.0 as usize),
             relay: RelayState::new(Members::new(settings.instance.clone()), &PREFIXES),
             metrics: ForwardMetrics::default(),
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -2,9 +2,10 @@
 //! test file uses a part of it.
 #![allow(dead_code)]
 
+use std::fs::File;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -191,13 +192,8 @@
         );
         std::fs::write(&settings_path, settings).unwrap();
         let log_path = folder.join("log");
-        let log_file = std::fs::File::create(&log_path).unwrap();
-        let process = Command::new(env!("CARGO_BIN_EXE_turmericrail"))
-            .arg("--forward")
-            .arg(&settings_path)
-            .stdout(Stdio::from(log_file))
-            .spawn()
-            .unwrap();
+        let log_file = File::create(&log_path).unwrap();
+        let process = spawn(&settings_path, log_file);
         let instance = Self {
             store,
             caller_address,
@@ -269,6 +265,18 @@
         send_signal(&self.process, signal);
     }
 
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+
+    /// Starts a killed process with the same settings and an empty log.
+    pub fn start_again(&mut self) {
+        let log_file = File::create(&self.log_path).unwrap();
+        self.process = spawn(&self.settings_path, log_file);
+    }
+
     /// Most memory that the process has held at once, in KiB.
     pub fn peak_memory_kib(&self) -> u64 {
         let path = format!("/proc/{}/status", self.process.id());
@@ -283,6 +291,12 @@
     }
 }
 
+fn spawn(settings_path: &Path, log_file: File) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_turmericrail"));
+    command.arg("--forward").arg(settings_path).stdout(Stdio::from(log_file));
+    command.spawn().unwrap()
+}
+
 impl Drop for ForwardInstance {
     fn drop(&mut self) {
         let _ = self.process.kill();
