Planned stop: late requests are answered, and so are those that the end would cut off

Cause: 3.8 s after SIGTERM connections without a request were closed at once, also new ones whose first request was under way, and used ones. Requests whose head was read waited for their body up to the end of the process, and calls that no server had answered ended with it. A connection that had just been accepted didn't count as open.

--- a/crates/turmericrail/src/accept_loop.rs
+++ b/crates/turmericrail/src/accept_loop.rs
@@ -15,8 +15,8 @@
 
 /// Pause after a failed accept, so that file descriptors can become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time in which handshakes that have begun are completed.
-const HANDSHAKE_GRACE: Duration = Duration::from_millis(20);
+/// Time in which handshakes that have begun are completed, on links whose queues are full.
+const HANDSHAKE_GRACE: Duration = Duration::from_millis(100);
 
 /// A running accept loop.
 pub struct AcceptLoop {
--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -6,6 +6,7 @@
 
 use async_std::io::prelude::*;
 use async_std::net::TcpStream;
+use async_std::task;
 use futures_lite::FutureExt;
 use futures_lite::future;
 use turmericrail_core::error_kind::ErrorKind;
@@ -24,6 +25,9 @@
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 /// Most reads while waiting for the caller to close; enough to drain the largest refused body.
 const MAX_CLOSE_READS: usize = 512;
+/// Time for which a connection waits for a request after it was to be closed, since a request may be
+/// under way: a caller that finds its connection closed can't know whether its request has run.
+const LATE_REQUEST_TIME: Duration = Duration::from_millis(1_500);
 /// Time limit for a body if the request names no deadline.
 const DEFAULT_BODY_TIMEOUT_MS: Millis = Millis(10_000);
 const CONTINUE_ANSWER: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -86,6 +90,7 @@
         }
         let head_timeout = Duration::from_millis(limits.header_timeout_ms.0);
         let reading = self.read_head(&limits);
+        let reading = reading.or(too_late(shared));
         let (head, arrived_ms) = match async_std::future::timeout(head_timeout, reading).await {
             Ok(Ok(Some(head))) => (head, clock::now_ms()),
             Ok(Ok(None)) => return Received::Closed,
@@ -99,6 +104,7 @@
         }
         let body_timeout_ms = metadata.deadline_ms.unwrap_or(DEFAULT_BODY_TIMEOUT_MS);
         let reading = self.read_body(&head, &limits);
+        let reading = reading.or(too_late(shared));
         let timeout = Duration::from_millis(body_timeout_ms.0);
         let body = match async_std::future::timeout(timeout, reading).await {
             Ok(Ok(Some(body))) => body,
@@ -115,7 +121,8 @@
         let idle_timeout = Duration::from_millis(limits.idle_timeout_ms.0);
         let reading = async { matches!(self.fill().await, Ok(read) if read > 0) };
         let closing = async {
-            shared.idle_close_requested().await;
+            shared.idle_close.wait().await;
+            task::sleep(LATE_REQUEST_TIME).await;
             false
         };
         let waiting = reading.or(closing);
@@ -190,6 +197,12 @@
     }
 }
 
+/// Fails once the process is to end.
+async fn too_late<T>(shared: &Shared) -> Result<T, ErrorKind> {
+    shared.last_answers.wait().await;
+    Err(ErrorKind::ReceiveTimeout)
+}
+
 fn head_error(error: HeadError) -> ErrorKind {
     spdlog::info!("event=head_refused problem={:?}", error.to_string());
     ErrorKind::HeadRefused
--- a/crates/turmericrail/src/forward/callers/caller_listener.rs
+++ b/crates/turmericrail/src/forward/callers/caller_listener.rs
@@ -12,7 +12,7 @@
 use crate::connection_close;
 use crate::error::StartError;
 use crate::forward::servers::server_connection::TCP_TIMEOUTS;
-use crate::forward::shared::Shared;
+use crate::forward::shared::{CountGuard, Shared};
 
 /// Listens for callers until the returned loop is stopped.
 pub async fn listen(shared: &Arc<Shared>) -> Result<AcceptLoop, StartError> {
@@ -21,12 +21,13 @@
     let listener = listener.map_err(|source| StartError::Listen { address, source })?;
     let shared = Arc::clone(shared);
     Ok(accept_loop::start(listener, move |stream| {
-        task::spawn(serve(Arc::clone(&shared), stream));
+        // Counted here, so that the process doesn't end between the accept and the first read.
+        let count_guard = shared.count_connection();
+        task::spawn(serve(Arc::clone(&shared), stream, count_guard));
     }))
 }
 
-async fn serve(shared: Arc<Shared>, stream: TcpStream) {
-    let _count_guard = shared.count_connection();
+async fn serve(shared: Arc<Shared>, stream: TcpStream, _count_guard: CountGuard) {
     TCP_TIMEOUTS.apply(&stream);
     let mut connection = CallerConnection::new(stream);
     loop {
--- a/crates/turmericrail/src/forward/callers/dispatch.rs
+++ b/crates/turmericrail/src/forward/callers/dispatch.rs
@@ -79,7 +79,11 @@
         log_answer(shared, request.metadata.request_id.as_deref(), "caller_gone", 0);
         ConnectionAction::Abort
     };
-    serving.or(caller_leaving).await
+    let ending = async {
+        shared.last_answers.wait().await;
+        refuse(shared, request, &caller, ErrorKind::PlainTimeout.into()).await
+    };
+    serving.or(caller_leaving).or(ending).await
 }
 
 async fn forward_request(
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -11,6 +11,7 @@
 mod callers;
 mod calls;
 mod clock;
+mod once_signal;
 mod operator_endpoints;
 mod peers;
 mod reload;
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -5,12 +5,12 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender};
 use async_std::task;
 use turmericrail_core::forward::{Forwarder, ForwarderSettings, Members, RequestLimits};
 use turmericrail_core::units::{Bytes, Millis};
 
 use super::clock;
+use super::once_signal::OnceSignal;
 use super::peers::loss_notices::{self, LossNoticeState};
 use super::peers::relay::RelayState;
 use super::peers::stream_versions::{self, StreamVersionState};
@@ -52,9 +52,10 @@
     is_refusing_requests: AtomicBool,
     calls: AtomicU64,
     connections: AtomicU64,
-    /// Dropped to close idle connections.
-    idle_close_sender: Mutex<Option<Sender<()>>>,
-    idle_close_requested: Receiver<()>,
+    /// Given when connections that wait for a request are to be closed.
+    pub idle_close: OnceSignal,
+    /// Given when every request must be answered at once, since the process ends.
+    pub last_answers: OnceSignal,
 }
 
 impl Shared {
@@ -67,7 +68,6 @@
             assumed_instance_count: ASSUMED_INSTANCE_COUNT,
             gives_orders: settings.gives_orders,
         });
-        let (idle_close_sender, idle_close_requested) = async_channel::bounded(1);
         Self {
             started_ms: clock::now_ms(),
             pool: ConnectionPool::new(settings.max_answer_bytes.0 as usize),
@@ -82,8 +82,8 @@
             is_refusing_requests: AtomicBool::new(false),
             calls: AtomicU64::new(0),
             connections: AtomicU64::new(0),
-            idle_close_sender: Mutex::new(Some(idle_close_sender)),
-            idle_close_requested,
+            idle_close: OnceSignal::default(),
+            last_answers: OnceSignal::default(),
             settings: Mutex::new(Arc::new(settings)),
         }
     }
@@ -148,16 +148,6 @@
         self.is_refusing_requests.load(Ordering::Relaxed)
     }
 
-    /// Closes connections that wait for a request.
-    pub fn close_idle_connections(&self) {
-        self.idle_close_sender.lock().unwrap_or_else(|_| std::process::abort()).take();
-    }
-
-    /// Returns once connections that wait for a request are to be closed.
-    pub async fn idle_close_requested(&self) {
-        let _ = self.idle_close_requested.recv().await;
-    }
-
     /// Counts a request while the guard lives.
     pub fn count_call(self: &Arc<Self>) -> CountGuard {
         CountGuard::new(self, |shared| &shared.calls)
