--- a/crates/turmericrail/tests/mass_restart.rs
+++ b/crates/turmericrail/tests/mass_restart.rs
@@ -5,9 +5,9 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use forward_support::{ForwardInstance, wait_for};
+use forward_support::{ForwardInstance, wait_for, wait_within};
 use turmericrail_fakes::registered::{self, Behaviour, FakeStore, RegisteredServer, Reply};
 
 const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
@@ -19,6 +19,11 @@
 const EVENTS_BEFORE_KILL: usize = 2;
 /// Age of a report until which it lists a run whose connection has closed.
 const REPORT_AGE: Duration = Duration::from_millis(900);
+const LARGE_FLEET: u8 = 30;
+/// Time from a start of all instances until each serves.
+const SERVING_LIMIT: Duration = Duration::from_secs(2);
+/// Time until each knows all.
+const MEMBERS_LIMIT: Duration = Duration::from_secs(15);
 /// Time in which the instances hear of engines.
 const SETTLE_TIME: Duration = Duration::from_millis(400);
 
@@ -243,3 +248,30 @@
     }
     assert!(moved > 0, "answers moved to other engines");
 }
+
+#[test]
+fn many_instances() {
+    // Guards against a start of many instances at one moment in which they keep each other from
+    // serving, or don't learn of each other.
+    let mut instances = vec![ForwardInstance::start("many-instances")];
+    for number in 2..=LARGE_FLEET {
+        let (store, address) = (FakeStore::start().unwrap(), instances[0].store.address());
+        let (data_centre, peer) = (format!("dc-{}", number % 3), format!("many-{number}"));
+        instances.push(instances[0].start_peer_in(&data_centre, &peer, number, store, address));
+    }
+    instances.iter_mut().for_each(ForwardInstance::kill);
+    let started_at = Instant::now();
+    instances.iter_mut().for_each(ForwardInstance::start_again);
+    for instance in &instances {
+        wait_for("readiness", || instance.is_ready());
+    }
+    let serving_after = started_at.elapsed();
+    let all_known = format!("event=members_changed count={LARGE_FLEET} ");
+    for instance in &instances {
+        wait_within(MEMBERS_LIMIT, &all_known, || instance.read_log().contains(&all_known));
+    }
+    let known_after = started_at.elapsed();
+    println!("serving_after={serving_after:?} known_after={known_after:?}");
+    assert!(serving_after <= SERVING_LIMIT, "{serving_after:?}");
+    assert!(known_after <= MEMBERS_LIMIT, "{known_after:?}");
+}
--- a/crates/turmericrail/tests/store_followers.rs
+++ b/crates/turmericrail/tests/store_followers.rs
@@ -12,6 +12,8 @@
 use turmericrail_wire::relay::relay_client::RelayClient;
 
 const FLEET: u8 = 8;
+/// Instances of one data centre, some of which follow followers.
+const LARGE_FLEET: u8 = 44;
 /// Instances of a data centre that watch the store.
 const WATCHERS: usize = 4;
 /// Time for the instances to learn of each other, several exchanges of 3 s.
@@ -81,6 +83,28 @@
     assert!(calls <= allowed, "{calls} calls for five changes, {allowed} allowed");
 }
 
+#[test]
+fn deep_tree() {
+    // Guards against a change that stays with the followers of the watching instances, or comes late
+    // through them: in a large data centre the others follow these.
+    let mut fleet = vec![ForwardInstance::start("deep-tree-1")];
+    for number in 2..=LARGE_FLEET {
+        let store = FakeStore::start().unwrap();
+        let (address, name) = (fleet[0].store.address(), format!("deep-tree-{number}"));
+        fleet.push(fleet[0].start_numbered_peer(&name, number, store, address));
+    }
+    let all_known = format!("event=members_changed count={LARGE_FLEET} ");
+    wait_within(MEMBERS_LIMIT, "members", || {
+        fleet.iter().all(|instance| instance.read_log().contains(&all_known))
+    });
+    let followers = usize::from(LARGE_FLEET) - WATCHERS;
+    wait_within(MEMBERS_LIMIT, "followers", || following(&fleet).len() == followers);
+    fleet[0].store.publish(&configuration(2));
+    assert_all_know(&fleet.iter().collect::<Vec<_>>(), 2);
+    // Nobody gave up following and asked the store instead.
+    assert_eq!(following(&fleet).len(), followers);
+}
+
 #[test]
 fn lost_watchers() {
     // All watching instances are frozen: those that followed them watch the store themselves.
