Software versions: a gap in what an instance saw ends its conclusion of an only version

Cause: an instance that could not read the store, or was paused, went on to say that it knew all versions of the last 16 s, although one may have come and gone meanwhile.

Change: the time since which all versions are known begins anew when the registry can be read again or was restored, and after 5 s without a look at it. Test: software_versions (unseen_versions).

--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -56,6 +56,8 @@
     pub(super) stream_versions: StreamVersions,
     pub(super) seen_runs: SeenRuns,
     pub(super) version_histories: BTreeMap<ServiceId, VersionHistory>,
+    /// When the versions of the registered servers were last recorded.
+    pub(super) versions_recorded_ms: Option<Millis>,
     /// Services whose servers all had one version when that was looked at last.
     pub(super) single_version_services: BTreeSet<ServiceId>,
     /// Longest time that a stream lasts, by any configuration so far.
@@ -88,6 +90,7 @@
             stream_versions: StreamVersions::default(),
             seen_runs: SeenRuns::default(),
             version_histories: BTreeMap::new(),
+            versions_recorded_ms: None,
             single_version_services: BTreeSet::new(),
             longest_stream_ms: Millis::ZERO,
             conversion_candidates_revision: None,
@@ -130,11 +133,13 @@
     /// Records that the registry can be read again after an outage.
     pub fn record_registry_reconnection(&mut self, now_ms: Millis) {
         self.registry.record_reconnection(now_ms);
+        self.record_version_gap(now_ms);
     }
 
     /// Records that the registry was restored from an older copy.
     pub fn record_registry_restore(&mut self, now_ms: Millis) {
         self.registry.record_restore(now_ms);
+        self.record_version_gap(now_ms);
     }
 
     /// The requests to which servers were lost.
--- a/crates/core/src/forward/versions/forwarder_versions.rs
+++ b/crates/core/src/forward/versions/forwarder_versions.rs
@@ -13,6 +13,9 @@
 
 /// Time after its route's timeout for which a stream may be taken up again.
 const RESUMPTION_MARGIN_MS: Millis = Millis(2_000);
+/// Time between two looks at the registered versions after which some may have been missed; they are
+/// a second apart unless the process was paused.
+const MAX_RECORD_INTERVAL_MS: Millis = Millis(5_000);
 /// Shortest time for which a version counts that no server has any more.
 const MIN_VERSION_WINDOW_MS: Millis = Millis(16_000);
 
@@ -60,6 +63,10 @@
     /// version has several now.
     pub fn record_versions(&mut self, now_ms: Millis) -> bool {
         let window_ms = self.version_window_ms();
+        let last_ms = self.versions_recorded_ms.replace(now_ms);
+        if last_ms.is_some_and(|last_ms| now_ms > last_ms + MAX_RECORD_INTERVAL_MS) {
+            self.record_version_gap(now_ms);
+        }
         for (_, entry) in self.registry.servers(now_ms) {
             let history = self
                 .version_histories
@@ -78,6 +85,12 @@
         !before.is_subset(&self.single_version_services)
     }
 
+    /// Records that versions may have come and gone without being seen here: the registry could not
+    /// be read, or the process was paused.
+    pub fn record_version_gap(&mut self, now_ms: Millis) {
+        self.version_histories.values_mut().for_each(|history| history.record_gap(now_ms));
+    }
+
     /// Whether a server of a service has this version, whether it takes calls or not.
     pub fn is_version_served(
         &self,
--- a/crates/core/src/forward/versions/version_history.rs
+++ b/crates/core/src/forward/versions/version_history.rs
@@ -55,6 +55,11 @@
         if recent.next().is_some() { None } else { only }
     }
 
+    /// Records that versions may have come and gone unseen until now.
+    pub fn record_gap(&mut self, now_ms: Millis) {
+        self.known_since_ms = now_ms;
+    }
+
     /// Drops versions that were not seen within `window_ms`.
     pub fn expire(&mut self, now_ms: Millis, window_ms: Millis) {
         self.last_seen_ms.retain(|_, seen_ms| now_ms < *seen_ms + window_ms);
--- a/crates/core/tests/software_versions.rs
+++ b/crates/core/tests/software_versions.rs
@@ -187,3 +187,33 @@
     seen.expire(Millis(61_000));
     assert!(!seen.is_doubtful(StreamKey::of_attempt("a")));
 }
+
+#[test]
+fn unseen_versions() {
+    // Guards against a version that is taken for the only one although another may have come and
+    // gone while the store could not be read, or the process was paused.
+    let service = forward_support::service_id();
+    let settled = |gap: fn(&mut Forwarder)| {
+        let mut forwarder = engines(&[(ServerRole::Decode, "v1"), (ServerRole::Decode, "v1")]);
+        (0..=20).for_each(|second| {
+            forwarder.record_versions(Millis(second * 1_000));
+        });
+        gap(&mut forwarder);
+        forwarder.record_versions(Millis(30_000));
+        forwarder.only_version(Millis(30_000), &service).cloned()
+    };
+    let go_on = |forwarder: &mut Forwarder| {
+        (21..30).for_each(|second| {
+            forwarder.record_versions(Millis(second * 1_000));
+        });
+    };
+    assert_eq!(settled(go_on), Some(version("v1")));
+    assert_eq!(settled(|_| {}), None, "a pause of ten seconds");
+    let regained = |forwarder: &mut Forwarder| {
+        (21..30).for_each(|second| {
+            forwarder.record_versions(Millis(second * 1_000));
+        });
+        forwarder.record_registry_reconnection(Millis(29_000));
+    };
+    assert_eq!(settled(regained), None, "the store was lost until a second ago");
+}
