--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -7,13 +7,13 @@
 use super::{
     BrokenCalls, CallEnd, CallLimits, CallSends, CallerRetryDetector, ChosenServer, FailureScore,
     LeavingRuns, ModelCallSize, Quarantine, ReportedLoad, ReservationPressure, RetryBounds,
-    RetryWindow, RouteTable, SendPermit, ServerEntry, ServerLoad, ServerRegistry, ServerRun,
-    ServerUpdate, ServiceOverload, StreamVersions, VersionHistory,
+    RetryWindow, RouteTable, SeenRuns, SendPermit, ServerEntry, ServerLoad, ServerRegistry,
+    ServerRun, ServerUpdate, ServiceOverload, StreamVersions, VersionHistory,
 };
 use crate::forward::servers::reliability::Reliability;
 use crate::forward::servers::service_latency::ServiceLatency;
 use crate::ids::{DataCentreId, RouteId, ServiceId};
-use crate::units::Millis;
+use crate::units::{Millis, Tokens};
 
 /// Least and greatest relative size of a call; others are clamped.
 const RELATIVE_SIZE_RANGE: (f64, f64) = (0.5, 3.0);
@@ -55,7 +55,10 @@
     quarantine: Quarantine,
     broken_calls: BrokenCalls,
     pub(super) stream_versions: StreamVersions,
+    pub(super) seen_runs: SeenRuns,
     pub(super) version_histories: BTreeMap<ServiceId, VersionHistory>,
+    /// When the versions of the registered servers were last recorded.
+    pub(super) versions_recorded_ms: Option<Millis>,
     /// Services whose servers all had one version when that was looked at last.
     pub(super) single_version_services: BTreeSet<ServiceId>,
     /// Longest time that a stream lasts, by any configuration so far.
@@ -87,7 +90,9 @@
             quarantine: Quarantine::default(),
             broken_calls: BrokenCalls::default(),
             stream_versions: StreamVersions::default(),
+            seen_runs: SeenRuns::default(),
             version_histories: BTreeMap::new(),
+            versions_recorded_ms: None,
             single_version_services: BTreeSet::new(),
             longest_stream_ms: Millis::ZERO,
             conversion_candidates_revision: None,
@@ -130,11 +135,13 @@
     /// Records that the registry can be read again after an outage.
     pub fn record_registry_reconnection(&mut self, now_ms: Millis) {
         self.registry.record_reconnection(now_ms);
+        self.record_version_gap(now_ms);
     }
 
     /// Records that the registry was restored from an older copy.
     pub fn record_registry_restore(&mut self, now_ms: Millis) {
         self.registry.record_restore(now_ms);
+        self.record_version_gap(now_ms);
     }
 
     /// The requests to which servers were lost.
@@ -224,7 +231,8 @@
     pub fn unqueued_prefill_ms(&self, now_ms: Millis, prefill: &ChosenServer) -> Millis {
         let token_ms = self.service_latency(&prefill.service).prompt_token_ms;
         let load = self.loads.get(&prefill.run).copied().unwrap_or_default();
-        Millis((prefill.tokens.0 as f64 * token_ms * load.latency_ratio(now_ms)) as u64)
+        let baseline_ms = prefill.tokens.0 as f64 * token_ms;
+        Millis((baseline_ms * load.time_ratio(now_ms, baseline_ms)) as u64)
     }
 
     /// KV memory that a call needs, relative to the mean of earlier calls.
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -55,4 +55,6 @@
     UsageDecision, UsageLevels, UsageReply, UsageReports, UsageRequest, UsageStep, UsageTerms,
     UsageView,
 };
-pub use versions::{SoftwareVersion, StreamKey, StreamVersion, StreamVersions, VersionHistory};
+pub use versions::{
+    SeenRun, SeenRuns, SoftwareVersion, StreamKey, StreamVersion, StreamVersions, VersionHistory,
+};
--- a/crates/core/src/forward/versions/forwarder_versions.rs
+++ b/crates/core/src/forward/versions/forwarder_versions.rs
@@ -1,11 +1,21 @@
 //! What a forwarder knows of the software versions of servers and of the streams begun there.
 
-use crate::forward::{Forwarder, RouteKind, SoftwareVersion, StreamVersions, VersionHistory};
+use std::net::SocketAddr;
+
+use crate::config::ServerRole;
+use crate::forward::{
+    Forwarder, RouteKind, SeenRun, SeenRuns, ServerRun, SoftwareVersion, StreamVersions,
+    VersionHistory,
+};
 use crate::ids::ServiceId;
+use crate::membership::rendezvous;
 use crate::units::Millis;
 
 /// Time after its route's timeout for which a stream may be taken up again.
 const RESUMPTION_MARGIN_MS: Millis = Millis(2_000);
+/// Time between two looks at the registered versions after which some may have been missed; they are
+/// a second apart unless the process was paused.
+const MAX_RECORD_INTERVAL_MS: Millis = Millis(5_000);
 /// Shortest time for which a version counts that no server has any more.
 const MIN_VERSION_WINDOW_MS: Millis = Millis(16_000);
 
@@ -15,10 +25,48 @@
         &mut self.stream_versions
     }
 
+    /// The runs of streams that engines have reported.
+    pub fn seen_runs(&mut self) -> &mut SeenRuns {
+        &mut self.seen_runs
+    }
+
+    /// The version at which a stream began, by what this and other instances have seen of its run.
+    pub fn seen_version(&self, now_ms: Millis, runs: &[SeenRun]) -> Option<SoftwareVersion> {
+        SeenRuns::version(now_ms, &self.registry, runs).cloned()
+    }
+
+    /// Some of the engines that may run streams and state a version: `count` of them that another
+    /// instance, with another `number`, is unlikely to select too.
+    pub fn select_stream_engines(
+        &self,
+        now_ms: Millis,
+        number: u64,
+        count: usize,
+    ) -> Vec<(ServerRun, SocketAddr, SoftwareVersion)> {
+        let mut engines = Vec::new();
+        for (server, entry) in self.registry.servers(now_ms) {
+            let Some(version) = entry.version.clone().filter(|_| entry.role == ServerRole::Decode)
+            else {
+                continue;
+            };
+            let run = ServerRun { server: server.clone(), started_ms: entry.started_ms };
+            engines.push((run, entry.address, version));
+        }
+        engines.sort_by_cached_key(|(run, ..)| {
+            rendezvous::stable_hash(&format!("{number} {}", run.server))
+        });
+        engines.truncate(count);
+        engines
+    }
+
     /// Records the versions of the registered servers; returns whether a service that had one
     /// version has several now.
     pub fn record_versions(&mut self, now_ms: Millis) -> bool {
         let window_ms = self.version_window_ms();
+        let last_ms = self.versions_recorded_ms.replace(now_ms);
+        if last_ms.is_some_and(|last_ms| now_ms > last_ms + MAX_RECORD_INTERVAL_MS) {
+            self.record_version_gap(now_ms);
+        }
         for (_, entry) in self.registry.servers(now_ms) {
             let history = self
                 .version_histories
@@ -28,6 +76,7 @@
         }
         self.version_histories.values_mut().for_each(|history| history.expire(now_ms, window_ms));
         self.stream_versions.expire(now_ms);
+        self.seen_runs.expire(now_ms);
         let is_single =
             |history: &VersionHistory| history.only_version(now_ms, window_ms).is_some();
         let single = self.version_histories.iter().filter(|(_, history)| is_single(history));
@@ -36,6 +85,12 @@
         !before.is_subset(&self.single_version_services)
     }
 
+    /// Records that versions may have come and gone without being seen here: the registry could not
+    /// be read, or the process was paused.
+    pub fn record_version_gap(&mut self, now_ms: Millis) {
+        self.version_histories.values_mut().for_each(|history| history.record_gap(now_ms));
+    }
+
     /// Whether a server of a service has this version, whether it takes calls or not.
     pub fn is_version_served(
         &self,
--- a/crates/core/tests/plain_queues.rs
+++ b/crates/core/tests/plain_queues.rs
@@ -10,7 +10,8 @@
 fn report(forwarder: &mut Forwarder, server: u16, running_calls: u32, waiting_calls: u32) {
     let server = format!("s{server}").parse().unwrap();
     let run = ServerRun { server, started_ms: WallMillis(1) };
-    let load = ReportedLoad { running_calls, waiting_calls, max_concurrent_calls: 6 };
+    let load =
+        ReportedLoad { running_calls, waiting_calls, max_concurrent_calls: 6, work_time: None };
     forwarder.record_reported_load(Millis(1_000), &run, load);
 }
 
--- a/crates/turmericrail/src/forward/peers/mod.rs
+++ b/crates/turmericrail/src/forward/peers/mod.rs
@@ -7,6 +7,7 @@
 pub mod relay_limits;
 pub mod relay_members;
 pub mod relay_notices;
+pub mod run_search;
 pub mod stream_versions;
 pub mod usage;
 pub mod usage_calls;
