Malformed inputs: no input ends a task or the process

Cause: four inputs did harm. Weights of a route whose sum exceeds 64 bits and a Keep-Alive time beyond them overflowed, as sums of what engines report could. A caller whose deadline had passed made the server that it was meant for count as unreachable, so that other callers were refused. An accept that failed for want of file descriptors ended the listener for peers, and then the process hung at its exit. Change: sums saturate; a call without time left says nothing of the server; a failed accept of a peer's connection is tried again.

--- a/crates/core/src/forward/roles/role_conversion.rs
+++ b/crates/core/src/forward/roles/role_conversion.rs
@@ -55,12 +55,16 @@
             reported.filter(|report| !report.is_changing).collect()
         };
         let (prefill_reports, decode_reports) = (active_reports(&prefill), active_reports(&decode));
-        let kv_total: u64 = decode_reports.iter().map(|report| report.kv_total.0).sum();
+        // Engines may report any numbers, whose sums may exceed the type.
+        let kv_totals = decode_reports.iter().map(|report| report.kv_total.0);
+        let kv_total = kv_totals.fold(0, u64::saturating_add);
         if prefill_reports.is_empty() || kv_total == 0 {
             return None;
         }
-        let requests: u32 = prefill_reports.iter().map(|report| report.requests).sum();
-        let kv_used: u64 = decode_reports.iter().map(|report| report.kv_used.0).sum();
+        let requests = prefill_reports.iter().map(|report| report.requests);
+        let requests = requests.fold(0, u32::saturating_add);
+        let kv_used = decode_reports.iter().map(|report| report.kv_used.0);
+        let kv_used = kv_used.fold(0, u64::saturating_add);
         Some(RoleLoad {
             prefill_engine_count: prefill.len(),
             engine_count: prefill.len() + decode.len() + changing.len(),
--- a/crates/core/src/forward/routes/route.rs
+++ b/crates/core/src/forward/routes/route.rs
@@ -76,7 +76,8 @@
 impl Route {
     /// Picks a service by weight; `None` if all weights are zero.
     pub fn pick_service(&self, random: u64) -> Option<&ServiceId> {
-        let total: u64 = self.services.iter().map(|weighted| weighted.weight).sum();
+        let weights = self.services.iter().map(|weighted| weighted.weight);
+        let total = weights.fold(0, u64::saturating_add);
         let mut remaining = random.checked_rem(total)?;
         for weighted in &self.services {
             let Some(rest) = remaining.checked_sub(weighted.weight) else {
--- a/crates/turmericrail/src/forward/calls/call_failure.rs
+++ b/crates/turmericrail/src/forward/calls/call_failure.rs
@@ -12,6 +12,8 @@
     ConnectionRefused,
     /// The server takes no calls of this instance at present; nothing was written.
     Withheld,
+    /// The caller's deadline passed before there was a connection; nothing was written.
+    NoTimeLeft,
     /// The call may have been written, but the connection broke before the end of the answer.
     Lost,
     /// The answer is invalid.
@@ -27,7 +29,7 @@
     pub fn call_end(self) -> CallEnd {
         match self {
             CallFailure::NotSent | CallFailure::ConnectionRefused => CallEnd::Unreachable,
-            CallFailure::Withheld => CallEnd::Cancelled,
+            CallFailure::Withheld | CallFailure::NoTimeLeft => CallEnd::Cancelled,
             CallFailure::Silent => CallEnd::TimedOut,
             CallFailure::Lost | CallFailure::Malformed | CallFailure::Oversized => {
                 CallEnd::ConnectionLost
@@ -39,7 +41,10 @@
     pub fn is_sent(self) -> bool {
         !matches!(
             self,
-            CallFailure::NotSent | CallFailure::ConnectionRefused | CallFailure::Withheld
+            CallFailure::NotSent
+                | CallFailure::ConnectionRefused
+                | CallFailure::Withheld
+                | CallFailure::NoTimeLeft
         )
     }
 
@@ -49,6 +54,7 @@
             CallFailure::NotSent => "not_sent",
             CallFailure::ConnectionRefused => "connection_refused",
             CallFailure::Withheld => "withheld",
+            CallFailure::NoTimeLeft => "no_time_left",
             CallFailure::Lost => "lost",
             CallFailure::Malformed => "malformed",
             CallFailure::Oversized => "oversized",
--- a/crates/turmericrail/src/forward/calls/plain_call.rs
+++ b/crates/turmericrail/src/forward/calls/plain_call.rs
@@ -117,6 +117,7 @@
         CallFailure::NotSent
         | CallFailure::ConnectionRefused
         | CallFailure::Withheld
+        | CallFailure::NoTimeLeft
         | CallFailure::Lost
         | CallFailure::Malformed
         | CallFailure::Oversized => ErrorKind::ServerLost,
--- a/crates/turmericrail/src/forward/peers/mod.rs
+++ b/crates/turmericrail/src/forward/peers/mod.rs
@@ -1,6 +1,7 @@
 //! What instances tell each other.
 
 pub mod loss_notices;
+pub mod peer_listener;
 pub mod relay;
 pub mod relay_limits;
 pub mod relay_members;
--- a/crates/turmericrail/src/forward/peers/relay.rs
+++ b/crates/turmericrail/src/forward/peers/relay.rs
@@ -24,6 +24,7 @@
 };
 
 use super::loss_notices;
+use super::peer_listener;
 use super::relay_limits;
 use super::relay_members;
 use super::stream_versions;
@@ -289,8 +290,8 @@
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
     task::spawn(async move {
-        let serving = Server::builder().add_service(service).serve(address);
-        if let Err(error) = serving.await {
+        let serving = peer_listener::serve(address, Server::builder().add_service(service)).await;
+        if let Err(error) = serving {
             spdlog::error!(
                 "event=relay_edge_error address={address} error={:?}",
                 error.to_string()
--- a/crates/turmericrail/src/forward/servers/exchange.rs
+++ b/crates/turmericrail/src/forward/servers/exchange.rs
@@ -77,7 +77,8 @@
         match async_std::future::timeout(Duration::from_millis(remaining_ms.0), calling).await {
             Ok(result) => result,
             Err(_) if is_connected.load(Ordering::Relaxed) => Err(CallFailure::Silent),
-            Err(_) => Err(CallFailure::NotSent),
+            // A caller with little time left says nothing of the server.
+            Err(_) => Err(CallFailure::NoTimeLeft),
         }
     }
 
@@ -132,7 +133,7 @@
 
 /// Time for which the server keeps an idle connection; `None` if it doesn't state one.
 pub fn keep_alive_ms(head: &ResponseHead) -> Option<Millis> {
-    head.headers.keep_alive_s().map(|seconds| Millis(seconds * 1_000))
+    head.headers.keep_alive_s().map(|seconds| Millis(seconds.saturating_mul(1_000)))
 }
 
 async fn send_and_read_head(
--- a/crates/turmericrail/src/forward/servers/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -79,7 +79,10 @@
         CallFailure::Lost => sent.break_off(),
         CallFailure::Silent => drop(sent),
         CallFailure::Malformed | CallFailure::Oversized => sent.settle(),
-        CallFailure::NotSent | CallFailure::ConnectionRefused | CallFailure::Withheld => {
+        CallFailure::NotSent
+        | CallFailure::ConnectionRefused
+        | CallFailure::Withheld
+        | CallFailure::NoTimeLeft => {
             sent.settle();
             context.sends().record_not_sent();
         }
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -197,6 +197,7 @@
             .arg("--forward")
             .arg(&settings_path)
             .stdout(Stdio::from(log_file))
+            .stderr(Stdio::from(std::fs::File::create(folder.join("errors")).unwrap()))
             .spawn()
             .unwrap();
         let instance = Self {
@@ -270,6 +271,21 @@
         send_signal(&self.process, signal);
     }
 
+    /// Lowers the number of files that the process may have open.
+    pub fn limit_open_files(&self, count: u32) {
+        let pid = format!("--pid={}", self.process.id());
+        let limit = format!("--nofile={count}:{count}");
+        assert!(Command::new("prlimit").args([pid, limit]).status().unwrap().success());
+    }
+
+    /// Asserts that the process runs and that none of its tasks has panicked.
+    pub fn assert_sound(&mut self, description: &str) {
+        let errors = std::fs::read(self.log_path.with_file_name("errors")).unwrap();
+        let errors = String::from_utf8_lossy(&errors);
+        assert!(!errors.contains("panicked at"), "{description}: {errors}");
+        assert!(self.process.try_wait().unwrap().is_none(), "{description}: {errors}");
+    }
+
     /// Most memory that the process has held at once, in KiB.
     pub fn peak_memory_kib(&self) -> u64 {
         let path = format!("/proc/{}/status", self.process.id());
--- a/crates/turmericrail/tests/trickling_bytes.rs
+++ b/crates/turmericrail/tests/trickling_bytes.rs
@@ -188,6 +188,19 @@
     (String::from_utf8_lossy(&answer[..read]).into_owned(), sent_at.elapsed())
 }
 
+#[test]
+fn hurried_callers() {
+    // Guards against a sound server that counts as unreachable because callers left it no time, and
+    // that other callers can't use then.
+    let instance = ForwardInstance::start("hurried-callers");
+    instance.start_plain_server("s1");
+    for number in 0..20 {
+        let reply = instance.send(&request_text("order", "x", &format!("r{number}"), number % 2));
+        assert!(reply.is_some());
+    }
+    assert_eq!(instance.send_request("order", "after").status(), 200);
+}
+
 #[test]
 fn slow_caller() {
     // Guards against a caller that holds a connection by sending its head or body byte by byte,
