--- a/crates/turmericrail/src/forward/calls/attempt_records.rs
+++ b/crates/turmericrail/src/forward/calls/attempt_records.rs
@@ -1,7 +1,6 @@
 //! What is logged and recorded about the attempts of a model call.
 
 use turmericrail_core::forward::Loss;
-use turmericrail_core::units::Millis;
 use turmericrail_wire::http1::EventSplitter;
 
 use super::call_context::CallContext;
@@ -46,24 +45,6 @@
     loss_notices::record_loss(context.shared, loss);
 }
 
-/// Records the time to the first event of an attempt.
-pub fn record_first_event(context: &CallContext<'_>, attempt: &EngineAttempt, sent_ms: Millis) {
-    let elapsed_ms = clock::now_ms().saturating_sub(sent_ms);
-    context.observe_step("first_event", elapsed_ms);
-    context.observe_answer();
-    if attempt.kv.is_some() {
-        let now_ms = clock::now_ms();
-        context.shared.forwarder().record_first_event_time(now_ms, attempt.choice(), elapsed_ms);
-    }
-    spdlog::info!(
-        "event=first_event request={} server={} after_ms={} since_arrival_ms={}",
-        context.request_id,
-        attempt.choice().run.server,
-        elapsed_ms.0,
-        context.elapsed_ms().0
-    );
-}
-
 /// Logs where the body of an answer ended or broke off.
 pub fn log_stream_end(
     context: &CallContext<'_>,
--- a/crates/turmericrail/src/forward/calls/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -8,7 +8,7 @@
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming, EventSplitter, ResponseHead};
 
 use super::attempt_records::{
-    log_cut_answer, log_stream_end, record_first_event, record_parts_loss, record_refused_kv,
+    log_cut_answer, log_stream_end, record_parts_loss, record_refused_kv,
 };
 use super::begun_version::BegunVersion;
 use super::call_context::CallContext;
