--- a/crates/turmericrail/tests/malformed_inputs.rs
+++ b/crates/turmericrail/tests/malformed_inputs.rs
@@ -220,6 +220,7 @@
         ages_ms: vec![1, 2],
         notices_hash: 1,
         notices: Some(notices.clone()),
+        ..Default::default()
     };
     let follow = FollowRequest {
         known: vec![known("servers/")],
@@ -227,6 +228,7 @@
         limits: vec![limit],
         notices_epoch: 1,
         notices_after: 1,
+        ..Default::default()
     };
     let stream = BegunStream { stream: id.clone(), request: id.clone(), ..Default::default() };
     let find = FindStreamRequest { stream: id.clone(), request: id, ..Default::default() };
@@ -234,7 +236,7 @@
         exchange.encode_to_vec(),
         follow.encode_to_vec(),
         notices.encode_to_vec(),
-        BegunStreams { streams: vec![stream] }.encode_to_vec(),
+        BegunStreams { streams: vec![stream], ..Default::default() }.encode_to_vec(),
         find.encode_to_vec(),
     ]
 }
