--- a/crates/core/tests/usage_simulation/calls.rs
+++ b/crates/core/tests/usage_simulation/calls.rs
@@ -150,10 +150,11 @@
     }
 
     pub(super) fn fail(&mut self, id: u64, is_timed_out: bool) {
-        if let Some(call) = self.calls.remove(&id) {
-            if call.run == self.instances[call.from].run && !self.is_down(call.from) {
-                self.fail_call(call, is_timed_out);
-            }
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        if call.run == self.instances[call.from].run && !self.is_down(call.from) {
+            self.fail_call(call, is_timed_out);
         }
     }
 
