--- a/crates/core/src/forward/usage/coordinator_order.rs
+++ b/crates/core/src/forward/usage/coordinator_order.rs
@@ -11,8 +11,8 @@
 /// Best members of each data centre that are candidates, since the others may be out of reach.
 const TOP_MEMBERS_PER_DATA_CENTRE: usize = 2;
 
-/// Candidates in rendezvous order, and the number of members of each data centre. Instances with the
-/// same members have the same order.
+/// Candidates in rendezvous order, and the number of members of each data centre. Instances with
+/// the same members have the same order.
 #[derive(Clone, Debug)]
 pub struct CoordinatorOrder {
     candidates: Vec<Member>,
--- a/crates/core/src/forward/usage/suspect_members.rs
+++ b/crates/core/src/forward/usage/suspect_members.rs
@@ -12,7 +12,6 @@
 /// Longest such time: it doubles with each further time-out, which holds a request up for longer
 /// than a refused connection.
 const MAX_SUSPECT_TIME_MS: Millis = Millis(8_000);
-
 /// Time after which a member that was not reached is told again what another one counted in its
 /// place; no request waits for that.
 const REPORT_AGAIN_MS: Millis = Millis(250);
@@ -116,8 +115,8 @@
         })
     }
 
-    /// The member to ask: the best one that isn't avoided, if possible in a data centre that seems to
-    /// be within reach.
+    /// The member to ask: the best one that isn't avoided, if possible in a data centre that seems
+    /// to be within reach.
     pub fn choose<'a>(
         &self,
         now_ms: Millis,
--- a/crates/core/src/forward/usage/usage_caps.rs
+++ b/crates/core/src/forward/usage/usage_caps.rs
@@ -308,8 +308,8 @@
         self.coordinators.get_mut(tenant)
     }
 
-    /// The member that comes before this one and is to be told what was counted here, where this one is the
-    /// coordinator too; and the time until then.
+    /// The better member that is to be told what was counted here, where this one is a coordinator
+    /// too, and the time until then.
     pub fn deputy_report_due_in_ms<'a>(
         &mut self,
         now_ms: Millis,
@@ -351,8 +351,8 @@
         self.coordinators.iter().map(|(tenant, coordinator)| (tenant, coordinator.level()))
     }
 
-    /// Drops the state of tenants that have no cap any more, and of members that weren't avoided for
-    /// a while.
+    /// Drops the state of tenants that have no cap any more or weren't used for long, and of
+    /// members that weren't avoided for a while.
     pub fn expire(&mut self, now_ms: Millis, has_cap: impl Fn(&TenantId) -> bool) {
         self.views.retain(|tenant, _| has_cap(tenant));
         self.coordinators
--- a/crates/core/src/forward/usage/usage_coordinator.rs
+++ b/crates/core/src/forward/usage/usage_coordinator.rs
@@ -16,8 +16,8 @@
 const FORGET_TIME_MS: Millis = Millis(60_000);
 /// Age up to which the level that another coordinator stated is used.
 const MAX_STATED_AGE_MS: Millis = Millis(5_000);
-/// Time after the start in which reports of other coordinators may be on their way whose levels were
-/// taken over.
+/// Time after the start in which reports of other coordinators may be on their way whose levels
+/// were taken over.
 const TAKEOVER_TIME_MS: Millis = Millis(200);
 /// Time after the start in which calls from all data centres are still to be expected.
 const FIRST_CALLS_MS: Millis = Millis(500);
@@ -44,8 +44,8 @@
 }
 
 impl UsageCoordinator {
-    /// Starts with the lowest of the levels that predecessors have, or else with the latest one that
-    /// an instance was told, or else with a small one and what has come in during `unused_ms`.
+    /// Starts with the lowest of the levels that predecessors have, or else with the latest one
+    /// that an instance was told, or else with a small one and what came in during `unused_ms`.
     pub fn start(
         now_ms: Millis,
         request: &UsageRequest,
@@ -123,8 +123,8 @@
         }
     }
 
-    /// The units of a report. Of a deputy's, the part from before the start of this coordinator is left
-    /// out: the first level stands for it.
+    /// The units of a report. Of a deputy's, the part from before the start of this coordinator is
+    /// left out: the first level stands for it.
     fn reported_units(&self, now_ms: Millis, request: &UsageRequest) -> f64 {
         let age_ms = now_ms.saturating_sub(self.started_ms);
         let span_ms = request.reported_span_ms;
@@ -137,8 +137,8 @@
         request.reported * age_ms.0 as f64 / span_ms.0 as f64
     }
 
-    /// The part of a late report that would have been refilled if it had come in time: the bucket was
-    /// full meanwhile.
+    /// The part of a late report that would have been refilled if it had come in time: the bucket
+    /// was full meanwhile.
     fn take_spilled(&mut self, now_ms: Millis, request: &UsageRequest, reported: f64) -> f64 {
         let mut rest = reported.max(0.0);
         for (at_ms, spilled) in &mut self.spilled {
--- a/crates/core/src/forward/usage/usage_reports.rs
+++ b/crates/core/src/forward/usage/usage_reports.rs
@@ -58,8 +58,8 @@
     }
 
     /// Takes the units that are to be reported now, and the time over which they came together. A
-    /// report after a failed one holds none: should both arrive late after all, the units would count
-    /// twice.
+    /// report after a failed one holds none: should both arrive late after all, the units would
+    /// count twice.
     pub fn take(&mut self, now_ms: Millis) -> (f64, Millis) {
         self.next_ms = now_ms + REPORT_INTERVAL_MS;
         if self.is_failing {
--- a/crates/core/src/forward/usage/usage_terms.rs
+++ b/crates/core/src/forward/usage/usage_terms.rs
@@ -13,7 +13,8 @@
 }
 
 impl UsageTerms {
-    /// The terms of a cap. Where it names no burst, a second's worth of the rate may be used at once.
+    /// The terms of a cap. Where it names no burst, a second's worth of the rate may be used at
+    /// once.
     pub fn new(cap: &UsageCap, version: ConfigVersion) -> Self {
         let burst = if cap.burst > 0.0 { cap.burst } else { cap.rate_per_s };
         Self { rate_per_s: cap.rate_per_s, burst, version }
--- a/crates/core/src/forward/usage/usage_view.rs
+++ b/crates/core/src/forward/usage/usage_view.rs
@@ -27,8 +27,8 @@
 pub enum UsageDecision {
     /// It is admitted; the usage is reported later.
     Admitted,
-    /// The coordinator is asked while the request goes on up to its first call of a server that runs
-    /// it.
+    /// The coordinator is asked while the request goes on up to its first call of a server that
+    /// runs it.
     AskMeanwhile,
     /// The coordinator is asked first.
     AskFirst,
@@ -92,8 +92,8 @@
         })
     }
 
-    /// Decides about a request while no coordinator is reached; returns the time until there is room
-    /// if it is refused. The instance has its share of the cap, and a little more if the tenant was
+    /// Decides about a request while no coordinator is reached; returns the time until there is
+    /// room if it is refused. The instance has its share of the cap, and a little more if the tenant was
     /// far below its cap.
     pub fn decide_alone(
         &mut self,
--- a/crates/core/tests/usage_caps.rs
+++ b/crates/core/tests/usage_caps.rs
@@ -38,7 +38,8 @@
     assert!(failures.is_empty(), "{name}: {failures:?}");
 }
 
-/// Guards against caps that are exceeded, or requests below them that are refused, in a sound fleet.
+/// Guards against caps that are exceeded, or requests below them that are refused, in a sound
+/// fleet.
 #[test]
 fn sound_fleets() {
     check("sound", 1, |plan| plan);
--- a/crates/core/tests/usage_levels.rs
+++ b/crates/core/tests/usage_levels.rs
@@ -133,8 +133,8 @@
     assert_eq!(replied(-70.0), [UsageDecision::Refused(Millis(69)), UsageDecision::AskFirst]);
 }
 
-/// Guards against refusals of a tenant far below its cap while no coordinator is reached, and against
-/// unlimited use meanwhile.
+/// Guards against refusals of a tenant far below its cap while no coordinator is reached, and
+/// against unlimited use meanwhile.
 #[test]
 fn own_share() {
     let mut unknown = UsageView::new(START_MS);
--- a/crates/turmericrail/src/forward/peers/usage.rs
+++ b/crates/turmericrail/src/forward/peers/usage.rs
@@ -3,8 +3,8 @@
 //! One instance is the coordinator of each tenant. Where the tenant was far below its cap a moment
 //! ago, a request is admitted at once and reported afterwards (`usage_reports`); where it was far
 //! below at the last reply, the coordinator is asked while the request goes on up to its first call
-//! of a server that runs it; else the request waits for the reply. Requests of tenants without a cap
-//! pass untouched.
+//! of a server that runs it; else the request waits for the reply. Requests of tenants without a
+//! cap pass untouched.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/crates/turmericrail/src/forward/peers/usage_reports.rs
+++ b/crates/turmericrail/src/forward/peers/usage_reports.rs
@@ -71,7 +71,8 @@
     }
 }
 
-/// Reports what this instance counts in the place of a better coordinator, unless that is under way.
+/// Reports what this instance counts in the place of a better coordinator, unless that is under
+/// way.
 pub fn schedule_deputy(shared: &Arc<Shared>, tenant: &TenantId) {
     let order = usage::order(shared, tenant);
     let now_ms = clock::now_ms();
