--- a/crates/core/benches/forward_choice.rs
+++ b/crates/core/benches/forward_choice.rs
@@ -46,6 +46,11 @@
             )
             .is_ok()
     });
+    print_overload_rows(role);
+}
+
+/// Rows of the decisions on calls that found no room.
+fn print_overload_rows(role: impl Fn(usize) -> ServerRole + Copy) {
     let ranks = ServiceRanks::from_iter([0, 1, 2]);
     let in_burst: [RefCell<Forwarder>; 3] = SERVER_COUNTS.map(|servers| {
         let mut forwarder = forwarder(&service_id(), servers, &role);
--- a/crates/core/tests/overload_simulation/instances.rs
+++ b/crates/core/tests/overload_simulation/instances.rs
@@ -163,6 +163,18 @@
             self.place(&call, engine, now_ms);
             return None;
         }
+        self.wait_ranked(waiting, now_ms, urgency)
+    }
+
+    fn wait_ranked(
+        &mut self,
+        mut waiting: Waiting,
+        now_ms: u64,
+        urgency: Urgency,
+    ) -> Option<Waiting> {
+        let call = waiting.call;
+        let (now, rank) = (Millis(now_ms), call.kind().rank);
+        let instance = &mut self.instances[call.instance];
         let timeout_ms = Millis(remaining_timeout_ms(&call));
         let longest_ms = instance.overload.longest_wait_ms(timeout_ms);
         let waited_ms = Millis(now_ms - call.arrived_ms);
--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -4,12 +4,12 @@
 
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{
-    CallSends, EngineLimits, RequestTraits, Route, RouteTable, SendPermit, SoftwareVersion,
-    Standing, Tenant, Urgency,
+    CallSends, EngineLimits, RequestTraits, Route, RouteTable, SendPermit, ServerRun,
+    SoftwareVersion, Standing, Tenant, Urgency, headroom_tokens,
 };
 use turmericrail_core::ids::{PromptPartId, ServiceId};
 use turmericrail_core::request::RequestFingerprint;
-use turmericrail_core::units::Millis;
+use turmericrail_core::units::{Millis, Tokens};
 
 use super::begun_version::BegunVersion;
 use crate::forward::callers::caller_connection::Request;
@@ -63,6 +63,13 @@
         Urgency::new(&ranks, self.rank(), standing, is_in_excess)
     }
 
+    /// Free memory that an engine must have beyond the request while the service is scarce.
+    pub fn headroom(&self, urgency: Urgency, engine: &ServerRun) -> Tokens {
+        let typical_tokens = self.shared.forwarder().typical_tokens(self.service);
+        let kv_tokens = self.engine_limits().map_or(Tokens::ZERO, |engine| engine.kv_tokens);
+        headroom_tokens(urgency, &engine.server, typical_tokens, kv_tokens)
+    }
+
     /// Counts the request in the rates of its tenant.
     pub fn record_tenant(&self) {
         if let Some(tenant) = self.tenant {
--- a/crates/turmericrail/src/forward/calls/ranked_selection.rs
+++ b/crates/turmericrail/src/forward/calls/ranked_selection.rs
@@ -9,9 +9,7 @@
 
 use async_std::task;
 use turmericrail_core::error_kind::ErrorKind;
-use turmericrail_core::forward::{
-    ModelPlan, ReservationRound, ServerRun, Standing, Urgency, headroom_tokens,
-};
+use turmericrail_core::forward::{ModelPlan, ReservationRound, ServerRun, Standing, Urgency};
 use turmericrail_core::units::{Millis, Tokens};
 
 use super::call_context::CallContext;
@@ -92,11 +90,8 @@
             true => ReservationRound::without_roomy_steps(size, max_engines),
             false => ReservationRound::new(size, max_engines),
         };
-        let typical_tokens = context.shared.forwarder().typical_tokens(service);
-        let engine_limits = context.engine_limits();
-        let kv_tokens = engine_limits.map_or(Tokens::ZERO, |engine| engine.kv_tokens);
         let headroom = |engine: &ServerRun| match is_scarce {
-            true => headroom_tokens(urgency, &engine.server, typical_tokens, kv_tokens),
+            true => context.headroom(urgency, engine),
             false => Tokens::ZERO,
         };
         let held_off = self.held_off_engines();
@@ -107,6 +102,9 @@
         let reserved = reserve_round(context, &mut round, &headroom, &choose).await;
         self.full_engines = (round.full_engines().to_vec(), clock::now_ms());
         self.record_round(urgency, reserved.is_some());
+        if let Some(attempt) = &reserved {
+            self.log_placed(urgency, headroom(&attempt.choice().run));
+        }
         reserved
     }
 
@@ -135,6 +133,24 @@
         }
     }
 
+    fn log_placed(&self, urgency: Urgency, headroom_tokens: Tokens) {
+        let (context, rank) = (self.context, self.context.rank());
+        let mut forwarder = context.shared.forwarder();
+        let overload = forwarder.overload(context.service);
+        let pressure = overload.pressure(clock::now_ms(), rank);
+        let waiting_calls = overload.waiting_calls();
+        drop(forwarder);
+        spdlog::info!(
+            "event=placed request={} service={} rank={rank} standing={} urgency={urgency} headroom_tokens={} \
+             pressure={pressure:.2} waiting={waiting_calls} waited_ms={}",
+            context.request_id,
+            context.service,
+            urgency.standing().as_str(),
+            headroom_tokens.0,
+            context.elapsed_ms().0
+        );
+    }
+
     /// Refuses the call before its prefill if its whole answer can't come before the deadline.
     fn check_time(&self, urgency: Urgency) -> Result<(), Refusal> {
         let (context, now_ms) = (self.context, clock::now_ms());
--- a/crates/turmericrail/tests/overload.rs
+++ b/crates/turmericrail/tests/overload.rs
@@ -45,7 +45,7 @@
     });
     assert_eq!(status, 200);
     assert!(elapsed > Duration::from_millis(600), "it waited for {elapsed:?}");
-    assert!(instance.read_log().contains("event=plan request=r1"));
+    instance.wait_for_log("event=placed request=r1 service=llm rank=2 standing=late");
 }
 
 /// Guards against calls that wait although their answer can't come before the deadline, and
