Servers' own speeds: instances tell each other what they have learned

An instance measures a given engine about once a minute, and a new one knows nothing.

The receiver takes the weighted mean. Entries of runs that it doesn't know are ignored; fields of unequal length are logged and ignored.

The log has event=server_speed for the first figure of a run, and server_call and prefill_call lines have lasting_slowdown, momentary_slowdown and figure_age_ms for servers that state their speed.

--- a/crates/core/src/forward/speed/lasting_speeds.rs
+++ b/crates/core/src/forward/speed/lasting_speeds.rs
@@ -1,7 +1,7 @@
 //! The lasting slowdowns as instances tell them to each other. An instance sees too few calls to
 //! learn the speed of every server by itself within minutes.
 
-use crate::forward::{Forwarder, ServerRun};
+use crate::forward::{Forwarder, ServerLoad, ServerRun, ServerSpeed};
 use crate::units::Millis;
 
 /// What an instance knows of the lasting slowdown of a run of a server.
@@ -15,6 +15,11 @@
 }
 
 impl Forwarder {
+    /// The speed of a run of a server; `None` if it hasn't been called.
+    pub fn server_speed(&self, run: &ServerRun) -> Option<&ServerSpeed> {
+        self.loads.get(run).map(ServerLoad::speed)
+    }
+
     /// The lasting slowdowns that are known, in the order of the servers' ids. Servers that state no
     /// speed have none.
     pub fn lasting_speeds(&self, now_ms: Millis) -> Vec<LastingSpeed> {
--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -408,7 +408,9 @@
         body: body.to_vec(),
         at: Instant::now(),
     });
-    let signature = format!("X-Response-Signature: {id}\r\nX-Instance-Load: 1,0,6\r\n");
+    let has_load = notices.contains("X-Instance-Load:");
+    let load = if has_load { "" } else { "X-Instance-Load: 1,0,6\r\n" };
+    let signature = format!("X-Response-Signature: {id}\r\n{load}");
     let stream_fields = format!("{notices}{signature}");
     match behaviour {
         Behaviour::CloseWithoutAnswer => return RawAnswer::BytesThenClose(Vec::new()),
--- a/crates/turmericrail/src/forward/peers/relay.rs
+++ b/crates/turmericrail/src/forward/peers/relay.rs
@@ -26,6 +26,7 @@
 use super::loss_notices;
 use super::relay_limits;
 use super::relay_members;
+use super::relay_speeds;
 use super::stream_versions;
 use crate::error::StartError;
 use crate::forward::clock;
@@ -184,7 +185,9 @@
             limits: relay_limits::list_limits(&self.shared),
             notices_hash,
             notices: if is_hash_known { None } else { loss_notices::list_after(&self.shared, 0) },
+            speeds: relay_speeds::list_speeds(&self.shared),
         };
+        relay_speeds::merge_speeds(&self.shared, message.speeds.as_ref());
         loss_notices::merge_exchanged(&self.shared, message.notices);
         merge_leaving(&self.shared, &message.leaving);
         relay_limits::merge_limits(&self.shared, &message.limits);
@@ -384,6 +387,7 @@
         limits: relay_limits::list_limits(shared),
         members_hash: own.identity_hash(),
         notices_hash: loss_notices::hash(shared),
+        speeds: relay_speeds::list_speeds(shared),
         ..ExchangeRequest::default()
     }
 }
@@ -395,6 +399,7 @@
     }
     merge_leaving(shared, &reply.leaving);
     relay_limits::merge_limits(shared, &reply.limits);
+    relay_speeds::merge_speeds(shared, reply.speeds.as_ref());
     loss_notices::merge_exchanged(shared, reply.notices);
     apply_newer(shared, address, reply.newer);
 }
--- a/crates/turmericrail/src/forward/servers/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -98,7 +98,7 @@
     context.observe_step(event, elapsed_ms);
     spdlog::info!(
         "event={event} request={} fingerprint={} server={} version={} predicted_ms={} looked_at={} registry_revision={} \
-         config_version={} outcome={} elapsed_ms={}",
+         config_version={} outcome={} elapsed_ms={}{}",
         context.request_id,
         context.fingerprint,
         choice.run.server,
@@ -108,10 +108,30 @@
         choice.registry_revision,
         context.table.version(),
         end.as_str(),
-        elapsed_ms.0
+        elapsed_ms.0,
+        speed_text(context, choice)
     );
 }
 
+/// The log fields of a server's speed; empty if the server states none.
+fn speed_text(context: &CallContext<'_>, choice: &ChosenServer) -> String {
+    let now_ms = clock::now_ms();
+    let forwarder = context.shared.forwarder();
+    let speed = forwarder.server_speed(&choice.run).filter(|speed| speed.is_stated());
+    let Some(speed) = speed else {
+        return String::new();
+    };
+    let lasting = format!(" lasting_slowdown={:.2}", speed.lasting().value(now_ms));
+    let Some(momentary) = speed.momentary() else {
+        return lasting;
+    };
+    format!(
+        "{lasting} momentary_slowdown={:.2} figure_age_ms={}",
+        momentary.value(now_ms),
+        momentary.age_ms(now_ms).0
+    )
+}
+
 fn version_text(choice: &ChosenServer) -> &str {
     choice.version.as_ref().map_or("none", SoftwareVersion::as_str)
 }
--- a/crates/turmericrail/src/forward/servers/server_notices.rs
+++ b/crates/turmericrail/src/forward/servers/server_notices.rs
@@ -29,8 +29,15 @@
 
 /// Records the load in an answer of a server, unless another server sent it.
 pub fn record_load(shared: &Shared, run: &ServerRun, metadata: &AnswerMetadata) {
-    if let Some(load) = metadata.load.filter(|_| !metadata.is_misdirected) {
-        shared.forwarder().record_reported_load(clock::now_ms(), run, load);
+    let Some(load) = metadata.load.filter(|_| !metadata.is_misdirected) else {
+        return;
+    };
+    let mut forwarder = shared.forwarder();
+    let is_known = forwarder.server_speed(run).is_some_and(|speed| speed.momentary().is_some());
+    forwarder.record_reported_load(clock::now_ms(), run, load);
+    drop(forwarder);
+    if let Some(work_time) = load.work_time.filter(|_| !is_known) {
+        spdlog::info!("event=server_speed server={} work_time={work_time}", run.server);
     }
 }
 
