--- a/crates/turmericrail/src/forward/peers/relay.rs
+++ b/crates/turmericrail/src/forward/peers/relay.rs
@@ -31,6 +31,7 @@
 use super::relay_leaving;
 use super::relay_limits;
 use super::relay_members;
+use super::relay_speeds;
 use super::stream_versions;
 use super::usage;
 use super::usage_calls;
@@ -290,7 +291,9 @@
             limits: relay_limits::list_limits(&self.shared),
             notices_hash,
             notices: if is_hash_known { None } else { loss_notices::list_after(&self.shared, 0) },
+            speeds: relay_speeds::list_speeds(&self.shared),
         };
+        relay_speeds::merge_speeds(&self.shared, message.speeds.as_ref());
         loss_notices::merge_exchanged(&self.shared, message.notices);
         relay_leaving::merge_leaving(&self.shared, &message.leaving);
         relay_limits::merge_limits(&self.shared, &message.limits);
--- a/crates/turmericrail/src/forward/peers/relay_exchange.rs
+++ b/crates/turmericrail/src/forward/peers/relay_exchange.rs
@@ -17,7 +17,7 @@
 use turmericrail_core::forward::{ExchangePace, MemberFilter, MemberList, PublishedItem};
 use turmericrail_wire::relay::{self as wire, ExchangeReply, ExchangeRequest};
 
-use super::{loss_notices, relay, relay_leaving, relay_limits, relay_members, usage};
+use super::{loss_notices, relay, relay_leaving, relay_limits, relay_members, relay_speeds, usage};
 use crate::forward::shared::Shared;
 use crate::forward::store::store_sync;
 
@@ -105,6 +105,7 @@
         members_hash: own.identity_hash(),
         notices_hash: loss_notices::hash(shared),
         is_reading_store: shared.relay.is_reading_store(),
+        speeds: relay_speeds::list_speeds(shared),
         ..ExchangeRequest::default()
     }
 }
@@ -134,6 +135,7 @@
     relay_leaving::merge_leaving(shared, &reply.leaving);
     relay_limits::merge_limits(shared, &reply.limits);
     loss_notices::merge_exchanged(shared, reply.notices);
+    relay_speeds::merge_speeds(shared, reply.speeds.as_ref());
     usage::record_exchange(shared, address);
     apply_newer(shared, address, reply.newer);
 }
