--- a/crates/core/tests/mass_start_model/mod.rs
+++ b/crates/core/tests/mass_start_model/mod.rs
@@ -41,7 +41,6 @@
 const FILTER_BYTES: u64 = 270;
 /// Size of a second request on the same connection and of its empty reply, without members.
 const REST_BYTES: u64 = 350;
-/// Processor time of that.
 const REST_CPU_US: u64 = 500;
 /// Bytes of the age of one member, where both know the same ones.
 const AGE_BYTES: u64 = 3;
@@ -49,25 +48,10 @@
 
 enum Event {
     Call,
-    Request {
-        from: usize,
-        sent_ms: u64,
-        filter: MemberFilter,
-        ages: usize,
-    },
-    Reply {
-        from: usize,
-        sent_ms: u64,
-        members: Vec<Member>,
-        known: Option<Known>,
-    },
-    /// What the reply showed to be unknown.
-    Rest {
-        members: Vec<Member>,
-    },
-    Timeout {
-        sent_ms: u64,
-    },
+    Request { from: usize, sent_ms: u64, filter: MemberFilter, ages: usize },
+    Reply { from: usize, sent_ms: u64, members: Vec<Member>, known: Option<Known> },
+    Rest { members: Vec<Member> },
+    Timeout { sent_ms: u64 },
 }
 
 /// What an instance says of its members where the caller knows others.
@@ -91,7 +75,6 @@
     processor_free_ms: u64,
     link_free_ms: u64,
     sent_bytes: u64,
-    /// Bytes sent in each second.
     sent_by_second: Vec<u64>,
     messages: u64,
     configured_ms: u64,
@@ -101,9 +84,7 @@
 /// What a start cost.
 #[derive(Debug)]
 pub struct Outcome {
-    /// When the last instance had the configuration.
     pub configured_ms: u64,
-    /// When the last instance knew all members.
     pub members_ms: u64,
     pub mean_bytes: u64,
     pub busiest_bytes: u64,
--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -75,10 +75,10 @@
         }
     }
 
-    /// Records that the call is sent to an engine, which may state a version.
-    pub fn record_sent_to(&self, version: Option<&SoftwareVersion>) {
+    /// Records that the call is sent to an engine of a version.
+    pub fn record_sent_to(&self, version: &SoftwareVersion) {
         let mut begun = self.begun_version.lock().unwrap_or_else(|_| std::process::abort());
-        if let (BegunVersion::None, Some(version)) = (&*begun, version) {
+        if matches!(*begun, BegunVersion::None) {
             *begun = BegunVersion::SentTo(version.clone());
         }
     }
--- a/crates/turmericrail/src/forward/calls/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -7,7 +7,6 @@
 use turmericrail_platform::call::{RunOptions, ServerTask};
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming, EventSplitter, ResponseHead};
 
-use super::begun_version::BegunVersion;
 use super::call_context::CallContext;
 use super::call_failure::CallFailure;
 use super::engine_calls::{MIN_SILENCE_MS, silence_timeout_ms};
@@ -150,12 +149,7 @@
         };
         call_bytes(context, attempt.choice(), &ServerTask::Run(start))
     };
-    let is_stream = matches!(context.route.kind, RouteKind::Stream { .. });
-    let begun_before = context.begun_version();
-    if is_stream && !matches!(begun_before, BegunVersion::At(_)) {
-        stream_versions::record_sent(context, attempt.choice(), failover.calls_sent);
-        context.record_sent_to(attempt.choice().version.as_ref());
-    }
+    let begun_before = stream_versions::record_sent(context, attempt.choice(), failover.calls_sent);
     let sent_ms = clock::now_ms();
     let timeout_ms = failover.timeout_ms(context, first_event_timeout_ms(context, attempt));
     let started = {
--- a/crates/turmericrail/src/forward/peers/relay.rs
+++ b/crates/turmericrail/src/forward/peers/relay.rs
@@ -15,7 +15,7 @@
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
 use turmericrail_core::forward::{
-    ExchangePace, MemberFilter, Members, PublishedItem, PublishedSet, ToldMembers, TransferBudget,
+    ExchangePace, Members, PublishedItem, PublishedSet, ToldMembers, TransferBudget,
 };
 use turmericrail_core::units::{Bytes, Millis};
 use turmericrail_wire::relay::relay_client::RelayClient;
@@ -29,6 +29,7 @@
 use super::relay_leaving;
 use super::relay_limits;
 use super::relay_members;
+use super::run_notices;
 use super::stream_versions;
 use crate::error::StartError;
 use crate::forward::clock;
@@ -257,35 +258,17 @@
         let relay = &self.shared.relay;
         let own = relay_members::list_members(&self.shared);
         let is_same = message.members_hash == own.identity_hash();
-        let is_told = is_same || (message.members_hash > 0 && !message.members.is_empty());
         let notices_hash = loss_notices::hash(&self.shared);
         let is_hash_known = message.notices_hash == notices_hash;
         let newer =
             |known: &wire::KnownSet| relay.items_newer_than(known, message.is_reading_store);
-        let equal_buckets = if is_same { 0 } else { own.equal_buckets(&message.bucket_hashes) };
-        let ages_ms = match is_same {
-            true => relay_members::ages_to_wire(&own),
-            false => relay_members::ages_to_wire(&own.part(equal_buckets)),
-        };
-        let is_free = relay.told_members().is_free(clock::now_ms());
-        let has_use = !is_told && is_free && !message.known_members.is_empty();
-        let filter = has_use.then(|| MemberFilter::new(&own, fastrand::u64(..)));
-        let members = match is_told {
-            true => Vec::new(),
-            false => relay_members::select_for_request(&self.shared, &own, &message),
-        };
         let reply = ExchangeReply {
-            members,
-            member_count: own.members().len() as u32,
-            ages_ms,
-            equal_buckets,
-            filter_salt: filter.as_ref().map_or(0, MemberFilter::salt),
-            known_members: filter.map_or_else(Vec::new, |filter| filter.bits().to_vec()),
             newer: message.known.iter().filter_map(newer).collect(),
             leaving: relay_leaving::list_leaving(&self.shared),
             limits: relay_limits::list_limits(&self.shared),
             notices_hash,
             notices: if is_hash_known { None } else { loss_notices::list_after(&self.shared, 0) },
+            ..relay_members::reply_members(&self.shared, &own, &message, is_same)
         };
         loss_notices::merge_exchanged(&self.shared, message.notices);
         relay_leaving::merge_leaving(&self.shared, &message.leaving);
@@ -353,7 +336,7 @@
         request: Request<BegunStreams>,
     ) -> Result<Response<NotifyReply>, Status> {
         stream_versions::record_told(&self.shared, request.get_ref());
-        stream_versions::record_told_runs(&self.shared, request.get_ref());
+        run_notices::record_told_runs(&self.shared, request.get_ref());
         Ok(Response::new(NotifyReply {}))
     }
 
--- a/crates/turmericrail/src/forward/peers/relay_members.rs
+++ b/crates/turmericrail/src/forward/peers/relay_members.rs
@@ -68,8 +68,40 @@
     }
 }
 
+/// The part of a reply that tells the members, or what the calling instance needs to know of them.
+pub fn reply_members(
+    shared: &Shared,
+    own: &MemberList,
+    request: &wire::ExchangeRequest,
+    is_same: bool,
+) -> wire::ExchangeReply {
+    let reply = wire::ExchangeReply {
+        member_count: own.members().len() as u32,
+        ..wire::ExchangeReply::default()
+    };
+    if is_same {
+        return wire::ExchangeReply { ages_ms: ages_to_wire(own), ..reply };
+    }
+    let equal_buckets = own.equal_buckets(&request.bucket_hashes);
+    let ages_ms = ages_to_wire(&own.part(equal_buckets));
+    let reply = wire::ExchangeReply { ages_ms, equal_buckets, ..reply };
+    let is_told = request.members_hash > 0 && !request.members.is_empty();
+    if is_told {
+        return reply;
+    }
+    let is_free = shared.relay.told_members().is_free(clock::now_ms());
+    let has_use = is_free && !request.known_members.is_empty();
+    let filter = has_use.then(|| MemberFilter::new(own, fastrand::u64(..)));
+    wire::ExchangeReply {
+        members: select_for_request(shared, own, request),
+        filter_salt: filter.as_ref().map_or(0, MemberFilter::salt),
+        known_members: filter.map_or_else(Vec::new, |filter| filter.bits().to_vec()),
+        ..reply
+    }
+}
+
 /// Some of the members, for an instance that knows others.
-pub fn select_for_request(
+fn select_for_request(
     shared: &Shared,
     list: &MemberList,
     request: &wire::ExchangeRequest,
--- a/crates/turmericrail/src/forward/peers/stream_versions.rs
+++ b/crates/turmericrail/src/forward/peers/stream_versions.rs
@@ -11,13 +11,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use async_channel::Receiver;
 use async_std::task;
 use tonic::transport::Channel;
 use tonic::{Request, Status};
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{
-    ChosenServer, RouteKind, SeenRun, SoftwareVersion, StreamKey, StreamVersion, VersionHistory,
-    Watcher,
+    ChosenServer, RouteKind, SoftwareVersion, StreamKey, StreamVersion, VersionHistory, Watcher,
 };
 use turmericrail_core::ids::ServiceId;
 use turmericrail_core::request::RequestFingerprint;
@@ -26,8 +26,10 @@
 use turmericrail_wire::relay::relay_client::RelayClient;
 
 use super::relay;
+use super::run_notices;
 use super::run_search;
 use crate::forward::callers::dispatch::Refusal;
+use crate::forward::calls::begun_version::BegunVersion;
 use crate::forward::calls::call_context::CallContext;
 use crate::forward::clock;
 use crate::forward::shared::Shared;
@@ -106,7 +108,7 @@
     let mut keepers = keepers(shared, context.fingerprint);
     let is_new = clock::now_ms() < shared.started_ms + run_search::SEARCH_PERIOD_MS;
     if let Some(stream) = stream.filter(|_| is_new) {
-        keepers.extend(run_keepers(shared, stream));
+        keepers.extend(run_notices::run_keepers(shared, stream));
         keepers.sort();
         keepers.dedup();
     }
@@ -115,23 +117,12 @@
         request: context.fingerprint.0.to_le_bytes().to_vec(),
         service: context.service.to_string(),
     };
-    let (sender, replies) = async_channel::bounded(keepers.len().max(1));
-    for address in &keepers {
-        let (shared, address) = (Arc::clone(shared), *address);
-        let (sender, request) = (sender.clone(), request.clone());
-        task::spawn(async move {
-            let asking = async_std::future::timeout(FIND_TIMEOUT, ask(&shared, address, request));
-            let reply = asking.await.unwrap_or_else(|_| Err(Status::deadline_exceeded("no reply")));
-            // The caller may have got its answer from another one.
-            let _ = sender.send(reply).await;
-        });
-    }
-    drop(sender);
+    let replies = ask_all(shared, &keepers, &request);
     let now_ms = clock::now_ms();
     let mut history = shared.forwarder().version_history(now_ms, context.service);
     let mut has_reply = keepers.is_empty();
     let mut is_store_lost = shared.is_store_lost();
-    let mut runs = RunEvidence::here(shared, stream);
+    let mut runs = run_notices::RunEvidence::here(shared, stream);
     while let Ok(reply) = replies.recv().await {
         let Ok(reply) = reply else {
             continue;
@@ -153,35 +144,24 @@
     only_version.filter(|_| is_certain).map(|version| (version, "only_version"))
 }
 
-/// What this and other instances have seen of the run of a stream.
-struct RunEvidence {
-    runs: Vec<SeenRun>,
-    is_doubtful: bool,
-}
-
-impl RunEvidence {
-    fn here(shared: &Shared, stream: Option<StreamKey>) -> Self {
-        let mut forwarder = shared.forwarder();
-        let seen = forwarder.seen_runs();
-        let run = stream.and_then(|stream| seen.get(stream).cloned());
-        let is_doubtful = stream.is_some_and(|stream| seen.is_doubtful(stream));
-        Self { runs: run.into_iter().collect(), is_doubtful }
-    }
-
-    /// Adds what another instance has seen; a run that can't be read says that several versions may
-    /// have run the stream.
-    fn add(&mut self, now_ms: Millis, run: Option<&wire::SeenRun>) {
-        match run.map(|run| run_search::from_wire(now_ms, run)) {
-            Some(Some(run)) => self.runs.push(run),
-            Some(None) => self.is_doubtful = true,
-            None => {}
-        }
-    }
-
-    fn version(&self, shared: &Shared) -> Option<SoftwareVersion> {
-        let version = shared.forwarder().seen_version(clock::now_ms(), &self.runs);
-        version.filter(|_| !self.is_doubtful)
+/// Asks instances at the same time; the channel ends with the last reply.
+fn ask_all(
+    shared: &Arc<Shared>,
+    keepers: &[SocketAddr],
+    request: &wire::FindStreamRequest,
+) -> Receiver<Result<wire::FindStreamReply, Status>> {
+    let (sender, replies) = async_channel::bounded(keepers.len().max(1));
+    for address in keepers {
+        let (shared, address) = (Arc::clone(shared), *address);
+        let (sender, request) = (sender.clone(), request.clone());
+        task::spawn(async move {
+            let asking = async_std::future::timeout(FIND_TIMEOUT, ask(&shared, address, request));
+            let reply = asking.await.unwrap_or_else(|_| Err(Status::deadline_exceeded("no reply")));
+            // The caller may have got its answer from another one.
+            let _ = sender.send(reply).await;
+        });
     }
+    replies
 }
 
 fn to_history(now_ms: Millis, reply: &wire::FindStreamReply) -> VersionHistory {
@@ -200,11 +180,16 @@
     history
 }
 
-/// Records that a stream is sent to an engine before its first event, and tells it to others.
-pub fn record_sent(context: &CallContext<'_>, choice: &ChosenServer, attempt: u32) {
-    let Some(version) = choice.version.clone() else {
-        return;
+/// Records that a call is sent to an engine, and tells others if that may begin a stream. Returns what
+/// was known of the version before.
+pub fn record_sent(context: &CallContext<'_>, choice: &ChosenServer, attempt: u32) -> BegunVersion {
+    let before = context.begun_version();
+    let is_stream = matches!(context.route.kind, RouteKind::Stream { .. });
+    let version = choice.version.clone().filter(|_| is_stream);
+    let (false, Some(version)) = (matches!(before, BegunVersion::At(_)), version) else {
+        return before;
     };
+    context.record_sent_to(&version);
     let (shared, sent_ms) = (context.shared, clock::now_ms());
     let stream = StreamVersion {
         stream: StreamKey::of_attempt(context.request_id),
@@ -221,6 +206,7 @@
     if !is_single || shared.is_store_lost() {
         tell(shared, vec![stream]);
     }
+    before
 }
 
 /// Tells the streams that this instance has begun, once there is more than one version, or others
@@ -264,7 +250,7 @@
 }
 
 /// Tells an instance of streams; once more if it doesn't reply.
-async fn notify_again(shared: Arc<Shared>, address: SocketAddr, message: wire::BegunStreams) {
+pub async fn notify_again(shared: Arc<Shared>, address: SocketAddr, message: wire::BegunStreams) {
     for _ in 0..MAX_NOTIFY_ATTEMPTS {
         let notifying = notify(&shared, address, message.clone());
         let notified = async_std::future::timeout(NOTIFY_TIMEOUT, notifying).await;
@@ -316,7 +302,7 @@
 }
 
 /// Addresses of the other instances that keep the streams of a request.
-fn keepers(shared: &Shared, request: RequestFingerprint) -> Vec<SocketAddr> {
+pub fn keepers(shared: &Shared, request: RequestFingerprint) -> Vec<SocketAddr> {
     let key = format!("streams-{}", request.0 % GROUPS);
     let keepers = shared.relay.members().keepers(&shared.settings().data_centre, &key);
     let address = |keeper: Watcher| match keeper {
@@ -326,25 +312,6 @@
     keepers.into_iter().filter_map(address).collect()
 }
 
-/// Addresses of the other instances that keep what engines reported of a stream.
-fn run_keepers(shared: &Shared, stream: StreamKey) -> Vec<SocketAddr> {
-    keepers(shared, RequestFingerprint(stream.0))
-}
-
-/// Tells runs that engines reported to the instances that keep them.
-pub fn tell_runs(shared: &Arc<Shared>, runs: &[SeenRun]) {
-    let now_ms = clock::now_ms();
-    let mut by_keeper: BTreeMap<SocketAddr, wire::BegunStreams> = BTreeMap::new();
-    for run in runs {
-        for keeper in run_keepers(shared, run.stream) {
-            by_keeper.entry(keeper).or_default().runs.push(run_search::to_wire(now_ms, run));
-        }
-    }
-    for (address, message) in by_keeper {
-        task::spawn(notify_again(Arc::clone(shared), address, message));
-    }
-}
-
 fn to_wire(now_ms: Millis, stream: &StreamVersion) -> wire::BegunStream {
     let age_ms = now_ms.saturating_sub(stream.sent_ms).0;
     wire::BegunStream {
@@ -380,26 +347,6 @@
     }
 }
 
-/// Records runs that engines have reported to another instance.
-pub fn record_told_runs(shared: &Shared, message: &wire::BegunStreams) {
-    let now_ms = clock::now_ms();
-    for run in &message.runs {
-        match run_search::from_wire(now_ms, run) {
-            Some(run) => shared.forwarder().seen_runs().record(run),
-            None => spdlog::warn!("event=stream_notice_malformed"),
-        }
-    }
-}
-
-fn run_for_reply(shared: &Shared, stream: StreamKey) -> Option<wire::SeenRun> {
-    let mut forwarder = shared.forwarder();
-    let seen = forwarder.seen_runs();
-    if seen.is_doubtful(stream) {
-        return Some(wire::SeenRun::default());
-    }
-    seen.get(stream).map(|run| run_search::to_wire(clock::now_ms(), run))
-}
-
 /// Answers an instance at which a caller takes a stream up.
 pub fn reply(shared: &Shared, request: &wire::FindStreamRequest) -> wire::FindStreamReply {
     let now_ms = clock::now_ms();
@@ -409,7 +356,7 @@
     let mut reply = wire::FindStreamReply {
         version: found.map(|version| version.to_string()),
         is_store_lost: shared.is_store_lost(),
-        run: stream.and_then(|stream| run_for_reply(shared, stream)),
+        run: stream.and_then(|stream| run_notices::run_for_reply(shared, stream)),
         ..wire::FindStreamReply::default()
     };
     if let Ok(service) = request.service.parse::<ServiceId>() {
--- a/crates/turmericrail/src/forward/store/store_watch.rs
+++ b/crates/turmericrail/src/forward/store/store_watch.rs
@@ -199,7 +199,7 @@
 }
 
 /// The revision up to which this instance knows the items of the prefix; zero if it knows none.
-fn known_revision(shared: &Shared, prefix: &str) -> u64 {
+pub fn known_revision(shared: &Shared, prefix: &str) -> u64 {
     shared.relay.with_set(prefix, |set| set.revision()).unwrap_or_default()
 }
 
--- a/crates/turmericrail/tests/mass_restart.rs
+++ b/crates/turmericrail/tests/mass_restart.rs
@@ -86,6 +86,7 @@
 
     fn start_all(&mut self) {
         self.instances.iter_mut().for_each(ForwardInstance::start_again);
+        self.engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::Answer));
         for instance in &self.instances {
             wait_for("readiness", || instance.is_ready());
             instance.wait_for_log("event=runs_searched ");
