--- a/crates/turmericrail/src/forward/peers/mod.rs
+++ b/crates/turmericrail/src/forward/peers/mod.rs
@@ -9,6 +9,7 @@
 pub mod relay_members;
 pub mod relay_notices;
 pub mod relay_speeds;
+pub mod run_notices;
 pub mod run_search;
 pub mod stream_versions;
 pub mod usage;
