--- a/crates/core/src/forward/routes/table.rs
+++ b/crates/core/src/forward/routes/table.rs
@@ -1,6 +1,7 @@
 //! Lookup of routes and services in one configuration version.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 use std::sync::Arc;
 
 use thiserror::Error;
@@ -42,8 +43,9 @@
     version: ConfigVersion,
     limits: RequestLimits,
     services: BTreeMap<ServiceId, Service>,
-    /// Routes by host, longest path prefix first.
-    routes: BTreeMap<String, Vec<Arc<Route>>>,
+    /// Routes by host and path prefix.
+    routes: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
+    route_names: BTreeSet<RouteId>,
     /// Shortest gap target of the routes to each service.
     gap_targets_ms: BTreeMap<ServiceId, Millis>,
     /// `None` if requests need no API key.
@@ -61,7 +63,8 @@
     ) -> Result<Self, TableError> {
         let services: BTreeMap<_, _> =
             services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        let mut by_host: BTreeMap<String, Vec<Arc<Route>>> = BTreeMap::new();
+        let mut by_host: BTreeMap<String, BTreeMap<String, Arc<Route>>> = BTreeMap::new();
+        let mut route_names = BTreeSet::new();
         let gap_targets_ms = shortest_gap_targets(&routes);
         for route in routes {
             if route.services.iter().all(|weighted| weighted.weight == 0) {
@@ -72,22 +75,28 @@
                 let service = unknown.service.clone();
                 return Err(TableError::UnknownService { route: route.name, service });
             }
-            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+            route_names.insert(route.name.clone());
+            // The first of several routes with one prefix counts.
+            let of_host = by_host.entry(route.host.clone()).or_default();
+            of_host.entry(route.path_prefix.clone()).or_insert_with(|| Arc::new(route));
         }
-        for routes in by_host.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
-        }
-        let ranks = BTreeMap::new();
-        let tenants = None;
-        let table =
-            Self { version, limits, services, routes: by_host, gap_targets_ms, tenants, ranks };
+        let table = Self {
+            version,
+            limits,
+            services,
+            routes: by_host,
+            route_names,
+            gap_targets_ms,
+            tenants: None,
+            ranks: BTreeMap::new(),
+        };
         Ok(table.with_ranks())
     }
 
     /// Collects the ranks of each service anew.
     fn with_ranks(mut self) -> Self {
         self.ranks.clear();
-        for route in self.routes.values().flatten() {
+        for route in self.routes.values().flat_map(BTreeMap::values) {
             for weighted in route.services.iter().filter(|weighted| weighted.weight > 0) {
                 let ranks = self.ranks.entry(weighted.service.clone()).or_default();
                 ranks.add_route(route, self.tenants.as_ref());
@@ -122,9 +131,20 @@
     }
 
     /// The route of the host with the longest prefix of the path.
+    ///
+    /// Prefixes are looked up in their order instead of one by one: a prefix of the path that isn't
+    /// the greatest one up to the path is a prefix of what the two have in common.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(host)?;
-        routes.iter().find(|route| path.starts_with(&route.path_prefix))
+        let mut rest = path;
+        loop {
+            let up_to_rest = (Bound::Unbounded, Bound::Included(rest));
+            let (prefix, route) = routes.range::<str, _>(up_to_rest).next_back()?;
+            if rest.starts_with(prefix.as_str()) {
+                return Some(route);
+            }
+            rest = common_prefix(rest, prefix);
+        }
     }
 
     /// Version of the configuration.
@@ -155,17 +175,27 @@
 
     /// All routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.routes.values().flatten()
+        self.routes.values().flat_map(BTreeMap::values)
     }
 
     /// Whether a route of this name exists.
     pub fn has_route(&self, name: &RouteId) -> bool {
-        self.routes.values().flatten().any(|route| route.name == *name)
+        self.route_names.contains(name)
     }
 
     /// Number of routes over all hosts.
     pub fn route_count(&self) -> usize {
-        self.routes.values().map(Vec::len).sum()
+        self.routes.values().map(BTreeMap::len).sum()
+    }
+}
+
+/// The bytes that both texts begin with, up to a boundary between characters.
+fn common_prefix<'a>(one: &'a str, other: &str) -> &'a str {
+    let pairs = one.char_indices().zip(other.chars());
+    let different = pairs.clone().find(|((_, one), other)| one != other);
+    match different {
+        Some(((at, _), _)) => &one[..at],
+        None => &one[..one.len().min(other.len())],
     }
 }
 
--- a/crates/turmericrail/src/forward/calls/model_call.rs
+++ b/crates/turmericrail/src/forward/calls/model_call.rs
@@ -18,7 +18,6 @@
     EngineAttempt, choose_decode, choose_engine, reserve, reserve_first_attempt,
 };
 use super::held_kv::HeldKv;
-use crate::forward::callers::answer_writer;
 use crate::forward::callers::caller_stream::CallerStream;
 use crate::forward::callers::dispatch::{self, ConnectionAction, Refusal};
 use crate::forward::clock;
@@ -67,15 +66,13 @@
                 if caller.has_begun() {
                     return Ok(ConnectionAction::Abort);
                 }
-                let bytes =
-                    answer_writer::server_answer(&head, &body, false, caller.is_kept_alive());
                 dispatch::log_answer(
                     context.shared,
                     Some(context.request_id),
                     "completed",
                     head.status,
                 );
-                return Ok(caller.finish(&bytes).await);
+                return Ok(caller.finish_answer(&head, &body, false).await);
             }
             EngineAttemptEnd::NotRun => (ErrorKind::Overloaded, true),
             EngineAttemptEnd::Failed(failure) if !failure.is_sent() => (ErrorKind::NoServer, true),
