--- a/crates/turmericrail/tests/reserved_prefills.rs
+++ b/crates/turmericrail/tests/reserved_prefills.rs
@@ -24,7 +24,8 @@
 }
 
 fn send(instance: &ForwardInstance, id: &str) -> u16 {
-    let text = registered::request_text("stream", "x", id, 6_000);
+    // A prompt that is long enough for a prefill engine, whatever else is queued there.
+    let text = registered::request_text("stream", "x", id, 6_000).replace("100,50", "5200,600");
     instance.send(&text).expect("an answer comes").status()
 }
 
@@ -91,7 +92,8 @@
 fn few_vain_prompts() {
     const CALLS: usize = 120;
     let instance = start("few-vain-prompts");
-    let prefill = ["p1", "p2"].map(|id| instance.start_engine(id, "prefill"));
+    let prefill =
+        ["p1", "p2", "p3", "p4", "p5", "p6"].map(|id| instance.start_engine(id, "prefill"));
     let decode = ["d1", "d2", "d3"].map(|id| instance.start_engine(id, "decode"));
     prefill[0].set_next_behaviours(&[Behaviour::AnswerLate; 10]);
     std::thread::scope(|scope| {
