--- a/crates/core/src/forward/roles/role_conversion.rs
+++ b/crates/core/src/forward/roles/role_conversion.rs
@@ -92,6 +92,24 @@
             .collect()
     }
 
+    /// Number of the engines in one orderer's part that it may convert. Others convert engines of
+    /// their parts at the same time, so that only a minimum in each part keeps that of the whole.
+    pub fn convertible_in_part(
+        &self,
+        now_ms: Millis,
+        service: &ServiceId,
+        changing: &[ServerRun],
+        is_in_part: impl Fn(&ServerRun) -> bool,
+    ) -> usize {
+        let count = |role| {
+            let candidates = self.candidates(now_ms, service, role, changing);
+            candidates.iter().filter(|candidate| is_in_part(&candidate.run())).count()
+        };
+        let prefill_count = count(ServerRole::Prefill);
+        let engine_count = prefill_count + count(ServerRole::Decode) + changing.len();
+        RoleLoad::max_convertible_in_part(prefill_count, engine_count)
+    }
+
     /// Marks the engines that would be converted first, so that most prefills avoid them: an engine
     /// refuses prefills during its change, and other instances do not know of the change.
     pub(in crate::forward) fn mark_conversion_candidates(&mut self, now_ms: Millis) {
--- a/crates/core/src/forward/roles/role_load.rs
+++ b/crates/core/src/forward/roles/role_load.rs
@@ -39,6 +39,12 @@
         prefill_engine_count.saturating_sub(min_prefill)
     }
 
+    /// The same among the engines of one orderer. Parts of a few engines need not keep one each.
+    pub fn max_convertible_in_part(prefill_engine_count: usize, engine_count: usize) -> usize {
+        prefill_engine_count
+            .saturating_sub((engine_count as f64 * MIN_PREFILL_ENGINE_SHARE) as usize)
+    }
+
     /// Number of prefill engines that should become decode engines now.
     pub fn engines_to_convert(&self) -> usize {
         if self.decode_fill < SCARCE_MEMORY_SHARE {
--- a/crates/core/src/forward/usage/usage_terms.rs
+++ b/crates/core/src/forward/usage/usage_terms.rs
@@ -3,6 +3,9 @@
 use crate::forward::UsageCap;
 use crate::ids::ConfigVersion;
 
+/// Part of the burst that is granted beyond it, well within the overage of a cap.
+const RESERVE_SHARE: f64 = 0.1;
+
 /// Rate and burst of a cap in one configuration version.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[expect(missing_docs, reason = "the names say it")]
@@ -20,6 +23,12 @@
         Self { rate_per_s: cap.rate_per_s, burst, version }
     }
 
+    /// Level that a request of `cost` units needs. Small requests still find room where large ones
+    /// don't, and requests that the order of messages puts behind others have a little more.
+    pub fn needed_level(&self, cost: f64) -> f64 {
+        cost.min(self.burst) - RESERVE_SHARE * self.burst
+    }
+
     /// Level above which a tenant counts as far below its cap.
     pub fn ample_level(&self) -> f64 {
         self.burst / 2.0
--- a/crates/core/src/forward/usage/usage_view.rs
+++ b/crates/core/src/forward/usage/usage_view.rs
@@ -16,8 +16,9 @@
 /// Least number of instances among which a cap is divided while no coordinator is reached: after a
 /// start the members are not known yet.
 const ASSUMED_INSTANCE_COUNT: usize = 16;
-/// Longest time for which requests are refused by an earlier reply.
-const MAX_REFUSAL_MS: Millis = Millis(1_000);
+/// Longest time for which requests are refused by an earlier reply: smaller ones may find room before
+/// the refused one.
+const MAX_REFUSAL_MS: Millis = Millis(50);
 /// Longest `Retry-After` of a request that was refused without a coordinator; one is expected to be
 /// reached by then.
 const MAX_ALONE_WAIT_MS: Millis = Millis(1_000);
--- a/crates/turmericrail/src/forward/servers/role_orders.rs
+++ b/crates/turmericrail/src/forward/servers/role_orders.rs
@@ -121,10 +121,12 @@
     // The other seeds order their own engines at the same time.
     let own_count = count.div_ceil(seed.seed_count);
     let convertible = shared.forwarder().convertible_engines(now_ms, service, &changing);
-    let is_own = |engine: &ChosenServer| {
-        order_right::orderer_position(&engine.run, seed.seed_count) == Some(seed.position)
+    let is_own = |run: &ServerRun| {
+        order_right::orderer_position(run, seed.seed_count) == Some(seed.position)
     };
-    for engine in convertible.into_iter().filter(is_own).take(own_count) {
+    let own_limit = shared.forwarder().convertible_in_part(now_ms, service, &changing, is_own);
+    let own_engines = convertible.into_iter().filter(|engine| is_own(&engine.run));
+    for engine in own_engines.take(own_count.min(own_limit)) {
         state.last_order_ms.insert(engine.run.clone(), clock::now_ms());
         if send_order(shared, &engine).await == Some(STALE_FENCING_NUMBER_STATUS) {
             state.refusing_engines.insert(engine.run);
