Usage caps: a request is refused only once its tenant is beyond the cap

The level may now fall by a fifth of the burst below zero, for small requests further than for large ones.

--- a/crates/core/src/forward/usage/usage_terms.rs
+++ b/crates/core/src/forward/usage/usage_terms.rs
@@ -3,7 +3,8 @@
 use crate::forward::UsageCap;
 use crate::ids::ConfigVersion;
 
-/// Part of the burst that is granted beyond it, well within the overage of a cap.
+/// Part of the burst that is granted beyond it, and once more to small requests; well within the
+/// overage of a cap.
 const RESERVE_SHARE: f64 = 0.1;
 
 /// Rate and burst of a cap in one configuration version.
@@ -23,10 +24,12 @@
         Self { rate_per_s: cap.rate_per_s, burst, version }
     }
 
-    /// Level that a request of `cost` units needs. Small requests still find room where large ones
-    /// don't, and requests that the order of messages puts behind others have a little more.
+    /// Level that a request of `cost` units needs. Requests are refused only once the tenant is
+    /// beyond its cap in whatever order their messages are counted, and small requests still find
+    /// room where large ones don't.
     pub fn needed_level(&self, cost: f64) -> f64 {
-        cost.min(self.burst) - RESERVE_SHARE * self.burst
+        let reserve = RESERVE_SHARE * self.burst;
+        cost.min(reserve) - 2.0 * reserve
     }
 
     /// Level above which a tenant counts as far below its cap.
