--- a/crates/core/src/forward/usage/usage_coordinator.rs
+++ b/crates/core/src/forward/usage/usage_coordinator.rs
@@ -7,7 +7,6 @@
     CoordinatorOrder, SILENCE_MS, SuspectMembers, UsageBucket, UsageLevels, UsageReply,
     UsageReports, UsageRequest, UsageTerms,
 };
-use crate::decay::DecayingValue;
 use crate::ids::{DataCentreId, InstanceId};
 use crate::units::Millis;
 
@@ -22,8 +21,6 @@
 const TAKEOVER_TIME_MS: Millis = Millis(200);
 /// Time after the start in which calls from all data centres are still to be expected.
 const FIRST_CALLS_MS: Millis = Millis(500);
-/// Half-life of the units that were refused: about the time in which their callers come back.
-const REFUSED_HALF_LIFE_MS: f64 = 1_000.0;
 /// Part of a second of the rate with which a bucket starts where nobody knows its level: the
 /// tenant may have used its burst just before.
 const INITIAL_SECONDS: f64 = 0.25;
@@ -33,8 +30,6 @@
 pub struct UsageCoordinator {
     terms: UsageTerms,
     bucket: UsageBucket,
-    /// Units that were refused lately.
-    refused: DecayingValue,
     /// Part of the rate that is granted.
     share: f64,
     started_ms: Millis,
@@ -69,7 +64,6 @@
         Self {
             terms,
             bucket: UsageBucket::new(now_ms, level),
-            refused: DecayingValue::default(),
             share: 0.0,
             started_ms: now_ms,
             last_call_ms: now_ms,
@@ -207,10 +201,6 @@
         let needed_level = self.terms.needed_level(request.asked);
         let is_granted = self.bucket.level() >= needed_level;
         let asked = if is_granted { request.asked } else { 0.0 };
-        if !is_granted {
-            let refused = self.refused.value(now_ms, REFUSED_HALF_LIFE_MS);
-            self.refused.set(now_ms, refused + request.asked);
-        }
         let reported = self.reported_units(now_ms, request);
         let units = reported - self.take_spilled(now_ms, request, reported) + asked;
         let counted = self.counted.entry(request.id.instance.clone()).or_default();
@@ -218,11 +208,9 @@
             self.count(now_ms, units, is_first);
         }
         let rate_per_s = self.terms.rate_per_s * share;
-        // The others that were refused compete for the same room when they come back.
-        let backlog = self.refused.value(now_ms, REFUSED_HALF_LIFE_MS);
         UsageReply {
             is_granted,
-            wait_ms: self.bucket.rises_in_ms(needed_level + backlog, rate_per_s),
+            wait_ms: self.bucket.rises_in_ms(needed_level, rate_per_s),
             level: self.bucket.level(),
         }
     }
--- a/crates/core/src/forward/usage/usage_terms.rs
+++ b/crates/core/src/forward/usage/usage_terms.rs
@@ -5,7 +5,7 @@
 
 /// Part of the burst that is granted beyond it, and once more to small requests; well within the
 /// overage of a cap.
-const RESERVE_SHARE: f64 = 0.1;
+const RESERVE_SHARE: f64 = 0.05;
 
 /// Rate and burst of a cap in one configuration version.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/turmericrail/src/forward/store/store_sync.rs
+++ b/crates/turmericrail/src/forward/store/store_sync.rs
@@ -134,8 +134,8 @@
         shared.metrics.config_version.set(version.0 as i64);
     }
     spdlog::info!(
-        "event=config version={version} revision={revision} routes={routes} tenants={tenants} source={source} \
-         outcome={outcome}"
+        "event=config version={version} revision={revision} routes={routes} source={source} \
+         outcome={outcome} tenants={tenants}"
     );
 }
 
