--- a/crates/turmericrail/src/forward/servers/call_key.rs
+++ b/crates/turmericrail/src/forward/servers/call_key.rs
@@ -2,8 +2,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// What a late copy of an answer has in common with the call that it would be taken for: the request
-/// id, or the path of a call of the router itself.
+/// What a late copy of an answer is told by: the id of the request that it answers, or its body where
+/// the answer to a call of the router itself names something new.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallKey(u64);
 
@@ -13,9 +13,9 @@
         Self(xxh3_64(request_id.as_bytes()))
     }
 
-    /// The key of a call of the router itself, whose answers carry no request id. Only calls that
-    /// change something at the server have one, since a copied report does no harm.
-    pub fn of_control_call(method: &str) -> Option<Self> {
-        (method == "POST").then(|| Self(xxh3_64(b"control call")))
+    /// The key of a server's answer to a call that grants something, such as a reservation: each
+    /// grant has an id of its own, so that two with the same body are copies.
+    pub fn of_grant(body: &[u8]) -> Self {
+        Self(xxh3_64(body))
     }
 }
--- a/crates/turmericrail/src/forward/servers/control_call.rs
+++ b/crates/turmericrail/src/forward/servers/control_call.rs
@@ -16,6 +16,11 @@
 /// Longest wait for the answer. Engines answer these calls at once, without queueing them.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Method of the calls that an engine grants.
+const GRANTING_METHOD: &str = "POST";
+/// Status of an engine that grants a call.
+const GRANTED_STATUS: u16 = 200;
+
 /// Longest answer; these are a few hundred bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
@@ -34,10 +39,9 @@
         return None;
     }
     let calling = async {
-        let key = CallKey::of_control_call(method);
-        let mut connection = match shared.pool.take(address, key).await {
+        let mut connection = match shared.pool.take(address, None).await {
             Some(connection) => connection,
-            None => ConnectionPool::open(address, key).await.ok()?,
+            None => ConnectionPool::open(address, None).await.ok()?,
         };
         connection.write(bytes).await.ok()?;
         let head = exchange::read_head(&mut connection, method).await.ok()?;
@@ -49,6 +53,14 @@
         }
         let may_hold = |bytes| bytes <= MAX_BODY_BYTES;
         let body = connection.read_body(head.framing, may_hold).await.ok()?;
+        if method == GRANTING_METHOD && head.status == GRANTED_STATUS {
+            let grant = CallKey::of_grant(&body);
+            if connection.carried_calls.contains(&grant) {
+                spdlog::warn!("event=grant_repeated server={}", engine.server);
+                return None;
+            }
+            connection.carried_calls.push(grant);
+        }
         if head.is_kept_alive && connection.buffer.is_empty() {
             connection.keep_alive_ms = exchange::keep_alive_ms(&head);
             shared.pool.put(address, connection);
