--- a/crates/core/src/forward/routes/table.rs
+++ b/crates/core/src/forward/routes/table.rs
@@ -1,5 +1,6 @@
 //! Lookup of routes and services in one configuration version.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::sync::Arc;
@@ -45,6 +46,8 @@
     services: BTreeMap<ServiceId, Service>,
     /// Routes by host and path prefix.
     routes: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
+    /// Routes that an earlier one with the same host and path prefix replaces.
+    duplicate_routes: Vec<Arc<Route>>,
     route_names: BTreeSet<RouteId>,
     /// Shortest gap target of the routes to each service.
     gap_targets_ms: BTreeMap<ServiceId, Millis>,
@@ -64,6 +67,7 @@
         let services: BTreeMap<_, _> =
             services.into_iter().map(|service| (service.name.clone(), service)).collect();
         let mut by_host: BTreeMap<String, BTreeMap<String, Arc<Route>>> = BTreeMap::new();
+        let mut duplicate_routes = Vec::new();
         let mut route_names = BTreeSet::new();
         let gap_targets_ms = shortest_gap_targets(&routes);
         for route in routes {
@@ -78,13 +82,19 @@
             route_names.insert(route.name.clone());
             // The first of several routes with one prefix counts.
             let of_host = by_host.entry(route.host.clone()).or_default();
-            of_host.entry(route.path_prefix.clone()).or_insert_with(|| Arc::new(route));
+            match of_host.entry(route.path_prefix.clone()) {
+                Entry::Vacant(entry) => {
+                    entry.insert(Arc::new(route));
+                }
+                Entry::Occupied(_) => duplicate_routes.push(Arc::new(route)),
+            }
         }
         let table = Self {
             version,
             limits,
             services,
             routes: by_host,
+            duplicate_routes,
             route_names,
             gap_targets_ms,
             tenants: None,
@@ -178,6 +188,11 @@
         self.routes.values().flat_map(BTreeMap::values)
     }
 
+    /// Routes that get no calls, since an earlier one has the same host and path prefix.
+    pub fn duplicate_routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.duplicate_routes.iter()
+    }
+
     /// Whether a route of this name exists.
     pub fn has_route(&self, name: &RouteId) -> bool {
         self.route_names.contains(name)
--- a/crates/core/src/forward/tenants/tenant_table.rs
+++ b/crates/core/src/forward/tenants/tenant_table.rs
@@ -70,6 +70,11 @@
         self.tenants.values()
     }
 
+    /// All keys with the tenants that hold them.
+    pub fn keys(&self) -> impl Iterator<Item = (&ApiKey, &Arc<Tenant>)> {
+        self.by_key.iter()
+    }
+
     /// Number of tenants.
     pub fn count(&self) -> usize {
         self.tenants.len()
--- a/crates/turmericctl/src/cli.rs
+++ b/crates/turmericctl/src/cli.rs
@@ -13,7 +13,7 @@
 /// instances.
 #[derive(FromArgs)]
 #[argh(
-    note = "Exit codes: 0 success, 1 invalid file or refused patch, 2 invalid command line, 3 file or instance can't be read, 4 unknown request."
+    note = "Exit codes: 0 success, 1 invalid file, refused patch, findings or differences, 2 invalid command line or unreadable configuration of the platform, 3 file or instance can't be read, 4 unknown request."
 )]
 pub struct Arguments {
     /// print the version
@@ -28,6 +28,7 @@
 #[argh(subcommand)]
 pub enum CommandArguments {
     Check(CheckArguments),
+    Diff(DiffArguments),
     Patch(PatchArguments),
     Status(StatusArguments),
     Explain(ExplainArguments),
@@ -50,6 +51,27 @@
     #[argh(option)]
     pub configuration: Option<PathBuf>,
 
+    /// configuration as the platform's store holds it (JSON)
+    #[argh(option)]
+    pub platform: Option<PathBuf>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Shows what differs between two configurations as the platform's store holds them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffArguments {
+    /// old configuration (JSON)
+    #[argh(positional)]
+    pub old: PathBuf,
+
+    /// new configuration (JSON)
+    #[argh(positional)]
+    pub new: PathBuf,
+
     /// print JSON
     #[argh(switch)]
     pub json: bool,
--- a/crates/turmericctl/src/commands/mod.rs
+++ b/crates/turmericctl/src/commands/mod.rs
@@ -2,10 +2,11 @@
 
 mod answer_plot;
 mod check;
-mod diff;
+pub mod diff;
 mod explain;
 mod log_line;
 mod patch;
+mod platform;
 mod status;
 mod summary;
 mod trace;
@@ -19,6 +20,8 @@
 pub async fn run(command: &Command, format: Format) -> Result<String, CommandError> {
     match command {
         Command::Check(files) => check::check(files, format),
+        Command::CheckPlatform(file) => platform::check(file, format),
+        Command::Diff { old, new } => platform::diff(old, new, format),
         Command::Patch { file, base } => patch::patch(file, base, format).await,
         Command::Status(instances) => status::status(instances, format).await,
         Command::Explain { instance, request } => {
--- a/crates/turmericctl/src/error.rs
+++ b/crates/turmericctl/src/error.rs
@@ -8,10 +8,12 @@
 use turmericrail_core::ids::RequestId;
 use turmericrail_wire::client::CallError;
 
-/// Exit code for an invalid file or a refused patch.
+/// Exit code for an invalid file, a refused patch, findings or differences.
 pub const EXIT_REFUSED: u8 = 1;
 /// Exit code for an invalid command line.
 pub const EXIT_USAGE: u8 = 2;
+/// Exit code of `check --platform` and `diff` if a configuration can't be read.
+pub const EXIT_UNREADABLE_CONFIGURATION: u8 = 2;
 /// Exit code if a file, instance or service can't be read or a plot can't be written.
 pub const EXIT_UNREADABLE: u8 = 3;
 /// Exit code if the instance or the logs know nothing about the request.
@@ -20,10 +22,14 @@
 /// Why the command line is invalid.
 #[derive(Debug, Error)]
 pub enum UsageError {
-    #[error("no command: use check, patch, status, explain or summary; --help shows them")]
+    #[error("no command: use check, diff, patch, status, explain or summary; --help shows them")]
     NoCommand,
-    #[error("nothing to check: pass --settings, --forward or --configuration with a file")]
+    #[error(
+        "nothing to check: pass --settings, --forward, --configuration or --platform with a file"
+    )]
     NothingToCheck,
+    #[error("--platform is checked alone: leave out the other files")]
+    PlatformWithOthers,
     #[error("no configuration to patch: pass --configuration <file> or --platform <address>")]
     NoPatchBase,
     #[error("two configurations to patch: pass only one of --configuration and --platform")]
@@ -48,6 +54,15 @@
     /// The plot can't be written.
     #[error("can't draw {}: {problem}", path.display())]
     Draw { path: PathBuf, problem: String },
+    /// A configuration of the platform can't be read or decoded.
+    #[error("can't read {}: {problem}", path.display())]
+    Unreadable { path: PathBuf, problem: String },
+    /// `check --platform` or `diff` found something.
+    #[error("{output}")]
+    Findings {
+        /// Findings or differences, in the requested output format.
+        output: String,
+    },
     /// The call to an instance or service failed.
     #[error("{0}")]
     Call(#[from] CallError),
@@ -82,7 +97,10 @@
     /// Exit code of the process.
     pub fn exit_code(&self) -> u8 {
         match self {
-            CommandError::Invalid { .. } | CommandError::Patch(_) => EXIT_REFUSED,
+            CommandError::Invalid { .. }
+            | CommandError::Patch(_)
+            | CommandError::Findings { .. } => EXIT_REFUSED,
+            CommandError::Unreadable { .. } => EXIT_UNREADABLE_CONFIGURATION,
             CommandError::ReadFile { .. }
             | CommandError::Draw { .. }
             | CommandError::Call(_)
--- a/crates/turmericctl/src/main.rs
+++ b/crates/turmericctl/src/main.rs
@@ -6,6 +6,8 @@
 mod error;
 mod options;
 mod output;
+mod route_differences;
+mod route_findings;
 
 use std::process::ExitCode;
 
--- a/crates/turmericctl/src/options.rs
+++ b/crates/turmericctl/src/options.rs
@@ -36,6 +36,13 @@
 #[derive(Clone, Debug)]
 pub enum Command {
     Check(Vec<FileToCheck>),
+    /// Checks a configuration as the platform's store holds it.
+    CheckPlatform(PathBuf),
+    /// Compares two configurations as the platform's store holds them.
+    Diff {
+        old: PathBuf,
+        new: PathBuf,
+    },
     Patch {
         file: PathBuf,
         base: PatchBase,
@@ -74,6 +81,9 @@
                 let is_json = check.json;
                 (check_command(check)?, is_json)
             }
+            CommandArguments::Diff(diff) => {
+                (Command::Diff { old: diff.old, new: diff.new }, diff.json)
+            }
             CommandArguments::Patch(patch) => {
                 let is_json = patch.json;
                 (patch_command(patch)?, is_json)
@@ -105,6 +115,12 @@
     let configuration = check.configuration.map(FileToCheck::Configuration);
     let forward = check.forward.map(FileToCheck::Forward);
     let files: Vec<_> = settings.into_iter().chain(forward).chain(configuration).collect();
+    if let Some(file) = check.platform {
+        let is_alone = files.is_empty();
+        return is_alone
+            .then_some(Command::CheckPlatform(file))
+            .ok_or(UsageError::PlatformWithOthers);
+    }
     if files.is_empty() {
         return Err(UsageError::NothingToCheck);
     }
--- a/crates/turmericctl/src/output.rs
+++ b/crates/turmericctl/src/output.rs
@@ -24,6 +24,10 @@
 
 /// Prints an error: JSON to standard output, text to standard error.
 pub fn print_error(error: &CommandError, format: Format) {
+    if let CommandError::Findings { output } = error {
+        println!("{output}");
+        return;
+    }
     if format == Format::Text {
         eprintln!("turmericctl: {error}");
         return;
--- a/crates/turmericctl/tests/exit_codes.rs
+++ b/crates/turmericctl/tests/exit_codes.rs
@@ -51,10 +51,10 @@
     assert_eq!((run.exit_code, run.stdout.as_str()), (0, "turmericctl 0.1.0\n"));
     let run = turmericctl(&["--help"]);
     assert_eq!(run.exit_code, 0);
-    for word in ["check", "patch", "status", "explain", "Exit codes"] {
+    for word in ["check", "diff", "patch", "status", "explain", "Exit codes"] {
         assert!(run.stdout.contains(word), "{}", run.stdout);
     }
-    for command in ["check", "patch", "status", "explain"] {
+    for command in ["check", "diff", "patch", "status", "explain"] {
         let run = turmericctl(&[command, "--help"]);
         assert_eq!(run.exit_code, 0);
         assert!(run.stdout.contains("--json"));
