Fakes: each granted reservation has an id of its own

The fakes granted every reservation under one id, as no server does, and the second one on a connection passed for a late copy: four tests got refusals.

--- a/crates/fakes/src/registered/server.rs
+++ b/crates/fakes/src/registered/server.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 use turmericrail_wire::http1::RequestHead;
 
+use super::reservation::granted_reservation;
 use super::server_answers::{
     CRASH_DELAY, crash, endless_answer, event_stream, events, shares_part,
 };
@@ -370,7 +371,7 @@
             return RawAnswer::Bytes(with_id("503 Service Unavailable", "", ""));
         }
         ("POST", "/hold-take") => {
-            return RawAnswer::Bytes(with_id("200 OK", "", r#"{"hold":"h1"}"#));
+            return RawAnswer::Bytes(with_id("200 OK", "", &granted_reservation()));
         }
         ("GET", "/report") => {
             let used_tokens = if state.is_full { KV_CAPACITY_TOKENS } else { 0 };
--- a/crates/turmericrail/tests/lost_answers.rs
+++ b/crates/turmericrail/tests/lost_answers.rs
@@ -49,7 +49,10 @@
         let (calls, runs, steps) = (Arc::clone(&calls), Arc::clone(&runs), steps.to_vec());
         let server = RawServer::start(move |head, _| {
             if is_control_call(head) {
-                return RawAnswer::Bytes(answer_with(head, &json!({"hold": "h1"}).to_string()));
+                return RawAnswer::Bytes(answer_with(
+                    head,
+                    &turmericrail_fakes::registered::granted_reservation(),
+                ));
             }
             let step = steps.get(calls.fetch_add(1, Ordering::SeqCst)).copied();
             let step = step.unwrap_or(Step::Answer);
--- a/crates/turmericrail/tests/malformed_inputs.rs
+++ b/crates/turmericrail/tests/malformed_inputs.rs
@@ -84,7 +84,7 @@
 /// Answers with a few changes; most are left as they are, so that the server is called again.
 fn mutated_answer(mutator: &Mutex<(InputMutator, u64)>, head: &RequestHead) -> RawAnswer {
     let body = match head.path() {
-        "/hold-take" => json!({"hold": "h1"}).to_string(),
+        "/hold-take" => turmericrail_fakes::registered::granted_reservation(),
         "/report" => json!({"stage": "decode", "busy": false, "sequence": 4, "waiting": 1,
             "running": 2, "kvUsed": 20_000, "kvTotal": 60_000})
         .to_string(),
--- a/crates/turmericrail/tests/silent_machines.rs
+++ b/crates/turmericrail/tests/silent_machines.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use forward_support::{ForwardInstance, answer_with, register_raw, wait_for};
-use serde_json::json;
 use turmericrail_fakes::registered::{RawAnswer, RawServer, Reply, request_text};
 
 /// Duration of the work, during which the machine is silent.
@@ -29,7 +28,10 @@
     let (counted, is_engine) = (Arc::clone(&runs), stage.is_some());
     let server = RawServer::start(move |head, _| {
         if head.path() == "/hold-take" {
-            return RawAnswer::Bytes(answer_with(head, &json!({"hold": "h1"}).to_string()));
+            return RawAnswer::Bytes(answer_with(
+                head,
+                &turmericrail_fakes::registered::granted_reservation(),
+            ));
         }
         if head.path() == "/report" || head.method == "DELETE" {
             return if is_reporting {
--- a/crates/turmericrail/tests/trickling_bytes.rs
+++ b/crates/turmericrail/tests/trickling_bytes.rs
@@ -53,7 +53,10 @@
     let counted = Arc::clone(&runs);
     let server = RawServer::start(move |head, _| {
         if head.path() == "/hold-take" {
-            return RawAnswer::Bytes(answer_with(head, &json!({"hold": "h1"}).to_string()));
+            return RawAnswer::Bytes(answer_with(
+                head,
+                &turmericrail_fakes::registered::granted_reservation(),
+            ));
         }
         if head.method != "POST" {
             return RawAnswer::Bytes(answer_with(head, "{}"));
