Stated speeds are used where a setting says so; a late copy of a grant costs no request

A reservation takes a connection whose last grant is a second old, and goes on at a new one after a late copy.

--- a/crates/turmericrail/src/forward/servers/connection_pool.rs
+++ b/crates/turmericrail/src/forward/servers/connection_pool.rs
@@ -17,6 +17,8 @@
 const MAX_IDLE_PER_SERVER: usize = 4;
 /// Most calls that one connection carries, which bounds the keys that it keeps.
 const MAX_CARRIED_CALLS: usize = 64;
+/// Time within which servers were seen to send an answer a second time.
+const LATE_COPY_TIME_MS: Millis = Millis(1_000);
 /// Idle timeout if the server names none.
 const DEFAULT_IDLE_TIMEOUT_MS: Millis = Millis(4_000);
 /// Margin below the server's idle timeout, since its close may already be under way.
@@ -66,13 +68,35 @@
         Ok(connection)
     }
 
+    /// Takes an idle connection for a call that grants something: one whose last grant is so old that
+    /// a late copy of it would have come.
+    pub async fn take_for_grant(&self, address: SocketAddr) -> Option<ServerConnection> {
+        loop {
+            let mut connection = self.pop_where(address, |connection| {
+                let now_ms = clock::now_ms();
+                let is_old = |granted_ms| now_ms >= granted_ms + LATE_COPY_TIME_MS;
+                connection.last_grant_ms.is_none_or(is_old)
+            })?;
+            if is_fresh(&connection) && connection.is_usable().await {
+                return Some(connection);
+            }
+        }
+    }
+
     fn pop(&self, address: SocketAddr, key: Option<CallKey>) -> Option<ServerConnection> {
+        self.pop_where(address, |connection| {
+            !key.is_some_and(|key| connection.carried_calls.contains(&key))
+        })
+    }
+
+    fn pop_where(
+        &self,
+        address: SocketAddr,
+        is_suitable: impl Fn(&ServerConnection) -> bool,
+    ) -> Option<ServerConnection> {
         let mut idle = self.idle();
         let connections = idle.get_mut(&address)?;
-        let has_carried = |connection: &ServerConnection| {
-            key.is_some_and(|key| connection.carried_calls.contains(&key))
-        };
-        let index = connections.iter().rposition(|connection| !has_carried(connection))?;
+        let index = connections.iter().rposition(is_suitable)?;
         Some(connections.remove(index))
     }
 
--- a/crates/turmericrail/src/forward/servers/control_call.rs
+++ b/crates/turmericrail/src/forward/servers/control_call.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use turmericrail_core::forward::ServerRun;
+use turmericrail_core::units::Millis;
 use turmericrail_platform::answer;
 
 use super::call_key::CallKey;
 use super::connection_pool::ConnectionPool;
 use super::exchange;
+use super::server_connection::ServerConnection;
 use super::server_notices;
 use crate::forward::clock;
 use crate::forward::shared::Shared;
@@ -39,33 +41,72 @@
         return None;
     }
     let calling = async {
-        let mut connection = match shared.pool.take(address, None).await {
-            Some(connection) => connection,
-            None => ConnectionPool::open(address, None).await.ok()?,
+        let pooled = match method == GRANTING_METHOD {
+            true => shared.pool.take_for_grant(address).await,
+            false => shared.pool.take(address, None).await,
         };
-        connection.write(bytes).await.ok()?;
-        let head = exchange::read_head(&mut connection, method).await.ok()?;
-        let metadata = answer::parse(&head);
-        server_notices::record(shared, engine, &metadata, sent_ms);
-        // Engines that state no speed are predicted from the answers to callers' requests alone.
-        if metadata.load.is_some_and(|load| load.work_time.is_some()) {
-            server_notices::record_load(shared, engine, &metadata);
-        }
-        let may_hold = |bytes| bytes <= MAX_BODY_BYTES;
-        let body = connection.read_body(head.framing, may_hold).await.ok()?;
-        if method == GRANTING_METHOD && head.status == GRANTED_STATUS {
-            let grant = CallKey::of_grant(&body);
-            if connection.carried_calls.contains(&grant) {
-                spdlog::warn!("event=grant_repeated server={}", engine.server);
-                return None;
+        if let Some(connection) = pooled {
+            match exchange_on(shared, (engine, address), connection, method, bytes, sent_ms).await {
+                Exchanged::Answered(status, body) => return Some((status, body)),
+                Exchanged::Failed => return None,
+                // The answer to this call was still to come.
+                Exchanged::Repeated => {}
             }
-            connection.carried_calls.push(grant);
         }
-        if head.is_kept_alive && connection.buffer.is_empty() {
-            connection.keep_alive_ms = exchange::keep_alive_ms(&head);
-            shared.pool.put(address, connection);
+        let connection = ConnectionPool::open(address, None).await.ok()?;
+        match exchange_on(shared, (engine, address), connection, method, bytes, sent_ms).await {
+            Exchanged::Answered(status, body) => Some((status, body)),
+            Exchanged::Failed | Exchanged::Repeated => None,
         }
-        Some((head.status, body))
     };
     async_std::future::timeout(CALL_TIMEOUT, calling).await.ok().flatten()
 }
+
+/// What came of a call on one connection.
+enum Exchanged {
+    Answered(u16, Vec<u8>),
+    /// The answer was a late copy of an earlier one.
+    Repeated,
+    Failed,
+}
+
+async fn exchange_on(
+    shared: &Shared,
+    (engine, address): (&ServerRun, SocketAddr),
+    mut connection: ServerConnection,
+    method: &str,
+    bytes: &[u8],
+    sent_ms: Millis,
+) -> Exchanged {
+    if connection.write(bytes).await.is_err() {
+        return Exchanged::Failed;
+    }
+    let Ok(head) = exchange::read_head(&mut connection, method).await else {
+        return Exchanged::Failed;
+    };
+    let metadata = answer::parse(&head);
+    server_notices::record(shared, engine, &metadata, sent_ms);
+    // Engines that state no speed are predicted from the answers to callers' requests alone.
+    let uses_speeds = shared.settings().uses_stated_speeds;
+    if uses_speeds && metadata.load.is_some_and(|load| load.work_time.is_some()) {
+        server_notices::record_load(shared, engine, &metadata);
+    }
+    let may_hold = |bytes| bytes <= MAX_BODY_BYTES;
+    let Ok(body) = connection.read_body(head.framing, may_hold).await else {
+        return Exchanged::Failed;
+    };
+    if method == GRANTING_METHOD && head.status == GRANTED_STATUS {
+        let grant = CallKey::of_grant(&body);
+        if connection.carried_calls.contains(&grant) {
+            spdlog::warn!("event=grant_repeated server={}", engine.server);
+            return Exchanged::Repeated;
+        }
+        connection.carried_calls.push(grant);
+        connection.last_grant_ms = Some(clock::now_ms());
+    }
+    if head.is_kept_alive && connection.buffer.is_empty() {
+        connection.keep_alive_ms = exchange::keep_alive_ms(&head);
+        shared.pool.put(address, connection);
+    }
+    Exchanged::Answered(head.status, body)
+}
--- a/crates/turmericrail/src/forward/servers/server_connection.rs
+++ b/crates/turmericrail/src/forward/servers/server_connection.rs
@@ -42,6 +42,8 @@
     pub has_open_call: bool,
     /// The keys of the calls that it has carried.
     pub carried_calls: Vec<CallKey>,
+    /// Monotonic time of the last answer that granted something.
+    pub last_grant_ms: Option<Millis>,
     reads_since_yield: u32,
 }
 
@@ -77,6 +79,7 @@
             keep_alive_ms: None,
             has_open_call: false,
             carried_calls: Vec::new(),
+            last_grant_ms: None,
             reads_since_yield: 0,
         })
     }
--- a/crates/turmericrail/src/forward/servers/server_notices.rs
+++ b/crates/turmericrail/src/forward/servers/server_notices.rs
@@ -29,9 +29,12 @@
 
 /// Records the load in an answer of a server, unless another server sent it.
 pub fn record_load(shared: &Shared, run: &ServerRun, metadata: &AnswerMetadata) {
-    let Some(load) = metadata.load.filter(|_| !metadata.is_misdirected) else {
+    let Some(mut load) = metadata.load.filter(|_| !metadata.is_misdirected) else {
         return;
     };
+    if !shared.settings().uses_stated_speeds {
+        load.work_time = None;
+    }
     let mut forwarder = shared.forwarder();
     let is_known = forwarder.server_speed(run).is_some_and(|speed| speed.momentary().is_some());
     forwarder.record_reported_load(clock::now_ms(), run, load);
--- a/crates/turmericrail/src/forward/settings.rs
+++ b/crates/turmericrail/src/forward/settings.rs
@@ -65,6 +65,9 @@
     /// Whether engines may be ordered to change their role.
     #[serde(default)]
     pub gives_orders: bool,
+    /// Whether servers are chosen by the speed that they state of themselves.
+    #[serde(default)]
+    pub uses_stated_speeds: bool,
     /// Least severe level that is logged.
     #[serde(default)]
     pub log_level: LogLevel,
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -103,6 +103,14 @@
         Self::start_with_settings(name, store, address, "127.0.0.1", order_settings)
     }
 
+    /// Starts an instance that chooses servers by the speeds that they state.
+    pub fn start_using_speeds(name: &str) -> Self {
+        let store = FakeStore::start().unwrap();
+        store.publish(&configuration(1));
+        let address = store.address();
+        Self::start_with_settings(name, store, address, "127.0.0.1", "uses_stated_speeds: true\n")
+    }
+
     /// Starts an instance that reaches the store at another address, such as that of a proxy.
     pub fn start_with_store_address(
         name: &str,
--- a/crates/turmericrail/tests/trickling_bytes.rs
+++ b/crates/turmericrail/tests/trickling_bytes.rs
@@ -9,7 +9,6 @@
 use std::time::{Duration, Instant};
 
 use forward_support::{ForwardInstance, answer_with, register_raw};
-use serde_json::json;
 use turmericrail_fakes::registered::{RawAnswer, RawServer, Reply, request_text};
 use turmericrail_wire::http1::RequestHead;
 
