--- a/crates/turmericrail/src/forward/servers/connection_pool.rs
+++ b/crates/turmericrail/src/forward/servers/connection_pool.rs
@@ -49,13 +49,13 @@
         address: SocketAddr,
         key: Option<CallKey>,
     ) -> Option<ServerConnection> {
-        loop {
-            let mut connection = self.pop(address, key)?;
-            if is_fresh(&connection) && connection.is_usable().await {
-                connection.carried_calls.extend(key);
-                return Some(connection);
-            }
-        }
+        let has_carried = |connection: &ServerConnection| {
+            key.is_some_and(|key| connection.carried_calls.contains(&key))
+        };
+        let mut connection =
+            self.take_where(address, |connection| !has_carried(connection)).await?;
+        connection.carried_calls.extend(key);
+        Some(connection)
     }
 
     /// Opens a connection for a call with this key.
@@ -71,24 +71,24 @@
     /// Takes an idle connection for a call that grants something: one whose last grant is so old that
     /// a late copy of it would have come.
     pub async fn take_for_grant(&self, address: SocketAddr) -> Option<ServerConnection> {
+        let now_ms = clock::now_ms();
+        let is_old = |granted_ms| now_ms >= granted_ms + LATE_COPY_TIME_MS;
+        self.take_where(address, |connection| connection.last_grant_ms.is_none_or(is_old)).await
+    }
+
+    async fn take_where(
+        &self,
+        address: SocketAddr,
+        is_suitable: impl Fn(&ServerConnection) -> bool,
+    ) -> Option<ServerConnection> {
         loop {
-            let mut connection = self.pop_where(address, |connection| {
-                let now_ms = clock::now_ms();
-                let is_old = |granted_ms| now_ms >= granted_ms + LATE_COPY_TIME_MS;
-                connection.last_grant_ms.is_none_or(is_old)
-            })?;
+            let mut connection = self.pop_where(address, &is_suitable)?;
             if is_fresh(&connection) && connection.is_usable().await {
                 return Some(connection);
             }
         }
     }
 
-    fn pop(&self, address: SocketAddr, key: Option<CallKey>) -> Option<ServerConnection> {
-        self.pop_where(address, |connection| {
-            !key.is_some_and(|key| connection.carried_calls.contains(&key))
-        })
-    }
-
     fn pop_where(
         &self,
         address: SocketAddr,
