--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -25,8 +25,8 @@
     /// Held while a prompt is read: one after the other.
     reading: Mutex<()>,
     waiting: AtomicU64,
-    running: AtomicU64,
-    holds: Mutex<BTreeSet<String>>,
+    pub running: AtomicU64,
+    holds: Mutex<BTreeMap<String, Instant>>,
     pub kv_used: AtomicU64,
     /// Accepted orders.
     pub sequence: AtomicU64,
@@ -62,9 +62,9 @@
         })
     }
 
-    /// Number of places that are held for requests.
-    pub fn hold_count(&self) -> usize {
-        lock(&self.holds).len()
+    /// When the last place was given that is still held for a request.
+    pub fn last_hold(&self) -> Option<Instant> {
+        lock(&self.holds).values().max().copied()
     }
 
     pub fn load(&self) -> String {
@@ -138,7 +138,7 @@
     match (request.method.as_str(), request.path()) {
         ("POST", "/hold-take") => {
             let id = format!("h{}", new_id());
-            lock(&state.holds).insert(id.clone());
+            lock(&state.holds).insert(id.clone(), Instant::now());
             return json(stream, "200 OK", &format!(r#"{{"hold":"{id}"}}"#));
         }
         ("DELETE", path) => {
--- a/review/standins/restarted_engines.rs
+++ b/review/standins/restarted_engines.rs
@@ -29,6 +29,8 @@
 const LENGTH_MS: u64 = 40_000;
 /// Memory in use at the decode runners: more than half, so that runners are ordered to generate.
 const KV_USED: u64 = 60_000;
+/// Requests that take it.
+const RUNNING: u64 = 9;
 
 fn configuration() -> String {
     r#"{"version":3,"routes":[{"name":"r-food","host":"quote.example","pathPrefix":"/food/",
@@ -88,6 +90,7 @@
         self.state = State::new(&self.id, self.stage, record);
         if self.stage == "decode" {
             self.state.kv_used.store(KV_USED, Ordering::SeqCst);
+            self.state.running.store(RUNNING, Ordering::SeqCst);
         }
         let server = engine::start_at(&self.state, DRAIN_MS, &self.address);
         self.address = server.address.to_string();
