Log and count why a caller's connection ended

A connection that was closed with a request on its way left no trace: a read error, the idle limit, a caller that left inside a head or body and the end of the process all ended it in silence, so a lost request could not be traced to one of them.

Each end but that of a connection closed by its caller between two requests is now one event, connection_ended, with its reason, the kind of the socket's error, the time since the last read, the bytes of an unfinished request and those that were read and discarded while closing. All ends are counted in turmericrail_connection_ends_total. What ends when is unchanged.

--- a/crates/turmericrail/src/connection_close.rs
+++ b/crates/turmericrail/src/connection_close.rs
@@ -15,20 +15,22 @@
 /// Shuts down the write half, reads and discards what the caller still sends, and closes.
 ///
 /// Closing a socket with unread bytes resets the connection, which can destroy the last answer on
-/// its way to the caller. At most `max_reads` reads are done.
-pub async fn drain_and_close(stream: &TcpStream, max_reads: usize) {
+/// its way to the caller. At most `max_reads` reads are done. Returns the number of bytes discarded.
+pub async fn drain_and_close(stream: &TcpStream, max_reads: usize) -> u64 {
     let _ = stream.shutdown(Shutdown::Write);
     let mut buffer = vec![0; DRAIN_BUFFER_BYTES];
+    let mut discarded_bytes = 0;
     let draining = async {
         for _ in 0..max_reads {
             match (&*stream).read(&mut buffer).await {
                 Ok(0) | Err(_) => return,
-                Ok(_) => {}
+                Ok(read) => discarded_bytes += read as u64,
             }
         }
     };
     let _ = async_std::future::timeout(CLOSE_TIMEOUT, draining).await;
     let _ = stream.shutdown(Shutdown::Both);
+    discarded_bytes
 }
 
 /// Has the connection reset once it is dropped, so that an answer that ends with it doesn't look
--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -16,6 +16,7 @@
 use turmericrail_platform::request::{self, RequestMetadata};
 use turmericrail_wire::http1::{BodyDecoder, HeadError, RequestHead};
 
+use super::connection_end::ConnectionEnd;
 use crate::connection_close::drain_and_close;
 use crate::forward::clock;
 use crate::forward::servers::server_connection::READ_SIZE_BYTES;
@@ -55,99 +56,116 @@
     }
 }
 
-/// The result of waiting for a request.
-pub enum Received {
-    Request(Box<Request>),
+/// Why no request was read.
+pub enum Unread {
     /// A request that can't be served, with its id if that is known.
     Refused(ErrorKind, Option<String>),
     /// The connection ended or is to be closed, and no complete request was read.
-    Closed,
+    Ended(ConnectionEnd),
 }
 
 pub struct CallerConnection {
     pub stream: TcpStream,
     buffer: Vec<u8>,
+    /// Monotonic time of the accept, or of the last bytes.
+    last_read_ms: Millis,
+    /// Bytes read after the last whole request.
+    unfinished_bytes: u64,
+    /// Whole requests that were read.
+    request_count: u64,
 }
 
 impl CallerConnection {
     /// Wraps a newly accepted connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+            last_read_ms: clock::now_ms(),
+            unfinished_bytes: 0,
+            request_count: 0,
+        }
     }
 
-    async fn fill(&mut self) -> io::Result<usize> {
+    /// Reads more into the buffer, or returns why that isn't possible: `closed` where the caller has
+    /// closed its side.
+    async fn fill(&mut self, closed: ConnectionEnd) -> Result<(), ConnectionEnd> {
         let mut bytes = [0; READ_SIZE_BYTES];
-        let read = (&self.stream).read(&mut bytes).await?;
+        let read = (&self.stream).read(&mut bytes).await;
+        let read = read.map_err(|error| ConnectionEnd::ReadFailed(error.kind()))?;
+        if read == 0 {
+            return Err(closed);
+        }
         self.buffer.extend_from_slice(&bytes[..read]);
-        Ok(read)
+        self.last_read_ms = clock::now_ms();
+        self.unfinished_bytes += read as u64;
+        Ok(())
     }
 
     /// Waits for the next request and reads it.
-    pub async fn receive(&mut self, shared: &Shared) -> Received {
+    pub async fn receive(&mut self, shared: &Shared) -> Result<Request, Unread> {
         let limits = shared.limits();
-        if self.buffer.is_empty() && !self.wait_for_bytes(shared, &limits).await {
-            return Received::Closed;
+        if self.buffer.is_empty() {
+            self.wait_for_bytes(shared, &limits).await.map_err(Unread::Ended)?;
         }
         let head_timeout = Duration::from_millis(limits.header_timeout_ms.0);
-        let reading = self.read_head(&limits);
-        let reading = reading.or(too_late(shared));
-        let (head, arrived_ms) = match async_std::future::timeout(head_timeout, reading).await {
-            Ok(Ok(Some(head))) => (head, clock::now_ms()),
-            Ok(Ok(None)) => return Received::Closed,
-            Ok(Err(kind)) => return Received::Refused(kind, None),
-            Err(_) => return Received::Refused(ErrorKind::ReceiveTimeout, None),
-        };
+        let reading = self.read_head(&limits).or(too_late(shared));
+        let reading = async_std::future::timeout(head_timeout, reading);
+        let head = reading.await.unwrap_or_else(|_| timed_out())?;
+        let arrived_ms = clock::now_ms();
         let metadata = request::parse(&head.headers);
-        let request_id = metadata.request_id.clone();
-        if head.expects_continue() && self.write(CONTINUE_ANSWER).await.is_err() {
-            return Received::Closed;
+        if head.expects_continue()
+            && let Err(error) = self.write(CONTINUE_ANSWER).await
+        {
+            return Err(Unread::Ended(ConnectionEnd::WriteFailed(error.kind())));
         }
-        let reading = self.read_body(&head, &limits);
-        let reading = reading.or(too_late(shared));
         let timeout = body_timeout(shared, &head, &metadata);
-        let body = match async_std::future::timeout(timeout, reading).await {
-            Ok(Ok(Some(body))) => body,
-            Ok(Ok(None)) => return Received::Closed,
-            Ok(Err(kind)) => return Received::Refused(kind, request_id),
-            Err(_) => return Received::Refused(ErrorKind::ReceiveTimeout, request_id),
+        let reading = self.read_body(&head, &limits).or(too_late(shared));
+        let reading = async_std::future::timeout(timeout, reading);
+        let body = match reading.await.unwrap_or_else(|_| timed_out()) {
+            Err(Unread::Refused(kind, _)) => {
+                return Err(Unread::Refused(kind, metadata.request_id));
+            }
+            body => body?,
         };
-        Received::Request(Box::new(Request { head, metadata, body, arrived_ms }))
+        self.request_count += 1;
+        self.unfinished_bytes = self.buffer.len() as u64;
+        Ok(Request { head, metadata, body, arrived_ms })
     }
 
-    /// Whether the first bytes of a request came before the connection ended, idled too long or was
-    /// to be closed.
-    async fn wait_for_bytes(&mut self, shared: &Shared, limits: &RequestLimits) -> bool {
+    /// Waits for the first bytes of a request, or returns why none came.
+    async fn wait_for_bytes(
+        &mut self,
+        shared: &Shared,
+        limits: &RequestLimits,
+    ) -> Result<(), ConnectionEnd> {
         let idle_timeout = Duration::from_millis(limits.idle_timeout_ms.0);
-        let reading = async { matches!(self.fill().await, Ok(read) if read > 0) };
+        let reading = self.fill(ConnectionEnd::ClosedIdle);
         let closing = async {
             shared.idle_close.wait().await;
             task::sleep(LATE_REQUEST_TIME).await;
-            false
+            Err(ConnectionEnd::Stopping)
         };
-        let waiting = reading.or(closing);
-        async_std::future::timeout(idle_timeout, waiting).await.unwrap_or(false)
+        let waiting = async_std::future::timeout(idle_timeout, reading.or(closing));
+        waiting.await.unwrap_or(Err(ConnectionEnd::IdleLimit))
     }
 
-    async fn read_head(
-        &mut self,
-        limits: &RequestLimits,
-    ) -> Result<Option<RequestHead>, ErrorKind> {
+    async fn read_head(&mut self, limits: &RequestLimits) -> Result<RequestHead, Unread> {
+        let refused = |kind| Unread::Refused(kind, None);
         loop {
-            let parsed = RequestHead::parse(&self.buffer).map_err(head_error)?;
+            let parsed = RequestHead::parse(&self.buffer).map_err(head_error).map_err(refused)?;
             let limit = limits.max_header_bytes.0 as usize;
             if let Some((head, length)) = parsed {
                 if length > limit {
-                    return Err(ErrorKind::HeadTooLarge);
+                    return Err(refused(ErrorKind::HeadTooLarge));
                 }
                 self.buffer.drain(..length);
-                return Ok(Some(head));
+                return Ok(head);
             }
             if self.buffer.len() > limit {
-                return Err(ErrorKind::HeadTooLarge);
-            }
-            if !matches!(self.fill().await, Ok(read) if read > 0) {
-                return Ok(None);
+                return Err(refused(ErrorKind::HeadTooLarge));
             }
+            self.fill(ConnectionEnd::ClosedInHead).await.map_err(Unread::Ended)?;
         }
     }
 
@@ -155,31 +173,30 @@
         &mut self,
         head: &RequestHead,
         limits: &RequestLimits,
-    ) -> Result<Option<Vec<u8>>, ErrorKind> {
+    ) -> Result<Vec<u8>, Unread> {
+        let refused = |kind| Unread::Refused(kind, None);
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = Vec::new();
         loop {
             let used = decoder.decode(&self.buffer, &mut body);
-            self.buffer.drain(..used.map_err(|_| ErrorKind::HeadRefused)?);
+            self.buffer.drain(..used.map_err(|_| refused(ErrorKind::HeadRefused))?);
             let remaining_bytes =
                 if let BodyDecoder::Length(remaining) = &decoder { *remaining } else { 0 };
             if body.len() as u64 + remaining_bytes > limits.max_body_bytes.0 {
-                return Err(ErrorKind::TooLarge);
+                return Err(refused(ErrorKind::TooLarge));
             }
             if decoder.is_done() {
-                return Ok(Some(body));
-            }
-            if !matches!(self.fill().await, Ok(read) if read > 0) {
-                return Ok(None);
+                return Ok(body);
             }
+            self.fill(ConnectionEnd::ClosedInBody).await.map_err(Unread::Ended)?;
         }
     }
 
     /// Returns once the caller has closed its side; buffers bytes of a next request until then.
-    pub async fn wait_until_closed(&mut self) {
+    pub async fn wait_until_closed(&mut self) -> ConnectionEnd {
         while self.buffer.len() < MAX_PIPELINED_BYTES {
-            if !matches!(self.fill().await, Ok(read) if read > 0) {
-                return;
+            if let Err(end) = self.fill(ConnectionEnd::ClosedInAnswer).await {
+                return end;
             }
         }
         future::pending().await
@@ -191,8 +208,30 @@
 
     /// Closes the connection without a reset: unread bytes would cause one before the caller has
     /// read the last answer.
-    pub async fn close(self) {
-        drain_and_close(&self.stream, MAX_CLOSE_READS).await;
+    pub async fn close(self, shared: &Shared, end: ConnectionEnd) {
+        let drained_bytes = drain_and_close(&self.stream, MAX_CLOSE_READS).await;
+        self.log_end(shared, end, self.buffer.len() as u64 + drained_bytes);
+    }
+
+    /// Drops the connection at once, so that the caller sees that its answer is incomplete: it lacks
+    /// the last chunk.
+    pub fn abort(self, shared: &Shared, end: ConnectionEnd) {
+        self.log_end(shared, end, self.buffer.len() as u64);
+    }
+
+    fn log_end(&self, shared: &Shared, end: ConnectionEnd, discarded_bytes: u64) {
+        let (reason, error) = (end.reason(), end.error());
+        shared.metrics.connection_ends.with_label_values(&[reason, error.as_str()]).inc();
+        if end == ConnectionEnd::ClosedIdle {
+            return;
+        }
+        spdlog::info!(
+            "event=connection_ended reason={reason} error={error} since_read_ms={} requests={} \
+             unfinished_bytes={} discarded_bytes={discarded_bytes}",
+            clock::now_ms().saturating_sub(self.last_read_ms).0,
+            self.request_count,
+            self.unfinished_bytes,
+        );
     }
 }
 
@@ -206,9 +245,13 @@
 }
 
 /// Fails once the process is to end.
-async fn too_late<T>(shared: &Shared) -> Result<T, ErrorKind> {
+async fn too_late<T>(shared: &Shared) -> Result<T, Unread> {
     shared.last_answers.wait().await;
-    Err(ErrorKind::ReceiveTimeout)
+    timed_out()
+}
+
+fn timed_out<T>() -> Result<T, Unread> {
+    Err(Unread::Refused(ErrorKind::ReceiveTimeout, None))
 }
 
 fn head_error(error: HeadError) -> ErrorKind {
--- a/crates/turmericrail/src/forward/callers/caller_listener.rs
+++ b/crates/turmericrail/src/forward/callers/caller_listener.rs
@@ -6,8 +6,9 @@
 use async_std::task;
 
 use super::answer_writer;
-use super::caller_connection::{CallerConnection, Received};
-use super::dispatch;
+use super::caller_connection::{CallerConnection, Unread};
+use super::connection_end::ConnectionEnd;
+use super::dispatch::{self, ConnectionAction};
 use crate::accept_loop::{self, AcceptLoop};
 use crate::connection_close;
 use crate::error::StartError;
@@ -30,31 +31,32 @@
 async fn serve(shared: Arc<Shared>, stream: TcpStream, _count_guard: CountGuard) {
     TCP_TIMEOUTS.apply(&stream);
     let mut connection = CallerConnection::new(stream);
-    loop {
+    let end = loop {
         let request = match connection.receive(&shared).await {
-            Received::Request(request) => request,
-            Received::Refused(kind, request_id) => {
+            Ok(request) => request,
+            Err(Unread::Refused(kind, request_id)) => {
                 let request_id = request_id.as_deref();
                 dispatch::log_answer(&shared, request_id, kind.answer().text, 0);
                 let answer = answer_writer::error_answer(kind, None, request_id, false);
-                let _ = connection.write(&answer).await;
-                break;
+                break match connection.write(&answer).await {
+                    Ok(()) => ConnectionEnd::Refused,
+                    Err(error) => ConnectionEnd::WriteFailed(error.kind()),
+                };
             }
-            Received::Closed => break,
+            Err(Unread::Ended(end)) => break end,
         };
         let _count_guard = shared.count_call();
         match dispatch::serve(&shared, &mut connection, &request).await {
-            dispatch::ConnectionAction::KeepAlive => {}
-            dispatch::ConnectionAction::Close => break,
-            // Dropped without an orderly close, so that the caller sees that its answer is
-            // incomplete: it lacks the last chunk.
-            dispatch::ConnectionAction::Abort => {
+            ConnectionAction::KeepAlive => {}
+            ConnectionAction::Close => break ConnectionEnd::Answered,
+            ConnectionAction::Abort(end) => {
                 if request.head.is_http_10 {
                     connection_close::reset_on_drop(&connection.stream);
                 }
+                connection.abort(&shared, end);
                 return;
             }
         }
-    }
-    connection.close().await;
+    };
+    connection.close(&shared, end).await;
 }
--- a/crates/turmericrail/src/forward/callers/caller_stream.rs
+++ b/crates/turmericrail/src/forward/callers/caller_stream.rs
@@ -1,7 +1,7 @@
 //! Writes the answer to one request on the caller's connection.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use async_std::io::prelude::*;
 use async_std::net::TcpStream;
@@ -9,6 +9,7 @@
 
 use super::answer_writer;
 use super::caller_connection::Request;
+use super::connection_end::ConnectionEnd;
 use super::dispatch::ConnectionAction;
 use crate::forward::shared::Shared;
 
@@ -22,6 +23,7 @@
     is_http_10: bool,
     wants_keep_alive: bool,
     has_begun: AtomicBool,
+    write_failure: OnceLock<ConnectionEnd>,
 }
 
 impl CallerStream {
@@ -32,6 +34,7 @@
             is_http_10: request.head.is_http_10,
             wants_keep_alive: request.head.is_kept_alive,
             has_begun: AtomicBool::new(false),
+            write_failure: OnceLock::new(),
         }
     }
 
@@ -48,7 +51,17 @@
 
     async fn write(&self, bytes: &[u8]) -> bool {
         self.has_begun.store(true, Ordering::Relaxed);
-        (&self.stream).write_all(bytes).await.is_ok()
+        let written = (&self.stream).write_all(bytes).await;
+        if let Err(error) = &written {
+            self.write_failure.get_or_init(|| ConnectionEnd::WriteFailed(error.kind()));
+        }
+        written.is_ok()
+    }
+
+    /// Gives up the connection, since a write failed or the answer can't be completed.
+    pub fn abort(&self) -> ConnectionAction {
+        let end = self.write_failure.get().copied();
+        ConnectionAction::Abort(end.unwrap_or(ConnectionEnd::AnswerBroken))
     }
 
     /// Writes a whole answer, or the last part of one.
@@ -57,7 +70,7 @@
         match self.write(bytes).await {
             true if is_kept => ConnectionAction::KeepAlive,
             true => ConnectionAction::Close,
-            false => ConnectionAction::Abort,
+            false => self.abort(),
         }
     }
 
@@ -77,7 +90,7 @@
         match is_written {
             true if is_kept => ConnectionAction::KeepAlive,
             true => ConnectionAction::Close,
-            false => ConnectionAction::Abort,
+            false => self.abort(),
         }
     }
 
--- a/crates/turmericrail/src/forward/callers/dispatch.rs
+++ b/crates/turmericrail/src/forward/callers/dispatch.rs
@@ -10,6 +10,7 @@
 use super::answer_writer;
 use super::caller_connection::{CallerConnection, Request};
 use super::caller_stream::CallerStream;
+use super::connection_end::ConnectionEnd;
 use crate::forward::calls::call_context::CallContext;
 use crate::forward::calls::model_call;
 use crate::forward::calls::plain_call;
@@ -31,7 +32,7 @@
     /// Close in order.
     Close,
     /// Drop at once: the answer broke off, or the caller has left.
-    Abort,
+    Abort(ConnectionEnd),
 }
 
 /// Why a request gets no answer from a server.
@@ -77,9 +78,9 @@
         }
     };
     let caller_leaving = async {
-        connection.wait_until_closed().await;
+        let end = connection.wait_until_closed().await;
         log_answer(shared, request.metadata.request_id.as_deref(), "caller_gone", 0);
-        ConnectionAction::Abort
+        ConnectionAction::Abort(end)
     };
     let ending = async {
         shared.last_answers.wait().await;
@@ -205,7 +206,7 @@
     let request_id = request.metadata.request_id.as_deref();
     log_answer(shared, request_id, refusal.kind.answer().text, refusal.kind.answer().status);
     if caller.has_begun() {
-        return ConnectionAction::Abort;
+        return caller.abort();
     }
     let is_kept = caller.is_kept_alive();
     let bytes =
--- a/crates/turmericrail/src/forward/callers/mod.rs
+++ b/crates/turmericrail/src/forward/callers/mod.rs
@@ -5,4 +5,5 @@
 pub mod caller_connection;
 pub mod caller_listener;
 pub mod caller_stream;
+pub mod connection_end;
 pub mod dispatch;
--- a/crates/turmericrail/src/forward/calls/model_call.rs
+++ b/crates/turmericrail/src/forward/calls/model_call.rs
@@ -56,7 +56,7 @@
         }
         let (kind, may_move) = match end {
             EngineAttemptEnd::Complete(action) => return Ok(action),
-            EngineAttemptEnd::CallerLost => return Ok(ConnectionAction::Abort),
+            EngineAttemptEnd::CallerLost => return Ok(caller.abort()),
             EngineAttemptEnd::Moved(next, next_permit) => {
                 may_have_run = true;
                 (attempt, permit) = (*next, next_permit);
@@ -64,7 +64,7 @@
             }
             EngineAttemptEnd::Answered(head, body) => {
                 if caller.has_begun() {
-                    return Ok(ConnectionAction::Abort);
+                    return Ok(caller.abort());
                 }
                 dispatch::log_answer(
                     context.shared,
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -122,6 +122,8 @@
     registry: Registry,
     /// Final answers, by outcome.
     pub answers: IntCounterVec,
+    /// Callers' connections that ended, by reason and error of the socket.
+    pub connection_ends: IntCounterVec,
     /// Calls to backend servers, by how they ended.
     pub server_calls: IntCounterVec,
     /// Calls to the store, by kind.
@@ -163,6 +165,14 @@
         let registry = Registry::new();
         Self {
             answers: counter(&registry, "turmericrail_answers_total", "Final answers.", "outcome"),
+            connection_ends: {
+                let name = "turmericrail_connection_ends_total";
+                let options = Opts::new(name, "Callers' connections that ended.");
+                let ends =
+                    IntCounterVec::new(options, &["reason", "error"]).expect("the names are valid");
+                registry.register(Box::new(ends.clone())).expect("registered once");
+                ends
+            },
             server_calls: counter(
                 &registry,
                 "turmericrail_server_calls_total",
