fakes: a link between an instance and a server, with faults

Bytes of open connections stop or are reset, and new connections are refused or not established: the accept queue is filled, so that further attempts are dropped. The fault proxy accepts each connection, so that a server behind it always looks reached.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ports;
 pub mod registered;
 mod serve;
+pub mod server_link;
 pub mod signal;
 pub mod text;
 
@@ -31,3 +32,4 @@
 pub use input_mutator::InputMutator;
 pub use plain::FakePlain;
 pub use platform::FakePlatform;
+pub use server_link::{LinkFault, ServerLink};
