--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -27,6 +27,8 @@
     pub ready_address: SocketAddr,
     pub operator_address: SocketAddr,
     pub peer_address: SocketAddr,
+    /// The same port at all instances of a group, each with the IP address of its `peer_address`.
+    pub handover_port: u16,
     pub settings_path: PathBuf,
     pub log_path: PathBuf,
     process: Child,
@@ -38,6 +40,21 @@
     window: &'static str,
 }
 
+/// Addresses at which the members of a group reach an instance.
+#[derive(Clone, Copy)]
+struct MemberAddresses {
+    peer: SocketAddr,
+    handover_port: u16,
+}
+
+impl MemberAddresses {
+    /// Free addresses of the first instance of a group.
+    fn free() -> Self {
+        let [peer, handover] = std::array::from_fn(|_| free_address().unwrap());
+        Self { peer, handover_port: handover.port() }
+    }
+}
+
 /// Starts instances that know each other, each with a store of its own; the first one's holds the
 /// configuration.
 pub fn start_group(name: &str, count: u8) -> Vec<ForwardInstance> {
@@ -71,7 +88,7 @@
 
     pub fn start_with_store(name: &str, store: FakeStore) -> Self {
         let address = store.address();
-        Self::start_with_settings(name, store, address, "127.0.0.1", "")
+        Self::start_with_settings(name, store, address, MemberAddresses::free(), "")
     }
 
     /// Starts an instance whose deployment allows `slack` retries beyond the ratio in each window.
@@ -80,7 +97,7 @@
         store.publish(&configuration(1));
         let address = store.address();
         let bounds = RetryBoundsText { slack, window: "10s" };
-        Self::start_with_bounds(name, store, address, "127.0.0.1", &bounds, "")
+        Self::start_with_bounds(name, store, address, MemberAddresses::free(), &bounds, "")
     }
 
     /// Starts an instance whose routes all have this timeout.
@@ -100,7 +117,7 @@
         store.publish(&configuration(1));
         let address = store.address();
         let order_settings = "gives_orders: true\nseeds: [\"127.0.0.1:1\"]\n";
-        Self::start_with_settings(name, store, address, "127.0.0.1", order_settings)
+        Self::start_with_settings(name, store, address, MemberAddresses::free(), order_settings)
     }
 
     /// Starts an instance that chooses servers by the speeds that they state.
@@ -108,7 +125,13 @@
         let store = FakeStore::start().unwrap();
         store.publish(&configuration(1));
         let address = store.address();
-        Self::start_with_settings(name, store, address, "127.0.0.1", "uses_stated_speeds: true\n")
+        Self::start_with_settings(
+            name,
+            store,
+            address,
+            MemberAddresses::free(),
+            "uses_stated_speeds: true\n",
+        )
     }
 
     /// Starts an instance that reaches the store at another address, such as that of a proxy.
@@ -117,7 +140,7 @@
         store: FakeStore,
         store_address: SocketAddr,
     ) -> Self {
-        Self::start_with_settings(name, store, store_address, "127.0.0.1", "")
+        Self::start_with_settings(name, store, store_address, MemberAddresses::free(), "")
     }
 
     /// Starts a peer of this instance, with this instance as its seed and a store address of its
@@ -147,29 +170,22 @@
         store_address: SocketAddr,
     ) -> Self {
         let settings = format!("data_centre: {data_centre}\nseeds: [\"{}\"]\n", self.peer_address);
-        let address = format!("127.0.0.{number}:{}", self.peer_address.port());
-        Self::start_with_settings(name, store, store_address, &address, &settings)
+        let peer = SocketAddr::from(([127, 0, 0, number], self.peer_address.port()));
+        let addresses = MemberAddresses { peer, handover_port: self.handover_port };
+        Self::start_with_settings(name, store, store_address, addresses, &settings)
     }
 
-    /// `peer_address_text` is an address with a port; if it has no port, a free loopback address is
-    /// used instead.
     fn start_with_settings(
         name: &str,
         store: FakeStore,
         store_address: SocketAddr,
-        peer_address_text: &str,
+        addresses: MemberAddresses,
         extra_settings: &str,
     ) -> Self {
         // The window in which a new instance has no slack is over when the test begins.
         let bounds = RetryBoundsText { slack: 56, window: "100ms" };
-        let instance = Self::start_with_bounds(
-            name,
-            store,
-            store_address,
-            peer_address_text,
-            &bounds,
-            extra_settings,
-        );
+        let instance =
+            Self::start_with_bounds(name, store, store_address, addresses, &bounds, extra_settings);
         std::thread::sleep(Duration::from_millis(100));
         instance
     }
@@ -178,13 +194,13 @@
         name: &str,
         store: FakeStore,
         store_address: SocketAddr,
-        peer_address_text: &str,
+        addresses: MemberAddresses,
         bounds: &RetryBoundsText,
         extra_settings: &str,
     ) -> Self {
-        let [caller_address, ready_address, operator_address, free_peer_address] =
+        let [caller_address, ready_address, operator_address] =
             std::array::from_fn(|_| free_address().unwrap());
-        let peer_address: SocketAddr = peer_address_text.parse().unwrap_or(free_peer_address);
+        let MemberAddresses { peer: peer_address, handover_port } = addresses;
         let folder = std::env::temp_dir().join(format!("forward-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let settings_path = folder.join("settings.yaml");
@@ -209,6 +225,7 @@
             ready_address,
             operator_address,
             peer_address,
+            handover_port,
             settings_path,
             log_path,
             process,
