A process that was paused no longer takes a version for the only one

Callers saw a stream that had begun at an engine of a new software version go on at one of the old version, at an instance that had stood still while the new engines joined. Such an instance noticed its pause only at its next look at the registry, up to a second after it went on, and not at all if the pause was shorter than five seconds.

What is known of the versions now depends on the age of the last look whenever it is asked for, by callers as by other instances, and a look that is two and a half seconds late counts as a gap.

The test failed before: after a pause of 3 s the only version was still v1.

--- a/crates/core/src/forward/versions/forwarder_versions.rs
+++ b/crates/core/src/forward/versions/forwarder_versions.rs
@@ -15,7 +15,7 @@
 const RESUMPTION_MARGIN_MS: Millis = Millis(2_000);
 /// Time between two looks at the registered versions after which some may have been missed; they are
 /// a second apart unless the process was paused.
-const MAX_RECORD_INTERVAL_MS: Millis = Millis(5_000);
+const MAX_RECORD_INTERVAL_MS: Millis = Millis(2_500);
 /// Shortest time for which a version counts that no server has any more.
 const MIN_VERSION_WINDOW_MS: Millis = Millis(16_000);
 
@@ -63,10 +63,10 @@
     /// version has several now.
     pub fn record_versions(&mut self, now_ms: Millis) -> bool {
         let window_ms = self.version_window_ms();
-        let last_ms = self.versions_recorded_ms.replace(now_ms);
-        if last_ms.is_some_and(|last_ms| now_ms > last_ms + MAX_RECORD_INTERVAL_MS) {
+        if self.may_lack_versions(now_ms) {
             self.record_version_gap(now_ms);
         }
+        self.versions_recorded_ms = Some(now_ms);
         for (_, entry) in self.registry.servers(now_ms) {
             let history = self
                 .version_histories
@@ -91,6 +91,13 @@
         self.version_histories.values_mut().for_each(|history| history.record_gap(now_ms));
     }
 
+    /// Whether the registered versions were last looked at so long ago that some may have been missed:
+    /// the process was paused, and what it does next may be anything.
+    fn may_lack_versions(&self, now_ms: Millis) -> bool {
+        let last_ms = self.versions_recorded_ms;
+        last_ms.is_some_and(|last_ms| now_ms > last_ms + MAX_RECORD_INTERVAL_MS)
+    }
+
     /// Whether a server of a service has this version, whether it takes calls or not.
     pub fn is_version_served(
         &self,
@@ -105,11 +112,18 @@
     /// The versions of a service as far as this instance has seen them.
     pub fn version_history(&self, now_ms: Millis, service: &ServiceId) -> VersionHistory {
         let history = self.version_histories.get(service).cloned();
-        history.unwrap_or_else(|| VersionHistory::new(now_ms))
+        let mut history = history.unwrap_or_else(|| VersionHistory::new(now_ms));
+        if self.may_lack_versions(now_ms) {
+            history.record_gap(now_ms);
+        }
+        history
     }
 
     /// The version at which all streams of a service have begun, as far as this instance knows.
     pub fn only_version(&self, now_ms: Millis, service: &ServiceId) -> Option<&SoftwareVersion> {
+        if self.may_lack_versions(now_ms) {
+            return None;
+        }
         self.version_histories.get(service)?.only_version(now_ms, self.version_window_ms())
     }
 
--- a/crates/core/src/forward/versions/stream_versions.rs
+++ b/crates/core/src/forward/versions/stream_versions.rs
@@ -1,6 +1,6 @@
 //! The software versions at which streams have begun, by the attempt that brought their first event.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::forward::{SoftwareVersion, StreamKey, StreamVersion};
 use crate::request::RequestFingerprint;
@@ -15,9 +15,29 @@
 #[derive(Clone, Debug, Default)]
 pub struct StreamVersions {
     streams: BTreeMap<StreamKey, StreamVersion>,
+    /// Those that others have begun, of which later attempts may be unknown here.
+    told: BTreeSet<StreamKey>,
 }
 
 impl StreamVersions {
+    /// Records a stream that another instance has begun, unless a later attempt is known.
+    pub fn record_told(&mut self, stream: StreamVersion) {
+        if !self.streams.contains_key(&stream.stream) {
+            self.told.insert(stream.stream);
+        }
+        self.record(stream);
+    }
+
+    /// Whether the stream was begun by this instance, which therefore knows all its attempts.
+    pub fn is_own(&self, stream: StreamKey) -> bool {
+        self.streams.contains_key(&stream) && !self.told.contains(&stream)
+    }
+
+    /// The last known attempt of a stream.
+    pub fn last_attempt(&self, stream: StreamKey) -> Option<&StreamVersion> {
+        self.streams.get(&stream)
+    }
+
     /// Records the version of a stream unless a later one is known.
     pub fn record(&mut self, stream: StreamVersion) {
         let known = self.streams.get(&stream.stream);
@@ -28,7 +48,10 @@
         if self.streams.len() > MAX_STREAMS {
             let oldest = self.streams.values().min_by_key(|stream| stream.sent_ms);
             let oldest = oldest.map(|stream| stream.stream);
-            oldest.map(|stream| self.streams.remove(&stream));
+            if let Some(oldest) = oldest {
+                self.streams.remove(&oldest);
+                self.told.remove(&oldest);
+            }
         }
     }
 
@@ -54,5 +77,6 @@
     /// Drops streams that are over.
     pub fn expire(&mut self, now_ms: Millis) {
         self.streams.retain(|_, stream| now_ms < stream.sent_ms + STREAM_TTL_MS);
+        self.told.retain(|stream| self.streams.contains_key(stream));
     }
 }
--- a/crates/core/tests/software_versions.rs
+++ b/crates/core/tests/software_versions.rs
@@ -217,3 +217,23 @@
     };
     assert_eq!(settled(regained), None, "the store was lost until a second ago");
 }
+
+#[test]
+fn first_look_after_pause() {
+    // Guards against a version that is taken for the only one by a process that has just gone on
+    // after a pause, before it has looked at the registry again.
+    let service = forward_support::service_id();
+    for (pause_ms, expected) in [(1_500, Some(version("v1"))), (3_000, None), (60_000, None)] {
+        let mut forwarder = engines(&[(ServerRole::Decode, "v1"), (ServerRole::Decode, "v1")]);
+        (0..=20).for_each(|second| {
+            forwarder.record_versions(Millis(second * 1_000));
+        });
+        let now_ms = Millis(20_000 + pause_ms);
+        let window_ms = forwarder.version_window_ms();
+        let history = forwarder.version_history(now_ms, &service);
+        assert_eq!(forwarder.only_version(now_ms, &service).cloned(), expected, "{pause_ms}");
+        assert_eq!(history.only_version(now_ms, window_ms).cloned(), expected, "{pause_ms}");
+        forwarder.record_versions(now_ms);
+        assert_eq!(forwarder.only_version(now_ms, &service).cloned(), expected, "{pause_ms}");
+    }
+}
