A stream goes on at the version of its last attempt, not at one told earlier

Callers saw a stream that had begun at an engine of a new software version go on at one of the old version. Its first attempt was refused by an engine of the old version, the second went to the new one; the instance at which it was taken up was told of the first and was paused or cut off when the second was told. It took its own record, or the first reply of another instance, for the answer.

An instance now trusts only its records of streams that it began itself. Else it asks all that keep the stream, whose replies state the number of the attempt, and takes the version of the last one; without any reply it refuses.

The test failed before: the stream went on at v1 instead of v2.

--- a/crates/turmericrail/src/forward/peers/stream_versions.rs
+++ b/crates/turmericrail/src/forward/peers/stream_versions.rs
@@ -46,6 +46,9 @@
 /// Groups of streams that have the same keepers, which bounds the connections to them.
 const GROUPS: u128 = 32;
 
+/// A version to which a stream was sent, and the number of that attempt.
+type Attempt = (SoftwareVersion, u32);
+
 /// Streams that are still to be told, and connections to instances that keep them.
 #[derive(Default)]
 pub struct StreamVersionState {
@@ -67,9 +70,11 @@
     }
     let stream = metadata.resumed_attempt.as_deref().filter(|id| !id.is_empty());
     let stream = stream.map(StreamKey::of_attempt);
+    let is_own =
+        stream.is_some_and(|stream| context.shared.forwarder().stream_versions().is_own(stream));
     let found = match find_here(context.shared, stream, context.fingerprint) {
-        Some(version) => Some((version, "own")),
-        None => find_elsewhere(context, stream).await,
+        Some((version, _)) if is_own => Some((version, "own")),
+        told => find_elsewhere(context, stream, told).await,
     };
     let (version, source) = found.unzip();
     spdlog::info!(
@@ -89,21 +94,25 @@
     shared: &Shared,
     stream: Option<StreamKey>,
     request: RequestFingerprint,
-) -> Option<SoftwareVersion> {
+) -> Option<Attempt> {
     let mut forwarder = shared.forwarder();
     let streams = forwarder.stream_versions();
     match stream {
-        Some(stream) => streams.get(stream).cloned(),
-        None => streams.of_request(request).cloned(),
+        Some(stream) => streams.last_attempt(stream).map(|it| (it.version.clone(), it.attempt)),
+        None => streams.of_request(request).map(|version| (version.clone(), 0)),
     }
 }
 
-/// Asks the instances that keep the stream. If none knows it, all streams may have begun at one
-/// version, which this instance and one other must have seen.
-async fn find_elsewhere(
-    context: &CallContext<'_>,
-    stream: Option<StreamKey>,
-) -> Option<(SoftwareVersion, &'static str)> {
+/// The version of the last attempt that is known; `None` if two that are as late differ.
+fn last_version(attempts: &[Attempt]) -> Option<&SoftwareVersion> {
+    let last = attempts.iter().map(|(_, attempt)| *attempt).max()?;
+    let mut versions = attempts.iter().filter(|(_, attempt)| *attempt == last).map(|(it, _)| it);
+    let version = versions.next()?;
+    versions.all(|other| other == version).then_some(version)
+}
+
+/// The instances that may know a stream that is taken up here.
+fn possible_keepers(context: &CallContext, stream: Option<StreamKey>) -> Vec<SocketAddr> {
     let shared = context.shared;
     let mut keepers = keepers(shared, context.fingerprint);
     let is_new = clock::now_ms() < shared.started_ms + run_search::SEARCH_PERIOD_MS;
@@ -112,6 +121,19 @@
         keepers.sort();
         keepers.dedup();
     }
+    keepers
+}
+
+/// Asks the instances that keep the stream: any of them, and this one, may have been out of reach when
+/// a later attempt was told. If none knows it, all streams may have begun at one version, which this
+/// instance and one other must have seen.
+async fn find_elsewhere(
+    context: &CallContext<'_>,
+    stream: Option<StreamKey>,
+    told: Option<Attempt>,
+) -> Option<(SoftwareVersion, &'static str)> {
+    let shared = context.shared;
+    let keepers = possible_keepers(context, stream);
     let request = wire::FindStreamRequest {
         stream: stream.map(|stream| stream.0.to_le_bytes().to_vec()).unwrap_or_default(),
         request: context.fingerprint.0.to_le_bytes().to_vec(),
@@ -121,20 +143,24 @@
     let now_ms = clock::now_ms();
     let mut history = shared.forwarder().version_history(now_ms, context.service);
     let mut has_reply = keepers.is_empty();
+    let mut attempts: Vec<_> = told.into_iter().collect();
     let mut is_store_lost = shared.is_store_lost();
     let mut runs = run_notices::RunEvidence::here(shared, stream);
     while let Ok(reply) = replies.recv().await {
         let Ok(reply) = reply else {
             continue;
         };
-        if let Some(version) = reply.version.as_deref().and_then(|text| text.parse().ok()) {
-            return Some((version, "peer"));
-        }
+        let version = reply.version.as_deref().and_then(|text| text.parse().ok());
+        attempts.extend(version.map(|version| (version, reply.attempt)));
         has_reply = true;
         runs.add(now_ms, reply.run.as_ref());
         is_store_lost |= reply.is_store_lost;
         history.merge(&to_history(now_ms, &reply));
     }
+    if !attempts.is_empty() {
+        let version = last_version(&attempts).filter(|_| has_reply).cloned();
+        return version.map(|version| (version, "told"));
+    }
     if let Some(version) = runs.version(shared) {
         return Some((version, "run"));
     }
@@ -341,7 +367,7 @@
     };
     for stream in &message.streams {
         match to_stream(stream) {
-            Some(stream) => shared.forwarder().stream_versions().record(stream),
+            Some(stream) => shared.forwarder().stream_versions().record_told(stream),
             None => spdlog::warn!("event=stream_notice_malformed"),
         }
     }
@@ -354,7 +380,8 @@
     let fingerprint = to_number(&request.request).map(RequestFingerprint);
     let found = fingerprint.and_then(|fingerprint| find_here(shared, stream, fingerprint));
     let mut reply = wire::FindStreamReply {
-        version: found.map(|version| version.to_string()),
+        attempt: found.as_ref().map(|(_, attempt)| *attempt).unwrap_or_default(),
+        version: found.map(|(version, _)| version.to_string()),
         is_store_lost: shared.is_store_lost(),
         run: stream.and_then(|stream| run_notices::run_for_reply(shared, stream)),
         ..wire::FindStreamReply::default()
--- a/crates/turmericrail/tests/stream_versions.rs
+++ b/crates/turmericrail/tests/stream_versions.rs
@@ -8,7 +8,10 @@
 use std::time::Duration;
 
 use forward_support::ForwardInstance;
+use turmericrail_core::forward::StreamKey;
 use turmericrail_fakes::registered::{self, Behaviour, FakeStore, RegisteredServer, Reply};
+use turmericrail_wire::relay::relay_client::RelayClient;
+use turmericrail_wire::relay::{BegunStream, BegunStreams};
 
 const VERSIONS: [&str; 3] = ["v1", "v1.1", "V1.1"];
 const ENGINES_PER_VERSION: usize = 3;
@@ -209,3 +212,46 @@
     let reply = fleet.take_up(1, &begun);
     assert!(reply.status() == 200 && reply.is_complete);
 }
+
+/// Tells an instance that a stream was sent to an engine of a version.
+async fn tell(instance: &ForwardInstance, id: &str, version: &str, attempt: u32) {
+    let address = format!("http://{}", instance.peer_address);
+    let mut client = RelayClient::connect(address).await.unwrap();
+    let stream = BegunStream {
+        stream: StreamKey::of_attempt(id).0.to_le_bytes().to_vec(),
+        request: vec![0; 16],
+        version: version.to_owned(),
+        attempt,
+        age_ms: 0,
+    };
+    let message = BegunStreams { streams: vec![stream], ..Default::default() };
+    client.notify_streams(message).await.unwrap();
+}
+
+#[async_std::test]
+async fn missed_notice() {
+    // Guards against a stream that goes on at the version of its first attempt, which an engine
+    // refused, at an instance that was paused or cut off when the next attempt was told.
+    let fleet = Fleet::start("missed-notice", &["v1", "v2"]);
+    for (index, instance) in fleet.instances.iter().enumerate() {
+        tell(instance, "s0", "v1", 1).await;
+        if index > 0 {
+            tell(instance, "s0", "v2", 2).await;
+        }
+        tell(instance, "s1", "v1", 1).await;
+    }
+    let take_up = |id: &str, again: &str| {
+        let fields = format!("Last-Event-Id: 2\r\nResumes: {id}\r\n");
+        fleet.instance(0).send(&request(id, again, &fields)).unwrap()
+    };
+    let reply = take_up("s0", "s0-again");
+    assert_eq!((reply.status(), versions(&[&reply.body])), (200, vec!["v2".to_owned()]));
+    let reply = take_up("s1", "s1-again");
+    assert_eq!((reply.status(), versions(&[&reply.body])), (200, vec!["v1".to_owned()]));
+    // None of the others says whether there was a later attempt.
+    fleet.instances[1..].iter().for_each(|instance| instance.signal("STOP"));
+    let calls = fleet.call_count();
+    let reply = take_up("s1", "s1-third");
+    assert_eq!((reply.status(), fleet.call_count()), (503, calls));
+    fleet.instances[1..].iter().for_each(|instance| instance.signal("CONT"));
+}
