Relayed configurations are compressed, once for all followers

Seen by callers beside a change of the configuration: packets of their connections waited for seconds, up to the end of the connection.

The bytes are kept by key and revision, so that they are made once. A set with an item that can't be decompressed isn't applied, since its revision would count as known.

--- a/crates/turmericrail/src/forward/peers/mod.rs
+++ b/crates/turmericrail/src/forward/peers/mod.rs
@@ -1,5 +1,6 @@
 //! What instances tell each other.
 
+mod deflated_values;
 pub mod loss_notices;
 pub mod peer_listener;
 pub mod relay;
--- a/crates/turmericrail/src/forward/peers/relay.rs
+++ b/crates/turmericrail/src/forward/peers/relay.rs
@@ -15,7 +15,7 @@
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
 use turmericrail_core::forward::{
-    ExchangePace, Members, PublishedItem, PublishedSet, ToldMembers, TransferBudget,
+    ExchangePace, Members, PublishedSet, ToldMembers, TransferBudget,
 };
 use turmericrail_core::units::{Bytes, Millis};
 use turmericrail_wire::relay::relay_client::RelayClient;
@@ -26,6 +26,7 @@
     ReserveUsageReply, ReserveUsageRequest,
 };
 
+use super::deflated_values::DeflatedValues;
 use super::loss_notices;
 use super::peer_listener;
 use super::relay_leaving;
@@ -69,6 +70,7 @@
     pub own_number: usize,
     told_members: Mutex<ToldMembers>,
     whole_sets: Mutex<TransferBudget>,
+    deflated_values: DeflatedValues,
     waiting_followers: AtomicUsize,
     /// Wakes the calls of following instances when an item or the access to the store changes.
     pub change: ChangeSignal,
@@ -100,6 +102,7 @@
             own_number: fastrand::usize(..1 << 16),
             told_members: Mutex::default(),
             whole_sets: Mutex::default(),
+            deflated_values: DeflatedValues::default(),
             waiting_followers: AtomicUsize::new(0),
             change: ChangeSignal::default(),
             announced_revisions,
@@ -195,17 +198,14 @@
         &self,
         known: &wire::KnownSet,
         is_reading_store: bool,
+        accepts_deflated: bool,
     ) -> Option<wire::ItemSet> {
         let is_whole = known.revision == 0;
         if is_whole && is_reading_store {
             return None;
         }
         let newer = self.with_set(&known.prefix, |set| {
-            let to_wire = |item: PublishedItem| wire::Item {
-                key: item.key,
-                revision: item.revision,
-                value: item.value,
-            };
+            let to_wire = |item| self.deflated_values.encode(item, accepts_deflated);
             (set.revision() > known.revision).then(|| wire::ItemSet {
                 prefix: known.prefix.clone(),
                 revision: set.revision(),
@@ -265,8 +265,9 @@
         let is_same = message.members_hash == own.identity_hash();
         let notices_hash = loss_notices::hash(&self.shared);
         let is_hash_known = message.notices_hash == notices_hash;
+        let (is_reading, accepts_deflated) = (message.is_reading_store, message.accepts_deflated);
         let newer =
-            |known: &wire::KnownSet| relay.items_newer_than(known, message.is_reading_store);
+            |known: &wire::KnownSet| relay.items_newer_than(known, is_reading, accepts_deflated);
         let reply = ExchangeReply {
             newer: message.known.iter().filter_map(newer).collect(),
             leaving: relay_leaving::list_leaving(&self.shared),
@@ -301,8 +302,9 @@
         let is_same_epoch = message.notices_epoch == notices_epoch;
         let notices_after = if is_same_epoch { message.notices_after } else { 0 };
         let _follower_guard = relay.count_follower();
+        let (is_reading, accepts_deflated) = (message.is_reading_store, message.accepts_deflated);
         let newer =
-            |known: &wire::KnownSet| relay.items_newer_than(known, message.is_reading_store);
+            |known: &wire::KnownSet| relay.items_newer_than(known, is_reading, accepts_deflated);
         loop {
             let change = relay.change.next_change();
             let newer: Vec<_> = message.known.iter().filter_map(newer).collect();
--- a/crates/turmericrail/src/forward/peers/relay_exchange.rs
+++ b/crates/turmericrail/src/forward/peers/relay_exchange.rs
@@ -14,8 +14,9 @@
 
 use async_std::task;
 use tonic::{Request, Status};
-use turmericrail_core::forward::{ExchangePace, MemberFilter, MemberList, PublishedItem};
+use turmericrail_core::forward::{ExchangePace, MemberFilter, MemberList};
 use turmericrail_wire::relay::{self as wire, ExchangeReply, ExchangeRequest};
+use turmericrail_wire::relayed_item;
 
 use super::{loss_notices, relay, relay_leaving, relay_limits, relay_members, relay_speeds, usage};
 use crate::forward::shared::Shared;
@@ -105,6 +106,7 @@
         members_hash: own.identity_hash(),
         notices_hash: loss_notices::hash(shared),
         is_reading_store: shared.relay.is_reading_store(),
+        accepts_deflated: true,
         speeds: relay_speeds::list_speeds(shared),
         ..ExchangeRequest::default()
     }
@@ -143,12 +145,17 @@
 /// Applies the sets of which another instance knew a newer revision.
 pub fn apply_newer(shared: &Arc<Shared>, address: SocketAddr, newer: Vec<wire::ItemSet>) {
     for set in newer {
-        let to_item = |item: wire::Item| PublishedItem {
-            key: item.key,
-            revision: item.revision,
-            value: item.value,
+        let items: Result<Vec<_>, _> =
+            set.items.into_iter().map(relayed_item::decode_item).collect();
+        // Without all of its items the revision of the set isn't known.
+        let items = match items {
+            Ok(items) => items,
+            Err(error) => {
+                let error = error.to_string();
+                spdlog::warn!("event=relayed_set_unusable peer={address} error={error:?}");
+                continue;
+            }
         };
-        let items: Vec<_> = set.items.into_iter().map(to_item).collect();
         spdlog::info!(
             "event=relayed peer={address} prefix={} revision={} items={}",
             set.prefix,
--- a/crates/turmericrail/src/forward/store/store_follow.rs
+++ b/crates/turmericrail/src/forward/store/store_follow.rs
@@ -246,6 +246,7 @@
             notices_after,
             level: self.level,
             is_reading_store: self.shared.relay.is_reading_store(),
+            accepts_deflated: true,
         };
         Ok(client.follow(Request::new(request)).await?.into_inner())
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,3 +22,4 @@
 #[rustfmt::skip]
 #[path = "generated/turmericrail.relay.rs"]
 pub mod relay;
+pub mod relayed_item;
