Don't end callers' connections by the system's timeouts

Callers whose links held packets for some seconds saw kept connections closed with a request on them, or answers cut in the middle.

Cause: callers' connections had the timeouts that are meant for servers and the store, keep-alive probes each second and a TCP_USER_TIMEOUT of 2.5 s. The latter also decides when probes give up, and it takes a closed receive window for a dead caller. A full link or a caller that reads slowly was enough; the read error ended the connection in silence.

Callers' connections now only have TCP_NODELAY. What ends a dead caller's is explicit: the idle limit, the time limits of heads and bodies, and a new one on unread answers, the caller's time plus 5 s, after which the connection is reset and logged as answer_unread. Writes of refusals are bounded by 5 s, and once a connection is closed the system gives up its unread bytes after the same time as the answer.

held_requests, held_answer and slow_reader of caller_links failed before with read_failed or write_failed error=TimedOut after 2.8 to 3.0 s of silence, and pass now; unread_answer guards the new bound. The touched tests and nine neighbours pass, once each.

--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -9,6 +9,7 @@
 use async_std::task;
 use futures_lite::FutureExt;
 use futures_lite::future;
+use socket2::SockRef;
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{RequestLimits, Tenant};
 use turmericrail_core::request::RequestFingerprint;
@@ -17,7 +18,7 @@
 use turmericrail_wire::http1::{BodyDecoder, HeadError, RequestHead};
 
 use super::connection_end::ConnectionEnd;
-use crate::connection_close::drain_and_close;
+use crate::connection_close::{drain_and_close, reset_on_drop};
 use crate::forward::clock;
 use crate::forward::servers::server_connection::READ_SIZE_BYTES;
 use crate::forward::shared::Shared;
@@ -29,8 +30,11 @@
 /// Time for which a connection waits for a request after it was to be closed, since a request may be
 /// under way: a caller that finds its connection closed can't know whether its request has run.
 const LATE_REQUEST_TIME: Duration = Duration::from_millis(1_500);
-/// Time limit for a body if the request names no deadline.
-const DEFAULT_BODY_TIMEOUT_MS: Millis = Millis(10_000);
+/// Time for a body and its answer if the request names no deadline.
+const DEFAULT_ANSWER_TIME_MS: Millis = Millis(10_000);
+/// Time beyond the caller's deadline for which bytes written to it may stay unread. Its link may hold
+/// packets for seconds.
+const UNREAD_MARGIN_MS: Millis = Millis(5_000);
 const CONTINUE_ANSWER: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// A request that was read completely.
@@ -41,6 +45,8 @@
     pub body: Vec<u8>,
     /// Monotonic time at which the head was complete.
     pub arrived_ms: Millis,
+    /// Monotonic time until which the caller may leave the answer unread.
+    pub unread_until_ms: Millis,
 }
 
 impl Request {
@@ -73,17 +79,24 @@
     unfinished_bytes: u64,
     /// Whole requests that were read.
     request_count: u64,
+    /// Monotonic time of the accept, or at which the last head was complete.
+    arrived_ms: Millis,
+    /// Monotonic time until which the caller may leave answers unread.
+    unread_until_ms: Millis,
 }
 
 impl CallerConnection {
     /// Wraps a newly accepted connection.
     pub fn new(stream: TcpStream) -> Self {
+        let now_ms = clock::now_ms();
         Self {
             stream,
             buffer: Vec::new(),
-            last_read_ms: clock::now_ms(),
+            last_read_ms: now_ms,
             unfinished_bytes: 0,
             request_count: 0,
+            arrived_ms: now_ms,
+            unread_until_ms: now_ms + UNREAD_MARGIN_MS,
         }
     }
 
@@ -119,7 +132,10 @@
         {
             return Err(Unread::Ended(ConnectionEnd::WriteFailed(error.kind())));
         }
-        let timeout = body_timeout(shared, &head, &metadata);
+        let timeout_ms = answer_time_ms(shared, &head, &metadata);
+        self.arrived_ms = arrived_ms;
+        self.unread_until_ms = self.unread_until_ms.max(arrived_ms + timeout_ms + UNREAD_MARGIN_MS);
+        let timeout = Duration::from_millis(timeout_ms.0);
         let reading = self.read_body(&head, &limits).or(too_late(shared));
         let reading = async_std::future::timeout(timeout, reading);
         let body = match reading.await.unwrap_or_else(|_| timed_out()) {
@@ -130,7 +146,7 @@
         };
         self.request_count += 1;
         self.unfinished_bytes = self.buffer.len() as u64;
-        Ok(Request { head, metadata, body, arrived_ms })
+        Ok(Request { head, metadata, body, arrived_ms, unread_until_ms: self.unread_until_ms })
     }
 
     /// Waits for the first bytes of a request, or returns why none came.
@@ -203,12 +219,14 @@
     }
 
     pub async fn write(&self, bytes: &[u8]) -> io::Result<()> {
-        (&self.stream).write_all(bytes).await
+        let timeout = Duration::from_millis(UNREAD_MARGIN_MS.0);
+        async_std::io::timeout(timeout, (&self.stream).write_all(bytes)).await
     }
 
     /// Closes the connection without a reset: unread bytes would cause one before the caller has
     /// read the last answer.
     pub async fn close(self, shared: &Shared, end: ConnectionEnd) {
+        self.bound_unread_time();
         let drained_bytes = drain_and_close(&self.stream, MAX_CLOSE_READS).await;
         self.log_end(shared, end, self.buffer.len() as u64 + drained_bytes);
     }
@@ -216,9 +234,23 @@
     /// Drops the connection at once, so that the caller sees that its answer is incomplete: it lacks
     /// the last chunk.
     pub fn abort(self, shared: &Shared, end: ConnectionEnd) {
+        self.bound_unread_time();
+        if end == ConnectionEnd::AnswerUnread {
+            reset_on_drop(&self.stream);
+        }
         self.log_end(shared, end, self.buffer.len() as u64);
     }
 
+    /// Has the system give up what the caller doesn't read of the last answer, once the connection is
+    /// closed. It counts from the time at which these bytes were sent.
+    fn bound_unread_time(&self) {
+        let timeout_ms = self.unread_until_ms.saturating_sub(self.arrived_ms);
+        let timeout = Duration::from_millis(timeout_ms.0);
+        if let Err(error) = SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout)) {
+            spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
+        }
+    }
+
     fn log_end(&self, shared: &Shared, end: ConnectionEnd, discarded_bytes: u64) {
         let (reason, error) = (end.reason(), end.error());
         shared.metrics.connection_ends.with_label_values(&[reason, error.as_str()]).inc();
@@ -235,13 +267,13 @@
     }
 }
 
-/// Time limit for the body: the caller's deadline, and at most the time limit of its route.
-fn body_timeout(shared: &Shared, head: &RequestHead, metadata: &RequestMetadata) -> Duration {
+/// Longest time for the body and for the answer: the caller's deadline, and at most the time limit of
+/// its route.
+fn answer_time_ms(shared: &Shared, head: &RequestHead, metadata: &RequestMetadata) -> Millis {
     let forwarder = shared.forwarder();
     let route = forwarder.table().and_then(|table| table.find(&head.host, head.path()));
-    let limit_ms = route.map_or(DEFAULT_BODY_TIMEOUT_MS, |route| route.timeout_ms);
-    let requested_ms = metadata.deadline_ms.unwrap_or(DEFAULT_BODY_TIMEOUT_MS);
-    Duration::from_millis(requested_ms.min(limit_ms).0)
+    let limit_ms = route.map_or(DEFAULT_ANSWER_TIME_MS, |route| route.timeout_ms);
+    metadata.deadline_ms.unwrap_or(DEFAULT_ANSWER_TIME_MS).min(limit_ms)
 }
 
 /// Fails once the process is to end.
--- a/crates/turmericrail/src/forward/callers/caller_listener.rs
+++ b/crates/turmericrail/src/forward/callers/caller_listener.rs
@@ -12,7 +12,6 @@
 use crate::accept_loop::{self, AcceptLoop};
 use crate::connection_close;
 use crate::error::StartError;
-use crate::forward::servers::server_connection::TCP_TIMEOUTS;
 use crate::forward::shared::{CountGuard, Shared};
 
 /// Listens for callers until the returned loop is stopped.
@@ -29,7 +28,11 @@
 }
 
 async fn serve(shared: Arc<Shared>, stream: TcpStream, _count_guard: CountGuard) {
-    TCP_TIMEOUTS.apply(&stream);
+    // Without the system's timeouts: a caller that reads slowly, or whose link holds packets for
+    // seconds, is alive. The idle limit and those of heads, bodies and unread answers end the others.
+    if let Err(error) = stream.set_nodelay(true) {
+        spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
+    }
     let mut connection = CallerConnection::new(stream);
     let end = loop {
         let request = match connection.receive(&shared).await {
--- a/crates/turmericrail/src/forward/callers/caller_stream.rs
+++ b/crates/turmericrail/src/forward/callers/caller_stream.rs
@@ -2,15 +2,19 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::io::prelude::*;
 use async_std::net::TcpStream;
+use turmericrail_core::units::Millis;
 use turmericrail_wire::http1::{ResponseHead, write_chunk, write_last_chunk};
 
 use super::answer_writer;
 use super::caller_connection::Request;
 use super::connection_end::ConnectionEnd;
 use super::dispatch::ConnectionAction;
+use crate::forward::clock;
 use crate::forward::shared::Shared;
 
 /// Most bytes of a body that are written together with its head.
@@ -23,6 +27,7 @@
     is_http_10: bool,
     wants_keep_alive: bool,
     has_begun: AtomicBool,
+    unread_until_ms: Millis,
     write_failure: OnceLock<ConnectionEnd>,
 }
 
@@ -34,6 +39,7 @@
             is_http_10: request.head.is_http_10,
             wants_keep_alive: request.head.is_kept_alive,
             has_begun: AtomicBool::new(false),
+            unread_until_ms: request.unread_until_ms,
             write_failure: OnceLock::new(),
         }
     }
@@ -51,11 +57,16 @@
 
     async fn write(&self, bytes: &[u8]) -> bool {
         self.has_begun.store(true, Ordering::Relaxed);
-        let written = (&self.stream).write_all(bytes).await;
-        if let Err(error) = &written {
-            self.write_failure.get_or_init(|| ConnectionEnd::WriteFailed(error.kind()));
-        }
-        written.is_ok()
+        let left_ms = self.unread_until_ms.saturating_sub(clock::now_ms());
+        let mut stream = &self.stream;
+        let writing = stream.write_all(bytes);
+        let end = match timeout(Duration::from_millis(left_ms.0), writing).await {
+            Ok(Ok(())) => return true,
+            Ok(Err(error)) => ConnectionEnd::WriteFailed(error.kind()),
+            Err(_) => ConnectionEnd::AnswerUnread,
+        };
+        self.write_failure.get_or_init(|| end);
+        false
     }
 
     /// Gives up the connection, since a write failed or the answer can't be completed.
--- a/crates/turmericrail/src/forward/callers/connection_end.rs
+++ b/crates/turmericrail/src/forward/callers/connection_end.rs
@@ -22,6 +22,8 @@
     Answered,
     /// An answer that had begun could not be completed.
     AnswerBroken,
+    /// The caller didn't read its answer in time.
+    AnswerUnread,
 }
 
 impl ConnectionEnd {
@@ -39,6 +41,7 @@
             Self::Refused => "refused",
             Self::Answered => "answered",
             Self::AnswerBroken => "answer_broken",
+            Self::AnswerUnread => "answer_unread",
         }
     }
 
--- a/crates/turmericrail/src/forward/servers/server_connection.rs
+++ b/crates/turmericrail/src/forward/servers/server_connection.rs
@@ -21,9 +21,8 @@
 const MAX_READS_BETWEEN_YIELDS: u32 = 32;
 /// Longest wait for a connection: a few round trips, and short enough for a retry to be worthwhile.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Detects dead connections to servers, to the store and of callers after about three seconds of
-/// silence.
-pub const TCP_TIMEOUTS: TcpTimeouts = TcpTimeouts {
+/// Detects dead connections to servers and to the store after about three seconds of silence.
+const TCP_TIMEOUTS: TcpTimeouts = TcpTimeouts {
     keepalive_interval: Duration::from_secs(1),
     max_unanswered_probes: Some(2),
     user_timeout: Duration::from_millis(2_500),
--- a/crates/turmericrail/tests/caller_links.rs
+++ b/crates/turmericrail/tests/caller_links.rs
@@ -17,7 +17,11 @@
 const HELD_TIME: Duration = Duration::from_millis(3_400);
 /// Deadline of the callers, and timeout of the routes.
 const TIMEOUT_MS: u64 = 8_000;
+/// Time after which an answer to a caller that waits for one second is given up.
+const UNREAD_TIME: Duration = Duration::from_millis(8_000);
 const LARGE_ANSWER_BYTES: usize = 4 << 20;
+/// More than the system buffers for a connection.
+const HUGE_ANSWER_BYTES: usize = 7 << 20;
 
 /// Drops what arrives at a socket until it is detached: the other end sees no acknowledgement.
 fn hold_packets(stream: &TcpStream) {
@@ -40,8 +44,11 @@
     store.publish(&configuration);
     let instance = ForwardInstance::start_with_store(name, store);
     let server = RawServer::start(|head, _| {
-        let is_large = head.path().ends_with("large");
-        let body = if is_large { "x".repeat(LARGE_ANSWER_BYTES) } else { "done".to_owned() };
+        let body = match head.path().rsplit('/').next() {
+            Some("large") => "x".repeat(LARGE_ANSWER_BYTES),
+            Some("huge") => "x".repeat(HUGE_ANSWER_BYTES),
+            _ => "done".to_owned(),
+        };
         RawAnswer::Bytes(answer_with(head, &body))
     });
     let server = server.unwrap();
@@ -126,3 +133,18 @@
     thread::sleep(HELD_TIME);
     assert_answered(&mut stream, "r1", LARGE_ANSWER_BYTES, "slow reader");
 }
+
+#[test]
+fn unread_answer() {
+    // Guards against an answer that nobody reads, and that is held for long after its deadline.
+    let (instance, _server) = start("unread-answer");
+    let mut stream = connect(&instance);
+    SockRef::from(&stream).set_recv_buffer_size(16 << 10).unwrap();
+    let text = registered::request_text("order", "huge", "r1", 1_000);
+    stream.write_all(text.as_bytes()).unwrap();
+    let sent_at = Instant::now();
+    instance.wait_for_log("event=connection_ended reason=answer_unread ");
+    assert!(sent_at.elapsed() < UNREAD_TIME, "{:?}", sent_at.elapsed());
+    let reply = read_reply(&mut stream, &mut Vec::new());
+    assert!(reply.is_none_or(|reply| !reply.is_complete));
+}
