Skip late copies of answers to requests in calls of the router's own

Releases, reservations, reports and orders took the next answer on their connection, whatever request it named. The copy of a request's refusal was taken for the refusal of such a call, its notices were recorded once more, and the true answer was still to come on a connection that went back to the pool. Callers saw full engines or room that stayed reserved.

An answer that names a request which the connection has carried is now skipped, and the connection is not used again. Copies without an id can't be told apart in this way; copies of grants are told by their bodies, as before.

The new test own_calls failed before: the release of a reservation ended with status=503. It passes now.

--- a/crates/turmericrail/src/forward/servers/control_call.rs
+++ b/crates/turmericrail/src/forward/servers/control_call.rs
@@ -5,13 +5,15 @@
 
 use turmericrail_core::forward::ServerRun;
 use turmericrail_core::units::Millis;
-use turmericrail_platform::answer;
+use turmericrail_platform::answer::{self, AnswerMetadata};
+use turmericrail_wire::http1::ResponseHead;
 
 use super::call_key::CallKey;
 use super::connection_pool::ConnectionPool;
 use super::exchange;
 use super::server_connection::ServerConnection;
 use super::server_notices;
+use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::clock;
 use crate::forward::shared::Shared;
 
@@ -25,6 +27,8 @@
 
 /// Longest answer; these are a few hundred bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Most late copies of answers that are skipped.
+const MAX_SKIPPED_ANSWERS: usize = 4;
 
 /// Makes a call; returns status and body of the answer, or `None` if none came or the engine wants
 /// no calls at present.
@@ -81,10 +85,9 @@
     if connection.write(bytes).await.is_err() {
         return Exchanged::Failed;
     }
-    let Ok(head) = exchange::read_head(&mut connection, method).await else {
+    let Ok((head, metadata, has_skipped)) = read_own_head(&mut connection, method).await else {
         return Exchanged::Failed;
     };
-    let metadata = answer::parse(&head);
     server_notices::record(shared, engine, &metadata, sent_ms);
     // Engines that state no speed are predicted from the answers to callers' requests alone.
     let uses_speeds = shared.settings().uses_stated_speeds;
@@ -104,9 +107,28 @@
         connection.carried_calls.push(grant);
         connection.last_grant_ms = Some(clock::now_ms());
     }
-    if head.is_kept_alive && connection.buffer.is_empty() {
+    if head.is_kept_alive && connection.buffer.is_empty() && !has_skipped {
         connection.keep_alive_ms = exchange::keep_alive_ms(&head);
         shared.pool.put(address, connection);
     }
     Exchanged::Answered(head.status, body)
 }
+
+/// Reads the head of the next answer that names no request which the connection has carried, and
+/// returns whether others preceded it. These calls have no request id, so that an answer with the id
+/// of an earlier request is a late copy.
+async fn read_own_head(
+    connection: &mut ServerConnection,
+    method: &str,
+) -> Result<(ResponseHead, AnswerMetadata, bool), CallFailure> {
+    for skipped_answers in 0..=MAX_SKIPPED_ANSWERS {
+        let head = exchange::read_head(connection, method).await?;
+        let metadata = answer::parse(&head);
+        let key = metadata.request_id.as_deref().map(CallKey::of_request);
+        if !key.is_some_and(|key| connection.carried_calls.contains(&key)) {
+            return Ok((head, metadata, skipped_answers > 0));
+        }
+        connection.skip_body(head.framing, MAX_BODY_BYTES).await?;
+    }
+    Err(CallFailure::Malformed)
+}
--- a/crates/turmericrail/tests/refusal_copies.rs
+++ b/crates/turmericrail/tests/refusal_copies.rs
@@ -3,12 +3,13 @@
 mod forward_support;
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use forward_support::{ForwardInstance, answer_with as answer, register_raw};
+use forward_support::{ForwardInstance, answer_with as answer, register_raw, wait_for};
+use serde_json::json;
 use turmericrail_fakes::registered::{self, FakeStore, RawAnswer, RawServer, Reply};
 use turmericrail_wire::http1::RequestHead;
 
@@ -136,3 +137,63 @@
     let reply = send(&instance, "/order/x/refused", "r1");
     assert_eq!((reply.status(), arrivals.load(Ordering::SeqCst)), (502, 1));
 }
+
+#[test]
+fn own_calls() {
+    // Guards against the copy of a run's refusal that passes for the answer to a call of the
+    // router's own, such as the release of a reservation.
+    let instance = ForwardInstance::start("refusal-reservation");
+    let (held, used): (Arc<Mutex<Vec<String>>>, Arc<Mutex<Vec<String>>>) = Default::default();
+    let (issued, is_refused) = (AtomicU64::new(0), Arc::new(AtomicBool::new(false)));
+    let (holding, using, refusing) =
+        (Arc::clone(&held), Arc::clone(&used), Arc::clone(&is_refused));
+    let decode = RawServer::start(move |head, _| {
+        if head.path() == "/hold-take" {
+            let hold = format!("h{}", issued.fetch_add(1, Ordering::SeqCst));
+            holding.lock().unwrap().push(hold.clone());
+            return RawAnswer::Bytes(answer(head, &json!({"hold": hold}).to_string()));
+        }
+        if let Some(hold) = head.path().strip_prefix("/hold-drop/") {
+            using.lock().unwrap().push(hold.to_owned());
+            return RawAnswer::Bytes(answer(head, ""));
+        }
+        if head.path().ends_with("/refused") {
+            refusing.store(true, Ordering::SeqCst);
+            let own = refusal("503 Service Unavailable", own_id(head));
+            return RawAnswer::BytesThenBytes(own.clone(), COPY_DELAY, own);
+        }
+        let Some(hold) = head.headers.text("X-Kv-Hold") else {
+            return RawAnswer::Bytes(answer(head, ""));
+        };
+        using.lock().unwrap().push(hold.to_owned());
+        RawAnswer::Bytes(answer(head, "id: 1\ndata: x\n\n"))
+    });
+    let prefill = RawServer::start(|head, _| {
+        if head.path().ends_with("/refused") {
+            // Until the reservation no longer counts as recent at its connection.
+            thread::sleep(Duration::from_millis(1_200));
+        }
+        RawAnswer::Bytes(answer(head, r#"{"kvHandle":"kv1","tokens":100,"version":1}"#))
+    });
+    register_raw(&instance, "p1", Some("prefill"), &prefill.unwrap());
+    register_raw(&instance, "d1", Some("decode"), &decode.unwrap());
+    let send = |path: &str, id: &str| {
+        let text = registered::request_text("stream", path, id, 2_900);
+        instance.send(&text.replace("100,50", "5200,600")).unwrap().status()
+    };
+    thread::scope(|scope| {
+        let first = scope.spawn(|| send("x/refused", "r1"));
+        wait_for("the refusal", || is_refused.load(Ordering::SeqCst));
+        thread::sleep(REQUEST_GAP);
+        assert_eq!(send("y", "r2"), 200, "{}", instance.read_log());
+        assert_eq!(first.join().unwrap(), 503);
+    });
+    let is_settled = || used.lock().unwrap().len() >= held.lock().unwrap().len();
+    wait_for("the use or release of all holds", is_settled);
+    instance.wait_for_log("event=reservation_dropped ");
+    let log = instance.read_log();
+    let released = log.lines().filter(|line| line.contains("event=reservation_dropped "));
+    for line in released {
+        assert!(line.ends_with("status=200"), "{line}");
+    }
+}
