--- a/crates/turmericrail/tests/refusal_copies.rs
+++ b/crates/turmericrail/tests/refusal_copies.rs
@@ -22,6 +22,8 @@
 
 /// Number of runs by path.
 type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
+/// Ids of reservations.
+type Holds = Arc<Mutex<Vec<String>>>;
 
 fn refusal(status: &str, id: Option<&str>) -> Vec<u8> {
     let id_line = id.map(|id| format!("X-Request-Id: {id}\r\n")).unwrap_or_default();
@@ -143,7 +145,7 @@
     // Guards against the copy of a run's refusal that passes for the answer to a call of the
     // router's own, such as the release of a reservation.
     let instance = ForwardInstance::start("refusal-reservation");
-    let (held, used): (Arc<Mutex<Vec<String>>>, Arc<Mutex<Vec<String>>>) = Default::default();
+    let (held, used) = (Holds::default(), Holds::default());
     let (issued, is_refused) = (AtomicU64::new(0), Arc::new(AtomicBool::new(false)));
     let (holding, using, refusing) =
         (Arc::clone(&held), Arc::clone(&used), Arc::clone(&is_refused));
