Send no body with refusals of HEAD requests

A caller that asked with HEAD on a kept connection got the body of a refusal after its head, and read it as the start of its next answer. Refusals didn't look at the method, as answers of servers do; nor did those of requests refused while they were read.

Refusals of HEAD requests now end with their head, which names the length of the body that a GET would get. For a head that can't be read, the method is that with which it begins.

--- a/crates/turmericrail/src/forward/callers/answer_writer.rs
+++ b/crates/turmericrail/src/forward/callers/answer_writer.rs
@@ -8,11 +8,13 @@
 /// `Retry-After` if the refusal names none: about the time of one answer.
 const DEFAULT_RETRY_AFTER_MS: Millis = Millis(300);
 
-/// An error answer of the router itself.
+/// An error answer of the router itself. That to a HEAD request has no body, and names the length
+/// of the one that a GET would return.
 pub fn error_answer(
     kind: ErrorKind,
     retry_after_ms: Option<Millis>,
     request_id: Option<&str>,
+    is_head_call: bool,
     is_kept_alive: bool,
 ) -> Vec<u8> {
     let row = kind.answer();
@@ -28,7 +30,12 @@
         let wait_ms = retry_after_ms.unwrap_or(DEFAULT_RETRY_AFTER_MS);
         fields.push(Header::new("Retry-After", format!("{:.3}", wait_ms.0 as f64 / 1_000.0)));
     }
-    answer_bytes(row.status, reason_phrase(row.status), fields, body.as_bytes(), is_kept_alive)
+    let reason = reason_phrase(row.status);
+    let mut bytes = body_head(row.status, reason, fields, body.len(), is_kept_alive);
+    if !is_head_call {
+        bytes.extend_from_slice(body.as_bytes());
+    }
+    bytes
 }
 
 /// The head of a whole answer of a backend server, and how much of the body is to follow it.
@@ -60,18 +67,6 @@
     answer_head(head.status, &head.reason, fields, is_kept_alive)
 }
 
-fn answer_bytes(
-    status: u16,
-    reason: &str,
-    fields: Vec<Header>,
-    body: &[u8],
-    is_kept_alive: bool,
-) -> Vec<u8> {
-    let mut bytes = body_head(status, reason, fields, body.len(), is_kept_alive);
-    bytes.extend_from_slice(body);
-    bytes
-}
-
 /// The head of an answer whose body has this length.
 fn body_head(
     status: u16,
--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -59,7 +59,11 @@
 pub enum Received {
     Request(Box<Request>),
     /// A request that can't be served, with its id if that is known.
-    Refused(ErrorKind, Option<String>),
+    Refused {
+        kind: ErrorKind,
+        request_id: Option<String>,
+        is_head_call: bool,
+    },
     /// The connection ended or is to be closed, and no complete request was read.
     Closed,
 }
@@ -91,11 +95,14 @@
         let head_timeout = Duration::from_millis(limits.header_timeout_ms.0);
         let reading = self.read_head(&limits);
         let reading = reading.or(too_late(shared));
-        let (head, arrived_ms) = match async_std::future::timeout(head_timeout, reading).await {
-            Ok(Ok(Some(head))) => (head, clock::now_ms()),
-            Ok(Ok(None)) => return Received::Closed,
-            Ok(Err(kind)) => return Received::Refused(kind, None),
-            Err(_) => return Received::Refused(ErrorKind::ReceiveTimeout, None),
+        let read = async_std::future::timeout(head_timeout, reading).await;
+        let (head, arrived_ms) = match read.unwrap_or(Err(ErrorKind::ReceiveTimeout)) {
+            Ok(Some(head)) => (head, clock::now_ms()),
+            Ok(None) => return Received::Closed,
+            Err(kind) => {
+                let is_head_call = begins_head_call(&self.buffer);
+                return Received::Refused { kind, request_id: None, is_head_call };
+            }
         };
         let metadata = request::parse(&head.headers);
         let request_id = metadata.request_id.clone();
@@ -105,11 +112,14 @@
         let reading = self.read_body(&head, &limits);
         let reading = reading.or(too_late(shared));
         let timeout = body_timeout(shared, &head, &metadata);
-        let body = match async_std::future::timeout(timeout, reading).await {
-            Ok(Ok(Some(body))) => body,
-            Ok(Ok(None)) => return Received::Closed,
-            Ok(Err(kind)) => return Received::Refused(kind, request_id),
-            Err(_) => return Received::Refused(ErrorKind::ReceiveTimeout, request_id),
+        let read = async_std::future::timeout(timeout, reading).await;
+        let body = match read.unwrap_or(Err(ErrorKind::ReceiveTimeout)) {
+            Ok(Some(body)) => body,
+            Ok(None) => return Received::Closed,
+            Err(kind) => {
+                let is_head_call = head.method == "HEAD";
+                return Received::Refused { kind, request_id, is_head_call };
+            }
         };
         Received::Request(Box::new(Request { head, metadata, body, arrived_ms }))
     }
@@ -196,6 +206,11 @@
     }
 }
 
+/// Whether the bytes of an unread head are those of a HEAD request.
+fn begins_head_call(bytes: &[u8]) -> bool {
+    bytes.trim_ascii_start().starts_with(b"HEAD ")
+}
+
 /// Time limit for the body: the caller's deadline, and at most the time limit of its route.
 fn body_timeout(shared: &Shared, head: &RequestHead, metadata: &RequestMetadata) -> Duration {
     let forwarder = shared.forwarder();
--- a/crates/turmericrail/src/forward/callers/caller_listener.rs
+++ b/crates/turmericrail/src/forward/callers/caller_listener.rs
@@ -33,10 +33,11 @@
     loop {
         let request = match connection.receive(&shared).await {
             Received::Request(request) => request,
-            Received::Refused(kind, request_id) => {
+            Received::Refused { kind, request_id, is_head_call } => {
                 let request_id = request_id.as_deref();
                 dispatch::log_answer(&shared, request_id, kind.answer().text, 0);
-                let answer = answer_writer::error_answer(kind, None, request_id, false);
+                let answer =
+                    answer_writer::error_answer(kind, None, request_id, is_head_call, false);
                 let _ = connection.write(&answer).await;
                 break;
             }
--- a/crates/turmericrail/src/forward/callers/dispatch.rs
+++ b/crates/turmericrail/src/forward/callers/dispatch.rs
@@ -207,9 +207,13 @@
     if caller.has_begun() {
         return ConnectionAction::Abort;
     }
-    let is_kept = caller.is_kept_alive();
-    let bytes =
-        answer_writer::error_answer(refusal.kind, refusal.retry_after_ms, request_id, is_kept);
+    let bytes = answer_writer::error_answer(
+        refusal.kind,
+        refusal.retry_after_ms,
+        request_id,
+        request.head.method == "HEAD",
+        caller.is_kept_alive(),
+    );
     caller.finish(&bytes).await
 }
 
