--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -65,11 +65,18 @@
 /// Why no request was read.
 pub enum Unread {
     /// A request that can't be served, with its id if that is known.
-    Refused(ErrorKind, Option<String>),
+    Refused { kind: ErrorKind, request_id: Option<String>, is_head_call: bool },
     /// The connection ended or is to be closed, and no complete request was read.
     Ended(ConnectionEnd),
 }
 
+impl Unread {
+    /// A refusal before the id and the method of the request are known.
+    fn refused(kind: ErrorKind) -> Self {
+        Self::Refused { kind, request_id: None, is_head_call: false }
+    }
+}
+
 pub struct CallerConnection {
     pub stream: TcpStream,
     buffer: Vec<u8>,
@@ -124,7 +131,13 @@
         let head_timeout = Duration::from_millis(limits.header_timeout_ms.0);
         let reading = self.read_head(&limits).or(too_late(shared));
         let reading = async_std::future::timeout(head_timeout, reading);
-        let head = reading.await.unwrap_or_else(|_| timed_out())?;
+        let head = match reading.await.unwrap_or_else(|_| timed_out()) {
+            Err(Unread::Refused { kind, request_id, .. }) => {
+                let is_head_call = begins_head_call(&self.buffer);
+                return Err(Unread::Refused { kind, request_id, is_head_call });
+            }
+            head => head?,
+        };
         let arrived_ms = clock::now_ms();
         let metadata = request::parse(&head.headers);
         if head.expects_continue()
@@ -139,8 +152,13 @@
         let reading = self.read_body(&head, &limits).or(too_late(shared));
         let reading = async_std::future::timeout(timeout, reading);
         let body = match reading.await.unwrap_or_else(|_| timed_out()) {
-            Err(Unread::Refused(kind, _)) => {
-                return Err(Unread::Refused(kind, metadata.request_id));
+            Err(Unread::Refused { kind, .. }) => {
+                let is_head_call = head.method == "HEAD";
+                return Err(Unread::Refused {
+                    kind,
+                    request_id: metadata.request_id,
+                    is_head_call,
+                });
             }
             body => body?,
         };
@@ -167,7 +185,7 @@
     }
 
     async fn read_head(&mut self, limits: &RequestLimits) -> Result<RequestHead, Unread> {
-        let refused = |kind| Unread::Refused(kind, None);
+        let refused = Unread::refused;
         loop {
             let parsed = RequestHead::parse(&self.buffer).map_err(head_error).map_err(refused)?;
             let limit = limits.max_header_bytes.0 as usize;
@@ -190,7 +208,7 @@
         head: &RequestHead,
         limits: &RequestLimits,
     ) -> Result<Vec<u8>, Unread> {
-        let refused = |kind| Unread::Refused(kind, None);
+        let refused = Unread::refused;
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = Vec::new();
         loop {
@@ -267,6 +285,11 @@
     }
 }
 
+/// Whether the bytes of an unread head are those of a HEAD request.
+fn begins_head_call(bytes: &[u8]) -> bool {
+    bytes.trim_ascii_start().starts_with(b"HEAD ")
+}
+
 /// Longest time for the body and for the answer: the caller's deadline, and at most the time limit of
 /// its route.
 fn answer_time_ms(shared: &Shared, head: &RequestHead, metadata: &RequestMetadata) -> Millis {
@@ -283,7 +306,7 @@
 }
 
 fn timed_out<T>() -> Result<T, Unread> {
-    Err(Unread::Refused(ErrorKind::ReceiveTimeout, None))
+    Err(Unread::refused(ErrorKind::ReceiveTimeout))
 }
 
 fn head_error(error: HeadError) -> ErrorKind {
--- a/crates/turmericrail/src/forward/callers/caller_listener.rs
+++ b/crates/turmericrail/src/forward/callers/caller_listener.rs
@@ -37,10 +37,11 @@
     let end = loop {
         let request = match connection.receive(&shared).await {
             Ok(request) => request,
-            Err(Unread::Refused(kind, request_id)) => {
+            Err(Unread::Refused { kind, request_id, is_head_call }) => {
                 let request_id = request_id.as_deref();
                 dispatch::log_answer(&shared, request_id, kind.answer().text, 0);
-                let answer = answer_writer::error_answer(kind, None, request_id, false);
+                let answer =
+                    answer_writer::error_answer(kind, None, request_id, is_head_call, false);
                 break match connection.write(&answer).await {
                     Ok(()) => ConnectionEnd::Refused,
                     Err(error) => ConnectionEnd::WriteFailed(error.kind()),
