Requests are handed over while no server of their service is reached

Callers of an instance that lost its links to all backend servers were refused or waited until their deadline, while other instances served theirs. Each instance now finds out from its own connections whether a service is cut off, and offers requests to up to three other instances at a port of its own (handover_port). The one that takes a request serves it as it does a caller's; it declines where it reaches no server either, is behind in configuration or is shutting down. Unsafe requests go to another instance only while nothing of them was sent.

--- a/crates/core/src/forward/forwarder.rs
+++ b/crates/core/src/forward/forwarder.rs
@@ -10,6 +10,7 @@
     RetryWindow, RouteTable, SeenRuns, SendPermit, ServerEntry, ServerLoad, ServerRegistry,
     ServerRun, ServerUpdate, ServiceOverload, StreamVersions, VersionHistory,
 };
+use crate::forward::reach::{HandoverTargets, ServiceReach};
 use crate::forward::servers::reliability::Reliability;
 use crate::forward::servers::service_latency::ServiceLatency;
 use crate::ids::{DataCentreId, RouteId, ServiceId};
@@ -54,6 +55,8 @@
     pub(super) call_limits: CallLimits,
     quarantine: Quarantine,
     broken_calls: BrokenCalls,
+    pub(super) reaches: BTreeMap<ServiceId, ServiceReach>,
+    pub(super) handover_targets: HandoverTargets,
     pub(super) stream_versions: StreamVersions,
     pub(super) seen_runs: SeenRuns,
     pub(super) version_histories: BTreeMap<ServiceId, VersionHistory>,
@@ -89,6 +92,8 @@
             call_limits: CallLimits::default(),
             quarantine: Quarantine::default(),
             broken_calls: BrokenCalls::default(),
+            reaches: BTreeMap::new(),
+            handover_targets: HandoverTargets::default(),
             stream_versions: StreamVersions::default(),
             seen_runs: SeenRuns::default(),
             version_histories: BTreeMap::new(),
@@ -172,6 +177,7 @@
         self.registry.expire(now_ms);
         self.leaving_runs.expire(now_ms, &self.registry);
         self.call_limits.expire(now_ms, &self.registry);
+        self.expire_reaches(now_ms);
         let registry = &self.registry;
         self.loads.retain(|run, load| {
             let is_current = |entry: &ServerEntry| entry.started_ms == run.started_ms;
--- a/crates/core/src/forward/limits/call_sends.rs
+++ b/crates/core/src/forward/limits/call_sends.rs
@@ -24,6 +24,11 @@
         self.counted_sends > self.granted_retries
     }
 
+    /// Whether a server may have been sent something that counts.
+    pub fn has_sent(&self) -> bool {
+        self.counted_sends > 0
+    }
+
     /// Counts a send, which must be free or have a retry granted for it.
     pub(in crate::forward) fn record_send(&mut self) -> SendPermit {
         self.counted_sends += 1;
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -11,6 +11,7 @@
 mod losses;
 mod overload;
 mod peers;
+mod reach;
 mod roles;
 mod routes;
 mod selection;
@@ -36,6 +37,7 @@
     ExchangePace, FollowPlan, Member, MemberFilter, MemberList, Members, ToldMembers,
     TransferBudget, Watcher,
 };
+pub use reach::{DeclineReason, HandoverTargets, ReachChange, ServiceReach};
 pub use roles::{RoleLoad, order_right};
 pub use routes::{
     EngineLimits, RequestLimits, Route, RouteKind, RouteTable, Service, TableError, WeightedService,
--- a/crates/turmericrail/src/forward/callers/answer_writer.rs
+++ b/crates/turmericrail/src/forward/callers/answer_writer.rs
@@ -60,6 +60,19 @@
     answer_head(head.status, &head.reason, fields, is_kept_alive)
 }
 
+/// An answer without a body of its own, for another instance.
+pub fn bare_answer(
+    status: u16,
+    fields: &[(&str, &str)],
+    request_id: Option<&str>,
+    is_kept_alive: bool,
+) -> Vec<u8> {
+    let mut headers: Vec<_> =
+        fields.iter().map(|(name, value)| Header::new(*name, *value)).collect();
+    headers.extend(request_id.map(answer::request_id_header));
+    answer_bytes(status, reason_phrase(status), headers, b"", is_kept_alive)
+}
+
 fn answer_bytes(
     status: u16,
     reason: &str,
--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -18,6 +18,7 @@
 
 use crate::connection_close::drain_and_close;
 use crate::forward::clock;
+use crate::forward::handover::{Origin, taking};
 use crate::forward::servers::server_connection::READ_SIZE_BYTES;
 use crate::forward::shared::Shared;
 
@@ -40,6 +41,7 @@
     pub body: Vec<u8>,
     /// Monotonic time at which the head was complete.
     pub arrived_ms: Millis,
+    pub origin: Origin,
 }
 
 impl Request {
@@ -67,12 +69,18 @@
 pub struct CallerConnection {
     pub stream: TcpStream,
     buffer: Vec<u8>,
+    is_of_instance: bool,
 }
 
 impl CallerConnection {
     /// Wraps a newly accepted connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: Vec::new() }
+        Self { stream, buffer: Vec::new(), is_of_instance: false }
+    }
+
+    /// Wraps a newly accepted connection of another instance.
+    pub fn of_instance(stream: TcpStream) -> Self {
+        Self { is_of_instance: true, ..Self::new(stream) }
     }
 
     async fn fill(&mut self) -> io::Result<usize> {
@@ -84,19 +92,26 @@
 
     /// Waits for the next request and reads it.
     pub async fn receive(&mut self, shared: &Shared) -> Received {
-        let limits = shared.limits();
+        let limits = match self.is_of_instance {
+            true => taking::limits(shared.limits()),
+            false => shared.limits(),
+        };
         if self.buffer.is_empty() && !self.wait_for_bytes(shared, &limits).await {
             return Received::Closed;
         }
         let head_timeout = Duration::from_millis(limits.header_timeout_ms.0);
         let reading = self.read_head(&limits);
         let reading = reading.or(too_late(shared));
-        let (head, arrived_ms) = match async_std::future::timeout(head_timeout, reading).await {
+        let (mut head, arrived_ms) = match async_std::future::timeout(head_timeout, reading).await {
             Ok(Ok(Some(head))) => (head, clock::now_ms()),
             Ok(Ok(None)) => return Received::Closed,
             Ok(Err(kind)) => return Received::Refused(kind, None),
             Err(_) => return Received::Refused(ErrorKind::ReceiveTimeout, None),
         };
+        let origin = match self.is_of_instance {
+            true => taking::take_origin(&mut head.headers),
+            false => Origin::Caller,
+        };
         let metadata = request::parse(&head.headers);
         let request_id = metadata.request_id.clone();
         if head.expects_continue() && self.write(CONTINUE_ANSWER).await.is_err() {
@@ -111,7 +126,7 @@
             Ok(Err(kind)) => return Received::Refused(kind, request_id),
             Err(_) => return Received::Refused(ErrorKind::ReceiveTimeout, request_id),
         };
-        Received::Request(Box::new(Request { head, metadata, body, arrived_ms }))
+        Received::Request(Box::new(Request { head, metadata, body, arrived_ms, origin }))
     }
 
     /// Whether the first bytes of a request came before the connection ended, idled too long or was
--- a/crates/turmericrail/src/forward/callers/caller_listener.rs
+++ b/crates/turmericrail/src/forward/callers/caller_listener.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use async_std::task;
 
 use super::answer_writer;
@@ -23,13 +23,18 @@
     Ok(accept_loop::start(listener, move |stream| {
         // Counted here, so that the process doesn't end between the accept and the first read.
         let count_guard = shared.count_connection();
-        task::spawn(serve(Arc::clone(&shared), stream, count_guard));
+        let connection = CallerConnection::new(stream);
+        task::spawn(serve(Arc::clone(&shared), connection, count_guard));
     }))
 }
 
-async fn serve(shared: Arc<Shared>, stream: TcpStream, _count_guard: CountGuard) {
-    TCP_TIMEOUTS.apply(&stream);
-    let mut connection = CallerConnection::new(stream);
+/// Serves the requests of a connection in turn.
+pub async fn serve(
+    shared: Arc<Shared>,
+    mut connection: CallerConnection,
+    _count_guard: CountGuard,
+) {
+    TCP_TIMEOUTS.apply(&connection.stream);
     loop {
         let request = match connection.receive(&shared).await {
             Received::Request(request) => request,
--- a/crates/turmericrail/src/forward/callers/caller_stream.rs
+++ b/crates/turmericrail/src/forward/callers/caller_stream.rs
@@ -46,6 +46,11 @@
         self.wants_keep_alive && !self.is_http_10 && !self.shared.is_shutting_down()
     }
 
+    /// IP address at the other end; empty if the connection is gone.
+    pub fn peer_ip(&self) -> String {
+        self.stream.peer_addr().map(|address| address.ip().to_string()).unwrap_or_default()
+    }
+
     async fn write(&self, bytes: &[u8]) -> bool {
         self.has_begun.store(true, Ordering::Relaxed);
         (&self.stream).write_all(bytes).await.is_ok()
--- a/crates/turmericrail/src/forward/callers/dispatch.rs
+++ b/crates/turmericrail/src/forward/callers/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::forward::calls::model_call;
 use crate::forward::calls::plain_call;
 use crate::forward::clock;
+use crate::forward::handover::{self, taking};
 use crate::forward::peers::loss_notices;
 use crate::forward::peers::stream_versions;
 use crate::forward::peers::usage;
@@ -93,6 +94,9 @@
     request: &Request,
     caller: &CallerStream,
 ) -> Result<ConnectionAction, Refusal> {
+    if let Some(reason) = taking::find_reason(shared, request) {
+        return Ok(taking::decline(shared, request, caller, reason).await);
+    }
     if shared.is_refusing_requests() {
         return Err(ErrorKind::ShuttingDown.into());
     }
@@ -102,7 +106,6 @@
     let route = Arc::clone(route.ok_or(ErrorKind::UnknownRoute)?);
     let tenant = find_tenant(&table, &route, request)?;
     let service = route.pick_service(fastrand::u64(..)).ok_or(ErrorKind::NoServer)?;
-    shared.forwarder().record_call(clock::now_ms(), service);
     let mut context = CallContext {
         shared,
         request,
@@ -118,10 +121,19 @@
         sends: Mutex::default(),
         usage: UsageGrant::default(),
     };
+    if let Some(action) = handover::offer_on_arrival(&context, caller).await? {
+        return Ok(action);
+    }
+    taking::record_taken(shared, request, caller);
+    shared.forwarder().record_call(clock::now_ms(), service);
     context.is_trial = admit(&context)?;
     context.usage = usage::admit(&context).await?;
-    let refused_late = async { Err(context.usage.refused().await) };
-    serve_admitted(&context, caller).or(refused_late).await
+    let context = &context;
+    let serve = || {
+        let refused_late = async { Err(context.usage.refused().await) };
+        serve_admitted(context, caller).or(refused_late)
+    };
+    handover::serve_or_hand_over(context, caller, serve).await
 }
 
 /// Has a request served that was neither quarantined nor refused for its tenant's use.
--- a/crates/turmericrail/src/forward/calls/engine_selection.rs
+++ b/crates/turmericrail/src/forward/calls/engine_selection.rs
@@ -109,7 +109,10 @@
     let relative_size = forwarder.relative_size(context.service, model_call_size(context));
     // Only the deadline that the caller itself named: a change of the route's timeout must not look
     // like a caller's retry.
-    let is_likely_retry = context.request.metadata.deadline_ms.is_some_and(|caller_timeout_ms| {
+    // What another instance leaves of a deadline isn't the caller's own.
+    let stated_ms =
+        context.request.metadata.deadline_ms.filter(|_| context.request.origin.is_caller());
+    let is_likely_retry = stated_ms.is_some_and(|caller_timeout_ms| {
         forwarder.is_likely_retry(clock::now_ms(), &context.route.name, caller_timeout_ms)
     });
     (relative_size, is_likely_retry)
--- a/crates/turmericrail/src/forward/calls/reservation.rs
+++ b/crates/turmericrail/src/forward/calls/reservation.rs
@@ -143,7 +143,7 @@
 }
 
 /// Releases a reservation; returns the status of the answer, zero if none came.
-async fn release(shared: &Shared, choice: &ChosenServer, id: &str) -> u16 {
+async fn release(shared: &Arc<Shared>, choice: &ChosenServer, id: &str) -> u16 {
     let mut bytes = Vec::new();
     reservation::write_release(choice.address, &choice.run.server, id, &mut bytes);
     let answer = control_call::call(shared, &choice.run, choice.address, "DELETE", &bytes).await;
--- /dev/null
+++ b/crates/turmericrail/src/forward/handover/taking.rs
@@ -0,0 +1,91 @@
+//! Decides whether a request of another instance is taken over.
+
+use turmericrail_core::forward::{DeclineReason, RequestLimits};
+use turmericrail_core::ids::{ConfigVersion, ServiceId};
+use turmericrail_core::units::{Bytes, Millis};
+use turmericrail_wire::http1::Headers;
+
+use super::{CONFIG_HEADER, DECLINED_HEADER, DECLINED_STATUS, Origin};
+use crate::forward::callers::answer_writer;
+use crate::forward::callers::caller_connection::Request;
+use crate::forward::callers::caller_stream::CallerStream;
+use crate::forward::callers::dispatch::ConnectionAction;
+use crate::forward::clock;
+use crate::forward::shared::Shared;
+
+/// Bytes that the head of a request may have beyond the limit for callers, since an instance adds to it.
+const ADDED_HEAD_BYTES: u64 = 512;
+/// Least time for which a connection of another instance waits for the next request; longer than that
+/// one keeps it.
+const MIN_IDLE_MS: Millis = Millis(15_000);
+
+/// The limits on requests of other instances, by those on callers'.
+pub fn limits(limits: RequestLimits) -> RequestLimits {
+    RequestLimits {
+        max_header_bytes: Bytes(limits.max_header_bytes.0 + ADDED_HEAD_BYTES),
+        idle_timeout_ms: limits.idle_timeout_ms.max(MIN_IDLE_MS),
+        ..limits
+    }
+}
+
+/// Removes the field that another instance has added to a head, and returns what it says. A field of
+/// that name by the caller stays.
+pub fn take_origin(headers: &mut Headers) -> Origin {
+    let index = headers.0.iter().rposition(|field| field.has_name(CONFIG_HEADER));
+    let field = index.map(|index| headers.0.remove(index));
+    let text = field.and_then(|field| String::from_utf8(field.value).ok());
+    let config_version =
+        text.and_then(|text| text.parse().ok()).map_or_else(ConfigVersion::default, ConfigVersion);
+    Origin::Instance { config_version }
+}
+
+/// Why a request can't be taken over by this instance in its present state; `None` if it can, or is
+/// a caller's own.
+pub fn find_reason(shared: &Shared, request: &Request) -> Option<DeclineReason> {
+    let Origin::Instance { config_version } = request.origin else {
+        return None;
+    };
+    if shared.is_shutting_down() {
+        return Some(DeclineReason::ShuttingDown);
+    }
+    let own_version = shared.forwarder().table().map(|table| table.version());
+    match own_version {
+        None => Some(DeclineReason::NotReady),
+        Some(own_version) if own_version < config_version => Some(DeclineReason::ConfigBehind),
+        Some(_) => None,
+    }
+}
+
+/// Whether this instance reaches no server of the service of a request that another one sent.
+pub fn is_cut_off(shared: &Shared, request: &Request, service: &ServiceId) -> bool {
+    !request.origin.is_caller() && shared.forwarder().is_cut_off(clock::now_ms(), service)
+}
+
+/// Declines a request of another instance; nothing of it was sent.
+pub async fn decline(
+    shared: &Shared,
+    request: &Request,
+    caller: &CallerStream,
+    reason: DeclineReason,
+) -> ConnectionAction {
+    let request_id = request.metadata.request_id.as_deref();
+    spdlog::info!(
+        "event=handover_declined request={} reason={reason}",
+        request_id.unwrap_or("none")
+    );
+    shared.metrics.taken_over.with_label_values(&[reason.as_str()]).inc();
+    let fields = [(DECLINED_HEADER, reason.as_str())];
+    let bytes =
+        answer_writer::bare_answer(DECLINED_STATUS, &fields, request_id, caller.is_kept_alive());
+    caller.finish(&bytes).await
+}
+
+/// Records that a request is taken over, unless it is a caller's own.
+pub fn record_taken(shared: &Shared, request: &Request, caller: &CallerStream) {
+    if request.origin.is_caller() {
+        return;
+    }
+    shared.metrics.taken_over.with_label_values(&["taken"]).inc();
+    let request_id = request.metadata.request_id.as_deref().unwrap_or("none");
+    spdlog::info!("event=taken_over request={request_id} from={}", caller.peer_ip());
+}
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -11,6 +11,7 @@
 mod callers;
 mod calls;
 mod clock;
+mod handover;
 mod once_signal;
 mod operator_endpoints;
 mod peers;
@@ -62,6 +63,7 @@
     let stop_signal = SignalListener::register(&[SIGTERM, SIGINT])?;
     let reload_signal = SignalListener::register(&[SIGHUP])?;
     let listener = callers::caller_listener::listen(&shared).await?;
+    let handover_listener = handover::listener::listen(&shared).await?;
     operator_endpoints::listen(&shared).await?;
     peers::relay::listen(&shared).await?;
     store::store_sync::start(&shared);
@@ -80,7 +82,7 @@
         settings.caller_address,
         settings.store_address
     );
-    shutdown::run(&shared, stop_signal, listener).await;
+    shutdown::run(&shared, stop_signal, listener, handover_listener).await;
     spdlog::info!("event=ended instance={}", settings.instance);
     Ok(())
 }
--- a/crates/turmericrail/src/forward/operator_endpoints.rs
+++ b/crates/turmericrail/src/forward/operator_endpoints.rs
@@ -59,6 +59,8 @@
     metrics.quarantined_requests.set(requests as i64);
     metrics.quarantined_prompts.set((causes.len() - requests) as i64);
     usage::observe_levels(shared);
+    let cut_off = shared.forwarder().cut_off_services();
+    metrics.services_cut_off.set(cut_off as i64);
     metrics.store_lost.set(i64::from(shared.is_store_lost()));
     let body = metrics.render();
     Ok(Response::builder(200).content_type("text/plain; version=0.0.4").body(body).build())
--- a/crates/turmericrail/src/forward/servers/control_call.rs
+++ b/crates/turmericrail/src/forward/servers/control_call.rs
@@ -1,6 +1,7 @@
 //! Calls of the router's own to engines: reservations, releases, reports and role orders.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use turmericrail_core::forward::ServerRun;
@@ -13,6 +14,7 @@
 use super::server_connection::ServerConnection;
 use super::server_notices;
 use crate::forward::clock;
+use crate::forward::handover::reach_probes;
 use crate::forward::shared::Shared;
 
 /// Longest wait for the answer. Engines answer these calls at once, without queueing them.
@@ -29,7 +31,7 @@
 /// Makes a call; returns status and body of the answer, or `None` if none came or the engine wants
 /// no calls at present.
 pub async fn call(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     engine: &ServerRun,
     address: SocketAddr,
     method: &str,
@@ -53,13 +55,23 @@
                 Exchanged::Repeated => {}
             }
         }
-        let connection = ConnectionPool::open(address, None).await.ok()?;
+        let opened = ConnectionPool::open(address, None).await;
+        reach_probes::record_connect(shared, engine, opened.is_ok());
+        let connection = opened.ok()?;
         match exchange_on(shared, (engine, address), connection, method, bytes, sent_ms).await {
             Exchanged::Answered(status, body) => Some((status, body)),
             Exchanged::Failed | Exchanged::Repeated => None,
         }
     };
-    async_std::future::timeout(CALL_TIMEOUT, calling).await.ok().flatten()
+    let called = async_std::future::timeout(CALL_TIMEOUT, calling).await;
+    if called.is_err() {
+        reach_probes::probe_silent_engine(shared, engine, address);
+    }
+    let answered = called.ok().flatten();
+    if answered.is_some() {
+        reach_probes::record_engine_answer(shared, engine);
+    }
+    answered
 }
 
 /// What came of a call on one connection.
--- a/crates/turmericrail/src/forward/servers/exchange.rs
+++ b/crates/turmericrail/src/forward/servers/exchange.rs
@@ -35,6 +35,8 @@
     pub method: &'a str,
     /// The request id that the answer must carry.
     pub request_id: &'a str,
+    /// Called once a new connection is open.
+    pub on_opened: &'a (dyn Fn() + Send + Sync),
 }
 
 impl OutgoingCall<'_> {
@@ -69,7 +71,11 @@
             let pooled = if call.is_head() { None } else { pool.take(call.address, key).await };
             let connection = match pooled {
                 Some(connection) => connection,
-                None => ConnectionPool::open(call.address, key).await?,
+                None => {
+                    let connection = ConnectionPool::open(call.address, key).await?;
+                    (call.on_opened)();
+                    connection
+                }
             };
             is_connected.store(true, Ordering::Relaxed);
             send_and_read_head(connection, call).await
--- a/crates/turmericrail/src/forward/servers/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -1,5 +1,6 @@
 //! Serialises, sends and logs the calls of a request to backend servers.
 
+use futures_lite::{FutureExt, future};
 use turmericrail_core::forward::{CallEnd, ChosenServer, SendPermit, SoftwareVersion};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{self, CallTerms, ServerTask};
@@ -11,6 +12,7 @@
 use crate::forward::calls::call_context::CallContext;
 use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::clock;
+use crate::forward::handover::reach_probes;
 
 /// Priority of the least urgent calls that servers know.
 const MAX_PRIORITY: u8 = 9;
@@ -54,10 +56,16 @@
         bytes,
         method: &context.request.head.method,
         request_id: context.request_id,
+        on_opened: &|| reach_probes::record_connect(context.shared, &choice.run, true),
     };
     let sent = SentCall::new(context, choice);
     context.usage.record_send();
-    let started = Exchange::start(&context.shared.pool, &outgoing, timeout_ms).await;
+    let starting = Exchange::start(&context.shared.pool, &outgoing, timeout_ms);
+    let silence = async {
+        reach_probes::watch_silence(context.shared, choice).await;
+        future::pending().await
+    };
+    let started = starting.or(silence).await;
     let mut exchange = match started {
         Ok(exchange) => exchange,
         Err(failure) => {
@@ -66,6 +74,7 @@
         }
     };
     exchange.watch(sent);
+    reach_probes::record_answer(context.shared, &choice.service);
     if exchange.metadata.is_not_run {
         context.usage.record_not_run();
     }
@@ -94,6 +103,9 @@
             context.usage.record_not_run();
         }
     }
+    if matches!(failure, CallFailure::NotSent | CallFailure::ConnectionRefused) {
+        reach_probes::record_connect(context.shared, &choice.run, false);
+    }
     if failure == CallFailure::ConnectionRefused {
         server_ends::record_refused_connection(context.shared, &choice.run);
     }
--- a/crates/turmericrail/src/forward/servers/server_ends.rs
+++ b/crates/turmericrail/src/forward/servers/server_ends.rs
@@ -12,6 +12,7 @@
 use crate::forward::calls::call_context::CallContext;
 use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::clock;
+use crate::forward::handover::reach_probes;
 use crate::forward::peers::loss_notices;
 use crate::forward::shared::Shared;
 
@@ -77,7 +78,9 @@
     if !shared.forwarder().broken_calls().is_waiting(clock::now_ms(), run) {
         return;
     }
-    match ServerConnection::open(address).await {
+    let opened = ServerConnection::open(address).await;
+    reach_probes::record_connect(shared, run, opened.is_ok());
+    match opened {
         Ok(connection) => {
             shared.forwarder().broken_calls().record_alive(run);
             shared.pool.put(address, connection);
--- a/crates/turmericrail/src/forward/settings.rs
+++ b/crates/turmericrail/src/forward/settings.rs
@@ -40,6 +40,10 @@
     /// IP address and port at which other instances reach this one.
     #[serde_as(as = "IpAndPort")]
     pub peer_address: SocketAddr,
+    /// Port at which all instances take over requests of those that reach no server, at the IP address
+    /// of `peer_address`; absent if requests aren't handed over.
+    #[serde(default)]
+    pub handover_port: Option<u16>,
     /// Other instances to contact first, some of which may be outdated or down. Their ports are
     /// replaced by that of `peer_address`.
     #[serde_as(as = "Vec<IpAndPort>")]
@@ -104,6 +108,12 @@
         if self.max_answer_bytes < MIN_ANSWER_BYTES {
             return error("max_answer_bytes", "must be at least 1 MiB");
         }
+        let addresses =
+            [self.caller_address, self.ready_address, self.operator_address, self.peer_address];
+        let is_taken = |port| addresses.iter().any(|address| address.port() == port);
+        if self.handover_port.is_some_and(|port| port == 0 || is_taken(port)) {
+            return error("handover_port", "must be another port than those of the addresses");
+        }
         if self.grace_ms == Millis::ZERO {
             return error("grace_ms", "must be more than zero");
         }
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -10,6 +10,7 @@
 use turmericrail_core::units::{Bytes, Millis};
 
 use super::clock;
+use super::handover::HandoverState;
 use super::once_signal::OnceSignal;
 use super::peers::loss_notices::{self, LossNoticeState};
 use super::peers::relay::RelayState;
@@ -46,6 +47,7 @@
     pub loss_notices: LossNoticeState,
     pub stream_versions: StreamVersionState,
     pub usage: UsageState,
+    pub handover: HandoverState,
     settings: Mutex<Arc<ForwardSettings>>,
     forwarder: Mutex<Forwarder>,
     /// Prefixes whose items can't be read from the store at present.
@@ -79,6 +81,7 @@
             loss_notices: LossNoticeState::default(),
             stream_versions: StreamVersionState::default(),
             usage: UsageState::new(&settings),
+            handover: HandoverState::new(&settings),
             lost_prefixes: Mutex::new(BTreeSet::new()),
             forwarder: Mutex::new(forwarder),
             is_shutting_down: AtomicBool::new(false),
--- a/crates/turmericrail/src/forward/shutdown.rs
+++ b/crates/turmericrail/src/forward/shutdown.rs
@@ -31,7 +31,12 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Waits for the stop signal and shuts down.
-pub async fn run(shared: &Arc<Shared>, mut stop_signal: SignalListener, listener: AcceptLoop) {
+pub async fn run(
+    shared: &Arc<Shared>,
+    mut stop_signal: SignalListener,
+    listener: AcceptLoop,
+    handover_listener: Option<AcceptLoop>,
+) {
     stop_signal.wait().await;
     let signalled_ms = clock::now_ms();
     shared.begin_shutdown();
@@ -40,6 +45,9 @@
     shared.refuse_requests();
     task::sleep(Duration::from_millis(REFUSAL_PERIOD_MS.0)).await;
     listener.stop().await;
+    if let Some(listener) = handover_listener {
+        listener.stop().await;
+    }
     shared.idle_close.give();
     let end_ms = signalled_ms + shared.settings().grace_ms.saturating_sub(END_MARGIN_MS);
     wait_for_last_connection(shared, end_ms).await;
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -156,6 +156,12 @@
     pub usage_refused: IntCounterVec,
     /// Units that tenants may use at once, at their coordinators.
     pub usage_level: IntGaugeVec,
+    /// Services of which no server is reached.
+    pub services_cut_off: IntGauge,
+    /// Requests offered to other instances, by outcome.
+    pub handed_over: IntCounterVec,
+    /// Requests that other instances offered, by what came of the offer.
+    pub taken_over: IntCounterVec,
 }
 
 impl Default for ForwardMetrics {
@@ -235,6 +241,23 @@
                 "tenant",
             ),
             instances: gauge(&registry, "turmericrail_instances", "Instances that are known."),
+            services_cut_off: gauge(
+                &registry,
+                "turmericrail_services_cut_off",
+                "Services of which no server is reached.",
+            ),
+            handed_over: counter(
+                &registry,
+                "turmericrail_handed_over_total",
+                "Requests offered to other instances.",
+                "outcome",
+            ),
+            taken_over: counter(
+                &registry,
+                "turmericrail_taken_over_total",
+                "Requests that other instances offered.",
+                "outcome",
+            ),
             quarantined_prompts: gauge(
                 &registry,
                 "turmericrail_quarantined_prompts",
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -151,6 +151,23 @@
         Self::start_with_settings(name, store, store_address, &address, &settings)
     }
 
+    /// Starts an instance with an address that ends with a number, which hands requests over to
+    /// others at `ports.1`; the first of them is its seed.
+    pub fn start_handing_over(
+        name: &str,
+        number: u8,
+        store: FakeStore,
+        ports: (u16, u16),
+        extra_settings: &str,
+    ) -> Self {
+        let (peer_port, handover_port) = ports;
+        let settings = format!(
+            "handover_port: {handover_port}\nseeds: [\"127.0.0.1:{peer_port}\"]\n{extra_settings}"
+        );
+        let (address, peer_address) = (store.address(), format!("127.0.0.{number}:{peer_port}"));
+        Self::start_with_settings(name, store, address, &peer_address, &settings)
+    }
+
     /// `peer_address_text` is an address with a port; if it has no port, a free loopback address is
     /// used instead.
     fn start_with_settings(
