Model calls don't wait for room at servers that can't be reached

Where all servers refuse connections, model requests were refused after up to 1.34 s: calls that got no reservation waited for an engine to become free. They are refused at once while no server of the service is reached.

--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -264,6 +264,12 @@
         Refusal { kind: ErrorKind::NoServer, retry_after_ms }
     }
 
+    /// Fails if no server of the service is reached, so that waiting for room is in vain.
+    pub fn check_reach(&self) -> Result<(), Refusal> {
+        let is_cut_off = self.shared.forwarder().is_still_cut_off(self.service);
+        if is_cut_off { Err(self.no_server_refusal()) } else { Ok(()) }
+    }
+
     /// Records the duration of a step in the metrics.
     pub fn observe_step(&self, step: &str, elapsed_ms: Millis) {
         let steps = &self.shared.metrics.step_seconds;
--- a/crates/turmericrail/src/forward/calls/engine_selection.rs
+++ b/crates/turmericrail/src/forward/calls/engine_selection.rs
@@ -299,6 +299,7 @@
     is_late: bool,
     relative_size: f64,
 ) -> Result<(), Refusal> {
+    context.check_reach()?;
     let elapsed_ms = context.elapsed_ms();
     let caller_timeout_ms = context.caller_timeout_ms();
     let target_ms = context.route.target_ms;
--- a/crates/turmericrail/src/forward/calls/ranked_selection.rs
+++ b/crates/turmericrail/src/forward/calls/ranked_selection.rs
@@ -167,6 +167,7 @@
 
     /// Waits for the next round, or refuses the call if it can't be served before its deadline.
     async fn wait(&mut self, urgency: Urgency) -> Result<(), Refusal> {
+        self.context.check_reach()?;
         let mean_interval_ms = self.retry_interval_ms(urgency)?;
         let interval = Duration::from_millis(mean_interval_ms.0)
             .mul_f64((0.5 + fastrand::f64()) / self.relative_size);
--- a/crates/turmericrail/src/forward/handover/sender.rs
+++ b/crates/turmericrail/src/forward/handover/sender.rs
@@ -1,6 +1,7 @@
 //! Offers a request to other instances, one after the other.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::{DeclineReason, Member};
@@ -148,11 +149,13 @@
     async fn send(&self, address: SocketAddr) -> Offer {
         let context = self.context;
         let bytes = self.request_bytes();
+        let is_connected = AtomicBool::new(false);
         let call = OutgoingCall {
             address,
             bytes: &bytes,
             method: &context.request.head.method,
             request_id: context.request_id,
+            is_connected: &is_connected,
             on_opened: &|| {},
         };
         let pool = &context.shared.pool;
--- a/crates/turmericrail/src/forward/servers/exchange.rs
+++ b/crates/turmericrail/src/forward/servers/exchange.rs
@@ -35,6 +35,8 @@
     pub method: &'a str,
     /// The request id that the answer must carry.
     pub request_id: &'a str,
+    /// Set once there is a connection, on which the call may be written.
+    pub is_connected: &'a AtomicBool,
     /// Called once a new connection is open.
     pub on_opened: &'a (dyn Fn() + Send + Sync),
 }
@@ -65,7 +67,6 @@
         call: &OutgoingCall<'_>,
         remaining_ms: Millis,
     ) -> Result<Self, CallFailure> {
-        let is_connected = AtomicBool::new(false);
         let calling = async {
             let key = Some(CallKey::of_request(call.request_id));
             let pooled = if call.is_head() { None } else { pool.take(call.address, key).await };
@@ -77,12 +78,12 @@
                     connection
                 }
             };
-            is_connected.store(true, Ordering::Relaxed);
+            call.is_connected.store(true, Ordering::Relaxed);
             send_and_read_head(connection, call).await
         };
         match async_std::future::timeout(Duration::from_millis(remaining_ms.0), calling).await {
             Ok(result) => result,
-            Err(_) if is_connected.load(Ordering::Relaxed) => Err(CallFailure::Silent),
+            Err(_) if call.is_connected.load(Ordering::Relaxed) => Err(CallFailure::Silent),
             // A caller with little time left says nothing of the server.
             Err(_) => Err(CallFailure::NoTimeLeft),
         }
--- a/crates/turmericrail/src/forward/servers/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -1,5 +1,7 @@
 //! Serialises, sends and logs the calls of a request to backend servers.
 
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use futures_lite::{FutureExt, future};
 use turmericrail_core::forward::{CallEnd, ChosenServer, SendPermit, SoftwareVersion};
 use turmericrail_core::units::Millis;
@@ -51,15 +53,17 @@
         context.sends().record_not_sent();
         return Err(CallFailure::Withheld);
     }
+    context.usage.record_send();
+    let unsent = UnsentCall { context, is_connected: AtomicBool::new(false) };
     let outgoing = OutgoingCall {
         address: choice.address,
         bytes,
         method: &context.request.head.method,
         request_id: context.request_id,
+        is_connected: &unsent.is_connected,
         on_opened: &|| reach_probes::record_connect(context.shared, &choice.run, true),
     };
     let sent = SentCall::new(context, choice);
-    context.usage.record_send();
     let starting = Exchange::start(&context.shared.pool, &outgoing, timeout_ms);
     let silence = async {
         reach_probes::watch_silence(context.shared, choice).await;
@@ -83,6 +87,21 @@
     Ok(exchange)
 }
 
+/// Takes a call back if it ends, or is given up, before there is a connection for it.
+struct UnsentCall<'a> {
+    context: &'a CallContext<'a>,
+    is_connected: AtomicBool,
+}
+
+impl Drop for UnsentCall<'_> {
+    fn drop(&mut self) {
+        if !self.is_connected.load(Ordering::Relaxed) {
+            self.context.sends().record_not_sent();
+            self.context.usage.record_not_run();
+        }
+    }
+}
+
 /// Records the end of a call without the head of an answer.
 fn end_unanswered(
     context: &CallContext<'_>,
@@ -99,8 +118,6 @@
         | CallFailure::Withheld
         | CallFailure::NoTimeLeft => {
             sent.settle();
-            context.sends().record_not_sent();
-            context.usage.record_not_run();
         }
     }
     if matches!(failure, CallFailure::NotSent | CallFailure::ConnectionRefused) {
