Requests are offered to six instances, and to other data centres

A model of the fleet showed that a data centre that is cut off as a whole leaves most of its requests without a place (486 of 778 at 69 instances): all three offers went to its own members. With half of the instances cut off, one in ten had none (557 of 5,292 at 320).

Tests: service_reach (9, pass).

--- a/crates/core/src/forward/reach/handover_targets.rs
+++ b/crates/core/src/forward/reach/handover_targets.rs
@@ -9,7 +9,11 @@
 use crate::units::Millis;
 
 /// Instances to which one request is offered at most.
-const MAX_OFFERS: usize = 3;
+const MAX_OFFERS: usize = 6;
+/// Of these, to members of other data centres, and to those of the own one if it is doubtful.
+const MINOR_OFFERS: usize = 2;
+/// Members of the own data centre left out from which on others are asked first.
+const DOUBTFUL_MEMBERS: usize = 2;
 /// Time for which a member that wasn't reached is left out.
 const UNREACHED_TTL_MS: Millis = Millis(2_000);
 /// Time for which a member that reaches no server itself is left out for the service.
@@ -92,8 +96,9 @@
         self.members.insert(instance.clone(), now_ms + ttl_ms);
     }
 
-    /// The members to ask for a service, in this order: those of the own data centre first, each
-    /// group in random order.
+    /// The members to ask for a service, in random order: those of the own data centre and then some
+    /// of others, which may be all that is left if a data centre is cut off as a whole. Once members
+    /// of the own one have declined, others come first.
     pub fn candidates(
         &self,
         now_ms: Millis,
@@ -103,18 +108,26 @@
         random: u64,
     ) -> Vec<Member> {
         let (mut own, mut others) = (Vec::new(), Vec::new());
+        let (mut own_count, mut own_left_out) = (0, 0);
         for member in members {
-            if self.is_left_out(now_ms, &member.instance, service) {
+            let is_own = member.data_centre == *own_data_centre;
+            let is_left_out = self.is_left_out(now_ms, &member.instance, service);
+            own_count += usize::from(is_own);
+            own_left_out += usize::from(is_own && is_left_out);
+            if is_left_out {
                 continue;
             }
-            if member.data_centre == *own_data_centre {
+            if is_own {
                 own.push(member);
             } else {
                 others.push(member);
             }
         }
-        let mut candidates = shuffled(own, random);
-        candidates.extend(shuffled(others, random));
+        let is_own_doubtful = own_left_out >= DOUBTFUL_MEMBERS || own_left_out * 2 > own_count;
+        let (own, others) = (shuffled(own, random), shuffled(others, random));
+        let (mut candidates, second) = if is_own_doubtful { (others, own) } else { (own, others) };
+        candidates.truncate(MAX_OFFERS - second.len().min(MINOR_OFFERS));
+        candidates.extend(second);
         candidates.truncate(MAX_OFFERS);
         candidates
     }
