--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -20,6 +20,7 @@
 use super::connection_end::ConnectionEnd;
 use crate::connection_close::{drain_and_close, reset_on_drop};
 use crate::forward::clock;
+use crate::forward::handover::{Origin, taking};
 use crate::forward::servers::server_connection::READ_SIZE_BYTES;
 use crate::forward::shared::Shared;
 
@@ -47,6 +48,7 @@
     pub arrived_ms: Millis,
     /// Monotonic time until which the caller may leave the answer unread.
     pub unread_until_ms: Millis,
+    pub origin: Origin,
 }
 
 impl Request {
@@ -80,6 +82,7 @@
 pub struct CallerConnection {
     pub stream: TcpStream,
     buffer: Vec<u8>,
+    is_of_instance: bool,
     /// Monotonic time of the accept, or of the last bytes.
     last_read_ms: Millis,
     /// Bytes read after the last whole request.
@@ -99,6 +102,7 @@
         Self {
             stream,
             buffer: Vec::new(),
+            is_of_instance: false,
             last_read_ms: now_ms,
             unfinished_bytes: 0,
             request_count: 0,
@@ -107,6 +111,11 @@
         }
     }
 
+    /// Wraps a newly accepted connection of another instance.
+    pub fn of_instance(stream: TcpStream) -> Self {
+        Self { is_of_instance: true, ..Self::new(stream) }
+    }
+
     /// Reads more into the buffer, or returns why that isn't possible: `closed` where the caller has
     /// closed its side.
     async fn fill(&mut self, closed: ConnectionEnd) -> Result<(), ConnectionEnd> {
@@ -124,14 +133,17 @@
 
     /// Waits for the next request and reads it.
     pub async fn receive(&mut self, shared: &Shared) -> Result<Request, Unread> {
-        let limits = shared.limits();
+        let limits = match self.is_of_instance {
+            true => taking::limits(shared.limits()),
+            false => shared.limits(),
+        };
         if self.buffer.is_empty() {
             self.wait_for_bytes(shared, &limits).await.map_err(Unread::Ended)?;
         }
         let head_timeout = Duration::from_millis(limits.header_timeout_ms.0);
         let reading = self.read_head(&limits).or(too_late(shared));
         let reading = async_std::future::timeout(head_timeout, reading);
-        let head = match reading.await.unwrap_or_else(|_| timed_out()) {
+        let mut head = match reading.await.unwrap_or_else(|_| timed_out()) {
             Err(Unread::Refused { kind, request_id, .. }) => {
                 let is_head_call = begins_head_call(&self.buffer);
                 return Err(Unread::Refused { kind, request_id, is_head_call });
@@ -139,6 +151,10 @@
             head => head?,
         };
         let arrived_ms = clock::now_ms();
+        let origin = match self.is_of_instance {
+            true => taking::take_origin(&mut head.headers),
+            false => Origin::Caller,
+        };
         let metadata = request::parse(&head.headers);
         if head.expects_continue()
             && let Err(error) = self.write(CONTINUE_ANSWER).await
@@ -164,7 +180,8 @@
         };
         self.request_count += 1;
         self.unfinished_bytes = self.buffer.len() as u64;
-        Ok(Request { head, metadata, body, arrived_ms, unread_until_ms: self.unread_until_ms })
+        let unread_until_ms = self.unread_until_ms;
+        Ok(Request { head, metadata, body, arrived_ms, unread_until_ms, origin })
     }
 
     /// Waits for the first bytes of a request, or returns why none came.
--- a/crates/turmericrail/src/forward/callers/caller_listener.rs
+++ b/crates/turmericrail/src/forward/callers/caller_listener.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use async_std::task;
 
 use super::answer_writer;
@@ -23,17 +23,22 @@
     Ok(accept_loop::start(listener, move |stream| {
         // Counted here, so that the process doesn't end between the accept and the first read.
         let count_guard = shared.count_connection();
-        task::spawn(serve(Arc::clone(&shared), stream, count_guard));
+        let connection = CallerConnection::new(stream);
+        task::spawn(serve(Arc::clone(&shared), connection, count_guard));
     }))
 }
 
-async fn serve(shared: Arc<Shared>, stream: TcpStream, _count_guard: CountGuard) {
+/// Serves the requests of a connection in turn.
+pub async fn serve(
+    shared: Arc<Shared>,
+    mut connection: CallerConnection,
+    _count_guard: CountGuard,
+) {
     // Without the system's timeouts: a caller that reads slowly, or whose link holds packets for
     // seconds, is alive. The idle limit and those of heads, bodies and unread answers end the others.
-    if let Err(error) = stream.set_nodelay(true) {
+    if let Err(error) = connection.stream.set_nodelay(true) {
         spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
     }
-    let mut connection = CallerConnection::new(stream);
     let end = loop {
         let request = match connection.receive(&shared).await {
             Ok(request) => request,
--- a/crates/turmericrail/src/forward/calls/engine_selection.rs
+++ b/crates/turmericrail/src/forward/calls/engine_selection.rs
@@ -109,7 +109,10 @@
     let relative_size = forwarder.relative_size(context.service, model_call_size(context));
     // Only the deadline that the caller itself named: a change of the route's timeout must not look
     // like a caller's retry.
-    let is_likely_retry = context.request.metadata.deadline_ms.is_some_and(|caller_timeout_ms| {
+    // What another instance leaves of a deadline isn't the caller's own.
+    let stated_ms =
+        context.request.metadata.deadline_ms.filter(|_| context.request.origin.is_caller());
+    let is_likely_retry = stated_ms.is_some_and(|caller_timeout_ms| {
         forwarder.is_likely_retry(clock::now_ms(), &context.route.name, caller_timeout_ms)
     });
     (relative_size, is_likely_retry)
@@ -296,6 +299,7 @@
     is_late: bool,
     relative_size: f64,
 ) -> Result<(), Refusal> {
+    context.check_reach()?;
     let elapsed_ms = context.elapsed_ms();
     let caller_timeout_ms = context.caller_timeout_ms();
     let target_ms = context.route.target_ms;
--- a/crates/turmericrail/src/forward/servers/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -1,5 +1,8 @@
 //! Serialises, sends and logs the calls of a request to backend servers.
 
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use futures_lite::{FutureExt, future};
 use turmericrail_core::forward::{CallEnd, ChosenServer, SendPermit, SoftwareVersion};
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{self, CallTerms, ServerTask};
@@ -11,6 +14,7 @@
 use crate::forward::calls::call_context::CallContext;
 use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::clock;
+use crate::forward::handover::reach_probes;
 
 /// Priority of the least urgent calls that servers know.
 const MAX_PRIORITY: u8 = 9;
@@ -49,15 +53,23 @@
         context.sends().record_not_sent();
         return Err(CallFailure::Withheld);
     }
+    context.usage.record_send();
+    let unsent = UnsentCall { context, is_connected: AtomicBool::new(false) };
     let outgoing = OutgoingCall {
         address: choice.address,
         bytes,
         method: &context.request.head.method,
         request_id: context.request_id,
+        is_connected: &unsent.is_connected,
+        on_opened: &|| reach_probes::record_connect(context.shared, &choice.run, true),
     };
     let sent = SentCall::new(context, choice);
-    context.usage.record_send();
-    let started = Exchange::start(&context.shared.pool, &outgoing, timeout_ms).await;
+    let starting = Exchange::start(&context.shared.pool, &outgoing, timeout_ms);
+    let silence = async {
+        reach_probes::watch_silence(context.shared, choice).await;
+        future::pending().await
+    };
+    let started = starting.or(silence).await;
     let mut exchange = match started {
         Ok(exchange) => exchange,
         Err(failure) => {
@@ -66,6 +78,7 @@
         }
     };
     exchange.watch(sent);
+    reach_probes::record_answer(context.shared, &choice.service);
     if exchange.metadata.is_not_run {
         context.usage.record_not_run();
     }
@@ -74,6 +87,21 @@
     Ok(exchange)
 }
 
+/// Takes a call back if it ends, or is given up, before there is a connection for it.
+struct UnsentCall<'a> {
+    context: &'a CallContext<'a>,
+    is_connected: AtomicBool,
+}
+
+impl Drop for UnsentCall<'_> {
+    fn drop(&mut self) {
+        if !self.is_connected.load(Ordering::Relaxed) {
+            self.context.sends().record_not_sent();
+            self.context.usage.record_not_run();
+        }
+    }
+}
+
 /// Records the end of a call without the head of an answer.
 fn end_unanswered(
     context: &CallContext<'_>,
@@ -90,10 +118,11 @@
         | CallFailure::Withheld
         | CallFailure::NoTimeLeft => {
             sent.settle();
-            context.sends().record_not_sent();
-            context.usage.record_not_run();
         }
     }
+    if matches!(failure, CallFailure::NotSent | CallFailure::ConnectionRefused) {
+        reach_probes::record_connect(context.shared, &choice.run, false);
+    }
     if failure == CallFailure::ConnectionRefused {
         server_ends::record_refused_connection(context.shared, &choice.run);
     }
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -175,6 +175,16 @@
         Self::start_with_settings(name, store, store_address, addresses, &settings)
     }
 
+    /// Starts an instance with an address that ends with a number; the first of its group is its seed.
+    pub fn start_numbered(name: &str, number: u8, store: FakeStore, ports: (u16, u16)) -> Self {
+        let (peer_port, handover_port) = ports;
+        let settings = format!("seeds: [\"127.0.0.1:{peer_port}\"]\n");
+        let peer = SocketAddr::from(([127, 0, 0, number], peer_port));
+        let addresses = MemberAddresses { peer, handover_port };
+        let store_address = store.address();
+        Self::start_with_settings(name, store, store_address, addresses, &settings)
+    }
+
     fn start_with_settings(
         name: &str,
         store: FakeStore,
@@ -211,8 +221,8 @@
         let settings = format!(
             "{data_centre}instance: {name}\ncaller_address: {caller_address}\n\
              ready_address: {ready_address}\noperator_address: {operator_address}\n\
-             peer_address: {peer_address}\nstore_address: {}\ngrace_ms: 8s\nretry_ratio: 0.2\n\
-             retry_slack: {}\nretry_window_ms: {}\n{extra_settings}",
+             peer_address: {peer_address}\nhandover_port: {handover_port}\n\
+             store_address: {}\ngrace_ms: 8s\nretry_ratio: 0.2\nretry_slack: {}\nretry_window_ms: {}\n{extra_settings}",
             store_address, bounds.slack, bounds.window
         );
         std::fs::write(&settings_path, settings).unwrap();
