--- a/crates/turmericrail/tests/handover.rs
+++ b/crates/turmericrail/tests/handover.rs
@@ -5,12 +5,13 @@
 
 mod forward_support;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::time::Duration;
 
 use serde_json::{Value, json};
 use turmericrail_fakes::ports::free_address;
 use turmericrail_fakes::registered::{Behaviour, FakeStore, RegisteredServer};
+use turmericrail_wire::http1::ResponseHead;
 
 use forward_support::{ForwardInstance, configuration, read_reply, request_text, wait_for};
 
@@ -76,6 +77,17 @@
     Pair { cut_off, reaching, servers }
 }
 
+/// Starts one more instance that reaches the servers.
+fn add_reaching(pair: &Pair, name: &str) -> ForwardInstance {
+    let store = FakeStore::start().unwrap();
+    store.publish(&configuration(1));
+    pair.servers.iter().for_each(|server| server.register(&store, "ready"));
+    let ports = (pair.cut_off.peer_address.port(), pair.cut_off.handover_port);
+    let added = ForwardInstance::start_numbered(&format!("{name}-3"), 3, store, ports);
+    pair.cut_off.wait_for_log("event=members_changed count=3 ");
+    added
+}
+
 impl Pair {
     fn executed(&self, id: &str) -> usize {
         let calls = self.servers.iter().flat_map(RegisteredServer::executed_calls);
@@ -201,3 +213,98 @@
     std::thread::sleep(Duration::from_millis(300));
     assert_eq!(pair.executed("left"), 1);
 }
+
+// Guards against a body after the head of an answer to HEAD, and a length that isn't that of GET.
+#[test]
+fn head_calls() {
+    let pair = start_pair("head-calls");
+    let mut stream = pair.cut_off.connect();
+    for id in ["head-1", "head-2"] {
+        let text = format!(
+            "HEAD /read/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {id}\r\n\
+             X-Deadline-Ms: 2000\r\n\r\n"
+        );
+        stream.write_all(text.as_bytes()).unwrap();
+        let mut buffer = Vec::new();
+        while !buffer.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).unwrap();
+            buffer.push(byte[0]);
+        }
+        let (head, _) = ResponseHead::parse(&buffer, "HEAD").unwrap().unwrap();
+        assert_eq!(head.status, 200);
+        assert_eq!(head.headers.text("X-Request-Id"), Some(id));
+        assert_eq!(pair.executed(id), 1);
+    }
+}
+
+// Guards against refusals that lose what the taking instance says of them, and against a second hop.
+#[test]
+fn refused_elsewhere() {
+    let pair = start_pair("refused-elsewhere");
+    assert_eq!(pair.cut_off.send_request("read", "before").status(), 200);
+    pair.servers.iter().for_each(|server| server.set_behaviour(Behaviour::Refuse));
+    let reply = pair.cut_off.send_request("order", "refused");
+    assert_eq!(reply.status(), 503);
+    assert!(reply.head.headers.text("Retry-After").is_some());
+    assert_eq!(pair.executed("refused"), 0);
+    pair.cut_off.wait_for_log("event=handed_over request=refused ");
+    assert!(!pair.reaching.read_log().contains("event=handed_over "));
+}
+
+// Guards against calls that run twice, or are said not to have run, when the taking instance is lost.
+#[test]
+fn lost_taker() {
+    let mut pair = start_pair("lost-taker");
+    let other = add_reaching(&pair, "lost-taker");
+    assert_eq!(pair.cut_off.send_request("read", "before").status(), 200);
+    pair.servers.iter().for_each(|server| server.set_behaviour(Behaviour::NeverAnswer));
+    // Sent until one is taken by the instance that is killed.
+    let (mut stream, id) = (0..20)
+        .find_map(|index| {
+            let id = format!("order-{index}");
+            let mut stream = pair.cut_off.connect();
+            stream.write_all(request_text("order", &id).as_bytes()).unwrap();
+            wait_for("the call", || pair.executed(&id) == 1);
+            let taken = format!("event=taken_over request={id} ");
+            let is_taken_by = |instance: &ForwardInstance| instance.read_log().contains(&taken);
+            wait_for("the request", || is_taken_by(&pair.reaching) || is_taken_by(&other));
+            is_taken_by(&pair.reaching).then_some((stream, id))
+        })
+        .expect("the instance takes a request");
+    pair.reaching.kill();
+    let reply = read_reply(&mut stream, &mut Vec::new()).unwrap();
+    assert!([502, 504].contains(&reply.status()), "{}", reply.status());
+    assert_eq!(pair.executed(&id), 1);
+}
+
+// Guards against streams that are cut although they may be resumed, when the taking instance is lost.
+#[test]
+fn resumed_streams() {
+    let mut pair = start_pair("resumed-streams");
+    let other = add_reaching(&pair, "resumed-streams");
+    let whole = pair.cut_off.send_request("resumable", "whole");
+    assert!(whole.is_complete);
+    pair.servers.iter().for_each(|server| server.set_behaviour(Behaviour::Stall));
+    for index in 0..20 {
+        let id = format!("stream-{index}");
+        let mut stream = pair.cut_off.connect();
+        stream.write_all(request_text("resumable", &id).as_bytes()).unwrap();
+        wait_for("the call", || pair.executed(&id) == 1);
+        std::thread::sleep(Duration::from_millis(250));
+        let is_taken =
+            pair.reaching.read_log().contains(&format!("event=taken_over request={id} "));
+        if is_taken {
+            pair.reaching.kill();
+        }
+        let reply = read_reply(&mut stream, &mut Vec::new()).unwrap();
+        assert_eq!(reply.status(), 200);
+        assert!(reply.is_complete, "{}", pair.cut_off.read_log());
+        assert_eq!(reply.body, whole.body);
+        if is_taken {
+            other.wait_for_log(&format!("event=taken_over request={id} "));
+            return;
+        }
+    }
+    panic!("the instance that is to be killed took no stream");
+}
