A service isn't cut off while some of its servers are reached

Where a part of a service's servers is down, connections to the sound ones open after a millisecond, and those to the others fail 200 ms later.

A failure counts only if no server was reached while the attempt went on, and six servers must fail (all, where there are fewer): the first and the five that are probed after it. Where a service has one or two, each must fail twice, 300 ms apart, as one lost packet looks the same.

--- a/crates/core/src/forward/reach/forwarder_reach.rs
+++ b/crates/core/src/forward/reach/forwarder_reach.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::service_reach::{CUT_OFF_SERVERS, FEW_SERVERS};
 use super::shuffled::shuffled;
 use super::{HandoverTargets, ReachChange};
 use crate::forward::{Forwarder, ServerRun, ServerState};
@@ -9,7 +10,7 @@
 use crate::units::Millis;
 
 /// Servers that are looked at besides the first unreached one.
-const CONFIRMING_PROBES: usize = 3;
+const CONFIRMING_PROBES: usize = CUT_OFF_SERVERS - 1;
 /// Servers that are probed at once while a service is cut off.
 const HEAL_PROBES: usize = 2;
 
@@ -69,7 +70,8 @@
         self.reaches.entry(service.clone()).or_default().plan_silence_probe(now_ms, run)
     }
 
-    /// Servers whose connections tell whether a doubtful service is cut off.
+    /// Servers whose connections tell whether a doubtful service is cut off. Those of a service with few
+    /// servers are to be looked at a second time.
     pub fn confirming_servers(
         &self,
         now_ms: Millis,
@@ -80,10 +82,17 @@
         let is_unreached =
             |run: &ServerRun| reach.is_some_and(|reach| reach.unreached().any(|it| it == run));
         let mut servers = self.ready_servers(now_ms, service);
-        servers.retain(|(run, _)| !is_unreached(run));
+        if servers.len() >= FEW_SERVERS {
+            servers.retain(|(run, _)| !is_unreached(run));
+        }
         pick(servers, CONFIRMING_PROBES, random)
     }
 
+    /// Whether a service has so few servers that each is looked at twice.
+    pub fn has_few_servers(&self, now_ms: Millis, service: &ServiceId) -> bool {
+        self.ready_servers(now_ms, service).len() < FEW_SERVERS
+    }
+
     /// Servers whose connections tell whether a service that is cut off is reached again.
     pub fn heal_servers(
         &self,
--- a/crates/core/src/forward/reach/service_reach.rs
+++ b/crates/core/src/forward/reach/service_reach.rs
@@ -1,7 +1,8 @@
 //! Whether connections to the servers of one service can be opened.
 //!
 //! Answers on connections that were open before don't count, since these may live on while new ones
-//! are refused.
+//! are refused. Where some servers of a service are down, connections to others open at the same
+//! time as those to the former fail; such failures say nothing of this instance's links.
 
 use std::collections::BTreeMap;
 
@@ -9,7 +10,14 @@
 use crate::units::Millis;
 
 /// Unreached servers from which on the service counts as cut off, unless it has fewer.
-const CUT_OFF_SERVERS: usize = 3;
+pub(super) const CUT_OFF_SERVERS: usize = 6;
+/// Servers of a service below which one failure of each isn't enough: a lost packet looks the same.
+pub(super) const FEW_SERVERS: usize = 3;
+/// Time between two failures of such a server that count.
+const REPEAT_MS: Millis = Millis(300);
+/// Longest time of an attempt to connect: one that fails within this time after a server was reached
+/// may have begun before that.
+const ATTEMPT_MS: Millis = Millis(250);
 /// Time after which an unreached server says nothing any more.
 const EVIDENCE_TTL_MS: Millis = Millis(4_000);
 /// Time without an answer from any server of the service after which a silent one is probed.
@@ -38,11 +46,18 @@
     },
 }
 
+/// The failed attempts to connect to one server.
+#[derive(Clone, Copy, Debug)]
+struct FailedAttempts {
+    first_ms: Millis,
+    last_ms: Millis,
+}
+
 /// The servers of a service that couldn't be reached since one was reached last.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceReach {
-    /// With the time of the last attempt.
-    unreached: BTreeMap<ServerRun, Millis>,
+    unreached: BTreeMap<ServerRun, FailedAttempts>,
+    last_reached_ms: Option<Millis>,
     cut_off_since_ms: Option<Millis>,
     last_answer_ms: Option<Millis>,
     last_wanted_ms: Millis,
@@ -53,6 +68,7 @@
     /// Records that a connection to a server was opened.
     pub fn record_reached(&mut self, now_ms: Millis) -> ReachChange {
         self.unreached.clear();
+        self.last_reached_ms = Some(now_ms);
         match self.cut_off_since_ms.take() {
             Some(since_ms) => {
                 ReachChange::ReachedAgain { after_ms: now_ms.saturating_sub(since_ms) }
@@ -70,13 +86,22 @@
         servers: usize,
     ) -> ReachChange {
         self.drop_old_evidence(now_ms);
+        if self.last_reached_ms.is_some_and(|at_ms| now_ms < at_ms + ATTEMPT_MS) {
+            return ReachChange::None;
+        }
         let is_first = self.unreached.is_empty();
-        self.unreached.insert(run.clone(), now_ms);
+        let attempts = self.unreached.entry(run.clone());
+        attempts
+            .and_modify(|attempts| attempts.last_ms = now_ms)
+            .or_insert(FailedAttempts { first_ms: now_ms, last_ms: now_ms });
         if self.cut_off_since_ms.is_some() {
             return ReachChange::None;
         }
         let unreached = self.unreached.len();
-        if unreached >= CUT_OFF_SERVERS.min(servers) {
+        let is_repeated =
+            |attempts: &FailedAttempts| attempts.last_ms >= attempts.first_ms + REPEAT_MS;
+        let is_sure = servers >= FEW_SERVERS || self.unreached.values().all(is_repeated);
+        if unreached >= CUT_OFF_SERVERS.min(servers) && is_sure {
             self.cut_off_since_ms = Some(now_ms);
             self.last_wanted_ms = now_ms;
             return ReachChange::CutOff { unreached };
@@ -130,6 +155,6 @@
     }
 
     fn drop_old_evidence(&mut self, now_ms: Millis) {
-        self.unreached.retain(|_, at_ms| now_ms < *at_ms + EVIDENCE_TTL_MS);
+        self.unreached.retain(|_, attempts| now_ms < attempts.last_ms + EVIDENCE_TTL_MS);
     }
 }
--- a/crates/turmericrail/src/forward/handover/reach_probes.rs
+++ b/crates/turmericrail/src/forward/handover/reach_probes.rs
@@ -15,6 +15,8 @@
 
 /// Time between probes while a service is cut off.
 const HEAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which the few servers of a doubtful service are probed again.
+const REPEAT_DELAY: Duration = Duration::from_millis(350);
 /// Shortest and longest time without an answer after which a server is probed, and between probes.
 const SILENCE_RANGE_MS: (Millis, Millis) = (Millis(300), Millis(1_500));
 /// Multiple of the expected time of an answer after which its server is probed.
@@ -101,12 +103,21 @@
     }
 }
 
+/// Probes servers of a doubtful service; after a while where it has few, as one failure may be a lost
+/// packet.
 fn confirm(shared: &Arc<Shared>, service: &ServiceId) {
-    let random = fastrand::u64(..);
-    let servers = shared.forwarder().confirming_servers(clock::now_ms(), service, random);
-    for (run, address) in servers {
-        spawn_probe(shared, run, address);
-    }
+    let has_few = shared.forwarder().has_few_servers(clock::now_ms(), service);
+    let (shared, service) = (Arc::clone(shared), service.clone());
+    task::spawn(async move {
+        if has_few {
+            task::sleep(REPEAT_DELAY).await;
+        }
+        let (now_ms, random) = (clock::now_ms(), fastrand::u64(..));
+        let servers = shared.forwarder().confirming_servers(now_ms, &service, random);
+        for (run, address) in servers {
+            spawn_probe(&shared, run, address);
+        }
+    });
 }
 
 fn probe_until_reached(shared: &Arc<Shared>, service: ServiceId) {
