A call in progress goes on until another instance has answered

One of which nothing was sent is offered alone, since an unsafe request must not be under way twice. After offers on arrival nothing is offered again. - The attempts that the route leaves go with the request (Handover-Attempts). - A refusal of another instance isn't passed on where an earlier call may have run. - An instance that is silent for 1.5 s, or for twice the target, is left for the next one by idempotent requests. A request's own deadline says nothing of a member.

--- a/crates/core/src/forward/limits/call_sends.rs
+++ b/crates/core/src/forward/limits/call_sends.rs
@@ -29,6 +29,11 @@
         self.counted_sends > 0
     }
 
+    /// Number of requests that servers may have been sent.
+    pub fn count(&self) -> u32 {
+        self.counted_sends
+    }
+
     /// Counts a send, which must be free or have a retry granted for it.
     pub(in crate::forward) fn record_send(&mut self) -> SendPermit {
         self.counted_sends += 1;
--- a/crates/turmericrail/src/forward/callers/dispatch.rs
+++ b/crates/turmericrail/src/forward/callers/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::forward::calls::model_call;
 use crate::forward::calls::plain_call;
 use crate::forward::clock;
-use crate::forward::handover::{self, taking};
+use crate::forward::handover::{self, Arrival, taking};
 use crate::forward::peers::loss_notices;
 use crate::forward::peers::stream_versions;
 use crate::forward::peers::usage;
@@ -104,7 +104,7 @@
     let table = shared.forwarder().table().cloned().ok_or(ErrorKind::NotReady)?;
     let request_id = request.metadata.request_id.as_deref().ok_or(ErrorKind::BadRequest)?;
     let route = table.find(&request.head.host, request.head.path());
-    let route = Arc::clone(route.ok_or(ErrorKind::UnknownRoute)?);
+    let route = taking::limit_attempts(request, route.ok_or(ErrorKind::UnknownRoute)?);
     let tenant = find_tenant(&table, &route, request)?;
     let service = route.pick_service(fastrand::u64(..)).ok_or(ErrorKind::NoServer)?;
     let mut context = CallContext {
@@ -122,9 +122,10 @@
         sends: Mutex::default(),
         usage: UsageGrant::default(),
     };
-    if let Some(action) = handover::offer_on_arrival(&context, caller).await? {
-        return Ok(action);
-    }
+    let was_offered = match handover::offer_on_arrival(&context, caller).await? {
+        Arrival::Answered(action) => return Ok(action),
+        Arrival::Direct { was_offered } => was_offered,
+    };
     taking::record_taken(shared, request, caller);
     shared.forwarder().record_call(clock::now_ms(), service);
     context.is_trial = admit(&context)?;
@@ -134,7 +135,7 @@
         let refused_late = async { Err(context.usage.refused().await) };
         serve_admitted(context, caller).or(refused_late)
     };
-    handover::serve_or_hand_over(context, caller, serve).await
+    handover::serve_or_hand_over(context, caller, was_offered, serve).await
 }
 
 /// Has a request served that was neither quarantined nor refused for its tenant's use.
--- a/crates/turmericrail/src/forward/calls/plain_call.rs
+++ b/crates/turmericrail/src/forward/calls/plain_call.rs
@@ -35,7 +35,7 @@
 const MIN_RETRY_AFTER_MS: Millis = Millis(200);
 
 /// Statuses that tell a caller that the call did not run.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+pub const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// How one attempt ended.
 enum AttemptEnd {
--- a/crates/turmericrail/src/forward/handover/hop_answer.rs
+++ b/crates/turmericrail/src/forward/handover/hop_answer.rs
@@ -35,8 +35,11 @@
     events: &mut EventSplitter,
 ) -> HopEnd {
     let (status, request_id) = (exchange.head.status, Some(context.request_id));
-    let is_stream = matches!(context.route.kind, RouteKind::Stream { .. })
-        || exchange.head.headers.text("content-type").is_some_and(|it| it.contains("event-stream"));
+    let is_stream =
+        matches!(context.route.kind, RouteKind::Stream { .. })
+            || exchange.head.headers.text("content-type").is_some_and(|content_type| {
+                content_type.to_ascii_lowercase().contains("event-stream")
+            });
     if is_stream && exchange.head.is_success() {
         return pass_events(context, caller, exchange, address, events).await;
     }
--- a/crates/turmericrail/src/forward/handover/mod.rs
+++ b/crates/turmericrail/src/forward/handover/mod.rs
@@ -16,10 +16,12 @@
 use super::settings::ForwardSettings;
 use super::store::change_signal::ChangeSignal;
 
-pub use serving::{offer_on_arrival, serve_or_hand_over};
+pub use serving::{Arrival, offer_on_arrival, serve_or_hand_over};
 
-/// Configuration version by which the sending instance chose; the last field of the head.
+/// Configuration version by which the sending instance chose; one of the last fields of the head.
 const CONFIG_HEADER: &str = "Handover-Config";
+/// Most servers that may still run the request, by the attempts of its route.
+const ATTEMPTS_HEADER: &str = "Handover-Attempts";
 /// Why a request isn't taken over.
 const DECLINED_HEADER: &str = "Handover-Declined";
 /// Status of an answer that declines a request.
@@ -32,6 +34,8 @@
     /// Another instance, which chose by this configuration version.
     Instance {
         config_version: ConfigVersion,
+        /// Most servers that may still run it.
+        max_attempts: u32,
     },
 }
 
--- a/crates/turmericrail/src/forward/handover/sender.rs
+++ b/crates/turmericrail/src/forward/handover/sender.rs
@@ -1,5 +1,6 @@
 //! Offers a request to other instances, one after the other.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 
@@ -10,29 +11,44 @@
 use turmericrail_wire::http1::{EventSplitter, Header};
 
 use super::hop_answer::{HopEnd, pass_on};
-use super::{CONFIG_HEADER, DECLINED_HEADER, DECLINED_STATUS};
+use super::{ATTEMPTS_HEADER, CONFIG_HEADER, DECLINED_HEADER, DECLINED_STATUS};
 use crate::forward::callers::caller_stream::CallerStream;
 use crate::forward::callers::dispatch::{ConnectionAction, Refusal};
 use crate::forward::calls::call_context::CallContext;
 use crate::forward::calls::call_failure::CallFailure;
+use crate::forward::calls::plain_call::NOT_RUN_STATUSES;
 use crate::forward::clock;
 use crate::forward::servers::exchange::{Exchange, OutgoingCall};
 
+/// Shortest wait for the answer of an instance before an idempotent request goes to another one; as
+/// much as a sound server may be silent.
+const MIN_ANSWER_WAIT_MS: Millis = Millis(1_500);
+/// Multiple of the route's target for the same.
+const ANSWER_WAIT_FACTOR: u64 = 2;
+
 /// What came of one offer.
 enum Offer {
     /// The answer has begun.
     Taken(Box<Exchange>),
     Declined(DeclineReason),
     /// Nothing was written.
-    Unreached,
+    Unreached(CallFailure),
     /// The request may have been taken.
     Lost(CallFailure),
 }
 
+/// The answer of an instance that has taken a request.
+pub struct Taken {
+    member: Member,
+    address: SocketAddr,
+    exchange: Box<Exchange>,
+}
+
 /// The offers of one request.
-struct Offers<'a> {
+pub struct Offers<'a> {
     context: &'a CallContext<'a>,
     caller: &'a CallerStream,
+    candidates: VecDeque<Member>,
     events: EventSplitter,
     began_ms: Millis,
     /// Calls that may have run, here and at other instances.
@@ -43,43 +59,6 @@
     count: u32,
 }
 
-/// Offers a request to other instances; `None` if none takes it and nothing was sent.
-pub async fn offer(
-    context: &CallContext<'_>,
-    caller: &CallerStream,
-) -> Result<Option<ConnectionAction>, Refusal> {
-    let mut offers = Offers {
-        context,
-        caller,
-        events: EventSplitter::default(),
-        began_ms: clock::now_ms(),
-        calls_sent: u32::from(context.sends().has_sent()),
-        is_written: false,
-        last_failure: CallFailure::NotSent,
-        count: 0,
-    };
-    for member in candidates(context) {
-        if let Some(action) = offers.offer_to(&member).await {
-            return Ok(Some(action));
-        }
-        let is_final = offers.is_written && !context.route.kind.is_repeatable();
-        if is_final || context.remaining_ms() == Millis::ZERO {
-            break;
-        }
-    }
-    if !offers.is_written {
-        offers.log("none", "declined");
-        return Ok(None);
-    }
-    offers.log("none", "unknown");
-    let kind = match offers.last_failure {
-        _ if caller.has_begun() => ErrorKind::StreamBroken,
-        CallFailure::Silent => ErrorKind::PlainTimeout,
-        _ => ErrorKind::ServerLost,
-    };
-    Err(kind.into())
-}
-
 fn candidates(context: &CallContext<'_>) -> Vec<Member> {
     let shared = context.shared;
     let (now_ms, random) = (clock::now_ms(), fastrand::u64(..));
@@ -89,56 +68,125 @@
     forwarder.handover_targets().candidates(now_ms, members, context.service, data_centre, random)
 }
 
-impl Offers<'_> {
-    /// Offers the request to one instance; `None` if another one may be asked.
-    async fn offer_to(&mut self, member: &Member) -> Option<ConnectionAction> {
-        let context = self.context;
-        let port = context.shared.handover.port?;
-        let address = SocketAddr::new(member.address.ip(), port);
-        let _permit = context.permit_run(self.calls_sent)?;
-        self.count += 1;
-        match self.send(address).await {
-            Offer::Taken(exchange) => {
-                self.is_written = true;
-                self.calls_sent += 1;
-                let is_repeatable = context.route.kind.is_repeatable();
-                let end = pass_on(context, self.caller, *exchange, address, &mut self.events).await;
-                let outcome = match &end {
-                    HopEnd::Complete(_) => "completed",
-                    HopEnd::Broken(_) if is_repeatable => "broken",
-                    HopEnd::Broken(_) => "cut",
-                };
-                self.log(member.instance.as_str(), outcome);
-                match end {
-                    HopEnd::Complete(action) => return Some(action),
-                    HopEnd::Broken(failure) => self.record_lost(member, failure),
-                }
+impl<'a> Offers<'a> {
+    pub fn new(context: &'a CallContext<'a>, caller: &'a CallerStream) -> Self {
+        Self {
+            context,
+            caller,
+            candidates: VecDeque::new(),
+            events: EventSplitter::default(),
+            began_ms: clock::now_ms(),
+            calls_sent: 0,
+            is_written: false,
+            last_failure: CallFailure::NotSent,
+            count: 0,
+        }
+    }
+
+    /// Offers the request to one instance after the other and passes the answer on; `None` if none
+    /// takes it and nothing was sent.
+    pub async fn serve(mut self) -> Result<Option<ConnectionAction>, Refusal> {
+        if let Some(taken) = self.find_taker().await {
+            return self.pass_on(taken).await.map(Some);
+        }
+        if self.is_written { Err(self.refusal()) } else { Ok(None) }
+    }
+
+    /// Offers the request until an instance answers it; `None` if none does.
+    pub async fn find_taker(&mut self) -> Option<Taken> {
+        self.candidates = candidates(self.context).into();
+        self.calls_sent = self.context.sends().count();
+        let taken = self.find_next_taker().await;
+        if taken.is_none() {
+            self.log("none", if self.is_written { "unknown" } else { "declined" });
+        }
+        taken
+    }
+
+    async fn find_next_taker(&mut self) -> Option<Taken> {
+        while let Some(member) = self.candidates.pop_front() {
+            let is_final = self.is_written && !self.context.route.kind.is_repeatable();
+            if is_final || self.context.remaining_ms() == Millis::ZERO {
+                return None;
             }
-            Offer::Declined(reason) => {
-                context.sends().record_not_sent();
-                context.shared.forwarder().handover_targets().record_declined(
-                    clock::now_ms(),
-                    &member.instance,
-                    context.service,
-                    reason,
-                );
+            let port = self.context.shared.handover.port?;
+            let address = SocketAddr::new(member.address.ip(), port);
+            let _permit = self.context.permit_run(self.calls_sent)?;
+            self.count += 1;
+            match self.send(address).await {
+                Offer::Taken(exchange) => {
+                    self.is_written = true;
+                    self.calls_sent += 1;
+                    return Some(Taken { member, address, exchange });
+                }
+                Offer::Declined(reason) => self.record_declined(&member, reason),
+                Offer::Unreached(failure) => {
+                    self.context.sends().record_not_sent();
+                    // A caller with little time left says nothing of the member.
+                    if failure != CallFailure::NoTimeLeft {
+                        self.leave_out(&member);
+                    }
+                }
+                Offer::Lost(failure) => {
+                    self.is_written = true;
+                    self.calls_sent += 1;
+                    self.record_lost(&member, failure);
+                }
             }
-            Offer::Unreached => {
-                context.sends().record_not_sent();
-                self.leave_out(member);
+        }
+        None
+    }
+
+    /// Passes an answer on. A resumable stream that breaks goes on at another instance.
+    pub async fn pass_on(mut self, taken: Taken) -> Result<ConnectionAction, Refusal> {
+        let (context, caller) = (self.context, self.caller);
+        let mut next = Some(taken);
+        while let Some(Taken { member, address, exchange }) = next {
+            // What was sent before may have run.
+            if self.calls_sent > 1 && NOT_RUN_STATUSES.contains(&exchange.head.status) {
+                self.log(member.instance.as_str(), "refused");
+                return Err(self.refusal());
             }
-            Offer::Lost(failure) => {
-                self.is_written = true;
-                self.calls_sent += 1;
-                self.record_lost(member, failure);
+            let end = pass_on(context, caller, *exchange, address, &mut self.events).await;
+            let outcome = match &end {
+                HopEnd::Complete(_) => "completed",
+                HopEnd::Broken(_) if context.route.kind.is_repeatable() => "broken",
+                HopEnd::Broken(_) => "cut",
+            };
+            self.log(member.instance.as_str(), outcome);
+            match end {
+                HopEnd::Complete(action) => return Ok(action),
+                HopEnd::Broken(failure) => self.record_lost(&member, failure),
             }
+            next = self.find_next_taker().await;
         }
-        None
+        Err(self.refusal())
+    }
+
+    /// The refusal of a request that may have run.
+    fn refusal(&self) -> Refusal {
+        let kind = match self.last_failure {
+            _ if self.caller.has_begun() => ErrorKind::StreamBroken,
+            CallFailure::Silent => ErrorKind::PlainTimeout,
+            _ => ErrorKind::ServerLost,
+        };
+        kind.into()
+    }
+
+    fn record_declined(&self, member: &Member, reason: DeclineReason) {
+        let (context, now_ms) = (self.context, clock::now_ms());
+        context.sends().record_not_sent();
+        let mut forwarder = context.shared.forwarder();
+        let targets = forwarder.handover_targets();
+        targets.record_declined(now_ms, &member.instance, context.service, reason);
     }
 
     fn record_lost(&mut self, member: &Member, failure: CallFailure) {
         self.last_failure = failure;
-        self.leave_out(member);
+        // At its deadline a request says nothing of the member.
+        if failure != CallFailure::Silent || self.context.remaining_ms() > Millis::ZERO {
+            self.leave_out(member);
+        }
     }
 
     fn leave_out(&self, member: &Member) {
@@ -159,10 +207,10 @@
             on_opened: &|| {},
         };
         let pool = &context.shared.pool;
-        let exchange = match Exchange::start(pool, &call, context.remaining_ms()).await {
+        let exchange = match Exchange::start(pool, &call, self.answer_wait_ms()).await {
             Ok(exchange) => exchange,
             Err(failure) if failure.is_sent() => return Offer::Lost(failure),
-            Err(_) => return Offer::Unreached,
+            Err(failure) => return Offer::Unreached(failure),
         };
         let declined = exchange.head.headers.text(DECLINED_HEADER);
         let declined = declined.filter(|_| exchange.head.status == DECLINED_STATUS);
@@ -174,6 +222,17 @@
         Offer::Declined(reason.unwrap_or(DeclineReason::NotReady))
     }
 
+    /// Longest wait for an answer: up to the deadline, unless the request may go to another instance.
+    fn answer_wait_ms(&self) -> Millis {
+        let context = self.context;
+        let remaining_ms = context.remaining_ms();
+        if self.candidates.is_empty() || !context.route.kind.is_repeatable() {
+            return remaining_ms;
+        }
+        let wait_ms = Millis(context.route.target_ms.0 * ANSWER_WAIT_FACTOR);
+        remaining_ms.min(wait_ms.max(MIN_ANSWER_WAIT_MS))
+    }
+
     /// Head and body of the request for another instance.
     fn request_bytes(&self) -> Vec<u8> {
         let context = self.context;
@@ -182,17 +241,22 @@
         let position = self.events.last_id().map(|last_event_id| StreamPosition {
             last_event_id,
             resumed_attempt: match &metadata.last_event_id {
-                Some(_) => metadata.resumed_attempt.as_deref().unwrap_or_default(),
-                None => context.request_id,
+                Some(_) => metadata.resumed_attempt.as_deref(),
+                None => Some(context.request_id),
             },
         });
+        let attempts = context.route.max_attempts.saturating_sub(self.calls_sent).max(1);
+        let added = [
+            Header::new(CONFIG_HEADER, context.table.version().to_string()),
+            Header::new(ATTEMPTS_HEADER, attempts.to_string()),
+        ];
         let mut bytes = Vec::new();
         handover::write_head(
             &request.head,
             request.body.len(),
             context.remaining_ms(),
             position,
-            Header::new(CONFIG_HEADER, context.table.version().to_string()),
+            &added,
             &mut bytes,
         );
         bytes.extend_from_slice(&request.body);
--- a/crates/turmericrail/src/forward/handover/taking.rs
+++ b/crates/turmericrail/src/forward/handover/taking.rs
@@ -1,11 +1,13 @@
 //! Decides whether a request of another instance is taken over.
 
-use turmericrail_core::forward::{DeclineReason, RequestLimits};
+use std::sync::Arc;
+
+use turmericrail_core::forward::{DeclineReason, RequestLimits, Route};
 use turmericrail_core::ids::{ConfigVersion, ServiceId};
 use turmericrail_core::units::{Bytes, Millis};
 use turmericrail_wire::http1::Headers;
 
-use super::{CONFIG_HEADER, DECLINED_HEADER, DECLINED_STATUS, Origin};
+use super::{ATTEMPTS_HEADER, CONFIG_HEADER, DECLINED_HEADER, DECLINED_STATUS, Origin};
 use crate::forward::callers::answer_writer;
 use crate::forward::callers::caller_connection::Request;
 use crate::forward::callers::caller_stream::CallerStream;
@@ -28,21 +30,38 @@
     }
 }
 
-/// Removes the field that another instance has added to a head, and returns what it says. A field of
-/// that name by the caller stays.
+/// Removes the fields that another instance has added to a head, and returns what they say. Fields of
+/// these names by the caller stay.
 pub fn take_origin(headers: &mut Headers) -> Origin {
-    let index = headers.0.iter().rposition(|field| field.has_name(CONFIG_HEADER));
-    let field = index.map(|index| headers.0.remove(index));
-    let text = field.and_then(|field| String::from_utf8(field.value).ok());
-    let config_version =
-        text.and_then(|text| text.parse().ok()).map_or_else(ConfigVersion::default, ConfigVersion);
-    Origin::Instance { config_version }
+    let config_version = take_number(headers, CONFIG_HEADER).unwrap_or_default();
+    let max_attempts = take_number(headers, ATTEMPTS_HEADER);
+    let max_attempts = max_attempts.and_then(|count| u32::try_from(count).ok());
+    Origin::Instance {
+        config_version: ConfigVersion(config_version),
+        max_attempts: max_attempts.unwrap_or(u32::MAX),
+    }
+}
+
+/// Removes the last field of a name, and returns its value; `None` if it is no number.
+fn take_number(headers: &mut Headers, name: &str) -> Option<u64> {
+    let index = headers.0.iter().rposition(|field| field.has_name(name))?;
+    String::from_utf8(headers.0.remove(index).value).ok()?.parse().ok()
+}
+
+/// The route of a request, with the attempts that the sending instance left.
+pub fn limit_attempts(request: &Request, route: &Arc<Route>) -> Arc<Route> {
+    match request.origin {
+        Origin::Instance { max_attempts, .. } if max_attempts < route.max_attempts => {
+            Arc::new(Route { max_attempts, ..Route::clone(route) })
+        }
+        _ => Arc::clone(route),
+    }
 }
 
 /// Why a request can't be taken over by this instance in its present state; `None` if it can, or is
 /// a caller's own.
 pub fn find_reason(shared: &Shared, request: &Request) -> Option<DeclineReason> {
-    let Origin::Instance { config_version } = request.origin else {
+    let Origin::Instance { config_version, .. } = request.origin else {
         return None;
     };
     if shared.is_shutting_down() {
