A connection that wasn't opened while the process stood still says nothing of its server

On a machine with a load of 21, an instance that reaches its servers found them cut off for 5 ms and declined a request of another one: the timeouts of its connections had passed together while it didn't run. Such a connection counts neither as an unreached server nor against the server's health.

--- a/crates/turmericrail/src/forward/calls/call_failure.rs
+++ b/crates/turmericrail/src/forward/calls/call_failure.rs
@@ -12,7 +12,8 @@
     ConnectionRefused,
     /// The server takes no calls of this instance at present; nothing was written.
     Withheld,
-    /// The caller's deadline passed before there was a connection; nothing was written.
+    /// The caller's deadline passed before there was a connection, or this process stood still while it
+    /// was opened; nothing was written.
     NoTimeLeft,
     /// The call may have been written, but the connection broke before the end of the answer.
     Lost,
--- a/crates/turmericrail/src/forward/handover/reach_probes.rs
+++ b/crates/turmericrail/src/forward/handover/reach_probes.rs
@@ -9,6 +9,7 @@
 use turmericrail_core::ids::ServiceId;
 use turmericrail_core::units::Millis;
 
+use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::clock;
 use crate::forward::servers::server_connection::ServerConnection;
 use crate::forward::shared::Shared;
@@ -43,6 +44,19 @@
     }
 }
 
+/// Records what came of a connection to a server.
+pub fn record_opened(
+    shared: &Arc<Shared>,
+    run: &ServerRun,
+    opened: &Result<ServerConnection, CallFailure>,
+) {
+    match opened {
+        Ok(_) => record_connect(shared, run, true),
+        Err(CallFailure::NoTimeLeft) => {}
+        Err(_) => record_connect(shared, run, false),
+    }
+}
+
 /// Records that a server has answered.
 pub fn record_answer(shared: &Shared, service: &ServiceId) {
     if shared.handover.is_enabled() {
@@ -134,7 +148,7 @@
     let shared = Arc::clone(shared);
     task::spawn(async move {
         let opened = ServerConnection::open(address).await;
-        record_connect(&shared, &run, opened.is_ok());
+        record_opened(&shared, &run, &opened);
         if let Ok(connection) = opened {
             shared.pool.put(address, connection);
         }
--- a/crates/turmericrail/src/forward/servers/control_call.rs
+++ b/crates/turmericrail/src/forward/servers/control_call.rs
@@ -56,7 +56,7 @@
             }
         }
         let opened = ConnectionPool::open(address, None).await;
-        reach_probes::record_connect(shared, engine, opened.is_ok());
+        reach_probes::record_opened(shared, engine, &opened);
         let connection = opened.ok()?;
         match exchange_on(shared, (engine, address), connection, method, bytes, sent_ms).await {
             Exchanged::Answered(status, body) => Some((status, body)),
--- a/crates/turmericrail/src/forward/servers/server_connection.rs
+++ b/crates/turmericrail/src/forward/servers/server_connection.rs
@@ -21,6 +21,9 @@
 const MAX_READS_BETWEEN_YIELDS: u32 = 32;
 /// Longest wait for a connection: a few round trips, and short enough for a retry to be worthwhile.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time after which a connection wasn't given up in time: this process stood still, which says nothing
+/// of the server.
+const STALLED_CONNECT_MS: Millis = Millis(350);
 /// Detects dead connections to servers, to the store and of callers after about three seconds of
 /// silence.
 pub const TCP_TIMEOUTS: TcpTimeouts = TcpTimeouts {
@@ -62,12 +65,14 @@
 
 impl ServerConnection {
     pub async fn open(address: SocketAddr) -> Result<Self, CallFailure> {
+        let stalled_ms = clock::now_ms() + STALLED_CONNECT_MS;
         let connecting = async_std::future::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
                 return Err(CallFailure::ConnectionRefused);
             }
+            Err(_) if clock::now_ms() >= stalled_ms => return Err(CallFailure::NoTimeLeft),
             Ok(Err(_)) | Err(_) => return Err(CallFailure::NotSent),
         };
         TCP_TIMEOUTS.apply(&stream);
--- a/crates/turmericrail/src/forward/servers/server_ends.rs
+++ b/crates/turmericrail/src/forward/servers/server_ends.rs
@@ -79,7 +79,7 @@
         return;
     }
     let opened = ServerConnection::open(address).await;
-    reach_probes::record_connect(shared, run, opened.is_ok());
+    reach_probes::record_opened(shared, run, &opened);
     match opened {
         Ok(connection) => {
             shared.forwarder().broken_calls().record_alive(run);
