Don't end callers of the fleet's own edge by 10 s of silence

Callers of the fleet's own instances whose links held packets, or who read nothing, for 12 s lost their answer or had it cut.

The limit on unread answers, 15 s by default, only counted for tokens in a queue; an answer whose write waited had no other bound.

No probes any more. A write that waits for its caller longer than limits.stall_timeout_ms ends the connection with a reset and is logged as answer_unread. The system gives up bytes that nobody acknowledges 5 s after that limit: those of short answers, and streams to callers that vanished, fit its buffers and make no write wait. Read errors of callers' connections are logged; they ended them in silence.

--- a/crates/turmericrail/src/caller_edge/connection.rs
+++ b/crates/turmericrail/src/caller_edge/connection.rs
@@ -17,6 +17,7 @@
 use async_std::task;
 use futures_lite::FutureExt;
 use http_types::{Request, Response};
+use socket2::SockRef;
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::event::Event;
 use turmericrail_core::ids::RequestId;
@@ -24,22 +25,16 @@
 
 use super::guarded_stream::{GuardedStream, MAX_HEAD_BYTES};
 use super::{App, reply};
-use crate::connection_close::drain_and_close;
+use crate::connection_close::{drain_and_close, reset_on_drop};
 use crate::daemon::Shared;
-use crate::tcp_timeouts::TcpTimeouts;
 
 /// Time between two peeks for end of file.
 const PEEK_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for end of file in [`CallerConnection::is_closed_by_caller`].
 const PEEK_TIMEOUT: Duration = Duration::from_millis(5);
-/// Callers may be far away: a connection is closed only after several lost probes, or ten seconds
-/// without an acknowledgement.
-const TCP_TIMEOUTS: TcpTimeouts = TcpTimeouts {
-    keepalive_interval: Duration::from_secs(5),
-    max_unanswered_probes: None,
-    user_timeout: Duration::from_secs(10),
-};
-
+/// Time beyond the limit on unread answers after which the system gives up bytes that nobody
+/// acknowledges: those of short answers never make a write wait.
+const UNACKNOWLEDGED_MARGIN: Duration = Duration::from_millis(5_000);
 const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
 const MAX_CLOSE_READS: usize = 64;
 /// Connections beyond the limit that are sent a refusal at the same time.
@@ -55,6 +50,15 @@
     Malformed,
 }
 
+/// Why a connection is served no longer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum ServeEnd {
+    /// It was closed, or refused or answered for the last time.
+    Finished,
+    /// The caller read nothing of its answer for too long.
+    AnswerUnread,
+}
+
 /// A caller's connection and its requests in progress; clones share them.
 #[derive(Clone, Default)]
 pub struct CallerConnection {
@@ -110,7 +114,7 @@
 
 /// Starts a task that serves a connection until it closes, or refuses the connection.
 pub fn start(shared: &Arc<Shared>, app: &App, stream: TcpStream) {
-    TCP_TIMEOUTS.apply(&stream);
+    set_options(shared, &stream);
     let connections = &shared.metrics.connections;
     if connections.get() as u64 >= shared.settings.limits.max_connections {
         refuse_connection(shared, stream);
@@ -126,12 +130,35 @@
         let OpenConnection { shared, connection, stream } = &open;
         let close_watch =
             task::spawn(watch_for_close(Arc::clone(shared), connection.clone(), stream.clone()));
-        serve(shared, &app, connection, stream).await;
+        let unread_timeout = Duration::from_millis(shared.settings.limits.stall_timeout_ms.0);
+        let guarded_stream = GuardedStream::new(stream.clone());
+        let serving = serve(shared, &app, connection, &guarded_stream, stream);
+        let end = serving.or(time_out_answer(&guarded_stream, unread_timeout)).await;
         close_watch.cancel().await;
+        if end == ServeEnd::AnswerUnread {
+            spdlog::info!(
+                "event=connection_ended reason=answer_unread unread_ms={}",
+                unread_timeout.as_millis()
+            );
+            reset_on_drop(stream);
+            return;
+        }
         drain_and_close(stream, MAX_CLOSE_READS).await;
     });
 }
 
+/// Sets no other timeout of the system: a caller that reads slowly, or whose link holds packets for
+/// seconds, is alive.
+fn set_options(shared: &Shared, stream: &TcpStream) {
+    let unread_timeout = Duration::from_millis(shared.settings.limits.stall_timeout_ms.0);
+    let timeout = unread_timeout + UNACKNOWLEDGED_MARGIN;
+    let results =
+        [SockRef::from(stream).set_tcp_user_timeout(Some(timeout)), stream.set_nodelay(true)];
+    for error in results.into_iter().filter_map(Result::err) {
+        spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
+    }
+}
+
 /// Closes the connection and updates the metric when dropped, even if the task panics.
 struct OpenConnection {
     shared: Arc<Shared>,
@@ -148,8 +175,13 @@
     }
 }
 
-async fn serve(shared: &Shared, app: &App, connection: &CallerConnection, stream: &TcpStream) {
-    let guarded_stream = GuardedStream::new(stream.clone());
+async fn serve(
+    shared: &Shared,
+    app: &App,
+    connection: &CallerConnection,
+    guarded_stream: &GuardedStream,
+    stream: &TcpStream,
+) -> ServeEnd {
     let mut server =
         async_h1::server::Server::new(guarded_stream.clone(), |mut request: Request| {
             connection.record_first_request(shared);
@@ -167,17 +199,28 @@
     loop {
         guarded_stream.expect_head();
         let serving = async { server.accept_one().await.map_err(|_| HeadProblem::Malformed) };
-        let status = serving.or(time_out_head(&guarded_stream, timeout)).await;
+        let status = serving.or(time_out_head(guarded_stream, timeout)).await;
         match status {
             Ok(ConnectionStatus::KeepAlive) => {}
             Err(problem)
                 if guarded_stream.is_in_head() && guarded_stream.received_head_bytes() > 0 =>
             {
-                refuse_head(shared, stream, problem, &guarded_stream).await;
-                return;
+                refuse_head(shared, stream, problem, guarded_stream).await;
+                return ServeEnd::Finished;
             }
-            _ => return,
+            _ => return ServeEnd::Finished,
+        }
+    }
+}
+
+/// Returns once the caller has read nothing of an answer for `timeout`, and else never.
+async fn time_out_answer(guarded_stream: &GuardedStream, timeout: Duration) -> ServeEnd {
+    loop {
+        let left = timeout.saturating_sub(guarded_stream.unread_time());
+        if left.is_zero() {
+            return ServeEnd::AnswerUnread;
         }
+        task::sleep(left).await;
     }
 }
 
@@ -242,7 +285,12 @@
     let mut byte = [0];
     loop {
         match stream.peek(&mut byte).await {
-            Ok(0) | Err(_) => break,
+            Ok(0) => break,
+            Err(error) => {
+                let error = error.kind();
+                spdlog::info!("event=connection_ended reason=read_failed error={error:?}");
+                break;
+            }
             Ok(_) => task::sleep(PEEK_INTERVAL).await,
         }
     }
--- a/crates/turmericrail/src/caller_edge/guarded_stream.rs
+++ b/crates/turmericrail/src/caller_edge/guarded_stream.rs
@@ -18,6 +18,7 @@
 use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
 
 use async_std::io::{Error, ErrorKind, Read, Result as IoResult, Write};
 use async_std::net::TcpStream;
@@ -49,6 +50,8 @@
     problem: Mutex<Option<HeadError>>,
     /// Bytes read beyond the end of the head.
     read_ahead: Mutex<Vec<u8>>,
+    /// Time since which a write waits for the caller to read.
+    unread_since: Mutex<Option<Instant>>,
 }
 
 impl RequestState {
@@ -154,6 +157,11 @@
         self.request.phase.load(Ordering::SeqCst) == PHASE_HEAD
     }
 
+    /// Time for which a write has waited for the caller to read; zero if none waits.
+    pub fn unread_time(&self) -> Duration {
+        lock(&self.request.unread_since).map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
     /// Returns the error that the check of a whole head found.
     pub fn problem(&self) -> Option<HeadError> {
         *lock(&self.request.problem)
@@ -202,7 +210,14 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<IoResult<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
+        let mut unread_since = lock(&self.request.unread_since);
+        *unread_since = match written.is_pending() {
+            true => unread_since.or_else(|| Some(Instant::now())),
+            false => None,
+        };
+        drop(unread_since);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<IoResult<()>> {
