No order to an engine whose start leaves no room for a fencing number

An entry may state any start (`born`). The fencing number multiplies it: a debug build ended by overflow, and a release build would have sent a number that had wrapped around. Such an engine gets no orders now.

--- a/crates/core/src/forward/roles/order_right.rs
+++ b/crates/core/src/forward/roles/order_right.rs
@@ -12,6 +12,8 @@
 const MAX_ORDERS: u64 = 16;
 /// Values of the part of a fencing number that differs between instances.
 const INSTANCE_VALUES: u64 = 256;
+/// First number that may not survive being read as a float.
+const FENCING_NUMBER_END: u64 = 1 << 53;
 
 /// Position among the seeds of the instance that may give orders to a run of an engine; `None`
 /// without seeds.
@@ -21,7 +23,7 @@
 }
 
 /// The fencing number of the next order to a run that has accepted so many; `None` if there are no
-/// more. It depends on no clock but the engine's: it rises with each accepted order and each start
+/// more, or if the engine states a start that leaves no room for one. It depends on no clock but the engine's: it rises with each accepted order and each start
 /// of the engine, and stays below 2^53, so that it survives being read as a float.
 pub fn fencing_number(
     run: &ServerRun,
@@ -32,6 +34,7 @@
         return None;
     }
     let instance_value = stable_hash(instance.as_str()) % INSTANCE_VALUES;
-    let order = run.started_ms.0 * MAX_ORDERS + accepted_orders;
-    Some(FencingNumber(order * INSTANCE_VALUES + instance_value))
+    let order = run.started_ms.0.checked_mul(MAX_ORDERS)?.checked_add(accepted_orders)?;
+    let number = order.checked_mul(INSTANCE_VALUES)?.checked_add(instance_value)?;
+    (number < FENCING_NUMBER_END).then_some(FencingNumber(number))
 }
--- a/crates/core/tests/order_right.rs
+++ b/crates/core/tests/order_right.rs
@@ -36,6 +36,17 @@
     assert_eq!(order_right::fencing_number(&run_of(1, STARTED_MS), 16, &instance), None);
 }
 
+#[test]
+fn late_starts() {
+    // Guards against an engine that states a start in the far future, by which an instance would end
+    // or an order would carry a number that is too low.
+    let instance = "dkr-a-1".parse().unwrap();
+    for started_ms in [1 << 41, 1 << 52, 1 << 60, u64::MAX] {
+        let number = order_right::fencing_number(&run_of(1, started_ms), 0, &instance);
+        assert!(number.is_none_or(|number| number.0 < 1 << 53), "{started_ms}: {number:?}");
+    }
+}
+
 quickcheck! {
     fn one_orderer(server: u64, started_ms: u64, seed_count: u8) -> bool {
         // A paused, cut off or restarted instance gets the same answer as every other one.
