Don't read requests that cross the end of an idle connection

A request that reached a kept connection just after its idle limit, or after the end of a stop, was read, discarded and got no answer: its caller saw the connection closed in order, and couldn't know whether the request had run.

Cause: closing drained the connection for up to a second. That protects an answer that was just written; an idle connection has none. And bytes that had come while the task waited for its turn were not looked for.

The receive buffer is looked at once more when the wait is over, and what stands there is served. Then the connection is closed without a read; a request that comes later is answered by a reset.

Not covered: an answer with Connection: close is still followed by a drain, so that a reset can't destroy it.

--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -198,7 +198,13 @@
             Err(ConnectionEnd::Stopping)
         };
         let waiting = async_std::future::timeout(idle_timeout, reading.or(closing));
-        waiting.await.unwrap_or(Err(ConnectionEnd::IdleLimit))
+        let end = match waiting.await.unwrap_or(Err(ConnectionEnd::IdleLimit)) {
+            Err(end @ (ConnectionEnd::IdleLimit | ConnectionEnd::Stopping)) => end,
+            result => return result,
+        };
+        // A request may have come while this task waited for its turn.
+        let last_read = future::poll_once(self.fill(ConnectionEnd::ClosedIdle)).await;
+        last_read.unwrap_or(Err(end))
     }
 
     async fn read_head(&mut self, limits: &RequestLimits) -> Result<RequestHead, Unread> {
@@ -262,6 +268,12 @@
     /// read the last answer.
     pub async fn close(self, shared: &Shared, end: ConnectionEnd) {
         self.bound_unread_time();
+        // No answer is under way, and a request that crosses the close must not be read: a reset tells
+        // its caller that it was not.
+        if matches!(end, ConnectionEnd::IdleLimit | ConnectionEnd::Stopping) {
+            self.log_end(shared, end, self.buffer.len() as u64);
+            return;
+        }
         let drained_bytes = drain_and_close(&self.stream, MAX_CLOSE_READS).await;
         self.log_end(shared, end, self.buffer.len() as u64 + drained_bytes);
     }
