A raised idle limit holds for connections that wait already

A caller goes by the newest idle limit. Its connection was closed by the one at which its wait had begun, so that a request within the newest one met a closed connection.

connection_ends::raised_limit: no answer before, answered now.

--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -133,10 +133,7 @@
 
     /// Waits for the next request and reads it.
     pub async fn receive(&mut self, shared: &Shared) -> Result<Request, Unread> {
-        let limits = match self.is_of_instance {
-            true => taking::limits(shared.limits()),
-            false => shared.limits(),
-        };
+        let limits = self.limits(shared);
         if self.buffer.is_empty() {
             self.wait_for_bytes(shared, &limits).await.map_err(Unread::Ended)?;
         }
@@ -190,21 +187,46 @@
         shared: &Shared,
         limits: &RequestLimits,
     ) -> Result<(), ConnectionEnd> {
-        let idle_timeout = Duration::from_millis(limits.idle_timeout_ms.0);
+        let began_ms = clock::now_ms();
+        let mut limit_ms = limits.idle_timeout_ms;
+        let end = loop {
+            match self.wait_until(shared, began_ms + limit_ms).await {
+                Err(ConnectionEnd::IdleLimit) => {}
+                Err(ConnectionEnd::Stopping) => break ConnectionEnd::Stopping,
+                result => return result,
+            }
+            // Callers go by the newest limit, which may have been raised meanwhile.
+            let newest_ms = self.limits(shared).idle_timeout_ms;
+            if newest_ms <= limit_ms {
+                break ConnectionEnd::IdleLimit;
+            }
+            limit_ms = newest_ms;
+        };
+        // A request may have come while this task waited for its turn.
+        let last_read = future::poll_once(self.fill(ConnectionEnd::ClosedIdle)).await;
+        last_read.unwrap_or(Err(end))
+    }
+
+    /// Waits for bytes until a time, or until idle connections are to be closed.
+    async fn wait_until(&mut self, shared: &Shared, end_ms: Millis) -> Result<(), ConnectionEnd> {
+        let left_ms = end_ms.saturating_sub(clock::now_ms());
         let reading = self.fill(ConnectionEnd::ClosedIdle);
         let closing = async {
             shared.idle_close.wait().await;
             task::sleep(LATE_REQUEST_TIME).await;
             Err(ConnectionEnd::Stopping)
         };
-        let waiting = async_std::future::timeout(idle_timeout, reading.or(closing));
-        let end = match waiting.await.unwrap_or(Err(ConnectionEnd::IdleLimit)) {
-            Err(end @ (ConnectionEnd::IdleLimit | ConnectionEnd::Stopping)) => end,
-            result => return result,
-        };
-        // A request may have come while this task waited for its turn.
-        let last_read = future::poll_once(self.fill(ConnectionEnd::ClosedIdle)).await;
-        last_read.unwrap_or(Err(end))
+        let waiting = reading.or(closing);
+        let waited = async_std::future::timeout(Duration::from_millis(left_ms.0), waiting).await;
+        waited.unwrap_or(Err(ConnectionEnd::IdleLimit))
+    }
+
+    /// The limits in force for requests on this connection.
+    fn limits(&self, shared: &Shared) -> RequestLimits {
+        match self.is_of_instance {
+            true => taking::limits(shared.limits()),
+            false => shared.limits(),
+        }
     }
 
     async fn read_head(&mut self, limits: &RequestLimits) -> Result<RequestHead, Unread> {
--- a/crates/turmericrail/tests/connection_ends.rs
+++ b/crates/turmericrail/tests/connection_ends.rs
@@ -131,3 +131,19 @@
     let sent = send_across_end(&instance, STOP_TIME);
     assert_unread(&instance, &sent, "stopping");
 }
+
+#[test]
+fn raised_limit() {
+    // Guards against a connection that is closed by an earlier idle limit than its caller goes by.
+    let instance = start_limited("raised-limit", IDLE_LIMIT);
+    let _server = instance.start_plain_server("p1");
+    let mut stream = instance.connect();
+    let mut raised = configuration(2);
+    raised["limits"]["idleTimeoutMs"] = (5 * IDLE_LIMIT.as_millis() as u64).into();
+    instance.store.publish(&raised);
+    instance.wait_for_log("event=config version=2 ");
+    thread::sleep(3 * IDLE_LIMIT);
+    stream.write_all(request_text("read", "r1").as_bytes()).unwrap();
+    let reply = read_reply(&mut stream, &mut Vec::new());
+    assert_eq!(reply.map(|reply| reply.status()), Some(200), "{}", instance.read_log());
+}
