--- a/crates/turmericrail/tests/bounded_logs.rs
+++ b/crates/turmericrail/tests/bounded_logs.rs
@@ -46,6 +46,9 @@
         Some((key, _)) if key.ends_with("_address") && key != "store_address" => {
             format!("{key}: {}\n", turmericrail_fakes::ports::free_address().unwrap())
         }
+        Some((key @ "handover_port", _)) => {
+            format!("{key}: {}\n", turmericrail_fakes::ports::free_address().unwrap().port())
+        }
         _ => format!("{line}\n"),
     });
     let new_settings: String = new_settings.collect();
