--- a/crates/turmericrail/src/forward/handover/serving.rs
+++ b/crates/turmericrail/src/forward/handover/serving.rs
@@ -159,14 +159,16 @@
     }
     loop {
         let change = context.shared.handover.cut_off.next_change();
-        if context.shared.forwarder().is_still_cut_off(context.service) && may_move(context, caller)
-        {
-            break;
+        let is_cut_off = context.shared.forwarder().is_still_cut_off(context.service);
+        if !is_cut_off || !may_move(context, caller) {
+            let _ = change.recv().await;
+            continue;
         }
-        let _ = change.recv().await;
-    }
-    if context.sends().has_sent() {
-        let silent_ms = MIN_SILENCE_MS.saturating_sub(context.elapsed_ms());
-        task::sleep(Duration::from_millis(silent_ms.0)).await;
+        let min_silence_ms = if context.sends().has_sent() { MIN_SILENCE_MS } else { Millis::ZERO };
+        let left_ms = min_silence_ms.saturating_sub(context.elapsed_ms());
+        if left_ms == Millis::ZERO {
+            return;
+        }
+        task::sleep(Duration::from_millis(left_ms.0)).await;
     }
 }
