--- a/crates/turmericrail/examples/fault_soak/fault_run.rs
+++ b/crates/turmericrail/examples/fault_soak/fault_run.rs
@@ -113,8 +113,9 @@
         store.publish(&configuration(1, MAX_ATTEMPTS));
         let servers =
             SERVERS.iter().map(|(id, role)| ProxiedServer::start(&store, id, *role)).collect();
-        let peer_port = free_address().expect("loopback ports are free").port();
-        let start = |number| Instance::start(program, &folder, number, &store, peer_port);
+        let peer_ports: [u16; 2] =
+            std::array::from_fn(|_| free_address().expect("loopback ports are free").port());
+        let start = |number| Instance::start(program, &folder, number, &store, peer_ports);
         let instances = (0..instances).map(start).collect();
         Self { store, instances, servers, version: 1, folder }
     }
--- a/crates/turmericrail/examples/fault_soak/instance.rs
+++ b/crates/turmericrail/examples/fault_soak/instance.rs
@@ -30,14 +30,14 @@
 }
 
 impl Instance {
-    /// Starts an instance with its own proxy to the store. All instances use the same peer port,
-    /// each on its own loopback address.
+    /// Starts an instance with its own proxy to the store. All instances use the same ports for
+    /// each other, each on its own loopback address.
     pub fn start(
         program: &Path,
         folder: &Path,
         number: usize,
         store: &FakeStore,
-        peer_port: u16,
+        [peer_port, handover_port]: [u16; 2],
     ) -> Self {
         let proxy = async_std::task::block_on(FaultProxy::start(store.address()));
         let store_proxy = proxy.expect("loopback ports are free");
@@ -46,7 +46,7 @@
         let settings = format!(
             "instance: soak-{number}\ndata_centre: dc-a\ncaller_address: {caller_address}\n\
              ready_address: {}\noperator_address: {operator_address}\n\
-             peer_address: 127.0.1.{}:{peer_port}\n\
+             peer_address: 127.0.1.{}:{peer_port}\nhandover_port: {handover_port}\n\
              seeds: [\"127.0.1.1:{peer_port}\", \"127.0.1.2:{peer_port}\"]\nstore_address: {}\ngrace_ms: 8s\nretry_ratio: 0.2\nretry_slack: 56\n\
              retry_window_ms: 10s\n",
             address(),
