--- a/crates/turmericrail/tests/caller_links.rs
+++ b/crates/turmericrail/tests/caller_links.rs
@@ -135,7 +135,7 @@
 }
 
 #[test]
-fn unread_answer() {
+fn huge_unread_answer() {
     // Guards against an answer that nobody reads, and that is held for long after its deadline.
     let (instance, _server) = start("unread-answer");
     let mut stream = connect(&instance);
