One place logs socket options that are refused

Six places did; the connection to a server also reset itself by a copy of reset_on_drop. The number of keep-alive probes is no longer optional: the callers' connections that left it to the system set no probes any more. Behaviour is the same.

--- a/crates/turmericrail/src/caller_edge/connection.rs
+++ b/crates/turmericrail/src/caller_edge/connection.rs
@@ -27,6 +27,7 @@
 use super::{App, reply};
 use crate::connection_close::{drain_and_close, reset_on_drop};
 use crate::daemon::Shared;
+use crate::tcp_timeouts::log_refusal;
 
 /// Time between two peeks for end of file.
 const PEEK_INTERVAL: Duration = Duration::from_millis(20);
@@ -152,11 +153,8 @@
 fn set_options(shared: &Shared, stream: &TcpStream) {
     let unread_timeout = Duration::from_millis(shared.settings.limits.stall_timeout_ms.0);
     let timeout = unread_timeout + UNACKNOWLEDGED_MARGIN;
-    let results =
-        [SockRef::from(stream).set_tcp_user_timeout(Some(timeout)), stream.set_nodelay(true)];
-    for error in results.into_iter().filter_map(Result::err) {
-        spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
-    }
+    log_refusal(SockRef::from(stream).set_tcp_user_timeout(Some(timeout)));
+    log_refusal(stream.set_nodelay(true));
 }
 
 /// Closes the connection and updates the metric when dropped, even if the task panics.
--- a/crates/turmericrail/src/connection_close.rs
+++ b/crates/turmericrail/src/connection_close.rs
@@ -7,6 +7,8 @@
 use async_std::net::TcpStream;
 use socket2::SockRef;
 
+use crate::tcp_timeouts::log_refusal;
+
 /// Longest wait for the caller to close its side.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Bytes discarded per read while waiting.
@@ -36,7 +38,5 @@
 /// Has the connection reset once it is dropped, so that an answer that ends with it doesn't look
 /// complete.
 pub fn reset_on_drop(stream: &TcpStream) {
-    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
-        spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
-    }
+    log_refusal(SockRef::from(stream).set_linger(Some(Duration::ZERO)));
 }
--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -23,6 +23,7 @@
 use crate::forward::handover::{Origin, taking};
 use crate::forward::servers::server_connection::READ_SIZE_BYTES;
 use crate::forward::shared::Shared;
+use crate::tcp_timeouts::log_refusal;
 
 /// Largest amount of a pipelined request that is buffered while an answer is under way.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
@@ -315,9 +316,7 @@
     fn bound_unread_time(&self) {
         let timeout_ms = self.unread_until_ms.saturating_sub(self.arrived_ms);
         let timeout = Duration::from_millis(timeout_ms.0);
-        if let Err(error) = SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout)) {
-            spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
-        }
+        log_refusal(SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout)));
     }
 
     fn log_end(&self, shared: &Shared, end: ConnectionEnd, discarded_bytes: u64) {
--- a/crates/turmericrail/src/forward/callers/caller_listener.rs
+++ b/crates/turmericrail/src/forward/callers/caller_listener.rs
@@ -13,6 +13,7 @@
 use crate::connection_close;
 use crate::error::StartError;
 use crate::forward::shared::{CountGuard, Shared};
+use crate::tcp_timeouts::log_refusal;
 
 /// Listens for callers until the returned loop is stopped.
 pub async fn listen(shared: &Arc<Shared>) -> Result<AcceptLoop, StartError> {
@@ -36,9 +37,7 @@
 ) {
     // Without the system's timeouts: a caller that reads slowly, or whose link holds packets for
     // seconds, is alive. The idle limit and those of heads, bodies and unread answers end the others.
-    if let Err(error) = connection.stream.set_nodelay(true) {
-        spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
-    }
+    log_refusal(connection.stream.set_nodelay(true));
     let end = loop {
         let request = match connection.receive(&shared).await {
             Ok(request) => request,
--- a/crates/turmericrail/src/forward/servers/server_connection.rs
+++ b/crates/turmericrail/src/forward/servers/server_connection.rs
@@ -7,11 +7,11 @@
 use async_std::io::prelude::*;
 use async_std::net::TcpStream;
 use async_std::task;
-use socket2::SockRef;
 use turmericrail_core::units::Millis;
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming};
 
 use super::call_key::CallKey;
+use crate::connection_close::reset_on_drop;
 use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::clock;
 use crate::tcp_timeouts::TcpTimeouts;
@@ -27,7 +27,7 @@
 /// Detects dead connections to servers and to the store after about three seconds of silence.
 const TCP_TIMEOUTS: TcpTimeouts = TcpTimeouts {
     keepalive_interval: Duration::from_secs(1),
-    max_unanswered_probes: Some(2),
+    max_unanswered_probes: 2,
     user_timeout: Duration::from_millis(2_500),
 };
 
@@ -53,11 +53,8 @@
 /// to deliver what a cut link has held back, long after the call was given up.
 impl Drop for ServerConnection {
     fn drop(&mut self) {
-        if !self.has_open_call {
-            return;
-        }
-        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
-            spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
+        if self.has_open_call {
+            reset_on_drop(&self.stream);
         }
     }
 }
--- a/crates/turmericrail/src/tcp_timeouts.rs
+++ b/crates/turmericrail/src/tcp_timeouts.rs
@@ -1,5 +1,6 @@
 //! TCP options that close a connection whose other end is gone or unreachable.
 
+use std::io;
 use std::time::Duration;
 
 use async_std::net::TcpStream;
@@ -9,8 +10,8 @@
 pub struct TcpTimeouts {
     /// Idle time before the first keepalive probe, and between probes.
     pub keepalive_interval: Duration,
-    /// Unanswered probes after which the connection is closed; absent for the system's default.
-    pub max_unanswered_probes: Option<u32>,
+    /// Unanswered probes after which the connection is closed.
+    pub max_unanswered_probes: u32,
     /// Time without an acknowledgement of sent bytes or probes after which it is closed.
     pub user_timeout: Duration,
 }
@@ -19,19 +20,22 @@
     /// Sets the options on a connection, and `TCP_NODELAY`, so that small writes are sent at once.
     pub fn apply(&self, stream: &TcpStream) {
         let socket = SockRef::from(stream);
-        let mut keepalive = TcpKeepalive::new()
+        let keepalive = TcpKeepalive::new()
             .with_time(self.keepalive_interval)
-            .with_interval(self.keepalive_interval);
-        if let Some(probes) = self.max_unanswered_probes {
-            keepalive = keepalive.with_retries(probes);
-        }
+            .with_interval(self.keepalive_interval)
+            .with_retries(self.max_unanswered_probes);
         let results = [
             socket.set_tcp_keepalive(&keepalive),
             socket.set_tcp_user_timeout(Some(self.user_timeout)),
             stream.set_nodelay(true),
         ];
-        for error in results.into_iter().filter_map(Result::err) {
-            spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
-        }
+        results.into_iter().for_each(log_refusal);
+    }
+}
+
+/// Logs that the system refused to set an option.
+pub fn log_refusal(result: io::Result<()>) {
+    if let Err(error) = result {
+        spdlog::warn!("event=socket_option_refused error={:?}", error.to_string());
     }
 }
