Handover uses what the forwarding of calls has

Whether an answer is a stream of events, the shortest silence that counts, and request ids of bounded length for the log stood there already. Ids of requests of other instances are bounded in the log now, as those of callers are. The delay of offers has a name of its own, since the other constant was another time.

--- a/crates/turmericrail/src/forward/callers/dispatch.rs
+++ b/crates/turmericrail/src/forward/callers/dispatch.rs
@@ -238,7 +238,8 @@
     spdlog::info!("event=answer request={request_id} outcome={outcome} status={status}");
 }
 
-fn logged_id(request_id: Option<&str>) -> &str {
+/// A request id of bounded length for the log.
+pub fn logged_id(request_id: Option<&str>) -> &str {
     let request_id = request_id.unwrap_or("none");
     request_id.get(..MAX_LOGGED_ID_BYTES).unwrap_or(request_id)
 }
--- a/crates/turmericrail/src/forward/calls/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -268,7 +268,7 @@
 }
 
 /// Whether the body of an answer consists of events, each of which must be whole.
-fn is_event_stream(context: &CallContext<'_>, head: &ResponseHead) -> bool {
+pub fn is_event_stream(context: &CallContext<'_>, head: &ResponseHead) -> bool {
     let is_stated = head.headers.text("content-type").is_some_and(|content_type| {
         content_type.trim_start().to_ascii_lowercase().starts_with(EVENT_STREAM_TYPE)
     });
--- a/crates/turmericrail/src/forward/handover/hop_answer.rs
+++ b/crates/turmericrail/src/forward/handover/hop_answer.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use turmericrail_core::forward::RouteKind;
 use turmericrail_core::units::Millis;
 use turmericrail_wire::http1::{BodyDecoder, EventSplitter};
 
@@ -11,6 +10,7 @@
 use crate::forward::callers::dispatch::{self, ConnectionAction};
 use crate::forward::calls::call_context::CallContext;
 use crate::forward::calls::call_failure::CallFailure;
+use crate::forward::calls::engine_attempt::is_event_stream;
 use crate::forward::clock;
 use crate::forward::servers::exchange::Exchange;
 
@@ -35,12 +35,7 @@
     events: &mut EventSplitter,
 ) -> HopEnd {
     let (status, request_id) = (exchange.head.status, Some(context.request_id));
-    let is_stream =
-        matches!(context.route.kind, RouteKind::Stream { .. })
-            || exchange.head.headers.text("content-type").is_some_and(|content_type| {
-                content_type.to_ascii_lowercase().contains("event-stream")
-            });
-    if is_stream && exchange.head.is_success() {
+    if exchange.head.is_success() && is_event_stream(context, &exchange.head) {
         return pass_events(context, caller, exchange, address, events).await;
     }
     let pool = &context.shared.pool;
--- a/crates/turmericrail/src/forward/handover/sender.rs
+++ b/crates/turmericrail/src/forward/handover/sender.rs
@@ -16,14 +16,13 @@
 use crate::forward::callers::dispatch::{ConnectionAction, Refusal};
 use crate::forward::calls::call_context::CallContext;
 use crate::forward::calls::call_failure::CallFailure;
+use crate::forward::calls::engine_calls::MIN_SILENCE_MS;
 use crate::forward::calls::plain_call::NOT_RUN_STATUSES;
 use crate::forward::clock;
 use crate::forward::servers::exchange::{Exchange, OutgoingCall};
 
-/// Shortest wait for the answer of an instance before an idempotent request goes to another one; as
-/// much as a sound server may be silent.
-const MIN_ANSWER_WAIT_MS: Millis = Millis(1_500);
-/// Multiple of the route's target for the same.
+/// Multiple of the route's target after which an idempotent request without an answer goes to another
+/// instance, unless a sound server may be silent for longer.
 const ANSWER_WAIT_FACTOR: u64 = 2;
 
 /// What came of one offer.
@@ -230,7 +229,7 @@
             return remaining_ms;
         }
         let wait_ms = Millis(context.route.target_ms.0 * ANSWER_WAIT_FACTOR);
-        remaining_ms.min(wait_ms.max(MIN_ANSWER_WAIT_MS))
+        remaining_ms.min(wait_ms.max(MIN_SILENCE_MS))
     }
 
     /// Head and body of the request for another instance.
--- a/crates/turmericrail/src/forward/handover/serving.rs
+++ b/crates/turmericrail/src/forward/handover/serving.rs
@@ -18,7 +18,7 @@
 use crate::forward::clock;
 
 /// Time since the arrival after which a call that was sent is offered to other instances too.
-const MIN_SILENCE_MS: Millis = Millis(300);
+const OFFER_DELAY_MS: Millis = Millis(300);
 
 /// What became of a request on its arrival.
 pub enum Arrival {
@@ -164,7 +164,7 @@
             let _ = change.recv().await;
             continue;
         }
-        let min_silence_ms = if context.sends().has_sent() { MIN_SILENCE_MS } else { Millis::ZERO };
+        let min_silence_ms = if context.sends().has_sent() { OFFER_DELAY_MS } else { Millis::ZERO };
         let left_ms = min_silence_ms.saturating_sub(context.elapsed_ms());
         if left_ms == Millis::ZERO {
             return;
--- a/crates/turmericrail/src/forward/handover/taking.rs
+++ b/crates/turmericrail/src/forward/handover/taking.rs
@@ -11,7 +11,7 @@
 use crate::forward::callers::answer_writer;
 use crate::forward::callers::caller_connection::Request;
 use crate::forward::callers::caller_stream::CallerStream;
-use crate::forward::callers::dispatch::ConnectionAction;
+use crate::forward::callers::dispatch::{self, ConnectionAction};
 use crate::forward::clock;
 use crate::forward::shared::Shared;
 
@@ -90,7 +90,7 @@
     let request_id = request.metadata.request_id.as_deref();
     spdlog::info!(
         "event=handover_declined request={} reason={reason}",
-        request_id.unwrap_or("none")
+        dispatch::logged_id(request_id)
     );
     shared.metrics.taken_over.with_label_values(&[reason.as_str()]).inc();
     let fields = [(DECLINED_HEADER, reason.as_str())];
@@ -105,6 +105,6 @@
         return;
     }
     shared.metrics.taken_over.with_label_values(&["taken"]).inc();
-    let request_id = request.metadata.request_id.as_deref().unwrap_or("none");
+    let request_id = dispatch::logged_id(request.metadata.request_id.as_deref());
     spdlog::info!("event=taken_over request={request_id} from={}", caller.peer_ip());
 }
