Stand-ins of tests have addresses that aren't handed out again

Stand-ins let the kernel choose their ports, so that an address could pass from one of them to the next while an instance still called it.

All stand-ins, and the listeners of tests, now take their address from ports::free_address, which hands it out once and keeps it reserved until the process ends. A raw server or store that gets a request for the other kind doesn't answer it, and fails its test when it is dropped.

--- a/crates/fakes/src/fault_proxy.rs
+++ b/crates/fakes/src/fault_proxy.rs
@@ -15,7 +15,7 @@
 use async_std::task;
 use futures_lite::future;
 
-use crate::serve::FREE_PORT;
+use crate::ports::free_listener;
 
 /// Interval at which the faults of an idle connection are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -83,7 +83,7 @@
 impl FaultProxy {
     /// Starts a proxy for a server on a free loopback port.
     pub async fn start(server: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(FREE_PORT).await?;
+        let listener = TcpListener::from(free_listener()?);
         let proxy = Self { address: listener.local_addr()?, state: Arc::default() };
         let accepting = proxy.clone();
         task::spawn(async move {
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -14,7 +14,8 @@
     ChangeAnswer, ChangesAnswer, DocumentAnswer, InstancesAnswer, WeightStoreAnswer,
 };
 
-use crate::serve::{FREE_PORT, serve_at};
+use crate::ports::free_address;
+use crate::serve::serve_at;
 
 /// Interval at which a waiting request for changes checks for them.
 const CHANGE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -85,7 +86,7 @@
 impl FakePlatform {
     /// Starts on a free loopback port with a document as version 1.
     pub async fn start(document: Value) -> std::io::Result<Self> {
-        Self::start_at(FREE_PORT, document).await
+        Self::start_at(free_address()?, document).await
     }
 
     /// Starts on an address with a document as version 1.
--- a/crates/fakes/src/ports.rs
+++ b/crates/fakes/src/ports.rs
@@ -1,7 +1,10 @@
-//! Free loopback ports for processes that are started later, unique across concurrent tests.
+//! Free loopback ports for stand-ins and for processes that are started later.
+//!
+//! A port is handed out once. An instance that outlives its stand-ins still calls their addresses, so
+//! a port that the kernel chooses could be that of a stand-in that is gone.
 
 use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -41,3 +44,8 @@
         }
     }
 }
+
+/// Listens on a loopback address that is handed out only once, also across test processes.
+pub fn free_listener() -> std::io::Result<TcpListener> {
+    TcpListener::bind(free_address()?)
+}
--- a/crates/fakes/src/registered/raw_server.rs
+++ b/crates/fakes/src/registered/raw_server.rs
@@ -10,6 +10,7 @@
 use turmericrail_wire::http1::RequestHead;
 
 use super::reply::{read_body, read_more};
+use crate::ports::free_listener;
 
 /// What the server does with a request.
 #[derive(Clone, Debug)]
@@ -33,14 +34,41 @@
 
 type Handler = dyn Fn(&RequestHead, &[u8]) -> RawAnswer + Send + Sync;
 
+/// Paths of the store, which no other stand-in serves.
+const STORE_PATHS: [&str; 3] = ["/kv-key", "/kv-range", "/kv-watch"];
+
+/// Who is called at an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Role {
+    Store,
+    Server,
+}
+
+impl Role {
+    fn serves(self, head: &RequestHead) -> bool {
+        STORE_PATHS.contains(&head.path()) == (self == Self::Store)
+    }
+}
+
 /// A server on a free loopback port, with a thread for each connection.
+///
+/// A request that is meant for another stand-in isn't answered, and fails the test when the server
+/// is dropped.
 pub struct RawServer {
     /// Listening address.
     pub address: SocketAddr,
-    handler: Arc<Handler>,
+    service: Arc<Service>,
     process: Mutex<Arc<Process>>,
 }
 
+/// What a server does in each of its runs.
+struct Service {
+    role: Role,
+    handler: Box<Handler>,
+    /// Requests that were meant for another stand-in.
+    misdirected: Mutex<Vec<String>>,
+}
+
 /// One run of the server, from its start to its crash.
 struct Process {
     address: SocketAddr,
@@ -58,11 +86,20 @@
     pub fn start(
         handler: impl Fn(&RequestHead, &[u8]) -> RawAnswer + Send + Sync + 'static,
     ) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        Self::start_as(Role::Server, handler)
+    }
+
+    /// Starts a server in a role.
+    pub(super) fn start_as(
+        role: Role,
+        handler: impl Fn(&RequestHead, &[u8]) -> RawAnswer + Send + Sync + 'static,
+    ) -> std::io::Result<Self> {
+        let listener = free_listener()?;
         let address = listener.local_addr()?;
-        let handler: Arc<Handler> = Arc::new(handler);
-        let process = Mutex::new(Process::start(listener, &handler)?);
-        Ok(Self { address, handler, process })
+        let handler = Box::new(handler);
+        let service = Arc::new(Service { role, handler, misdirected: Mutex::default() });
+        let process = Mutex::new(Process::start(listener, &service)?);
+        Ok(Self { address, service, process })
     }
 
     /// Whether the server has crashed and was not started again.
@@ -79,20 +116,38 @@
     /// Starts a crashed server again at its address.
     pub fn start_again(&self) -> std::io::Result<()> {
         let listener = TcpListener::bind(self.address)?;
-        *lock(&self.process) = Process::start(listener, &self.handler)?;
+        *lock(&self.process) = Process::start(listener, &self.service)?;
         Ok(())
     }
 }
 
+impl Drop for RawServer {
+    fn drop(&mut self) {
+        let misdirected = lock(&self.service.misdirected);
+        if misdirected.is_empty() {
+            return;
+        }
+        let Self { address, .. } = self;
+        let role = self.service.role;
+        let description =
+            format!("{role:?} at {address} got requests for another stand-in: {misdirected:?}");
+        if thread::panicking() {
+            eprintln!("{description}");
+        } else {
+            panic!("{description}");
+        }
+    }
+}
+
 impl Process {
-    fn start(listener: TcpListener, handler: &Arc<Handler>) -> std::io::Result<Arc<Self>> {
+    fn start(listener: TcpListener, service: &Arc<Service>) -> std::io::Result<Arc<Self>> {
         let process = Arc::new(Self {
             address: listener.local_addr()?,
             has_crashed: AtomicBool::new(false),
             listening: Mutex::default(),
             streams: Mutex::default(),
         });
-        let (serving, handler) = (Arc::clone(&process), Arc::clone(handler));
+        let (serving, service) = (Arc::clone(&process), Arc::clone(service));
         let listening = thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if serving.has_crashed.load(Ordering::SeqCst) {
@@ -102,8 +157,8 @@
                     continue;
                 };
                 lock(&serving.streams).push(kept);
-                let (process, handler) = (Arc::clone(&serving), Arc::clone(&handler));
-                thread::spawn(move || process.serve(stream, &*handler));
+                let (process, service) = (Arc::clone(&serving), Arc::clone(&service));
+                thread::spawn(move || process.serve(stream, &service));
             }
         });
         *lock(&process.listening) = Some(listening);
@@ -111,10 +166,10 @@
     }
 
     /// Serves a connection and closes it, which `streams` would keep open else.
-    fn serve(&self, stream: TcpStream, handler: &Handler) {
+    fn serve(&self, stream: TcpStream, service: &Service) {
         let caller = stream.peer_addr().ok();
         let closed = stream.try_clone();
-        serve(stream, handler, self);
+        serve(stream, service, self);
         lock(&self.streams).retain(|kept| kept.peer_addr().ok() != caller);
         if let Ok(stream) = closed {
             // The caller may have closed it before.
@@ -138,10 +193,16 @@
     }
 }
 
-fn serve(mut stream: TcpStream, handler: &Handler, process: &Process) {
+fn serve(mut stream: TcpStream, service: &Service, process: &Process) {
     let mut buffer = Vec::new();
     while let Some((head, body)) = read_request(&mut stream, &mut buffer) {
-        match handler(&head, &body) {
+        if !service.role.serves(&head) {
+            let caller = stream.peer_addr().map(|address| address.to_string()).unwrap_or_default();
+            let request = format!("{} {} from {caller}", head.method, head.target);
+            lock(&service.misdirected).push(request);
+            return;
+        }
+        match (service.handler)(&head, &body) {
             RawAnswer::Bytes(bytes) => {
                 if stream.write_all(&bytes).is_err() {
                     return;
--- a/crates/fakes/src/registered/store.rs
+++ b/crates/fakes/src/registered/store.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 use turmericrail_wire::http1::RequestHead;
 
+use super::raw_server::Role;
 use super::{RawAnswer, RawServer};
 
 #[derive(Clone)]
@@ -59,7 +60,7 @@
     pub fn start() -> std::io::Result<Self> {
         let state = Arc::new((Mutex::new(State::default()), Condvar::new()));
         let serving = Arc::clone(&state);
-        let server = RawServer::start(move |head, _| {
+        let server = RawServer::start_as(Role::Store, move |head, _| {
             let answer = answer(&serving, head);
             let copy_delay = serving.0.lock().expect("no holder of the lock panics").copy_delay;
             match (answer, copy_delay) {
@@ -72,6 +73,11 @@
         Ok(Self { state, server })
     }
 
+    /// Ends the store as a crashed process does: its port is closed and all connections break.
+    pub fn crash(&self) {
+        self.server.crash();
+    }
+
     /// Listening address.
     pub fn address(&self) -> SocketAddr {
         self.server.address
--- a/crates/fakes/src/serve.rs
+++ b/crates/fakes/src/serve.rs
@@ -1,30 +1,28 @@
 //! HTTP server that runs a tide app on a loopback port.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 
 use async_std::net::TcpListener;
 use async_std::stream::StreamExt;
 use async_std::task;
 use tide::Server;
 
-/// Lets the operating system choose a free loopback port.
-pub const FREE_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+use crate::ports::free_address;
 
 /// Serves the app on a free loopback port until the process ends; returns the address.
 pub async fn serve<S>(app: Server<S>) -> std::io::Result<SocketAddr>
 where
     S: Clone + Send + Sync + 'static,
 {
-    serve_at(FREE_PORT, app).await
+    serve_at(free_address()?, app).await
 }
 
-/// Serves the app on an address until the process ends; returns the address with its actual port.
+/// Serves the app on an address until the process ends; returns the address.
 pub async fn serve_at<S>(address: SocketAddr, app: Server<S>) -> std::io::Result<SocketAddr>
 where
     S: Clone + Send + Sync + 'static,
 {
     let listener = TcpListener::bind(address).await?;
-    let address = listener.local_addr()?;
     task::spawn(async move {
         let mut incoming = listener.incoming();
         while let Some(stream) = incoming.next().await {
--- a/crates/fakes/tests/free_ports.rs
+++ b/crates/fakes/tests/free_ports.rs
@@ -1,13 +1,20 @@
-//! `free_address` never returns the same port twice. Two instances of a test would otherwise try
-//! to listen on the same port.
+//! `free_address` never returns the same port twice, and stand-ins have no other ports. Two instances
+//! of a test would otherwise try to listen on the same port, or an instance would call stand-ins of
+//! another test.
 
 use std::collections::BTreeSet;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
+use async_std::task;
+use serde_json::json;
 use turmericrail_fakes::ports::free_address;
+use turmericrail_fakes::registered::{FakeStore, RawAnswer, RawServer, RegisteredServer};
+use turmericrail_fakes::{
+    EngineSettings, FakeEngine, FakePlain, FakePlatform, FaultProxy, ServerLink,
+};
 
 const ADDRESS_COUNT: usize = 2_000;
 const SPAWNING_THREADS: usize = 4;
@@ -39,3 +46,34 @@
     });
     assert_eq!(taken_count, 0);
 }
+
+/// Addresses of one stand-in of each kind, all of which are dropped.
+async fn dropped_stand_ins() -> Vec<SocketAddr> {
+    let store = FakeStore::start().unwrap();
+    let raw_server = RawServer::start(|_, _| RawAnswer::NoAnswer).unwrap();
+    let server = RegisteredServer::start(&store, "s1", None).unwrap();
+    let link = ServerLink::start(raw_server.address).unwrap();
+    let proxy = FaultProxy::start(raw_server.address).await.unwrap();
+    let platform = FakePlatform::start(json!({})).await.unwrap();
+    let plain = FakePlain::start().await.unwrap();
+    let engine = FakeEngine::start(EngineSettings::default()).await.unwrap();
+    vec![
+        store.address(),
+        raw_server.address,
+        server.address(),
+        link.address,
+        proxy.address,
+        platform.address,
+        plain.address,
+        engine.address,
+    ]
+}
+
+#[test]
+fn reserved_stand_ins() {
+    // Guards against a port that passes from one stand-in to another while an instance still calls
+    // the first one.
+    for address in task::block_on(dropped_stand_ins()) {
+        assert!(UdpSocket::bind(address).is_err(), "{address} isn't reserved");
+    }
+}
--- a/crates/fakes/tests/server_links.rs
+++ b/crates/fakes/tests/server_links.rs
@@ -1,10 +1,11 @@
 //! Faults of a link between an instance and a server.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::Duration;
 
+use turmericrail_fakes::ports::free_listener;
 use turmericrail_fakes::{LinkFault, ServerLink};
 
 /// Time within which a link without a fault answers.
@@ -14,7 +15,7 @@
 
 /// Starts a server that sends back what it receives.
 fn start_echo() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listener = free_listener().unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
--- a/crates/turmericrail/benches/slopes/framing.rs
+++ b/crates/turmericrail/benches/slopes/framing.rs
@@ -10,7 +10,7 @@
 use prost::Message;
 use tonic::transport::{Endpoint, Server};
 use tonic::{Request, Response, Status};
-use turmericrail_fakes::ports::free_address;
+use turmericrail_fakes::ports::{free_address, free_listener};
 use turmericrail_wire::peer::peer_client::PeerClient;
 use turmericrail_wire::peer::peer_server::{Peer, PeerServer};
 use turmericrail_wire::peer::{Delivered, Envelope, ForwardReply, ForwardRequest};
@@ -67,7 +67,7 @@
 
 /// Starts a proxy to `server` that counts the bytes of both directions; returns its address.
 fn start_counting_proxy(server: SocketAddr, counted: &Arc<AtomicU64>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback ports are free");
+    let listener = free_listener().expect("loopback ports are free");
     let address = listener.local_addr().expect("a bound address");
     let counted = Arc::clone(counted);
     thread::spawn(move || {
--- a/crates/turmericrail/tests/abandoned_calls.rs
+++ b/crates/turmericrail/tests/abandoned_calls.rs
@@ -8,6 +8,7 @@
 
 use forward_support::ForwardInstance;
 use serde_json::json;
+use turmericrail_fakes::ports::free_listener;
 
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -37,7 +38,7 @@
     // Guards against a call that reaches its server seconds after it was given up: what a cut link
     // holds back is delivered after an orderly close, and dropped after a reset.
     let instance = ForwardInstance::start("reset-connection");
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listener = free_listener().unwrap();
     register(&instance, &listener);
     let mut caller = instance.connect();
     caller.write_all(forward_support::request_text("order", "o1").as_bytes()).unwrap();
--- a/crates/turmericrail/tests/accept_loop.rs
+++ b/crates/turmericrail/tests/accept_loop.rs
@@ -10,6 +10,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use turmericrail::accept_loop;
+use turmericrail_fakes::ports::free_listener;
 
 const CLIENT_THREADS: usize = 8;
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -30,7 +31,7 @@
 #[async_std::test]
 async fn stop_under_load() {
     for _ in 0..5 {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = TcpListener::from(free_listener().unwrap());
         let address = listener.local_addr().unwrap();
         let accept_loop = accept_loop::start(listener, |stream| {
             task::spawn(async move {
--- a/crates/turmericrail/tests/booking_faults.rs
+++ b/crates/turmericrail/tests/booking_faults.rs
@@ -14,6 +14,7 @@
     apply_config_patch, book, closed_port, execution_count, request_ticket, start_fleet, wait_for,
 };
 use serde_json::json;
+use turmericrail_fakes::ports::free_listener;
 
 #[async_std::test]
 async fn concurrent_copies() {
@@ -114,7 +115,7 @@
 
 /// Starts a server that closes each connection after its first byte.
 async fn start_closing_server() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::from(free_listener().unwrap());
     let address = listener.local_addr().unwrap();
     task::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
@@ -126,7 +127,7 @@
 
 /// Starts a server that answers each call with these bytes.
 async fn start_raw_server(answer: &'static str) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::from(free_listener().unwrap());
     let address = listener.local_addr().unwrap();
     task::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
--- a/crates/turmericrail/tests/live_connections.rs
+++ b/crates/turmericrail/tests/live_connections.rs
@@ -3,18 +3,19 @@
 mod forward_support;
 
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
 use forward_support::{ForwardInstance, answer_with, configuration, read_reply, request_text};
 use serde_json::json;
+use turmericrail_fakes::ports::free_listener;
 use turmericrail_fakes::registered::FakeStore;
 use turmericrail_wire::http1::RequestHead;
 
 /// A server that accepts so many connections and refuses all others; `slow` requests take a second.
 fn start_server(store: &FakeStore, id: &str, connections: usize) -> thread::JoinHandle<()> {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listener = free_listener().unwrap();
     let address = listener.local_addr().unwrap().to_string();
     store.put(
         &format!("servers/{id}"),
--- a/crates/turmericrail/tests/plain_support/mod.rs
+++ b/crates/turmericrail/tests/plain_support/mod.rs
@@ -9,6 +9,7 @@
 use async_std::task;
 use http_types::{Method, Request, Url};
 use serde_json::{Value, json};
+use turmericrail_fakes::ports::free_address;
 use turmericrail_fakes::{Fleet, FleetPlan};
 use turmericrail_wire::client::Call;
 
@@ -99,9 +100,8 @@
 /// Loopback address that refuses connections as long as the returned socket exists.
 pub fn closed_port() -> (socket2::Socket, String) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    let free_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    socket.bind(&free_port.into()).unwrap();
-    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let address = free_address().unwrap();
+    socket.bind(&address.into()).unwrap();
     (socket, address.to_string())
 }
 
