--- a/crates/turmericrail/benches/slopes/framing.rs
+++ b/crates/turmericrail/benches/slopes/framing.rs
@@ -1,7 +1,7 @@
 //! Measures the bytes that a delivery takes on its connection in addition to the message.
 
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -328,6 +328,10 @@
         assert!(self.process.try_wait().unwrap().is_none(), "{description}: {errors}");
     }
 
+    pub fn process_id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Most memory that the process has held at once, in KiB.
     pub fn peak_memory_kib(&self) -> u64 {
         let path = format!("/proc/{}/status", self.process.id());
