An account of what callers make a process hold, and who gives way

A decision without I/O or clock, for both interfaces. Each byte counts once it has arrived; what a request announces takes no room. While there is room nobody is hindered. In a shortage the connection with the largest product of bytes and the time for which they are held gives way, and the one that asks is refused if that is itself; requests in service don't give way, since they may run. The last quarter of the memory is for connections that hold 64 KiB at most. At the limit of connections the one that has been silent or idle longest gives way.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -117,6 +117,7 @@
 number_id!(ConfigVersion, "configuration version");
 number_id!(FencingNumber, "fencing number");
 number_id!(RequestId, "request");
+number_id!(ConnectionId, "connection");
 
 /// Id of a part of a prompt that several requests may share, in hexadecimal.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod action;
 pub mod admission;
 pub mod at_most_once;
+pub mod caller_account;
 pub mod config;
 pub mod decay;
 pub mod error_kind;
