--- a/crates/turmericrail/src/caller_edge/body.rs
+++ b/crates/turmericrail/src/caller_edge/body.rs
@@ -2,60 +2,35 @@
 
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use async_std::io::ReadExt;
+use async_std::io::{Read, ReadExt};
 use futures_lite::FutureExt;
 use serde::de::DeserializeOwned;
 use tide::Request;
+use turmericrail_core::caller_account::ConnectionPhase;
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::units::Bytes;
 
+use super::connection::CallerConnection;
 use super::reply::Refusal;
+use crate::caller_memory::HeldBytes;
 use crate::daemon::Shared;
+use crate::eager_read::{grow_for, read_with};
 
-/// Memory taken by the bodies of all requests; clones share it.
-#[derive(Clone, Debug, Default)]
-pub struct BodyBudget {
-    used_bytes: Arc<AtomicU64>,
-}
-
-/// Memory reserved in the budget, released when dropped.
-#[derive(Debug)]
-pub struct BodyPermit {
-    used_bytes: Arc<AtomicU64>,
-    bytes: u64,
-}
-
-impl BodyBudget {
-    /// Reserves `wanted` bytes, or none if more than `limit` would be in use.
-    fn reserve(&self, wanted: Bytes, limit: Bytes) -> Option<BodyPermit> {
-        let add = |used: u64| used.checked_add(wanted.0).filter(|used| *used <= limit.0);
-        let reserved = self.used_bytes.fetch_update(Ordering::SeqCst, Ordering::SeqCst, add);
-        reserved.ok()?;
-        Some(BodyPermit { used_bytes: Arc::clone(&self.used_bytes), bytes: wanted.0 })
-    }
-}
-
-impl Drop for BodyPermit {
-    fn drop(&mut self) {
-        self.used_bytes.fetch_sub(self.bytes, Ordering::SeqCst);
-    }
-}
+/// Memory of a request beside its head and body.
+const REQUEST_BYTES: Bytes = Bytes(48 << 10);
 
 /// A whole body with its memory reservation.
 #[expect(missing_docs, reason = "the names say it")]
-#[derive(Debug)]
 pub struct ReceivedBody {
     pub bytes: Vec<u8>,
     /// To be held until the request is answered.
-    pub permit: BodyPermit,
+    pub held: HeldBytes,
 }
 
-/// Receives a body within the limits of the settings.
-///
-/// Without a declared length, memory for the largest permitted body is reserved.
+/// Receives a body within the limits of the settings. It takes memory as it arrives, whatever its head
+/// announces.
 pub async fn receive_body(request: &mut Request<Arc<Shared>>) -> Result<ReceivedBody, Refusal> {
     let shared = Arc::clone(request.state());
     let limits = &shared.settings.limits;
@@ -64,17 +39,28 @@
     if announced.is_some_and(|length| length > limit) {
         return Err(too_large(limit));
     }
-    let wanted = Bytes(announced.unwrap_or(limit));
-    let permit = shared.body_budget.reserve(wanted, limits.max_buffered_bytes);
-    let permit = permit.ok_or_else(|| out_of_memory_budget(limits.max_buffered_bytes))?;
+    let no_room = || out_of_memory_budget(limits.max_buffered_bytes);
+    let connection = request.ext::<CallerConnection>().and_then(CallerConnection::held);
+    let connection = connection.ok_or_else(no_room)?;
+    let mut held = connection.hold();
+    connection.set_phase(ConnectionPhase::Reading);
+    let evicted = async {
+        connection.evicted().await;
+        Err(ReadProblem::NoRoom)
+    };
     let timeout = Duration::from_millis(limits.receive_timeout_ms.0);
-    let mut bytes = Vec::new();
     let mut limited = request.take(limit + 1);
-    let reading = async_std::io::timeout(timeout, limited.read_to_end(&mut bytes));
+    let reading = read_whole(&mut limited, &mut held).or(evicted);
+    let reading = async_std::future::timeout(timeout, reading);
     // The HTTP library panics on trailers with bytes outside ASCII.
     let result = AssertUnwindSafe(reading).catch_unwind().await;
-    let result = result.unwrap_or_else(|_| Err(std::io::Error::other("malformed trailers")));
-    result.map_err(|error| read_failure(&error, timeout))?;
+    let result = result.unwrap_or_else(|_| Ok(Err(malformed_trailers())));
+    let bytes = match result.unwrap_or_else(|_| Err(timed_out())) {
+        Ok(bytes) => bytes,
+        Err(ReadProblem::NoRoom) => return Err(no_room()),
+        Err(ReadProblem::Failed(error)) => return Err(read_failure(&error, timeout)),
+    };
+    connection.set_phase(ConnectionPhase::Serving);
     let length = bytes.len() as u64;
     if length > limit {
         return Err(too_large(limit));
@@ -83,7 +69,41 @@
         let detail = format!("The body has {length} of the {announced} bytes announced.");
         return Err(Refusal { kind: ErrorKind::BadRequest, detail });
     }
-    Ok(ReceivedBody { bytes, permit })
+    Ok(ReceivedBody { bytes, held })
+}
+
+/// Why a body wasn't read.
+enum ReadProblem {
+    /// There is no room for it.
+    NoRoom,
+    Failed(std::io::Error),
+}
+
+fn malformed_trailers() -> ReadProblem {
+    ReadProblem::Failed(std::io::Error::other("malformed trailers"))
+}
+
+fn timed_out() -> ReadProblem {
+    ReadProblem::Failed(std::io::ErrorKind::TimedOut.into())
+}
+
+/// Reads to the end, and counts the memory as it grows.
+async fn read_whole(
+    reader: &mut (impl Read + Unpin),
+    held: &mut HeldBytes,
+) -> Result<Vec<u8>, ReadProblem> {
+    let mut bytes = Vec::new();
+    loop {
+        let wanted = REQUEST_BYTES + Bytes(bytes.capacity() as u64);
+        held.resize_when_free(wanted).await.map_err(|_| ReadProblem::NoRoom)?;
+        let reading = read_with(reader, |read| {
+            grow_for(&mut bytes, read.len());
+            bytes.extend_from_slice(read);
+        });
+        if reading.await.map_err(ReadProblem::Failed)? == 0 {
+            return Ok(bytes);
+        }
+    }
 }
 
 /// Decodes a JSON object; the refusal names the position of the first error.
@@ -104,8 +124,7 @@
 }
 
 fn out_of_memory_budget(limit: Bytes) -> Refusal {
-    let detail =
-        format!("The bodies of all requests may have {limit} (limits.max_buffered_bytes).");
+    let detail = format!("All requests may take {limit} of memory (limits.max_buffered_bytes).");
     Refusal { kind: ErrorKind::Overloaded, detail }
 }
 
--- a/crates/turmericrail/src/caller_edge/completions.rs
+++ b/crates/turmericrail/src/caller_edge/completions.rs
@@ -11,10 +11,11 @@
 use turmericrail_wire::body::{BodyPart, BodyStatus, message_body};
 use turmericrail_wire::caller::{CompletionAnswer, CompletionBody, EndEvent, TokenEvent};
 
-use super::body::{BodyPermit, decode_body, receive_body};
+use super::body::{decode_body, receive_body};
 use super::connection::CallerConnection;
 use super::prefixes::prefix_hashes;
 use super::reply::{self, Refusal};
+use crate::caller_memory::HeldBytes;
 use crate::daemon::Shared;
 use crate::daemon::callers::{CallerMessage, ReceivedRequest, completion_fingerprint};
 
@@ -24,8 +25,8 @@
 pub async fn complete(mut request: Request<Arc<Shared>>) -> tide::Result {
     let shared = Arc::clone(request.state());
     let id = shared.next_request_id();
-    let (body, _permit) = match receive_completion(&mut request).await {
-        Ok(body_and_permit) => body_and_permit,
+    let (body, _held) = match receive_completion(&mut request).await {
+        Ok(body_and_held) => body_and_held,
         Err(refusal) => return reply::refusal(id, &refusal),
     };
     let model_request = to_model_request(id, &body);
@@ -48,8 +49,8 @@
 
 pub async fn resume_with_request(mut request: Request<Arc<Shared>>) -> tide::Result {
     let id = request.state().next_request_id();
-    let (body, _permit) = match receive_completion(&mut request).await {
-        Ok(body_and_permit) => body_and_permit,
+    let (body, _held) = match receive_completion(&mut request).await {
+        Ok(body_and_held) => body_and_held,
         Err(refusal) => return reply::refusal(id, &refusal),
     };
     let model_request = to_model_request(id, &body);
@@ -77,13 +78,13 @@
     stream_answer(id, connection, messages).await
 }
 
-/// Receives and decodes the body; the permit is to be held until the request is answered.
+/// Receives and decodes the body; its memory is to be held until the request is answered.
 async fn receive_completion(
     request: &mut Request<Arc<Shared>>,
-) -> Result<(CompletionBody, BodyPermit), Refusal> {
+) -> Result<(CompletionBody, HeldBytes), Refusal> {
     let received_body = receive_body(request).await?;
     let body = decode_body(&received_body.bytes)?;
-    Ok((body, received_body.permit))
+    Ok((body, received_body.held))
 }
 
 /// Stores the prompt for the backend edge.
--- a/crates/turmericrail/src/caller_edge/connection.rs
+++ b/crates/turmericrail/src/caller_edge/connection.rs
@@ -18,14 +18,17 @@
 use futures_lite::FutureExt;
 use http_types::{Request, Response};
 use socket2::SockRef;
+use turmericrail_core::caller_account::ConnectionPhase;
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::event::Event;
 use turmericrail_core::ids::RequestId;
+use turmericrail_core::units::Bytes;
 use turmericrail_wire::http1::HeadError;
 
 use super::guarded_stream::{GuardedStream, MAX_HEAD_BYTES};
 use super::{App, reply};
-use crate::connection_close::{drain_and_close, reset_on_drop};
+use crate::caller_memory::HeldConnection;
+use crate::connection_close::{close_now, drain_and_close, reset_on_drop};
 use crate::daemon::Shared;
 use crate::tcp_timeouts::log_refusal;
 
@@ -56,8 +59,10 @@
 enum ServeEnd {
     /// It was closed, or refused or answered for the last time.
     Finished,
-    /// The caller read nothing of its answer for too long.
+    /// The caller read nothing of its answer for too long, or while others had no room.
     AnswerUnread,
+    /// It gave way to other connections.
+    Evicted,
 }
 
 /// A caller's connection and its requests in progress; clones share them.
@@ -67,6 +72,7 @@
     is_closed: Arc<AtomicBool>,
     has_sent_request: Arc<AtomicBool>,
     stream: Option<TcpStream>,
+    held: Option<Arc<HeldConnection>>,
 }
 
 impl CallerConnection {
@@ -78,6 +84,11 @@
         }
     }
 
+    /// The connection in the account of what callers hold; `None` without a connection.
+    pub fn held(&self) -> Option<Arc<HeldConnection>> {
+        self.held.clone()
+    }
+
     /// Checks the stream itself for end of file.
     ///
     /// After a pause of the process the task that watches for it may not have run yet.
@@ -116,15 +127,17 @@
 /// Starts a task that serves a connection until it closes, or refuses the connection.
 pub fn start(shared: &Arc<Shared>, app: &App, stream: TcpStream) {
     set_options(shared, &stream);
-    let connections = &shared.metrics.connections;
-    if connections.get() as u64 >= shared.settings.limits.max_connections {
+    let Ok(held) = shared.caller_account.open(Bytes::default()) else {
         refuse_connection(shared, stream);
         return;
-    }
-    connections.inc();
+    };
+    shared.metrics.connections.inc();
     shared.silent_connections.fetch_add(1, Ordering::SeqCst);
-    let connection =
-        CallerConnection { stream: Some(stream.clone()), ..CallerConnection::default() };
+    let connection = CallerConnection {
+        stream: Some(stream.clone()),
+        held: Some(Arc::clone(&held)),
+        ..CallerConnection::default()
+    };
     let open = OpenConnection { shared: Arc::clone(shared), connection, stream };
     let app = app.clone();
     task::spawn(async move {
@@ -132,18 +145,24 @@
         let close_watch =
             task::spawn(watch_for_close(Arc::clone(shared), connection.clone(), stream.clone()));
         let unread_timeout = Duration::from_millis(shared.settings.limits.stall_timeout_ms.0);
-        let guarded_stream = GuardedStream::new(stream.clone());
-        let serving = serve(shared, &app, connection, &guarded_stream, stream);
-        let end = serving.or(time_out_answer(&guarded_stream, unread_timeout)).await;
+        let guarded_stream = GuardedStream::new(stream.clone(), &held);
+        let serving = serve(shared, &app, connection, &held, &guarded_stream, stream);
+        let unread = time_out_answer(&guarded_stream, unread_timeout);
+        let end = serving.or(unread).or(evicted_in_answer(&held, &guarded_stream)).await;
         close_watch.cancel().await;
         if end == ServeEnd::AnswerUnread {
             spdlog::info!(
                 "event=connection_ended reason=answer_unread unread_ms={}",
-                unread_timeout.as_millis()
+                guarded_stream.unread_time().as_millis()
             );
             reset_on_drop(stream);
             return;
         }
+        if end == ServeEnd::Evicted {
+            close_now(stream).await;
+            return;
+        }
+        held.set_phase(ConnectionPhase::Closing);
         drain_and_close(stream, MAX_CLOSE_READS).await;
     });
 }
@@ -177,12 +196,14 @@
     shared: &Shared,
     app: &App,
     connection: &CallerConnection,
+    held: &HeldConnection,
     guarded_stream: &GuardedStream,
     stream: &TcpStream,
 ) -> ServeEnd {
     let mut server =
         async_h1::server::Server::new(guarded_stream.clone(), |mut request: Request| {
             connection.record_first_request(shared);
+            held.set_phase(ConnectionPhase::Serving);
             guarded_stream.start_body(request.len().map(|length| length as u64));
             request.ext_mut().insert(connection.clone());
             let answering = app.respond::<Request, Response>(request);
@@ -197,9 +218,13 @@
     loop {
         guarded_stream.expect_head();
         let serving = async { server.accept_one().await.map_err(|_| HeadProblem::Malformed) };
+        let serving = serving.or(evicted_in_head(held, guarded_stream));
         let status = serving.or(time_out_head(guarded_stream, timeout)).await;
+        if held.is_evicted() || guarded_stream.has_no_room() {
+            return ServeEnd::Evicted;
+        }
         match status {
-            Ok(ConnectionStatus::KeepAlive) => {}
+            Ok(ConnectionStatus::KeepAlive) => held.set_phase(ConnectionPhase::Idle),
             Err(problem)
                 if guarded_stream.is_in_head() && guarded_stream.received_head_bytes() > 0 =>
             {
@@ -211,6 +236,19 @@
     }
 }
 
+/// Returns an error if the connection gives way to others before a head is complete. Requests after
+/// that are refused by their handlers.
+async fn evicted_in_head(
+    held: &HeldConnection,
+    guarded_stream: &GuardedStream,
+) -> Result<ConnectionStatus, HeadProblem> {
+    held.evicted().await;
+    if !guarded_stream.is_in_head() {
+        std::future::pending::<()>().await;
+    }
+    Err(HeadProblem::TimedOut)
+}
+
 /// Returns once the caller has read nothing of an answer for `timeout`, and else never.
 async fn time_out_answer(guarded_stream: &GuardedStream, timeout: Duration) -> ServeEnd {
     loop {
@@ -222,6 +260,16 @@
     }
 }
 
+/// Returns once the connection gives way to others while the caller doesn't read its answer, and else
+/// never.
+async fn evicted_in_answer(held: &HeldConnection, guarded_stream: &GuardedStream) -> ServeEnd {
+    held.evicted().await;
+    if !guarded_stream.is_unread() {
+        std::future::pending::<()>().await;
+    }
+    ServeEnd::AnswerUnread
+}
+
 /// Returns an error if the head does not arrive within `timeout`, and else never returns.
 async fn time_out_head(
     guarded_stream: &GuardedStream,
--- a/crates/turmericrail/src/caller_edge/guarded_stream.rs
+++ b/crates/turmericrail/src/caller_edge/guarded_stream.rs
@@ -15,20 +15,27 @@
 //! ready.
 
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use async_std::io::{Error, ErrorKind, Read, Result as IoResult, Write};
 use async_std::net::TcpStream;
+use turmericrail_core::caller_account::{ConnectionPhase, Shortage};
+use turmericrail_core::units::Bytes;
 use turmericrail_wire::http1::{HeadError, RequestHead};
 
+use crate::caller_memory::{HeldBytes, HeldConnection};
+
 /// Same as the HTTP library's own limit.
 pub const MAX_HEAD_BYTES: u64 = 8 * 1024;
 /// Stands for a body whose length is not declared in the head.
 const UNKNOWN_LENGTH: u64 = u64::MAX;
 
+/// Copies of a head while it arrives: this one and the HTTP library's.
+const HEAD_COPIES: u64 = 2;
+
 const HEAD_END_MARK: &[u8] = b"\r\n\r\n";
 
 /// The head is being received.
@@ -38,7 +45,6 @@
 /// The answer is ready; nothing more is read.
 const PHASE_ANSWER: u8 = 2;
 
-#[derive(Debug, Default)]
 struct RequestState {
     phase: AtomicU8,
     received_head_bytes: AtomicU64,
@@ -50,6 +56,12 @@
     problem: Mutex<Option<HeadError>>,
     /// Bytes read beyond the end of the head.
     read_ahead: Mutex<Vec<u8>>,
+    /// The connection in the account of what callers hold.
+    connection: Arc<HeldConnection>,
+    /// The memory of the head.
+    held: Mutex<HeldBytes>,
+    /// Whether there was no room for the head.
+    has_no_room: AtomicBool,
     /// Time since which a write waits for the caller to read.
     unread_since: Mutex<Option<Instant>>,
 }
@@ -80,6 +92,10 @@
         if !is_ascii {
             return refusal("the head holds a byte outside ASCII");
         }
+        if !self.hold_head(before + count as u64) {
+            self.has_no_room.store(true, Ordering::SeqCst);
+            return refusal("there is no room for the head");
+        }
         let mut head = lock(&self.head);
         head.extend_from_slice(&bytes[..count]);
         if matched < HEAD_END_MARK.len() {
@@ -95,6 +111,21 @@
         }
     }
 
+    /// Counts the memory of a head; returns whether there is room for it.
+    fn hold_head(&self, head_bytes: u64) -> bool {
+        let bytes = Bytes(head_bytes * HEAD_COPIES);
+        let mut held = lock(&self.held);
+        match held.resize(bytes) {
+            Ok(()) => true,
+            // Others give way to it already.
+            Err(Shortage::Leaving) => {
+                held.set(bytes);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Moves bytes that were read ahead into the buffer and returns their number.
     fn take_read_ahead(&self, buffer: &mut [u8]) -> usize {
         let mut read_ahead = lock(&self.read_ahead);
@@ -121,23 +152,37 @@
 }
 
 /// Stream of a caller's connection; clones share the state of the current request.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct GuardedStream {
     stream: TcpStream,
     request: Arc<RequestState>,
 }
 
 impl GuardedStream {
-    /// Wraps a stream.
-    pub fn new(stream: TcpStream) -> Self {
-        Self { stream, request: Arc::default() }
+    /// Wraps the stream of a connection.
+    pub fn new(stream: TcpStream, connection: &Arc<HeldConnection>) -> Self {
+        let request = RequestState {
+            phase: AtomicU8::default(),
+            received_head_bytes: AtomicU64::default(),
+            matched_end_bytes: AtomicUsize::default(),
+            remaining_body_bytes: AtomicU64::default(),
+            head: Mutex::default(),
+            problem: Mutex::default(),
+            read_ahead: Mutex::default(),
+            connection: Arc::clone(connection),
+            held: Mutex::new(connection.hold()),
+            has_no_room: AtomicBool::default(),
+            unread_since: Mutex::default(),
+        };
+        Self { stream, request: Arc::new(request) }
     }
 
     /// Starts to receive the head of the next request.
     pub fn expect_head(&self) {
         self.request.received_head_bytes.store(0, Ordering::SeqCst);
         self.request.matched_end_bytes.store(0, Ordering::SeqCst);
-        lock(&self.request.head).clear();
+        *lock(&self.request.head) = Vec::new();
+        self.request.hold_head(0);
         self.request.phase.store(PHASE_HEAD, Ordering::SeqCst);
     }
 
@@ -157,6 +202,16 @@
         self.request.phase.load(Ordering::SeqCst) == PHASE_HEAD
     }
 
+    /// Whether there was no room for the head.
+    pub fn has_no_room(&self) -> bool {
+        self.request.has_no_room.load(Ordering::SeqCst)
+    }
+
+    /// Whether a write waits for the caller to read.
+    pub fn is_unread(&self) -> bool {
+        lock(&self.request.unread_since).is_some()
+    }
+
     /// Time for which a write has waited for the caller to read; zero if none waits.
     pub fn unread_time(&self) -> Duration {
         lock(&self.request.unread_since).map_or(Duration::ZERO, |since| since.elapsed())
@@ -212,10 +267,14 @@
     ) -> Poll<IoResult<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(context, buffer);
         let mut unread_since = lock(&self.request.unread_since);
-        *unread_since = match written.is_pending() {
-            true => unread_since.or_else(|| Some(Instant::now())),
-            false => None,
-        };
+        if written.is_pending() != unread_since.is_some() {
+            let (since, phase) = match written.is_pending() {
+                true => (Some(Instant::now()), ConnectionPhase::Unread),
+                false => (None, ConnectionPhase::Serving),
+            };
+            *unread_since = since;
+            self.request.connection.set_phase(phase);
+        }
         drop(unread_since);
         written
     }
--- a/crates/turmericrail/src/caller_edge/mod.rs
+++ b/crates/turmericrail/src/caller_edge/mod.rs
@@ -4,6 +4,7 @@
 mod completions;
 mod connection;
 mod guarded_stream;
+mod held_body;
 mod operator_pages;
 mod plain;
 pub mod prefixes;
@@ -20,6 +21,7 @@
 use crate::accept_loop::{self, AcceptLoop};
 use crate::daemon::Shared;
 use crate::error::StartError;
+use crate::tcp_timeouts::limit_receive_buffer;
 
 /// Longest wait at shutdown for the last answers to be written.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -52,6 +54,7 @@
     let address = shared.settings.caller_address;
     let listener = TcpListener::bind(address).await;
     let listener = listener.map_err(|source| StartError::Listen { address, source })?;
+    limit_receive_buffer(&listener, shared.settings.limits.receive_buffer_bytes);
     let app = app(shared);
     let shared = Arc::clone(shared);
     Ok(accept_loop::start(listener, move |stream| connection::start(&shared, &app, stream)))
--- a/crates/turmericrail/src/caller_edge/plain.rs
+++ b/crates/turmericrail/src/caller_edge/plain.rs
@@ -11,6 +11,7 @@
 
 use super::body::{ReceivedBody, decode_body, receive_body};
 use super::connection::CallerConnection;
+use super::held_body::held_body;
 use super::reply::{self, Refusal};
 use crate::daemon::Shared;
 use crate::daemon::callers::{CallerMessage, ReceivedRequest, call_fingerprint};
@@ -57,7 +58,7 @@
         Ok(body) => body,
         Err(refusal) => return refuse_unread(id, refusal, ticket.is_some()),
     };
-    let ReceivedBody { bytes, permit: _permit } = body;
+    let ReceivedBody { bytes, held: _held } = body;
     let (received, path) = to_received_request(&request, ticket, bytes);
     let plain_request = PlainRequest {
         request: id,
@@ -81,7 +82,7 @@
         Ok(CallerMessage::Plain(answer)) => {
             let mut response = Response::new(answer.status);
             response.insert_header(reply::REQUEST_HEADER, id.to_string());
-            response.set_body(answer.body);
+            response.set_body(held_body(answer.body, &connection));
             if !answer.content_type.is_empty() {
                 response.insert_header("content-type", answer.content_type);
             }
--- a/crates/turmericrail/src/daemon/shared.rs
+++ b/crates/turmericrail/src/daemon/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the edges: settings, the event queue, waiting callers, connections, metrics.
 
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use async_channel::{Receiver, Sender};
@@ -13,7 +13,7 @@
 use turmericrail_core::units::{Millis, WallMillis};
 use turmericrail_wire::idempotent_client::IdempotentClient;
 
-use crate::caller_edge::body::BodyBudget;
+use crate::caller_memory::SharedAccount;
 use crate::daemon::callers::Callers;
 use crate::daemon::decisions::RecentDecisions;
 use crate::metrics::Metrics;
@@ -31,8 +31,8 @@
     /// Number of callers' connections on which no request has arrived yet.
     pub silent_connections: AtomicUsize,
     pub decisions: RecentDecisions,
-    /// Memory taken by the bodies of requests.
-    pub body_budget: BodyBudget,
+    /// What callers make the process hold.
+    pub caller_account: Arc<SharedAccount>,
     pub metrics: Metrics,
     pub peer_channels: crate::peer_edge::client::PeerChannels,
     /// Connections to engines for load reports.
@@ -56,14 +56,17 @@
             seal_key: seal.clone(),
         });
         let (sender, receiver) = async_channel::unbounded();
+        let metrics = Metrics::default();
+        let account_limits = settings.limits.account_limits();
+        let caller_account = SharedAccount::new(account_limits, metrics.caller_account.clone());
         let shared = Self {
             incarnation,
             seal_key: seal,
             callers: Callers::default(),
             silent_connections: AtomicUsize::new(0),
             decisions: RecentDecisions::default(),
-            body_budget: BodyBudget::default(),
-            metrics: Metrics::default(),
+            caller_account: Arc::new(caller_account),
+            metrics,
             peer_channels: crate::peer_edge::client::PeerChannels::default(),
             report_connections: IdempotentClient::default(),
             events: sender,
--- a/crates/turmericrail/src/forward/callers/buffer_budget.rs
+++ b/crates/turmericrail/src/forward/callers/buffer_budget.rs
@@ -3,9 +3,16 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use turmericrail_core::caller_account::Shortage;
+use turmericrail_core::units::Bytes;
+
+use crate::caller_memory::{HeldBytes, HeldConnection};
+
 /// Bytes that each answer may hold beside the budget, so that a few large ones don't keep out the
 /// others.
 const FREE_BYTES: usize = 64 * 1024;
+/// Bytes of each answer that are held with its request, so that a short answer always finds room.
+const ALLOWANCE_BYTES: usize = 8 * 1024;
 
 /// A limit on the bytes that are held at once.
 #[derive(Debug)]
@@ -19,27 +26,40 @@
         Self { max_bytes, held_bytes: Arc::default() }
     }
 
-    /// The share of an answer of which nothing is held yet.
-    pub fn share(&self) -> BufferShare {
+    /// The share of an answer of which nothing is held yet, to a caller's request.
+    pub fn share(&self, connection: &Arc<HeldConnection>) -> BufferShare {
         BufferShare {
             max_bytes: self.max_bytes,
             held_bytes: Arc::clone(&self.held_bytes),
             counted_bytes: 0,
+            held: connection.hold(),
         }
     }
 }
 
 /// What one answer holds of the budget; returned when it is dropped.
-#[derive(Debug)]
 pub struct BufferShare {
     max_bytes: usize,
     held_bytes: Arc<AtomicUsize>,
     counted_bytes: usize,
+    /// The answer in the account of its caller.
+    held: HeldBytes,
 }
 
 impl BufferShare {
-    /// Sets the size of what is held; returns whether the budget allows it.
+    /// Sets the size of what is held; returns whether the budget and the account allow it.
     pub fn resize(&mut self, bytes: usize) -> bool {
+        let held = Bytes(bytes.saturating_sub(ALLOWANCE_BYTES) as u64);
+        match self.held.resize(held) {
+            Ok(()) => {}
+            // An answer has begun to arrive; those that give way to it are about to leave.
+            Err(Shortage::Leaving) => self.held.set(held),
+            Err(_) => return false,
+        }
+        self.resize_in_budget(bytes)
+    }
+
+    fn resize_in_budget(&mut self, bytes: usize) -> bool {
         let counted_bytes = bytes.saturating_sub(FREE_BYTES);
         if counted_bytes <= self.counted_bytes {
             self.held_bytes.fetch_sub(self.counted_bytes - counted_bytes, Ordering::Relaxed);
--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -2,6 +2,7 @@
 //! caller closes it.
 
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::io::prelude::*;
@@ -10,23 +11,28 @@
 use futures_lite::FutureExt;
 use futures_lite::future;
 use socket2::SockRef;
+use turmericrail_core::caller_account::{ConnectionPhase, Shortage};
 use turmericrail_core::error_kind::ErrorKind;
-use turmericrail_core::forward::{RequestLimits, Tenant};
-use turmericrail_core::request::RequestFingerprint;
-use turmericrail_core::units::Millis;
+use turmericrail_core::forward::RequestLimits;
+use turmericrail_core::units::{Bytes, Millis};
 use turmericrail_platform::request::{self, RequestMetadata};
 use turmericrail_wire::http1::{BodyDecoder, HeadError, RequestHead};
 
 use super::connection_end::ConnectionEnd;
-use crate::connection_close::{drain_and_close, reset_on_drop};
+use super::request::Request;
+use crate::caller_memory::{HeldBytes, HeldConnection};
+use crate::connection_close::{close_now, drain_and_close, reset_on_drop};
+use crate::eager_read::{self, grow_for};
 use crate::forward::clock;
 use crate::forward::handover::{Origin, taking};
-use crate::forward::servers::server_connection::READ_SIZE_BYTES;
 use crate::forward::shared::Shared;
 use crate::tcp_timeouts::log_refusal;
 
 /// Largest amount of a pipelined request that is buffered while an answer is under way.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+/// First part of a body that is decoded at once. The rest is decoded in turn with other long bodies,
+/// so that many of them don't keep this process from short requests.
+const MAX_UNTURNED_BYTES: usize = 16 * 1024;
 /// Most reads while waiting for the caller to close; enough to drain the largest refused body.
 const MAX_CLOSE_READS: usize = 512;
 /// Time for which a connection waits for a request after it was to be closed, since a request may be
@@ -37,34 +43,15 @@
 /// Time beyond the caller's deadline for which bytes written to it may stay unread. Its link may hold
 /// packets for seconds.
 const UNREAD_MARGIN_MS: Millis = Millis(5_000);
+/// Memory of a connection beside its buffers: the task, the socket and the timers.
+const CONNECTION_BYTES: Bytes = Bytes(6 * 1024);
+/// Memory of a request beside its head and body while it is served, with the first part of its
+/// answer.
+const SERVING_BYTES: Bytes = Bytes(24 * 1024);
+/// Memory of a header field beside its bytes.
+const FIELD_BYTES: usize = 96;
 const CONTINUE_ANSWER: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
-/// A request that was read completely.
-pub struct Request {
-    pub head: RequestHead,
-    /// The headers that the router itself evaluates.
-    pub metadata: RequestMetadata,
-    pub body: Vec<u8>,
-    /// Monotonic time at which the head was complete.
-    pub arrived_ms: Millis,
-    /// Monotonic time until which the caller may leave the answer unread.
-    pub unread_until_ms: Millis,
-    pub origin: Origin,
-}
-
-impl Request {
-    /// What the repeats of the request have in common, by caller, path and body. Ids of attempts,
-    /// deadlines and positions in a stream differ between repeats.
-    /// Tenants count in place of their keys, of which one may follow the other.
-    pub fn fingerprint(&self, tenant: Option<&Tenant>) -> RequestFingerprint {
-        let credentials = self.metadata.credentials.as_deref().unwrap_or_default();
-        let caller = tenant.map_or(credentials, |tenant| tenant.name.as_str());
-        let texts = [&self.head.method, &self.head.host, &self.head.target, caller];
-        let [method, host, target, caller] = texts.map(str::as_bytes);
-        RequestFingerprint::of(&[method, host, target, caller, &self.body])
-    }
-}
-
 /// Why no request was read.
 pub enum Unread {
     /// A request that can't be served, with its id if that is known.
@@ -80,9 +67,29 @@
     }
 }
 
+impl From<ConnectionEnd> for Unread {
+    fn from(end: ConnectionEnd) -> Self {
+        match end {
+            ConnectionEnd::NoRoom => Self::refused(ErrorKind::Overloaded),
+            end => Self::Ended(end),
+        }
+    }
+}
+
+impl From<Shortage> for Unread {
+    fn from(_: Shortage) -> Self {
+        Self::refused(ErrorKind::Overloaded)
+    }
+}
+
 pub struct CallerConnection {
     pub stream: TcpStream,
+    /// The connection in the account of what callers hold.
+    held: Arc<HeldConnection>,
     buffer: Vec<u8>,
+    buffer_held: HeldBytes,
+    /// Bytes that the system may keep until they are read.
+    receive_buffer: Bytes,
     is_of_instance: bool,
     /// Monotonic time of the accept, or of the last bytes.
     last_read_ms: Millis,
@@ -97,49 +104,90 @@
 }
 
 impl CallerConnection {
-    /// Wraps a newly accepted connection.
-    pub fn new(stream: TcpStream) -> Self {
+    /// Wraps a newly accepted connection; `None` if there is no room for it.
+    pub fn accept(shared: &Shared, stream: TcpStream) -> Option<Self> {
         let now_ms = clock::now_ms();
-        Self {
+        let held = shared.caller_account.open(CONNECTION_BYTES).ok()?;
+        Some(Self {
             stream,
             buffer: Vec::new(),
+            buffer_held: held.hold(),
+            held,
+            receive_buffer: shared.settings().receive_buffer_bytes,
             is_of_instance: false,
             last_read_ms: now_ms,
             unfinished_bytes: 0,
             request_count: 0,
             arrived_ms: now_ms,
             unread_until_ms: now_ms + UNREAD_MARGIN_MS,
-        }
+        })
+    }
+
+    /// Wraps a newly accepted connection of another instance; `None` if there is no room for it.
+    pub fn accept_instance(shared: &Shared, stream: TcpStream) -> Option<Self> {
+        Some(Self { is_of_instance: true, ..Self::accept(shared, stream)? })
+    }
+
+    /// Whether the connection gives way to another one.
+    pub fn is_evicted(&self) -> bool {
+        self.held.is_evicted()
+    }
+
+    /// Returns once the connection gives way to another one.
+    async fn evicted<T>(held: Arc<HeldConnection>, end: T) -> T {
+        held.evicted().await;
+        end
     }
 
-    /// Wraps a newly accepted connection of another instance.
-    pub fn of_instance(stream: TcpStream) -> Self {
-        Self { is_of_instance: true, ..Self::new(stream) }
+    /// Gives up what was read of a request that is refused.
+    pub fn discard(&mut self) {
+        self.held.set_phase(ConnectionPhase::Closing);
+        self.buffer = Vec::new();
+        self.buffer_held.set(Bytes::default());
     }
 
     /// Reads more into the buffer, or returns why that isn't possible: `closed` where the caller has
     /// closed its side.
     async fn fill(&mut self, closed: ConnectionEnd) -> Result<(), ConnectionEnd> {
-        let mut bytes = [0; READ_SIZE_BYTES];
-        let read = (&self.stream).read(&mut bytes).await;
+        let read = eager_read::read_into(&self.stream, &mut self.buffer).await;
         let read = read.map_err(|error| ConnectionEnd::ReadFailed(error.kind()))?;
         if read == 0 {
             return Err(closed);
         }
-        self.buffer.extend_from_slice(&bytes[..read]);
         self.last_read_ms = clock::now_ms();
         self.unfinished_bytes += read as u64;
+        self.hold_buffer().await
+    }
+
+    /// Counts the buffer in the account.
+    async fn hold_buffer(&mut self) -> Result<(), ConnectionEnd> {
+        if self.buffer.is_empty() {
+            self.buffer = Vec::new();
+        }
+        let bytes = Bytes(self.buffer.capacity() as u64);
+        if self.buffer_held.resize_when_free(bytes).await.is_err() {
+            self.buffer_held.set(bytes);
+            return Err(ConnectionEnd::NoRoom);
+        }
         Ok(())
     }
 
     /// Waits for the next request and reads it.
     pub async fn receive(&mut self, shared: &Shared) -> Result<Request, Unread> {
         let limits = self.limits(shared);
+        self.hold_buffer().await?;
+        let held = Arc::clone(&self.held);
         if self.buffer.is_empty() {
-            self.wait_for_bytes(shared, &limits).await.map_err(Unread::Ended)?;
+            if self.request_count > 0 {
+                held.set_phase(ConnectionPhase::Idle);
+            }
+            let evicted = Self::evicted(Arc::clone(&held), Err(ConnectionEnd::Evicted));
+            self.wait_for_bytes(shared, &limits).or(evicted).await?;
         }
+        held.set_phase(ConnectionPhase::Reading);
+        let evicted = Self::evicted(Arc::clone(&held), Err(Unread::from(ConnectionEnd::NoRoom)));
         let head_timeout = Duration::from_millis(limits.header_timeout_ms.0);
-        let reading = self.read_head(&limits).or(too_late(shared));
+        let reading = self.read_head(&limits).or(evicted).or(too_late(shared));
         let reading = async_std::future::timeout(head_timeout, reading);
         let mut head = match reading.await.unwrap_or_else(|_| timed_out()) {
             Err(Unread::Refused { kind, request_id, .. }) => {
@@ -148,6 +196,8 @@
             }
             head => head?,
         };
+        let mut request_held = held.hold();
+        request_held.resize_when_free(head_memory(&head)).await?;
         let arrived_ms = clock::now_ms();
         let origin = match self.is_of_instance {
             true => taking::take_origin(&mut head.headers),
@@ -163,7 +213,9 @@
         self.arrived_ms = arrived_ms;
         self.unread_until_ms = self.unread_until_ms.max(arrived_ms + timeout_ms + UNREAD_MARGIN_MS);
         let timeout = Duration::from_millis(timeout_ms.0);
-        let reading = self.read_body(&head, &limits).or(too_late(shared));
+        let reading = self.read_body(shared, &head, &limits, &mut request_held);
+        let evicted = Self::evicted(Arc::clone(&held), Err(Unread::from(ConnectionEnd::NoRoom)));
+        let reading = reading.or(evicted).or(too_late(shared));
         let reading = async_std::future::timeout(timeout, reading);
         let body = match reading.await.unwrap_or_else(|_| timed_out()) {
             Err(Unread::Refused { kind, .. }) => {
@@ -176,10 +228,12 @@
             }
             body => body?,
         };
+        held.set_phase(ConnectionPhase::Serving);
         self.request_count += 1;
         self.unfinished_bytes = self.buffer.len() as u64;
         let unread_until_ms = self.unread_until_ms;
-        Ok(Request { head, metadata, body, arrived_ms, unread_until_ms, origin })
+        let (connection, _held) = (held, request_held);
+        Ok(Request { head, metadata, body, arrived_ms, unread_until_ms, origin, connection, _held })
     }
 
     /// Waits for the first bytes of a request, or returns why none came.
@@ -245,20 +299,29 @@
             if self.buffer.len() > limit {
                 return Err(refused(ErrorKind::HeadTooLarge));
             }
-            self.fill(ConnectionEnd::ClosedInHead).await.map_err(Unread::Ended)?;
+            self.fill(ConnectionEnd::ClosedInHead).await?;
         }
     }
 
     async fn read_body(
         &mut self,
+        shared: &Shared,
         head: &RequestHead,
         limits: &RequestLimits,
+        held: &mut HeldBytes,
     ) -> Result<Vec<u8>, Unread> {
         let refused = Unread::refused;
+        let head_bytes = head_memory(head);
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = Vec::new();
         loop {
+            grow_for(&mut body, decoder.max_body_bytes(self.buffer.len()));
+            let body_bytes = Bytes((body.capacity() + decoder.buffered_bytes()) as u64);
+            held.resize_when_free(head_bytes + body_bytes).await?;
+            let is_in_turn = body.len() > MAX_UNTURNED_BYTES;
+            let turn = if is_in_turn { Some(shared.body_turn.lock().await) } else { None };
             let used = decoder.decode(&self.buffer, &mut body);
+            drop(turn);
             self.buffer.drain(..used.map_err(|_| refused(ErrorKind::HeadRefused))?);
             let remaining_bytes =
                 if let BodyDecoder::Length(remaining) = &decoder { *remaining } else { 0 };
@@ -266,22 +329,37 @@
                 return Err(refused(ErrorKind::TooLarge));
             }
             if decoder.is_done() {
+                let request_bytes = head_bytes + Bytes(body.capacity() as u64);
+                held.resize_when_free(request_bytes + SERVING_BYTES).await?;
                 return Ok(body);
             }
-            self.fill(ConnectionEnd::ClosedInBody).await.map_err(Unread::Ended)?;
+            if self.buffer.is_empty() {
+                self.hold_buffer().await?;
+            }
+            self.fill(ConnectionEnd::ClosedInBody).await?;
         }
     }
 
     /// Returns once the caller has closed its side; buffers bytes of a next request until then.
     pub async fn wait_until_closed(&mut self) -> ConnectionEnd {
         while self.buffer.len() < MAX_PIPELINED_BYTES {
-            if let Err(end) = self.fill(ConnectionEnd::ClosedInAnswer).await {
-                return end;
+            match self.fill(ConnectionEnd::ClosedInAnswer).await {
+                Ok(()) => {}
+                // What follows stays with the system until the answer is written.
+                Err(ConnectionEnd::NoRoom) => break,
+                Err(end) => return end,
             }
         }
+        let buffer = Bytes(self.buffer.capacity() as u64);
+        self.buffer_held.set(buffer + self.receive_buffer);
         future::pending().await
     }
 
+    /// Writes as much as the system takes at once.
+    pub async fn write_now(&self, bytes: &[u8]) {
+        let _ = future::poll_once((&self.stream).write_all(bytes)).await;
+    }
+
     pub async fn write(&self, bytes: &[u8]) -> io::Result<()> {
         let timeout = Duration::from_millis(UNREAD_MARGIN_MS.0);
         async_std::io::timeout(timeout, (&self.stream).write_all(bytes)).await
@@ -293,11 +371,19 @@
         self.bound_unread_time();
         // No answer is under way, and a request that crosses the close must not be read: a reset tells
         // its caller that it was not.
-        if matches!(end, ConnectionEnd::IdleLimit | ConnectionEnd::Stopping) {
+        if matches!(
+            end,
+            ConnectionEnd::IdleLimit | ConnectionEnd::Stopping | ConnectionEnd::Evicted
+        ) {
             self.log_end(shared, end, self.buffer.len() as u64);
             return;
         }
-        let drained_bytes = drain_and_close(&self.stream, MAX_CLOSE_READS).await;
+        self.held.set_phase(ConnectionPhase::Closing);
+        let evicted = Self::evicted(Arc::clone(&self.held), 0);
+        let drained_bytes = drain_and_close(&self.stream, MAX_CLOSE_READS).or(evicted).await;
+        if self.is_evicted() {
+            close_now(&self.stream).await;
+        }
         self.log_end(shared, end, self.buffer.len() as u64 + drained_bytes);
     }
 
@@ -305,7 +391,7 @@
     /// the last chunk.
     pub fn abort(self, shared: &Shared, end: ConnectionEnd) {
         self.bound_unread_time();
-        if end == ConnectionEnd::AnswerUnread {
+        if matches!(end, ConnectionEnd::AnswerUnread | ConnectionEnd::Evicted) {
             reset_on_drop(&self.stream);
         }
         self.log_end(shared, end, self.buffer.len() as u64);
@@ -322,7 +408,7 @@
     fn log_end(&self, shared: &Shared, end: ConnectionEnd, discarded_bytes: u64) {
         let (reason, error) = (end.reason(), end.error());
         shared.metrics.connection_ends.with_label_values(&[reason, error.as_str()]).inc();
-        if end == ConnectionEnd::ClosedIdle {
+        if matches!(end, ConnectionEnd::ClosedIdle | ConnectionEnd::Evicted) {
             return;
         }
         spdlog::info!(
@@ -335,6 +421,14 @@
     }
 }
 
+/// Memory of a head that was parsed.
+fn head_memory(head: &RequestHead) -> Bytes {
+    let fields = head.headers.0.iter();
+    let field_bytes: usize =
+        fields.map(|field| FIELD_BYTES + field.name.len() + field.value.len()).sum();
+    Bytes((field_bytes + head.target.len()) as u64)
+}
+
 /// Whether the bytes of an unread head are those of a HEAD request.
 fn begins_head_call(bytes: &[u8]) -> bool {
     bytes.trim_ascii_start().starts_with(b"HEAD ")
--- a/crates/turmericrail/src/forward/callers/caller_listener.rs
+++ b/crates/turmericrail/src/forward/callers/caller_listener.rs
@@ -13,18 +13,21 @@
 use crate::connection_close;
 use crate::error::StartError;
 use crate::forward::shared::{CountGuard, Shared};
-use crate::tcp_timeouts::log_refusal;
+use crate::tcp_timeouts::{limit_receive_buffer, log_refusal};
 
 /// Listens for callers until the returned loop is stopped.
 pub async fn listen(shared: &Arc<Shared>) -> Result<AcceptLoop, StartError> {
     let address = shared.settings().caller_address;
     let listener = TcpListener::bind(address).await;
     let listener = listener.map_err(|source| StartError::Listen { address, source })?;
+    limit_receive_buffer(&listener, shared.settings().receive_buffer_bytes);
     let shared = Arc::clone(shared);
     Ok(accept_loop::start(listener, move |stream| {
+        let Some(connection) = CallerConnection::accept(&shared, stream) else {
+            return;
+        };
         // Counted here, so that the process doesn't end between the accept and the first read.
         let count_guard = shared.count_connection();
-        let connection = CallerConnection::new(stream);
         task::spawn(serve(Arc::clone(&shared), connection, count_guard));
     }))
 }
@@ -42,10 +45,17 @@
         let request = match connection.receive(&shared).await {
             Ok(request) => request,
             Err(Unread::Refused { kind, request_id, is_head_call }) => {
+                connection.discard();
                 let request_id = request_id.as_deref();
-                dispatch::log_answer(&shared, request_id, kind.answer().text, 0);
                 let answer =
                     answer_writer::error_answer(kind, None, request_id, is_head_call, false);
+                if connection.is_evicted() {
+                    shared.metrics.answers.with_label_values(&[kind.answer().text]).inc();
+                    connection.write_now(&answer).await;
+                    connection_close::close_now(&connection.stream).await;
+                    break ConnectionEnd::Evicted;
+                }
+                dispatch::log_answer(&shared, request_id, kind.answer().text, 0);
                 break match connection.write(&answer).await {
                     Ok(()) => ConnectionEnd::Refused,
                     Err(error) => ConnectionEnd::WriteFailed(error.kind()),
@@ -54,7 +64,8 @@
             Err(Unread::Ended(end)) => break end,
         };
         let _count_guard = shared.count_call();
-        match dispatch::serve(&shared, &mut connection, &request).await {
+        // Boxed, so that a connection without a request doesn't hold the state of serving one.
+        match Box::pin(dispatch::serve(&shared, &mut connection, &request)).await {
             ConnectionAction::KeepAlive => {}
             ConnectionAction::Close => break ConnectionEnd::Answered,
             ConnectionAction::Abort(end) => {
--- a/crates/turmericrail/src/forward/callers/caller_stream.rs
+++ b/crates/turmericrail/src/forward/callers/caller_stream.rs
@@ -1,5 +1,8 @@
 //! Writes the answer to one request on the caller's connection.
 
+use std::future::Future;
+use std::io;
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -7,13 +10,17 @@
 use async_std::future::timeout;
 use async_std::io::prelude::*;
 use async_std::net::TcpStream;
+use futures_lite::FutureExt;
+use futures_lite::future;
+use turmericrail_core::caller_account::ConnectionPhase;
 use turmericrail_core::units::Millis;
 use turmericrail_wire::http1::{ResponseHead, write_chunk, write_last_chunk};
 
 use super::answer_writer;
-use super::caller_connection::Request;
 use super::connection_end::ConnectionEnd;
 use super::dispatch::ConnectionAction;
+use super::request::Request;
+use crate::caller_memory::HeldConnection;
 use crate::forward::clock;
 use crate::forward::shared::Shared;
 
@@ -24,6 +31,8 @@
 pub struct CallerStream {
     shared: Arc<Shared>,
     stream: TcpStream,
+    /// The connection in the account of what callers hold.
+    connection: Arc<HeldConnection>,
     is_http_10: bool,
     wants_keep_alive: bool,
     has_begun: AtomicBool,
@@ -36,6 +45,7 @@
         Self {
             shared: Arc::clone(shared),
             stream,
+            connection: Arc::clone(&request.connection),
             is_http_10: request.head.is_http_10,
             wants_keep_alive: request.head.is_kept_alive,
             has_begun: AtomicBool::new(false),
@@ -62,16 +72,34 @@
 
     async fn write(&self, bytes: &[u8]) -> bool {
         self.has_begun.store(true, Ordering::Relaxed);
-        let left_ms = self.unread_until_ms.saturating_sub(clock::now_ms());
         let mut stream = &self.stream;
-        let writing = stream.write_all(bytes);
-        let end = match timeout(Duration::from_millis(left_ms.0), writing).await {
-            Ok(Ok(())) => return true,
-            Ok(Err(error)) => ConnectionEnd::WriteFailed(error.kind()),
-            Err(_) => ConnectionEnd::AnswerUnread,
+        let mut writing = pin!(stream.write_all(bytes));
+        let written = match future::poll_once(writing.as_mut()).await {
+            Some(written) => written.map_err(|error| ConnectionEnd::WriteFailed(error.kind())),
+            None => self.write_unread(writing).await,
+        };
+        if let Err(end) = written {
+            self.write_failure.get_or_init(|| end);
+        }
+        written.is_ok()
+    }
+
+    /// Waits for the caller to read. Meanwhile the connection may give way to others.
+    async fn write_unread(
+        &self,
+        writing: impl Future<Output = io::Result<()>>,
+    ) -> Result<(), ConnectionEnd> {
+        self.connection.set_phase(ConnectionPhase::Unread);
+        let left_ms = self.unread_until_ms.saturating_sub(clock::now_ms());
+        let evicted = async {
+            self.connection.evicted().await;
+            Err(ConnectionEnd::Evicted)
         };
-        self.write_failure.get_or_init(|| end);
-        false
+        let writing =
+            async { writing.await.map_err(|error| ConnectionEnd::WriteFailed(error.kind())) };
+        let written = timeout(Duration::from_millis(left_ms.0), writing.or(evicted)).await;
+        self.connection.set_phase(ConnectionPhase::Serving);
+        written.unwrap_or(Err(ConnectionEnd::AnswerUnread))
     }
 
     /// Gives up the connection, since a write failed or the answer can't be completed.
--- a/crates/turmericrail/src/forward/callers/connection_end.rs
+++ b/crates/turmericrail/src/forward/callers/connection_end.rs
@@ -24,6 +24,10 @@
     AnswerBroken,
     /// The caller didn't read its answer in time.
     AnswerUnread,
+    /// There is no room for what the caller sends.
+    NoRoom,
+    /// It gave way to another connection.
+    Evicted,
 }
 
 impl ConnectionEnd {
@@ -42,6 +46,8 @@
             Self::Answered => "answered",
             Self::AnswerBroken => "answer_broken",
             Self::AnswerUnread => "answer_unread",
+            Self::NoRoom => "no_room",
+            Self::Evicted => "evicted",
         }
     }
 
--- a/crates/turmericrail/src/forward/callers/dispatch.rs
+++ b/crates/turmericrail/src/forward/callers/dispatch.rs
@@ -8,9 +8,10 @@
 use turmericrail_core::units::Millis;
 
 use super::answer_writer;
-use super::caller_connection::{CallerConnection, Request};
+use super::caller_connection::CallerConnection;
 use super::caller_stream::CallerStream;
 use super::connection_end::ConnectionEnd;
+use super::request::Request;
 use crate::forward::calls::call_context::CallContext;
 use crate::forward::calls::model_call;
 use crate::forward::calls::plain_call;
--- a/crates/turmericrail/src/forward/callers/mod.rs
+++ b/crates/turmericrail/src/forward/callers/mod.rs
@@ -7,3 +7,4 @@
 pub mod caller_stream;
 pub mod connection_end;
 pub mod dispatch;
+pub mod request;
--- a/crates/turmericrail/src/forward/calls/call_context.rs
+++ b/crates/turmericrail/src/forward/calls/call_context.rs
@@ -12,8 +12,9 @@
 use turmericrail_core::units::{Millis, Tokens};
 
 use super::begun_version::BegunVersion;
-use crate::forward::callers::caller_connection::Request;
+use crate::forward::callers::buffer_budget::BufferShare;
 use crate::forward::callers::dispatch::Refusal;
+use crate::forward::callers::request::Request;
 use crate::forward::clock;
 use crate::forward::peers::usage_grant::UsageGrant;
 use crate::forward::shared::Shared;
@@ -270,6 +271,11 @@
         if is_cut_off { Err(self.no_server_refusal()) } else { Ok(()) }
     }
 
+    /// The share of an answer to the caller, of which nothing is held yet.
+    pub fn answer_share(&self) -> BufferShare {
+        self.shared.pool.answer_budget.share(&self.request.connection)
+    }
+
     /// Records the duration of a step in the metrics.
     pub fn observe_step(&self, step: &str, elapsed_ms: Millis) {
         let steps = &self.shared.metrics.step_seconds;
--- a/crates/turmericrail/src/forward/calls/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -24,8 +24,9 @@
 use crate::forward::peers::loss_notices;
 use crate::forward::peers::stream_versions;
 use crate::forward::servers::answer_body::AnswerBody;
+use crate::forward::servers::call_bytes::CallBytes;
 use crate::forward::servers::exchange::Exchange;
-use crate::forward::servers::server_calls::{call_bytes, log_call, send_call};
+use crate::forward::servers::server_calls::{call_head, log_call, send_call};
 
 /// Multiple of the route's target gap between events after which an engine counts as silent.
 const GAP_TIMEOUT_FACTOR: u64 = 2;
@@ -158,20 +159,21 @@
     events: &mut EventSplitter,
     failover: &mut Failover<'_>,
 ) -> EngineAttemptEnd {
-    let bytes = {
+    let mut head = {
         let start = RunOptions {
             source: attempt.kv.as_ref().map(HeldKv::source),
             reservation: attempt.reservation.as_ref().and_then(Reservation::id),
             last_event_id: events.last_id(),
         };
-        call_bytes(context, attempt.choice(), &ServerTask::Run(start))
+        call_head(context, attempt.choice(), &ServerTask::Run(start))
     };
+    let bytes = CallBytes::new(&mut head, &context.request.body);
     let begun_before = stream_versions::record_sent(context, attempt.choice(), failover.calls_sent);
     let sent_ms = clock::now_ms();
     let timeout_ms = failover.timeout_ms(context, first_event_timeout_ms(context, attempt));
     let started = {
         let mut sending =
-            Box::pin(send_call(context, attempt.choice(), &bytes, permit, context.remaining_ms()));
+            Box::pin(send_call(context, attempt.choice(), bytes, permit, context.remaining_ms()));
         let limit = Duration::from_millis(timeout_ms.0);
         match async_std::future::timeout(limit, sending.as_mut()).await {
             Ok(started) => started,
@@ -194,8 +196,7 @@
         context.record_not_run(begun_before);
         record_refused_kv(context, attempt);
         let remaining_ms = context.remaining_ms();
-        let _ =
-            exchange.read_body(&context.shared.pool, attempt.choice().address, remaining_ms).await;
+        let _ = exchange.read_body(context, attempt.choice().address, remaining_ms).await;
         return EngineAttemptEnd::NotRun;
     }
     if let Some(kv) = &mut attempt.kv {
@@ -209,8 +210,7 @@
     }
     if !exchange.head.is_success() {
         let remaining_ms = context.remaining_ms();
-        let pool = &context.shared.pool;
-        return match exchange.read_body(pool, attempt.choice().address, remaining_ms).await {
+        return match exchange.read_body(context, attempt.choice().address, remaining_ms).await {
             Ok((head, body)) => {
                 loss_notices::record_answer(context.shared, context.service, context.fingerprint);
                 EngineAttemptEnd::Answered(head, body)
@@ -293,7 +293,7 @@
 ) -> Option<EngineAttemptEnd> {
     let failed = |failure| Some(EngineAttemptEnd::Failed(failure));
     let mut decoder = BodyDecoder::new(exchange.head.framing);
-    let mut share = context.shared.pool.answer_budget.share();
+    let mut share = context.answer_share();
     let events_before = events.event_count();
     let (mut is_before_first_event, mut has_survived) = (true, false);
     // Bytes that complete no event don't count as a sign of life.
--- a/crates/turmericrail/src/forward/calls/engine_calls.rs
+++ b/crates/turmericrail/src/forward/calls/engine_calls.rs
@@ -14,7 +14,8 @@
 use super::call_guard::CallGuard;
 use super::held_kv::HeldKv;
 use crate::forward::clock;
-use crate::forward::servers::server_calls::{call_bytes, log_call, send_call};
+use crate::forward::servers::call_bytes::CallBytes;
+use crate::forward::servers::server_calls::{call_head, log_call, send_call};
 
 /// An engine counts as silent once a prefill or first event takes this many times as long as
 /// predicted.
@@ -128,11 +129,11 @@
     engine: &ChosenServer,
     permit: SendPermit,
 ) -> Result<Option<String>, CallFailure> {
-    let bytes = call_bytes(context, engine, &ServerTask::Prefill);
-    let exchange = send_call(context, engine, &bytes, permit, context.remaining_ms()).await?;
+    let mut head = call_head(context, engine, &ServerTask::Prefill);
+    let bytes = CallBytes::new(&mut head, &context.request.body);
+    let exchange = send_call(context, engine, bytes, permit, context.remaining_ms()).await?;
     let metadata = exchange.metadata.clone();
-    let pool = &context.shared.pool;
-    let (head, body) = exchange.read_body(pool, engine.address, context.remaining_ms()).await?;
+    let (head, body) = exchange.read_body(context, engine.address, context.remaining_ms()).await?;
     if metadata.is_not_run || !head.is_success() {
         return Ok(None);
     }
--- a/crates/turmericrail/src/forward/calls/plain_call.rs
+++ b/crates/turmericrail/src/forward/calls/plain_call.rs
@@ -22,7 +22,8 @@
 use crate::forward::clock;
 use crate::forward::peers::loss_notices;
 use crate::forward::servers::answer_body::AnswerBody;
-use crate::forward::servers::server_calls::{call_bytes, log_call, send_call};
+use crate::forward::servers::call_bytes::CallBytes;
+use crate::forward::servers::server_calls::{call_head, log_call, send_call};
 use crate::forward::servers::server_ends;
 
 /// Fraction of the route's target after which an unanswered idempotent call goes to another server.
@@ -235,14 +236,14 @@
     choice: &ChosenServer,
     permit: SendPermit,
 ) -> AttemptEnd {
-    let bytes = call_bytes(context, choice, &ServerTask::Run(RunOptions::default()));
-    let exchange = match send_call(context, choice, &bytes, permit, context.remaining_ms()).await {
+    let mut head = call_head(context, choice, &ServerTask::Run(RunOptions::default()));
+    let bytes = CallBytes::new(&mut head, &context.request.body);
+    let exchange = match send_call(context, choice, bytes, permit, context.remaining_ms()).await {
         Ok(exchange) => exchange,
         Err(failure) => return AttemptEnd::Failed(failure),
     };
     let metadata = exchange.metadata.clone();
-    let pool = &context.shared.pool;
-    match exchange.read_body(pool, choice.address, context.remaining_ms()).await {
+    match exchange.read_body(context, choice.address, context.remaining_ms()).await {
         _ if metadata.is_not_run => AttemptEnd::NotRun,
         Ok((head, body)) if is_acceptable(&head, &metadata) => {
             if head.framing != BodyFraming::UntilClose {
--- a/crates/turmericrail/src/forward/handover/hop_answer.rs
+++ b/crates/turmericrail/src/forward/handover/hop_answer.rs
@@ -38,8 +38,7 @@
     if exchange.head.is_success() && is_event_stream(context, &exchange.head) {
         return pass_events(context, caller, exchange, address, events).await;
     }
-    let pool = &context.shared.pool;
-    match exchange.read_body(pool, address, context.remaining_ms() + MAX_OVERRUN_MS).await {
+    match exchange.read_body(context, address, context.remaining_ms() + MAX_OVERRUN_MS).await {
         Ok(_) if caller.has_begun() => HopEnd::Complete(caller.abort()),
         Ok((head, body)) => {
             dispatch::log_answer(context.shared, request_id, "handed_over", status);
@@ -88,7 +87,7 @@
     events: &mut EventSplitter,
 ) -> Result<bool, CallFailure> {
     let mut decoder = BodyDecoder::new(exchange.head.framing);
-    let mut share = context.shared.pool.answer_budget.share();
+    let mut share = context.answer_share();
     loop {
         let mut data = Vec::new();
         let used = decoder.decode(&exchange.connection.buffer, &mut data);
--- a/crates/turmericrail/src/forward/handover/sender.rs
+++ b/crates/turmericrail/src/forward/handover/sender.rs
@@ -19,6 +19,7 @@
 use crate::forward::calls::engine_calls::MIN_SILENCE_MS;
 use crate::forward::calls::plain_call::NOT_RUN_STATUSES;
 use crate::forward::clock;
+use crate::forward::servers::call_bytes::CallBytes;
 use crate::forward::servers::exchange::{Exchange, OutgoingCall};
 
 /// Multiple of the route's target after which an idempotent request without an answer goes to another
@@ -195,11 +196,12 @@
 
     async fn send(&self, address: SocketAddr) -> Offer {
         let context = self.context;
-        let bytes = self.request_bytes();
+        let mut head = self.request_head();
+        let bytes = CallBytes::new(&mut head, &context.request.body);
         let is_connected = AtomicBool::new(false);
         let call = OutgoingCall {
             address,
-            bytes: &bytes,
+            bytes,
             method: &context.request.head.method,
             request_id: context.request_id,
             is_connected: &is_connected,
@@ -216,7 +218,7 @@
         let Some(reason) = declined.map(|text| DeclineReason::find(text.trim())) else {
             return Offer::Taken(Box::new(exchange));
         };
-        let _ = exchange.read_body(pool, address, context.remaining_ms()).await;
+        let _ = exchange.read_body(context, address, context.remaining_ms()).await;
         // A reason that a later release may add.
         Offer::Declined(reason.unwrap_or(DeclineReason::NotReady))
     }
@@ -232,8 +234,8 @@
         remaining_ms.min(wait_ms.max(MIN_SILENCE_MS))
     }
 
-    /// Head and body of the request for another instance.
-    fn request_bytes(&self) -> Vec<u8> {
+    /// Head of the request for another instance.
+    fn request_head(&self) -> Vec<u8> {
         let context = self.context;
         let request = context.request;
         let metadata = &request.metadata;
@@ -258,7 +260,6 @@
             &added,
             &mut bytes,
         );
-        bytes.extend_from_slice(&request.body);
         bytes
     }
 
--- a/crates/turmericrail/src/forward/handover/taking.rs
+++ b/crates/turmericrail/src/forward/handover/taking.rs
@@ -9,9 +9,9 @@
 
 use super::{ATTEMPTS_HEADER, CONFIG_HEADER, DECLINED_HEADER, DECLINED_STATUS, Origin};
 use crate::forward::callers::answer_writer;
-use crate::forward::callers::caller_connection::Request;
 use crate::forward::callers::caller_stream::CallerStream;
 use crate::forward::callers::dispatch::{self, ConnectionAction};
+use crate::forward::callers::request::Request;
 use crate::forward::clock;
 use crate::forward::shared::Shared;
 
--- a/crates/turmericrail/src/forward/servers/answer_body.rs
+++ b/crates/turmericrail/src/forward/servers/answer_body.rs
@@ -5,7 +5,6 @@
 use crate::forward::callers::buffer_budget::BufferShare;
 
 /// Bytes of a body, with their share of the memory for answers.
-#[derive(Debug)]
 pub struct AnswerBody {
     bytes: Vec<u8>,
     _share: BufferShare,
--- a/crates/turmericrail/src/forward/servers/exchange.rs
+++ b/crates/turmericrail/src/forward/servers/exchange.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use async_std::io::prelude::*;
 use futures_lite::FutureExt;
 use futures_lite::future;
 use turmericrail_core::units::Millis;
@@ -12,10 +11,12 @@
 use turmericrail_wire::http1::ResponseHead;
 
 use super::answer_body::AnswerBody;
+use super::call_bytes::CallBytes;
 use super::call_key::CallKey;
 use super::connection_pool::ConnectionPool;
 use super::sent_call::SentCall;
 use super::server_connection::ServerConnection;
+use crate::forward::calls::call_context::CallContext;
 use crate::forward::calls::call_failure::CallFailure;
 
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -29,8 +30,7 @@
 /// A call as it is sent to a server.
 pub struct OutgoingCall<'a> {
     pub address: SocketAddr,
-    /// Head and body.
-    pub bytes: &'a [u8],
+    pub bytes: CallBytes<'a>,
     /// The method, which determines the framing of the answer.
     pub method: &'a str,
     /// The request id that the answer must carry.
@@ -92,11 +92,11 @@
     /// Reads the whole body and returns the connection to the pool if it can be reused.
     pub async fn read_body(
         mut self,
-        pool: &ConnectionPool,
+        context: &CallContext<'_>,
         address: SocketAddr,
         remaining_ms: Millis,
     ) -> Result<(ResponseHead, AnswerBody), CallFailure> {
-        let mut share = pool.answer_budget.share();
+        let mut share = context.answer_share();
         let may_hold = |bytes| bytes <= MAX_BODY_BYTES && share.resize(bytes);
         let reading = self.connection.read_body(self.head.framing, may_hold);
         let read = async_std::future::timeout(Duration::from_millis(remaining_ms.0), reading).await;
@@ -109,7 +109,7 @@
         }
         let body = AnswerBody::new(read?, share);
         let head = self.head.clone();
-        self.return_to_pool(pool, address);
+        self.return_to_pool(&context.shared.pool, address);
         Ok((head, body))
     }
 
@@ -153,7 +153,7 @@
     // The server may answer before it has read the body, so the call is written and the answer read
     // at the same time. After a failed write, the read decides what the server answered.
     let writing = async {
-        if (&writer).write_all(call.bytes).await.is_ok() {
+        if call.bytes.write_to(&writer).await.is_ok() {
             is_written.store(true, Ordering::Relaxed);
         }
         future::pending().await
--- a/crates/turmericrail/src/forward/servers/mod.rs
+++ b/crates/turmericrail/src/forward/servers/mod.rs
@@ -1,6 +1,7 @@
 //! The side of the backend servers: connections, exchanges and control calls.
 
 pub mod answer_body;
+pub mod call_bytes;
 pub mod call_key;
 pub mod connection_pool;
 pub mod control_call;
--- a/crates/turmericrail/src/forward/servers/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -7,6 +7,7 @@
 use turmericrail_core::units::Millis;
 use turmericrail_platform::call::{self, CallTerms, ServerTask};
 
+use super::call_bytes::CallBytes;
 use super::exchange::{Exchange, OutgoingCall};
 use super::sent_call::SentCall;
 use super::server_ends;
@@ -19,8 +20,8 @@
 /// Priority of the least urgent calls that servers know.
 const MAX_PRIORITY: u8 = 9;
 
-/// Head and body of a call.
-pub fn call_bytes(
+/// Head of a call; its body is that of the request.
+pub fn call_head(
     context: &CallContext<'_>,
     choice: &ChosenServer,
     task: &ServerTask<'_>,
@@ -35,7 +36,6 @@
         priority: context.has_ranks().then(|| context.rank().min(MAX_PRIORITY)),
     };
     call::write_head(&request.head, request.body.len(), &terms, task, &mut bytes);
-    bytes.extend_from_slice(&request.body);
     bytes
 }
 
@@ -43,7 +43,7 @@
 pub async fn send_call(
     context: &CallContext<'_>,
     choice: &ChosenServer,
-    bytes: &[u8],
+    bytes: CallBytes<'_>,
     _permit: SendPermit,
     timeout_ms: Millis,
 ) -> Result<Exchange, CallFailure> {
--- a/crates/turmericrail/src/forward/servers/server_connection.rs
+++ b/crates/turmericrail/src/forward/servers/server_connection.rs
@@ -12,11 +12,11 @@
 
 use super::call_key::CallKey;
 use crate::connection_close::reset_on_drop;
+use crate::eager_read::{self, grow_for};
 use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::clock;
 use crate::tcp_timeouts::TcpTimeouts;
 
-pub const READ_SIZE_BYTES: usize = 8 * 1024;
 /// Reads after which other tasks may run; an answer of usual size takes fewer.
 const MAX_READS_BETWEEN_YIELDS: u32 = 32;
 /// Longest wait for a connection: a few round trips, and short enough for a retry to be worthwhile.
@@ -88,10 +88,7 @@
     /// Reads more into the buffer; returns the number of bytes, zero at the end of the stream.
     /// Dropping the future loses no bytes.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        let mut bytes = [0; READ_SIZE_BYTES];
-        let read = (&self.stream).read(&mut bytes).await?;
-        self.buffer.extend_from_slice(&bytes[..read]);
-        Ok(read)
+        eager_read::read_into(&self.stream, &mut self.buffer).await
     }
 
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
@@ -171,11 +168,3 @@
         }
     }
 }
-
-/// Makes room for more bytes of a body. It grows by a quarter, since doubling would leave half of a
-/// long answer's memory unused.
-fn grow_for(body: &mut Vec<u8>, added_bytes: usize) {
-    if body.capacity() - body.len() < added_bytes {
-        body.reserve_exact(added_bytes.max(body.len() / 4));
-    }
-}
--- a/crates/turmericrail/src/forward/settings.rs
+++ b/crates/turmericrail/src/forward/settings.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
+use turmericrail_core::caller_account::AccountLimits;
 use turmericrail_core::config::error::decode_text;
 use turmericrail_core::config::{ConfigError, KeyPath};
 use turmericrail_core::forward::RetryBounds;
@@ -14,10 +15,13 @@
 
 use crate::error::StartError;
 use crate::log_level::LogLevel;
-use crate::settings::read_and_parse;
+use crate::settings::{RECEIVE_BUFFER_RANGE, read_and_parse};
 
 /// Least memory for answers.
 const MIN_ANSWER_BYTES: Bytes = Bytes(1 << 20);
+/// Least memory for callers: the longest body of usual configurations and a few small requests.
+const MIN_CALLER_BYTES: Bytes = Bytes(8 << 20);
+const MIN_CALLER_CONNECTIONS: u64 = 16;
 
 /// Settings of an instance that forwards calls.
 #[serde_as]
@@ -66,6 +70,17 @@
     #[serde_as(as = "Quantity")]
     #[serde(default = "default_max_answer_bytes")]
     pub max_answer_bytes: Bytes,
+    /// Memory for all that callers make the process hold: connections, requests and answers.
+    #[serde_as(as = "Quantity")]
+    #[serde(default = "default_max_caller_bytes")]
+    pub max_caller_bytes: Bytes,
+    /// Connections of callers at the same time; at most half of the files that the process may open.
+    #[serde(default = "default_max_caller_connections")]
+    pub max_caller_connections: u64,
+    /// Bytes of a caller's connection that the system keeps until they are read.
+    #[serde_as(as = "Quantity")]
+    #[serde(default = "default_receive_buffer_bytes")]
+    pub receive_buffer_bytes: Bytes,
     /// Whether engines may be ordered to change their role.
     #[serde(default)]
     pub gives_orders: bool,
@@ -81,6 +96,19 @@
     Bytes(16 << 20)
 }
 
+/// Leaves more than half of the smallest machine's memory for other work.
+fn default_max_caller_bytes() -> Bytes {
+    Bytes(24 << 20)
+}
+
+fn default_max_caller_connections() -> u64 {
+    1_500
+}
+
+fn default_receive_buffer_bytes() -> Bytes {
+    Bytes(16 << 10)
+}
+
 impl ForwardSettings {
     /// Reads and checks a settings file.
     pub fn read(path: &Path) -> Result<Self, StartError> {
@@ -108,6 +136,15 @@
         if self.max_answer_bytes < MIN_ANSWER_BYTES {
             return error("max_answer_bytes", "must be at least 1 MiB");
         }
+        if self.max_caller_bytes < MIN_CALLER_BYTES {
+            return error("max_caller_bytes", "must be at least 8 MiB");
+        }
+        if self.max_caller_connections < MIN_CALLER_CONNECTIONS {
+            return error("max_caller_connections", "must be at least 16");
+        }
+        if !RECEIVE_BUFFER_RANGE.contains(&self.receive_buffer_bytes) {
+            return error("receive_buffer_bytes", "must be from 4 KiB to 4 MiB");
+        }
         let addresses =
             [self.caller_address, self.ready_address, self.operator_address, self.peer_address];
         let is_taken = |port| addresses.iter().any(|address| address.port() == port);
@@ -126,6 +163,14 @@
         Ok(())
     }
 
+    /// Limits on what callers make the process hold.
+    pub fn account_limits(&self) -> AccountLimits {
+        AccountLimits {
+            max_bytes: self.max_caller_bytes,
+            max_connections: self.max_caller_connections,
+        }
+    }
+
     /// The bound on retries.
     pub fn retry_bounds(&self) -> RetryBounds {
         RetryBounds {
--- a/crates/turmericrail/src/forward/shared.rs
+++ b/crates/turmericrail/src/forward/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use async_std::sync::Mutex as AsyncMutex;
 use async_std::task;
 use turmericrail_core::forward::{Forwarder, ForwarderSettings, Members, RequestLimits};
 use turmericrail_core::units::{Bytes, Millis};
@@ -20,6 +21,7 @@
 use super::settings::ForwardSettings;
 use super::store::follow_state::FollowState;
 use super::store::store_sync::PREFIXES;
+use crate::caller_memory::SharedAccount;
 use crate::metrics::ForwardMetrics;
 
 /// Time between two rounds of removing expired state.
@@ -43,6 +45,10 @@
     /// State that is exchanged with other instances.
     pub relay: RelayState,
     pub metrics: ForwardMetrics,
+    /// Held by the one of the long bodies that is decoded.
+    pub body_turn: AsyncMutex<()>,
+    /// What callers make the process hold.
+    pub caller_account: Arc<SharedAccount>,
     pub follow_state: FollowState,
     pub loss_notices: LossNoticeState,
     pub stream_versions: StreamVersionState,
@@ -72,11 +78,16 @@
             assumed_instance_count: ASSUMED_INSTANCE_COUNT,
             gives_orders: settings.gives_orders,
         });
+        let metrics = ForwardMetrics::default();
+        let account_metrics = metrics.caller_account.clone();
+        let caller_account = SharedAccount::new(settings.account_limits(), account_metrics);
         Self {
             started_ms: clock::now_ms(),
             pool: ConnectionPool::new(settings.max_answer_bytes.0 as usize),
             relay: RelayState::new(Members::new(settings.instance.clone()), &PREFIXES),
-            metrics: ForwardMetrics::default(),
+            metrics,
+            body_turn: AsyncMutex::new(()),
+            caller_account: Arc::new(caller_account),
             follow_state: FollowState::default(),
             loss_notices: LossNoticeState::default(),
             stream_versions: StreamVersionState::default(),
@@ -102,6 +113,7 @@
     /// Puts changed settings in force, except for the addresses that are already listened on.
     pub fn apply_settings(&self, settings: ForwardSettings) {
         self.forwarder().set_retry_bounds(settings.retry_bounds());
+        self.caller_account.set_limits(settings.account_limits());
         *self.settings.lock().unwrap_or_else(|_| std::process::abort()) = Arc::new(settings);
     }
 
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -5,6 +5,8 @@
     Registry, TextEncoder,
 };
 
+use crate::caller_memory::AccountMetrics;
+
 /// Metrics of an instance that serves the product's own interface.
 #[derive(Clone)]
 pub struct Metrics {
@@ -21,6 +23,8 @@
     pub peer_refusals: IntCounterVec,
     /// Calls to the platform's services, by service.
     pub platform_calls: IntCounterVec,
+    /// What callers make the process hold.
+    pub caller_account: AccountMetrics,
     /// Open connections of callers.
     pub connections: IntGauge,
     /// Configuration version in force.
@@ -94,6 +98,7 @@
                 "Calls of the platform's services.",
                 "service",
             ),
+            caller_account: AccountMetrics::register(&registry),
             connections: gauge(&registry, "turmericrail_connections", "Callers connected."),
             config_version: gauge(
                 &registry,
@@ -120,6 +125,8 @@
 /// Metrics of an instance that forwards calls.
 pub struct ForwardMetrics {
     registry: Registry,
+    /// What callers make the process hold.
+    pub caller_account: AccountMetrics,
     /// Final answers, by outcome.
     pub answers: IntCounterVec,
     /// Callers' connections that ended, by reason and error of the socket.
@@ -170,6 +177,7 @@
     fn default() -> Self {
         let registry = Registry::new();
         Self {
+            caller_account: AccountMetrics::register(&registry),
             answers: counter(&registry, "turmericrail_answers_total", "Final answers.", "outcome"),
             connection_ends: {
                 let name = "turmericrail_connection_ends_total";
--- a/crates/turmericrail/src/settings.rs
+++ b/crates/turmericrail/src/settings.rs
@@ -1,10 +1,12 @@
 //! Settings of an instance, read once from a YAML file when the process starts.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
+use turmericrail_core::caller_account::AccountLimits;
 use turmericrail_core::config::error::decode_text;
 use turmericrail_core::config::{ConfigError, KeyPath};
 use turmericrail_core::ids::{DataCentreId, InstanceId};
@@ -18,6 +20,8 @@
 /// A stream id is an instance id followed by numbers, and its own length is limited too.
 const MAX_INSTANCE_ID_BYTES: usize = 64;
 const MIN_SEAL_KEY_BYTES: usize = 16;
+/// Least and most that the system may keep of a connection until it is read.
+pub const RECEIVE_BUFFER_RANGE: RangeInclusive<Bytes> = Bytes(4 << 10)..=Bytes(4 << 20);
 
 /// Settings of one instance.
 #[serde_as]
@@ -62,11 +66,14 @@
     /// Largest body of a request.
     #[serde_as(as = "Quantity")]
     pub max_body_bytes: Bytes,
-    /// Memory for the bodies of all requests in progress.
+    /// Memory for all requests in progress: heads, bodies, and 48 KiB beside these for each.
     #[serde_as(as = "Quantity")]
     pub max_buffered_bytes: Bytes,
-    /// Concurrent connections of callers.
+    /// Concurrent connections of callers; at most half of the files that the process may open.
     pub max_connections: u64,
+    /// Bytes of a caller's connection that the system keeps until they are read.
+    #[serde_as(as = "Quantity")]
+    pub receive_buffer_bytes: Bytes,
     /// Longest time for the head of a request to arrive, and again for its body.
     #[serde_as(as = "Quantity")]
     pub receive_timeout_ms: Millis,
@@ -81,6 +88,7 @@
             max_body_bytes: Bytes(1 << 20),
             max_buffered_bytes: Bytes(128 << 20),
             max_connections: 4_000,
+            receive_buffer_bytes: Bytes(16 << 10),
             receive_timeout_ms: Millis(10_000),
             stall_timeout_ms: Millis(15_000),
         }
@@ -156,6 +164,11 @@
 }
 
 impl CallerLimits {
+    /// Limits on what callers make the process hold.
+    pub fn account_limits(&self) -> AccountLimits {
+        AccountLimits { max_bytes: self.max_buffered_bytes, max_connections: self.max_connections }
+    }
+
     fn check(&self) -> Result<(), ConfigError> {
         let limits = [
             ("max_body_bytes", self.max_body_bytes.0),
@@ -169,6 +182,10 @@
                 return Err(ConfigError::at(path, "must be more than zero"));
             }
         }
+        if !RECEIVE_BUFFER_RANGE.contains(&self.receive_buffer_bytes) {
+            let path = KeyPath::new("limits").join("receive_buffer_bytes");
+            return Err(ConfigError::at(path, "must be from 4 KiB to 4 MiB"));
+        }
         if self.max_buffered_bytes < self.max_body_bytes {
             let path = KeyPath::new("limits").join("max_buffered_bytes");
             return Err(ConfigError::at(path, "less than max_body_bytes: raise it"));
--- a/crates/turmericrail/src/tcp_timeouts.rs
+++ b/crates/turmericrail/src/tcp_timeouts.rs
@@ -3,8 +3,9 @@
 use std::io;
 use std::time::Duration;
 
-use async_std::net::TcpStream;
+use async_std::net::{TcpListener, TcpStream};
 use socket2::{SockRef, TcpKeepalive};
+use turmericrail_core::units::Bytes;
 
 /// Times after which the system closes a connection whose other end does not respond.
 pub struct TcpTimeouts {
@@ -33,6 +34,11 @@
     }
 }
 
+/// Limits what the system keeps of each connection of a listener until it is read.
+pub fn limit_receive_buffer(listener: &TcpListener, bytes: Bytes) {
+    log_refusal(SockRef::from(listener).set_recv_buffer_size(bytes.0 as usize));
+}
+
 /// Logs that the system refused to set an option.
 pub fn log_refusal(result: io::Result<()>) {
     if let Err(error) = result {
--- a/crates/wire/src/http1/body_decoder.rs
+++ b/crates/wire/src/http1/body_decoder.rs
@@ -46,6 +46,24 @@
         }
     }
 
+    /// Most bytes of the body that so many bytes of input contain.
+    pub fn max_body_bytes(&self, input_bytes: usize) -> usize {
+        match self {
+            Self::Length(remaining) => {
+                usize::try_from(*remaining).unwrap_or(usize::MAX).min(input_bytes)
+            }
+            Self::Chunks(_) | Self::UntilClose(_) => input_bytes,
+        }
+    }
+
+    /// Memory of a line that isn't complete.
+    pub fn buffered_bytes(&self) -> usize {
+        match self {
+            Self::Chunks(chunks) => chunks.buffered_bytes(),
+            Self::Length(_) | Self::UntilClose(_) => 0,
+        }
+    }
+
     /// Appends the part of the body that `input` contains to `out`; returns how many bytes of
     /// `input` were consumed.
     pub fn decode(&mut self, input: &[u8], out: &mut Vec<u8>) -> Result<usize, BodyError> {
--- a/crates/wire/src/http1/chunk_decoder.rs
+++ b/crates/wire/src/http1/chunk_decoder.rs
@@ -38,6 +38,11 @@
         self.state == State::Done
     }
 
+    /// Memory of the line that isn't complete.
+    pub fn buffered_bytes(&self) -> usize {
+        self.line.capacity()
+    }
+
     /// Appends the part of the body that `input` contains to `out`; returns how many bytes of
     /// `input` were consumed.
     pub fn decode(&mut self, input: &[u8], out: &mut Vec<u8>) -> Result<usize, BodyError> {
@@ -54,23 +59,29 @@
             }
             let count =
                 unread.iter().position(|byte| *byte == b'\n').map_or(unread.len(), |at| at + 1);
-            self.line.extend_from_slice(&unread[..count]);
             consumed += count;
             if self.state == State::Trailer {
                 self.trailer_bytes += count;
             }
-            if self.line.len() > MAX_LINE_BYTES || self.trailer_bytes > MAX_TRAILER_BYTES {
+            let line_bytes = self.line.len() + count;
+            if line_bytes > MAX_LINE_BYTES || self.trailer_bytes > MAX_TRAILER_BYTES {
                 return Err(BodyError::Malformed);
             }
-            if self.line.ends_with(b"\n") {
-                self.parse_line()?;
+            let (line, is_whole) = (&unread[..count], unread[count - 1] == b'\n');
+            if is_whole && self.line.is_empty() {
+                self.parse_line(line)?;
+                continue;
+            }
+            self.line.extend_from_slice(line);
+            if is_whole {
+                let line = std::mem::take(&mut self.line);
+                self.parse_line(&line)?;
             }
         }
         Ok(consumed)
     }
 
-    fn parse_line(&mut self) -> Result<(), BodyError> {
-        let line = std::mem::take(&mut self.line);
+    fn parse_line(&mut self, line: &[u8]) -> Result<(), BodyError> {
         let line = line.strip_suffix(b"\r\n").ok_or(BodyError::Malformed)?;
         self.state = match self.state {
             State::Size => match parse_size(line)? {
