Connections of operators and the load balancer give way to new ones

Callers saw no answer: 1,000 silent connections at the readiness or the operators' address took all descriptors of a process that may open 512, so that neither callers nor the store could be served. Cause: nothing limited connections there. Each of the two addresses has at most 32 connections now; one that was silent or idle longest gives way to a new one. A listener without descriptors logs one line a second, not one each 20 ms.

--- a/crates/turmericrail/src/accept_loop.rs
+++ b/crates/turmericrail/src/accept_loop.rs
@@ -5,7 +5,7 @@
 //! and only then closes.
 
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 use async_std::net::{TcpListener, TcpStream};
@@ -15,6 +15,8 @@
 
 /// Pause after a failed accept, so that file descriptors can become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time between two lines about failed accepts.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Time in which handshakes that have begun are completed, on links whose queues are full.
 const HANDSHAKE_GRACE: Duration = Duration::from_millis(100);
 
@@ -53,11 +55,15 @@
 }
 
 async fn accept_all(listener: &TcpListener, serve: &impl Fn(TcpStream)) {
+    let mut logged_at: Option<Instant> = None;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => serve(stream),
             Err(error) => {
-                spdlog::warn!("event=accept_failed error={:?}", error.to_string());
+                if logged_at.is_none_or(|at| at.elapsed() >= LOG_INTERVAL) {
+                    logged_at = Some(Instant::now());
+                    spdlog::warn!("event=accept_failed error={:?}", error.to_string());
+                }
                 task::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -64,7 +64,7 @@
     let reload_signal = SignalListener::register(&[SIGHUP])?;
     let listener = callers::caller_listener::listen(&shared).await?;
     let handover_listener = handover::listener::listen(&shared).await?;
-    operator_endpoints::listen(&shared).await?;
+    let _operator_listeners = operator_endpoints::listen(&shared).await?;
     peers::relay::listen(&shared).await?;
     store::store_sync::start(&shared);
     task::spawn(peers::relay_exchange::run(Arc::clone(&shared)));
--- a/crates/turmericrail/src/forward/operator_endpoints.rs
+++ b/crates/turmericrail/src/forward/operator_endpoints.rs
@@ -2,36 +2,65 @@
 
 use std::sync::Arc;
 
-use async_std::net::TcpListener;
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use futures_lite::FutureExt;
 use tide::{Request, Response, Server, StatusCode};
+use turmericrail_core::caller_account::{AccountLimits, ConnectionPhase};
 use turmericrail_core::forward::{LossCause, LossSubject, ServerState};
+use turmericrail_core::units::Bytes;
 
 use super::clock;
 use super::peers::usage;
 use super::shared::Shared;
+use crate::accept_loop::{self, AcceptLoop};
+use crate::caller_memory::{AccountMetrics, HeldConnection, SharedAccount};
 use crate::error::StartError;
+use crate::tcp_timeouts::log_refusal;
+
+/// Connections to one address of the load balancer or the operators at the same time.
+const MAX_CONNECTIONS: u64 = 32;
 
 type OperatorRequest = Request<Arc<Shared>>;
 
-/// Listens on the load balancer's and the operators' address.
-pub async fn listen(shared: &Arc<Shared>) -> Result<(), StartError> {
+/// Listens on the load balancer's and the operators' address until the returned loops are dropped.
+pub async fn listen(shared: &Arc<Shared>) -> Result<Vec<AcceptLoop>, StartError> {
     let mut app = Server::with_state(Arc::clone(shared));
     app.at("/ready").get(ready);
     app.at("/health").get(|_: OperatorRequest| async { Ok(Response::new(StatusCode::Ok)) });
     app.at("/metrics").get(metrics);
     app.at("/status").get(status);
+    let mut loops = Vec::new();
     for address in [shared.settings().ready_address, shared.settings().operator_address] {
         let listener = TcpListener::bind(address).await;
         let listener = listener.map_err(|source| StartError::Listen { address, source })?;
         let app = app.clone();
-        task::spawn(async move {
-            if let Err(error) = app.listen(listener).await {
-                spdlog::error!("event=operator_edge_error error={:?}", error.to_string());
+        let limits = AccountLimits { max_bytes: Bytes(0), max_connections: MAX_CONNECTIONS };
+        let account = Arc::new(SharedAccount::new(limits, AccountMetrics::default()));
+        loops.push(accept_loop::start(listener, move |stream| {
+            if let Ok(connection) = account.open(Bytes(0)) {
+                task::spawn(serve(app.clone(), stream, connection));
             }
-        });
+        }));
     }
-    Ok(())
+    Ok(loops)
+}
+
+/// Serves the requests of a connection until it ends or gives way to a new one.
+async fn serve(app: Server<Arc<Shared>>, stream: TcpStream, connection: Arc<HeldConnection>) {
+    log_refusal(stream.set_nodelay(true));
+    let serving = async_h1::accept(stream, |request| async {
+        connection.set_phase(ConnectionPhase::Serving);
+        let answer = app.respond(request).await;
+        connection.set_phase(ConnectionPhase::Idle);
+        answer
+    });
+    let evicted = async {
+        connection.evicted().await;
+        Ok(())
+    };
+    // A connection that fails concerns its client alone.
+    let _ = serving.or(evicted).await;
 }
 
 async fn ready(request: OperatorRequest) -> tide::Result {
