fault_soak: callers that hold back the end of their bodies

Each episode has 150 callers at one instance that send all but the last byte of 64 KiB, more than the 8 MiB that the instances of the soak may hold for callers. The instance is drawn apart, so that the seeds of earlier failures play the same faults.

--- a/crates/turmericrail/examples/fault_soak/fault_run.rs
+++ b/crates/turmericrail/examples/fault_soak/fault_run.rs
@@ -12,6 +12,7 @@
 use crate::call_counts;
 use crate::callers::{self, Callers, RequestRecord};
 use crate::checks::{self, Executions};
+use crate::crowd::Crowd;
 use crate::fault::Fault;
 use crate::instance::Instance;
 
@@ -151,6 +152,7 @@
     // Apart, so that the seeds of earlier failures play the same faults as then.
     let mut limit_rng = fastrand::Rng::with_seed(seed);
     let mut answer_rng = fastrand::Rng::with_seed(seed);
+    let mut crowd_rng = fastrand::Rng::with_seed(seed);
     let mut run = FaultRun::start(&program, seed, instances);
     let mut totals = Totals::default();
     await_recovery(&mut run, &mut totals);
@@ -159,7 +161,10 @@
     let mut records = Vec::new();
     while Instant::now() < end {
         set_answer_faults(&run, &mut answer_rng, answer_faults);
+        let crowded = crowd_rng.usize(..run.instances.len());
+        let crowd = Crowd::start(run.instances[crowded].caller_address);
         run_fault_episode(&mut run, &mut totals, &mut rng);
+        drop(crowd);
         run.servers.iter().for_each(|server| server.server.set_behaviour(Behaviour::Answer));
         let calm_start = Instant::now() + CATCH_UP_BOUND;
         await_recovery(&mut run, &mut totals);
--- a/crates/turmericrail/examples/fault_soak/main.rs
+++ b/crates/turmericrail/examples/fault_soak/main.rs
@@ -9,6 +9,7 @@
 mod call_counts;
 mod callers;
 mod checks;
+mod crowd;
 mod fault;
 mod fault_run;
 mod instance;
--- a/crates/turmericrail/tests/fault_soak.rs
+++ b/crates/turmericrail/tests/fault_soak.rs
@@ -6,6 +6,8 @@
 mod callers;
 #[path = "../examples/fault_soak/checks.rs"]
 mod checks;
+#[path = "../examples/fault_soak/crowd.rs"]
+mod crowd;
 #[path = "../examples/fault_soak/fault.rs"]
 mod fault;
 #[path = "../examples/fault_soak/fault_run.rs"]
