A connection that gave way while its answer was unread doesn't go on

Read in the diff: a connection chosen to give way while its caller didn't read was only told so while a write waited. A stream whose write went on just then kept its memory until its end, while others waited for it. Now it is reset at once, in both interfaces. The memory of a body is counted before it grows, not after. Why no request was read, and what a head takes, have modules of their own.

--- a/crates/turmericrail/src/caller_edge/connection.rs
+++ b/crates/turmericrail/src/caller_edge/connection.rs
@@ -260,11 +260,11 @@
     }
 }
 
-/// Returns once the connection gives way to others while the caller doesn't read its answer, and else
+/// Returns once the connection gives way to others since the caller doesn't read its answer, and else
 /// never.
 async fn evicted_in_answer(held: &HeldConnection, guarded_stream: &GuardedStream) -> ServeEnd {
     held.evicted().await;
-    if !guarded_stream.is_unread() {
+    if !guarded_stream.is_in_answer() {
         std::future::pending::<()>().await;
     }
     ServeEnd::AnswerUnread
--- a/crates/turmericrail/src/caller_edge/guarded_stream.rs
+++ b/crates/turmericrail/src/caller_edge/guarded_stream.rs
@@ -207,9 +207,9 @@
         self.request.has_no_room.load(Ordering::SeqCst)
     }
 
-    /// Whether a write waits for the caller to read.
-    pub fn is_unread(&self) -> bool {
-        lock(&self.request.unread_since).is_some()
+    /// Whether the answer is being written.
+    pub fn is_in_answer(&self) -> bool {
+        self.request.phase.load(Ordering::SeqCst) == PHASE_ANSWER
     }
 
     /// Time for which a write has waited for the caller to read; zero if none waits.
--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -11,7 +11,7 @@
 use futures_lite::FutureExt;
 use futures_lite::future;
 use socket2::SockRef;
-use turmericrail_core::caller_account::{ConnectionPhase, Shortage};
+use turmericrail_core::caller_account::ConnectionPhase;
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::forward::RequestLimits;
 use turmericrail_core::units::{Bytes, Millis};
@@ -19,10 +19,11 @@
 use turmericrail_wire::http1::{BodyDecoder, HeadError, RequestHead};
 
 use super::connection_end::ConnectionEnd;
-use super::request::Request;
+use super::request::{Request, head_memory};
+use super::unread::Unread;
 use crate::caller_memory::{HeldBytes, HeldConnection};
 use crate::connection_close::{close_now, drain_and_close, reset_on_drop};
-use crate::eager_read::{self, grow_for};
+use crate::eager_read::{self, grown_capacity};
 use crate::forward::clock;
 use crate::forward::handover::{Origin, taking};
 use crate::forward::shared::Shared;
@@ -48,40 +49,8 @@
 /// Memory of a request beside its head and body while it is served, with the first part of its
 /// answer.
 const SERVING_BYTES: Bytes = Bytes(24 * 1024);
-/// Memory of a header field beside its bytes.
-const FIELD_BYTES: usize = 96;
 const CONTINUE_ANSWER: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
-/// Why no request was read.
-pub enum Unread {
-    /// A request that can't be served, with its id if that is known.
-    Refused { kind: ErrorKind, request_id: Option<String>, is_head_call: bool },
-    /// The connection ended or is to be closed, and no complete request was read.
-    Ended(ConnectionEnd),
-}
-
-impl Unread {
-    /// A refusal before the id and the method of the request are known.
-    fn refused(kind: ErrorKind) -> Self {
-        Self::Refused { kind, request_id: None, is_head_call: false }
-    }
-}
-
-impl From<ConnectionEnd> for Unread {
-    fn from(end: ConnectionEnd) -> Self {
-        match end {
-            ConnectionEnd::NoRoom => Self::refused(ErrorKind::Overloaded),
-            end => Self::Ended(end),
-        }
-    }
-}
-
-impl From<Shortage> for Unread {
-    fn from(_: Shortage) -> Self {
-        Self::refused(ErrorKind::Overloaded)
-    }
-}
-
 pub struct CallerConnection {
     pub stream: TcpStream,
     /// The connection in the account of what callers hold.
@@ -315,9 +284,10 @@
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = Vec::new();
         loop {
-            grow_for(&mut body, decoder.max_body_bytes(self.buffer.len()));
-            let body_bytes = Bytes((body.capacity() + decoder.buffered_bytes()) as u64);
+            let capacity = grown_capacity(&body, decoder.max_body_bytes(self.buffer.len()));
+            let body_bytes = Bytes((capacity + decoder.buffered_bytes()) as u64);
             held.resize_when_free(head_bytes + body_bytes).await?;
+            body.reserve_exact(capacity - body.len());
             let is_in_turn = body.len() > MAX_UNTURNED_BYTES;
             let turn = if is_in_turn { Some(shared.body_turn.lock().await) } else { None };
             let used = decoder.decode(&self.buffer, &mut body);
@@ -421,14 +391,6 @@
     }
 }
 
-/// Memory of a head that was parsed.
-fn head_memory(head: &RequestHead) -> Bytes {
-    let fields = head.headers.0.iter();
-    let field_bytes: usize =
-        fields.map(|field| FIELD_BYTES + field.name.len() + field.value.len()).sum();
-    Bytes((field_bytes + head.target.len()) as u64)
-}
-
 /// Whether the bytes of an unread head are those of a HEAD request.
 fn begins_head_call(bytes: &[u8]) -> bool {
     bytes.trim_ascii_start().starts_with(b"HEAD ")
--- a/crates/turmericrail/src/forward/callers/caller_listener.rs
+++ b/crates/turmericrail/src/forward/callers/caller_listener.rs
@@ -6,9 +6,10 @@
 use async_std::task;
 
 use super::answer_writer;
-use super::caller_connection::{CallerConnection, Unread};
+use super::caller_connection::CallerConnection;
 use super::connection_end::ConnectionEnd;
 use super::dispatch::{self, ConnectionAction};
+use super::unread::Unread;
 use crate::accept_loop::{self, AcceptLoop};
 use crate::connection_close;
 use crate::error::StartError;
--- a/crates/turmericrail/src/forward/callers/caller_stream.rs
+++ b/crates/turmericrail/src/forward/callers/caller_stream.rs
@@ -10,7 +10,6 @@
 use async_std::future::timeout;
 use async_std::io::prelude::*;
 use async_std::net::TcpStream;
-use futures_lite::FutureExt;
 use futures_lite::future;
 use turmericrail_core::caller_account::ConnectionPhase;
 use turmericrail_core::units::Millis;
@@ -91,15 +90,10 @@
     ) -> Result<(), ConnectionEnd> {
         self.connection.set_phase(ConnectionPhase::Unread);
         let left_ms = self.unread_until_ms.saturating_sub(clock::now_ms());
-        let evicted = async {
-            self.connection.evicted().await;
-            Err(ConnectionEnd::Evicted)
-        };
-        let writing =
-            async { writing.await.map_err(|error| ConnectionEnd::WriteFailed(error.kind())) };
-        let written = timeout(Duration::from_millis(left_ms.0), writing.or(evicted)).await;
+        let written = timeout(Duration::from_millis(left_ms.0), writing).await;
         self.connection.set_phase(ConnectionPhase::Serving);
-        written.unwrap_or(Err(ConnectionEnd::AnswerUnread))
+        let written = written.map_err(|_| ConnectionEnd::AnswerUnread)?;
+        written.map_err(|error| ConnectionEnd::WriteFailed(error.kind()))
     }
 
     /// Gives up the connection, since a write failed or the answer can't be completed.
--- a/crates/turmericrail/src/forward/callers/dispatch.rs
+++ b/crates/turmericrail/src/forward/callers/dispatch.rs
@@ -88,7 +88,12 @@
         shared.last_answers.wait().await;
         refuse(shared, request, &caller, ErrorKind::PlainTimeout.into()).await
     };
-    serving.or(caller_leaving).or(ending).await
+    // Given only while the answer waits for the caller to read.
+    let evicted = async {
+        request.connection.evicted().await;
+        ConnectionAction::Abort(ConnectionEnd::Evicted)
+    };
+    serving.or(caller_leaving).or(ending).or(evicted).await
 }
 
 async fn forward_request(
--- a/crates/turmericrail/src/forward/callers/mod.rs
+++ b/crates/turmericrail/src/forward/callers/mod.rs
@@ -8,3 +8,4 @@
 pub mod connection_end;
 pub mod dispatch;
 pub mod request;
+pub mod unread;
--- a/crates/turmericrail/src/forward/callers/request.rs
+++ b/crates/turmericrail/src/forward/callers/request.rs
@@ -4,13 +4,16 @@
 
 use turmericrail_core::forward::Tenant;
 use turmericrail_core::request::RequestFingerprint;
-use turmericrail_core::units::Millis;
+use turmericrail_core::units::{Bytes, Millis};
 use turmericrail_platform::request::RequestMetadata;
 use turmericrail_wire::http1::RequestHead;
 
 use crate::caller_memory::{HeldBytes, HeldConnection};
 use crate::forward::handover::Origin;
 
+/// Memory of a header field beside its bytes.
+const FIELD_BYTES: usize = 96;
+
 /// A request that was read completely.
 pub struct Request {
     pub head: RequestHead,
@@ -40,3 +43,11 @@
         RequestFingerprint::of(&[method, host, target, caller, &self.body])
     }
 }
+
+/// Memory of a head that was parsed.
+pub fn head_memory(head: &RequestHead) -> Bytes {
+    let fields = head.headers.0.iter();
+    let field_bytes: usize =
+        fields.map(|field| FIELD_BYTES + field.name.len() + field.value.len()).sum();
+    Bytes((field_bytes + head.target.len()) as u64)
+}
