Settings with too little memory for requests are refused

Read in the diff: with limits.max_buffered_bytes below 48 KiB, which the check let pass, each request of the own interface would be refused, since a request counts 48 KiB beside its body.

--- a/crates/turmericrail/src/settings.rs
+++ b/crates/turmericrail/src/settings.rs
@@ -20,6 +20,8 @@
 /// A stream id is an instance id followed by numbers, and its own length is limited too.
 const MAX_INSTANCE_ID_BYTES: usize = 64;
 const MIN_SEAL_KEY_BYTES: usize = 16;
+/// Least memory for requests, each of which takes some beside its body.
+const MIN_BUFFERED_BYTES: Bytes = Bytes(256 << 10);
 /// Least and most that the system may keep of a connection until it is read.
 pub const RECEIVE_BUFFER_RANGE: RangeInclusive<Bytes> = Bytes(4 << 10)..=Bytes(4 << 20);
 
@@ -190,6 +192,10 @@
             let path = KeyPath::new("limits").join("max_buffered_bytes");
             return Err(ConfigError::at(path, "less than max_body_bytes: raise it"));
         }
+        if self.max_buffered_bytes < MIN_BUFFERED_BYTES {
+            let path = KeyPath::new("limits").join("max_buffered_bytes");
+            return Err(ConfigError::at(path, "must be at least 256 KiB"));
+        }
         Ok(())
     }
 }
