A newcomer that isn't taken makes no connection leave

Read in the diff: at the limit of connections one was marked as leaving before the newcomer's memory was granted. Where that failed, nobody told the marked one, so it counted as leaving while it stayed; 64 of these would keep out newcomers. It is marked once the newcomer is taken.

refused_newcomer (caller_account) failed before and passes; the other 7 pass.

--- a/crates/core/src/caller_account/account.rs
+++ b/crates/core/src/caller_account/account.rs
@@ -98,31 +98,33 @@
         now_ms: Millis,
         bytes: Bytes,
     ) -> Result<(ConnectionId, Vec<ConnectionId>), Shortage> {
-        let mut evicted = Vec::new();
+        let mut first = None;
         let staying = self.connections() - self.leaving_connections;
         if staying >= self.limits.max_connections {
             let is_full = self.leaving_connections >= MAX_LEAVING_CONNECTIONS;
-            let first = self.first_to_leave(now_ms).filter(|_| !is_full);
-            evicted.push(first.ok_or(Shortage::Connections)?);
+            let found = self.first_to_leave(now_ms).filter(|_| !is_full);
+            first = Some(found.ok_or(Shortage::Connections)?);
         }
-        evicted.iter().for_each(|id| self.leave(*id));
         let id = self.next_id;
         self.next_id = ConnectionId(id.0 + 1);
         let phase = ConnectionPhase::Silent;
         let holding =
             Holding { bytes: Bytes::default(), phase, since_ms: now_ms, is_leaving: false };
         self.holdings.insert(id, holding);
-        match self.grow(now_ms, id, bytes) {
-            Ok(growth) => {
-                if !growth.is_granted {
-                    self.add(id, bytes);
-                }
-                evicted.extend(growth.evicted);
-            }
+        let Growth { is_granted, mut evicted } = match self.grow(now_ms, id, bytes) {
+            Ok(growth) => growth,
             Err(shortage) => {
                 self.close(id);
                 return Err(shortage);
             }
+        };
+        if !is_granted {
+            self.add(id, bytes);
+        }
+        // It may give way for its memory already.
+        if let Some(first) = first.filter(|first| !evicted.contains(first)) {
+            self.leave(first);
+            evicted.push(first);
         }
         Ok((id, evicted))
     }
--- a/crates/core/tests/caller_account.rs
+++ b/crates/core/tests/caller_account.rs
@@ -140,3 +140,18 @@
     account.close(old);
     assert_eq!(account.grow(Millis(1_002), young, Bytes(40 * KIB)), granted(&[]));
 }
+
+#[test]
+fn refused_newcomer() {
+    // Guards against a connection that counts as leaving for a newcomer that isn't taken: nobody tells
+    // it, so that it never leaves.
+    let limits = AccountLimits { max_bytes: Bytes(64 * KIB), max_connections: 2 };
+    let mut account = CallerAccount::new(limits);
+    let served = open(&mut account, 0, ConnectionPhase::Serving);
+    let idle = open(&mut account, 0, ConnectionPhase::Idle);
+    account.add(served, Bytes(128 * KIB));
+    assert_eq!(account.open(Millis(10), Bytes(KIB)), Err(Shortage::Memory));
+    account.shrink(served, Bytes(128 * KIB));
+    let (_, evicted) = account.open(Millis(20), Bytes(KIB)).unwrap();
+    assert_eq!(evicted, [idle]);
+}
