One place takes memory at once while others give way

Heads of the own interface and answers each had the same step beside HeldBytes::resize: taken at once where those that give way aren't gone yet. The crowd tests weren't run again.

--- a/crates/turmericrail/src/caller_edge/guarded_stream.rs
+++ b/crates/turmericrail/src/caller_edge/guarded_stream.rs
@@ -22,7 +22,7 @@
 
 use async_std::io::{Error, ErrorKind, Read, Result as IoResult, Write};
 use async_std::net::TcpStream;
-use turmericrail_core::caller_account::{ConnectionPhase, Shortage};
+use turmericrail_core::caller_account::ConnectionPhase;
 use turmericrail_core::units::Bytes;
 use turmericrail_wire::http1::{HeadError, RequestHead};
 
@@ -113,17 +113,7 @@
 
     /// Counts the memory of a head; returns whether there is room for it.
     fn hold_head(&self, head_bytes: u64) -> bool {
-        let bytes = Bytes(head_bytes * HEAD_COPIES);
-        let mut held = lock(&self.held);
-        match held.resize(bytes) {
-            Ok(()) => true,
-            // Others give way to it already.
-            Err(Shortage::Leaving) => {
-                held.set(bytes);
-                true
-            }
-            Err(_) => false,
-        }
+        lock(&self.held).resize_at_once(Bytes(head_bytes * HEAD_COPIES)).is_ok()
     }
 
     /// Moves bytes that were read ahead into the buffer and returns their number.
--- a/crates/turmericrail/src/caller_memory/held_bytes.rs
+++ b/crates/turmericrail/src/caller_memory/held_bytes.rs
@@ -41,6 +41,18 @@
         }
     }
 
+    /// Sets the size at once, also where the memory of connections that give way isn't free yet; fails if
+    /// there is no room for more, and nobody gives way.
+    pub fn resize_at_once(&mut self, bytes: Bytes) -> Result<(), Shortage> {
+        match self.resize(bytes) {
+            Err(Shortage::Leaving) => {
+                self.set(bytes);
+                Ok(())
+            }
+            result => result,
+        }
+    }
+
     /// Sets the size of what is held already, whether there is room or not.
     pub fn set(&mut self, bytes: Bytes) {
         if bytes > self.bytes {
--- a/crates/turmericrail/src/forward/callers/buffer_budget.rs
+++ b/crates/turmericrail/src/forward/callers/buffer_budget.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use turmericrail_core::caller_account::Shortage;
 use turmericrail_core::units::Bytes;
 
 use crate::caller_memory::{HeldBytes, HeldConnection};
@@ -50,13 +49,7 @@
     /// Sets the size of what is held; returns whether the budget and the account allow it.
     pub fn resize(&mut self, bytes: usize) -> bool {
         let held = Bytes(bytes.saturating_sub(ALLOWANCE_BYTES) as u64);
-        match self.held.resize(held) {
-            Ok(()) => {}
-            // An answer has begun to arrive; those that give way to it are about to leave.
-            Err(Shortage::Leaving) => self.held.set(held),
-            Err(_) => return false,
-        }
-        self.resize_in_budget(bytes)
+        self.held.resize_at_once(held).is_ok() && self.resize_in_budget(bytes)
     }
 
     fn resize_in_budget(&mut self, bytes: usize) -> bool {
