Crowds whose bytes arrive while the process doesn't run

The bytes gather in the system's buffers while the process is short of processor time. stopped_process brings this about each time: the process is stopped with SIGSTOP, its callers send, newcomers connect, and it goes on.

The product is as it was.

--- a/crates/turmericrail/tests/caller_crowds.rs
+++ b/crates/turmericrail/tests/caller_crowds.rs
@@ -332,6 +332,25 @@
     trial.end(crowd, MAX_OPEN_FILES);
 }
 
+#[test]
+fn stopped_process() {
+    // Guards against receive buffers that fill beside what is held while the process doesn't run.
+    let _alone = run_alone();
+    let trial = Trial::start("stopped-process");
+    let crowd = body_crowd(trial.caller_address(), 1_500, 65_000, 10_000);
+    trial.assert_answers("beside begun bodies");
+    trial.instance.signal("STOP");
+    let rest = body_of(54_999);
+    let sending = crowd.send_more(|_| vec![Arc::clone(&rest)]);
+    let address = trial.caller_address();
+    let newcomers = thread::spawn(move || body_crowd(address, 200, 65_000, 64_999));
+    trial.watch.wait_until_full();
+    trial.instance.signal("CONT");
+    sending.join();
+    let _newcomers = newcomers.join().unwrap();
+    trial.end(crowd, MAX_OPEN_FILES);
+}
+
 #[test]
 fn crowds_in_turn() {
     // Guards against memory that stays with the process after a crowd has left, so that the next one
--- a/crates/turmericrail/tests/crowd_support/mod.rs
+++ b/crates/turmericrail/tests/crowd_support/mod.rs
@@ -29,6 +29,8 @@
 const CONCURRENT_CONNECTS: usize = 64;
 /// Time between two looks at a process.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(30);
+/// Time in which receive buffers that aren't full receive more.
+const FULL_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Lets one test of a file run at a time, so that no crowd is beside another.
 pub fn run_alone() -> MutexGuard<'static, ()> {
@@ -69,12 +71,35 @@
         Self { streams }
     }
 
+    /// Sends further pieces of each member while the test goes on.
+    pub fn send_more(&self, pieces: impl Fn(usize) -> Pieces) -> Sending {
+        let members = self.streams.iter().enumerate();
+        let send = |(number, stream): (usize, &TcpStream)| {
+            task::spawn(send_pieces(stream.clone(), pieces(number)))
+        };
+        Sending(members.map(send).collect())
+    }
+
     /// Number of members that connected.
     pub fn len(&self) -> usize {
         self.streams.len()
     }
 }
 
+/// Members of a crowd that are sending.
+pub struct Sending(Vec<task::JoinHandle<()>>);
+
+impl Sending {
+    /// Waits until each has sent its pieces, or as many as the process takes.
+    pub fn join(self) {
+        task::block_on(async {
+            for member in self.0 {
+                member.await;
+            }
+        });
+    }
+}
+
 /// The connection after the pieces were sent, or as many as the process takes.
 async fn send(
     address: SocketAddr,
@@ -94,6 +119,12 @@
             return None;
         }
     };
+    send_pieces(stream.clone(), pieces).await;
+    Some(stream)
+}
+
+/// Sends pieces, or as many as the process takes.
+async fn send_pieces(stream: TcpStream, pieces: Pieces) {
     let sending = async {
         for piece in pieces {
             // The process may have closed the connection.
@@ -103,7 +134,6 @@
         }
     };
     let _ = async_std::future::timeout(SEND_TIMEOUT, sending).await;
-    Some(stream)
 }
 
 /// Error of the system for want of descriptors.
@@ -112,6 +142,7 @@
 /// Watches a process until it is dropped.
 pub struct Watch {
     pid: u32,
+    ports: Vec<u16>,
     peak_kib: Arc<AtomicU64>,
     /// The part of the callers' bytes that the process hadn't read.
     peak_unread_kib: Arc<AtomicU64>,
@@ -124,6 +155,7 @@
     /// Watches a process that serves callers on these ports.
     pub fn start(pid: u32, ports: &[u16]) -> Self {
         let ports = ports.to_vec();
+        let watched_ports = ports.clone();
         let [peak_kib, peak_unread_kib, peak_files] =
             std::array::from_fn(|_| Arc::<AtomicU64>::default());
         let is_done = Arc::<AtomicBool>::default();
@@ -131,14 +163,31 @@
         let done = Arc::clone(&is_done);
         let sampling = thread::spawn(move || {
             while !done.load(Ordering::Relaxed) {
-                let unread = unread_bytes(&ports) / 1_024;
+                let unread = unread_bytes(&watched_ports) / 1_024;
                 unread_kib.fetch_max(unread, Ordering::Relaxed);
                 kib.fetch_max(status_kib(pid, "VmRSS:") + unread, Ordering::Relaxed);
                 files.fetch_max(open_files(pid), Ordering::Relaxed);
                 thread::sleep(SAMPLE_INTERVAL);
             }
         });
-        Self { pid, peak_kib, peak_unread_kib, peak_files, is_done, sampling: Some(sampling) }
+        Self {
+            pid,
+            ports,
+            peak_kib,
+            peak_unread_kib,
+            peak_files,
+            is_done,
+            sampling: Some(sampling),
+        }
+    }
+
+    /// Returns once the system takes no more of what callers send to a process that doesn't run.
+    pub fn wait_until_full(&self) {
+        let mut unread = 0;
+        while unread == 0 || unread != unread_bytes(&self.ports) {
+            unread = unread_bytes(&self.ports);
+            thread::sleep(FULL_INTERVAL);
+        }
     }
 
     /// Asserts that the memory, with what the process hasn't read of its callers, and the open
--- a/crates/turmericrail/tests/fleet_crowds.rs
+++ b/crates/turmericrail/tests/fleet_crowds.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::process::Command;
 use std::sync::Arc;
+use std::thread;
 
 use async_std::task;
 use crowd_support::{Crowd, MAX_OPEN_FILES, Pieces, Watch, run_alone, text_pieces};
@@ -148,6 +149,28 @@
     trial.end(crowd, MAX_OPEN_FILES);
 }
 
+#[test]
+fn stopped_process() {
+    // Guards against receive buffers that fill while the process doesn't run.
+    let _alone = run_alone();
+    let trial = Trial::start("fleet-stopped");
+    let address = trial.caller_address();
+    let crowd = Crowd::start(address, 1_500, |_| Pieces::new());
+    trial.assert_answers("beside silent callers");
+    trial.fleet.instances[0].signal("STOP");
+    let request = head("content-length: 65000\r\n") + &"x".repeat(64_999);
+    let request: Arc<[u8]> = request.into_bytes().into();
+    let late_request = Arc::clone(&request);
+    let sending = crowd.send_more(|_| vec![Arc::clone(&request)]);
+    let newcomers =
+        thread::spawn(move || Crowd::start(address, 200, |_| vec![Arc::clone(&late_request)]));
+    trial.watch.wait_until_full();
+    trial.fleet.instances[0].signal("CONT");
+    sending.join();
+    let _newcomers = newcomers.join().unwrap();
+    trial.end(crowd, MAX_OPEN_FILES);
+}
+
 #[test]
 fn few_descriptors() {
     // Guards against callers that leave no descriptor for servers, the platform and other instances.
