Receive buffers of callers are as large as the settings say

Evidence: unread bytes of stopped_process, 38,915 KiB.

stopped_process of fleet_crowds still fails (88,408 to 90,390 KiB): its connections aren't counted, which is another fault.

--- a/crates/turmericrail/src/tcp_timeouts.rs
+++ b/crates/turmericrail/src/tcp_timeouts.rs
@@ -36,7 +36,14 @@
 
 /// Limits what the system keeps of each connection of a listener until it is read.
 pub fn limit_receive_buffer(listener: &TcpListener, bytes: Bytes) {
-    log_refusal(SockRef::from(listener).set_recv_buffer_size(bytes.0 as usize));
+    let socket = SockRef::from(listener);
+    let size = bytes.0 as usize;
+    // Linux keeps twice the size that it is given.
+    let kept = socket.set_recv_buffer_size(size / 2).and_then(|()| socket.recv_buffer_size());
+    if kept.is_ok_and(|kept| kept >= size) {
+        return;
+    }
+    log_refusal(socket.set_recv_buffer_size(size));
 }
 
 /// Logs that the system refused to set an option.
