The own interface counts its connections, and waits for bytes before it reads

Cause: a connection of the own interface took some 18 KiB that the account didn't hold, most of it two copies of the HTTP library's state (5,688 bytes each, and a buffer of 8 KiB), which each connection kept from its start. Without the second change here, counting alone would leave 900 silent connections in 16 MiB.

Change: a connection counts 6 KiB, and waits for its first bytes without that state. The state is made once there is room for it, counted as 16 KiB while the request lasts; a request counts 26 KiB from its body on, 48 in all as before.

--- a/crates/turmericrail/src/caller_edge/body.rs
+++ b/crates/turmericrail/src/caller_edge/body.rs
@@ -18,8 +18,8 @@
 use crate::daemon::Shared;
 use crate::eager_read::{grow_for, read_with};
 
-/// Memory of a request beside its head and body.
-const REQUEST_BYTES: Bytes = Bytes(48 << 10);
+/// Memory of a request beside its connection, head and body.
+const REQUEST_BYTES: Bytes = Bytes(26 << 10);
 
 /// A whole body with its memory reservation.
 #[expect(missing_docs, reason = "the names say it")]
--- a/crates/turmericrail/src/caller_edge/connection.rs
+++ b/crates/turmericrail/src/caller_edge/connection.rs
@@ -39,6 +39,11 @@
 /// Time beyond the limit on unread answers after which the system gives up bytes that nobody
 /// acknowledges: those of short answers never make a write wait.
 const UNACKNOWLEDGED_MARGIN: Duration = Duration::from_millis(5_000);
+/// Memory of a connection: its tasks, the socket and the timers.
+const CONNECTION_BYTES: Bytes = Bytes(6 << 10);
+/// Memory of a connection that reads a request beside the head and the body: the HTTP library's state
+/// and buffer.
+const READING_BYTES: Bytes = Bytes(16 << 10);
 const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
 const MAX_CLOSE_READS: usize = 64;
 /// Connections beyond the limit that are sent a refusal at the same time.
@@ -52,6 +57,8 @@
 enum HeadProblem {
     TimedOut,
     Malformed,
+    /// There is no room to read it.
+    NoRoom,
 }
 
 /// Why a connection is served no longer.
@@ -127,7 +134,7 @@
 /// Starts a task that serves a connection until it closes, or refuses the connection.
 pub fn start(shared: &Arc<Shared>, app: &App, stream: TcpStream) {
     set_options(shared, &stream);
-    let Ok(held) = shared.caller_account.open(Bytes::default()) else {
+    let Ok(held) = shared.caller_account.open(CONNECTION_BYTES) else {
         refuse_connection(shared, stream);
         return;
     };
@@ -196,7 +203,7 @@
     shared: &Shared,
     app: &App,
     connection: &CallerConnection,
-    held: &HeldConnection,
+    held: &Arc<HeldConnection>,
     guarded_stream: &GuardedStream,
     stream: &TcpStream,
 ) -> ServeEnd {
@@ -217,13 +224,21 @@
     let timeout = Duration::from_millis(shared.settings.limits.receive_timeout_ms.0);
     loop {
         guarded_stream.expect_head();
-        let serving = async { server.accept_one().await.map_err(|_| HeadProblem::Malformed) };
+        let mut reading_held = held.hold();
+        let serving = async {
+            guarded_stream.wait_for_bytes().await;
+            let room = reading_held.resize_when_free(READING_BYTES).await;
+            room.map_err(|_| HeadProblem::NoRoom)?;
+            // Boxed, so that a connection without a request doesn't hold the state of serving one.
+            Box::pin(server.accept_one()).await.map_err(|_| HeadProblem::Malformed)
+        };
         let serving = serving.or(evicted_in_head(held, guarded_stream));
         let status = serving.or(time_out_head(guarded_stream, timeout)).await;
         if held.is_evicted() || guarded_stream.has_no_room() {
             return ServeEnd::Evicted;
         }
         match status {
+            Err(HeadProblem::NoRoom) => return ServeEnd::Evicted,
             Ok(ConnectionStatus::KeepAlive) => held.set_phase(ConnectionPhase::Idle),
             Err(problem)
                 if guarded_stream.is_in_head() && guarded_stream.received_head_bytes() > 0 =>
@@ -294,7 +309,7 @@
         HeadProblem::Malformed if guarded_stream.received_head_bytes() >= MAX_HEAD_BYTES => {
             format!("it is longer than {MAX_HEAD_BYTES} bytes: shorten the path or the headers")
         }
-        HeadProblem::Malformed => match guarded_stream.problem() {
+        HeadProblem::Malformed | HeadProblem::NoRoom => match guarded_stream.problem() {
             Some(problem) if problem != HeadError::Malformed && problem != HeadError::BadHost => {
                 format!("{problem}: send one body length or chunks, and a plain path")
             }
--- a/crates/turmericrail/src/caller_edge/guarded_stream.rs
+++ b/crates/turmericrail/src/caller_edge/guarded_stream.rs
@@ -176,6 +176,13 @@
         self.request.phase.store(PHASE_HEAD, Ordering::SeqCst);
     }
 
+    /// Returns once there is something to read, or the connection has ended.
+    pub async fn wait_for_bytes(&self) {
+        if lock(&self.request.read_ahead).is_empty() {
+            let _ = self.stream.peek(&mut [0]).await;
+        }
+    }
+
     /// Marks the head as complete; `length` is that of the body, if the head declares it.
     pub fn start_body(&self, length: Option<u64>) {
         self.request.remaining_body_bytes.store(length.unwrap_or(UNKNOWN_LENGTH), Ordering::SeqCst);
--- a/crates/turmericrail/src/settings.rs
+++ b/crates/turmericrail/src/settings.rs
@@ -68,7 +68,7 @@
     /// Largest body of a request.
     #[serde_as(as = "Quantity")]
     pub max_body_bytes: Bytes,
-    /// Memory for all requests in progress: heads, bodies, and 48 KiB beside these for each.
+    /// Memory for all connections and requests: heads, bodies, and what each takes beside these.
     #[serde_as(as = "Quantity")]
     pub max_buffered_bytes: Bytes,
     /// Concurrent connections of callers; at most half of the files that the process may open.
