--- a/crates/turmericrail/examples/fault_soak/fault_run.rs
+++ b/crates/turmericrail/examples/fault_soak/fault_run.rs
@@ -2,7 +2,7 @@
 //! everything must work.
 
 use std::collections::BTreeMap;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use turmericrail_fakes::FaultProxy;
@@ -14,7 +14,7 @@
 use crate::checks::{self, Executions};
 use crate::crowd::Crowd;
 use crate::fault::Fault;
-use crate::instance::Instance;
+use crate::instance::{Instance, Programs};
 
 const EPISODE_DURATION: Duration = Duration::from_millis(8_000);
 /// Longest time between the starts of two faults.
@@ -107,7 +107,7 @@
 }
 
 impl FaultRun {
-    fn start(program: &Path, seed: u64, instances: usize) -> Self {
+    fn start(programs: &Programs, seed: u64, instances: usize) -> Self {
         let folder = std::env::temp_dir().join(format!("fault-soak-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("the folder can be written");
         let store = FakeStore::start().expect("loopback ports are free");
@@ -116,7 +116,7 @@
             SERVERS.iter().map(|(id, role)| ProxiedServer::start(&store, id, *role)).collect();
         let peer_ports: [u16; 2] =
             std::array::from_fn(|_| free_address().expect("loopback ports are free").port());
-        let start = |number| Instance::start(program, &folder, number, &store, peer_ports);
+        let start = |number| Instance::start(programs, &folder, number, &store, peer_ports);
         let instances = (0..instances).map(start).collect();
         Self { store, instances, servers, version: 1, folder }
     }
@@ -142,7 +142,7 @@
 
 /// Runs instances of a program under faults; no new episode begins after `end`.
 pub fn run(
-    program: PathBuf,
+    programs: Programs,
     seed: u64,
     instances: usize,
     end: Instant,
@@ -153,7 +153,7 @@
     let mut limit_rng = fastrand::Rng::with_seed(seed);
     let mut answer_rng = fastrand::Rng::with_seed(seed);
     let mut crowd_rng = fastrand::Rng::with_seed(seed);
-    let mut run = FaultRun::start(&program, seed, instances);
+    let mut run = FaultRun::start(&programs, seed, instances);
     let mut totals = Totals::default();
     await_recovery(&mut run, &mut totals);
     let addresses = run.instances.iter().map(|instance| instance.caller_address).collect();
--- a/crates/turmericrail/examples/fault_soak/instance.rs
+++ b/crates/turmericrail/examples/fault_soak/instance.rs
@@ -17,6 +17,26 @@
 /// Time between checks whether a process has exited.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Settings that earlier versions don't know.
+const NEW_SETTINGS: &str = "max_caller_bytes: 8MiB\n";
+
+/// What instances run.
+pub struct Programs {
+    pub own: PathBuf,
+    /// An earlier version for every other instance.
+    pub earlier: Option<PathBuf>,
+}
+
+impl Programs {
+    /// The program of an instance, and settings for it beside the usual ones.
+    fn of(&self, number: usize) -> (&Path, &str) {
+        match &self.earlier {
+            Some(earlier) if number % 2 == 1 => (earlier, ""),
+            _ => (&self.own, NEW_SETTINGS),
+        }
+    }
+}
+
 pub struct Instance {
     /// The proxy of its connections to the store.
     pub store_proxy: FaultProxy,
@@ -33,12 +53,13 @@
     /// Starts an instance with its own proxy to the store. All instances use the same ports for
     /// each other, each on its own loopback address.
     pub fn start(
-        program: &Path,
+        programs: &Programs,
         folder: &Path,
         number: usize,
         store: &FakeStore,
         [peer_port, handover_port]: [u16; 2],
     ) -> Self {
+        let (program, extra_settings) = programs.of(number);
         let proxy = async_std::task::block_on(FaultProxy::start(store.address()));
         let store_proxy = proxy.expect("loopback ports are free");
         let address = || free_address().expect("loopback ports are free");
@@ -48,7 +69,7 @@
              ready_address: {}\noperator_address: {operator_address}\n\
              peer_address: 127.0.1.{}:{peer_port}\nhandover_port: {handover_port}\n\
              seeds: [\"127.0.1.1:{peer_port}\", \"127.0.1.2:{peer_port}\"]\nstore_address: {}\ngrace_ms: 8s\nretry_ratio: 0.2\nretry_slack: 56\n\
-             retry_window_ms: 10s\nmax_caller_bytes: 8MiB\n",
+             retry_window_ms: 10s\n{extra_settings}",
             address(),
             number + 1,
             store_proxy.address
--- a/crates/turmericrail/examples/fault_soak/main.rs
+++ b/crates/turmericrail/examples/fault_soak/main.rs
@@ -14,10 +14,12 @@
 mod fault_run;
 mod instance;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
 use argh::FromArgs;
+use instance::Programs;
 
 /// Runs forwarding instances under injected faults.
 #[derive(FromArgs)]
@@ -33,6 +35,10 @@
     /// number of instances
     #[argh(option, default = "4")]
     instances: usize,
+
+    /// program of an earlier version that every other instance runs
+    #[argh(option)]
+    earlier: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -46,10 +52,11 @@
         };
     }
     let arguments: Arguments = argh::from_env();
-    let program = std::env::current_exe().expect("an example knows its own path");
+    let own = std::env::current_exe().expect("an example knows its own path");
+    let programs = Programs { own, earlier: arguments.earlier };
     let end = Instant::now() + Duration::from_secs_f64(arguments.minutes * 60.0);
     let answer_faults = &fault::ANSWER_FAULTS;
-    let totals = fault_run::run(program, arguments.seed, arguments.instances, end, answer_faults);
+    let totals = fault_run::run(programs, arguments.seed, arguments.instances, end, answer_faults);
     println!(
         "seed={} requests={} faults={} violations={}",
         arguments.seed,
--- a/crates/turmericrail/tests/fault_soak.rs
+++ b/crates/turmericrail/tests/fault_soak.rs
@@ -17,14 +17,16 @@
 
 use std::time::{Duration, Instant};
 
+use instance::Programs;
 use turmericrail_fakes::registered::Behaviour;
 
 /// Time after which no new episode of faults begins.
 const DURATION: Duration = Duration::from_secs(8);
 
 fn soak(seed: u64, answer_faults: &[Behaviour]) {
-    let program = env!("CARGO_BIN_EXE_turmericrail").into();
-    let totals = fault_run::run(program, seed, 3, Instant::now() + DURATION, answer_faults);
+    let own = env!("CARGO_BIN_EXE_turmericrail").into();
+    let programs = Programs { own, earlier: None };
+    let totals = fault_run::run(programs, seed, 3, Instant::now() + DURATION, answer_faults);
     assert!(totals.requests > 0 && totals.faults > 0);
     assert!(totals.violations.is_empty(), "{:?}", totals.violations);
 }
