A new connection has half a second for its first bytes

Read in the diff, not seen by callers: at the limit of connections those without a byte gave way first, whatever their age. Where all others hold back the end of a request, each newcomer would end the one before it, so that an ordinary caller beside a crowd that connects again and again had no time to send its request.

The crowd tests print what their ordinary caller was told before its answer.

--- a/crates/core/src/caller_account/account.rs
+++ b/crates/core/src/caller_account/account.rs
@@ -241,7 +241,7 @@
     fn first_to_leave(&self, now_ms: Millis) -> Option<ConnectionId> {
         let candidates = self.holdings.iter().filter(|(_, holding)| holding.gives_way());
         let order = |(id, holding): &(&ConnectionId, &Holding)| {
-            let rank = holding.phase.idle_rank();
+            let rank = holding.idle_rank(now_ms);
             let weight = match rank {
                 Some(_) => u128::from(now_ms.saturating_sub(holding.since_ms).0),
                 None => holding.weight(now_ms, Bytes::default()),
--- a/crates/core/src/caller_account/holding.rs
+++ b/crates/core/src/caller_account/holding.rs
@@ -3,6 +3,9 @@
 use super::ConnectionPhase;
 use crate::units::{Bytes, Millis};
 
+/// Time for the first bytes of a new connection to arrive.
+const FIRST_BYTES_TIME_MS: Millis = Millis(500);
+
 /// What one connection holds.
 #[derive(Clone, Debug)]
 pub(super) struct Holding {
@@ -21,6 +24,16 @@
         u128::from(self.bytes.0 + added.0) * u128::from(held_ms)
     }
 
+    /// Order in which it gives way to a new connection; `None` if it goes by what it holds, as it does
+    /// until the first bytes of an ordinary caller have had time to arrive.
+    pub fn idle_rank(&self, now_ms: Millis) -> Option<u8> {
+        let phase_ms = now_ms.saturating_sub(self.since_ms);
+        if self.phase == ConnectionPhase::Silent && phase_ms < FIRST_BYTES_TIME_MS {
+            return None;
+        }
+        self.phase.idle_rank()
+    }
+
     /// Whether it may be chosen to give way.
     pub fn gives_way(&self) -> bool {
         self.phase.gives_way() && !self.is_leaving
--- a/crates/core/tests/caller_account.rs
+++ b/crates/core/tests/caller_account.rs
@@ -100,6 +100,21 @@
     assert!(account.open(Millis(1_000), Bytes(0)).is_ok());
 }
 
+#[test]
+fn late_first_bytes() {
+    // Guards against newcomers that end before their first bytes can arrive, beside a crowd that
+    // connects again and again.
+    let mut account = CallerAccount::new(AccountLimits { max_connections: 2, ..LIMITS });
+    let held_back = reader(&mut account, 0, KIB);
+    let newcomer = open(&mut account, 5_000, ConnectionPhase::Silent);
+    let (_, evicted) = account.open(Millis(5_010), Bytes(0)).unwrap();
+    assert_eq!(evicted, [held_back]);
+    account.close(held_back);
+    // It has had its time.
+    let (_, evicted) = account.open(Millis(6_000), Bytes(0)).unwrap();
+    assert_eq!(evicted, [newcomer]);
+}
+
 #[test]
 fn slow_leavers() {
     // Guards against connections without bound while those that give way aren't closed yet.
--- a/crates/turmericrail/tests/caller_crowds.rs
+++ b/crates/turmericrail/tests/caller_crowds.rs
@@ -85,6 +85,7 @@
                 continue;
             };
             if reply.status() == 200 {
+                println!("{description}: {problems:?}");
                 return;
             }
             let retry_after = reply.head.headers.text("Retry-After");
--- a/crates/turmericrail/tests/fleet_crowds.rs
+++ b/crates/turmericrail/tests/fleet_crowds.rs
@@ -52,7 +52,10 @@
             let address = self.caller_address();
             let sending = send(address, Method::Post, "/v1/completions", "", COMPLETION);
             match task::block_on(sending) {
-                Some(answer) if answer.status == 200 => return,
+                Some(answer) if answer.status == 200 => {
+                    println!("{description}: {problems:?}");
+                    return;
+                }
                 answer => problems.push(answer),
             }
         }
