--- a/crates/turmericrail/src/accept_loop.rs
+++ b/crates/turmericrail/src/accept_loop.rs
@@ -58,7 +58,11 @@
     let mut logged_at: Option<Instant> = None;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => serve(stream),
+            Ok((stream, _)) => {
+                serve(stream);
+                // Connections that give way to this one leave before the next one comes.
+                task::yield_now().await;
+            }
             Err(error) => {
                 if logged_at.is_none_or(|at| at.elapsed() >= LOG_INTERVAL) {
                     logged_at = Some(Instant::now());
