A request isn't served once its connection gives way

Read in the diff, not seen by callers: where the end of a body arrived in the same turn in which its connection was chosen to give way, the request was served. It might run and then find no room for its answer, while those that waited for its memory asked again and again. The account now decides both at once: service begins only on a connection that stays, and else the request is refused as not run (late_arrival).

--- a/crates/core/src/caller_account/account.rs
+++ b/crates/core/src/caller_account/account.rs
@@ -149,6 +149,15 @@
         }
     }
 
+    /// Records that a connection's request has arrived and is served from now on. Fails if the connection
+    /// gives way already.
+    pub fn start_serving(&mut self, now_ms: Millis, id: ConnectionId) -> Result<(), Shortage> {
+        let staying = self.holdings.get(&id).filter(|holding| !holding.is_leaving);
+        staying.ok_or(Shortage::Memory)?;
+        self.set_phase(now_ms, id, ConnectionPhase::Serving);
+        Ok(())
+    }
+
     /// Has a connection hold more. Fails if it gives way already, or would be the next one. It has
     /// to ask again if connections give way to it whose memory isn't free yet.
     pub fn grow(
--- a/crates/core/tests/caller_account.rs
+++ b/crates/core/tests/caller_account.rs
@@ -76,6 +76,18 @@
     assert_eq!(account.grow(Millis(40), reading, Bytes(100 * KIB)), waiting);
 }
 
+#[test]
+fn late_arrival() {
+    // Guards against a request that is served although its connection gives way: it would run, and
+    // find no room for its answer.
+    let mut account = CallerAccount::new(LIMITS);
+    let evicted = reader(&mut account, 0, 740 * KIB);
+    let newcomer = open(&mut account, 1_000, ConnectionPhase::Reading);
+    assert_eq!(account.grow(Millis(1_000), newcomer, Bytes(100 * KIB)), granted(&[evicted]));
+    assert_eq!(account.start_serving(Millis(1_001), evicted), Err(Shortage::Memory));
+    assert_eq!(account.start_serving(Millis(1_001), newcomer), Ok(()));
+}
+
 #[test]
 fn silent_before_idle() {
     // Guards against connections without a request that keep out new ones, and against the end of
--- a/crates/turmericrail/src/caller_edge/body.rs
+++ b/crates/turmericrail/src/caller_edge/body.rs
@@ -60,7 +60,7 @@
         Err(ReadProblem::NoRoom) => return Err(no_room()),
         Err(ReadProblem::Failed(error)) => return Err(read_failure(&error, timeout)),
     };
-    connection.set_phase(ConnectionPhase::Serving);
+    connection.start_serving().map_err(|_| no_room())?;
     let length = bytes.len() as u64;
     if length > limit {
         return Err(too_large(limit));
--- a/crates/turmericrail/src/caller_edge/connection.rs
+++ b/crates/turmericrail/src/caller_edge/connection.rs
@@ -170,7 +170,11 @@
             return;
         }
         held.set_phase(ConnectionPhase::Closing);
-        drain_and_close(stream, MAX_CLOSE_READS).await;
+        let evicted = async {
+            held.evicted().await;
+            0
+        };
+        drain_and_close(stream, MAX_CLOSE_READS).or(evicted).await;
     });
 }
 
--- a/crates/turmericrail/src/caller_memory/held_connection.rs
+++ b/crates/turmericrail/src/caller_memory/held_connection.rs
@@ -30,6 +30,11 @@
         self.account.set_phase(self.id, phase);
     }
 
+    /// Records that a request has arrived and is served from now on; fails if the connection gives way.
+    pub fn start_serving(&self) -> Result<(), Shortage> {
+        self.account.start_serving(self.id)
+    }
+
     /// Whether the connection gives way.
     pub fn is_evicted(&self) -> bool {
         self.signal.is_given()
--- a/crates/turmericrail/src/caller_memory/shared_account.rs
+++ b/crates/turmericrail/src/caller_memory/shared_account.rs
@@ -90,6 +90,10 @@
         self.state().account.set_phase(self.now_ms(), id, phase);
     }
 
+    pub(super) fn start_serving(&self, id: ConnectionId) -> Result<(), Shortage> {
+        self.state().account.start_serving(self.now_ms(), id)
+    }
+
     pub(super) fn grow(&self, id: ConnectionId, added: Bytes) -> Result<(), Shortage> {
         let now_ms = self.now_ms();
         let mut state = self.state();
--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -186,7 +186,10 @@
         let evicted = Self::evicted(Arc::clone(&held), Err(Unread::from(ConnectionEnd::NoRoom)));
         let reading = reading.or(evicted).or(too_late(shared));
         let reading = async_std::future::timeout(timeout, reading);
-        let body = match reading.await.unwrap_or_else(|_| timed_out()) {
+        let body = reading.await.unwrap_or_else(|_| timed_out());
+        // Another connection may have had this one give way when the end of the body arrived.
+        let body = body.and_then(|body| held.start_serving().map(|()| body).map_err(Unread::from));
+        let body = match body {
             Err(Unread::Refused { kind, .. }) => {
                 let is_head_call = head.method == "HEAD";
                 return Err(Unread::Refused {
@@ -197,7 +200,6 @@
             }
             body => body?,
         };
-        held.set_phase(ConnectionPhase::Serving);
         self.request_count += 1;
         self.unfinished_bytes = self.buffer.len() as u64;
         let unread_until_ms = self.unread_until_ms;
@@ -330,9 +332,13 @@
         let _ = future::poll_once((&self.stream).write_all(bytes)).await;
     }
 
+    /// Writes to a caller that may not read; fails if the connection gives way meanwhile.
     pub async fn write(&self, bytes: &[u8]) -> io::Result<()> {
         let timeout = Duration::from_millis(UNREAD_MARGIN_MS.0);
-        async_std::io::timeout(timeout, (&self.stream).write_all(bytes)).await
+        let evicted = Self::evicted(Arc::clone(&self.held), Err(io::ErrorKind::TimedOut.into()));
+        let mut stream = &self.stream;
+        let writing = stream.write_all(bytes).or(evicted);
+        async_std::io::timeout(timeout, writing).await
     }
 
     /// Closes the connection without a reset: unread bytes would cause one before the caller has
