fault_soak: the crowd's requests come from the stand-ins

The head comes from request_text's module now.

The tests of the platform's package pass (all of 9 results ok).

--- a/crates/fakes/src/registered/mod.rs
+++ b/crates/fakes/src/registered/mod.rs
@@ -15,7 +15,7 @@
 pub use configuration::configuration;
 pub use raw_server::{RawAnswer, RawServer};
 pub use reply::{MalformedReply, Reply};
-pub use request_text::request_text;
+pub use request_text::{request_head, request_text};
 pub use reservation::granted_reservation;
 pub use server::{Arrival, Behaviour, EndlessBytes, ExecutedCall, RegisteredServer};
 pub use store::{FakeStore, StoreCopy, Watch};
--- a/crates/turmericrail/examples/fault_soak/crowd.rs
+++ b/crates/turmericrail/examples/fault_soak/crowd.rs
@@ -4,9 +4,12 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use turmericrail_fakes::registered::request_head;
+
 /// Callers at one instance; together they send more than it may hold for its callers.
 const MEMBERS: usize = 150;
 const BODY_BYTES: usize = 65_536;
+const CALLER_TIMEOUT_MS: u64 = 3_000;
 /// Longest wait of one caller for a connection, or to send.
 const TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -26,10 +29,8 @@
 fn send_unfinished(address: SocketAddr, number: usize) -> Option<TcpStream> {
     let mut stream = TcpStream::connect_timeout(&address, TIMEOUT).ok()?;
     stream.set_write_timeout(Some(TIMEOUT)).ok()?;
-    let head = format!(
-        "POST /order/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: crowd-{number}\r\n\
-         X-Deadline-Ms: 3000\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
-    );
+    let id = format!("crowd-{number}");
+    let head = request_head("order", "x", &id, CALLER_TIMEOUT_MS, BODY_BYTES);
     let mut bytes = head.into_bytes();
     bytes.resize(bytes.len() + BODY_BYTES - 1, b'x');
     // The instance may refuse the rest.
