At the limit of connections the oldest of those that are read gives way

Traced by the log that it left: the newcomer at the limit ended one of 20 equal connections, but not the first, so that a place was free later and a request was served where a refusal is expected.

Of connections of the same millisecond the one whose head was read first holds more, and which one that is depends on two worker threads. Bytes matter to memory, not to the number of connections: those that are read, or new, go by age alone now.

oldest_newcomer (caller_account) fails before and passes; the other 10 pass unchanged.

--- a/crates/core/src/caller_account/account.rs
+++ b/crates/core/src/caller_account/account.rs
@@ -246,16 +246,11 @@
     }
 
     /// The connection that gives way to a new one: one that serves no request, longest without one,
-    /// before those that hold a part of one.
+    /// before those that hold a part of one, longest first.
     fn first_to_leave(&self, now_ms: Millis) -> Option<ConnectionId> {
         let candidates = self.holdings.iter().filter(|(_, holding)| holding.gives_way());
         let order = |(id, holding): &(&ConnectionId, &Holding)| {
-            let rank = holding.idle_rank(now_ms);
-            let weight = match rank {
-                Some(_) => u128::from(now_ms.saturating_sub(holding.since_ms).0),
-                None => holding.weight(now_ms, Bytes::default()),
-            };
-            (rank.unwrap_or(u8::MAX), std::cmp::Reverse(weight), **id)
+            (holding.idle_rank(now_ms).unwrap_or(u8::MAX), holding.since_ms, **id)
         };
         candidates.min_by_key(order).map(|(id, _)| *id)
     }
--- a/crates/core/src/caller_account/holding.rs
+++ b/crates/core/src/caller_account/holding.rs
@@ -24,8 +24,8 @@
         u128::from(self.bytes.0 + added.0) * u128::from(held_ms)
     }
 
-    /// Order in which it gives way to a new connection; `None` if it goes by what it holds, as it does
-    /// until the first bytes of an ordinary caller have had time to arrive.
+    /// Order in which it gives way to a new connection; `None` if it counts as one that reads a request,
+    /// as it does until the first bytes of an ordinary caller have had time to arrive.
     pub fn idle_rank(&self, now_ms: Millis) -> Option<u8> {
         let phase_ms = now_ms.saturating_sub(self.since_ms);
         if self.phase == ConnectionPhase::Silent && phase_ms < FIRST_BYTES_TIME_MS {
--- a/crates/core/src/caller_account/phase.rs
+++ b/crates/core/src/caller_account/phase.rs
@@ -24,7 +24,7 @@
     }
 
     /// Order in which connections give way to new ones, the first being zero; `None` for those that
-    /// go by what they hold.
+    /// hold a part of a request.
     pub(super) fn idle_rank(self) -> Option<u8> {
         match self {
             Self::Closing => Some(0),
--- a/crates/core/tests/caller_account.rs
+++ b/crates/core/tests/caller_account.rs
@@ -127,6 +127,17 @@
     assert_eq!(evicted, [newcomer]);
 }
 
+#[test]
+fn oldest_newcomer() {
+    // Guards against an order of new connections that depends on which of them was read first.
+    let mut account = CallerAccount::new(AccountLimits { max_connections: 2, ..LIMITS });
+    let first = open(&mut account, 0, ConnectionPhase::Silent);
+    let second = open(&mut account, 0, ConnectionPhase::Silent);
+    assert_eq!(account.grow(Millis(1), second, Bytes(16 * KIB)), granted(&[]));
+    let (_, evicted) = account.open(Millis(2), Bytes(0)).unwrap();
+    assert_eq!(evicted, [first]);
+}
+
 #[test]
 fn slow_leavers() {
     // Guards against connections without bound while those that give way aren't closed yet.
