Answers with a status outside HTTP are refused

What callers saw: a server in trouble answered with status 000. The caller got it as an answer, as "HTTP/1.1 0 OK", signed and without its body; so with 001 and 099, and with statuses above 599 with their body.

Cause: httparse takes any three digits as a status, and ResponseHead::parse checked none. Below 200 it decided that no body follows, and everything that reads an answer trusts that parser.

Change: ResponseHead::parse refuses statuses outside 100 to 599 (HeadError::UndefinedStatus). It is the one parser of heads of all answers that are forwarded: plain calls, streams, prefills, control calls, answers of other instances and of the store, and their interim heads. A refused answer is a lost one: an idempotent call goes to another server, others get 502 with the outcome unknown. CallFailure::Malformed now tells why (AnswerFault), a log line names the server and the reason (answer_refused, one for a call), and turmericrail_refused_answers_total counts by reason.

--- a/crates/turmericrail/src/forward/calls/call_failure.rs
+++ b/crates/turmericrail/src/forward/calls/call_failure.rs
@@ -3,6 +3,8 @@
 
 use turmericrail_core::forward::CallEnd;
 
+use crate::forward::servers::answer_fault::AnswerFault;
+
 /// Why a call to a backend server brought no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallFailure {
@@ -17,14 +19,20 @@
     NoTimeLeft,
     /// The call may have been written, but the connection broke before the end of the answer.
     Lost,
-    /// The answer is invalid.
-    Malformed,
+    /// The answer is refused.
+    Malformed(AnswerFault),
     /// The answer is longer than may be held.
     Oversized,
     /// The call may have been written, but nothing came in time.
     Silent,
 }
 
+impl From<AnswerFault> for CallFailure {
+    fn from(fault: AnswerFault) -> Self {
+        CallFailure::Malformed(fault)
+    }
+}
+
 impl CallFailure {
     /// How the failure counts for the server's health.
     pub fn call_end(self) -> CallEnd {
@@ -32,7 +40,7 @@
             CallFailure::NotSent | CallFailure::ConnectionRefused => CallEnd::Unreachable,
             CallFailure::Withheld | CallFailure::NoTimeLeft => CallEnd::Cancelled,
             CallFailure::Silent => CallEnd::TimedOut,
-            CallFailure::Lost | CallFailure::Malformed | CallFailure::Oversized => {
+            CallFailure::Lost | CallFailure::Malformed(_) | CallFailure::Oversized => {
                 CallEnd::ConnectionLost
             }
         }
@@ -57,7 +65,7 @@
             CallFailure::Withheld => "withheld",
             CallFailure::NoTimeLeft => "no_time_left",
             CallFailure::Lost => "lost",
-            CallFailure::Malformed => "malformed",
+            CallFailure::Malformed(_) => "malformed",
             CallFailure::Oversized => "oversized",
             CallFailure::Silent => "silent",
         }
--- a/crates/turmericrail/src/forward/calls/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -16,7 +16,7 @@
 use super::engine_selection::{EngineAttempt, choose_engine, reserve};
 use super::generation_timer::GenerationTimer;
 use super::held_kv::HeldKv;
-use super::plain_call::is_acceptable;
+use super::plain_call::check_status;
 use super::reservation::Reservation;
 use crate::forward::callers::caller_stream::CallerStream;
 use crate::forward::callers::dispatch::{self, ConnectionAction};
@@ -24,8 +24,10 @@
 use crate::forward::peers::loss_notices;
 use crate::forward::peers::stream_versions;
 use crate::forward::servers::answer_body::AnswerBody;
+use crate::forward::servers::answer_fault::AnswerFault;
 use crate::forward::servers::call_bytes::CallBytes;
 use crate::forward::servers::exchange::Exchange;
+use crate::forward::servers::refused_answers;
 use crate::forward::servers::server_calls::{call_head, log_call, send_call};
 
 /// Multiple of the route's target gap between events after which an engine counts as silent.
@@ -85,6 +87,7 @@
     log_call(context, "server_call", attempt.choice(), call_end, elapsed_ms);
     if let EngineAttemptEnd::Failed(failure) = &end {
         log_cut_answer(context, &attempt, *failure, events, is_movable);
+        refused_answers::record(context.shared, &attempt.choice().run.server, *failure);
     }
     if matches!(end, EngineAttemptEnd::Complete(_)) && context.has_ranks() {
         context.shared.forwarder().overload(context.service).record_answer(elapsed_ms);
@@ -205,8 +208,8 @@
     if let Some(reservation) = &mut attempt.reservation {
         reservation.mark_used();
     }
-    if !is_acceptable(&exchange.head, &exchange.metadata) {
-        return EngineAttemptEnd::Failed(CallFailure::Malformed);
+    if let Err(fault) = check_status(&exchange.head, &exchange.metadata) {
+        return EngineAttemptEnd::Failed(fault.into());
     }
     if !exchange.head.is_success() {
         let remaining_ms = context.remaining_ms();
@@ -301,12 +304,13 @@
     let mut timer = GenerationTimer::new(sent_ms);
     loop {
         let mut data = Vec::new();
-        let Ok(used) = decoder.decode(&exchange.connection.buffer, &mut data) else {
-            return failed(CallFailure::Malformed);
+        let used = match decoder.decode(&exchange.connection.buffer, &mut data) {
+            Ok(used) => used,
+            Err(error) => return failed(AnswerFault::from(error).into()),
         };
         exchange.connection.buffer.drain(..used);
         let Some(whole_events) = events.push(&data) else {
-            return failed(CallFailure::Malformed);
+            return failed(AnswerFault::LongEvent.into());
         };
         if !share.resize(events.partial_bytes()) {
             return failed(CallFailure::Oversized);
--- a/crates/turmericrail/src/forward/calls/engine_calls.rs
+++ b/crates/turmericrail/src/forward/calls/engine_calls.rs
@@ -14,7 +14,9 @@
 use super::call_guard::CallGuard;
 use super::held_kv::HeldKv;
 use crate::forward::clock;
+use crate::forward::servers::answer_fault::AnswerFault;
 use crate::forward::servers::call_bytes::CallBytes;
+use crate::forward::servers::refused_answers;
 use crate::forward::servers::server_calls::{call_head, log_call, send_call};
 
 /// An engine counts as silent once a prefill or first event takes this many times as long as
@@ -109,6 +111,9 @@
         Err(failure) => failure.call_end(),
     };
     log_call(context, "prefill_call", engine, end, elapsed_ms);
+    if let Err(failure) = &prefilled {
+        refused_answers::record(context.shared, &engine.run.server, *failure);
+    }
     if end == CallEnd::Answered {
         context.sends().record_done_prefill();
         context.shared.forwarder().record_prefill_time(clock::now_ms(), engine, elapsed_ms);
@@ -146,7 +151,7 @@
                 engine.run.server,
                 error.to_string()
             );
-            Err(CallFailure::Malformed)
+            Err(AnswerFault::Undecodable.into())
         }
     }
 }
--- a/crates/turmericrail/src/forward/calls/plain_call.rs
+++ b/crates/turmericrail/src/forward/calls/plain_call.rs
@@ -22,7 +22,9 @@
 use crate::forward::clock;
 use crate::forward::peers::loss_notices;
 use crate::forward::servers::answer_body::AnswerBody;
+use crate::forward::servers::answer_fault::AnswerFault;
 use crate::forward::servers::call_bytes::CallBytes;
+use crate::forward::servers::refused_answers;
 use crate::forward::servers::server_calls::{call_head, log_call, send_call};
 use crate::forward::servers::server_ends;
 
@@ -155,7 +157,7 @@
         | CallFailure::Withheld
         | CallFailure::NoTimeLeft
         | CallFailure::Lost
-        | CallFailure::Malformed
+        | CallFailure::Malformed(_)
         | CallFailure::Oversized => ErrorKind::ServerLost,
     }
 }
@@ -224,6 +226,9 @@
         AttemptEnd::MovedTo(..) => CallEnd::TimedOut,
     };
     log_call(context, "server_call", choice, call_end, elapsed_ms);
+    if let AttemptEnd::Failed(failure) = &end {
+        refused_answers::record(context.shared, &choice.run.server, *failure);
+    }
     if call_end == CallEnd::Answered {
         context.shared.forwarder().record_answer_time(clock::now_ms(), choice, elapsed_ms);
     }
@@ -245,24 +250,30 @@
     let metadata = exchange.metadata.clone();
     match exchange.read_body(context, choice.address, context.remaining_ms()).await {
         _ if metadata.is_not_run => AttemptEnd::NotRun,
-        Ok((head, body)) if is_acceptable(&head, &metadata) => {
-            if head.framing != BodyFraming::UntilClose {
-                loss_notices::record_answer(context.shared, context.service, context.fingerprint);
+        Ok((head, body)) => match check_status(&head, &metadata) {
+            Ok(()) => {
+                if head.framing != BodyFraming::UntilClose {
+                    let (shared, service) = (context.shared, context.service);
+                    loss_notices::record_answer(shared, service, context.fingerprint);
+                }
+                AttemptEnd::Answered(head, body)
             }
-            AttemptEnd::Answered(head, body)
-        }
-        Ok(_) => AttemptEnd::Failed(CallFailure::Malformed),
+            Err(fault) => AttemptEnd::Failed(fault.into()),
+        },
         Err(failure) => AttemptEnd::Failed(failure),
     }
 }
 
-/// Whether an answer may be passed on unchanged. A success must be signed by the server. A status
-/// that tells the caller that the call did not run isn't passed on: only the server's own
+/// Checks whether an answer may be passed on unchanged. A success must be signed by the server. A
+/// status that tells the caller that the call did not run isn't passed on: only the server's own
 /// statement, [`AnswerMetadata::is_not_run`], is trusted for that, and the callers of this function
 /// check it first.
-pub fn is_acceptable(head: &ResponseHead, metadata: &AnswerMetadata) -> bool {
-    if head.is_success() {
-        return metadata.is_signed && !metadata.is_encoded;
+pub fn check_status(head: &ResponseHead, metadata: &AnswerMetadata) -> Result<(), AnswerFault> {
+    if head.is_success() && (!metadata.is_signed || metadata.is_encoded) {
+        return Err(AnswerFault::Unsigned(head.status));
+    }
+    if NOT_RUN_STATUSES.contains(&head.status) {
+        return Err(AnswerFault::UnstatedRefusal(head.status));
     }
-    !NOT_RUN_STATUSES.contains(&head.status)
+    Ok(())
 }
--- a/crates/turmericrail/src/forward/handover/hop_answer.rs
+++ b/crates/turmericrail/src/forward/handover/hop_answer.rs
@@ -12,6 +12,7 @@
 use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::calls::engine_attempt::is_event_stream;
 use crate::forward::clock;
+use crate::forward::servers::answer_fault::AnswerFault;
 use crate::forward::servers::exchange::Exchange;
 
 /// Time after the deadline for which events are passed on; the other instance ends the stream
@@ -91,8 +92,8 @@
     loop {
         let mut data = Vec::new();
         let used = decoder.decode(&exchange.connection.buffer, &mut data);
-        exchange.connection.buffer.drain(..used.map_err(|_| CallFailure::Malformed)?);
-        let whole_events = events.push(&data).ok_or(CallFailure::Malformed)?;
+        exchange.connection.buffer.drain(..used.map_err(AnswerFault::from)?);
+        let whole_events = events.push(&data).ok_or(AnswerFault::LongEvent)?;
         if !share.resize(events.partial_bytes()) {
             return Err(CallFailure::Oversized);
         }
--- a/crates/turmericrail/src/forward/handover/sender.rs
+++ b/crates/turmericrail/src/forward/handover/sender.rs
@@ -21,6 +21,7 @@
 use crate::forward::clock;
 use crate::forward::servers::call_bytes::CallBytes;
 use crate::forward::servers::exchange::{Exchange, OutgoingCall};
+use crate::forward::servers::refused_answers;
 
 /// Multiple of the route's target after which an idempotent request without an answer goes to another
 /// instance, unless a sound server may be silent for longer.
@@ -183,6 +184,7 @@
 
     fn record_lost(&mut self, member: &Member, failure: CallFailure) {
         self.last_failure = failure;
+        refused_answers::record(self.context.shared, &member.instance, failure);
         // At its deadline a request says nothing of the member.
         if failure != CallFailure::Silent || self.context.remaining_ms() > Millis::ZERO {
             self.leave_out(member);
--- /dev/null
+++ b/crates/turmericrail/src/forward/servers/answer_fault.rs
@@ -0,0 +1,48 @@
+//! Why an answer of a backend server is refused.
+
+use thiserror::Error;
+use turmericrail_wire::http1::{BodyError, HeadError};
+
+/// Why an answer is refused.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum AnswerFault {
+    #[error(transparent)]
+    Head(#[from] HeadError),
+    #[error("the head is too long")]
+    LongHead,
+    #[error("too many interim answers")]
+    ManyInterimAnswers,
+    #[error("too many answers to other requests")]
+    ManyOtherAnswers,
+    #[error(transparent)]
+    Body(#[from] BodyError),
+    #[error("an event is too long")]
+    LongEvent,
+    /// A success that the server didn't sign, or whose body has a content coding.
+    #[error("status {0} without a signature or with a content coding")]
+    Unsigned(u16),
+    /// A status that says that the call did not run, without the server's statement.
+    #[error("status {0} without the statement that the call did not run")]
+    UnstatedRefusal(u16),
+    /// The body of an answer of the router's own calls.
+    #[error("the body can't be decoded")]
+    Undecodable,
+}
+
+impl AnswerFault {
+    /// The label in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            AnswerFault::Head(HeadError::UndefinedStatus(_)) => "undefined_status",
+            AnswerFault::Head(_) => "malformed_head",
+            AnswerFault::LongHead => "long_head",
+            AnswerFault::ManyInterimAnswers => "many_interim_answers",
+            AnswerFault::ManyOtherAnswers => "many_other_answers",
+            AnswerFault::Body(_) => "malformed_body",
+            AnswerFault::LongEvent => "long_event",
+            AnswerFault::Unsigned(_) => "unsigned",
+            AnswerFault::UnstatedRefusal(_) => "unstated_refusal",
+            AnswerFault::Undecodable => "undecodable",
+        }
+    }
+}
--- a/crates/turmericrail/src/forward/servers/control_call.rs
+++ b/crates/turmericrail/src/forward/servers/control_call.rs
@@ -9,9 +9,11 @@
 use turmericrail_platform::answer::{self, AnswerMetadata};
 use turmericrail_wire::http1::ResponseHead;
 
+use super::answer_fault::AnswerFault;
 use super::call_key::CallKey;
 use super::connection_pool::ConnectionPool;
 use super::exchange;
+use super::refused_answers;
 use super::server_connection::ServerConnection;
 use super::server_notices;
 use crate::forward::calls::call_failure::CallFailure;
@@ -97,8 +99,13 @@
     if connection.write(bytes).await.is_err() {
         return Exchanged::Failed;
     }
-    let Ok((head, metadata, has_skipped)) = read_own_head(&mut connection, method).await else {
-        return Exchanged::Failed;
+    let failed = |failure| {
+        refused_answers::record(shared, &engine.server, failure);
+        Exchanged::Failed
+    };
+    let (head, metadata, has_skipped) = match read_own_head(&mut connection, method).await {
+        Ok(read) => read,
+        Err(failure) => return failed(failure),
     };
     server_notices::record(shared, engine, &metadata, sent_ms);
     // Engines that state no speed are predicted from the answers to callers' requests alone.
@@ -107,8 +114,9 @@
         server_notices::record_load(shared, engine, &metadata);
     }
     let may_hold = |bytes| bytes <= MAX_BODY_BYTES;
-    let Ok(body) = connection.read_body(head.framing, may_hold).await else {
-        return Exchanged::Failed;
+    let body = match connection.read_body(head.framing, may_hold).await {
+        Ok(body) => body,
+        Err(failure) => return failed(failure),
     };
     if method == GRANTING_METHOD && head.status == GRANTED_STATUS {
         let grant = CallKey::of_grant(&body);
@@ -142,5 +150,5 @@
         }
         connection.skip_body(head.framing, MAX_BODY_BYTES).await?;
     }
-    Err(CallFailure::Malformed)
+    Err(AnswerFault::ManyOtherAnswers.into())
 }
--- a/crates/turmericrail/src/forward/servers/exchange.rs
+++ b/crates/turmericrail/src/forward/servers/exchange.rs
@@ -11,6 +11,7 @@
 use turmericrail_wire::http1::ResponseHead;
 
 use super::answer_body::AnswerBody;
+use super::answer_fault::AnswerFault;
 use super::call_bytes::CallBytes;
 use super::call_key::CallKey;
 use super::connection_pool::ConnectionPool;
@@ -180,7 +181,7 @@
         }
         *stale_answers += 1;
         if *stale_answers > MAX_STALE_ANSWERS {
-            return Err(CallFailure::Malformed);
+            return Err(AnswerFault::ManyOtherAnswers.into());
         }
         connection.skip_body(head.framing, MAX_BODY_BYTES).await?;
     }
@@ -194,19 +195,19 @@
     let mut interim_heads = 0;
     loop {
         let parsed = ResponseHead::parse(&connection.buffer, method);
-        if let Some((head, length)) = parsed.map_err(|_| CallFailure::Malformed)? {
+        if let Some((head, length)) = parsed.map_err(AnswerFault::from)? {
             connection.buffer.drain(..length);
             if !head.is_interim() {
                 return Ok(head);
             }
             interim_heads += 1;
             if interim_heads > MAX_INTERIM_HEADS {
-                return Err(CallFailure::Malformed);
+                return Err(AnswerFault::ManyInterimAnswers.into());
             }
             continue;
         }
         if connection.buffer.len() > MAX_HEAD_BYTES {
-            return Err(CallFailure::Malformed);
+            return Err(AnswerFault::LongHead.into());
         }
         if connection.fill_fairly().await.map_err(|_| CallFailure::Lost)? == 0 {
             return Err(CallFailure::Lost);
--- a/crates/turmericrail/src/forward/servers/server_calls.rs
+++ b/crates/turmericrail/src/forward/servers/server_calls.rs
@@ -112,7 +112,7 @@
     match failure {
         CallFailure::Lost => sent.break_off(),
         CallFailure::Silent => drop(sent),
-        CallFailure::Malformed | CallFailure::Oversized => sent.settle(),
+        CallFailure::Malformed(_) | CallFailure::Oversized => sent.settle(),
         CallFailure::NotSent
         | CallFailure::ConnectionRefused
         | CallFailure::Withheld
--- a/crates/turmericrail/src/forward/servers/server_connection.rs
+++ b/crates/turmericrail/src/forward/servers/server_connection.rs
@@ -10,6 +10,7 @@
 use turmericrail_core::units::Millis;
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming};
 
+use super::answer_fault::AnswerFault;
 use super::call_key::CallKey;
 use crate::connection_close::reset_on_drop;
 use crate::eager_read::{self, grow_for};
@@ -153,8 +154,7 @@
         let mut piece = Vec::new();
         loop {
             piece.clear();
-            let used =
-                decoder.decode(&self.buffer, &mut piece).map_err(|_| CallFailure::Malformed)?;
+            let used = decoder.decode(&self.buffer, &mut piece).map_err(AnswerFault::from)?;
             self.buffer.drain(..used);
             if !take_piece(&piece) {
                 return Err(CallFailure::Oversized);
--- a/crates/turmericrail/src/forward/store/store_client.rs
+++ b/crates/turmericrail/src/forward/store/store_client.rs
@@ -10,6 +10,7 @@
 
 use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::servers::exchange;
+use crate::forward::servers::refused_answers;
 use crate::forward::servers::server_connection::ServerConnection;
 use crate::forward::shared::Shared;
 
@@ -66,8 +67,11 @@
         let connection = self.connection.take();
         let calling = call(connection, address, target);
         let called = async_std::future::timeout(timeout, calling).await;
-        let (connection, head, body) =
-            called.unwrap_or(Err(CallFailure::Silent)).map_err(StoreError::Unreachable)?;
+        let called = called.unwrap_or(Err(CallFailure::Silent));
+        let (connection, head, body) = called.map_err(|failure| {
+            refused_answers::record(shared, "store", failure);
+            StoreError::Unreachable(failure)
+        })?;
         self.connection = connection;
         if head.status != 200 {
             return Err(StoreError::Status(head.status));
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -149,6 +149,8 @@
     pub retries_refused: IntCounter,
     /// Header fields in servers' and the store's answers that can't be used.
     pub malformed_headers: IntCounter,
+    /// Answers of servers, instances and the store that were refused, by reason.
+    pub refused_answers: IntCounterVec,
     /// Configuration version in force.
     pub config_version: IntGauge,
     /// Backend servers, by state.
@@ -240,6 +242,12 @@
                 "turmericrail_malformed_headers_total",
                 "Header fields in answers of servers and the store that can't be used.",
             ),
+            refused_answers: counter(
+                &registry,
+                "turmericrail_refused_answers_total",
+                "Answers that were refused.",
+                "reason",
+            ),
             servers: gauges(
                 &registry,
                 "turmericrail_servers",
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -270,6 +270,14 @@
         read_reply(&mut stream, &mut Vec::new())
     }
 
+    /// Number of answers that the instance has refused, by its metric.
+    pub fn refused_answers(&self) -> u64 {
+        let page = self.get_page(self.operator_address, "/metrics").expect("an answer comes").body;
+        let name = "turmericrail_refused_answers_total{";
+        let lines = page.lines().filter(|line| line.starts_with(name));
+        lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+    }
+
     pub fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(self.caller_address).unwrap();
         stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
--- a/crates/wire/src/http1/head_error.rs
+++ b/crates/wire/src/http1/head_error.rs
@@ -20,6 +20,9 @@
     /// The body has a transfer coding other than chunked.
     #[error("unsupported transfer coding")]
     UnsupportedCoding,
+    /// HTTP doesn't define the status, which also decides whether a body follows.
+    #[error("undefined status {0:03}")]
+    UndefinedStatus(u16),
     /// The request has no host or more than one.
     #[error("the request must name one host")]
     BadHost,
--- a/crates/wire/src/http1/response_head.rs
+++ b/crates/wire/src/http1/response_head.rs
@@ -1,7 +1,12 @@
 //! Parses and checks the head of an answer.
 
+use std::ops::RangeInclusive;
+
 use super::{BodyFraming, HeadError, Headers, MAX_HEADERS, head_length};
 
+/// The statuses that HTTP defines.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// The head of an answer.
 #[expect(missing_docs, reason = "the names say it")]
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -29,8 +34,11 @@
         if status != httparse::Status::Complete(length) {
             return Err(HeadError::Malformed);
         }
-        let headers = Headers::from_parsed(parsed.headers);
         let status = parsed.code.unwrap_or_default();
+        if !STATUSES.contains(&status) {
+            return Err(HeadError::UndefinedStatus(status));
+        }
+        let headers = Headers::from_parsed(parsed.headers);
         let has_no_body = method == "HEAD" || status < 200 || status == 204 || status == 304;
         let framing = headers.framing()?.unwrap_or(BodyFraming::UntilClose);
         let framing = if has_no_body { BodyFraming::Empty } else { framing };
