A reset that only the write of a call met is known to the read

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the system reports the reset of a connection once, to the call that meets it first. Here that was the write of the upload, whose error was dropped (send_and_read_head). The reads after it brought the bytes that had arrived and then an end that looks like an orderly one, which is what ends a body without a length.

Change: a connection to a server records that a write on it failed, and one function (ServerConnection::end_body) decides whether a body is whole once a read has found the end. Both readers of such bodies use it: read_pieces (plain calls, prefills, skipped answers, answers of other instances, control calls, the store) and copy_body (streams). Control calls and the store end a call at once when its write fails; answers of other instances that are streams never end with their connection. A broken pipe is no failure: the system reports it where the server ended its side in order before, with the upload unread. The refusal is logged and counted as failed_connection, and the call counts as broken off like one whose read met the reset.

--- a/crates/fakes/src/registered/raw_server.rs
+++ b/crates/fakes/src/registered/raw_server.rs
@@ -7,6 +7,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use socket2::SockRef;
 use turmericrail_wire::http1::RequestHead;
 
 use super::reply::{read_body, read_more};
@@ -23,6 +24,12 @@
     BytesThenBytes(Vec<u8>, Duration, Vec<u8>),
     /// Writes these bytes and closes the connection.
     BytesThenClose(Vec<u8>),
+    /// Writes these bytes and resets the connection.
+    BytesThenReset(Vec<u8>),
+    /// Writes these bytes, ends its side of the connection in order and reads on to the end.
+    BytesThenEnd(Vec<u8>),
+    /// As `BytesThenEnd`, and closes the connection without reading, which resets it after its end.
+    BytesThenEndUnread(Vec<u8>),
     /// Writes bytes, then others again and again until the connection is closed.
     BytesWithoutEnd(Vec<u8>, Vec<u8>),
     /// Never answers again on this connection.
@@ -65,6 +72,8 @@
 struct Service {
     role: Role,
     handler: Box<Handler>,
+    /// Whether requests are answered before their bodies are read.
+    is_early: bool,
     /// Requests that were meant for another stand-in.
     misdirected: Mutex<Vec<String>>,
 }
@@ -89,15 +98,30 @@
         Self::start_as(Role::Server, handler)
     }
 
+    /// Starts a server that answers each request once its head has arrived, and reads no body.
+    pub fn start_early(
+        handler: impl Fn(&RequestHead) -> RawAnswer + Send + Sync + 'static,
+    ) -> std::io::Result<Self> {
+        Self::start_service(Role::Server, true, move |head, _| handler(head))
+    }
+
     /// Starts a server in a role.
     pub(super) fn start_as(
         role: Role,
         handler: impl Fn(&RequestHead, &[u8]) -> RawAnswer + Send + Sync + 'static,
+    ) -> std::io::Result<Self> {
+        Self::start_service(role, false, handler)
+    }
+
+    fn start_service(
+        role: Role,
+        is_early: bool,
+        handler: impl Fn(&RequestHead, &[u8]) -> RawAnswer + Send + Sync + 'static,
     ) -> std::io::Result<Self> {
         let listener = free_listener()?;
         let address = listener.local_addr()?;
         let handler = Box::new(handler);
-        let service = Arc::new(Service { role, handler, misdirected: Mutex::default() });
+        let service = Arc::new(Service { role, handler, is_early, misdirected: Mutex::default() });
         let process = Mutex::new(Process::start(listener, &service)?);
         Ok(Self { address, service, process })
     }
@@ -171,7 +195,9 @@
         let closed = stream.try_clone();
         serve(stream, service, self);
         lock(&self.streams).retain(|kept| kept.peer_addr().ok() != caller);
-        if let Ok(stream) = closed {
+        if let Ok(stream) = closed
+            && !is_reset_on_drop(&stream)
+        {
             // The caller may have closed it before.
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -193,9 +219,13 @@
     }
 }
 
+fn is_reset_on_drop(stream: &TcpStream) -> bool {
+    SockRef::from(stream).linger().is_ok_and(|linger| linger == Some(Duration::ZERO))
+}
+
 fn serve(mut stream: TcpStream, service: &Service, process: &Process) {
     let mut buffer = Vec::new();
-    while let Some((head, body)) = read_request(&mut stream, &mut buffer) {
+    while let Some((head, body)) = read_request(&mut stream, &mut buffer, service.is_early) {
         if !service.role.serves(&head) {
             let caller = stream.peer_addr().map(|address| address.to_string()).unwrap_or_default();
             let request = format!("{} {} from {caller}", head.method, head.target);
@@ -236,6 +266,25 @@
                 let _ = stream.write_all(&bytes);
                 return;
             }
+            RawAnswer::BytesThenReset(bytes) => {
+                let _ = stream.write_all(&bytes);
+                // Takes effect when the last handle is dropped.
+                let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                return;
+            }
+            RawAnswer::BytesThenEnd(bytes) => {
+                let _ = stream.write_all(&bytes);
+                let _ = stream.shutdown(Shutdown::Write);
+                while matches!(read_more(&mut stream, &mut buffer), Ok(true)) {
+                    buffer.clear();
+                }
+                return;
+            }
+            RawAnswer::BytesThenEndUnread(bytes) => {
+                let _ = stream.write_all(&bytes);
+                let _ = stream.shutdown(Shutdown::Write);
+                return;
+            }
             RawAnswer::BytesThenCrash(pause, bytes) => {
                 thread::sleep(pause);
                 // The caller may have left meanwhile.
@@ -248,7 +297,11 @@
     }
 }
 
-fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<(RequestHead, Vec<u8>)> {
+fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    is_early: bool,
+) -> Option<(RequestHead, Vec<u8>)> {
     let (head, head_bytes) = loop {
         if let Some(parsed) = RequestHead::parse(buffer).ok()? {
             break parsed;
@@ -258,6 +311,9 @@
         }
     };
     buffer.drain(..head_bytes);
+    if is_early {
+        return Some((head, Vec::new()));
+    }
     let (body, is_complete) = read_body(stream, buffer, head.framing).ok()?;
     is_complete.then_some((head, body))
 }
--- a/crates/turmericrail/src/forward/calls/call_failure.rs
+++ b/crates/turmericrail/src/forward/calls/call_failure.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Whether the connection broke before the end of the answer.
+    pub fn is_broken_connection(self) -> bool {
+        matches!(self, CallFailure::Lost | CallFailure::Malformed(AnswerFault::FailedConnection))
+    }
+
     /// Whether the call may have reached the server.
     pub fn is_sent(self) -> bool {
         !matches!(
--- a/crates/turmericrail/src/forward/calls/engine_attempt.rs
+++ b/crates/turmericrail/src/forward/calls/engine_attempt.rs
@@ -248,7 +248,7 @@
         cut => cut,
     };
     if let Some(end) = end {
-        if matches!(end, EngineAttemptEnd::Failed(CallFailure::Lost)) {
+        if matches!(end, EngineAttemptEnd::Failed(failure) if failure.is_broken_connection()) {
             if attempt_events <= MAX_LOSS_EVENTS && !context.shared_parts().is_empty() {
                 record_parts_loss(context, attempt);
             }
@@ -357,9 +357,13 @@
         let timeout = Duration::from_millis(failover.timeout_ms(context, left_ms).0);
         let filling = async_std::future::timeout(timeout, exchange.connection.fill_fairly());
         match filling.await {
-            Ok(Ok(0)) if decoder.end_of_input().is_ok() => {}
-            Ok(Ok(read)) if read > 0 => {}
-            Ok(_) => return failed(CallFailure::Lost),
+            Ok(Ok(0)) => {
+                if let Err(failure) = exchange.connection.end_body(&mut decoder) {
+                    return failed(failure);
+                }
+            }
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) => return failed(CallFailure::Lost),
             // The engine has been silent for so long that the call moves, if it can.
             Err(_) if failover.is_movable && context.remaining_ms() > Millis::ZERO => {}
             Err(_) => return failed(CallFailure::Silent),
--- a/crates/turmericrail/src/forward/servers/answer_fault.rs
+++ b/crates/turmericrail/src/forward/servers/answer_fault.rs
@@ -16,6 +16,9 @@
     ManyOtherAnswers,
     #[error(transparent)]
     Body(#[from] BodyError),
+    /// An answer up to the end of its connection, which failed before.
+    #[error("the connection failed while the call was written")]
+    FailedConnection,
     #[error("an event is too long")]
     LongEvent,
     /// A success that the server didn't sign, or whose body has a content coding.
@@ -39,6 +42,7 @@
             AnswerFault::ManyInterimAnswers => "many_interim_answers",
             AnswerFault::ManyOtherAnswers => "many_other_answers",
             AnswerFault::Body(_) => "malformed_body",
+            AnswerFault::FailedConnection => "failed_connection",
             AnswerFault::LongEvent => "long_event",
             AnswerFault::Unsigned(_) => "unsigned",
             AnswerFault::UnstatedRefusal(_) => "unstated_refusal",
--- a/crates/turmericrail/src/forward/servers/exchange.rs
+++ b/crates/turmericrail/src/forward/servers/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends one call to a backend server and reads the head of its answer.
 
 use std::net::SocketAddr;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -102,7 +103,7 @@
         let reading = self.connection.read_body(self.head.framing, may_hold);
         let read = async_std::future::timeout(Duration::from_millis(remaining_ms.0), reading).await;
         let read = read.unwrap_or(Err(CallFailure::Silent));
-        if read == Err(CallFailure::Lost) {
+        if read.as_ref().is_err_and(|failure| failure.is_broken_connection()) {
             self.break_off();
         }
         if read == Err(CallFailure::Oversized) {
@@ -150,19 +151,21 @@
 ) -> Result<Exchange, CallFailure> {
     connection.has_open_call = true;
     let writer = connection.stream.clone();
-    let is_written = AtomicBool::new(false);
+    let written = OnceLock::new();
     // The server may answer before it has read the body, so the call is written and the answer read
     // at the same time. After a failed write, the read decides what the server answered.
     let writing = async {
-        if call.bytes.write_to(&writer).await.is_ok() {
-            is_written.store(true, Ordering::Relaxed);
-        }
+        let _ = written.set(call.bytes.write_to(&writer).await);
         future::pending().await
     };
     let mut stale_answers = 0;
     let (head, metadata) =
         writing.or(read_matching_head(&mut connection, call, &mut stale_answers)).await?;
-    let is_reusable = is_written.load(Ordering::Relaxed) && stale_answers == 0 && !call.is_head();
+    let written = written.into_inner();
+    if let Some(Err(error)) = &written {
+        connection.record_write_error(error.kind());
+    }
+    let is_reusable = matches!(written, Some(Ok(()))) && stale_answers == 0 && !call.is_head();
     Ok(Exchange { connection, head, metadata, is_reusable, sent: None })
 }
 
--- a/crates/turmericrail/src/forward/servers/server_connection.rs
+++ b/crates/turmericrail/src/forward/servers/server_connection.rs
@@ -43,6 +43,9 @@
     pub keep_alive_ms: Option<Millis>,
     /// Whether a call was written whose answer has not been read whole.
     pub has_open_call: bool,
+    /// Whether a write met an error of the connection. The system reports such an error only once, and
+    /// a later read may find what looks like an orderly end.
+    has_failed: bool,
     /// The keys of the calls that it has carried.
     pub carried_calls: Vec<CallKey>,
     /// Monotonic time of the last answer that granted something.
@@ -80,6 +83,7 @@
             last_used_ms,
             keep_alive_ms: None,
             has_open_call: false,
+            has_failed: false,
             carried_calls: Vec::new(),
             last_grant_ms: None,
             reads_since_yield: 0,
@@ -97,6 +101,20 @@
         (&self.stream).write_all(bytes).await
     }
 
+    /// Records the error of a write.
+    pub fn record_write_error(&mut self, kind: io::ErrorKind) {
+        // A broken pipe means that the server had ended its side in order.
+        self.has_failed |= kind != io::ErrorKind::BrokenPipe;
+    }
+
+    /// Checks whether a body is whole once a read has found the end of the connection.
+    pub fn end_body(&self, decoder: &mut BodyDecoder) -> Result<(), CallFailure> {
+        if self.has_failed {
+            return Err(AnswerFault::FailedConnection.into());
+        }
+        decoder.end_of_input().map_err(|_| CallFailure::Lost)
+    }
+
     /// Whether nothing arrived since the last answer and the server hasn't closed it.
     pub async fn is_usable(&mut self) -> bool {
         let read = futures_lite::future::poll_once(self.fill()).await;
@@ -163,7 +181,7 @@
                 return Ok(());
             }
             if self.fill_fairly().await.map_err(|_| CallFailure::Lost)? == 0 {
-                return decoder.end_of_input().map_err(|_| CallFailure::Lost);
+                return self.end_body(&mut decoder);
             }
         }
     }
