The steps of a stop fit into every grace period

What callers saw: in a planned stop of one machine, in calm, requests that came late in the grace period were taken and passed on, and cut without an answer at its end, among them requests that may not be repeated.

Cause: the times of the steps are constants (refuse after 2.8 s, close after 3.8 s), the grace period is a setting. With one of 3 s the process went on until 3.9 s after SIGTERM and was killed at 3 s: the answer to whatever is unanswered then, due 0.7 s before the end, came after the close.

Change: ShutdownTimes decides the times of all steps from the grace period, in a type of its own without a clock. Where the usual steps don't fit (under 5 s), the time until requests are refused and until the close are shortened alike, so that half a second is left from the close to the last answers. From 5 s on nothing changes.

Evidence: planned_stop::every_grace_period sends requests throughout a stop on new and on kept connections, kills the process at the end of the grace period and looks at each request that a server got.

--- a/crates/turmericrail/src/forward/mod.rs
+++ b/crates/turmericrail/src/forward/mod.rs
@@ -20,6 +20,7 @@
 pub mod settings;
 mod shared;
 mod shutdown;
+pub mod shutdown_times;
 mod store;
 
 use std::path::PathBuf;
--- a/crates/turmericrail/src/forward/shutdown.rs
+++ b/crates/turmericrail/src/forward/shutdown.rs
@@ -15,19 +15,10 @@
 
 use super::clock;
 use super::shared::Shared;
+use super::shutdown_times::ShutdownTimes;
 use crate::accept_loop::AcceptLoop;
 use crate::signals::SignalListener;
 
-/// Time in which the load balancer notices that the instance isn't ready: two readiness checks, one
-/// second apart, and the network delay. Later requests are refused, since their answers might not
-/// fit into the grace period.
-const BALANCER_NOTICE_MS: Millis = Millis(2_800);
-/// Time after that for which late connections are still accepted and their requests refused.
-const REFUSAL_PERIOD_MS: Millis = Millis(1_000);
-/// Part of the grace period that is kept for the last answers.
-const END_MARGIN_MS: Millis = Millis(700);
-/// Longest time for these; the rest is kept for the end of the process.
-const LAST_ANSWERS_MS: Millis = Millis(300);
 /// Time between checks for open connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -42,9 +33,10 @@
     let signalled_ms = clock::now_ms();
     shared.begin_shutdown();
     spdlog::info!("event=shutdown calls={} connections={}", shared.calls(), shared.connections());
-    task::sleep(Duration::from_millis(BALANCER_NOTICE_MS.0)).await;
+    let times = ShutdownTimes::within(shared.settings().grace_ms);
+    sleep_until(signalled_ms + times.refusal_ms).await;
     shared.refuse_requests();
-    task::sleep(Duration::from_millis(REFUSAL_PERIOD_MS.0)).await;
+    sleep_until(signalled_ms + times.close_ms).await;
     let stopping_handover = async {
         if let Some(listener) = handover_listener {
             listener.stop().await;
@@ -52,16 +44,19 @@
     };
     future::zip(listener.stop(), stopping_handover).await;
     shared.idle_close.give();
-    let end_ms = signalled_ms + shared.settings().grace_ms.saturating_sub(END_MARGIN_MS);
-    wait_for_last_connection(shared, end_ms).await;
+    wait_for_last_connection(shared, signalled_ms + times.last_answers_ms).await;
     if shared.connections() > 0 {
         let (calls, connections) = (shared.calls(), shared.connections());
         spdlog::warn!("event=last_answers calls={calls} connections={connections}");
         shared.last_answers.give();
-        wait_for_last_connection(shared, end_ms + LAST_ANSWERS_MS).await;
+        wait_for_last_connection(shared, signalled_ms + times.end_ms).await;
     }
 }
 
+async fn sleep_until(time_ms: Millis) {
+    task::sleep(Duration::from_millis(time_ms.saturating_sub(clock::now_ms()).0)).await;
+}
+
 async fn wait_for_last_connection(shared: &Shared, end_ms: Millis) {
     while shared.connections() > 0 && clock::now_ms() < end_ms {
         task::sleep(POLL_INTERVAL).await;
--- a/crates/turmericrail/tests/forward_support/mod.rs
+++ b/crates/turmericrail/tests/forward_support/mod.rs
@@ -78,6 +78,17 @@
     registered::configuration(version, 1)
 }
 
+/// A store whose configuration has routes with this timeout.
+fn store_with_timeout(timeout_ms: u64) -> FakeStore {
+    let store = FakeStore::start().unwrap();
+    let mut configuration = configuration(1);
+    for route in configuration["routes"].as_array_mut().unwrap() {
+        route["timeoutMs"] = timeout_ms.into();
+    }
+    store.publish(&configuration);
+    store
+}
+
 impl ForwardInstance {
     /// Starts an instance with a configuration and waits until it is ready.
     pub fn start(name: &str) -> Self {
@@ -102,13 +113,7 @@
 
     /// Starts an instance whose routes all have this timeout.
     pub fn start_with_timeout(name: &str, timeout_ms: u64) -> Self {
-        let store = FakeStore::start().unwrap();
-        let mut configuration = configuration(1);
-        for route in configuration["routes"].as_array_mut().unwrap() {
-            route["timeoutMs"] = timeout_ms.into();
-        }
-        store.publish(&configuration);
-        Self::start_with_store(name, store)
+        Self::start_with_store(name, store_with_timeout(timeout_ms))
     }
 
     /// Starts an instance that is the first seed, so that it gives orders to engines.
@@ -120,6 +125,14 @@
         Self::start_with_settings(name, store, address, MemberAddresses::free(), order_settings)
     }
 
+    /// Starts an instance with this grace period, such as `3s`, whose routes all have this timeout.
+    pub fn start_with_grace(name: &str, grace: &str, timeout_ms: u64) -> Self {
+        let store = store_with_timeout(timeout_ms);
+        let address = store.address();
+        let settings = format!("grace_ms: {grace}\n");
+        Self::start_with_settings(name, store, address, MemberAddresses::free(), &settings)
+    }
+
     /// Starts an instance that chooses servers by the speeds that they state.
     pub fn start_using_speeds(name: &str) -> Self {
         let store = FakeStore::start().unwrap();
@@ -218,11 +231,12 @@
             true => String::new(),
             false => format!("data_centre: {DATA_CENTRE}\n"),
         };
+        let grace = if extra_settings.contains("grace_ms:") { "" } else { "grace_ms: 8s\n" };
         let settings = format!(
             "{data_centre}instance: {name}\ncaller_address: {caller_address}\n\
              ready_address: {ready_address}\noperator_address: {operator_address}\n\
              peer_address: {peer_address}\nhandover_port: {handover_port}\n\
-             store_address: {}\ngrace_ms: 8s\nretry_ratio: 0.2\nretry_slack: {}\nretry_window_ms: {}\n{extra_settings}",
+             store_address: {}\n{grace}retry_ratio: 0.2\nretry_slack: {}\nretry_window_ms: {}\n{extra_settings}",
             store_address, bounds.slack, bounds.window
         );
         std::fs::write(&settings_path, settings).unwrap();
--- a/crates/turmericrail/tests/planned_stop.rs
+++ b/crates/turmericrail/tests/planned_stop.rs
@@ -3,12 +3,15 @@
 
 mod forward_support;
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
-use forward_support::{ForwardInstance, read_reply, request_text};
-use turmericrail_fakes::registered::Behaviour;
+use forward_support::{ForwardInstance, answer_with, read_reply, register_raw, request_text};
+use turmericrail_fakes::registered::{Behaviour, RawAnswer, RawServer, request_text as timed_text};
 
 const GRACE: Duration = Duration::from_secs(8);
 /// Time from the stop signal until the listener and idle connections are to be closed.
@@ -96,3 +99,80 @@
     sleep_until(stopped_at + LATE_TIME + Duration::from_millis(700));
     assert!(instance.has_exited());
 }
+
+/// Time between two requests, and of the answers of a server that answers.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+
+/// Sends a request on a connection that was opened before; `None` if it ends without an answer.
+fn send_at(stream: TcpStream, time: Instant, id: &str) -> Option<u16> {
+    let mut stream = stream;
+    sleep_until(time);
+    stream.write_all(timed_text("order", id, id, 20_000).as_bytes()).ok()?;
+    read_reply(&mut stream, &mut Vec::new()).map(|reply| reply.status())
+}
+
+/// Sends requests throughout the stop of an instance, kills it at the end of its grace period as the
+/// platform does, and returns what became of those that it had passed on to a server, by id.
+fn stop_under_load(name: &str, grace: Duration) -> BTreeMap<String, Option<u16>> {
+    let grace_text = format!("{}s", grace.as_secs());
+    let mut instance = ForwardInstance::start_with_grace(name, &grace_text, 20_000);
+    let passed_on = Arc::new(Mutex::new(Vec::new()));
+    let arrived = Arc::clone(&passed_on);
+    let server = RawServer::start(move |head, _| {
+        let id = head.headers.text("X-Request-Id").unwrap_or_default().to_owned();
+        let is_silent = id.ends_with("silent");
+        arrived.lock().unwrap().push(id);
+        match is_silent {
+            true => RawAnswer::NoAnswer,
+            false => RawAnswer::WithPauses(vec![answer_with(head, "done")], ANSWER_TIME),
+        }
+    });
+    let server = server.unwrap();
+    register_raw(&instance, "p1", None, &server);
+    let count = (grace.as_millis() / REQUEST_INTERVAL.as_millis()) as u32;
+    let stopped_at = stop(&instance);
+    let ended = thread::scope(|scope| {
+        let calls: Vec<_> = (0..count)
+            .map(|number| {
+                let kind = ["answered", "silent"][number as usize % 2];
+                let (id, time) =
+                    (format!("r{number}-{kind}"), stopped_at + REQUEST_INTERVAL * number);
+                let address = instance.caller_address;
+                // Half of the connections are new, the others were opened before the stop.
+                let opened = (number % 4 < 2).then(|| instance.connect());
+                scope.spawn(move || {
+                    sleep_until(time);
+                    let stream = opened.or_else(|| TcpStream::connect(address).ok());
+                    let status = stream.and_then(|stream| send_at(stream, time, &id));
+                    (id, status)
+                })
+            })
+            .collect();
+        sleep_until(stopped_at + grace);
+        instance.kill();
+        calls.into_iter().map(|call| call.join().unwrap()).collect::<BTreeMap<_, _>>()
+    });
+    let passed_on = passed_on.lock().unwrap();
+    ended.into_iter().filter(|(id, _)| passed_on.contains(id)).collect()
+}
+
+#[test]
+fn every_grace_period() {
+    // Guards against requests that are passed on and cut at the end of a grace period that is shorter
+    // than the usual steps of a stop.
+    thread::scope(|scope| {
+        for grace_s in [2, 3, 4, 8] {
+            scope.spawn(move || {
+                let ended =
+                    stop_under_load(&format!("grace-{grace_s}"), Duration::from_secs(grace_s));
+                assert!(ended.len() > 4, "{grace_s} s: {ended:?}");
+                for (id, status) in &ended {
+                    let expected = if id.ends_with("silent") { [504, 504] } else { [200, 504] };
+                    let is_told = status.is_some_and(|status| expected.contains(&status));
+                    assert!(is_told, "{grace_s} s: {id} got {status:?} of {ended:?}");
+                }
+            });
+        }
+    });
+}
