The product's own interface reads answers with the strict parser

What callers saw, at the product's own interface: an answer with status 100 or 101 came as the final one, with a length and a body that a caller reads as its next answer; the last of two lengths, +20 as a length, chunks without their end and line feeds alone were taken for whole; a body with a content coding came without the field that says so. Answers of small chunks without end kept all other callers waiting, and bodies without end took the memory of the process (100 calls, 486 MB here).

Cause: two readers of one protocol with different rules. This interface read answers with the client of a library, which checks less, decodes without letting other tasks run, and knows no limit of all answers together; the account of callers counts what callers send.

Change: the client (wire::client) reads heads by FinalHead and bodies by BodyDecoder, as the forwarding side does; FinalHead is what exchange.rs had of its own. ResponseBody decodes while it is read and lets other tasks run after every other read. Refusals are an error of their own (CallError::Refused) and are logged and counted as on the forwarding side. Answers of servers share a budget while they are read: limits.max_answer_bytes, 64 MiB, besides the first 64 KiB of each; AnswerBudget is what forwarded answers had as BufferBudget. An answer with a content coding is refused, as nothing asked for one. The library still writes the requests.

Kept: answers without a length, unnamed statuses such as 299, and fields and trailers that aren't ASCII are refused as before (booking_faults:: malformed_answers). Chunk extensions were refused and are accepted now.

Evidence: on the code before, interface_answers::broken_answers fails (status 100 at the caller), faithful_answers (chunk extension), endless_chunks (no completion within 6 s) and endless_bodies (486,020 KiB, 196,608 allowed). Status 000, 099, 600 and broken field names were refused there already.

--- a/crates/turmericrail/src/backend_edge/engine.rs
+++ b/crates/turmericrail/src/backend_edge/engine.rs
@@ -10,6 +10,7 @@
 use turmericrail_wire::client::Call;
 use turmericrail_wire::engine::{CancelBody, ImportBody, PrefillAnswer, PrefillBody};
 
+use super::refused_answers;
 use crate::daemon::Shared;
 
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -34,6 +35,7 @@
     };
     let timeout = Duration::from_millis(call.timeout_ms.0);
     let outgoing = Call::post(call.target.address, "/prefill", &body, timeout);
+    let outgoing = outgoing.within(&shared.answer_budget);
     let event = match outgoing.send_json::<PrefillAnswer>().await {
         Ok(answer) => Event::PrefillDone {
             request: call.request,
@@ -41,6 +43,7 @@
             cached_tokens: answer.cached_tokens,
         },
         Err(error) => {
+            refused_answers::record(&shared, &call.target.server, &error);
             spdlog::warn!(
                 "event=prefill_error request={} error={:?}",
                 call.request,
@@ -62,7 +65,11 @@
         max_tokens: call.max_tokens,
     };
     let timeout = Duration::from_millis(call.timeout_ms.0);
-    let answer = Call::post(call.target.address, "/import", &body, timeout).send().await;
+    let outgoing = Call::post(call.target.address, "/import", &body, timeout);
+    let answer = outgoing.within(&shared.answer_budget).send().await;
+    if let Err(error) = &answer {
+        refused_answers::record(&shared, &call.target.server, error);
+    }
     let is_done = answer.is_ok_and(|(answer, _)| answer.status().is_success());
     shared.send_event(match is_done {
         true => Event::TransferDone(call.request, call.stream),
@@ -73,17 +80,13 @@
 /// Frees the memory that an engine holds for a stream.
 ///
 /// If all attempts fail, the owner's periodic check of the engine's streams frees it.
-pub async fn cancel(
-    _shared: Arc<Shared>,
-    target: ServerEndpoint,
-    stream: StreamId,
-    holder: Holder,
-) {
+pub async fn cancel(shared: Arc<Shared>, target: ServerEndpoint, stream: StreamId, holder: Holder) {
     let body = CancelBody { stream, holder };
     for _ in 0..CANCEL_ATTEMPTS {
         let call = Call::post(target.address, "/cancel", &body, CANCEL_TIMEOUT);
-        if call.send().await.is_ok() {
-            return;
+        match call.within(&shared.answer_budget).send().await {
+            Ok(_) => return,
+            Err(error) => refused_answers::record(&shared, &target.server, &error),
         }
     }
     spdlog::warn!("event=cancel_error server={} stream={}", target.server, body.stream);
@@ -91,10 +94,13 @@
 
 /// Requests a load report and passes it, or the failure, to the coordinator.
 pub async fn poll(shared: Arc<Shared>, target: ServerEndpoint) {
-    let call = Call::get(target.address, "/report", REPORT_TIMEOUT);
+    let call = Call::get(target.address, "/report", REPORT_TIMEOUT).within(&shared.answer_budget);
     let report = shared.report_connections.send_json::<LoadReport>(call).await;
     shared.send_event(match report {
         Ok(report) => Event::Report(target.server, report),
-        Err(_) => Event::ReportFailed(target.server),
+        Err(error) => {
+            refused_answers::record(&shared, &target.server, &error);
+            Event::ReportFailed(target.server)
+        }
     });
 }
--- a/crates/turmericrail/src/backend_edge/mod.rs
+++ b/crates/turmericrail/src/backend_edge/mod.rs
@@ -3,4 +3,5 @@
 pub mod engine;
 pub mod orders;
 pub mod plain;
+mod refused_answers;
 pub mod tokens;
--- a/crates/turmericrail/src/backend_edge/plain.rs
+++ b/crates/turmericrail/src/backend_edge/plain.rs
@@ -7,6 +7,7 @@
 use turmericrail_core::event::{Event, PlainAnswer, PlainResult};
 use turmericrail_wire::client::{Call, CallError};
 
+use super::refused_answers;
 use crate::daemon::Shared;
 
 /// Sends a call once, on a new connection, and reports the result.
@@ -32,6 +33,7 @@
         content_type: received.content_type.clone(),
         body: received.body.clone(),
         timeout: Duration::from_millis(call.timeout_ms.0),
+        budget: Some(shared.answer_budget.clone()),
     };
     match outgoing.send().await {
         Ok((answer, body)) => {
@@ -45,6 +47,7 @@
         }
         Err(CallError::NotSent { .. }) => PlainResult::NotSent,
         Err(error) => {
+            refused_answers::record(shared, &call.target.server, &error);
             spdlog::warn!(
                 "event=plain_error request={} error={:?}",
                 call.request,
--- a/crates/turmericrail/src/caller_edge/body.rs
+++ b/crates/turmericrail/src/caller_edge/body.rs
@@ -11,12 +11,13 @@
 use turmericrail_core::caller_account::ConnectionPhase;
 use turmericrail_core::error_kind::ErrorKind;
 use turmericrail_core::units::Bytes;
+use turmericrail_wire::buffer_growth::grow_for;
 
 use super::connection::CallerConnection;
 use super::reply::Refusal;
 use crate::caller_memory::HeldBytes;
 use crate::daemon::Shared;
-use crate::eager_read::{grow_for, read_with};
+use crate::eager_read::read_with;
 
 /// Memory of a request beside its connection, head and body.
 const REQUEST_BYTES: Bytes = Bytes(26 << 10);
--- a/crates/turmericrail/src/daemon/shared.rs
+++ b/crates/turmericrail/src/daemon/shared.rs
@@ -11,6 +11,7 @@
 use turmericrail_core::membership::INCARNATION_RANDOM_BITS;
 use turmericrail_core::node::{Node, NodeSettings};
 use turmericrail_core::units::{Millis, WallMillis};
+use turmericrail_wire::answer_budget::AnswerBudget;
 use turmericrail_wire::idempotent_client::IdempotentClient;
 
 use crate::caller_memory::SharedAccount;
@@ -35,6 +36,8 @@
     pub caller_account: Arc<SharedAccount>,
     pub metrics: Metrics,
     pub peer_channels: crate::peer_edge::client::PeerChannels,
+    /// Memory for the answers of servers while they are read.
+    pub answer_budget: AnswerBudget,
     /// Connections to engines for load reports.
     pub report_connections: IdempotentClient,
     events: Sender<Event>,
@@ -68,6 +71,7 @@
             caller_account: Arc::new(caller_account),
             metrics,
             peer_channels: crate::peer_edge::client::PeerChannels::default(),
+            answer_budget: AnswerBudget::new(settings.limits.max_answer_bytes.0 as usize),
             report_connections: IdempotentClient::default(),
             events: sender,
             node: Mutex::new(node),
--- a/crates/turmericrail/src/eager_read.rs
+++ b/crates/turmericrail/src/eager_read.rs
@@ -8,6 +8,7 @@
 
 use async_std::io::Read;
 use async_std::net::TcpStream;
+use turmericrail_wire::buffer_growth::grow_for;
 
 /// Most bytes of one read.
 const READ_SIZE_BYTES: usize = 8 * 1024;
@@ -40,17 +41,3 @@
     })
     .await
 }
-
-/// The capacity of a buffer with room for more bytes. It grows by a quarter, since doubling would leave
-/// half of the memory of a long one unused.
-pub fn grown_capacity(buffer: &Vec<u8>, added_bytes: usize) -> usize {
-    if buffer.capacity() - buffer.len() >= added_bytes {
-        return buffer.capacity();
-    }
-    buffer.len() + added_bytes.max(buffer.len() / 4)
-}
-
-/// Makes room for more bytes.
-pub fn grow_for(buffer: &mut Vec<u8>, added_bytes: usize) {
-    buffer.reserve_exact(grown_capacity(buffer, added_bytes) - buffer.len());
-}
--- a/crates/turmericrail/src/forward/callers/caller_connection.rs
+++ b/crates/turmericrail/src/forward/callers/caller_connection.rs
@@ -16,6 +16,7 @@
 use turmericrail_core::forward::RequestLimits;
 use turmericrail_core::units::{Bytes, Millis};
 use turmericrail_platform::request::{self, RequestMetadata};
+use turmericrail_wire::buffer_growth::grown_capacity;
 use turmericrail_wire::http1::{BodyDecoder, HeadError, RequestHead};
 
 use super::connection_end::ConnectionEnd;
@@ -23,7 +24,7 @@
 use super::unread::Unread;
 use crate::caller_memory::{HeldBytes, HeldConnection};
 use crate::connection_close::{close_now, drain_and_close, reset_on_drop};
-use crate::eager_read::{self, grown_capacity};
+use crate::eager_read;
 use crate::forward::clock;
 use crate::forward::handover::{Origin, taking};
 use crate::forward::shared::Shared;
--- a/crates/turmericrail/src/forward/servers/answer_fault.rs
+++ b/crates/turmericrail/src/forward/servers/answer_fault.rs
@@ -8,10 +8,6 @@
 pub enum AnswerFault {
     #[error(transparent)]
     Head(#[from] HeadError),
-    #[error("the head is too long")]
-    LongHead,
-    #[error("too many interim answers")]
-    ManyInterimAnswers,
     #[error("too many answers to other requests")]
     ManyOtherAnswers,
     #[error(transparent)]
@@ -40,9 +36,9 @@
     pub fn as_str(self) -> &'static str {
         match self {
             AnswerFault::Head(HeadError::UndefinedStatus(_)) => "undefined_status",
+            AnswerFault::Head(HeadError::TooLong) => "long_head",
+            AnswerFault::Head(HeadError::TooManyInterim) => "many_interim_answers",
             AnswerFault::Head(_) => "malformed_head",
-            AnswerFault::LongHead => "long_head",
-            AnswerFault::ManyInterimAnswers => "many_interim_answers",
             AnswerFault::ManyOtherAnswers => "many_other_answers",
             AnswerFault::Body(_) => "malformed_body",
             AnswerFault::FailedConnection => "failed_connection",
--- a/crates/turmericrail/src/forward/servers/exchange.rs
+++ b/crates/turmericrail/src/forward/servers/exchange.rs
@@ -9,7 +9,7 @@
 use futures_lite::future;
 use turmericrail_core::units::Millis;
 use turmericrail_platform::answer::{self, AnswerMetadata};
-use turmericrail_wire::http1::ResponseHead;
+use turmericrail_wire::http1::{FinalHead, ResponseHead};
 
 use super::answer_body::AnswerBody;
 use super::answer_fault::AnswerFault;
@@ -21,9 +21,6 @@
 use crate::forward::calls::call_context::CallContext;
 use crate::forward::calls::call_failure::CallFailure;
 
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Most interim heads before a final one.
-const MAX_INTERIM_HEADS: usize = 16;
 /// Largest answer body that is held in memory.
 const MAX_BODY_BYTES: usize = 8 << 20;
 /// Most answers to other requests that are skipped on one connection.
@@ -195,22 +192,11 @@
     connection: &mut ServerConnection,
     method: &str,
 ) -> Result<ResponseHead, CallFailure> {
-    let mut interim_heads = 0;
+    let mut final_head = FinalHead::default();
     loop {
-        let parsed = ResponseHead::parse(&connection.buffer, method);
-        if let Some((head, length)) = parsed.map_err(AnswerFault::from)? {
-            connection.buffer.drain(..length);
-            if !head.is_interim() {
-                return Ok(head);
-            }
-            interim_heads += 1;
-            if interim_heads > MAX_INTERIM_HEADS {
-                return Err(AnswerFault::ManyInterimAnswers.into());
-            }
-            continue;
-        }
-        if connection.buffer.len() > MAX_HEAD_BYTES {
-            return Err(AnswerFault::LongHead.into());
+        let taken = final_head.take(&mut connection.buffer, method);
+        if let Some(head) = taken.map_err(AnswerFault::from)? {
+            return Ok(head);
         }
         if connection.fill_fairly().await.map_err(|_| CallFailure::Lost)? == 0 {
             return Err(CallFailure::Lost);
--- a/crates/turmericrail/src/forward/servers/server_connection.rs
+++ b/crates/turmericrail/src/forward/servers/server_connection.rs
@@ -8,12 +8,13 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use turmericrail_core::units::Millis;
+use turmericrail_wire::buffer_growth::grow_for;
 use turmericrail_wire::http1::{BodyDecoder, BodyFraming};
 
 use super::answer_fault::AnswerFault;
 use super::call_key::CallKey;
 use crate::connection_close::reset_on_drop;
-use crate::eager_read::{self, grow_for};
+use crate::eager_read;
 use crate::forward::calls::call_failure::CallFailure;
 use crate::forward::clock;
 use crate::tcp_timeouts::TcpTimeouts;
--- a/crates/turmericrail/src/metrics.rs
+++ b/crates/turmericrail/src/metrics.rs
@@ -29,6 +29,8 @@
     pub connections: IntGauge,
     /// Configuration version in force.
     pub config_version: IntGauge,
+    /// Answers of servers that were refused, by reason.
+    pub refused_answers: IntCounterVec,
     /// Newest configuration version that failed its checks; zero if none did.
     pub rejected_config_version: IntGauge,
 }
@@ -99,6 +101,12 @@
                 "service",
             ),
             caller_account: AccountMetrics::register(&registry),
+            refused_answers: counter(
+                &registry,
+                "turmericrail_refused_answers_total",
+                "Answers that were refused.",
+                "reason",
+            ),
             connections: gauge(&registry, "turmericrail_connections", "Callers connected."),
             config_version: gauge(
                 &registry,
--- a/crates/turmericrail/src/settings.rs
+++ b/crates/turmericrail/src/settings.rs
@@ -71,6 +71,9 @@
     /// Memory for all connections and requests: heads, bodies, and what each takes beside these.
     #[serde_as(as = "Quantity")]
     pub max_buffered_bytes: Bytes,
+    /// Memory for all answers of servers while they are read, besides the first 64 KiB of each.
+    #[serde_as(as = "Quantity")]
+    pub max_answer_bytes: Bytes,
     /// Concurrent connections of callers; at most half of the files that the process may open.
     pub max_connections: u64,
     /// Bytes of a caller's connection that the system keeps until they are read.
@@ -89,6 +92,7 @@
         Self {
             max_body_bytes: Bytes(1 << 20),
             max_buffered_bytes: Bytes(128 << 20),
+            max_answer_bytes: Bytes(64 << 20),
             max_connections: 1_000,
             receive_buffer_bytes: Bytes(16 << 10),
             receive_timeout_ms: Millis(10_000),
@@ -174,6 +178,7 @@
     fn check(&self) -> Result<(), ConfigError> {
         let limits = [
             ("max_body_bytes", self.max_body_bytes.0),
+            ("max_answer_bytes", self.max_answer_bytes.0),
             ("max_connections", self.max_connections),
             ("receive_timeout_ms", self.receive_timeout_ms.0),
             ("stall_timeout_ms", self.stall_timeout_ms.0),
--- a/crates/turmericrail/tests/common/mod.rs
+++ b/crates/turmericrail/tests/common/mod.rs
@@ -33,3 +33,11 @@
 pub async fn complete(address: SocketAddr, body: &Value) -> Result<(Response, Vec<u8>), CallError> {
     Call::post(address, "/v1/completions", body, WAIT_TIMEOUT).send().await
 }
+
+/// Most memory that the first instance has held at once, in KiB.
+pub fn peak_memory_kib(fleet: &Fleet) -> u64 {
+    let process = fleet.instances[0].process.as_ref().expect("the instance runs");
+    let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    line.split_whitespace().next().unwrap().parse().unwrap()
+}
--- a/crates/wire/src/http1/body_decoder.rs
+++ b/crates/wire/src/http1/body_decoder.rs
@@ -56,6 +56,14 @@
         }
     }
 
+    /// Whether the trailer fields so far hold ASCII characters alone.
+    pub fn has_ascii_trailers(&self) -> bool {
+        match self {
+            Self::Chunks(chunks) => chunks.has_ascii_trailers(),
+            Self::Length(_) | Self::UntilClose(_) => true,
+        }
+    }
+
     /// Memory of a line that isn't complete.
     pub fn buffered_bytes(&self) -> usize {
         match self {
--- a/crates/wire/src/http1/chunk_decoder.rs
+++ b/crates/wire/src/http1/chunk_decoder.rs
@@ -24,11 +24,12 @@
     state: State,
     line: Vec<u8>,
     trailer_bytes: usize,
+    has_ascii_trailers: bool,
 }
 
 impl Default for ChunkDecoder {
     fn default() -> Self {
-        Self { state: State::Size, line: Vec::new(), trailer_bytes: 0 }
+        Self { state: State::Size, line: Vec::new(), trailer_bytes: 0, has_ascii_trailers: true }
     }
 }
 
@@ -38,6 +39,11 @@
         self.state == State::Done
     }
 
+    /// Whether the trailer fields so far hold ASCII characters alone.
+    pub fn has_ascii_trailers(&self) -> bool {
+        self.has_ascii_trailers
+    }
+
     /// Memory of the line that isn't complete.
     pub fn buffered_bytes(&self) -> usize {
         self.line.capacity()
@@ -90,7 +96,10 @@
             },
             State::DataEnd if line.is_empty() => State::Size,
             State::Trailer if line.is_empty() => State::Done,
-            State::Trailer => State::Trailer,
+            State::Trailer => {
+                self.has_ascii_trailers &= line.is_ascii();
+                State::Trailer
+            }
             _ => return Err(BodyError::Malformed),
         };
         Ok(())
--- a/crates/wire/src/http1/head_error.rs
+++ b/crates/wire/src/http1/head_error.rs
@@ -23,6 +23,12 @@
     /// HTTP doesn't define the status, which also decides whether a body follows.
     #[error("undefined status {0:03}")]
     UndefinedStatus(u16),
+    /// The head is longer than the limit.
+    #[error("the head is too long")]
+    TooLong,
+    /// There are more interim answers before the final one than the limit.
+    #[error("too many interim answers")]
+    TooManyInterim,
     /// The request has no host or more than one.
     #[error("the request must name one host")]
     BadHost,
--- a/crates/wire/src/idempotent_client.rs
+++ b/crates/wire/src/idempotent_client.rs
@@ -60,17 +60,17 @@
     async fn send_on(&self, call: Call, stream: TcpStream) -> Result<Answer, CallError> {
         let address = call.address;
         let timeout = call.timeout;
-        let sending = call.send_keep_alive(stream.clone());
+        let sending = call.send_whole(stream.clone(), "keep-alive");
         let result = async_std::future::timeout(timeout, sending).await;
         let timed_out = |_| CallError::Lost {
             address,
             reason: "no complete answer within the timeout".to_owned(),
         };
-        let (head, body) = result.map_err(timed_out)??;
-        if !is_closing(&head) {
+        let answer = result.map_err(timed_out)??;
+        if answer.is_reusable {
             self.store_idle(address, stream);
         }
-        Ok(Answer { address, head, body })
+        Ok(Answer { address, head: answer.response, body: answer.body })
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
@@ -116,9 +116,3 @@
         crate::client::decode_json(self.address, &self.head, &self.body)
     }
 }
-
-/// Whether the receiver closes the connection after its answer.
-fn is_closing(head: &Response) -> bool {
-    let values = head.header("connection");
-    values.is_some_and(|values| values.last().as_str().eq_ignore_ascii_case("close"))
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,7 +3,9 @@
 //!
 //! This package only converts; it makes no decisions.
 
+pub mod answer_budget;
 pub mod body;
+pub mod buffer_growth;
 pub mod caller;
 pub mod client;
 pub mod convert;
@@ -23,3 +25,5 @@
 #[path = "generated/turmericrail.relay.rs"]
 pub mod relay;
 pub mod relayed_item;
+mod response_body;
+pub mod response_fault;
