Lines of token streams have a length limit

What callers would see: a faulty engine writes a token stream of one line without end. The line was kept whole until the engine fell silent or the connection ended, which takes the memory of the process.

Cause: tokens.rs read lines of any length.

Change: a line may have 64 KiB; a longer one is no token, so that the stream is read anew or the answer computed elsewhere, as after any broken line. Lines that are no token are logged and counted (answer_refused, malformed_token).

Evidence: found by reading, where answers are read. decode_faults::endless_line shows that the answer goes on and is whole; one such stream for 0.6 s passes on the code before too, since the silence timeout of a line ends it before it takes 256 MB there, so that the bound itself isn't shown by a failing test.

--- a/crates/fakes/src/engine/state.rs
+++ b/crates/fakes/src/engine/state.rs
@@ -28,6 +28,8 @@
     pub is_frozen: bool,
     /// Whether every request fails, as if the process had died.
     pub is_down: bool,
+    /// Whether token streams are one line without end.
+    pub has_endless_lines: bool,
     /// Whether KV transfers to this engine never finish.
     pub is_transfer_stalled: bool,
     /// If set, the answer to every report request.
--- a/crates/fakes/src/engine/tokens.rs
+++ b/crates/fakes/src/engine/tokens.rs
@@ -41,6 +41,9 @@
     inner.state().completed_streams.remove(&stream);
 }
 
+/// Size of the pieces of a line without end.
+const PIECE_BYTES: usize = 16 * 1024;
+
 #[derive(Deserialize)]
 struct TokensQuery {
     stream: StreamId,
@@ -77,6 +80,10 @@
         Err(status) => return Ok(Response::new(status)),
     };
     let (sender, receiver) = async_channel::bounded(16);
+    if inner.state().has_endless_lines {
+        task::spawn(async move { while sender.send(Ok(vec![b'x'; PIECE_BYTES])).await.is_ok() {} });
+        return Ok(Response::builder(200).body(channel_body(receiver)).build());
+    }
     task::spawn(async move {
         let mut index = query.from;
         while let Some(line) = next_line(&inner, &query.stream, index, reader).await {
--- a/crates/turmericrail/src/backend_edge/tokens.rs
+++ b/crates/turmericrail/src/backend_edge/tokens.rs
@@ -16,6 +16,7 @@
 use turmericrail_wire::client::Call;
 use turmericrail_wire::engine::TokenLine;
 
+use super::refused_answers;
 use crate::daemon::Shared;
 use crate::daemon::callers::CallerMessage;
 
@@ -24,6 +25,9 @@
 /// Status of an engine from which another holder reads the stream.
 const CONFLICT_STATUS: u16 = 409;
 
+/// Longest line of a token stream, which holds one token.
+const MAX_LINE_BYTES: u64 = 64 * 1024;
+
 enum ReadEnd {
     /// The whole answer was sent; holds its number of tokens.
     Complete(u64),
@@ -78,9 +82,12 @@
         call.holder.incarnation,
         call.takes_over
     );
-    let opened = Call::get(call.target.address, path, silence_timeout).open().await;
-    let Ok(answer) = opened else {
-        return ReadEnd::Broken { is_held: true };
+    let answer = match Call::get(call.target.address, path, silence_timeout).open().await {
+        Ok(answer) => answer,
+        Err(error) => {
+            refused_answers::record(shared, &call.target.server, &error);
+            return ReadEnd::Broken { is_held: true };
+        }
     };
     if answer.status() as u16 == CONFLICT_STATUS {
         return ReadEnd::TakenOver;
@@ -92,11 +99,14 @@
     let mut line = String::new();
     loop {
         line.clear();
-        let reading = async_std::io::timeout(silence_timeout, lines.read_line(&mut line)).await;
+        let mut limited = (&mut lines).take(MAX_LINE_BYTES);
+        let reading = async_std::io::timeout(silence_timeout, limited.read_line(&mut line)).await;
         if !reading.is_ok_and(|count| count > 0) {
             return ReadEnd::Broken { is_held: true };
         }
         let Ok(parsed) = serde_json::from_str(&line) else {
+            let reason = "a line that is no token";
+            refused_answers::record_fault(shared, &call.target.server, "malformed_token", reason);
             return ReadEnd::Broken { is_held: true };
         };
         match parsed {
--- a/crates/turmericrail/tests/decode_faults.rs
+++ b/crates/turmericrail/tests/decode_faults.rs
@@ -3,11 +3,17 @@
 
 mod common;
 
-use common::{WAIT_TIMEOUT, completion, start_fleet};
+use std::time::Duration;
+
+use common::{WAIT_TIMEOUT, completion, peak_memory_kib, start_fleet};
 use turmericrail_fakes::{AnswerEvent, Fleet, StreamCaller, text, wait_until};
 
 const PROMPT: &str = "a tray for eggs";
 const ANSWER_TOKENS: u64 = 200;
+/// Time for which an engine writes a line without end.
+const ENDLESS_TIME: Duration = Duration::from_millis(600);
+/// Most memory that an instance may take.
+const MAX_MEMORY_KIB: u64 = 256 * 1024;
 
 /// Starts an answer and reads its first tokens.
 async fn start_answer(fleet: &Fleet) -> StreamCaller {
@@ -52,6 +58,22 @@
     assert_complete_answer(&fleet, caller, 1).await;
 }
 
+#[async_std::test]
+async fn endless_line() {
+    // Guards against a token stream of one line without end that takes the memory of the process.
+    let fleet = start_fleet("endless-line").await;
+    let mut caller = start_answer(&fleet).await;
+    let engine = fleet.busiest_decode_engine().unwrap().1;
+    engine.state().has_endless_lines = true;
+    engine.state().disconnect_readers();
+    async_std::task::sleep(ENDLESS_TIME).await;
+    let memory_kib = peak_memory_kib(&fleet);
+    engine.state().has_endless_lines = false;
+    assert!(memory_kib < MAX_MEMORY_KIB, "{memory_kib} KiB");
+    assert_eq!(caller.read_all().await, AnswerEvent::End(ANSWER_TOKENS));
+    assert_eq!(caller.text(), text::answer(PROMPT, ANSWER_TOKENS));
+}
+
 #[async_std::test]
 async fn transfer_stalled() {
     let fleet = start_fleet("transfer-stalled").await;
