--- a/crates/turmericrail/src/forward/calls/answer_stream.rs
+++ b/crates/turmericrail/src/forward/calls/answer_stream.rs
@@ -47,8 +47,9 @@
 /// The answer to one caller.
 pub struct AnswerStream {
     events: EventSplitter,
-    /// The kind of the answer whose head the caller gets, and of the present one.
+    /// Kind of the answer whose head the caller gets.
     begun: Option<AnswerKind>,
+    /// Kind of the answer that is read at present.
     present: Option<AnswerKind>,
     /// Events that came before the present answer.
     events_before: u64,
