Review: after a mass kill each machine is the coordinator of all tenants

While the seeds are down, machines that were started again know no other one, and each grants the whole cap from 3 s on. Nothing is fixed.

--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -56,16 +56,23 @@
 /// Longest time of a script.
 const MAX_TIME: Duration = Duration::from_secs(100);
 
-/// The processes that this script has started.
-static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+/// The processes that this script has started, by the names of their instances.
+static CHILDREN: Mutex<Vec<(String, Child)>> = Mutex::new(Vec::new());
 
 /// Ends the processes that this script has started, and the script.
 pub fn end(code: i32) -> ! {
-    for mut child in CHILDREN.lock().unwrap_or_else(|error| error.into_inner()).drain(..) {
+    kill(|_| true);
+    std::process::exit(code);
+}
+
+/// Kills the processes of some instances.
+pub fn kill(is_chosen: impl Fn(&str) -> bool) {
+    let mut children = CHILDREN.lock().unwrap_or_else(|error| error.into_inner());
+    children.iter_mut().filter(|(name, _)| is_chosen(name)).for_each(|(_, child)| {
         let _ = child.kill();
         let _ = child.wait();
-    }
-    std::process::exit(code);
+    });
+    children.retain(|(name, _)| !is_chosen(name));
 }
 
 /// Ends the script because it could not run.
@@ -397,15 +404,7 @@
         );
         let path = folder.join(format!("{name}.yaml"));
         fs::write(&path, settings).unwrap_or_else(|_| fail("settings can't be written"));
-        let log = File::create(folder.join(format!("{name}.log"))).unwrap();
-        let child = Command::new("target/release/turmericrail")
-            .arg("--forward")
-            .arg(&path)
-            .stdout(log.try_clone().unwrap())
-            .stderr(Stdio::from(log))
-            .spawn()
-            .unwrap_or_else(|error| fail(&format!("the program doesn't start: {error}")));
-        CHILDREN.lock().unwrap().push(child);
+        start_process(name);
         let at = |port: u16| format!("{ip}:{port}").parse().unwrap();
         let (caller_address, ready_address) = (at(ports[0]), at(ports[1]));
         instances.push(Instance { name: name.clone(), caller_address, ready_address });
@@ -413,6 +412,21 @@
     instances
 }
 
+/// Starts the process of an instance whose settings have been written.
+pub fn start_process(name: &str) {
+    let folder = work_folder();
+    let log = fs::OpenOptions::new().create(true).append(true).open(folder.join(format!("{name}.log")));
+    let log = log.unwrap_or_else(|_| fail("the log can't be written"));
+    let child = Command::new("target/release/turmericrail")
+        .arg("--forward")
+        .arg(folder.join(format!("{name}.yaml")))
+        .stdout(log.try_clone().unwrap())
+        .stderr(Stdio::from(log))
+        .spawn()
+        .unwrap_or_else(|error| fail(&format!("the program doesn't start: {error}")));
+    CHILDREN.lock().unwrap().push((name.to_owned(), child));
+}
+
 /// Waits until all instances say that they are ready.
 pub fn wait_until_ready(instances: &[Instance]) {
     let end = Instant::now() + Duration::from_secs(15);
