--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in drain silent orders quota; do
+for name in silent quota; do
     rustc --edition 2024 -O -o "target/review-2/$name" "review/standins-2/$name.rs"
 done
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -212,12 +212,48 @@
     revision: u64,
 }
 
+#[repr(C)]
+struct Instruction {
+    code: u16,
+    jump_true: u8,
+    jump_false: u8,
+    value: u32,
+}
+
+#[repr(C)]
+struct Program {
+    length: u16,
+    instructions: *const Instruction,
+}
+
+unsafe extern "C" {
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const Program, length: u32) -> i32;
+}
+
+/// Has the system drop all packets that arrive on a connection of this process, so that its peer gets
+/// no acknowledgement either. The connection stays open.
+fn drop_what_arrives(stream: TcpStream) {
+    use std::os::fd::AsRawFd;
+    const SOL_SOCKET: i32 = 1;
+    const SO_ATTACH_FILTER: i32 = 26;
+    let drop_packet = Instruction { code: 6, jump_true: 0, jump_false: 0, value: 0 };
+    let program = Program { length: 1, instructions: &drop_packet };
+    let length = std::mem::size_of::<Program>() as u32;
+    let result =
+        unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_ATTACH_FILTER, &program, length) };
+    if result != 0 {
+        fail("the connection can't be made silent");
+    }
+    std::mem::forget(stream);
+}
+
 /// The platform's store: reads, lists and watches; what it accepted is never lost.
 pub struct Store {
     pub address: SocketAddr,
     items: Mutex<Items>,
     changed: Condvar,
     connections: AtomicU64,
+    open: Mutex<Vec<TcpStream>>,
     /// Connections below this number are silent for good.
     silent_below: AtomicU64,
     record: Record,
@@ -231,6 +267,7 @@
             items: Mutex::new(Items { revision: 100, ..Items::default() }),
             changed: Condvar::new(),
             connections: AtomicU64::new(0),
+            open: Mutex::default(),
             silent_below: AtomicU64::new(0),
             record: record.clone(),
         });
@@ -259,10 +296,14 @@
         self.record.now_ms()
     }
 
-    /// Has all open connections go silent for good; new ones work.
-    pub fn silence_open_connections(&self) -> u64 {
+    /// Has all open connections go silent for good; new ones work. Packets that arrive on them are
+    /// acknowledged or dropped.
+    pub fn silence_open_connections(&self, is_acknowledged: bool) -> u64 {
         let count = self.connections.load(Ordering::SeqCst);
         self.silent_below.store(count, Ordering::SeqCst);
+        if !is_acknowledged {
+            self.open.lock().unwrap().drain(..).for_each(drop_what_arrives);
+        }
         self.changed.notify_all();
         count
     }
@@ -273,6 +314,7 @@
 
     fn serve_connection(&self, stream: TcpStream) {
         let number = self.connections.fetch_add(1, Ordering::SeqCst);
+        self.open.lock().unwrap().push(stream.try_clone().unwrap());
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Some(request) = read_message(&mut reader) {
             let answer = self.answer(&request, number);
